--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,160 @@
+// Package leader is the core that places ranges on the servers of one failure domain. It
+// has no input or output: Handle takes an Event with the time and returns Effects.
+package leader
+
+import (
+	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/place"
+	"example.org/mustardring/internal/record"
+	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/grant"
+	"example.org/mustardring/pkg/keys"
+)
+
+// Time is a reading of this instance's monotonic clock in nanoseconds.
+type Time = place.Time
+
+// Event is an input of the core. The set is sealed.
+type Event interface {
+	isEvent()
+}
+
+// Ticked says that time has passed. The shell sends it every few tens of milliseconds.
+type Ticked struct{}
+
+// Configured says what the bundle in force asks of this domain.
+type Configured struct {
+	Version  uint64
+	Services []Service
+}
+
+// Service is a service as the leader of one domain sees it.
+type Service struct {
+	Name      string
+	Divided   bool
+	Isolation bundle.Isolation
+	Weights   bundle.Weights
+	// Homes are the parts of the hash space whose home is this domain, sorted and disjoint.
+	Homes     []keys.Range
+	HotHashes []uint64
+	// RequestMillis is the longest request deadline in milliseconds.
+	RequestMillis int64
+	Servers       []Server
+}
+
+// Server is a backend server of the domain.
+type Server struct {
+	Name    string
+	Checks  bool
+	Slots   int
+	Leaving bool
+}
+
+// Answered is a server's answer to an exchange that was sent at AskedAt.
+type Answered struct {
+	Server  string
+	AskedAt Time
+	Answer  grant.Answer
+}
+
+// Folded is the state of the log as of a read that began at ReadAt.
+type Folded struct {
+	ReadAt   Time
+	Term     fold.Term
+	Assigned map[string]fold.Assigned
+}
+
+// LogFailed says that the log could not be read or written just now.
+type LogFailed struct{}
+
+// Appended says that the log acknowledged an append.
+type Appended struct {
+	ID     string
+	Offset uint64
+}
+
+// PeerHeard is a heartbeat of another instance of the domain, or of this one.
+type PeerHeard struct {
+	Name        string
+	Incarnation uint64
+	// Leading says that the peer believes it leads, in Term.
+	Leading bool
+	// Term is the highest term the peer knows.
+	Term grant.Term
+}
+
+// Listed is the platform's list: the instances and servers it calls live. What was listed
+// and is so no more is gone for certain; what is listed may be dead.
+type Listed struct {
+	Instances []string
+	Servers   []string
+}
+
+// Measured is the load of ranges, as counted by the gates.
+type Measured struct {
+	Service string
+	Loads   []RangeLoad
+}
+
+// RangeLoad is the load of one range in requests per second.
+type RangeLoad struct {
+	Range keys.Range
+	Load  float64
+}
+
+// Stopping says that this instance is leaving; it must hand its leadership on.
+type Stopping struct{}
+
+func (Ticked) isEvent()     {}
+func (Configured) isEvent() {}
+func (Answered) isEvent()   {}
+func (Folded) isEvent()     {}
+func (LogFailed) isEvent()  {}
+func (Appended) isEvent()   {}
+func (PeerHeard) isEvent()  {}
+func (Listed) isEvent()     {}
+func (Measured) isEvent()   {}
+func (Stopping) isEvent()   {}
+
+// Effect is an output of the core. The set is sealed.
+type Effect interface {
+	isEffect()
+}
+
+// Send posts an exchange to a server. The answer comes back as Answered with AskedAt. The
+// shell drops the exchange if the present time is past SendBefore when it is about to write.
+type Send struct {
+	Server     string
+	Exchange   grant.Exchange
+	AskedAt    Time
+	SendBefore Time
+}
+
+// Append appends a record with the ID, again and again until the log acknowledges it.
+type Append struct {
+	ID     string
+	Record record.Record
+}
+
+// Publish replaces the routing table of the domain.
+type Publish struct {
+	Table route.Table
+}
+
+// Led says that this instance began to lead, for the log of events.
+type Led struct {
+	Term grant.Term
+}
+
+// Stepped says that this instance ceased to lead, and why.
+type Stepped struct {
+	Term   grant.Term
+	Reason string
+}
+
+func (Send) isEffect()    {}
+func (Append) isEffect()  {}
+func (Publish) isEffect() {}
+func (Led) isEffect()     {}
+func (Stepped) isEffect() {}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,69 @@
+// Package record defines the records that mustardring keeps in the platform's log, and
+// their JSON form.
+package record
+
+import (
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/grant"
+	"example.org/mustardring/pkg/keys"
+)
+
+// Record is one of the kinds below. The set is sealed.
+type Record interface {
+	isRecord()
+}
+
+// BundlePublished puts a signed bundle into the log. It puts nothing in force.
+type BundlePublished struct {
+	Signed bundle.Signed `json:"signed"`
+}
+
+// BundleApproved is the statement of an approver about one version and its hash.
+type BundleApproved struct {
+	Approval bundle.Statement `json:"approval"`
+}
+
+// BundleRolled puts an approved version in force.
+type BundleRolled struct {
+	Roll bundle.Statement `json:"roll"`
+}
+
+// TermClaimed makes an entry instance the leader of a failure domain, if Follows is still
+// the domain's term when the record is folded. The new log term is Follows+1.
+type TermClaimed struct {
+	Domain      string `json:"domain"`
+	Follows     uint64 `json:"follows"`
+	Instance    string `json:"instance"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// AssignmentMade records the sets that servers of one domain hold under one term.
+type AssignmentMade struct {
+	Domain      string       `json:"domain"`
+	Service     string       `json:"service"`
+	Assignments []Assignment `json:"assignments"`
+	// Provisional says that the moves were made while the log was away.
+	Provisional bool `json:"provisional,omitempty"`
+}
+
+// Assignment is the set of ranges of one server under one epoch.
+type Assignment struct {
+	Server string       `json:"server"`
+	Epoch  grant.Epoch  `json:"epoch"`
+	Ranges []keys.Range `json:"ranges"`
+}
+
+// Checkpoint is the whole folded state in the encoding of package fold, appended again
+// before the log forgets older records.
+type Checkpoint struct {
+	State []byte `json:"state"`
+	// Next is the offset of the first record that the state does not include.
+	Next uint64 `json:"next"`
+}
+
+func (BundlePublished) isRecord() {}
+func (BundleApproved) isRecord()  {}
+func (BundleRolled) isRecord()    {}
+func (TermClaimed) isRecord()     {}
+func (AssignmentMade) isRecord()  {}
+func (Checkpoint) isRecord()      {}
