Name destinations, voters and gates in the seams

Cause: servers that do not check need a gate which holds their grant, and domains without checking servers need other voters. Conclusion: one grant mechanism serves both kinds of server.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -43,17 +43,25 @@
 	Servers       []Server
 }
 
-// Server is a backend server of the domain.
+// Server is a backend server of the domain, or an entry instance that only votes.
 type Server struct {
-	Name    string
-	Checks  bool
+	Name string
+	// Checks says that the server itself obeys grants. The gate of a server that does not
+	// check holds the server's grant in its place.
+	Checks bool
+	// Votes says that the server is one of the voters whose majority makes a leader.
+	Votes bool
+	// Slots is zero for an entry instance that only votes. It owns no ranges.
 	Slots   int
 	Leaving bool
 }
 
 // Answered is a server's answer to an exchange that was sent at AskedAt.
 type Answered struct {
-	Server  string
+	Server string
+	// Via is the entry instance that holds the grant of a server that does not check, and
+	// empty for one that does.
+	Via     string
 	AskedAt Time
 	Answer  grant.Answer
 }
@@ -125,7 +133,10 @@
 // Send posts an exchange to a server. The answer comes back as Answered with AskedAt. The
 // shell drops the exchange if the present time is past SendBefore when it is about to write.
 type Send struct {
-	Server     string
+	Server string
+	// Via is the entry instance that holds the grant of a server that does not check, and
+	// empty for one that does.
+	Via        string
 	Exchange   grant.Exchange
 	AskedAt    Time
 	SendBefore Time
