--- /dev/null
+++ b/internal/place/cut.go
@@ -0,0 +1,160 @@
+package place
+
+import (
+	"slices"
+
+	"example.org/mustardring/pkg/keys"
+)
+
+// nobody is the owner of a piece without an accepting owner.
+const nobody = -1
+
+// leastSpan is the least distance of the ends of a piece that is split off. At 16 billion
+// keys it holds none on average, so a narrower piece would only add to the ranges.
+const leastSpan = 1 << 24
+
+// piece is a part of the homes while a plan is made.
+type piece struct {
+	r       keys.Range
+	owner   int
+	load    float64
+	loadAt  Time
+	movedAt Time
+	// hot says that the piece is a hot key, which is neither split nor merged.
+	hot bool
+}
+
+// cut returns the homes as a sorted list of pieces: what is owned, the gaps between, and
+// the hot keys apart.
+func cut(v View, servers []server, maxHot int) []piece {
+	index := make(map[string]int, len(servers))
+	for i, s := range servers {
+		index[s.name] = i
+	}
+	pieces := make([]piece, 0, len(v.Owned)+len(v.Homes))
+	next := 0
+	for _, home := range v.Homes {
+		for next < len(v.Owned) && v.Owned[next].Range.Last < home.First {
+			next++
+		}
+		pieces = cutHome(pieces, home, v.Owned[next:], index)
+	}
+	hot := v.HotHashes
+	if len(hot) > maxHot {
+		hot = hot[:maxHot]
+	}
+	if len(hot) == 0 {
+		return pieces
+	}
+	return cutHot(pieces, hot)
+}
+
+// cutHome appends the pieces of one home. The first of the owned ranges ends in or after it.
+func cutHome(pieces []piece, home keys.Range, owned []Owned, index map[string]int) []piece {
+	first := home.First
+	for _, o := range owned {
+		if o.Range.First > home.Last {
+			break
+		}
+		if o.Range.First > first {
+			pieces = append(pieces, piece{r: keys.Range{First: first, Last: o.Range.First - 1}, owner: nobody})
+		}
+		pieces = append(pieces, pieceOf(o, home, index))
+		if o.Range.Last >= home.Last {
+			return pieces
+		}
+		first = max(first, o.Range.Last+1)
+	}
+	return append(pieces, piece{r: keys.Range{First: first, Last: home.Last}, owner: nobody})
+}
+
+// pieceOf returns the part of an owned range that lies in a home.
+func pieceOf(o Owned, home keys.Range, index map[string]int) piece {
+	r := keys.Range{First: max(o.Range.First, home.First), Last: min(o.Range.Last, home.Last)}
+	owner, found := index[o.Server]
+	if !found {
+		owner = nobody
+	}
+	return piece{
+		r:       r,
+		owner:   owner,
+		load:    o.Load * r.Width() / o.Range.Width(),
+		loadAt:  o.LoadAt,
+		movedAt: o.MovedAt,
+	}
+}
+
+// cutHot sets the hot keys of sorted pieces apart.
+func cutHot(pieces []piece, hot []uint64) []piece {
+	parts := make([]piece, 0, len(pieces)+2*len(hot))
+	for _, c := range pieces {
+		parts = c.appendCut(parts, hot)
+	}
+	return parts
+}
+
+// appendCut appends the parts into which the sorted hot hashes cut a piece.
+func (c piece) appendCut(parts []piece, hot []uint64) []piece {
+	at, _ := slices.BinarySearch(hot, c.r.First)
+	for ; at < len(hot) && hot[at] <= c.r.Last; at++ {
+		if hot[at] > c.r.First {
+			var before piece
+			before, c = c.split(hot[at] - 1)
+			parts = append(parts, before)
+		}
+		if hot[at] == c.r.Last {
+			c.hot = true
+			break
+		}
+		var key piece
+		key, c = c.split(hot[at])
+		key.hot = true
+		parts = append(parts, key)
+	}
+	return append(parts, c)
+}
+
+// split cuts a piece after the hash last, which must lie in it before its end. Load goes
+// with width.
+func (c piece) split(last uint64) (piece, piece) {
+	a, b := c, c
+	a.r.Last = last
+	b.r.First = last + 1
+	a.load = c.load * a.r.Width() / c.r.Width()
+	b.load = c.load - a.load
+	return a, b
+}
+
+// splitLoad cuts a piece so that the first part carries about the given load. It reports
+// false when the piece is too narrow or the load is all or none of it.
+func (c piece) splitLoad(load float64) (piece, piece, bool) {
+	share := load / c.load
+	if c.hot || c.load <= 0 || share <= 0 || share >= 1 {
+		return c, c, false
+	}
+	span := c.r.Last - c.r.First
+	offset := uint64(share * float64(span))
+	if offset < leastSpan || span-offset < leastSpan {
+		return c, c, false
+	}
+	a, b := c.split(c.r.First + offset)
+	return a, b, true
+}
+
+// joins reports whether a piece and the next could be one if they had one owner.
+func (c piece) joins(next piece) bool {
+	return !c.hot && !next.hot && c.r.Last+1 == next.r.First
+}
+
+// merges reports whether a piece and the next are one.
+func (c piece) merges(next piece) bool {
+	return c.owner == next.owner && c.joins(next)
+}
+
+// absorb makes a piece one with the next.
+func (c *piece) absorb(next piece) {
+	c.r.Last = next.r.Last
+	c.load += next.load
+	c.loadAt = max(c.loadAt, next.loadAt)
+	c.movedAt = max(c.movedAt, next.movedAt)
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -59,6 +59,7 @@
 type Placer interface {
 	// Place returns the wanted partition of the homes of the view: sorted, disjoint and
 	// covering them, unless no server accepts, when it is empty. Calling it again with the
-	// view that results from its own targets returns the same targets.
+	// view that results from its own targets returns the same targets. In that view MovedAt
+	// of a range with a new owner is the Now of the first call.
 	Place(v View) []Target
 }
