--- /dev/null
+++ b/internal/sketch/sketch.go
@@ -0,0 +1,176 @@
+// Package sketch finds the hottest keys of a stream in constant memory. It is the
+// space-saving summary of Metwally, Agrawal and El Abbadi, with weights, ageing and the merge
+// of Agarwal et al. A Sketch is not safe for concurrent use: each gate has its own, and the
+// leader merges them.
+package sketch
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Counter is what a Sketch knows of one key. The true weight of the key lies in
+// [Count-Error, Count].
+type Counter struct {
+	Hash  uint64  `json:"hash"`
+	Count float64 `json:"count"`
+	Error float64 `json:"error"`
+}
+
+// Sketch counts weights of keys with a fixed number of counters. The count of any key is off
+// by at most Total divided by the number of counters.
+type Sketch struct {
+	capacity int
+	total    float64
+	// missed bounds the weight of any key without a counter that merging has dropped.
+	missed float64
+	// heap has the smallest count first, and position finds a hash in it.
+	heap     []Counter
+	position map[uint64]int
+}
+
+// New returns a Sketch with the given number of counters, at least 1.
+func New(capacity int) *Sketch {
+	capacity = max(capacity, 1)
+	return &Sketch{
+		capacity: capacity,
+		heap:     make([]Counter, 0, capacity),
+		position: make(map[uint64]int, capacity),
+	}
+}
+
+// Add counts a key with a positive weight. It takes constant memory and time that grows
+// with the logarithm of the number of counters.
+func (s *Sketch) Add(hash uint64, weight float64) {
+	s.total += weight
+	if at, found := s.position[hash]; found {
+		s.heap[at].Count += weight
+		s.down(at)
+		return
+	}
+	if len(s.heap) < s.capacity {
+		s.heap = append(s.heap, Counter{Hash: hash, Count: s.missed + weight, Error: s.missed})
+		s.position[hash] = len(s.heap) - 1
+		s.up(len(s.heap) - 1)
+		return
+	}
+	least := s.heap[0]
+	delete(s.position, least.Hash)
+	s.heap[0] = Counter{Hash: hash, Count: least.Count + weight, Error: least.Count}
+	s.position[hash] = 0
+	s.down(0)
+}
+
+// Total returns the weight that was added, aged by Decay.
+func (s *Sketch) Total() float64 {
+	return s.total
+}
+
+// Unseen returns the most weight that a key without a counter can have.
+func (s *Sketch) Unseen() float64 {
+	if len(s.heap) < s.capacity {
+		return s.missed
+	}
+	return max(s.missed, s.heap[0].Count)
+}
+
+// Decay multiplies all weights by a factor in (0, 1], so that keys which are hot no more
+// make way.
+func (s *Sketch) Decay(factor float64) {
+	s.total *= factor
+	s.missed *= factor
+	for i := range s.heap {
+		s.heap[i].Count *= factor
+		s.heap[i].Error *= factor
+	}
+}
+
+// Counters returns the counters, the hottest first, by hash where equal.
+func (s *Sketch) Counters() []Counter {
+	sorted := slices.Clone(s.heap)
+	slices.SortFunc(sorted, func(a, b Counter) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Hash, b.Hash))
+	})
+	return sorted
+}
+
+// Merge adds what another Sketch has counted. The bound on the error holds for the sum if
+// both have the same number of counters.
+func (s *Sketch) Merge(o *Sketch) {
+	unseen, otherUnseen := s.Unseen(), o.Unseen()
+	merged := make([]Counter, 0, len(s.heap)+len(o.heap))
+	for _, c := range s.heap {
+		if at, found := o.position[c.Hash]; found {
+			c.Count += o.heap[at].Count
+			c.Error += o.heap[at].Error
+		} else {
+			c.Count += otherUnseen
+			c.Error += otherUnseen
+		}
+		merged = append(merged, c)
+	}
+	for _, c := range o.heap {
+		if _, found := s.position[c.Hash]; found {
+			continue
+		}
+		c.Count += unseen
+		c.Error += unseen
+		merged = append(merged, c)
+	}
+	s.total += o.total
+	s.keep(merged, unseen+otherUnseen)
+}
+
+// keep makes the largest of the counters those of the sketch. Unseen bounds the weight of
+// any key that has none of them.
+func (s *Sketch) keep(counters []Counter, unseen float64) {
+	slices.SortFunc(counters, func(a, b Counter) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Hash, b.Hash))
+	})
+	s.missed = unseen
+	if len(counters) > s.capacity {
+		s.missed = max(unseen, counters[s.capacity].Count)
+		counters = counters[:s.capacity]
+	}
+	slices.Reverse(counters)
+	clear(s.position)
+	s.heap = append(s.heap[:0], counters...)
+	for i, c := range s.heap {
+		s.position[c.Hash] = i
+	}
+}
+
+// up moves a counter towards the root while it is smaller than its parent.
+func (s *Sketch) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if s.heap[parent].Count <= s.heap[i].Count {
+			return
+		}
+		s.swap(i, parent)
+		i = parent
+	}
+}
+
+// down moves a counter away from the root while it is larger than a child.
+func (s *Sketch) down(i int) {
+	for {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(s.heap); child++ {
+			if s.heap[child].Count < s.heap[least].Count {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		s.swap(i, least)
+		i = least
+	}
+}
+
+func (s *Sketch) swap(i, j int) {
+	s.heap[i], s.heap[j] = s.heap[j], s.heap[i]
+	s.position[s.heap[i].Hash] = i
+	s.position[s.heap[j].Hash] = j
+}
