--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,62 @@
+// Package policy decides what becomes of requests at the gate of a backend server: which may
+// run, which wait, and which are refused. It has no input or output: time comes in with each
+// call, and nothing here is safe for use by several goroutines at once.
+package policy
+
+import "time"
+
+// Time is a reading of the instance's monotonic clock in nanoseconds.
+type Time int64
+
+// Add returns the time d later.
+func (t Time) Add(d time.Duration) Time {
+	return t + Time(d)
+}
+
+// Until returns the duration from now to t, negative when t has passed.
+func (t Time) Until(now Time) time.Duration {
+	return time.Duration(t - now)
+}
+
+// Ticket identifies a request at one gate.
+type Ticket uint64
+
+// Reason says why a request was refused. Its text is the last part of the problem type.
+type Reason string
+
+// The reasons for which a Queue refuses.
+const (
+	ReasonQueueFull  Reason = "queue-full"
+	ReasonTooLate    Reason = "deadline-too-near"
+	ReasonExpired    Reason = "deadline-passed"
+	ReasonNoServer   Reason = "no-server"
+	ReasonOutOfShare Reason = "caller-over-share"
+)
+
+// Verdict is what a Queue says of a request: Start, Wait or Shed. The set is sealed.
+type Verdict interface {
+	isVerdict()
+}
+
+// Start says that the request holds a slot of Server from now on.
+type Start struct {
+	Ticket Ticket
+	Server string
+}
+
+// Wait says that the request is queued. A later Start or Shed names its ticket.
+type Wait struct {
+	Ticket Ticket
+}
+
+// Shed says that the request was refused before it ran. RetryAt is when a resend is likely
+// to be accepted.
+type Shed struct {
+	Ticket  Ticket
+	Reason  Reason
+	RetryAt Time
+}
+
+func (Start) isVerdict() {}
+func (Wait) isVerdict()  {}
+func (Shed) isVerdict()  {}
