--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Bounds of what a peer may ask of a server at once.
+const (
+	maxConnections = 512
+	maxCalls       = 1024
+	handshakeLimit = 5 * time.Second
+)
+
+// Server takes calls from other instances.
+type Server struct {
+	listener net.Listener
+	mux      *Mux
+	slots    chan struct{}
+	calls    chan struct{}
+}
+
+// NewServer returns a server that accepts TLS connections on the listener. The TLS
+// configuration must demand and verify a certificate of the peer.
+func NewServer(listener net.Listener, config *tls.Config, mux *Mux) *Server {
+	return &Server{
+		listener: tls.NewListener(listener, config),
+		mux:      mux,
+		slots:    make(chan struct{}, maxConnections),
+		calls:    make(chan struct{}, maxCalls),
+	}
+}
+
+// Run accepts connections until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+		select {
+		case s.slots <- struct{}{}:
+			go s.serve(ctx, conn)
+		default:
+			conn.Close()
+		}
+	}
+}
+
+// serve handles one connection. The TLS handshake, and with it the check of the peer's
+// certificate, ends before a byte of a call is read, so that a process without a key of the
+// authority can do nothing.
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	defer func() { <-s.slots }()
+	defer conn.Close()
+	if err := handshake(ctx, conn.(*tls.Conn)); err != nil {
+		return
+	}
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.bounded).SuppressErrClosed())
+	c := jsonrpc2.NewConn(ctx, newStream(conn), handler)
+	select {
+	case <-c.DisconnectNotify():
+	case <-ctx.Done():
+		c.Close()
+	}
+}
+
+// handshake bounds the time that a silent stranger can hold a connection slot.
+func handshake(ctx context.Context, conn *tls.Conn) error {
+	bounded, cancel := context.WithTimeout(ctx, handshakeLimit)
+	defer cancel()
+	return conn.HandshakeContext(bounded)
+}
+
+func (s *Server) bounded(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	select {
+	case s.calls <- struct{}{}:
+	default:
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "too many calls"}
+	}
+	defer func() { <-s.calls }()
+	return s.mux.handle(ctx, conn, req)
+}
+
+func newStream(conn net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+}
