--- /dev/null
+++ b/internal/stand/server_test.go
@@ -0,0 +1,168 @@
+package stand_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/stand"
+	"example.org/mustardring/pkg/caller"
+)
+
+// start runs a server on a free port until the test ends.
+func start(t *testing.T, s stand.ServerSettings) (base string, client *http.Client) {
+	t.Helper()
+	s.Name, s.Service, s.Address = "s1", "oddaja", "127.0.0.1:0"
+	server := stand.NewServer(s)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended, err := server.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client = &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		client.CloseIdleConnections()
+	})
+	return "http://" + server.Address(), client
+}
+
+// answer is what a request got. Body may be cut.
+type answer struct {
+	outcome caller.Outcome
+	status  int
+	body    []byte
+}
+
+func send(ctx context.Context, client *http.Client, base, id string) (answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/work", bytes.NewReader([]byte("body")))
+	if err != nil {
+		return answer{}, err
+	}
+	// net/http sends a request with an Idempotency-Key again by itself, when a connection
+	// breaks, if it can get the body anew. That would double runs unseen.
+	req.GetBody = nil
+	req.Header.Set(caller.HeaderRequestID, id)
+	req.Header.Set(caller.HeaderKey, "key")
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{outcome: caller.Outcome(resp.Header.Get(caller.HeaderOutcome)), status: resp.StatusCode, body: body}, err
+}
+
+func setFault(t *testing.T, client *http.Client, base string, f stand.ServerFault) {
+	t.Helper()
+	body, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := client.Post(base+stand.FaultPath, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		t.Fatal(resp.Status)
+	}
+}
+
+func runsOf(t *testing.T, client *http.Client, base string) stand.RunsPage {
+	t.Helper()
+	resp, err := client.Get(base + stand.RunsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var page stand.RunsPage
+	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+		t.Fatal(err)
+	}
+	return page
+}
+
+func TestServerFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault   stand.ServerFault
+		outcome caller.Outcome
+		cut     bool
+		ran     int
+	}{
+		"well":         {outcome: caller.Ran, ran: 1},
+		"shed":         {fault: stand.ServerFault{Shed: true}, outcome: caller.NotRun},
+		"half answer":  {fault: stand.ServerFault{HalfAnswers: 1}, outcome: caller.Ran, cut: true, ran: 1},
+		"wrong length": {fault: stand.ServerFault{WrongLengths: 1}, outcome: caller.Ran, ran: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			base, client := start(t, stand.ServerSettings{})
+			setFault(t, client, base, test.fault)
+			got, err := send(t.Context(), client, base, "a")
+			is.Equal(err != nil, test.cut)
+			is.Equal(got.outcome, test.outcome)
+			var reply stand.Reply
+			whole := json.Unmarshal(got.body, &reply) == nil && reply.RequestID == "a"
+			is.Equal(whole, name == "well")
+			is.Equal(runsOf(t, client, base).Total, test.ran)
+		})
+	}
+}
+
+// A request crashes the server that runs it, and its caller sends it again. The stand-in
+// keeps both runs over the crash, so a test can count how many servers one request killed.
+func TestServerCrashesOnPoison(t *testing.T) {
+	is := is.New(t)
+	base, client := start(t, stand.ServerSettings{})
+	setFault(t, client, base, stand.ServerFault{Poison: "bad", RestartMillis: 1})
+	for range 2 {
+		_, err := send(t.Context(), client, base, "bad")
+		is.True(err != nil)
+		for err = io.EOF; err != nil; {
+			_, err = send(t.Context(), client, base, "good")
+		}
+	}
+	page := runsOf(t, client, base)
+	crashed := 0
+	for _, run := range page.Runs {
+		if run.Crashed {
+			crashed++
+		}
+	}
+	is.Equal(crashed, 2)
+	is.Equal(page.Doubled["bad"], 2)
+}
+
+// A connection goes silent for good while new ones work: the request sent on it neither
+// runs nor is answered, and the same request on a new connection runs.
+func TestServerSilentConnection(t *testing.T) {
+	is := is.New(t)
+	base, client := start(t, stand.ServerSettings{})
+	_, err := send(t.Context(), client, base, "a")
+	is.NoErr(err)
+	setFault(t, client, base, stand.ServerFault{SilenceConnections: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	answered := make(chan error, 1)
+	go func() {
+		_, err := send(ctx, client, base, "b")
+		answered <- err
+	}()
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	_, err = send(t.Context(), fresh, base, "c")
+	is.NoErr(err)
+	cancel()
+	is.True(<-answered != nil)
+	ids := []string{}
+	for _, run := range runsOf(t, fresh, base).Runs {
+		ids = append(ids, run.RequestID)
+	}
+	is.Equal(ids, []string{"a", "c"})
+}
--- /dev/null
+++ b/internal/stand/stand.go
@@ -0,0 +1,99 @@
+package stand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"example.org/mustardring/internal/duty"
+	"example.org/mustardring/internal/listcl"
+)
+
+// Stand runs the stand-ins of one process.
+type Stand struct {
+	Log     *LogService
+	List    *InstanceList
+	Servers []*Server
+
+	settings Settings
+}
+
+// New returns the stand-ins that the settings name. Nothing has started.
+func New(s Settings) *Stand {
+	stand := &Stand{settings: s}
+	if s.Log != nil {
+		stand.Log = NewLogService(*s.Log)
+	}
+	listed := make([]listcl.Server, 0, len(s.Servers))
+	for _, server := range s.Servers {
+		stand.Servers = append(stand.Servers, NewServer(server))
+		listed = append(listed, listcl.Server{Name: server.Name, Service: server.Service, Domain: server.Domain})
+	}
+	if s.List != nil {
+		stand.List = NewInstanceList(*s.List, listed)
+	}
+	return stand
+}
+
+// Run serves until ctx ends or a listener fails. It starts everything or nothing.
+func (s *Stand) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	group := duty.New(ctx, len(s.Servers)+4)
+	err := s.start(ctx, group)
+	taken := 0
+	if err == nil {
+		select {
+		case <-ctx.Done():
+		case end := <-group.Ends():
+			taken, err = 1, end.Err
+		}
+	}
+	cancel()
+	return errors.Join(err, group.Wait(taken))
+}
+
+func (s *Stand) start(ctx context.Context, group *duty.Group) error {
+	if s.Log != nil {
+		if err := serve(ctx, group, "log", s.settings.Log.Address, s.Log); err != nil {
+			return err
+		}
+	}
+	if s.List != nil {
+		if err := serve(ctx, group, "list", s.settings.List.Address, s.List); err != nil {
+			return err
+		}
+	}
+	for _, server := range s.Servers {
+		ended, err := server.Start(ctx)
+		if err != nil {
+			return err
+		}
+		group.Go("server "+server.settings.Name, func(context.Context) error {
+			<-ended
+			return nil
+		})
+	}
+	return nil
+}
+
+func serve(ctx context.Context, group *duty.Group, name, address string, handler http.Handler) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("stand: %s: %w", name, err)
+	}
+	server := &http.Server{Handler: handler}
+	group.Go(name+" stop", func(ctx context.Context) error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	group.Go(name, func(context.Context) error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("stand: %s: %w", name, err)
+		}
+		return nil
+	})
+	return nil
+}
