--- a/internal/stand/fault.go
+++ b/internal/stand/fault.go
@@ -128,11 +128,15 @@
 	return len(c.open)
 }
 
-func (c *connections) drop() {
+// drop closes all connections but the one that ctx belongs to.
+func (c *connections) drop(ctx context.Context) {
+	own, _ := ctx.Value(connectionKey{}).(*connection)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn := range c.open {
-		conn.Close()
+	for conn, state := range c.open {
+		if state != own {
+			conn.Close()
+		}
 	}
 }
 
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -172,14 +172,15 @@
 		return
 	}
 	s.faults.set(f)
-	w.WriteHeader(http.StatusNoContent)
-	_ = http.NewResponseController(w).Flush()
 	if f.SilenceConnections {
 		s.connections.silence()
 	}
 	if f.DropConnections {
-		s.connections.drop()
+		s.connections.drop(r.Context())
 	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusNoContent)
+	_ = http.NewResponseController(w).Flush()
 	if f.Crash {
 		s.crash(context.WithoutCancel(r.Context()), p)
 	}
--- a/internal/stand/server_test.go
+++ b/internal/stand/server_test.go
@@ -59,13 +59,16 @@
 	return answer{outcome: caller.Outcome(resp.Header.Get(caller.HeaderOutcome)), status: resp.StatusCode, body: body}, err
 }
 
-func setFault(t *testing.T, client *http.Client, base string, f stand.ServerFault) {
+// admin uses a new connection for each call, so that no fault of another call meets it.
+var admin = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func setFault(t *testing.T, base string, f stand.ServerFault) {
 	t.Helper()
 	body, err := json.Marshal(f)
 	if err != nil {
 		t.Fatal(err)
 	}
-	resp, err := client.Post(base+stand.FaultPath, "application/json", bytes.NewReader(body))
+	resp, err := admin.Post(base+stand.FaultPath, "application/json", bytes.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,9 +78,9 @@
 	}
 }
 
-func runsOf(t *testing.T, client *http.Client, base string) stand.RunsPage {
+func runsOf(t *testing.T, base string) stand.RunsPage {
 	t.Helper()
-	resp, err := client.Get(base + stand.RunsPath)
+	resp, err := admin.Get(base + stand.RunsPath)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,14 +108,14 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			base, client := start(t, stand.ServerSettings{})
-			setFault(t, client, base, test.fault)
+			setFault(t, base, test.fault)
 			got, err := send(t.Context(), client, base, "a")
 			is.Equal(err != nil, test.cut)
 			is.Equal(got.outcome, test.outcome)
 			var reply stand.Reply
 			whole := json.Unmarshal(got.body, &reply) == nil && reply.RequestID == "a"
 			is.Equal(whole, name == "well")
-			is.Equal(runsOf(t, client, base).Total, test.ran)
+			is.Equal(runsOf(t, base).Total, test.ran)
 		})
 	}
 }
@@ -122,7 +125,7 @@
 func TestServerCrashesOnPoison(t *testing.T) {
 	is := is.New(t)
 	base, client := start(t, stand.ServerSettings{})
-	setFault(t, client, base, stand.ServerFault{Poison: "bad", RestartMillis: 1})
+	setFault(t, base, stand.ServerFault{Poison: "bad", RestartMillis: 1})
 	for range 2 {
 		_, err := send(t.Context(), client, base, "bad")
 		is.True(err != nil)
@@ -130,7 +133,7 @@
 			_, err = send(t.Context(), client, base, "good")
 		}
 	}
-	page := runsOf(t, client, base)
+	page := runsOf(t, base)
 	crashed := 0
 	for _, run := range page.Runs {
 		if run.Crashed {
@@ -148,20 +151,19 @@
 	base, client := start(t, stand.ServerSettings{})
 	_, err := send(t.Context(), client, base, "a")
 	is.NoErr(err)
-	setFault(t, client, base, stand.ServerFault{SilenceConnections: true})
+	setFault(t, base, stand.ServerFault{SilenceConnections: true})
 	ctx, cancel := context.WithCancel(t.Context())
 	answered := make(chan error, 1)
 	go func() {
 		_, err := send(ctx, client, base, "b")
 		answered <- err
 	}()
-	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	_, err = send(t.Context(), fresh, base, "c")
+	_, err = send(t.Context(), admin, base, "c")
 	is.NoErr(err)
 	cancel()
 	is.True(<-answered != nil)
 	ids := []string{}
-	for _, run := range runsOf(t, fresh, base).Runs {
+	for _, run := range runsOf(t, base).Runs {
 		ids = append(ids, run.RequestID)
 	}
 	is.Equal(ids, []string{"a", "c"})
