--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -1,14 +1,23 @@
 package record
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 )
 
+// Format is the version of the record format that this release writes. It grows with each
+// new kind or member, so that an older release can tell a record that it must not ignore
+// from one that is no record.
+const Format = 1
+
 // Errors of decoding.
 var (
-	// ErrKind is returned for a record kind that this version does not know.
+	// ErrNewer is returned for a record of a format that this release does not know.
+	ErrNewer = errors.New("record: newer format")
+	// ErrKind is returned for a kind that no format up to this one has.
 	ErrKind = errors.New("record: unknown kind")
 	// ErrFormat is returned for bytes that are not a record.
 	ErrFormat = errors.New("record: malformed")
@@ -28,14 +37,17 @@
 	kindPublished  = "bundle-published"
 	kindApproved   = "bundle-approved"
 	kindRolled     = "bundle-rolled"
+	kindProven     = "bundle-proven"
 	kindTerm       = "term-claimed"
 	kindAssignment = "assignment-made"
+	kindMark       = "checkpoint-marked"
 	kindCheckpoint = "checkpoint"
 )
 
 type envelope struct {
-	Kind string          `json:"kind"`
-	Body json.RawMessage `json:"body"`
+	Format int             `json:"format"`
+	Kind   string          `json:"kind"`
+	Body   json.RawMessage `json:"body"`
 }
 
 // Encode returns the JSON form of a record.
@@ -48,7 +60,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("record: encoding %s: %w", kind, err)
 	}
-	return json.Marshal(envelope{Kind: kind, Body: body})
+	return json.Marshal(envelope{Format: Format, Kind: kind, Body: body})
 }
 
 func kindOf(r Record) (string, error) {
@@ -59,10 +71,14 @@
 		return kindApproved, nil
 	case BundleRolled:
 		return kindRolled, nil
+	case BundleProven:
+		return kindProven, nil
 	case TermClaimed:
 		return kindTerm, nil
 	case AssignmentMade:
 		return kindAssignment, nil
+	case CheckpointMarked:
+		return kindMark, nil
 	case Checkpoint:
 		return kindCheckpoint, nil
 	default:
@@ -70,12 +86,24 @@
 	}
 }
 
-// Decode parses the JSON form of a record.
+// Decode parses the JSON form of a record. Members that the format does not have are
+// refused: two releases must not read different things from one record.
 func Decode(data []byte) (Record, error) {
 	var e envelope
 	if err := json.Unmarshal(data, &e); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrFormat, err)
 	}
+	switch {
+	case e.Format > Format:
+		return nil, fmt.Errorf("%w: format %d, kind %q", ErrNewer, e.Format, e.Kind)
+	case e.Format < 1:
+		return nil, fmt.Errorf("%w: format %d", ErrFormat, e.Format)
+	default:
+		return decodeKind(e)
+	}
+}
+
+func decodeKind(e envelope) (Record, error) {
 	switch e.Kind {
 	case kindPublished:
 		return decodeBody[BundlePublished](e.Body)
@@ -83,10 +111,14 @@
 		return decodeBody[BundleApproved](e.Body)
 	case kindRolled:
 		return decodeBody[BundleRolled](e.Body)
+	case kindProven:
+		return decodeBody[BundleProven](e.Body)
 	case kindTerm:
 		return decodeBody[TermClaimed](e.Body)
 	case kindAssignment:
 		return decodeBody[AssignmentMade](e.Body)
+	case kindMark:
+		return decodeBody[CheckpointMarked](e.Body)
 	case kindCheckpoint:
 		return decodeBody[Checkpoint](e.Body)
 	default:
@@ -96,8 +128,13 @@
 
 func decodeBody[T Record](body json.RawMessage) (Record, error) {
 	var r T
-	if err := json.Unmarshal(body, &r); err != nil {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&r); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrFormat, err)
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("%w: text after the body", ErrFormat)
+	}
 	return r, nil
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -29,12 +29,16 @@
 }
 
 // TermClaimed makes an entry instance the leader of a failure domain, if Follows is still
-// the domain's term when the record is folded. The new log term is Follows+1.
+// the domain's term when the record is folded. The new log term is one more than the higher
+// of Follows and Floor.
 type TermClaimed struct {
 	Domain      string `json:"domain"`
 	Follows     uint64 `json:"follows"`
 	Instance    string `json:"instance"`
 	Incarnation uint64 `json:"incarnation"`
+	// Floor is the highest log term that the claimant has met at servers. It matters when the
+	// log has started anew: the terms of the new log then continue those of the old one.
+	Floor uint64 `json:"floor,omitempty"`
 }
 
 // AssignmentMade records the sets that servers of one domain hold under one term.
@@ -53,17 +57,32 @@
 	Ranges []keys.Range `json:"ranges"`
 }
 
+// BundleProven puts into the log a bundle that is in force at instances although the log
+// does not say so: it started anew, or it forgot the records.
+type BundleProven struct {
+	Proof bundle.Proof `json:"proof"`
+}
+
+// CheckpointMarked announces a checkpoint. Each reader keeps its state as of the mark, to
+// compare the checkpoint with it.
+type CheckpointMarked struct {
+	Instance string `json:"instance"`
+}
+
 // Checkpoint is the whole folded state in the encoding of package fold, appended again
 // before the log forgets older records.
 type Checkpoint struct {
 	State []byte `json:"state"`
-	// Next is the offset of the first record that the state does not include.
+	// Next is the offset of the first record that the state does not include: the one after
+	// a mark.
 	Next uint64 `json:"next"`
 }
 
-func (BundlePublished) isRecord() {}
-func (BundleApproved) isRecord()  {}
-func (BundleRolled) isRecord()    {}
-func (TermClaimed) isRecord()     {}
-func (AssignmentMade) isRecord()  {}
-func (Checkpoint) isRecord()      {}
+func (BundlePublished) isRecord()  {}
+func (BundleApproved) isRecord()   {}
+func (BundleRolled) isRecord()     {}
+func (BundleProven) isRecord()     {}
+func (TermClaimed) isRecord()      {}
+func (AssignmentMade) isRecord()   {}
+func (CheckpointMarked) isRecord() {}
+func (Checkpoint) isRecord()       {}
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -9,7 +9,8 @@
 type Bundle struct {
 	Format  int    `json:"format"`
 	Version uint64 `json:"version"`
-	// Follows is the version that was in force, or newest, when this one was written.
+	// Follows is the newest published version when this one was written. Version is one
+	// more.
 	Follows  uint64     `json:"follows"`
 	Signers  []Signer   `json:"signers"`
 	Domains  []Domain   `json:"domains"`
@@ -129,9 +130,14 @@
 type Statement struct {
 	Role    Role   `json:"role"`
 	Version uint64 `json:"version"`
+	// Follows is the version that the bundle follows. In a roll it is the version in force
+	// that the roll replaces.
 	Follows uint64 `json:"follows"`
 	// Hash is the SHA-256 of the canonical form.
-	Hash      []byte `json:"hash"`
+	Hash []byte `json:"hash"`
+	// Signers is the SHA-256 of the canonical form of the signers that the version names, so
+	// that a change of signers can be proved without the whole bundle.
+	Signers   []byte `json:"signers"`
 	Signer    string `json:"signer"`
 	Signature []byte `json:"signature"`
 }
