Let the log decide which domain is the home of a range

Cause: a bundle that moves a range between domains is seen at different times; without an agreed release both would serve it. Before: homes followed the bundle at once. Conclusion: order of the log decides, hold stays safe.

--- a/internal/config/checks.go
+++ b/internal/config/checks.go
@@ -2,8 +2,11 @@
 
 import (
 	"crypto/ed25519"
+	"encoding/json"
 	"net/netip"
 	"net/url"
+	"os"
+	"path/filepath"
 	"strings"
 
 	"example.org/mustardring/pkg/bundle"
@@ -20,6 +23,25 @@
 	}
 }
 
+// readRoots fills in the roots from a file that is named relative to the settings.
+func (c *checks) readRoots(r *Run) {
+	if r.RootsFile == "" {
+		return
+	}
+	name := r.RootsFile
+	if !filepath.IsAbs(name) {
+		name = filepath.Join(filepath.Dir(c.file), name)
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		c.fail("roots-file", err.Error(), "name a file that can be read")
+		return
+	}
+	if err := json.Unmarshal(data, &r.Roots); err != nil {
+		c.fail("roots-file", err.Error(), "give a file with a JSON array of signers")
+	}
+}
+
 func (c *checks) roots(roots []bundle.Signer) {
 	if len(roots) == 0 {
 		c.fail("roots", "nothing", "give the signers of the first bundle")
--- a/internal/config/run.go
+++ b/internal/config/run.go
@@ -29,7 +29,10 @@
 	// Peers are instances to contact at first. More are learnt from them.
 	Peers []Peer `json:"peers"`
 	// Roots are the signers whose first bundle is trusted.
-	Roots []bundle.Signer `json:"roots"`
+	Roots []bundle.Signer `json:"roots,omitempty"`
+	// RootsFile names a JSON file with such signers, relative to the settings file, in place
+	// of Roots.
+	RootsFile string `json:"roots-file,omitempty"`
 	// Traces is where spans are exported to: TracesNone or TracesStdout.
 	Traces string `json:"traces,omitempty"`
 	// DrainMillis is how long a stop may wait for requests in flight, in milliseconds.
@@ -82,6 +85,7 @@
 		c.address("peers.peer-address", p.PeerAddress)
 		c.address("peers.forward-address", p.ForwardAddress)
 	}
+	c.readRoots(r)
 	c.roots(r.Roots)
 	if r.Traces == "" {
 		r.Traces = TracesNone
--- a/internal/fold/apply.go
+++ b/internal/fold/apply.go
@@ -63,6 +63,10 @@
 		return s.claim(offset, r)
 	case record.AssignmentMade:
 		return s.assign(offset, r)
+	case record.HomesTaken:
+		return s.takeHomes(offset, r)
+	case record.HomesEvicted:
+		return s.evictHomes(offset, r)
 	default:
 		return refuse(offset, CauseMalformed, "no rule for %T", r)
 	}
--- a/internal/fold/encoding.go
+++ b/internal/fold/encoding.go
@@ -36,6 +36,7 @@
 	Candidates    []Candidate     `json:"candidates"`
 	Terms         []encodedTerm   `json:"terms"`
 	Assigned      []encodedDomain `json:"assigned"`
+	Homes         []Taken         `json:"homes"`
 	Memory        []digest        `json:"memory"`
 }
 
@@ -81,6 +82,7 @@
 		Candidates:    slices.Concat(s.Candidates),
 		Terms:         encodeTerms(s.Terms),
 		Assigned:      encodeAssigned(s.Assigned),
+		Homes:         s.Homes,
 		Memory:        s.memory.list(),
 	}
 	return json.Marshal(e)
@@ -137,6 +139,7 @@
 		}
 		s.Assigned[d.Domain] = inner
 	}
+	s.Homes = e.Homes
 	for _, d := range e.Memory {
 		s.memory.add(d)
 	}
--- a/internal/fold/release.go
+++ b/internal/fold/release.go
@@ -216,4 +216,5 @@
 	}
 	s.Candidates = kept
 	s.pruneAssigned(replaced)
+	s.pruneHomes()
 }
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -34,6 +34,9 @@
 	Terms map[string]Term
 	// Assigned has, by failure domain and server, the newest recorded assignment.
 	Assigned map[string]map[string]Assigned
+	// Homes has what each failure domain has taken of each divided service, sorted by service
+	// and domain. The ranges of one service are disjoint. The slice is never changed in place.
+	Homes []Taken
 	// Newer is the first record that only a newer release can read, or nil. The state may
 	// then be wrong: the instance writes no checkpoint and claims no term.
 	Newer *Newer
--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -40,6 +40,8 @@
 	kindProven     = "bundle-proven"
 	kindTerm       = "term-claimed"
 	kindAssignment = "assignment-made"
+	kindHomes      = "homes-taken"
+	kindEvicted    = "homes-evicted"
 	kindMark       = "checkpoint-marked"
 	kindCheckpoint = "checkpoint"
 )
@@ -77,6 +79,10 @@
 		return kindTerm, nil
 	case AssignmentMade:
 		return kindAssignment, nil
+	case HomesTaken:
+		return kindHomes, nil
+	case HomesEvicted:
+		return kindEvicted, nil
 	case CheckpointMarked:
 		return kindMark, nil
 	case Checkpoint:
@@ -117,6 +123,10 @@
 		return decodeBody[TermClaimed](e.Body)
 	case kindAssignment:
 		return decodeBody[AssignmentMade](e.Body)
+	case kindHomes:
+		return decodeBody[HomesTaken](e.Body)
+	case kindEvicted:
+		return decodeBody[HomesEvicted](e.Body)
 	case kindMark:
 		return decodeBody[CheckpointMarked](e.Body)
 	case kindCheckpoint:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -78,6 +78,32 @@
 	Next uint64 `json:"next"`
 }
 
+// HomesTaken states which ranges of a service one failure domain serves from now on. The
+// fold gives it those that no other domain has taken, and frees those that it leaves out. A
+// domain that wants a range waits until the one that had it has left it out.
+type HomesTaken struct {
+	Domain  string `json:"domain"`
+	Service string `json:"service"`
+	// Version is the bundle that asks for the ranges.
+	Version uint64 `json:"version"`
+	// Log is the log term of the domain under which the statement was made.
+	Log    uint64       `json:"log"`
+	Ranges []keys.Range `json:"ranges"`
+}
+
+// HomesEvicted frees the ranges of a service that a failure domain has taken. It is valid
+// only for a service whose isolation rule is move.
+type HomesEvicted struct {
+	Domain  string `json:"domain"`
+	Service string `json:"service"`
+	// By is the failure domain that has not heard from Domain for long.
+	By string `json:"by"`
+	// Taken is the offset of the record that is undone. A newer one stands.
+	Taken uint64 `json:"taken"`
+}
+
+func (HomesTaken) isRecord()       {}
+func (HomesEvicted) isRecord()     {}
 func (BundlePublished) isRecord()  {}
 func (BundleApproved) isRecord()   {}
 func (BundleRolled) isRecord()     {}
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -11,12 +11,12 @@
 	Version uint64 `json:"version"`
 	// Follows is the newest published version when this one was written. Version is one
 	// more.
-	Follows  uint64     `json:"follows"`
-	Signers  []Signer   `json:"signers"`
-	Domains  []Domain   `json:"domains"`
-	Services []Service  `json:"services"`
-	Lifted   []string   `json:"lifted-blocks,omitempty"`
-	Instance []Instance `json:"instances,omitempty"`
+	Follows   uint64     `json:"follows"`
+	Signers   []Signer   `json:"signers"`
+	Domains   []Domain   `json:"domains"`
+	Services  []Service  `json:"services"`
+	Lifted    []string   `json:"lifted-blocks,omitempty"`
+	Instances []Instance `json:"instances,omitempty"`
 }
 
 // Role is what the holder of a signing key may do.
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -77,7 +77,7 @@
 		}
 		domains[d.Name] = true
 	}
-	for i, n := range b.Instance {
+	for i, n := range b.Instances {
 		if !domains[n.Domain] {
 			return nil, fmt.Errorf("%w: /instances/%d/domain is %q, want a name in /domains", ErrInvalid, i, n.Domain)
 		}
