--- /dev/null
+++ b/internal/leader/chaos_test.go
@@ -0,0 +1,226 @@
+package leader
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/place"
+)
+
+const (
+	// faultsEnd is when the faults of a random schedule end.
+	faultsEnd = 10_000 * ms
+	// recovery is the time after the last fault by which every range must be served again:
+	// messages up to 2.5 s old, an election, the wait after winning, requests and pauses.
+	recovery = 8_000 * ms
+)
+
+// randomLayout draws the shape of a domain.
+func randomLayout(seed uint64) layout {
+	random := rand.New(rand.NewPCG(seed, 2))
+	l := layout{
+		instances: 1 + random.IntN(4),
+		checking:  random.IntN(6),
+		unchecked: random.IntN(3),
+		drift:     random.IntN(2) == 0,
+	}
+	if l.checking+l.unchecked < 2 {
+		l.checking += 2
+	}
+	restless := random.IntN(3) > 0
+	l.placer = func(w *world) place.Placer {
+		p := &slicePlacer{slices: 8}
+		if restless {
+			p.restless = w.random
+		}
+		return p
+	}
+	return l
+}
+
+// runSchedule runs one random schedule and returns the world at its end or first failure.
+func runSchedule(seed uint64, guard mutation) *world {
+	w := newWorld(seed, randomLayout(seed), guard)
+	w.startAll()
+	w.jitter = true
+	w.faults()
+	w.requests()
+	w.advance(faultsEnd)
+	if w.failure != "" {
+		return w
+	}
+	w.heal()
+	w.advance(faultsEnd + recovery)
+	if w.failure == "" {
+		w.checkRecovered()
+	}
+	return w
+}
+
+// faults plans the next fault, again and again until they end.
+func (w *world) faults() {
+	if w.now >= faultsEnd {
+		return
+	}
+	for range 1 + w.random.IntN(2) {
+		w.fault()
+	}
+	w.after(Time(w.random.Int64N(int64(700*ms))), w.faults)
+}
+
+func (w *world) requests() {
+	if w.now >= faultsEnd {
+		return
+	}
+	w.request()
+	w.after(Time(w.random.Int64N(int64(80*ms))), w.requests)
+}
+
+func (w *world) fault() {
+	last := Time(w.random.Int64N(int64(2500 * ms)))
+	server := w.servers[w.random.IntN(len(w.servers))]
+	instance := w.instances[w.random.IntN(len(w.instances))]
+	switch w.random.IntN(11) {
+	case 0, 1:
+		w.cut(w.anyName(), w.anyName(), last, false)
+	case 2:
+		w.cut(w.anyName(), w.anyName(), last, true)
+	case 3:
+		w.isolate(w.anyName(), last)
+	case 4:
+		server.pausedTo = max(server.pausedTo, w.now+last)
+	case 5:
+		instance.pausedTo = max(instance.pausedTo, w.now+last)
+	case 6, 7:
+		w.boot(server)
+	case 8:
+		w.crash(server, last)
+	case 9:
+		w.crashInstance(instance, last)
+	case 10:
+		w.log.downTo = max(w.log.downTo, w.now+2*last)
+	}
+}
+
+func (w *world) anyName() string {
+	all := w.ordered()
+	i := w.random.IntN(len(all) + 1)
+	if i == len(all) {
+		return "log"
+	}
+	return all[i].name
+}
+
+func (w *world) cut(from, to string, last Time, both bool) {
+	w.cuts[[2]string{from, to}] = w.now + last
+	if both {
+		w.cuts[[2]string{to, from}] = w.now + last
+	}
+}
+
+func (w *world) isolate(name string, last Time) {
+	for _, m := range w.ordered() {
+		w.cut(name, m.name, last, true)
+	}
+	w.cut(name, "log", last, true)
+}
+
+func (w *world) crash(m *machine, last Time) {
+	if m.down {
+		return
+	}
+	m.down = true
+	w.after(last, func() {
+		if m.down {
+			w.boot(m)
+		}
+	})
+}
+
+func (w *world) crashInstance(n *simInstance, last Time) {
+	if n.down {
+		return
+	}
+	n.down = true
+	n.life++
+	w.after(last, func() {
+		if n.down {
+			n.restart()
+		}
+	})
+}
+
+// heal ends every fault. Processes that are down start again.
+func (w *world) heal() {
+	w.jitter = false
+	clear(w.cuts)
+	w.log.downTo = 0
+	for _, m := range w.servers {
+		m.pausedTo = 0
+		if m.down {
+			w.boot(m)
+		}
+	}
+	for _, n := range w.instances {
+		n.pausedTo = 0
+		if n.down {
+			n.restart()
+		}
+	}
+}
+
+// checkRecovered is the invariant after the faults: every range has an owner, the table says
+// so, and the log has acknowledged it.
+func (w *world) checkRecovered() {
+	n := w.leading()
+	if n == nil {
+		w.fail("nobody leads %s after the faults", w.describe())
+		return
+	}
+	table := n.core.Table()
+	if table == nil {
+		w.fail("no table %s after the faults", w.describe())
+		return
+	}
+	for _, hash := range w.hashes {
+		if len(w.owners(hash)) != 1 {
+			w.fail("hash %016x has owners %v after the faults %s", hash, w.owners(hash), w.describe())
+			return
+		}
+		found := false
+		for _, o := range table.Owners {
+			found = found || o.Range.Contains(hash) && (o.Offset != 0 || w.restless())
+		}
+		if !found {
+			w.fail("hash %016x is not in the table as acknowledged %s", hash, w.describe())
+			return
+		}
+	}
+}
+
+// restless reports whether ranges still move, so that the newest may not be recorded yet.
+func (w *world) restless() bool {
+	p, ok := w.layout.placer(w).(*slicePlacer)
+	return ok && p.restless != nil
+}
+
+func (w *world) describe() string {
+	return fmt.Sprintf("(%d instances, %d checking, %d unchecked)", w.layout.instances, w.layout.checking, w.layout.unchecked)
+}
+
+// TestRandomSchedules is the proof of single ownership under two and three faults together:
+// messages late, lost, doubled and out of order, processes paused, lost and restarted, cuts
+// in one and both directions, outages of the log and lost answers, clocks that differ.
+func TestRandomSchedules(t *testing.T) {
+	is := is.New(t)
+	for seed := uint64(1); seed <= 200; seed++ {
+		w := runSchedule(seed, "")
+		if w.failure != "" {
+			t.Logf("seed %d: %s", seed, w.failure)
+		}
+		is.Equal(w.failure, "")
+	}
+}
--- /dev/null
+++ b/internal/leader/core.go
@@ -0,0 +1,163 @@
+package leader
+
+import (
+	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/place"
+	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/grant"
+)
+
+// Core is one instance's part in leading its failure domain: a follower that watches the
+// leader, or the leader that places ranges. It is not safe for concurrent use.
+type Core struct {
+	config  Config
+	placer  place.Placer
+	now     Time
+	started bool
+	effects []Effect
+
+	version     uint64
+	services    []*service
+	electorates []electorate
+	peers       map[string]peer
+	listed      map[string]bool
+	log         logView
+	// known is the highest term heard of.
+	known grant.Term
+	// hint is the newest routing table of another leader of the domain.
+	hint route.Table
+	// gates names the gate of each server by the server's name.
+	gates map[string]string
+
+	// leaderAt is when a leader of the domain was last heard, or may be hoped for since.
+	leaderAt Time
+	leader   string
+	claim    *claim
+	lead     *leadership
+	stopping bool
+}
+
+// logView is what this instance knows of the log.
+type logView struct {
+	readAt   Time
+	read     bool
+	away     bool
+	term     fold.Term
+	assigned map[string]fold.Assigned
+}
+
+// peer is another instance of the domain.
+type peer struct {
+	heardAt Time
+	leaving bool
+}
+
+// New returns a core that follows.
+func New(config Config, placer place.Placer) *Core {
+	return &Core{
+		config: config,
+		placer: placer,
+		peers:  make(map[string]peer),
+		listed: make(map[string]bool),
+		gates:  make(map[string]string),
+	}
+}
+
+// Handle takes an event that happened at a time and returns what is to be done about it, in
+// order. The effects belong to the caller. Times must not decrease.
+func (c *Core) Handle(now Time, ev Event) []Effect {
+	c.now = max(c.now, now)
+	c.effects = nil
+	if !c.started {
+		c.started = true
+		c.leaderAt = c.now
+	}
+	c.checkAuthority()
+	switch ev := ev.(type) {
+	case Ticked:
+		c.tick()
+	case Configured:
+		c.configure(ev)
+	case Answered:
+		c.answered(ev)
+	case Folded:
+		c.folded(ev)
+	case LogFailed:
+		c.log.away = true
+	case Appended:
+		c.appended(ev)
+	case PeerHeard:
+		c.peerHeard(ev)
+	case Routed:
+		c.routed(ev)
+	case Listed:
+		c.list(ev)
+	case Measured:
+		c.measured(ev)
+	case Stopping:
+		c.stop()
+	}
+	c.settle()
+	return c.effects
+}
+
+// Table returns the routing table that this instance published last as leader, or nil.
+func (c *Core) Table() *route.Table {
+	if c.lead == nil || c.lead.published == nil {
+		return nil
+	}
+	return c.lead.published
+}
+
+// Heartbeat returns what this instance tells its peers about itself.
+func (c *Core) Heartbeat() PeerHeard {
+	return PeerHeard{
+		Name:        c.config.Name,
+		Incarnation: c.config.Incarnation,
+		Leading:     c.lead != nil && c.lead.won(),
+		Term:        c.known,
+		Leaving:     c.stopping,
+	}
+}
+
+func (c *Core) emit(e Effect) {
+	c.effects = append(c.effects, e)
+}
+
+func (c *Core) tick() {
+	if c.lead == nil {
+		c.tickFollower()
+		return
+	}
+	c.tickLeader()
+}
+
+// settle does what the changes of one event make due.
+func (c *Core) settle() {
+	l := c.lead
+	if l == nil || !l.won() {
+		return
+	}
+	c.place()
+	if l.dirty {
+		l.dirty = false
+		c.reconcile()
+	}
+	c.exchangeDue()
+	c.exchangePrompted()
+	if l.tableDirty {
+		c.publish()
+	}
+}
+
+func (c *Core) routed(ev Routed) {
+	if c.hint.Term.Compare(ev.Table.Term) <= 0 {
+		c.hint = ev.Table
+	}
+}
+
+func (c *Core) stop() {
+	c.stopping = true
+	c.claim = nil
+	c.stepDown(reasonStopping)
+}
--- /dev/null
+++ b/internal/leader/gates.go
@@ -0,0 +1,87 @@
+package leader
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// recallGates takes the gates from the table of the former leader, so that a change of leader
+// moves none.
+func (c *Core) recallGates() {
+	for _, g := range c.hint.Gates {
+		c.gates[g.Server] = g.Instance
+	}
+}
+
+// chooseGates gives every server a gate that is alive and keeps those that are. It reports
+// whether a gate changed.
+func (c *Core) chooseGates() bool {
+	alive := c.instances()
+	changed := false
+	for _, s := range c.services {
+		for _, b := range s.Servers {
+			if b.Slots == 0 || c.alive(c.gates[b.Name]) && (s.Divided || c.gates[b.Name] == c.gates[s.Servers[0].Name]) {
+				continue
+			}
+			subject := b.Name
+			if !s.Divided {
+				subject = s.Name
+			}
+			if gate := rendezvous(subject, alive); gate != c.gates[b.Name] {
+				c.gates[b.Name] = gate
+				changed = true
+			}
+		}
+	}
+	if changed && c.lead != nil {
+		c.lead.tableDirty = true
+	}
+	return changed
+}
+
+// rendezvous returns the name with the highest hash together with the subject, or "".
+func rendezvous(subject string, names []string) string {
+	best, highest := "", uint64(0)
+	for _, name := range names {
+		if h := xxhash.Sum64String(subject + "\x00" + name); best == "" || h > highest {
+			best, highest = name, h
+		}
+	}
+	return best
+}
+
+// list takes the platform's list. An instance that left it is gone for certain, so nothing
+// that it held back in a pause can still come; requests that it had sent may still run.
+func (c *Core) list(ev Listed) {
+	now := make(map[string]bool, len(ev.Instances))
+	for _, name := range ev.Instances {
+		now[name] = true
+	}
+	for name := range c.listed {
+		if !now[name] {
+			c.instanceGone(name)
+		}
+	}
+	c.listed = now
+}
+
+func (c *Core) instanceGone(name string) {
+	delete(c.peers, name)
+	l := c.lead
+	if l == nil {
+		return
+	}
+	for at, h := range l.holdings {
+		if at.via == name && !h.checks {
+			c.retire(h)
+			delete(l.holdings, at)
+		}
+	}
+	for _, h := range l.retired {
+		if s := c.serviceOf(h.service); s != nil && h.via == name {
+			h.lingers = min(h.lingers, Time(s.RequestMillis)*1e6)
+		}
+	}
+	c.chooseGates()
+	c.seat()
+	c.placeSoon()
+}
--- /dev/null
+++ b/internal/leader/holder_test.go
@@ -0,0 +1,78 @@
+package leader
+
+import (
+	"time"
+
+	"example.org/mustardring/pkg/grant"
+)
+
+// simHolder is a real Holder in virtual time. Its mutations break one guard of the server.
+type simHolder struct {
+	w     *world
+	m     *machine
+	real  *grant.Holder
+	fence grant.Term
+}
+
+func newSimHolder(w *world, m *machine, server string) *simHolder {
+	config := grant.HolderConfig{
+		Service:     "svc",
+		Server:      server,
+		Incarnation: m.incarnation,
+		Clock:       func() grant.Instant { return grant.Instant(m.clock(w.now)) },
+		MaxLease:    1250 * time.Millisecond,
+	}
+	if w.guard == mutTooLong || w.guard == mutReceipt {
+		config.MaxLease = time.Hour
+	}
+	return &simHolder{w: w, m: m, real: grant.NewHolder(config)}
+}
+
+func (h *simHolder) owns(hash uint64) bool {
+	work, err := h.real.Begin(hash)
+	if err != nil {
+		return false
+	}
+	work.End()
+	return true
+}
+
+func (h *simHolder) exchange(x grant.Exchange) grant.Answer {
+	asked := x.Term
+	if h.w.guard == mutFence && x.Term.Compare(h.fence) < 0 {
+		x.Term = h.fence
+	}
+	if x.Grant != nil {
+		g := *x.Grant
+		x.Grant = &g
+		switch h.w.guard {
+		case mutReceipt:
+			g.Deadline = grant.Instant(h.m.clock(h.w.now)) + grant.Instant(time.Second)
+			x.Grant = &g
+		case mutIncarnation:
+			g.Incarnation = h.m.incarnation
+			x.Grant = &g
+		}
+	}
+	a := h.real.Exchange(x)
+	h.fence = a.Fence
+	switch h.w.guard {
+	case mutFence:
+		a.Fence = asked
+	case mutVoting:
+		a.Voting = true
+	case mutDraining:
+		a.Draining = nil
+	}
+	return a
+}
+
+// The mutations that break a guard of the server.
+const (
+	mutReceipt     mutation = "lease-from-receipt"
+	mutFence       mutation = "fence-not-compared"
+	mutIncarnation mutation = "incarnation-ignored"
+	mutVoting      mutation = "young-server-votes"
+	mutDraining    mutation = "drain-not-stated"
+	mutTooLong     mutation = "deadline-not-bounded"
+)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -90,6 +90,15 @@
 	Leading bool
 	// Term is the highest term the peer knows.
 	Term grant.Term
+	// Leaving says that the peer is stopping: it takes no leadership and no gate.
+	Leaving bool
+}
+
+// Routed is the newest routing table that another leader of the domain published. A new
+// leader takes it as a hint, so that gates and owners stay where they are; it trusts none
+// of it.
+type Routed struct {
+	Table route.Table
 }
 
 // Listed is the platform's list: the instances and servers it calls live. What was listed
@@ -121,6 +130,7 @@
 func (LogFailed) isEvent()  {}
 func (Appended) isEvent()   {}
 func (PeerHeard) isEvent()  {}
+func (Routed) isEvent()     {}
 func (Listed) isEvent()     {}
 func (Measured) isEvent()   {}
 func (Stopping) isEvent()   {}
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,63 @@
+package leader
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/place"
+)
+
+func quiet(instances, checking, unchecked int) layout {
+	return layout{
+		instances: instances,
+		checking:  checking,
+		unchecked: unchecked,
+		placer:    func(*world) place.Placer { return &slicePlacer{slices: 8} },
+	}
+}
+
+// served counts the hashes that have an owner.
+func (w *world) served() int {
+	n := 0
+	for _, hash := range w.hashes {
+		if len(w.owners(hash)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) startAll() {
+	for _, n := range w.instances {
+		n.start()
+	}
+}
+
+func TestDomainStarts(t *testing.T) {
+	tests := map[string]layout{
+		"checking":          quiet(3, 3, 0),
+		"one instance":      quiet(1, 1, 0),
+		"one voter":         quiet(2, 1, 2),
+		"none checks":       quiet(3, 0, 3),
+		"checking and not":  quiet(3, 3, 2),
+		"many of all kinds": quiet(5, 7, 5),
+	}
+	for name, l := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1, l, "")
+			w.startAll()
+			w.advance(6000 * ms)
+			is.Equal(w.failure, "")
+			is.Equal(w.served(), len(w.hashes))
+			n := w.leading()
+			is.True(n != nil)
+			table := n.core.Table()
+			is.Equal(len(table.Owners), 8)
+			for _, o := range table.Owners {
+				is.True(o.Offset > 0) // recorded
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/leader/term.go
@@ -0,0 +1,180 @@
+package leader
+
+import (
+	"slices"
+
+	"example.org/mustardring/internal/place"
+	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/grant"
+)
+
+// The reasons for which a leadership ends.
+const (
+	reasonStopping  = "stopping"
+	reasonFenced    = "fenced"
+	reasonPeer      = "peer-leads"
+	reasonAuthority = "authority-lapsed"
+	reasonMajority  = "no-majority"
+)
+
+// leadership is one term of this instance, from its begin as a candidacy.
+type leadership struct {
+	term      grant.Term
+	startedAt Time
+	// wonAt is when a majority had first answered; zero before.
+	wonAt Time
+	votes map[string]*vote
+	// asked caches the authority; stale says that votes changed since.
+	asked Time
+	stale bool
+
+	holdings map[seat]*holding
+	// retired are holdings of processes that are asked no more but may still act.
+	retired    []*holding
+	sequence   uint64
+	exchangeAt Time
+	placeAt    Time
+	placedAt   Time
+	targets    map[string][]place.Target
+	// dirty says that sets may have to change, tableDirty that the table may have.
+	dirty        bool
+	prompted     []*holding
+	settled      map[string]bool
+	tableDirty   bool
+	published    *route.Table
+	recording    map[string]recording
+	recordAt     Time
+	recordSerial uint64
+	recorded     map[string]recorded
+}
+
+// vote is what one voter answered in this term.
+type vote struct {
+	incarnation uint64
+	askedAt     Time
+	// counted says that the voter follows; spoiled that it restarted within this term.
+	counted bool
+	spoiled bool
+}
+
+func (l *leadership) won() bool {
+	return l.wonAt != 0
+}
+
+func (c *Core) begin(t grant.Term) {
+	c.claim = nil
+	c.know(t)
+	c.lead = &leadership{
+		term:      t,
+		startedAt: c.now,
+		votes:     make(map[string]*vote),
+		holdings:  make(map[seat]*holding),
+		targets:   make(map[string][]place.Target),
+		recording: make(map[string]recording),
+		recorded:  make(map[string]recorded),
+		settled:   make(map[string]bool),
+	}
+	c.electorates = c.electorates[len(c.electorates)-1:]
+	c.recallGates()
+	c.chooseGates()
+	c.seat()
+	c.exchangeAll()
+}
+
+func (c *Core) stepDown(reason string) {
+	if c.lead == nil {
+		return
+	}
+	if c.lead.won() || reason != reasonMajority {
+		c.emit(Stepped{Term: c.lead.term, Reason: reason})
+	}
+	c.lead = nil
+	c.leaderAt = c.now
+}
+
+// checkAuthority ends a leadership whose newest majority was asked too long ago. Without it
+// a leader that was outvoted could regain a majority by a voter that restarted and forgot
+// the newer term, and both would lead.
+func (c *Core) checkAuthority() {
+	l := c.lead
+	if l == nil {
+		return
+	}
+	if !l.won() {
+		if c.now > l.startedAt+Time(c.config.Lease) {
+			c.stepDown(reasonMajority)
+		}
+		return
+	}
+	if c.now > c.authority()+Time(c.config.Lease) {
+		c.stepDown(reasonAuthority)
+	}
+}
+
+// count takes the vote of an answer that follows the term.
+//
+// A voter that restarted within the term may have followed a higher one in between and
+// forgotten it, so it counts no more in this term. A young process says itself that it does
+// not vote, which covers a restart that this leader did not see.
+func (c *Core) count(ev Answered) {
+	if ev.Via != "" || !c.votes(ev.Server) {
+		return
+	}
+	l := c.lead
+	v := l.votes[ev.Server]
+	if v == nil {
+		v = &vote{incarnation: ev.Answer.Incarnation}
+		l.votes[ev.Server] = v
+	}
+	if v.incarnation != ev.Answer.Incarnation {
+		v.spoiled = true
+		l.stale = true
+		return
+	}
+	if !ev.Answer.Voting {
+		return
+	}
+	if !v.counted || ev.AskedAt > v.askedAt {
+		v.counted = true
+		v.askedAt = ev.AskedAt
+		l.stale = true
+	}
+}
+
+func (c *Core) votes(server string) bool {
+	return slices.ContainsFunc(c.electorates, func(e electorate) bool { return e[server] })
+}
+
+// authority returns the newest moment at which a majority of every electorate was asked and
+// answered following this term, or a time long ago when there is none.
+func (c *Core) authority() Time {
+	l := c.lead
+	if !l.stale && l.asked != 0 {
+		return l.asked
+	}
+	l.stale = false
+	l.asked = c.authorityOf(c.electorates[0])
+	for _, e := range c.electorates[1:] {
+		l.asked = min(l.asked, c.authorityOf(e))
+	}
+	return l.asked
+}
+
+// never is earlier than every time at which something was asked.
+const never = Time(-1 << 62)
+
+func (c *Core) authorityOf(e electorate) Time {
+	var asked []Time
+	for name := range e {
+		v := c.lead.votes[name]
+		if v != nil && v.counted && !v.spoiled {
+			asked = append(asked, v.askedAt)
+		}
+	}
+	majority := len(e)/2 + 1
+	if len(asked) < majority {
+		return never
+	}
+	slices.Sort(asked)
+	return asked[len(asked)-majority]
+}
--- /dev/null
+++ b/internal/leader/world_test.go
@@ -0,0 +1,350 @@
+package leader
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"example.org/mustardring/internal/place"
+	"example.org/mustardring/pkg/grant"
+	"example.org/mustardring/pkg/keys"
+)
+
+const ms = Time(time.Millisecond)
+
+// world runs cores, holders and a log in virtual time. True time is in nanoseconds.
+type world struct {
+	random *rand.Rand
+	now    Time
+	queue  schedule
+	serial int
+	layout layout
+	guard  mutation
+
+	machines  map[string]*machine
+	servers   []*machine
+	instances []*simInstance
+	log       *simLog
+	runs      []run
+	cuts      map[[2]string]Time
+	hashes    []uint64
+	homes     []keys.Range
+	oneWay    Time
+	jitter    bool
+
+	failure  string
+	messages int
+	bytes    int
+	observe  func(at Time)
+}
+
+// layout says what a world is made of.
+type layout struct {
+	instances int
+	checking  int
+	unchecked int
+	leaving   string
+	isolation string
+	drift     bool
+	placer    func(w *world) place.Placer
+	config    func(c *Config)
+}
+
+// machine is a process that holds grants: a server, or an instance that is gate or voter.
+type machine struct {
+	name        string
+	incarnation uint64
+	offset      Time
+	perMille    Time
+	pausedTo    Time
+	down        bool
+	holders     map[string]*simHolder
+}
+
+// run is a request that runs at a server without a check of its own.
+type run struct {
+	server string
+	hash   uint64
+	until  Time
+}
+
+func (m *machine) clock(now Time) Time {
+	return m.offset + now + now*m.perMille/1000
+}
+
+type action struct {
+	at     Time
+	serial int
+	do     func()
+}
+
+type schedule []action
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at < s[j].at
+	}
+	return s[i].serial < s[j].serial
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(action)) }
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+func newWorld(seed uint64, l layout, guard mutation) *world {
+	w := &world{
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		layout:   l,
+		guard:    guard,
+		machines: make(map[string]*machine),
+		cuts:     make(map[[2]string]Time),
+		homes:    []keys.Range{keys.Full},
+		oneWay:   ms / 2,
+		now:      1,
+	}
+	w.log = &simLog{w: w}
+	for _, r := range keys.Split(keys.Full, 8) {
+		w.hashes = append(w.hashes, r.First+1)
+	}
+	for i := range l.checking + l.unchecked {
+		w.servers = append(w.servers, w.newMachine(fmt.Sprintf("s%02d", i)))
+	}
+	for i := range l.instances {
+		w.instances = append(w.instances, newInstance(w, fmt.Sprintf("i%d", i)))
+	}
+	return w
+}
+
+func (w *world) newMachine(name string) *machine {
+	m := &machine{name: name, holders: make(map[string]*simHolder)}
+	w.machines[name] = m
+	w.boot(m)
+	return m
+}
+
+// boot starts a new process at the place of a machine.
+func (w *world) boot(m *machine) {
+	m.incarnation = uint64(w.random.Uint32()) + 1
+	m.offset = Time(w.random.Int64N(int64(time.Hour)))
+	m.perMille = 0
+	if w.layout.drift {
+		m.perMille = Time(w.random.IntN(9) - 4)
+	}
+	m.holders = make(map[string]*simHolder)
+	m.pausedTo = 0
+	m.down = false
+}
+
+// holder returns the holder of a server's grant in a process.
+func (w *world) holder(m *machine, server string) *simHolder {
+	h := m.holders[server]
+	if h == nil {
+		h = newSimHolder(w, m, server)
+		m.holders[server] = h
+	}
+	return h
+}
+
+func (w *world) at(t Time, do func()) {
+	w.serial++
+	heap.Push(&w.queue, action{at: max(t, w.now), serial: w.serial, do: do})
+}
+
+func (w *world) after(d Time, do func()) {
+	w.at(w.now+d, do)
+}
+
+// advance runs the world until a time, or until an invariant is broken.
+func (w *world) advance(until Time) {
+	for len(w.queue) > 0 && w.queue[0].at <= until && w.failure == "" {
+		next := heap.Pop(&w.queue).(action)
+		w.now = next.at
+		next.do()
+	}
+	if w.failure == "" {
+		w.now = until
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.failure == "" {
+		w.failure = fmt.Sprintf("%.3f s: ", float64(w.now)/1e9) + fmt.Sprintf(format, args...)
+	}
+}
+
+// send passes a message from one machine to another: late, twice or not at all.
+func (w *world) send(from, to string, deliver func()) {
+	if w.cuts[[2]string{from, to}] > w.now {
+		return
+	}
+	copies := 1
+	if w.jitter {
+		switch p := w.random.IntN(100); {
+		case p < 6:
+			return
+		case p < 12:
+			copies = 2
+		}
+	}
+	for range copies {
+		w.after(w.delay(), func() { w.deliver(to, deliver) })
+	}
+}
+
+func (w *world) delay() Time {
+	d := w.oneWay
+	if !w.jitter {
+		return d
+	}
+	switch p := w.random.IntN(100); {
+	case p < 80:
+		return d + Time(w.random.Int64N(int64(5*ms)))
+	case p < 95:
+		return d + Time(w.random.Int64N(int64(200*ms)))
+	default:
+		return d + Time(w.random.Int64N(int64(2500*ms)))
+	}
+}
+
+// deliver hands a message over when its receiver is not paused. A message to a process that
+// is down is lost.
+func (w *world) deliver(to string, do func()) {
+	m := w.machines[to]
+	if m == nil {
+		do()
+		return
+	}
+	if m.down {
+		return
+	}
+	if m.pausedTo > w.now {
+		w.at(m.pausedTo, func() { w.deliver(to, do) })
+		return
+	}
+	do()
+}
+
+// services is the configuration of the domain.
+func (w *world) services() []Service {
+	s := Service{Name: "svc", Divided: true, Homes: w.homes, RequestMillis: 400}
+	if w.layout.isolation != "" {
+		s.Isolation = "move"
+	}
+	for i, m := range w.servers {
+		checks := i < w.layout.checking
+		s.Servers = append(s.Servers, Server{
+			Name: m.name, Checks: checks, Votes: checks, Slots: 2, Leaving: m.name == w.layout.leaving,
+		})
+	}
+	if w.layout.checking == 0 {
+		for _, n := range w.instances {
+			s.Servers = append(s.Servers, Server{Name: n.name, Checks: true, Votes: true})
+		}
+	}
+	return []Service{s}
+}
+
+// owners returns the names of the servers that now may act on a hash.
+func (w *world) owners(hash uint64) []string {
+	var names []string
+	for _, m := range w.ordered() {
+		if m.down {
+			continue
+		}
+		for _, name := range slices.Sorted(mapKeys(m.holders)) {
+			if m.holders[name].owns(hash) {
+				names = append(names, name+"@"+m.name)
+			}
+		}
+	}
+	for _, r := range w.runs {
+		if r.hash == hash && r.until > w.now && !slices.ContainsFunc(names, func(n string) bool { return n[:len(r.server)] == r.server }) {
+			names = append(names, r.server+"(request)")
+		}
+	}
+	return names
+}
+
+func (w *world) ordered() []*machine {
+	all := slices.Clone(w.servers)
+	for _, n := range w.instances {
+		all = append(all, n.machine)
+	}
+	return all
+}
+
+// checkSingle is the invariant: no instant has two holders of one range.
+func (w *world) checkSingle() {
+	for _, hash := range w.hashes {
+		if names := w.owners(hash); len(names) > 1 {
+			w.fail("hash %016x has owners %v", hash, names)
+		}
+	}
+}
+
+// request starts a request for a random hash at its present owner, if there is one.
+func (w *world) request() {
+	hash := w.hashes[w.random.IntN(len(w.hashes))]
+	for _, m := range w.ordered() {
+		if m.down || m.pausedTo > w.now {
+			continue
+		}
+		for _, name := range slices.Sorted(mapKeys(m.holders)) {
+			work, err := m.holders[name].real.Begin(hash)
+			if err == nil {
+				w.work(m, name, hash, work)
+				return
+			}
+		}
+	}
+}
+
+func (w *world) work(m *machine, server string, hash uint64, work *grant.Work) {
+	takes := 1 + Time(w.random.Int64N(int64(360*ms)))
+	if m.name == server {
+		process := m.incarnation
+		w.after(takes, func() { w.effect(m, process, hash, work) })
+		return
+	}
+	if w.random.IntN(10) == 0 {
+		takes += Time(w.random.Int64N(int64(550 * ms)))
+	}
+	w.runs = slices.DeleteFunc(w.runs, func(r run) bool { return r.until <= w.now })
+	w.runs = append(w.runs, run{server: server, hash: hash, until: w.now + takes})
+	w.after(takes, work.End)
+}
+
+// effect lets a request that ran at a checking server take effect, if the check allows it.
+func (w *world) effect(m *machine, process uint64, hash uint64, work *grant.Work) {
+	if m.down || m.incarnation != process {
+		return
+	}
+	if m.pausedTo > w.now {
+		w.at(m.pausedTo, func() { w.effect(m, process, hash, work) })
+		return
+	}
+	if work.Check() == nil {
+		for _, name := range w.owners(hash) {
+			if name != m.name+"@"+m.name {
+				w.fail("request at %s took effect on %016x of %s", m.name, hash, name)
+			}
+		}
+	}
+	work.End()
+}
+
+func mapKeys[V any](m map[string]V) func(yield func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
