Run the whole path: caller, instance, gate, owner and back

Cause: the cores need sockets, timers and goroutines round them. Before: no request could be served. Ruled out on the way: a service that mixes servers which check with ones that do not waits request limit plus pause bound at each take-over, so it looked like no owner.

--- /dev/null
+++ b/cmd/mustardring/main.go
@@ -0,0 +1,84 @@
+// Command mustardring routes requests to the servers that own their keys, and has the tools
+// to operate and try it.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+
+	"example.org/mustardring/internal/cmds"
+	"example.org/mustardring/internal/config"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitInput  = 2
+)
+
+// version is set by the linker for a release.
+var version = "development"
+
+// program is the command line.
+type program struct {
+	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Least level of events that are logged."`
+
+	Run         cmds.RunCmd         `cmd:"" help:"Run an entry instance."`
+	StandIn     cmds.StandInCmd     `cmd:"" name:"stand-in" help:"Run stand-ins of the platform and of backend servers."`
+	Status      cmds.StatusCmd      `cmd:"" help:"Show the status of an instance."`
+	Owner       cmds.OwnerCmd       `cmd:"" help:"Show who owns a key."`
+	Assignments cmds.AssignmentsCmd `cmd:"" help:"Show the recorded assignments."`
+	Certs       cmds.CertsCmd       `cmd:"" help:"Make key pairs for instances."`
+	Version     versionCmd          `cmd:"" help:"Print the version."`
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	fmt.Println("mustardring", version)
+	return nil
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var p program
+	ctx := kong.Parse(&p, kong.Name("mustardring"), kong.Description("Route requests to the servers that own their keys."))
+	logger, err := newLogger(p.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitInput
+	}
+	err = ctx.Run(logger)
+	var fault *config.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &fault):
+		fmt.Fprintln(os.Stderr, fault)
+		return exitInput
+	default:
+		logger.Error("failed", "error", err)
+		return exitFailed
+	}
+}
+
+func newLogger(level string) (*log.Logger, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	return log.NewWithOptions(os.Stderr, log.Options{
+		Level:           parsed,
+		Formatter:       log.LogfmtFormatter,
+		ReportTimestamp: true,
+		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
+	}), nil
+}
--- /dev/null
+++ b/internal/cmds/certs.go
@@ -0,0 +1,66 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"example.org/mustardring/internal/certs"
+)
+
+// Names of the files that CertsCmd writes.
+const (
+	authorityCertificate = "authority.pem"
+	authorityKey         = "authority-key.pem"
+)
+
+// CertsCmd makes the key pairs by which instances authenticate each other.
+type CertsCmd struct {
+	Dir       string   `required:"" help:"Directory to write the PEM files to." type:"path"`
+	Instances []string `arg:"" help:"Names of instances."`
+}
+
+// Run writes the authority's pair, unless it is there already, and one pair an instance.
+func (c *CertsCmd) Run() error {
+	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
+		return fmt.Errorf("cmds: %w", err)
+	}
+	authority, err := c.authority()
+	if err != nil {
+		return err
+	}
+	for _, name := range c.Instances {
+		pair, err := certs.NewInstance(authority, name, time.Now())
+		if err != nil {
+			return err
+		}
+		if err := c.write(pair, name+".pem", name+"-key.pem"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *CertsCmd) authority() (certs.Pair, error) {
+	certificate, err := os.ReadFile(filepath.Join(c.Dir, authorityCertificate))
+	if err == nil {
+		key, err := os.ReadFile(filepath.Join(c.Dir, authorityKey))
+		return certs.Pair{Certificate: certificate, Key: key}, err
+	}
+	pair, err := certs.NewAuthority(time.Now())
+	if err != nil {
+		return pair, err
+	}
+	return pair, c.write(pair, authorityCertificate, authorityKey)
+}
+
+func (c *CertsCmd) write(pair certs.Pair, certificate, key string) error {
+	if err := os.WriteFile(filepath.Join(c.Dir, certificate), pair.Certificate, 0o644); err != nil {
+		return fmt.Errorf("cmds: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(c.Dir, key), pair.Key, 0o600); err != nil {
+		return fmt.Errorf("cmds: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/configured.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"example.org/mustardring/internal/leader"
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/keys"
+)
+
+// voterService is the service under which entry instances vote in a domain without a server
+// that checks grants.
+const voterService = "entry-instances"
+
+// configured returns what a bundle asks of one domain.
+func configured(b *bundle.Bundle, domain string) leader.Configured {
+	c := leader.Configured{Version: b.Version}
+	checking := false
+	for i := range b.Services {
+		s := domainService(b, &b.Services[i], domain)
+		checking = checking || slices.ContainsFunc(s.Servers, func(v leader.Server) bool { return v.Votes })
+		c.Services = append(c.Services, s)
+	}
+	if !checking {
+		c.Services = append(c.Services, instanceVoters(b, domain))
+	}
+	return c
+}
+
+func domainService(b *bundle.Bundle, s *bundle.Service, domain string) leader.Service {
+	made := leader.Service{
+		Name:          s.Name,
+		Divided:       s.Divided,
+		Isolation:     cmp.Or(s.Isolation, bundle.IsolationHold),
+		Weights:       s.Weights,
+		RequestMillis: s.Limits.RequestMillis,
+	}
+	for _, v := range s.Servers {
+		if v.Domain != domain {
+			continue
+		}
+		made.Servers = append(made.Servers, leader.Server{
+			Name:    v.Name,
+			Checks:  v.ChecksGrants,
+			Votes:   v.ChecksGrants,
+			Slots:   v.Slots,
+			Leaving: v.Leaving,
+		})
+	}
+	if !s.Divided {
+		return made
+	}
+	for _, h := range b.HomeRanges(s.Name) {
+		if h.Domain == domain {
+			made.Homes = append(made.Homes, h.Range)
+		}
+	}
+	for _, key := range s.HotKeys {
+		made.HotHashes = append(made.HotHashes, keys.Hash(s.Name, key))
+	}
+	slices.Sort(made.HotHashes)
+	return made
+}
+
+// instanceVoters makes the entry instances that the bundle names the voters of a domain.
+func instanceVoters(b *bundle.Bundle, domain string) leader.Service {
+	made := leader.Service{Name: voterService}
+	for _, i := range b.Instances {
+		if i.Domain == domain {
+			made.Servers = append(made.Servers, leader.Server{Name: i.Name, Votes: true})
+		}
+	}
+	return made
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,189 @@
+// Package entry is one running entry instance: the sockets, timers and goroutines round the
+// cores that lead a failure domain, fold the log and decide about requests.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/duty"
+	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/front"
+	"example.org/mustardring/internal/leader"
+	"example.org/mustardring/internal/listcl"
+	"example.org/mustardring/internal/logcl"
+	"example.org/mustardring/internal/peer"
+	"example.org/mustardring/internal/place"
+	"example.org/mustardring/pkg/grant"
+)
+
+// Errors of an entry instance.
+var (
+	// ErrDuty says that a duty ended before the instance was stopped.
+	ErrDuty = errors.New("entry: duty ended")
+	// ErrListen says that an address of the settings cannot be listened on.
+	ErrListen = errors.New("entry: cannot listen")
+	// ErrDrain says that requests were still in flight when the drain deadline passed.
+	ErrDrain = errors.New("entry: drain deadline passed")
+)
+
+// Capacities of the rings between duties. A full ring drops what is sent again anyway
+// (exchanges, heartbeats) and blocks the sender of what is not.
+const (
+	eventCapacity  = 4096
+	sendCapacity   = 4096
+	appendCapacity = 1024
+	maxDuties      = 16
+)
+
+// Deps is what an instance depends on beside its settings.
+type Deps struct {
+	Settings config.Run
+	// TLS authenticates this instance to others and them to it.
+	TLS    *tls.Config
+	Log    logcl.Log
+	List   *listcl.Client
+	Placer place.Placer
+	Logger *log.Logger
+	// Incarnation differs between all processes that ever ran under the instance's name.
+	Incarnation uint64
+	// Now is the wall clock.
+	Now func() time.Time
+}
+
+// Entry is an entry instance.
+type Entry struct {
+	deps   Deps
+	origin time.Time
+
+	core    *leader.Core
+	state   *state
+	peers   *peers
+	holders *holders
+	front   *front.Front
+	// folded is the newest folded state of the log, or nil.
+	folded atomic.Pointer[fold.State]
+
+	events  chan leader.Event
+	sends   chan leader.Send
+	appends chan leader.Append
+	// coreView is the core's newest statement about itself, for heartbeats.
+	coreView coreView
+}
+
+// New returns an instance that does nothing until Run.
+func New(d Deps) (*Entry, error) {
+	e := &Entry{
+		deps:    d,
+		origin:  time.Now(),
+		state:   newState(d.Settings),
+		events:  make(chan leader.Event, eventCapacity),
+		sends:   make(chan leader.Send, sendCapacity),
+		appends: make(chan leader.Append, appendCapacity),
+	}
+	e.core = leader.New(leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation), d.Placer)
+	e.peers = newPeers(d.Settings, d.TLS)
+	e.holders = newHolders(d.Incarnation, e.clock)
+	f, err := front.New(front.Deps{
+		Instance:      d.Settings.Name,
+		Domain:        d.Settings.Domain,
+		Finder:        e.state.directory,
+		Right:         right{state: e.state, holders: e.holders},
+		Forward:       newForwardTransport(d.TLS),
+		ForwardScheme: "https",
+		Log:           d.Logger,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	e.front = f
+	return e, nil
+}
+
+// now reads the monotonic clock of the cores.
+func (e *Entry) now() leader.Time {
+	return leader.Time(time.Since(e.origin))
+}
+
+// clock reads the monotonic clock of the grants that this instance holds.
+func (e *Entry) clock() grant.Instant {
+	return grant.Instant(time.Since(e.origin))
+}
+
+// newForwardTransport returns the transport for requests to other instances.
+func newForwardTransport(config *tls.Config) http.RoundTripper {
+	return &http.Transport{
+		TLSClientConfig:     config.Clone(),
+		MaxIdleConnsPerHost: forwardIdle,
+		IdleConnTimeout:     forwardIdleTime,
+		DisableCompression:  true,
+	}
+}
+
+// Bounds of the connections that are kept to another instance.
+const (
+	forwardIdle     = 256
+	forwardIdleTime = 90 * time.Second
+)
+
+// Run serves until the context ends, then stops gracefully: it hands its duties on, finishes
+// the requests in flight and returns nil, or ErrDrain when they did not end in time.
+func (e *Entry) Run(ctx context.Context) error {
+	listeners, err := e.listen()
+	if err != nil {
+		return err
+	}
+	group := duty.New(context.WithoutCancel(ctx), maxDuties)
+	e.start(group, listeners)
+	e.deps.Logger.Info("started", "instance", e.deps.Settings.Name, "domain", e.deps.Settings.Domain,
+		"incarnation", e.deps.Incarnation, "callers", e.deps.Settings.CallerAddress)
+	select {
+	case end := <-group.Ends():
+		_ = group.Wait(1)
+		return fmt.Errorf("%w: %s: %w", ErrDuty, end.Name, end.Err)
+	case <-ctx.Done():
+	}
+	drained := e.drain()
+	if err := group.Wait(0); err != nil {
+		return err
+	}
+	return drained
+}
+
+func (e *Entry) start(group *duty.Group, l *listeners) {
+	group.Go("core", e.runCore)
+	group.Go("exchanges", e.runExchanges)
+	group.Go("appender", e.runAppender)
+	group.Go("reader", e.runReader)
+	group.Go("heartbeats", e.runHeartbeats)
+	group.Go("list", e.runList)
+	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
+	group.Go("caller-http", e.serveCallers(l.caller))
+	group.Go("forward-http", e.serveForwards(l.forward))
+	group.Go("operator-http", e.serveOperators(l.operator))
+}
+
+// drain ends this instance's part in the domain while it still serves. The leadership goes
+// first, so that the successor adopts leases that still run.
+func (e *Entry) drain() error {
+	e.deps.Logger.Info("stopping", "instance", e.deps.Settings.Name)
+	e.state.stop()
+	e.events <- leader.Stopping{}
+	limit := time.Duration(e.deps.Settings.DrainMillis) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	e.announceStop(ctx)
+	if err := e.front.Drain(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrDrain, err)
+	}
+	e.deps.Logger.Info("drained", "instance", e.deps.Settings.Name)
+	return nil
+}
--- /dev/null
+++ b/internal/entry/holders.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"example.org/mustardring/pkg/grant"
+)
+
+// holderLease is the longest lease that this instance accepts for the grants it holds.
+const holderLease = 1100 * time.Millisecond
+
+// errNoGrant says that this instance holds no grant for a server that does not check.
+var errNoGrant = errors.New("entry: no grant is held for the server")
+
+// holders keeps the grants that this instance holds in place of servers which do not check
+// them, and its own vote.
+type holders struct {
+	incarnation uint64
+	clock       func() grant.Instant
+	mu          sync.Mutex
+	holders     map[holderName]*grant.Holder
+}
+
+type holderName struct {
+	service string
+	server  string
+}
+
+func newHolders(incarnation uint64, clock func() grant.Instant) *holders {
+	return &holders{incarnation: incarnation, clock: clock, holders: make(map[holderName]*grant.Holder)}
+}
+
+// exchange serves an exchange for any server name: the leader decides which instance is the
+// gate of which server.
+func (h *holders) exchange(x grant.Exchange) grant.Answer {
+	return h.get(holderName{service: x.Service, server: x.Server}).Exchange(x)
+}
+
+func (h *holders) get(name holderName) *grant.Holder {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	holder, found := h.holders[name]
+	if !found {
+		holder = grant.NewHolder(grant.HolderConfig{
+			Service:     name.service,
+			Server:      name.server,
+			Incarnation: h.incarnation,
+			Clock:       h.clock,
+			MaxLease:    holderLease,
+		})
+		h.holders[name] = holder
+	}
+	return holder
+}
+
+// check reports whether a grant held here covers a hash at this moment.
+func (h *holders) check(service, server string, hash uint64) error {
+	h.mu.Lock()
+	holder, found := h.holders[holderName{service: service, server: server}]
+	h.mu.Unlock()
+	if !found {
+		return fmt.Errorf("%w: %s", errNoGrant, server)
+	}
+	w, err := holder.Begin(hash)
+	if err != nil {
+		return err
+	}
+	w.End()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/message.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"example.org/mustardring/internal/peer"
+	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/grant"
+)
+
+// The calls between instances.
+const (
+	methodHeartbeat peer.Method = "heartbeat"
+	methodTable     peer.Method = "table"
+	methodExchange  peer.Method = "exchange"
+	methodProof     peer.Method = "bundle-proof"
+)
+
+// Heartbeat is what two instances tell each other about themselves, as the parameters and as
+// the result of a heartbeat.
+type Heartbeat struct {
+	Name           string `json:"name"`
+	Domain         string `json:"domain"`
+	Incarnation    uint64 `json:"incarnation"`
+	PeerAddress    string `json:"peer-address"`
+	ForwardAddress string `json:"forward-address"`
+	// Leading says that the instance leads its domain in Term, the highest term it knows.
+	Leading bool       `json:"leading,omitempty"`
+	Term    grant.Term `json:"term"`
+	// Stopping says that the instance takes no new duties.
+	Stopping bool `json:"stopping,omitempty"`
+	// BundleVersion is the version in force at the instance, zero for none.
+	BundleVersion uint64 `json:"bundle-version"`
+	// TableTerm and TableSerial identify the newest routing table of the instance's domain.
+	TableTerm   grant.Term `json:"table-term"`
+	TableSerial uint64     `json:"table-serial"`
+	// Heard are the instances that answered this one lately.
+	Heard []string `json:"heard,omitempty"`
+}
+
+// TablePush hands over a routing table. A nil table in a result says that there is none.
+type TablePush struct {
+	Table *route.Table `json:"table"`
+}
+
+// ProofFetch asks for the bundle in force.
+type ProofFetch struct{}
+
+// ProofPush hands over a bundle in force with the signatures that prove it.
+type ProofPush struct {
+	Proof bundle.Proof `json:"proof"`
+}
+
+// Done is the result of a call that returns nothing.
+type Done struct{}
+
+// ExchangeCall carries an exchange to the instance that holds the grant of a server.
+type ExchangeCall struct {
+	Exchange grant.Exchange `json:"exchange"`
+}
+
+// ExchangeResult is the answer of the holder.
+type ExchangeResult struct {
+	Answer grant.Answer `json:"answer"`
+}
--- a/internal/route/directory.go
+++ b/internal/route/directory.go
@@ -11,9 +11,9 @@
 
 // Member is an entry instance that can take forwarded requests now.
 type Member struct {
-	Name    string
-	Domain  string
-	Address string
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"`
 }
 
 // Home is the part of a service's hash space that belongs to one failure domain.
--- a/internal/stand/guard.go
+++ b/internal/stand/guard.go
@@ -1,6 +1,11 @@
 package stand
 
-import "example.org/mustardring/pkg/grant"
+import (
+	"math/rand/v2"
+	"time"
+
+	"example.org/mustardring/pkg/grant"
+)
 
 // guard is the part of a backend server that obeys grants.
 type guard interface {
@@ -35,6 +40,30 @@
 
 func (openWork) End() {}
 
-func newGuard(ServerSettings) guard {
-	return openGuard{}
+// grantGuard is that of a server which obeys grants.
+type grantGuard struct {
+	holder *grant.Holder
+}
+
+func (g grantGuard) exchange(x grant.Exchange) grant.Answer {
+	return g.holder.Exchange(x)
+}
+
+func (g grantGuard) begin(hash uint64) (work, error) {
+	return g.holder.Begin(hash)
+}
+
+// newGuard returns the guard of a new process at a server's place. Its incarnation is random,
+// since nothing is kept from the process before it.
+func newGuard(s ServerSettings) guard {
+	if !s.ChecksGrants {
+		return openGuard{}
+	}
+	return grantGuard{holder: grant.NewHolder(grant.HolderConfig{
+		Service:     s.Service,
+		Server:      s.Name,
+		Incarnation: rand.Uint64() | 1,
+		Clock:       grant.NewClock(),
+		MaxLease:    time.Duration(s.LeaseMaxMillis) * time.Millisecond,
+	})}
 }
