Keep the newest bundle of an instance apart from the log

Cause: an instance in a cut-off domain takes its bundle from a peer, and a log that starts anew must not bring it back to an older one. Before: the log state alone. Conclusion: the log state stays a pure function of the records.

--- /dev/null
+++ b/internal/fold/newest_test.go
@@ -0,0 +1,107 @@
+package fold
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/record"
+	"example.org/mustardring/pkg/bundle"
+)
+
+// stateOf folds releases of versions 1 to n.
+func stateOf(n uint64, mark string) *State {
+	var j journal
+	for v := uint64(1); v <= n; v++ {
+		j.addAll(release(sample(v, mark), v-1)...)
+	}
+	s := New(crew())
+	j.fold(s)
+	return s
+}
+
+// A domain is cut off and its log reader is down. A fresh instance there must start with the
+// version that its neighbour serves, and an old record that it reads later must not bring it
+// back.
+func TestNewestNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	n := NewNewest(crew())
+	is.NoErr(n.Learn(stateOf(3, "a").Proof))
+	is.Equal(n.Bundle().Version, uint64(3))
+	is.Equal(n.Follow(stateOf(2, "a")), false)
+	is.True(errors.Is(n.Learn(stateOf(2, "a").Proof), ErrOlder))
+	is.Equal(n.Bundle().Version, uint64(3))
+	is.Equal(n.Follow(stateOf(3, "a")), false)
+	origin, offset := n.Origin()
+	is.Equal(origin, OriginLog)
+	is.Equal(offset, uint64(8))
+	is.True(n.Follow(stateOf(4, "a")))
+	is.Equal(n.Bundle().Version, uint64(4))
+}
+
+// The log service lost its records and starts anew, while instances serve version 3. The
+// first that reads the empty log brings the version back, and operators go on from there.
+func TestLogThatStartsAnewGetsTheBundleBack(t *testing.T) {
+	is := is.New(t)
+	n := NewNewest(crew())
+	n.Follow(stateOf(3, "a"))
+	s := New(crew())
+	r, id, missing := n.Missing(s)
+	is.True(missing)
+	var j journal
+	j.add(id, r)
+	j.add(id, r)
+	j.add("another", r)
+	j.addAll(record.BundlePublished{Signed: publish(sample(1, "b"), "ana")})
+	j.addAll(release(sample(4, "b"), 3)...)
+	v := j.fold(s)
+	is.Equal(v[0], Accepted{})
+	is.Equal(v[1], Repeated{})
+	is.Equal(v[2], Repeated{})
+	is.Equal(refusal(t, v[3], CauseLost).Winner.Version, uint64(3))
+	is.Equal(v[6], Accepted{})
+	_, _, missing = n.Missing(s)
+	is.True(!missing)
+	is.True(n.Follow(s))
+	is.Equal(n.Bundle().Version, uint64(4))
+}
+
+// The log started anew and operators published version 1 to 3 again before any instance had
+// brought the old version 3 back. All instances must settle on one of the two.
+func TestLogSettlesTwoBundlesOfOneVersion(t *testing.T) {
+	is := is.New(t)
+	n := NewNewest(crew())
+	n.Follow(stateOf(3, "a"))
+	s := stateOf(3, "b")
+	is.True(n.Follow(s))
+	is.Equal(n.Bundle().Services[0].HotKeys, []string{"b"})
+	is.Equal(n.Follow(s), false)
+}
+
+// Signers that were revoked still hold their keys. Together they sign a version that replaces
+// one from before their revocation, and hand it to an instance as news.
+func TestRevokedSignersCannotFork(t *testing.T) {
+	is := is.New(t)
+	var j journal
+	j.addAll(release(sample(1, "a"), 0)...)
+	clean := sample(2, "a")
+	clean.Signers = append(crew()[1:2], signer("eva", bundle.RoleApprove, bundle.RoleRoll))
+	j.addAll(release(clean, 1)...)
+	s := New(crew())
+	j.fold(s)
+	n := NewNewest(crew())
+	n.Follow(s)
+
+	var fork journal
+	fork.addAll(release(sample(1, "a"), 0)...)
+	two, three := publish(sample(2, "f"), "ana"), publish(sample(3, "f"), "ana")
+	fork.addAll(record.BundlePublished{Signed: two}, record.BundlePublished{Signed: three},
+		record.BundleApproved{Approval: approve(three, "cene")}, record.BundleRolled{Roll: roll(three, 1, "dora")})
+	f := New(crew())
+	fork.fold(f)
+	is.Equal(f.InForce.Version, uint64(3))
+	is.True(errors.Is(n.Learn(f.Proof), bundle.ErrFork))
+	refusal(t, s.prove(99, f.Proof), CauseLost)
+	is.Equal(n.Bundle().Version, uint64(2))
+}
