Decide retries, at most once and blocks in a core without input or output

Core joins a queue with exact slots, the memory of request ids, the suspects that may crash servers and a retry budget.

--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -84,7 +84,7 @@
 func (g *gate) release(server string, ran time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tell(g.queue.Release(g.now(), server, ran))
+	g.tell(g.queue.Release(g.now(), server, ran, false))
 }
 
 // tell passes verdicts to the waiting requests. The caller holds mu.
--- /dev/null
+++ b/internal/policy/core.go
@@ -0,0 +1,383 @@
+package policy
+
+import (
+	"time"
+
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/caller"
+	"example.org/mustardring/pkg/keys"
+)
+
+// MemoryTime is for how long a request is remembered after its deadline. A caller's resend
+// within it is recognised.
+const MemoryTime = 10 * time.Minute
+
+// The limits of a service that states none.
+const (
+	defaultQueue        = 256
+	defaultCrashServers = 2
+	defaultBlock        = 10 * time.Minute
+)
+
+// Request is a request at the gate.
+type Request struct {
+	Ticket Ticket
+	// Pool names the servers that may run the request: the owner in a divided service.
+	Pool string
+	// Name is zero for a request without an id. Together with Sending it is used only if the
+	// request is not idempotent.
+	Name       Name
+	Sending    Name
+	Hash       uint64
+	Print      Print
+	Caller     string
+	Deadline   Time
+	Idempotent bool
+	// Replayable says that the whole body can be sent once more.
+	Replayable bool
+
+	tries      int
+	remembered bool
+	suspect    bool
+}
+
+// sent returns the request as the memory knows it.
+func (r *Request) sent() Sent {
+	return Sent{Name: r.Name, Hash: r.Hash, Sending: r.Sending, Print: r.Print, Until: r.Deadline.Add(MemoryTime)}
+}
+
+// Remembered reports whether the memory holds the request on behalf of this sending.
+func (r *Request) Remembered() bool { return r.remembered }
+
+// Slot is a slot that a request holds.
+type Slot struct {
+	Pool   string
+	Server string
+	// Suspect says that no other suspect may run on the server meanwhile.
+	Suspect bool
+}
+
+// Fault is how a try of a request ended without a whole answer.
+type Fault int
+
+// The faults.
+const (
+	// NotSent says that no byte of the request was written to the server.
+	NotSent Fault = iota
+	// Refused says that the server refused the request before running it.
+	Refused
+	// Moved says that the server refused the request because it does not own the key.
+	Moved
+	// InDoubt says that bytes were written and no whole answer came in time.
+	InDoubt
+	// Lost says that bytes were written and the server's end of the connection was lost.
+	Lost
+)
+
+// Decision is what becomes of a request after a Fault: Retry or Final. The set is sealed.
+type Decision interface {
+	isDecision()
+}
+
+// Retry says that the request is to ask for a slot once more.
+type Retry struct{}
+
+// Final says that the caller gets its answer now.
+type Final struct {
+	Outcome caller.Outcome
+	// Blocked says that the request is refused from now on.
+	Blocked bool
+}
+
+func (Retry) isDecision() {}
+func (Final) isDecision() {}
+
+// Core is the policy of one service at one instance.
+type Core struct {
+	service  string
+	limits   bundle.Limits
+	memory   *Memory
+	suspects *Suspects
+	budget   Budget
+	queues   map[string]*Queue
+	waiting  map[Ticket]*Request
+	// originMillis is the Unix time in milliseconds at Time zero.
+	originMillis int64
+}
+
+// NewCore returns the policy of a service. The last parameter is the Unix time in
+// milliseconds at Time zero.
+func NewCore(service string, b Bounds, originMillis int64) *Core {
+	return &Core{
+		service: service, memory: NewMemory(b), suspects: NewSuspects(service),
+		queues: make(map[string]*Queue), waiting: make(map[Ticket]*Request), originMillis: originMillis,
+	}
+}
+
+// Configure sets the limits of the service and the servers of one pool. The verdicts are on
+// waiting requests, and valid until the next call.
+func (c *Core) Configure(now Time, pool string, limits bundle.Limits, servers []Capacity) []Verdict {
+	c.limits = limits
+	q := c.queues[pool]
+	if q == nil {
+		q = NewQueue(0)
+		c.queues[pool] = q
+	}
+	limit := limits.Queue
+	if limit <= 0 {
+		limit = defaultQueue
+	}
+	if q.Same(limit, servers) {
+		return nil
+	}
+	return c.settle(q.Configure(now, limit, servers))
+}
+
+// Arrive takes a request in. The first verdict is on the request itself, any others are on
+// requests that wait. They are valid until the next call.
+func (c *Core) Arrive(now Time, r *Request) []Verdict {
+	if !r.Idempotent && !r.Name.IsZero() && !r.remembered {
+		known := c.memory.Begin(now, r.sent())
+		if _, fresh := known.(Fresh); !fresh {
+			return []Verdict{Known{Ticket: r.Ticket, Recollection: known}}
+		}
+		r.remembered = true
+	}
+	if r.tries == 0 {
+		c.budget.Earn()
+	}
+	switch c.degree(now, r.Print) {
+	case Blocked:
+		c.forget(r)
+		until := Time((c.suspects.Until(r.Print) - c.originMillis) * int64(time.Millisecond))
+		return []Verdict{Shed{Ticket: r.Ticket, Reason: ReasonBlocked, RetryAt: until}}
+	case Suspect:
+		r.suspect = true
+	case Unsuspected:
+	}
+	return c.ask(now, r)
+}
+
+func (c *Core) ask(now Time, r *Request) []Verdict {
+	q := c.queues[r.Pool]
+	if q == nil {
+		c.forget(r)
+		return []Verdict{Shed{Ticket: r.Ticket, Reason: ReasonNoServer, RetryAt: now.Add(retryFloor)}}
+	}
+	verdicts := q.Ask(now, Ask{Ticket: r.Ticket, Caller: r.Caller, Deadline: r.Deadline, Suspect: r.suspect})
+	switch verdicts[0].(type) {
+	case Wait:
+		c.waiting[r.Ticket] = r
+	case Start:
+		r.tries++
+	case Shed:
+		c.forget(r)
+	case Known:
+	}
+	c.settle(verdicts[1:])
+	return verdicts
+}
+
+// Leave takes out a waiting request whose caller is gone or whose deadline passed. It
+// reports false when the request does not wait.
+func (c *Core) Leave(r *Request) bool {
+	if c.waiting[r.Ticket] == nil {
+		return false
+	}
+	delete(c.waiting, r.Ticket)
+	c.forget(r)
+	return c.queues[r.Pool].Leave(r.Ticket)
+}
+
+// Withdraw says that a request will not run here: it goes on to another gate, or is refused
+// before a byte was written.
+func (c *Core) Withdraw(r *Request) {
+	c.forget(r)
+}
+
+// Held returns the slot of a request that was started at a server.
+func (c *Core) Held(r *Request, server string) Slot {
+	return Slot{Pool: r.Pool, Server: server, Suspect: r.suspect}
+}
+
+// Freed returns a slot after a request that ran for the given time, zero if it did not run.
+// The verdicts are on waiting requests, and valid until the next call.
+func (c *Core) Freed(now Time, s Slot, ran time.Duration) []Verdict {
+	return c.settle(c.queues[s.Pool].Release(now, s.Server, ran, s.Suspect))
+}
+
+// Advance starts or sheds waiting requests of a pool after time has passed. The verdicts are
+// valid until the next call.
+func (c *Core) Advance(now Time, pool string) []Verdict {
+	return c.settle(c.queues[pool].Advance(now))
+}
+
+// Answered says that the request had its whole answer. Kept may be nil.
+func (c *Core) Answered(now Time, r *Request, status int, k *Kept) {
+	if r.remembered {
+		c.memory.Ran(r.sent(), status, k)
+		r.remembered = false
+	}
+	if r.Print != 0 {
+		c.suspects.Clear(r.Print, c.millis(now))
+	}
+}
+
+// Busy suspends a server that said it has too much work.
+func (c *Core) Busy(now Time, s Slot, until Time) {
+	c.queues[s.Pool].Suspend(s.Server, min(until, now.Add(downMost)))
+}
+
+// Failed decides what becomes of a request after a fault.
+func (c *Core) Failed(now Time, r *Request, s Slot, f Fault) Decision {
+	if f == NotSent {
+		c.queues[s.Pool].Down(now, s.Server)
+	}
+	ran := f == InDoubt || f == Lost
+	if ran && f == Lost && c.degree(now, r.Print) == Blocked {
+		c.doubt(r)
+		return Final{Outcome: caller.Unknown, Blocked: true}
+	}
+	again := (!ran || r.Idempotent) && r.Replayable && r.tries < maxTries && now < r.Deadline
+	if again && c.budget.Spend() {
+		return Retry{}
+	}
+	if ran {
+		c.doubt(r)
+		return Final{Outcome: caller.Unknown}
+	}
+	c.forget(r)
+	return Final{Outcome: caller.NotRun}
+}
+
+// Hold says that the connection was lost while the request ran, before Failed.
+func (c *Core) Hold(p Print) { c.suspects.Hold(p) }
+
+// Settle says whether a connection's loss was that of the server.
+func (c *Core) Settle(now Time, p Print, server string, died bool) {
+	if !died {
+		c.suspects.Settle(p, nil, 0)
+		return
+	}
+	at := c.millis(now)
+	c.suspects.Settle(p, &Loss{Server: server, AtMillis: at}, at+c.blockTime().Milliseconds())
+}
+
+// Suspicious reports whether any request is suspected, so that Prints are needed.
+func (c *Core) Suspicious() bool { return c.suspects.Any() }
+
+// Blocks returns what is known of requests that may crash servers.
+func (c *Core) Blocks(now Time) []Block { return c.suspects.Blocks(c.millis(now)) }
+
+// Merge takes in what other instances know of such requests.
+func (c *Core) Merge(blocks []Block) { c.suspects.Merge(blocks) }
+
+// Lift replaces the set of blocked requests that operators let pass.
+func (c *Core) Lift(prints []Print) { c.suspects.Lift(prints) }
+
+// Adopt takes in a mark of another instance. It reports false when there is no room.
+func (c *Core) Adopt(now Time, m Mark) bool {
+	s := Sent{Name: m.Name, Hash: m.Hash, Sending: m.Sending, Print: m.Print, Until: c.time(m.UntilMillis)}
+	return c.memory.Adopt(now, s, m.Outcome, m.Status)
+}
+
+// Marks returns the remembered requests in a range.
+func (c *Core) Marks(now Time, r keys.Range) []Mark {
+	var marks []Mark
+	c.memory.Each(now, r, func(s Sent, o caller.Outcome, status int) {
+		marks = append(marks, c.mark(s, o, status))
+	})
+	return marks
+}
+
+// MarkOf returns the mark of a request, as other instances take it.
+func (c *Core) MarkOf(r *Request, o caller.Outcome) Mark {
+	return c.mark(r.sent(), o, 0)
+}
+
+// Look returns what is known of a request without taking it in.
+func (c *Core) Look(now Time, n Name) Recollection { return c.memory.Look(now, n) }
+
+// Remembers returns the number of remembered requests.
+func (c *Core) Remembers() int { return c.memory.Len() }
+
+// Each calls visit for each server of each pool with its slots in use.
+func (c *Core) Each(visit func(p Capacity, busy int)) {
+	for _, q := range c.queues {
+		q.Each(visit)
+	}
+}
+
+// Waiting returns the number of waiting requests.
+func (c *Core) Waiting() int { return len(c.waiting) }
+
+func (c *Core) mark(s Sent, o caller.Outcome, status int) Mark {
+	return Mark{
+		Service: c.service, Name: s.Name, Hash: s.Hash, Sending: s.Sending, Print: s.Print,
+		UntilMillis: c.millis(s.Until), Outcome: o, Status: status,
+	}
+}
+
+// settle keeps account of verdicts on waiting requests.
+func (c *Core) settle(verdicts []Verdict) []Verdict {
+	for _, v := range verdicts {
+		switch v := v.(type) {
+		case Start:
+			if r := c.waiting[v.Ticket]; r != nil {
+				r.tries++
+				delete(c.waiting, v.Ticket)
+			}
+		case Shed:
+			if r := c.waiting[v.Ticket]; r != nil {
+				c.forget(r)
+				delete(c.waiting, v.Ticket)
+			}
+		case Wait, Known:
+		}
+	}
+	return verdicts
+}
+
+// forget says that this sending did not run.
+func (c *Core) forget(r *Request) {
+	if r.remembered {
+		c.memory.NotRun(r.sent())
+		r.remembered = false
+	}
+}
+
+// doubt says that this sending may have run.
+func (c *Core) doubt(r *Request) {
+	if r.remembered {
+		c.memory.Doubt(r.sent())
+		r.remembered = false
+	}
+}
+
+func (c *Core) degree(now Time, p Print) Suspicion {
+	if p == 0 || !c.suspects.Any() {
+		return Unsuspected
+	}
+	losses := c.limits.CrashServers
+	if losses <= 0 {
+		losses = defaultCrashServers
+	}
+	return c.suspects.Degree(p, losses, c.millis(now))
+}
+
+func (c *Core) blockTime() time.Duration {
+	if c.limits.BlockMillis > 0 {
+		return time.Duration(c.limits.BlockMillis) * time.Millisecond
+	}
+	return defaultBlock
+}
+
+// millis returns the Unix time in milliseconds.
+func (c *Core) millis(t Time) int64 {
+	return c.originMillis + int64(t)/int64(time.Millisecond)
+}
+
+// time returns the Time of a Unix time in milliseconds.
+func (c *Core) time(millis int64) Time {
+	return Time((millis - c.originMillis) * int64(time.Millisecond))
+}
--- a/internal/policy/mark.go
+++ b/internal/policy/mark.go
@@ -2,14 +2,23 @@
 
 import "example.org/mustardring/pkg/caller"
 
-// Mark is the memory that a non-idempotent request was sent, kept by another instance than
-// the gate.
+// Mark is the memory that a non-idempotent request was sent, as instances tell it to each
+// other.
 type Mark struct {
 	Service string `json:"service"`
-	// ID is the request id that the caller chose.
-	ID string `json:"id"`
+	Name    Name   `json:"name"`
+	// Hash is the request's place in the hash space.
+	Hash uint64 `json:"hash"`
+	// Sending identifies one sending of the request. A request that is passed on to another
+	// gate before it ran keeps it; a caller's resend has another one.
+	Sending Name `json:"sending"`
+	// Print is that of the first sending.
+	Print Print `json:"print"`
 	// UntilMillis is when the mark may be forgotten, in Unix milliseconds.
 	UntilMillis int64 `json:"until-ms"`
-	// Outcome is what is known of the request: unknown until the gate has told it.
+	// Outcome is Unknown until the gate has told what became of the request. NotRun takes
+	// the mark back.
 	Outcome caller.Outcome `json:"outcome"`
+	// Status is the HTTP status of the answer if Outcome is Ran.
+	Status int `json:"status,omitempty"`
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -33,7 +33,17 @@
 	ReasonOutOfShare Reason = "caller-over-share"
 )
 
-// Verdict is what a Queue says of a request: Start, Wait or Shed. The set is sealed.
+// The reasons for which a Core refuses.
+const (
+	ReasonBlocked    Reason = "blocked"
+	ReasonInProgress Reason = "in-progress"
+	ReasonAlreadyRan Reason = "already-ran"
+	ReasonIDReused   Reason = "id-reused"
+	ReasonMemoryFull Reason = "memory-full"
+)
+
+// Verdict is what a Queue says of a request: Start, Wait or Shed. A Core says Known as well.
+// The set is sealed.
 type Verdict interface {
 	isVerdict()
 }
@@ -57,6 +67,14 @@
 	RetryAt Time
 }
 
+// Known says that an earlier sending of the request ran or may have run. The Recollection is
+// not Fresh.
+type Known struct {
+	Ticket       Ticket
+	Recollection Recollection
+}
+
+func (Known) isVerdict() {}
 func (Start) isVerdict() {}
 func (Wait) isVerdict()  {}
 func (Shed) isVerdict()  {}
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -6,14 +6,33 @@
 	"time"
 )
 
-// defaultRun is the assumed running time of a request before any was measured.
-const defaultRun = 20 * time.Millisecond
+// The running time of requests, as the queue estimates it.
+const (
+	// defaultRun is assumed before any request ended.
+	defaultRun = 20 * time.Millisecond
+	// runWeight is the share of the newest running time in the mean, as a divisor.
+	runWeight = 8
+)
+
+// The shortest and longest time after which a refused caller is told to come back.
+const (
+	retryFloor   = 50 * time.Millisecond
+	retryCeiling = 30 * time.Second
+)
 
-// runWeight is the share of the newest running time in the mean, as a divisor.
-const runWeight = 8
+// A server that could not be reached is tried again after downFirst, then after twice that,
+// up to downMost.
+const (
+	downFirst = 100 * time.Millisecond
+	downMost  = 5 * time.Second
+)
 
-// retryFloor is the shortest time after which a refused caller is told to come back.
-const retryFloor = 50 * time.Millisecond
+// A new or returned server is cold: it gets work in half its slots until it has ended
+// warmRuns requests, or warmTime after the first one started.
+const (
+	warmRuns = 4
+	warmTime = time.Second
+)
 
 // Ask is a request for a slot.
 type Ask struct {
@@ -22,6 +41,8 @@
 	Caller string
 	// Deadline is when the request must have its answer.
 	Deadline Time
+	// Suspect says that the request may crash servers.
+	Suspect bool
 }
 
 // Capacity is one backend server behind a Queue.
@@ -42,14 +63,40 @@
 	order   []*line
 	waiting int
 	meanRun time.Duration
+	// verdicts is returned by the methods, and reused by the next call.
+	verdicts []Verdict
 }
 
 // place is a server with the number of its slots in use.
 type place struct {
 	Capacity
 	busy int
+	// suspect says that a suspect runs there.
+	suspect bool
 	// gone says that the server left while requests still run there.
 	gone bool
+	// downUntil is when the server may be tried again after it could not be reached, and
+	// failures how often that happened in a row.
+	downUntil Time
+	failures  int
+	// ended counts the requests that ended since the server appeared, up to warmRuns.
+	ended int
+	// startedAt is when the newest request started.
+	startedAt Time
+	// warmAt is when the cold start is over in any case; zero until the first request.
+	warmAt Time
+}
+
+// usable returns the number of slots that may be in use now.
+func (p *place) usable(now Time) int {
+	switch {
+	case p.gone || p.downUntil > now:
+		return 0
+	case p.ended < warmRuns && (p.warmAt == 0 || now < p.warmAt):
+		return max(p.Slots/2, 1)
+	default:
+		return p.Slots
+	}
 }
 
 // line is the waiting requests of one caller, earliest deadline first.
@@ -58,15 +105,16 @@
 	asks   []Ask
 }
 
-// NewQueue returns a queue in which at most limit requests wait.
+// NewQueue returns a queue without servers, in which at most limit requests wait.
 func NewQueue(limit int) *Queue {
 	return &Queue{limit: limit, callers: make(map[string]*line), meanRun: defaultRun}
 }
 
 // Configure replaces the servers and the limit. Slots that are in use at a server that is no
-// longer named stay counted until they are released. The result names the requests that may
-// start because of the change.
+// longer named stay counted until they are released. The result, valid until the next call,
+// names the requests that may start because of the change.
 func (q *Queue) Configure(now Time, limit int, servers []Capacity) []Verdict {
+	q.verdicts = q.verdicts[:0]
 	q.limit = limit
 	for i := range q.servers {
 		q.servers[i].gone = true
@@ -79,68 +127,147 @@
 		q.servers = append(q.servers, place{Capacity: c})
 	}
 	q.forget()
-	return q.advance(now)
+	q.advance(now)
+	return q.verdicts
 }
 
 // Same reports whether the queue is configured as given.
 func (q *Queue) Same(limit int, servers []Capacity) bool {
-	if q.limit != limit || len(q.servers) != len(servers) {
+	if q.limit != limit {
 		return false
 	}
-	for i, c := range servers {
-		p := &q.servers[i]
-		if p.gone || p.Server != c.Server || p.Slots != c.Slots || p.Hint != c.Hint {
+	present := 0
+	for i := range q.servers {
+		if !q.servers[i].gone {
+			present++
+		}
+	}
+	if present != len(servers) {
+		return false
+	}
+	for _, c := range servers {
+		if p := q.find(c.Server); p == nil || p.gone || p.Capacity != c {
 			return false
 		}
 	}
 	return true
 }
 
-// Ask takes a request in. The first verdict is that on the request itself; a second one, if
-// any, is a Shed of another request that made room for it.
+// Ask takes a request in. The first verdict is on the request itself, any others on requests
+// that wait. The result is valid until the next call.
 func (q *Queue) Ask(now Time, a Ask) []Verdict {
-	if a.Deadline <= now {
-		return []Verdict{Shed{Ticket: a.Ticket, Reason: ReasonExpired, RetryAt: now.Add(retryFloor)}}
+	q.verdicts = q.verdicts[:0]
+	q.judge(now, a)
+	q.advance(now)
+	return q.verdicts
+}
+
+// judge adds the verdict on a new request.
+func (q *Queue) judge(now Time, a Ask) {
+	switch {
+	case a.Deadline <= now:
+		q.shed(now, a.Ticket, ReasonExpired)
+	case !q.reachable(now):
+		q.shed(now, a.Ticket, ReasonNoServer)
+	case q.startNow(now, a):
+	case now.Add(q.expected(now, a.Caller)+q.meanRun) > a.Deadline:
+		q.shed(now, a.Ticket, ReasonTooLate)
+	case q.waiting < q.limit:
+		q.verdicts = append(q.verdicts, Wait{Ticket: a.Ticket})
+		q.enqueue(a)
+	default:
+		q.displace(now, a)
 	}
-	if q.slots() == 0 {
-		return []Verdict{Shed{Ticket: a.Ticket, Reason: ReasonNoServer, RetryAt: now.Add(retryFloor)}}
+}
+
+// startNow starts a request that need not wait behind others.
+func (q *Queue) startNow(now Time, a Ask) bool {
+	if q.waiting > 0 && !a.Suspect && q.startable(now) {
+		return false
 	}
-	if q.waiting == 0 {
-		if p := q.free(); p != nil {
-			p.busy++
-			return []Verdict{Start{Ticket: a.Ticket, Server: p.Server}}
-		}
+	p := q.free(now, a.Suspect)
+	if p == nil {
+		return false
 	}
-	if now.Add(q.expected(a.Caller)+q.meanRun) > a.Deadline {
-		return []Verdict{q.shed(now, a.Ticket, ReasonTooLate)}
+	q.start(now, p, a)
+	return true
+}
+
+// startable reports whether a waiting request could start, which then goes first.
+func (q *Queue) startable(now Time) bool {
+	if q.free(now, false) == nil {
+		return false
 	}
-	verdicts := []Verdict{Wait{Ticket: a.Ticket}}
-	if q.waiting >= q.limit {
-		victim := q.longest()
-		if victim == nil || len(victim.asks) <= q.lineLength(a.Caller)+1 {
-			return []Verdict{q.shed(now, a.Ticket, ReasonQueueFull)}
+	for _, l := range q.order {
+		for _, a := range l.asks {
+			if q.free(now, a.Suspect) != nil {
+				return true
+			}
 		}
-		last := victim.asks[len(victim.asks)-1]
-		q.remove(last.Ticket)
-		verdicts = append(verdicts, q.shed(now, last.Ticket, ReasonOutOfShare))
 	}
+	return false
+}
+
+// displace lets a request in by shedding the last one of the caller with the longest line.
+func (q *Queue) displace(now Time, a Ask) {
+	longest := q.longest()
+	if longest == nil || len(longest.asks) <= q.lineLength(a.Caller)+1 {
+		q.shed(now, a.Ticket, ReasonQueueFull)
+		return
+	}
+	last := longest.asks[len(longest.asks)-1]
+	q.remove(last.Ticket)
+	q.verdicts = append(q.verdicts, Wait{Ticket: a.Ticket})
+	q.shed(now, last.Ticket, ReasonOutOfShare)
 	q.enqueue(a)
-	return verdicts
 }
 
-// Release returns a slot of a server after a request that ran for the given time. The result
-// names the requests that start or are shed in consequence.
-func (q *Queue) Release(now Time, server string, ran time.Duration) []Verdict {
+// Release returns a slot of a server after a request that ran for the given time, zero if it
+// did not run. The result, valid until the next call, names the requests that start or are
+// shed in consequence.
+func (q *Queue) Release(now Time, server string, ran time.Duration, suspect bool) []Verdict {
+	q.verdicts = q.verdicts[:0]
 	p := q.find(server)
 	if p == nil || p.busy == 0 {
-		return nil
+		return q.verdicts
 	}
 	p.busy--
+	if suspect {
+		p.suspect = false
+	}
 	if ran > 0 {
 		q.meanRun += (ran - q.meanRun) / runWeight
+		p.ended = min(p.ended+1, warmRuns)
+		p.failures = 0
 	}
 	q.forget()
-	return q.advance(now)
+	q.advance(now)
+	return q.verdicts
+}
+
+// Suspend gives a server no work until a time: it said that it has too much. Afterwards it
+// starts cold. Waiting requests stay in the queue.
+func (q *Queue) Suspend(server string, until Time) {
+	if p := q.find(server); p != nil {
+		p.downUntil = max(p.downUntil, until)
+		p.ended, p.warmAt = 0, 0
+	}
+}
+
+// Down suspends a server that could not be reached, for longer each time in a row.
+func (q *Queue) Down(now Time, server string) {
+	if p := q.find(server); p != nil && p.downUntil <= now {
+		q.Suspend(server, now.Add(min(downFirst<<min(p.failures, 10), downMost)))
+		p.failures++
+	}
+}
+
+// Advance starts or sheds waiting requests after time has passed. The result is valid until
+// the next call.
+func (q *Queue) Advance(now Time) []Verdict {
+	q.verdicts = q.verdicts[:0]
+	q.advance(now)
+	return q.verdicts
 }
 
 // Leave takes a waiting request out. It reports false when the request does not wait.
@@ -149,9 +276,7 @@
 }
 
 // Waiting returns the number of waiting requests.
-func (q *Queue) Waiting() int {
-	return q.waiting
-}
+func (q *Queue) Waiting() int { return q.waiting }
 
 // Busy returns the number of slots in use at a server.
 func (q *Queue) Busy(server string) int {
@@ -161,38 +286,49 @@
 	return 0
 }
 
-// Idle reports whether the queue holds no request at all.
-func (q *Queue) Idle() bool {
-	return q.waiting == 0 && !slices.ContainsFunc(q.servers, func(p place) bool { return p.busy > 0 })
+// Each calls visit for each server with its slots in use.
+func (q *Queue) Each(visit func(c Capacity, busy int)) {
+	for i := range q.servers {
+		visit(q.servers[i].Capacity, q.servers[i].busy)
+	}
 }
 
 // advance starts waiting requests while slots are free and sheds those that are too late.
-func (q *Queue) advance(now Time) []Verdict {
-	var verdicts []Verdict
+func (q *Queue) advance(now Time) {
 	for q.waiting > 0 {
-		p := q.free()
+		a, p := q.next(now)
 		if p == nil {
-			break
+			return
 		}
-		a := q.next()
 		if a.Deadline <= now {
-			verdicts = append(verdicts, q.shed(now, a.Ticket, ReasonExpired))
+			q.shed(now, a.Ticket, ReasonExpired)
 			continue
 		}
-		p.busy++
-		verdicts = append(verdicts, Start{Ticket: a.Ticket, Server: p.Server})
+		q.start(now, p, a)
 	}
-	return verdicts
 }
 
-func (q *Queue) shed(now Time, t Ticket, reason Reason) Shed {
-	wait := max(q.expected(""), retryFloor)
-	return Shed{Ticket: t, Reason: reason, RetryAt: now.Add(wait)}
+func (q *Queue) start(now Time, p *place, a Ask) {
+	p.busy++
+	p.startedAt = now
+	if p.warmAt == 0 {
+		p.warmAt = now.Add(warmTime)
+	}
+	p.suspect = p.suspect || a.Suspect
+	q.verdicts = append(q.verdicts, Start{Ticket: a.Ticket, Server: p.Server})
+}
+
+func (q *Queue) shed(now Time, t Ticket, reason Reason) {
+	wait := min(max(q.expected(now, ""), retryFloor), retryCeiling)
+	q.verdicts = append(q.verdicts, Shed{Ticket: t, Reason: reason, RetryAt: now.Add(wait)})
 }
 
 // expected returns the time that a new request of a caller is likely to wait. Callers take
 // turns, so a caller with a short line is served before the long lines end.
-func (q *Queue) expected(caller string) time.Duration {
+//
+// When a server is frozen no request ends, and the mean running time stays as it was. The
+// time since the newest start then grows, and takes the mean's place.
+func (q *Queue) expected(now Time, caller string) time.Duration {
 	ahead := q.waiting
 	if caller != "" {
 		turn := q.lineLength(caller) + 1
@@ -201,16 +337,33 @@
 			ahead += min(len(l.asks), turn)
 		}
 	}
-	slots := max(q.slots(), 1)
-	return q.meanRun * time.Duration(ahead+1) / time.Duration(slots)
+	slots := 0
+	quiet := time.Duration(-1)
+	for i := range q.servers {
+		p := &q.servers[i]
+		usable := p.usable(now)
+		slots += usable
+		if usable == 0 {
+			continue
+		}
+		since := time.Duration(0)
+		if p.busy >= usable {
+			since = time.Duration(now - p.startedAt)
+		}
+		if quiet < 0 || since < quiet {
+			quiet = since
+		}
+	}
+	run := max(q.meanRun, quiet)
+	return run * time.Duration(ahead+1) / time.Duration(max(slots, 1))
 }
 
 // free returns the server with the smallest share of its slots in use, nil if none is free.
-func (q *Queue) free() *place {
+func (q *Queue) free(now Time, suspect bool) *place {
 	var best *place
 	for i := range q.servers {
 		p := &q.servers[i]
-		if p.gone || p.busy >= p.Slots {
+		if p.busy >= p.usable(now) || suspect && p.suspect {
 			continue
 		}
 		if best == nil || less(p, best) {
@@ -227,14 +380,14 @@
 	return a.Hint < b.Hint
 }
 
-func (q *Queue) slots() int {
-	sum := 0
+// reachable reports whether any server may be given work.
+func (q *Queue) reachable(now Time) bool {
 	for i := range q.servers {
-		if !q.servers[i].gone {
-			sum += q.servers[i].Slots
+		if q.servers[i].usable(now) > 0 {
+			return true
 		}
 	}
-	return sum
+	return false
 }
 
 func (q *Queue) find(server string) *place {
@@ -282,19 +435,30 @@
 	q.waiting++
 }
 
-// next takes out the first request of the caller whose turn it is.
-func (q *Queue) next() Ask {
-	l := q.order[0]
-	a := l.asks[0]
-	l.asks = slices.Delete(l.asks, 0, 1)
-	q.waiting--
-	q.order = slices.Delete(q.order, 0, 1)
-	if len(l.asks) > 0 {
-		q.order = append(q.order, l)
-		return a
+// next takes out the first request that can start, in the order of the callers' turns, and
+// the server for it. The server is nil if there is none.
+func (q *Queue) next(now Time) (Ask, *place) {
+	if q.free(now, false) == nil {
+		return Ask{}, nil
+	}
+	for turn, l := range q.order {
+		for i, a := range l.asks {
+			p := q.free(now, a.Suspect)
+			if p == nil {
+				continue
+			}
+			l.asks = slices.Delete(l.asks, i, i+1)
+			q.waiting--
+			q.order = slices.Delete(q.order, turn, turn+1)
+			if len(l.asks) > 0 {
+				q.order = append(q.order, l)
+			} else {
+				delete(q.callers, l.caller)
+			}
+			return a, p
+		}
 	}
-	delete(q.callers, l.caller)
-	return a
+	return Ask{}, nil
 }
 
 func (q *Queue) remove(t Ticket) bool {
--- /dev/null
+++ b/internal/policy/suspect.go
@@ -0,0 +1,188 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxSuspects bounds the suspects of one service. The oldest gives way.
+const maxSuspects = 1024
+
+// Loss is the loss of a server while a request ran there.
+type Loss struct {
+	Server string `json:"server"`
+	// AtMillis is when the gate saw the loss, in Unix milliseconds.
+	AtMillis int64 `json:"at-ms"`
+}
+
+// Block is what is known of a request that is suspected to crash servers. Two Blocks of one
+// request merge into one that holds the losses of both.
+type Block struct {
+	Service string `json:"service"`
+	Print   Print  `json:"print"`
+	Losses  []Loss `json:"losses,omitempty"`
+	// ClearedMillis is when the request last had a whole answer. Losses up to then do not
+	// count: a request that crashes servers has no answers.
+	ClearedMillis int64 `json:"cleared-ms,omitempty"`
+	// UntilMillis is when all this is forgotten, in Unix milliseconds.
+	UntilMillis int64 `json:"until-ms"`
+}
+
+// merge takes in the losses of another block.
+func (b *Block) merge(o Block) {
+	b.ClearedMillis = max(b.ClearedMillis, o.ClearedMillis)
+	b.UntilMillis = max(b.UntilMillis, o.UntilMillis)
+	for _, l := range o.Losses {
+		if !slices.Contains(b.Losses, l) {
+			b.Losses = append(b.Losses, l)
+		}
+	}
+	b.Losses = slices.DeleteFunc(b.Losses, func(l Loss) bool { return l.AtMillis <= b.ClearedMillis })
+	slices.SortFunc(b.Losses, func(x, y Loss) int {
+		return cmp.Or(cmp.Compare(x.AtMillis, y.AtMillis), cmp.Compare(x.Server, y.Server))
+	})
+}
+
+// Suspicion is the degree to which a request is suspected.
+type Suspicion int
+
+// The degrees. A Suspect may run, but not beside another suspect on one server: when both
+// are there as the server is lost, neither would be known as the cause.
+const (
+	Unsuspected Suspicion = iota
+	Suspect
+	Blocked
+)
+
+// Suspects finds requests that crash the servers which run them. A request is blocked after a
+// number of losses between which it never had an answer. One that merely ran beside the
+// cause is cleared by its next answer.
+type Suspects struct {
+	service string
+	blocks  map[Print]*Block
+	lifted  map[Print]struct{}
+	held    map[Print]int
+}
+
+// NewSuspects returns the suspects of a service.
+func NewSuspects(service string) *Suspects {
+	return &Suspects{
+		service: service, blocks: make(map[Print]*Block), lifted: make(map[Print]struct{}), held: make(map[Print]int),
+	}
+}
+
+// Any reports whether there are any suspects. While there are none, no Print is needed.
+func (s *Suspects) Any() bool { return len(s.blocks)+len(s.held) > 0 }
+
+// Lost says that a server was lost while the request ran there.
+func (s *Suspects) Lost(p Print, l Loss, untilMillis int64) {
+	s.take(Block{Service: s.service, Print: p, Losses: []Loss{l}, UntilMillis: untilMillis})
+}
+
+// Hold says that a connection was lost while the request ran, and that it is being found out
+// whether the server was. Until Settle the request counts as a suspect at least.
+func (s *Suspects) Hold(p Print) {
+	s.held[p]++
+}
+
+// Settle ends a Hold. The loss is nil if the server lives, and only closed a connection.
+func (s *Suspects) Settle(p Print, l *Loss, untilMillis int64) {
+	if s.held[p]--; s.held[p] <= 0 {
+		delete(s.held, p)
+	}
+	if l != nil {
+		s.Lost(p, *l, untilMillis)
+	}
+}
+
+// Clear says that the request had a whole answer.
+func (s *Suspects) Clear(p Print, nowMillis int64) {
+	b := s.blocks[p]
+	if b == nil || len(b.Losses) == 0 {
+		return
+	}
+	b.merge(Block{ClearedMillis: nowMillis})
+}
+
+// Degree returns how far a request is suspected, blocked being from a number of losses on.
+func (s *Suspects) Degree(p Print, losses int, nowMillis int64) Suspicion {
+	if _, lifted := s.lifted[p]; lifted {
+		return Unsuspected
+	}
+	count := 0
+	if b := s.blocks[p]; b != nil && b.UntilMillis > nowMillis {
+		count = len(b.Losses)
+	}
+	switch {
+	case count >= losses:
+		return Blocked
+	case count+s.held[p] > 0:
+		return Suspect
+	default:
+		return Unsuspected
+	}
+}
+
+// Lift replaces the set of requests that operators let pass.
+func (s *Suspects) Lift(prints []Print) {
+	clear(s.lifted)
+	for _, p := range prints {
+		s.lifted[p] = struct{}{}
+	}
+}
+
+// Until returns when a block ends, in Unix milliseconds.
+func (s *Suspects) Until(p Print) int64 {
+	if b := s.blocks[p]; b != nil {
+		return b.UntilMillis
+	}
+	return 0
+}
+
+// Merge takes in what another instance knows.
+func (s *Suspects) Merge(blocks []Block) {
+	for _, b := range blocks {
+		if b.Service == s.service {
+			s.take(b)
+		}
+	}
+}
+
+// Blocks returns copies of what is known, in the order of prints.
+func (s *Suspects) Blocks(nowMillis int64) []Block {
+	blocks := make([]Block, 0, len(s.blocks))
+	for p, b := range s.blocks {
+		if b.UntilMillis <= nowMillis {
+			delete(s.blocks, p)
+			continue
+		}
+		known := *b
+		known.Losses = slices.Clone(b.Losses)
+		blocks = append(blocks, known)
+	}
+	slices.SortFunc(blocks, func(a, b Block) int { return cmp.Compare(a.Print, b.Print) })
+	return blocks
+}
+
+func (s *Suspects) take(o Block) {
+	b := s.blocks[o.Print]
+	if b == nil {
+		s.makeRoom()
+		b = &Block{Service: s.service, Print: o.Print}
+		s.blocks[o.Print] = b
+	}
+	b.merge(o)
+}
+
+func (s *Suspects) makeRoom() {
+	if len(s.blocks) < maxSuspects {
+		return
+	}
+	var oldest *Block
+	for _, b := range s.blocks {
+		if oldest == nil || b.UntilMillis < oldest.UntilMillis {
+			oldest = b
+		}
+	}
+	delete(s.blocks, oldest.Print)
+}
--- /dev/null
+++ b/internal/policy/suspect_test.go
@@ -0,0 +1,97 @@
+package policy
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const blockEnd = 100_000
+
+// A caller sends a request that crashes its server, and sends it again with a new id each
+// time. After two servers it is refused everywhere. Another request that ran beside it the
+// first time has an answer the next time, and is never refused.
+func TestSuspectsFindTheCause(t *testing.T) {
+	is := is.New(t)
+	s := NewSuspects("pregled")
+	const cause, bystander Print = 1, 2
+	for _, p := range []Print{cause, bystander} {
+		s.Lost(p, Loss{Server: "a", AtMillis: 10}, blockEnd)
+		is.Equal(s.Degree(p, 2, 10), Suspect)
+	}
+	s.Clear(bystander, 20)
+	is.Equal(s.Degree(bystander, 2, 20), Unsuspected)
+	s.Lost(cause, Loss{Server: "b", AtMillis: 30}, blockEnd)
+	s.Lost(bystander, Loss{Server: "b", AtMillis: 30}, blockEnd)
+	is.Equal(s.Degree(cause, 2, 30), Blocked)
+	is.Equal(s.Degree(bystander, 2, 30), Suspect)
+
+	other := NewSuspects("pregled")
+	other.Merge(s.Blocks(30))
+	is.Equal(other.Degree(cause, 2, 30), Blocked)
+	is.Equal(other.Degree(bystander, 2, 30), Suspect)
+
+	other.Lift([]Print{cause})
+	is.Equal(other.Degree(cause, 2, 30), Unsuspected)
+	is.Equal(s.Degree(cause, 2, blockEnd), Unsuspected)
+	is.Equal(len(s.Blocks(blockEnd)), 0)
+}
+
+// A server closes one connection without an answer, and lives. Its request is watched while
+// that is found out, and not blamed.
+func TestSuspectsHoldUntilSettled(t *testing.T) {
+	is := is.New(t)
+	s := NewSuspects("pregled")
+	s.Hold(1)
+	is.True(s.Any())
+	is.Equal(s.Degree(1, 2, 10), Suspect)
+	is.Equal(len(s.Blocks(10)), 0)
+	s.Settle(1, nil, 0)
+	is.Equal(s.Degree(1, 2, 10), Unsuspected)
+	is.True(!s.Any())
+	s.Hold(1)
+	s.Settle(1, &Loss{Server: "a", AtMillis: 10}, blockEnd)
+	is.Equal(s.Degree(1, 1, 10), Blocked)
+}
+
+// Gossip arrives in any order and more than once. All instances must end with the same.
+func TestBlocksMergeInAnyOrder(t *testing.T) {
+	block := rapid.Custom(func(t *rapid.T) Block {
+		return Block{
+			Service: "pregled", Print: 1,
+			Losses: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Loss {
+				return Loss{Server: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server"), AtMillis: rapid.Int64Range(1, 9).Draw(t, "at")}
+			}), 0, 3).Draw(t, "losses"),
+			ClearedMillis: rapid.Int64Range(0, 9).Draw(t, "cleared"),
+			UntilMillis:   rapid.Int64Range(50, 60).Draw(t, "until"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		blocks := rapid.SliceOfN(block, 1, 6).Draw(t, "blocks")
+		again := rapid.Permutation(append(blocks, blocks[0])).Draw(t, "again")
+		one, two := NewSuspects("pregled"), NewSuspects("pregled")
+		one.Merge(blocks)
+		for _, b := range again {
+			two.Merge([]Block{b})
+		}
+		x, y := one.Blocks(0), two.Blocks(0)
+		if len(x) != 1 || len(y) != 1 {
+			t.Fatalf("%d and %d blocks", len(x), len(y))
+		}
+		if len(x[0].Losses) != len(y[0].Losses) || x[0].ClearedMillis != y[0].ClearedMillis || x[0].UntilMillis != y[0].UntilMillis {
+			t.Fatalf("%+v and %+v", x[0], y[0])
+		}
+	})
+}
+
+func TestSuspectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := NewSuspects("pregled")
+	for i := range maxSuspects + 10 {
+		s.Lost(Print(i+1), Loss{Server: "a", AtMillis: 1}, int64(100+i))
+	}
+	is.Equal(len(s.Blocks(0)), maxSuspects)
+	is.Equal(s.Degree(1, 1, 0), Unsuspected)
+	is.Equal(s.Degree(maxSuspects+10, 1, 0), Blocked)
+}
