--- a/cmd/mustardring/main.go
+++ b/cmd/mustardring/main.go
@@ -32,6 +32,7 @@
 	Status      cmds.StatusCmd      `cmd:"" help:"Show the status of an instance."`
 	Owner       cmds.OwnerCmd       `cmd:"" help:"Show who owns a key."`
 	Assignments cmds.AssignmentsCmd `cmd:"" help:"Show the recorded assignments."`
+	Replay      cmds.ReplayCmd      `cmd:"" help:"Play a trace to the placer and to naive placements, or make one."`
 	Certs       cmds.CertsCmd       `cmd:"" help:"Make key pairs for instances."`
 	Version     versionCmd          `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/replay/deployment.go
@@ -0,0 +1,93 @@
+package replay
+
+import (
+	"fmt"
+
+	"example.org/mustardring/pkg/bundle"
+)
+
+// deployment is one of the users' installations.
+type deployment struct {
+	name         string
+	oneWayMicros int64
+	domains      []string
+	weights      bundle.Weights
+	services     []workload
+}
+
+// workload is a service with its usual requests.
+type workload struct {
+	name      string
+	servers   int
+	slots     int
+	divided   bool
+	prefix    string
+	keys      int
+	perSecond int
+	runMillis float64
+	// hotPrefix names the keys of which some are hot at a time.
+	hotPrefix string
+}
+
+// rokopisna is the Central Transcription Gateway.
+func rokopisna() deployment {
+	return deployment{
+		name:         "rokopisna",
+		oneWayMicros: 500,
+		domains:      []string{"dvorana-a", "dvorana-b", "klet", "podstresje"},
+		weights:      bundle.Weights{Imbalance: 1, Churn: 4, Unavailable: 1},
+		services: []workload{
+			{name: "pregled", servers: 15, slots: 2, divided: true, prefix: "page-", keys: 12_000, perSecond: 600, runMillis: 20, hotPrefix: "volume-"},
+			{name: "oddaja", servers: 8, slots: 2, perSecond: 60, runMillis: 150},
+			{name: "arhiv", servers: 8, slots: 2, perSecond: 12, runMillis: 800},
+		},
+	}
+}
+
+// uva is the Co-operative Cheese Sales Gateway.
+func uva() deployment {
+	return deployment{
+		name:         "uva",
+		oneWayMicros: 1400,
+		domains:      []string{"badulla-hall", "bandarawela-hall", "welimada-hall"},
+		weights:      bundle.Weights{Imbalance: 1, Churn: 1, Unavailable: 4},
+		services: []workload{
+			{name: "stockbook", servers: 18, slots: 4, divided: true, prefix: "lot-", keys: 12_000, perSecond: 1800, runMillis: 15, hotPrefix: "cheese-"},
+			{name: "payroll-milk", servers: 9, slots: 4, perSecond: 90, runMillis: 200},
+			{name: "depot-desk", servers: 6, slots: 4, perSecond: 80, runMillis: 150},
+		},
+	}
+}
+
+// serverName returns the name of a server of a service.
+func (w workload) serverName(i int) string {
+	return fmt.Sprintf("%s-%02d", w.name, i)
+}
+
+// domainOf returns the domain of a server of a service. Servers go round the domains.
+func (d deployment) domainOf(i int) string {
+	return d.domains[i%len(d.domains)]
+}
+
+// bundle returns the configuration. Homes follow slots.
+func (d deployment) bundle() bundle.Bundle {
+	b := bundle.Bundle{Format: bundle.FormatVersion, Version: 1}
+	for _, name := range d.domains {
+		b.Domains = append(b.Domains, bundle.Domain{Name: name})
+	}
+	for _, w := range d.services {
+		s := bundle.Service{Name: w.name, Divided: w.divided, Isolation: bundle.IsolationHold, Weights: d.weights}
+		shares := map[string]int{}
+		for i := range w.servers {
+			s.Servers = append(s.Servers, bundle.Server{Name: w.serverName(i), Domain: d.domainOf(i), Slots: w.slots})
+			shares[d.domainOf(i)] += w.slots
+		}
+		if w.divided {
+			for _, name := range d.domains {
+				s.Homes = append(s.Homes, bundle.Home{Domain: name, Share: shares[name]})
+			}
+		}
+		b.Services = append(b.Services, s)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/replay/player.go
@@ -0,0 +1,359 @@
+package replay
+
+import (
+	"fmt"
+	"slices"
+
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/keys"
+)
+
+// tick is the time between placements that no event asks for.
+const tick = Time(10_000)
+
+// leaderWindow is how near the loss of a server and of the leader must be for the successor
+// not to know what the server held.
+const leaderWindow = Time(1000)
+
+// player plays one trace.
+type player struct {
+	header  Header
+	costs   Costs
+	methods []Method
+	now     Time
+	parts   []*part
+	// subjects are by part, in the order of methods.
+	subjects  [][]*subject
+	tallies   map[string][]*tally
+	services  []string
+	smallest  map[string]float64
+	keyCount  map[string]int
+	names     map[string]map[uint64]string
+	logDown   bool
+	leaderAt  map[string]Time
+	undivided map[string]*crowd
+	samples   []Sample
+}
+
+// Run plays a trace and returns the report.
+func Run(trace []Stamped, methods []Method) (Report, error) {
+	p := &player{
+		methods:   methods,
+		tallies:   map[string][]*tally{},
+		smallest:  map[string]float64{},
+		keyCount:  map[string]int{},
+		names:     namesOf(trace),
+		leaderAt:  map[string]Time{},
+		undivided: map[string]*crowd{},
+	}
+	for _, s := range trace {
+		p.advance(s.At)
+		if err := p.handle(s.Event); err != nil {
+			return Report{}, fmt.Errorf("replay: at %d ms: %w", s.At, err)
+		}
+	}
+	return p.report(), nil
+}
+
+// namesOf returns the keys of each service in a trace by hash.
+func namesOf(trace []Stamped) map[string]map[uint64]string {
+	names := map[string]map[uint64]string{}
+	for _, s := range trace {
+		r, ok := s.Event.(Requests)
+		if !ok {
+			continue
+		}
+		if names[r.Service] == nil {
+			names[r.Service] = map[uint64]string{}
+		}
+		for key := range r.Counts {
+			names[r.Service][keys.Hash(r.Service, key)] = key
+		}
+		if r.Others == nil {
+			continue
+		}
+		for i := range r.Others.Keys {
+			key := r.Others.key(i)
+			names[r.Service][keys.Hash(r.Service, key)] = key
+		}
+	}
+	return names
+}
+
+// key returns the name of one of the keys.
+func (o *Others) key(i int) string {
+	return fmt.Sprintf("%s%d", o.Prefix, i)
+}
+
+// handle applies an event.
+func (p *player) handle(ev Event) error {
+	switch ev := ev.(type) {
+	case Header:
+		p.header = ev
+		p.costs = DefaultCosts(ev.OneWayMicros)
+	case Bundled:
+		return p.bundled(&ev.Bundle)
+	case Requests:
+		p.requests(&ev)
+	case Server:
+		return p.server(ev)
+	case Instance:
+		p.instance(ev)
+	case Log:
+		p.logDown = ev.State == StateDown
+	case Domain, Ended:
+		// A domain that is cut off keeps its ranges and its own leader: nothing moves.
+	}
+	return nil
+}
+
+// advance lets time pass up to an event, with a placement at each tick.
+func (p *player) advance(to Time) {
+	for next := p.now - p.now%tick + tick; next < to; next += tick {
+		p.pass(next)
+		for i := range p.parts {
+			p.place(i, false)
+		}
+	}
+	p.pass(to)
+}
+
+// pass notes the spread that held until now.
+func (p *player) pass(to Time) {
+	millis := float64(to - p.now)
+	if millis > 0 {
+		for i, part := range p.parts {
+			for j, s := range p.subjects[i] {
+				if s.stale {
+					s.now, s.stale = spreadOf(part, s.owners, p.now), false
+				}
+				p.tallies[part.service][j].hold(s.now, millis)
+			}
+		}
+		p.sample()
+	}
+	p.warm(to)
+	p.now = to
+}
+
+// warm marks what changes when a cold start ends.
+func (p *player) warm(to Time) {
+	for i, part := range p.parts {
+		for _, m := range part.members {
+			if p.now < m.warmAt && m.warmAt <= to {
+				p.mark(i)
+			}
+		}
+	}
+}
+
+// mark says that the spread of a part has changed.
+func (p *player) mark(i int) {
+	for _, s := range p.subjects[i] {
+		s.stale = true
+	}
+}
+
+// bundled takes the first bundle: services, servers and homes.
+func (p *player) bundled(b *bundle.Bundle) error {
+	if len(p.parts) > 0 {
+		return fmt.Errorf("%w: a second bundle; servers come and go by server events", ErrTrace)
+	}
+	for i := range b.Services {
+		s := &b.Services[i]
+		if !s.Divided {
+			p.undivided[s.Name] = newCrowd(s, p.header.Seed)
+			continue
+		}
+		p.services = append(p.services, s.Name)
+		p.keyCount[s.Name] = len(p.names[s.Name])
+		for range p.methods {
+			p.tallies[s.Name] = append(p.tallies[s.Name], &tally{byKey: map[string]float64{}})
+		}
+		for domain, homes := range homesOf(s) {
+			part := newPart(s, b.Domains[domain].Name, homes, p.names[s.Name])
+			part.domain = s.Homes[domain].Domain
+			p.parts = append(p.parts, part)
+		}
+	}
+	for _, part := range p.parts {
+		var subjects []*subject
+		for _, m := range p.methods {
+			subjects = append(subjects, newSubject(m, part))
+		}
+		p.subjects = append(p.subjects, subjects)
+	}
+	for i := range p.parts {
+		p.place(i, true)
+	}
+	return nil
+}
+
+// homesOf divides the hash space between the homes of a service, in their order.
+func homesOf(s *bundle.Service) [][]keys.Range {
+	shares := 0
+	for _, h := range s.Homes {
+		shares += h.Share
+	}
+	units := keys.Split(keys.Full, max(shares, 1))
+	homes := make([][]keys.Range, 0, len(s.Homes))
+	next := 0
+	for _, h := range s.Homes {
+		first := units[next]
+		next += h.Share
+		homes = append(homes, []keys.Range{{First: first.First, Last: units[next-1].Last}})
+	}
+	return homes
+}
+
+// requests spreads a record of requests over the keys.
+func (p *player) requests(r *Requests) {
+	if c := p.undivided[r.Service]; c != nil {
+		c.play(p.now, r)
+		return
+	}
+	seconds := float64(r.SpanMillis) / 1000
+	loads := make(map[uint64]float64, len(p.names[r.Service]))
+	if r.Others != nil {
+		each := float64(r.Others.Requests) / float64(r.Others.Keys) / seconds
+		for i := range r.Others.Keys {
+			loads[keys.Hash(r.Service, r.Others.key(i))] = each
+		}
+	}
+	for key, count := range r.Counts {
+		loads[keys.Hash(r.Service, key)] += float64(count) / seconds
+	}
+	for i, part := range p.parts {
+		if part.service == r.Service {
+			part.measure(p.now, loads)
+			p.mark(i)
+			p.place(i, true)
+		}
+	}
+}
+
+// server applies a change of a backend server.
+func (p *player) server(ev Server) error {
+	for _, c := range p.undivided {
+		if c.server(p.now, ev) {
+			return nil
+		}
+	}
+	for i, part := range p.parts {
+		at := part.find(ev.Name)
+		if at < 0 {
+			continue
+		}
+		m := &part.members[at]
+		m.state = ev.State
+		if ev.State == StateUp {
+			m.warmAt = p.now + ev.WarmMillis
+		}
+		p.smallest[part.service] += part.reshare() * float64(len(part.hashes))
+		p.mark(i)
+		p.place(i, true)
+		return nil
+	}
+	return fmt.Errorf("%w: no server %q", ErrTrace, ev.Name)
+}
+
+// instance applies a change of an entry instance. The loss of a leader keeps ranges of live
+// servers from being served only if it takes longer than their leases.
+func (p *player) instance(ev Instance) {
+	if ev.State != StateLost || !ev.Leading {
+		return
+	}
+	p.leaderAt[ev.Domain] = p.now
+	millis := p.costs.leaderLost(p.logDown)
+	if millis == 0 {
+		return
+	}
+	for i, part := range p.parts {
+		if part.domain != ev.Domain {
+			continue
+		}
+		for j, s := range p.subjects[i] {
+			t := p.tallies[part.service][j]
+			for k, o := range s.owners {
+				if o != unowned {
+					t.lost += millis
+					t.lapsed += millis
+					t.out(part.names[k], millis)
+				}
+			}
+		}
+	}
+}
+
+// place lets each method place a part. Naive methods place only when an event asks for it.
+func (p *player) place(i int, asked bool) {
+	part := p.parts[i]
+	for j, s := range p.subjects[i] {
+		if _, plain := s.method.(Plain); plain && !asked {
+			continue
+		}
+		owners := s.wanted(part, p.now)
+		if slices.Equal(owners, s.owners) {
+			continue
+		}
+		p.change(part, s, p.tallies[part.service][j], owners)
+	}
+}
+
+// change counts what changes owner and for how long it cannot be served.
+func (p *player) change(part *part, s *subject, t *tally, owners []int) {
+	if owners == nil {
+		owners = make([]int, len(s.owners))
+		for k := range owners {
+			owners[k] = unowned
+		}
+		s.downSince = p.now
+		s.ranges = nil
+	}
+	for k, o := range owners {
+		was := s.owners[k]
+		if was == o || p.now == 0 {
+			continue
+		}
+		if o == unowned {
+			t.forced++
+			continue
+		}
+		p.move(part, s, t, k, was)
+	}
+	s.owners = owners
+	s.stale = true
+}
+
+// move counts the change of owner of one key.
+func (p *player) move(part *part, s *subject, t *tally, k, was int) {
+	t.moved++
+	millis := p.costs.planned()
+	switch {
+	case was == unowned:
+		millis = float64(p.now-s.downSince) + p.costs.lost()
+		t.lost += millis
+		t.lapsed += millis
+	case part.members[was].state == StateLost:
+		t.forced++
+		millis = p.lost(part)
+		t.lost += millis
+		t.lapsed += millis
+	default:
+		if part.members[was].state != StateUp {
+			t.forced++
+		}
+		t.planned += millis
+		t.lapsed += p.costs.lapse()
+	}
+	t.out(part.names[k], millis)
+}
+
+// lost returns for how long the ranges of a server lost now cannot be served.
+func (p *player) lost(part *part) float64 {
+	at, found := p.leaderAt[part.domain]
+	if found && p.now-at <= leaderWindow {
+		return p.costs.lostWithLeader(p.logDown)
+	}
+	return p.costs.lost()
+}
