--- a/internal/place/balance.go
+++ b/internal/place/balance.go
@@ -7,7 +7,7 @@
 	leastTrigger = 0.03
 	mostTrigger  = 0.14
 	// baseTrigger is the trigger when churn weighs as much as imbalance.
-	baseTrigger = 0.05
+	baseTrigger = 0.08
 	// releaseShare is the part of the trigger down to which a server gives ranges away.
 	releaseShare = 0.7
 	// plannedMove is the unavailable time of a key that moves between live servers, in
--- a/internal/place/cut.go
+++ b/internal/place/cut.go
@@ -93,8 +93,10 @@
 	return parts
 }
 
-// appendCut appends the parts into which the sorted hot hashes cut a piece.
+// appendCut appends the parts into which the sorted hot hashes cut a piece. A key that just
+// became hot may move although the range about it moved of late.
 func (c piece) appendCut(parts []piece, hot []uint64) []piece {
+	wide := c.r.First < c.r.Last
 	at, _ := slices.BinarySearch(hot, c.r.First)
 	for ; at < len(hot) && hot[at] <= c.r.Last; at++ {
 		if hot[at] > c.r.First {
@@ -104,11 +106,14 @@
 		}
 		if hot[at] == c.r.Last {
 			c.hot = true
+			if wide {
+				c.movedAt = 0
+			}
 			break
 		}
 		var key piece
 		key, c = c.split(hot[at])
-		key.hot = true
+		key.hot, key.movedAt = true, 0
 		parts = append(parts, key)
 	}
 	return append(parts, c)
--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"example.org/mustardring/internal/naive"
 	"example.org/mustardring/pkg/bundle"
 	"example.org/mustardring/pkg/keys"
 )
@@ -11,6 +12,13 @@
 // tick is the time between placements that no event asks for.
 const tick = Time(10_000)
 
+// placing is the time between placements for a short while after loads were recorded: a
+// leader places each second, and the loads of ranges that were just cut are known by then.
+const (
+	placing = Time(1000)
+	soon    = 3 * placing
+)
+
 // leaderWindow is how near the loss of a server and of the leader must be for the successor
 // not to know what the server held.
 const leaderWindow = Time(1000)
@@ -23,15 +31,18 @@
 	now     Time
 	parts   []*part
 	// subjects are by part, in the order of methods.
-	subjects  [][]*subject
-	tallies   map[string][]*tally
-	services  []string
-	smallest  map[string]float64
-	keyCount  map[string]int
-	names     map[string]map[uint64]string
+	subjects [][]*subject
+	tallies  map[string][]*tally
+	services []string
+	smallest map[string]float64
+	keyCount map[string]int
+	names    map[string]map[uint64]string
+	// soonUntil is until when placements follow each other quickly.
+	soonUntil Time
 	logDown   bool
 	leaderAt  map[string]Time
 	undivided map[string]*crowd
+	others    map[others][]uint64
 	samples   []Sample
 }
 
@@ -45,6 +56,7 @@
 		names:     namesOf(trace),
 		leaderAt:  map[string]Time{},
 		undivided: map[string]*crowd{},
+		others:    map[others][]uint64{},
 	}
 	for _, s := range trace {
 		p.advance(s.At)
@@ -58,6 +70,7 @@
 // namesOf returns the keys of each service in a trace by hash.
 func namesOf(trace []Stamped) map[string]map[uint64]string {
 	names := map[string]map[uint64]string{}
+	seen := map[others]bool{}
 	for _, s := range trace {
 		r, ok := s.Event.(Requests)
 		if !ok {
@@ -72,6 +85,11 @@
 		if r.Others == nil {
 			continue
 		}
+		id := others{service: r.Service, prefix: r.Others.Prefix, keys: r.Others.Keys}
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
 		for i := range r.Others.Keys {
 			key := r.Others.key(i)
 			names[r.Service][keys.Hash(r.Service, key)] = key
@@ -109,15 +127,24 @@
 
 // advance lets time pass up to an event, with a placement at each tick.
 func (p *player) advance(to Time) {
-	for next := p.now - p.now%tick + tick; next < to; next += tick {
+	for next := p.next(); next < to; next = p.next() {
 		p.pass(next)
 		for i := range p.parts {
-			p.place(i, false)
+			p.place(i, causeTick)
 		}
 	}
 	p.pass(to)
 }
 
+// next returns when the next placement is due that no event asks for.
+func (p *player) next() Time {
+	next := p.now - p.now%tick + tick
+	if p.now < p.soonUntil {
+		next = min(next, p.now+placing)
+	}
+	return next
+}
+
 // pass notes the spread that held until now.
 func (p *player) pass(to Time) {
 	millis := float64(to - p.now)
@@ -182,7 +209,7 @@
 		p.subjects = append(p.subjects, subjects)
 	}
 	for i := range p.parts {
-		p.place(i, true)
+		p.place(i, causeServers)
 	}
 	return nil
 }
@@ -210,12 +237,13 @@
 		c.play(p.now, r)
 		return
 	}
+	p.soonUntil = p.now + soon
 	seconds := float64(r.SpanMillis) / 1000
 	loads := make(map[uint64]float64, len(p.names[r.Service]))
 	if r.Others != nil {
 		each := float64(r.Others.Requests) / float64(r.Others.Keys) / seconds
-		for i := range r.Others.Keys {
-			loads[keys.Hash(r.Service, r.Others.key(i))] = each
+		for _, hash := range p.hashes(r) {
+			loads[hash] = each
 		}
 	}
 	for key, count := range r.Counts {
@@ -225,11 +253,33 @@
 		if part.service == r.Service {
 			part.measure(p.now, loads)
 			p.mark(i)
-			p.place(i, true)
+			p.place(i, causeLoad)
 		}
 	}
 }
 
+// others identifies a set of keys that share requests.
+type others struct {
+	service string
+	prefix  string
+	keys    int
+}
+
+// hashes returns the hashes of the other keys of a record. They are kept, since most records
+// have the same.
+func (p *player) hashes(r *Requests) []uint64 {
+	id := others{service: r.Service, prefix: r.Others.Prefix, keys: r.Others.Keys}
+	if list, found := p.others[id]; found {
+		return list
+	}
+	list := make([]uint64, r.Others.Keys)
+	for i := range list {
+		list[i] = keys.Hash(r.Service, r.Others.key(i))
+	}
+	p.others[id] = list
+	return list
+}
+
 // server applies a change of a backend server.
 func (p *player) server(ev Server) error {
 	for _, c := range p.undivided {
@@ -249,7 +299,7 @@
 		}
 		p.smallest[part.service] += part.reshare() * float64(len(part.hashes))
 		p.mark(i)
-		p.place(i, true)
+		p.place(i, causeServers)
 		return nil
 	}
 	return fmt.Errorf("%w: no server %q", ErrTrace, ev.Name)
@@ -283,11 +333,31 @@
 	}
 }
 
-// place lets each method place a part. Naive methods place only when an event asks for it.
-func (p *player) place(i int, asked bool) {
+// cause is why a placement is due.
+type cause int
+
+const (
+	causeTick cause = iota
+	causeLoad
+	causeServers
+)
+
+// heeds reports whether a method places for a cause. Naive ones place when servers change,
+// and the one that looks at loads also when loads do.
+func heeds(m Method, c cause) bool {
+	plain, ok := m.(Plain)
+	if !ok || c == causeServers {
+		return true
+	}
+	_, bounded := plain.Method.(naive.Bounded)
+	return bounded && c == causeLoad
+}
+
+// place lets each method place a part.
+func (p *player) place(i int, c cause) {
 	part := p.parts[i]
 	for j, s := range p.subjects[i] {
-		if _, plain := s.method.(Plain); plain && !asked {
+		if !heeds(s.method, c) {
 			continue
 		}
 		owners := s.wanted(part, p.now)
@@ -305,9 +375,9 @@
 // change counts what changes owner and for how long it cannot be served.
 func (p *player) change(part *part, s *subject, t *tally, owners []int) {
 	if owners == nil {
-		owners = make([]int, len(s.owners))
-		for k := range owners {
-			owners[k] = unowned
+		owners = slices.Repeat([]int{unowned}, len(s.owners))
+		if slices.Equal(owners, s.owners) {
+			return
 		}
 		s.downSince = p.now
 		s.ranges = nil
