--- a/internal/fold/checkpoint_test.go
+++ b/internal/fold/checkpoint_test.go
@@ -156,3 +156,23 @@
 	last.ID = "another"
 	is.Equal(s.Apply(last), Changed{Offset: last.Offset})
 }
+
+// The newer release writes a checkpoint that this one can read: it is then as good as any.
+func TestCheckpointEndsTheDoubtOfANewerRecord(t *testing.T) {
+	is := is.New(t)
+	j := history()
+	j.addData("new", []byte(`{"format":2,"kind":"server-borrowed","body":{}}`))
+	s := New(crew())
+	j.fold(s)
+	is.True(!s.MayLead())
+	newer := New(crew())
+	j.fold(newer)
+	newer.Newer = nil
+	newer.Terms["klet"] = Term{Log: 5, Instance: "one"}
+	j.addAll(record.CheckpointMarked{Instance: "one"})
+	newer.Apply(j.entries[newer.Next])
+	j.addAll(must(newer.Checkpoint()))
+	j.fold(s)
+	is.True(s.MayLead())
+	is.Equal(s.Terms["klet"].Log, uint64(5))
+}
--- a/internal/fold/encoding.go
+++ b/internal/fold/encoding.go
@@ -176,6 +176,7 @@
 		return fmt.Errorf("%w: head %d below version %d", ErrCheckpoint, e.Head, b.Version)
 	}
 	s.InForce = b
+	s.servers = serverNames(b)
 	s.InForceSigned = e.Proof.Signed
 	s.InForceOffset = e.InForceOffset
 	s.Proof = e.Proof
--- a/internal/fold/newest_test.go
+++ b/internal/fold/newest_test.go
@@ -104,4 +104,25 @@
 	is.True(errors.Is(n.Learn(f.Proof), bundle.ErrFork))
 	refusal(t, s.prove(99, f.Proof), CauseLost)
 	is.Equal(n.Bundle().Version, uint64(2))
+	other := NewNewest(crew())
+	is.NoErr(other.Learn(f.Proof))
+	_, _, missing := other.Missing(s)
+	is.True(!missing)
+}
+
+// A peer hands over version 3, which replaced version 1, to an instance that saw version 2 in
+// force. The signers are the same, yet it is another history: nobody who saw version 2 could
+// have signed that roll and won.
+func TestRollPastTheHeldVersionIsAFork(t *testing.T) {
+	is := is.New(t)
+	n := NewNewest(crew())
+	n.Follow(stateOf(2, "a"))
+	var j journal
+	j.addAll(release(sample(1, "a"), 0)...)
+	two, three := publish(sample(2, "f"), "ana"), publish(sample(3, "f"), "ana")
+	j.addAll(record.BundlePublished{Signed: two}, record.BundlePublished{Signed: three},
+		record.BundleApproved{Approval: approve(three, "cene")}, record.BundleRolled{Roll: roll(three, 1, "dora")})
+	s := New(crew())
+	j.fold(s)
+	is.True(errors.Is(n.Learn(s.Proof), bundle.ErrFork))
 }
--- a/internal/fold/ownership.go
+++ b/internal/fold/ownership.go
@@ -55,28 +55,17 @@
 // assign keeps, for each server of the batch, the assignment of the higher epoch. The batch
 // is accepted if any part of it took effect.
 func (s *State) assign(offset uint64, r record.AssignmentMade) Verdict {
-	if r.Domain == "" || r.Service == "" || len(r.Assignments) == 0 {
-		return refuse(offset, CauseMalformed, "an assignment names a domain, a service and servers")
-	}
-	if s.InForce != nil && !hasDomain(s.InForce, r.Domain) {
-		return refuse(offset, CauseInvalid, "domain %q is not in the bundle in force", r.Domain)
+	if refusal := s.checkAssignments(offset, r); refusal != nil {
+		return refusal
 	}
-	held := s.Assigned[r.Domain]
 	applied, repeated := 0, 0
 	for _, a := range r.Assignments {
-		if a.Server == "" {
-			return refuse(offset, CauseMalformed, "an assignment names no server")
-		}
-	}
-	for _, a := range r.Assignments {
-		old, known := held[a.Server]
-		order := a.Epoch.Compare(old.Assignment.Epoch)
-		switch {
-		case !known || order > 0:
-			held = s.ownAssigned(r.Domain)
-			held[a.Server] = Assigned{Service: r.Service, Assignment: a, Offset: offset, Provisional: r.Provisional}
+		switch s.compareAssignment(r, a) {
+		case 1:
+			made := Assigned{Service: r.Service, Assignment: a, Offset: offset, Provisional: r.Provisional}
+			s.ownAssigned(r.Domain)[a.Server] = made
 			applied++
-		case order == 0 && old.Service == r.Service && keys.Equal(old.Assignment.Ranges, a.Ranges):
+		case 0:
 			repeated++
 		}
 	}
@@ -86,27 +75,62 @@
 	case repeated == len(r.Assignments):
 		return Repeated{}
 	default:
-		return refuse(offset, CauseSuperseded, "the servers have assignments of higher epochs")
+		return refuse(offset, CauseSuperseded, "the servers have assignments of higher epochs, or are in no bundle")
 	}
 }
 
+func (s *State) checkAssignments(offset uint64, r record.AssignmentMade) Verdict {
+	if r.Domain == "" || r.Service == "" || len(r.Assignments) == 0 {
+		return refuse(offset, CauseMalformed, "an assignment names a domain, a service and servers")
+	}
+	if s.InForce != nil && !hasDomain(s.InForce, r.Domain) {
+		return refuse(offset, CauseInvalid, "domain %q is not in the bundle in force", r.Domain)
+	}
+	for _, a := range r.Assignments {
+		if a.Server == "" {
+			return refuse(offset, CauseMalformed, "an assignment names no server")
+		}
+	}
+	return nil
+}
+
+// compareAssignment returns 1 when an assignment replaces what is recorded, 0 when it repeats
+// it and -1 when it is superseded. One for a server that nobody knows is superseded by the
+// bundle: its record was dropped with the server, and a late one must not bring it back.
+func (s *State) compareAssignment(r record.AssignmentMade, a record.Assignment) int {
+	old, known := s.Assigned[r.Domain][a.Server]
+	if !known {
+		if s.InForce != nil && !s.servers[a.Server] {
+			return -1
+		}
+		return 1
+	}
+	order := a.Epoch.Compare(old.Assignment.Epoch)
+	if order == 0 && (old.Service != r.Service || !keys.Equal(old.Assignment.Ranges, a.Ranges)) {
+		return -1
+	}
+	return order
+}
+
+func serverNames(b *bundle.Bundle) map[string]bool {
+	names := make(map[string]bool)
+	for _, s := range b.Services {
+		for _, v := range s.Servers {
+			names[v.Name] = true
+		}
+	}
+	return names
+}
+
 // pruneAssigned drops the assignments of servers that are neither in the bundle in force nor
 // in the one it replaced, or the state would grow with each server that ever was.
-func (s *State) pruneAssigned(replaced *bundle.Bundle) {
+func (s *State) pruneAssigned(replaced map[string]bool) {
 	if replaced == nil {
 		return
 	}
-	kept := make(map[string]bool)
-	for _, b := range []*bundle.Bundle{replaced, s.InForce} {
-		for _, v := range b.Services {
-			for _, server := range v.Servers {
-				kept[server.Name] = true
-			}
-		}
-	}
 	for _, domain := range slices.Sorted(maps.Keys(s.Assigned)) {
 		for server := range s.Assigned[domain] {
-			if !kept[server] {
+			if !replaced[server] && !s.servers[server] {
 				delete(s.ownAssigned(domain), server)
 			}
 		}
--- a/internal/fold/ownership_test.go
+++ b/internal/fold/ownership_test.go
@@ -100,3 +100,31 @@
 	is.Equal(s.Assigned["klet"]["a"].Offset, uint64(1))
 	is.Equal(len(s.Assigned["klet"]), 2)
 }
+
+// Servers come and go all day. What the log says about one that is gone must not stay for
+// ever, but a new leader still needs it for the version that removed the server.
+func TestAssignmentsOfRemovedServersGo(t *testing.T) {
+	is := is.New(t)
+	without := func(version uint64) record.Record {
+		b := sample(version, "a")
+		b.Services[0].Servers[0].Name = "pregled-2"
+		return record.BundlePublished{Signed: publish(b, "ana")}
+	}
+	var j journal
+	j.addAll(release(sample(1, "a"), 0)...)
+	j.addAll(record.AssignmentMade{
+		Domain: "klet", Service: "pregled",
+		Assignments: []record.Assignment{assignmentOf("pregled-1", 1, 1, keys.Full)},
+	})
+	s := New(crew())
+	j.fold(s)
+	for version := uint64(2); version <= 3; version++ {
+		is.Equal(len(s.Assigned["klet"]), 1)
+		r := without(version).(record.BundlePublished)
+		j.addAll(r, record.BundleApproved{Approval: approve(r.Signed, "cene")},
+			record.BundleRolled{Roll: roll(r.Signed, version-1, "dora")})
+		j.fold(s)
+	}
+	is.Equal(s.version(), uint64(3))
+	is.Equal(len(s.Assigned["klet"]), 0)
+}
--- a/internal/fold/release.go
+++ b/internal/fold/release.go
@@ -194,8 +194,9 @@
 // enforce puts a version in force. It drops candidates that it overtakes, and those whose
 // statements the new signers no longer cover: a signer that is now revoked has done nothing.
 func (s *State) enforce(offset uint64, p bundle.Proof, b *bundle.Bundle) {
-	replaced := s.InForce
+	replaced := s.servers
 	s.InForce = b
+	s.servers = serverNames(b)
 	s.InForceSigned = p.Signed
 	s.InForceOffset = offset
 	s.Proof = p
--- a/internal/fold/release_test.go
+++ b/internal/fold/release_test.go
@@ -134,3 +134,82 @@
 		is.Equal(v[i], want)
 	}
 }
+
+// An approver is revoked by version 3 while version 4 waits, approved by that approver. The
+// approval is worth nothing then; another approver may give a new one.
+func TestRevokedApprovalIsDropped(t *testing.T) {
+	is := is.New(t)
+	var j journal
+	j.addAll(release(sample(1, "a"), 0)...)
+	two := sample(2, "b")
+	two.Signers[2].Revoked = true
+	j.addAll(release(two, 1)[:2]...)
+	three := publish(sample(3, "c"), "boris")
+	j.addAll(record.BundlePublished{Signed: three}, record.BundleApproved{Approval: approve(three, "cene")})
+	s := New(crew())
+	j.fold(s)
+	is.True(s.candidate(3).Approved())
+	view := s.Snapshot()
+	j.addAll(release(two, 1)[2])
+	j.addAll(record.BundleRolled{Roll: roll(three, 2, "dora")})
+	v := j.fold(s)
+	is.Equal(v[0], Accepted{})
+	refusal(t, v[1], CauseUnapproved)
+	is.True(!s.candidate(3).Approved())
+	is.True(view.Candidates[1].Approved())
+	j.addAll(record.BundleApproved{Approval: approve(three, "dora")}, record.BundleRolled{Roll: roll(three, 2, "dora")})
+	v = j.fold(s)
+	is.Equal(v[0], Accepted{})
+	is.Equal(v[1], Accepted{})
+}
+
+// As above, but the publisher of the waiting version is revoked: the version is dropped.
+func TestVersionOfRevokedPublisherIsDropped(t *testing.T) {
+	is := is.New(t)
+	var j journal
+	two := sample(1, "b")
+	two.Signers[1].Revoked = true
+	j.addAll(release(two, 0)[:2]...)
+	three := publish(sample(2, "c"), "boris")
+	j.addAll(record.BundlePublished{Signed: three}, release(two, 0)[2], record.BundleApproved{Approval: approve(three, "dora")})
+	s := New(crew())
+	v := j.fold(s)
+	is.Equal(v[3], Accepted{})
+	refusal(t, v[4], CauseUnknown)
+	is.Equal(len(s.Candidates), 0)
+	is.Equal(s.Head, uint64(2))
+}
+
+// A reader looks at a snapshot while the fold goes on: an approval must not appear in it.
+func TestSnapshotKeepsCandidates(t *testing.T) {
+	is := is.New(t)
+	var j journal
+	one := publish(sample(1, "a"), "ana")
+	j.addAll(record.BundlePublished{Signed: one})
+	s := New(crew())
+	j.fold(s)
+	view := s.Snapshot()
+	j.addAll(record.BundleApproved{Approval: approve(one, "cene")})
+	j.fold(s)
+	is.True(!view.Candidates[0].Approved())
+	is.True(s.Candidates[0].Approved())
+}
+
+// Somebody with a publisher's key publishes without end. The versions that wait stay bounded,
+// and one that is approved is not pushed out.
+func TestCandidatesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var j journal
+	for v := uint64(1); v <= maxCandidates+4; v++ {
+		signed := publish(sample(v, "a"), "ana")
+		j.addAll(record.BundlePublished{Signed: signed})
+		if v == 2 {
+			j.addAll(record.BundleApproved{Approval: approve(signed, "cene")})
+		}
+	}
+	s := New(crew())
+	j.fold(s)
+	is.Equal(len(s.Candidates), maxCandidates)
+	is.Equal(s.Candidates[0].Signed.Statement.Version, uint64(2))
+	is.Equal(s.Candidates[1].Signed.Statement.Version, uint64(6))
+}
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -39,6 +39,8 @@
 	Newer *Newer
 
 	anchors []bundle.Signer
+	// servers names the servers of InForce.
+	servers map[string]bool
 	last    digest
 	memory  memory
 	marks   []mark
--- a/pkg/bundle/proof_test.go
+++ b/pkg/bundle/proof_test.go
@@ -89,3 +89,16 @@
 	_, err = last.Verify(step(2))
 	is.NoErr(err)
 }
+
+// Keys of two generations are stolen. A chain that goes from the newer back to the older one
+// must not verify, nor one whose versions do not grow.
+func TestChainInAnotherOrderFails(t *testing.T) {
+	is := is.New(t)
+	p := rotate(t, 2)[2]
+	judges := step(1)
+	roll, err := bundle.Roll(p.Signed.Statement, 0, judges[1].Name, keyOf(judges[1].Name))
+	is.NoErr(err)
+	p.Roll = roll
+	_, err = p.Verify(step(0))
+	is.True(errors.Is(err, bundle.ErrChain))
+}
