--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -2,6 +2,8 @@
 // drive mustardring.
 package bundle
 
+import "example.org/mustardring/pkg/keys"
+
 // FormatVersion is the version of the bundle format that this package reads and writes.
 const FormatVersion = 1
 
@@ -73,8 +75,16 @@
 	HotKeys   []string  `json:"hot-keys,omitempty"`
 	Weights   Weights   `json:"weights"`
 	Limits    Limits    `json:"limits"`
+	// Load is stated so that Check can compare it with the slots. Its zero value states none.
+	Load Load `json:"load,omitzero"`
+	// MoveShare is the share of the keys that one version may move without an explicit flag,
+	// from 0 to 1. Zero stands for DefaultMoveShare.
+	MoveShare float64 `json:"move-share,omitempty"`
 }
 
+// DefaultMoveShare is the MoveShare of a service that states none.
+const DefaultMoveShare = 0.25
+
 // Home gives a part of the hash space to a failure domain. Shares of all homes of a service
 // divide the space in the order in which they stand. A service without homes is divided
 // between domains by the slots of their servers.
@@ -82,6 +92,23 @@
 	Domain string `json:"domain"`
 	// Share is relative to the sum of the shares.
 	Share int `json:"share"`
+	// Ranges, if any home of the service has them, are the parts themselves. The homes then
+	// cover the space exactly, and shares are only what operators aim at. Command plan
+	// proposes the ranges that move the fewest keys when shares change.
+	Ranges []keys.Range `json:"ranges,omitempty"`
+}
+
+// Load is what operators expect a service to carry at its busiest.
+type Load struct {
+	// PerSecond is the rate of requests.
+	PerSecond float64 `json:"per-second"`
+	// RunMillis is the mean time for which a request holds a slot, in milliseconds.
+	RunMillis float64 `json:"run-ms"`
+}
+
+// Slots is the number of slots that the load keeps busy on average.
+func (l Load) Slots() float64 {
+	return l.PerSecond * l.RunMillis / 1000
 }
 
 // Server is a backend server.
--- a/pkg/bundle/homes.go
+++ b/pkg/bundle/homes.go
@@ -1,7 +1,9 @@
 package bundle
 
 import (
+	"cmp"
 	"math/bits"
+	"slices"
 
 	"example.org/mustardring/pkg/keys"
 )
@@ -15,8 +17,8 @@
 	Range  keys.Range
 }
 
-// HomeRanges divides the hash space of a service between failure domains: by the shares of
-// its homes in the order in which they stand, or, without homes, by the slots of the servers
+// HomeRanges divides the hash space of a service between failure domains: by the ranges that
+// its homes state, or else by their shares in the order in which they stand, or, without homes, by the slots of the servers
 // of each domain that do not leave, in the order of Domains. The parts are sorted, disjoint
 // and cover the space. It returns nil for an unknown service and when all shares are zero.
 func (b *Bundle) HomeRanges(service string) []HomeRange {
@@ -24,9 +26,36 @@
 	if s == nil {
 		return nil
 	}
+	if stated := statedRanges(s); len(stated) > 0 {
+		return stated
+	}
 	return divide(b.shares(s))
 }
 
+// statedRanges returns the ranges that the homes of a service state, sorted.
+func statedRanges(s *Service) []HomeRange {
+	var stated []HomeRange
+	for _, h := range s.Homes {
+		for _, r := range h.Ranges {
+			stated = append(stated, HomeRange{Domain: h.Domain, Range: r})
+		}
+	}
+	slices.SortFunc(stated, func(a, b HomeRange) int { return cmp.Compare(a.Range.First, b.Range.First) })
+	return stated
+}
+
+// covers reports whether sorted ranges cover the hash space exactly once.
+func covers(parts []HomeRange) bool {
+	next := uint64(0)
+	for i, p := range parts {
+		if p.Range.First != next || p.Range.Last < p.Range.First || i > 0 && next == 0 {
+			return false
+		}
+		next = p.Range.Last + 1
+	}
+	return next == 0 && len(parts) > 0
+}
+
 // Service returns the service of a name, or nil.
 func (b *Bundle) Service(name string) *Service {
 	for i := range b.Services {
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -128,5 +128,8 @@
 			return fmt.Errorf("%w: %s/homes/%d/share is %d, want 0 to %d", ErrInvalid, at, j, h.Share, maxShare)
 		}
 	}
+	if stated := statedRanges(s); len(stated) > 0 && !covers(stated) {
+		return fmt.Errorf("%w: %s/homes state ranges that overlap or leave gaps, want each hash once", ErrInvalid, at)
+	}
 	return nil
 }
