Add the bundle commands

Cause: operators drive the system only by bundles and must learn what became of each record, also after a lost answer or a race. Before: no command. After: init, check, diff, plan, keygen, publish, approve, roll, status and history, which append under an ID made from the statement, read the log back, fold it and report the verdict; exit codes 0 done, 1 refused, 2 bad input, 3 uncertain. Conclusion: the main program needs a field BundleCmd and cmds.ExitCode.

--- /dev/null
+++ b/internal/cmds/bundle_test.go
@@ -0,0 +1,402 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/admin"
+	"example.org/mustardring/internal/logcl"
+	"example.org/mustardring/internal/record"
+	"example.org/mustardring/pkg/bundle"
+)
+
+// fakeLog is a log in memory. It keeps repeated appends, as the platform's may.
+type fakeLog struct {
+	entries []record.Entry
+	// down is the number of calls that fail before anything is written, lost that of appends
+	// whose answer is lost after the record was written.
+	down int
+	lost int
+}
+
+func (f *fakeLog) Append(_ context.Context, id string, data []byte) (uint64, error) {
+	if f.down > 0 {
+		f.down--
+		return 0, logcl.ErrUnavailable
+	}
+	offset := uint64(len(f.entries))
+	f.entries = append(f.entries, record.Entry{Offset: offset, ID: id, Data: data})
+	if f.lost > 0 {
+		f.lost--
+		return 0, logcl.ErrUncertain
+	}
+	return offset, nil
+}
+
+func (f *fakeLog) Read(_ context.Context, from uint64, limit int) (logcl.Batch, error) {
+	if f.down > 0 {
+		f.down--
+		return logcl.Batch{}, logcl.ErrUnavailable
+	}
+	next := uint64(len(f.entries))
+	end := min(from+uint64(limit), next)
+	return logcl.Batch{Entries: f.entries[min(from, end):end], Next: next}, nil
+}
+
+// desk is what an operator has at hand: keys, the signers' file and bundle files.
+type desk struct {
+	t     *testing.T
+	dir   string
+	log   *fakeLog
+	roots string
+}
+
+func newDesk(t *testing.T) *desk {
+	d := &desk{t: t, dir: t.TempDir(), log: &fakeLog{}}
+	d.roots = filepath.Join(d.dir, "roots.json")
+	for name, roles := range map[string][]bundle.Role{
+		"ana": {bundle.RolePublish}, "boris": {bundle.RolePublish},
+		"cene": {bundle.RoleApprove, bundle.RoleRoll}, "dora": {bundle.RoleApprove, bundle.RoleRoll},
+	} {
+		c := BundleKeygenCmd{Name: name, Roles: roles, Dir: d.dir, Roots: d.roots}
+		if err := c.run(&bytes.Buffer{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return d
+}
+
+// file writes a version with four servers in two domains, after a change.
+func (d *desk) file(version uint64, name string, change func(*bundle.Bundle)) string {
+	d.t.Helper()
+	signers, err := readSigners(d.roots)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	b := &bundle.Bundle{Format: 1, Version: version, Follows: version - 1, Signers: signers}
+	s := firstService("pregled")
+	for i, domain := range []string{"klet", "podstresje"} {
+		b.Domains = append(b.Domains, bundle.Domain{Name: domain})
+		for j := range 2 {
+			address := "10.0." + string(rune('0'+i)) + "." + string(rune('1'+j)) + ":80"
+			s.Servers = append(s.Servers, bundle.Server{
+				Name: domain + "-" + string(rune('1'+j)), Domain: domain, Address: address, Slots: 2, Connections: 110,
+			})
+		}
+	}
+	b.Services = []bundle.Service{s}
+	if change != nil {
+		change(b)
+	}
+	file := filepath.Join(d.dir, name)
+	if err := writeJSONFile(file, b); err != nil {
+		d.t.Fatal(err)
+	}
+	return file
+}
+
+func (d *desk) signFlags(name string) bundleSignFlags {
+	return bundleSignFlags{Signer: name, Key: filepath.Join(d.dir, name+keySuffix)}
+}
+
+// give runs a command as a new process would, with a wait of 30 s.
+func (d *desk) give(run func(ctx context.Context, l *bundleLog, out *bytes.Buffer) error) (submitted, error) {
+	d.t.Helper()
+	signers, err := readSigners(d.roots)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	var out bytes.Buffer
+	failure := run(ctx, newBundleLog(d.log, signers), &out)
+	var s submitted
+	if out.Len() > 0 {
+		if err := json.Unmarshal(out.Bytes(), &s); err != nil {
+			d.t.Fatal(err)
+		}
+	}
+	return s, failure
+}
+
+func (d *desk) publish(file, name string, allowMoves bool) (submitted, error) {
+	c := BundlePublishCmd{File: file, AllowMoves: allowMoves, bundleSignFlags: d.signFlags(name), bundleOutput: bundleOutput{Output: "json"}}
+	return d.give(func(ctx context.Context, l *bundleLog, out *bytes.Buffer) error { return c.run(ctx, l, out) })
+}
+
+func (d *desk) approve(version uint64, hash, name string) (submitted, error) {
+	c := BundleApproveCmd{Version: version, Hash: hash, bundleSignFlags: d.signFlags(name), bundleOutput: bundleOutput{Output: "json"}}
+	return d.give(func(ctx context.Context, l *bundleLog, out *bytes.Buffer) error { return c.run(ctx, l, out) })
+}
+
+func (d *desk) roll(version, replaces uint64, name string) (submitted, error) {
+	c := BundleRollCmd{Version: version, Replaces: replaces, bundleSignFlags: d.signFlags(name), bundleOutput: bundleOutput{Output: "json"}}
+	return d.give(func(ctx context.Context, l *bundleLog, out *bytes.Buffer) error { return c.run(ctx, l, out) })
+}
+
+// release brings a file into force and fails the test if that fails.
+func (d *desk) release(file string, version uint64) {
+	d.t.Helper()
+	is := is.New(d.t)
+	s, err := d.publish(file, "ana", false)
+	is.NoErr(err)
+	_, err = d.approve(version, s.Hash[:minHash], "cene")
+	is.NoErr(err)
+	_, err = d.roll(version, 0, "dora")
+	is.NoErr(err)
+}
+
+func TestReleaseByCommands(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.release(d.file(1, "one.json", nil), 1)
+	d.release(d.file(2, "two.json", func(b *bundle.Bundle) { b.Services[0].HotKeys = []string{"gauda"} }), 2)
+
+	var out bytes.Buffer
+	signers, err := readSigners(d.roots)
+	is.NoErr(err)
+	is.NoErr((&BundleStatusCmd{}).run(t.Context(), newBundleLog(d.log, signers), &out))
+	is.True(strings.Contains(out.String(), `is in force: published by "ana", approved by "cene", rolled by "dora" at offset 5`))
+	is.True(strings.Contains(out.String(), "the next version is 3 and follows 2"))
+	out.Reset()
+	is.NoErr((&BundleHistoryCmd{}).run(t.Context(), newBundleLog(d.log, signers), &out))
+	is.Equal(strings.Count(out.String(), "accepted\n"), 6)
+}
+
+// The log takes the record and its answer is lost, so the command tries again by itself. The
+// operator, who is not sure either, gives the command once more.
+func TestPublishAfterLostAnswer(t *testing.T) {
+	d := newDesk(t)
+	file := d.file(1, "one.json", nil)
+	d.log.lost = 1
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, err := d.publish(file, "ana", false)
+		is.NoErr(err)
+		is.Equal(s.Verdict, wordAccepted)
+		is.Equal(s.Offset, uint64(0))
+		is.Equal(len(d.log.entries), 2)
+		s, err = d.publish(file, "ana", false)
+		is.NoErr(err)
+		is.Equal(s.Verdict, wordRepeated)
+		is.Equal(s.Offset, uint64(0))
+		is.Equal(len(d.log.entries), 2)
+	})
+}
+
+// The log is down for longer than the command waits. The operator must not take that for a
+// refusal, and the same command must do once the log is back.
+func TestPublishWhileLogIsDown(t *testing.T) {
+	d := newDesk(t)
+	file := d.file(1, "one.json", nil)
+	d.log.down = 1 << 30
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, err := d.publish(file, "ana", false)
+		is.Equal(ExitCode(err), ExitUncertain)
+		is.Equal(len(d.log.entries), 0)
+		d.log.down = 1
+		s, err := d.publish(file, "ana", false)
+		is.NoErr(err)
+		is.Equal(s.Verdict, wordAccepted)
+	})
+}
+
+// Two operators publish at once. The one who comes second is told who was first.
+func TestPublishRace(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	_, err := d.publish(d.file(1, "one.json", nil), "ana", false)
+	is.NoErr(err)
+	other := d.file(1, "other.json", func(b *bundle.Bundle) { b.Services[0].HotKeys = []string{"gauda"} })
+	s, err := d.publish(other, "boris", false)
+	is.Equal(ExitCode(err), ExitFailed)
+	is.Equal(s.Verdict, wordRefused)
+	is.Equal(s.Winner.Signer, "ana")
+	is.Equal(s.Winner.Offset, uint64(0))
+	is.True(strings.Contains(s.Reason, `by "ana"`))
+}
+
+// An operator rolls a version that was planned when another was in force, and repeats a roll
+// whose answer was lost.
+func TestRollRaceAndRepeat(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.release(d.file(1, "one.json", nil), 1)
+	s, err := d.roll(1, 0, "dora")
+	is.NoErr(err)
+	is.Equal(s.Verdict, wordRepeated)
+	is.Equal(len(d.log.entries), 3)
+	s, err = d.roll(1, 0, "cene")
+	is.Equal(ExitCode(err), ExitFailed)
+	is.Equal(s.Winner.Signer, "dora")
+
+	two, err := d.publish(d.file(2, "two.json", nil), "ana", false)
+	is.NoErr(err)
+	_, err = d.approve(2, two.Hash, "cene")
+	is.NoErr(err)
+	s, err = d.roll(2, 9, "dora")
+	is.Equal(ExitCode(err), ExitFailed)
+	is.Equal(s.Winner.Version, uint64(1))
+	_, err = d.roll(2, 1, "dora")
+	is.NoErr(err)
+	_, err = d.roll(1, 0, "dora")
+	is.Equal(ExitCode(err), ExitFailed)
+	_, err = d.roll(5, 0, "dora")
+	is.Equal(ExitCode(err), ExitFailed)
+}
+
+func TestApproveWhatWasReviewed(t *testing.T) {
+	d := newDesk(t)
+	published, err := d.publish(d.file(1, "one.json", nil), "ana", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		hash, signer string
+		want         int
+	}{
+		"other hash": {hash: strings.Repeat("0", minHash), signer: "cene", want: ExitInput},
+		"short hash": {hash: published.Hash[:minHash-1], signer: "cene", want: ExitInput},
+		"publisher":  {hash: published.Hash, signer: "ana", want: ExitInput},
+		"no role":    {hash: published.Hash, signer: "boris", want: ExitFailed},
+		"approver":   {hash: published.Hash[:minHash], signer: "cene", want: ExitDone},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := d.approve(1, tt.hash, tt.signer)
+			is.Equal(ExitCode(err), tt.want)
+		})
+	}
+}
+
+func TestMovesNeedAFlag(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	one := d.file(1, "one.json", nil)
+	d.release(one, 1)
+	two := d.file(2, "two.json", func(b *bundle.Bundle) {
+		b.Services[0].Homes = []bundle.Home{{Domain: "podstresje", Share: 1}, {Domain: "klet", Share: 1}}
+	})
+	_, err := d.publish(two, "ana", false)
+	is.Equal(ExitCode(err), ExitInput)
+	is.True(strings.Contains(err.Error(), `/services/0: found a change that moves 100.0% of the keys of "pregled", expected at most 25.0%`))
+	is.Equal(len(d.log.entries), 3)
+	is.Equal(ExitCode((&BundleCheckCmd{File: two, Before: one}).run(&bytes.Buffer{})), ExitInput)
+	is.NoErr((&BundleCheckCmd{File: two, Before: one, AllowMoves: true}).run(&bytes.Buffer{}))
+	_, err = d.publish(two, "ana", true)
+	is.NoErr(err)
+}
+
+func TestPlanSettles(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	homes := func(a, b int) func(*bundle.Bundle) {
+		return func(v *bundle.Bundle) {
+			v.Services[0].Homes = []bundle.Home{{Domain: "klet", Share: a}, {Domain: "podstresje", Share: b}}
+		}
+	}
+	one, two := d.file(1, "one.json", homes(1, 1)), d.file(2, "two.json", homes(1, 3))
+	settled := filepath.Join(d.dir, "settled.json")
+	var out bytes.Buffer
+	is.NoErr((&BundlePlanCmd{Before: one, After: two, RoundTrip: 3 * time.Millisecond, Lease: 3 * time.Second, Settle: settled}).run(&out))
+	is.True(strings.Contains(out.String(), `service "pregled": 25.00% of the keys move, the least possible is 25.00%`))
+	is.True(strings.Contains(out.String(), "from klet to podstresje: 25.00%"))
+	is.NoErr((&BundleCheckCmd{File: settled, Before: one}).run(&bytes.Buffer{}))
+	out.Reset()
+	is.NoErr((&BundleDiffCmd{Before: one, After: two}).run(&out))
+	is.True(strings.Contains(out.String(), `service "pregled" home "podstresje": share 1 becomes 3`))
+}
+
+func TestInitAndKeygenKeepWhatIsThere(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	before, err := os.ReadFile(filepath.Join(d.dir, "ana.key"))
+	is.NoErr(err)
+	is.NoErr((&BundleKeygenCmd{Name: "ana", Roles: []bundle.Role{bundle.RolePublish}, Dir: d.dir, Roots: d.roots}).run(&bytes.Buffer{}))
+	after, err := os.ReadFile(filepath.Join(d.dir, "ana.key"))
+	is.NoErr(err)
+	is.Equal(before, after)
+	file := filepath.Join(d.dir, "new.json")
+	first := BundleInitCmd{File: file, Roots: d.roots, Domains: []string{"klet"}, Services: []string{"pregled"}}
+	is.NoErr(first.run(&bytes.Buffer{}))
+	is.NoErr(first.run(&bytes.Buffer{}))
+	is.Equal(ExitCode((&BundleInitCmd{File: file, Follow: file}).run(&bytes.Buffer{})), ExitInput)
+	next := filepath.Join(d.dir, "next.json")
+	is.NoErr((&BundleInitCmd{File: next, Follow: file}).run(&bytes.Buffer{}))
+	b, err := readBundle(next)
+	is.NoErr(err)
+	is.Equal(b.Version, uint64(2))
+	is.Equal(b.Follows, uint64(1))
+}
+
+func TestReportNamesEachDomainOnce(t *testing.T) {
+	is := is.New(t)
+	done := make(map[string]bool)
+	s := admin.Status{Domains: []admin.DomainVersion{{Domain: "klet", Lowest: 2}, {Domain: "podstresje", Lowest: 1, Highest: 2}}}
+	text, complete := report(s, 2, done)
+	is.Equal(text, "version 2 in force at klet\n")
+	is.True(!complete)
+	s.Domains[1].Lowest = 2
+	text, complete = report(s, 2, done)
+	is.Equal(text, "version 2 in force at podstresje\n")
+	is.True(complete)
+	_, complete = report(admin.Status{}, 2, done)
+	is.True(!complete)
+}
+
+func TestCommandLines(t *testing.T) {
+	log := " --log http://127.0.0.1:7000 --roots r.json"
+	sign := " --signer ana --key ana.key"
+	tests := map[string]string{
+		"init":    "init b.json --roots r.json --domain klet --domain podstresje --service pregled",
+		"check":   "check b.json --before a.json --allow-moves --output json",
+		"diff":    "diff a.json b.json",
+		"plan":    "plan a.json b.json --settle c.json --lease 2s",
+		"keygen":  "keygen ana --roles publish,roll --dir keys --roots r.json",
+		"publish": "publish b.json --allow-moves" + sign + log,
+		"approve": "approve 3 --hash 0123abcd" + sign + log,
+		"roll":    "roll 3 --replaces 2 --watch 127.0.0.1:9000 --token x" + sign + log,
+		"status":  "status --output json" + log,
+		"history": "history" + log,
+	}
+	for name, line := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var p struct {
+				Bundle BundleCmd `cmd:""`
+			}
+			parser, err := kong.New(&p)
+			is.NoErr(err)
+			ctx, err := parser.Parse(append([]string{"bundle"}, strings.Fields(line)...))
+			is.NoErr(err)
+			is.True(strings.HasPrefix(ctx.Command(), "bundle "+name))
+		})
+	}
+}
+
+// forgetful is a fakeLog whose first records are gone.
+type forgetful struct {
+	*fakeLog
+	oldest uint64
+}
+
+func (f *forgetful) Read(ctx context.Context, from uint64, limit int) (logcl.Batch, error) {
+	if from < f.oldest {
+		return logcl.Batch{Oldest: f.oldest, Next: uint64(len(f.entries))}, logcl.ErrGap
+	}
+	batch, err := f.fakeLog.Read(ctx, from, limit)
+	batch.Oldest = f.oldest
+	return batch, err
+}
--- /dev/null
+++ b/internal/cmds/bundlefile.go
@@ -0,0 +1,131 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/bundle/check"
+)
+
+// BundleCheckCmd examines a file without the log.
+type BundleCheckCmd struct {
+	File       string `arg:"" type:"path" help:"Bundle file."`
+	Before     string `type:"path" help:"File of the version in force, to compare moves with."`
+	AllowMoves bool   `help:"Accept that more keys move than the version before allows."`
+	bundleOutput
+}
+
+// Run shows the problems and returns an error if there are any.
+func (c *BundleCheckCmd) Run() error {
+	return c.run(os.Stdout)
+}
+
+func (c *BundleCheckCmd) run(out io.Writer) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return badInput("%w", err)
+	}
+	b, problems := check.File(c.File, data)
+	if len(problems) == 0 && c.Before != "" && !c.AllowMoves {
+		before, err := readBundle(c.Before)
+		if err != nil {
+			return err
+		}
+		problems = movesProblems(c.File, before, b)
+	}
+	if err := c.show(out, checked{File: c.File, Problems: problems}); err != nil {
+		return err
+	}
+	if err := problems.Err(); err != nil {
+		return badInput("%w", err)
+	}
+	return nil
+}
+
+type checked struct {
+	File     string         `json:"file"`
+	Problems check.Problems `json:"problems"`
+}
+
+func (c checked) writeText(w *strings.Builder) {
+	for _, p := range c.Problems {
+		fmt.Fprintln(w, p)
+	}
+	if len(c.Problems) == 0 {
+		fmt.Fprintf(w, "%s: no problems\n", c.File)
+	}
+}
+
+// movesProblems reports services of which more keys move than the version before allows.
+func movesProblems(file string, before, after *bundle.Bundle) check.Problems {
+	var problems check.Problems
+	for _, m := range bundle.CompareMoves(before, after) {
+		limit := before.Service(m.Service).MoveShare
+		if limit == 0 {
+			limit = bundle.DefaultMoveShare
+		}
+		if m.Total() > limit {
+			problems = append(problems, check.Problem{
+				File:     file,
+				Pointer:  servicePointer(after, m.Service),
+				Found:    fmt.Sprintf("a change that moves %.1f%% of the keys of %q", 100*m.Total(), m.Service),
+				Expected: fmt.Sprintf("at most %.1f%%, or the flag --allow-moves", 100*limit),
+			})
+		}
+	}
+	return problems
+}
+
+func servicePointer(b *bundle.Bundle, name string) string {
+	for i := range b.Services {
+		if b.Services[i].Name == name {
+			return fmt.Sprintf("/services/%d", i)
+		}
+	}
+	return "/services"
+}
+
+// BundleDiffCmd compares two files.
+type BundleDiffCmd struct {
+	Before string `arg:"" type:"path" help:"File of the earlier version."`
+	After  string `arg:"" type:"path" help:"File of the later version."`
+	bundleOutput
+}
+
+// Run shows what changes.
+func (c *BundleDiffCmd) Run() error {
+	return c.run(os.Stdout)
+}
+
+func (c *BundleDiffCmd) run(out io.Writer) error {
+	before, after, err := readTwo(c.Before, c.After)
+	if err != nil {
+		return err
+	}
+	return c.show(out, difference{Before: before.Version, After: after.Version, Changes: bundle.Diff(before, after)})
+}
+
+func readTwo(before, after string) (*bundle.Bundle, *bundle.Bundle, error) {
+	b, err := readBundle(before)
+	if err != nil {
+		return nil, nil, err
+	}
+	a, err := readBundle(after)
+	return b, a, err
+}
+
+type difference struct {
+	Before  uint64          `json:"before"`
+	After   uint64          `json:"after"`
+	Changes []bundle.Change `json:"changes"`
+}
+
+func (d difference) writeText(w *strings.Builder) {
+	fmt.Fprintf(w, "from version %d to %d, %d changes\n", d.Before, d.After, len(d.Changes))
+	for _, c := range d.Changes {
+		fmt.Fprintln(w, c)
+	}
+}
--- /dev/null
+++ b/internal/cmds/bundleshow.go
@@ -0,0 +1,205 @@
+package cmds
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/record"
+	"example.org/mustardring/pkg/bundle"
+)
+
+// BundleStatusCmd shows what the log says of bundles and leaders.
+type BundleStatusCmd struct {
+	bundleLogFlags
+	bundleOutput
+}
+
+// Run shows the status.
+func (c *BundleStatusCmd) Run() error {
+	ctx, cancel, l, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return c.run(ctx, l, os.Stdout)
+}
+
+func (c *BundleStatusCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
+	if err := l.catchUp(ctx, 0); err != nil {
+		return err
+	}
+	return c.show(out, statusOf(l.state))
+}
+
+type logStatus struct {
+	Next    uint64         `json:"next"`
+	Since   uint64         `json:"since"`
+	InForce *versionState  `json:"in-force"`
+	Head    uint64         `json:"newest-published"`
+	Waiting []versionState `json:"waiting"`
+	Terms   []termState    `json:"terms"`
+	// Newer is set when a record was met that only a newer release can read.
+	Newer string `json:"newer-record,omitempty"`
+}
+
+type versionState struct {
+	Version   uint64 `json:"version"`
+	Hash      string `json:"hash"`
+	Publisher string `json:"publisher"`
+	Approver  string `json:"approver,omitempty"`
+	Roller    string `json:"roller,omitempty"`
+	Offset    uint64 `json:"offset"`
+}
+
+type termState struct {
+	Domain string `json:"domain"`
+	fold.Term
+}
+
+func statusOf(s *fold.State) logStatus {
+	status := logStatus{Next: s.Next, Since: s.Since, Head: s.Head}
+	if s.InForce != nil {
+		v := versionOf(s.Proof.Signed.Statement, s.Proof.Approval, s.InForceOffset)
+		v.Roller = s.Proof.Roll.Signer
+		status.InForce = &v
+	}
+	for _, c := range s.Candidates {
+		status.Waiting = append(status.Waiting, versionOf(c.Signed.Statement, c.Approval, c.Offset))
+	}
+	for _, domain := range slices.Sorted(maps.Keys(s.Terms)) {
+		status.Terms = append(status.Terms, termState{Domain: domain, Term: s.Terms[domain]})
+	}
+	if s.Newer != nil {
+		status.Newer = fmt.Sprintf("offset %d: %s", s.Newer.Offset, s.Newer.Reason)
+	}
+	return status
+}
+
+func versionOf(published, approval bundle.Statement, offset uint64) versionState {
+	return versionState{
+		Version:   published.Version,
+		Hash:      hex.EncodeToString(published.Hash),
+		Publisher: published.Signer,
+		Approver:  approval.Signer,
+		Offset:    offset,
+	}
+}
+
+func (s logStatus) writeText(w *strings.Builder) {
+	if s.InForce == nil {
+		fmt.Fprintln(w, "no version is in force")
+	} else {
+		v := s.InForce
+		fmt.Fprintf(w, "version %d (%s) is in force: published by %q, approved by %q, rolled by %q at offset %d\n",
+			v.Version, v.Hash[:minHash], v.Publisher, v.Approver, v.Roller, v.Offset)
+	}
+	for _, v := range s.Waiting {
+		approved := "not approved"
+		if v.Approver != "" {
+			approved = fmt.Sprintf("approved by %q", v.Approver)
+		}
+		fmt.Fprintf(w, "version %d (%s) waits: published by %q, %s\n", v.Version, v.Hash[:minHash], v.Publisher, approved)
+	}
+	fmt.Fprintf(w, "the next version is %d and follows %d\n", s.Head+1, s.Head)
+	for _, t := range s.Terms {
+		fmt.Fprintf(w, "domain %s: term %d of %s at offset %d\n", t.Domain, t.Log, t.Instance, t.Offset)
+	}
+	if s.Newer != "" {
+		fmt.Fprintf(w, "a newer release wrote a record that this one cannot read: %s\n", s.Newer)
+	}
+}
+
+// BundleHistoryCmd shows each bundle record in the log.
+type BundleHistoryCmd struct {
+	bundleLogFlags
+	bundleOutput
+}
+
+// Run shows the history.
+func (c *BundleHistoryCmd) Run() error {
+	ctx, cancel, l, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return c.run(ctx, l, os.Stdout)
+}
+
+func (c *BundleHistoryCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
+	if err := l.catchUp(ctx, 0); err != nil {
+		return err
+	}
+	h := history{Since: l.state.Since}
+	for _, j := range l.judged {
+		if e, ok := eventOf(j); ok {
+			h.Events = append(h.Events, e)
+		}
+	}
+	return c.show(out, h)
+}
+
+type history struct {
+	Since  uint64  `json:"since"`
+	Events []event `json:"events"`
+}
+
+type event struct {
+	Offset  uint64 `json:"offset"`
+	Action  string `json:"action"`
+	Version uint64 `json:"version"`
+	Hash    string `json:"hash"`
+	Signer  string `json:"signer"`
+	Verdict string `json:"verdict"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+func (h history) writeText(w *strings.Builder) {
+	for _, e := range h.Events {
+		fmt.Fprintf(w, "%d %s of version %d (%s) by %q: %s", e.Offset, e.Action, e.Version, e.Hash[:minHash], e.Signer, e.Verdict)
+		if e.Reason != "" {
+			fmt.Fprintf(w, ": %s", e.Reason)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// eventOf returns false for records that are not about bundles, or name none.
+func eventOf(j judged) (event, bool) {
+	r, err := record.Decode(j.entry.Data)
+	if err != nil {
+		return event{}, false
+	}
+	var st bundle.Statement
+	action := ""
+	switch r := r.(type) {
+	case record.BundlePublished:
+		st = r.Signed.Statement
+	case record.BundleApproved:
+		st = r.Approval
+	case record.BundleRolled:
+		st = r.Roll
+	case record.BundleProven:
+		st, action = r.Proof.Roll, "return"
+	default:
+		return event{}, false
+	}
+	if action == "" {
+		action = string(st.Role)
+	}
+	hash := fmt.Sprintf("%0*x", minHash, st.Hash)
+	e := event{Offset: j.entry.Offset, Action: action, Version: st.Version, Hash: hash, Signer: st.Signer, Verdict: wordAccepted}
+	switch v := j.verdict.(type) {
+	case fold.Repeated:
+		e.Verdict = wordRepeated
+	case fold.Refused:
+		e.Verdict, e.Reason = wordRefused, v.Reason
+	}
+	return e, true
+}
--- /dev/null
+++ b/internal/cmds/bundlesign.go
@@ -0,0 +1,251 @@
+package cmds
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/record"
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/bundle/check"
+)
+
+// minHash is the number of hexadecimal digits by which a bundle is named at least.
+const minHash = 8
+
+// bundleSignFlags say who signs.
+type bundleSignFlags struct {
+	Signer string `required:"" help:"Name of the signer."`
+	Key    string `required:"" type:"path" help:"File with the signer's private key, made by keygen."`
+}
+
+func (f bundleSignFlags) privateKey() (ed25519.PrivateKey, error) {
+	return readKey(f.Key)
+}
+
+// submitted is the result of publish, approve and roll.
+type submitted struct {
+	Action  string       `json:"action"`
+	Version uint64       `json:"version"`
+	Hash    string       `json:"hash"`
+	Signer  string       `json:"signer"`
+	Verdict string       `json:"verdict"`
+	Offset  uint64       `json:"offset"`
+	Reason  string       `json:"reason,omitempty"`
+	Winner  *fold.Winner `json:"winner,omitempty"`
+}
+
+func (s submitted) writeText(w *strings.Builder) {
+	fmt.Fprintf(w, "%s of version %d (%s) by %q: %s at offset %d\n", s.Action, s.Version, s.Hash[:minHash], s.Signer, s.Verdict, s.Offset)
+	if s.Reason != "" {
+		fmt.Fprintf(w, "%s\n", s.Reason)
+	}
+}
+
+// The words for verdicts.
+const (
+	wordAccepted = "accepted"
+	wordRepeated = "accepted before"
+	wordRefused  = "refused"
+)
+
+// finish submits a statement's record, shows the verdict, and returns an error if refused.
+func finish(ctx context.Context, l *bundleLog, o bundleOutput, out io.Writer, st bundle.Statement, r record.Record) error {
+	v, offset, err := l.submit(ctx, st.ID(), r)
+	if err != nil {
+		return err
+	}
+	s := submitted{
+		Action: string(st.Role), Version: st.Version, Hash: hex.EncodeToString(st.Hash),
+		Signer: st.Signer, Verdict: wordAccepted, Offset: offset,
+	}
+	var refusal error
+	switch v := v.(type) {
+	case fold.Repeated:
+		s.Verdict = wordRepeated
+	case fold.Refused:
+		s.Verdict, s.Reason = wordRefused, v.Reason
+		if !v.Winner.IsZero() {
+			s.Winner = &v.Winner
+		}
+		refusal = failed("%s of version %d refused: %s", st.Role, st.Version, v.Reason)
+	}
+	if err := o.show(out, s); err != nil {
+		return err
+	}
+	return refusal
+}
+
+// BundlePublishCmd signs a bundle as its publisher and appends it.
+type BundlePublishCmd struct {
+	File       string `arg:"" type:"path" help:"Bundle file."`
+	AllowMoves bool   `help:"Publish although more keys move than the bundle in force allows."`
+	bundleSignFlags
+	bundleLogFlags
+	bundleOutput
+}
+
+// Run publishes.
+func (c *BundlePublishCmd) Run() error {
+	ctx, cancel, l, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return c.run(ctx, l, os.Stdout)
+}
+
+func (c *BundlePublishCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
+	key, err := c.privateKey()
+	if err != nil {
+		return err
+	}
+	b, err := checkedBundle(c.File)
+	if err != nil {
+		return err
+	}
+	signed, err := bundle.Publish(b, c.Signer, key)
+	if err != nil {
+		return badInput("%s: %w", c.File, err)
+	}
+	if err := l.catchUp(ctx, 0); err != nil {
+		return err
+	}
+	if before := l.state.InForce; before != nil && before.Version < b.Version && !c.AllowMoves {
+		if err := movesProblems(c.File, before, b).Err(); err != nil {
+			return badInput("%w", err)
+		}
+	}
+	return finish(ctx, l, c.bundleOutput, out, signed.Statement, record.BundlePublished{Signed: signed})
+}
+
+// checkedBundle reads a file that must have no problems.
+func checkedBundle(file string) (*bundle.Bundle, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, badInput("%w", err)
+	}
+	b, problems := check.File(file, data)
+	if err := problems.Err(); err != nil {
+		return nil, badInput("%w", err)
+	}
+	return b, nil
+}
+
+// BundleApproveCmd approves a published version.
+type BundleApproveCmd struct {
+	Version uint64 `arg:"" help:"Version to approve."`
+	Hash    string `required:"" help:"First digits of the hash of the bundle that was reviewed, eight at least."`
+	bundleSignFlags
+	bundleLogFlags
+	bundleOutput
+}
+
+// Run approves.
+func (c *BundleApproveCmd) Run() error {
+	ctx, cancel, l, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return c.run(ctx, l, os.Stdout)
+}
+
+func (c *BundleApproveCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
+	key, err := c.privateKey()
+	if err != nil {
+		return err
+	}
+	if err := l.catchUp(ctx, 0); err != nil {
+		return err
+	}
+	published, err := findPublished(l.state, c.Version)
+	if err != nil {
+		return err
+	}
+	if hash := hex.EncodeToString(published.Hash); len(c.Hash) < minHash || !strings.HasPrefix(hash, c.Hash) {
+		return badInput("version %d has hash %s, not %q: another bundle was published than the one reviewed", c.Version, hash, c.Hash)
+	}
+	approval, err := bundle.Approve(published, c.Signer, key)
+	if err != nil {
+		return badInput("%w", err)
+	}
+	return finish(ctx, l, c.bundleOutput, out, approval, record.BundleApproved{Approval: approval})
+}
+
+// findPublished returns the publisher's statement of a version that waits or is in force.
+func findPublished(s *fold.State, version uint64) (bundle.Statement, error) {
+	for _, c := range s.Candidates {
+		if c.Signed.Statement.Version == version {
+			return c.Signed.Statement, nil
+		}
+	}
+	if s.InForce != nil && s.InForce.Version == version {
+		return s.Proof.Signed.Statement, nil
+	}
+	if s.InForce != nil && s.InForce.Version > version {
+		return bundle.Statement{}, failed("version %d is overtaken: version %d of %q is in force",
+			version, s.InForce.Version, s.Proof.Signed.Statement.Signer)
+	}
+	return bundle.Statement{}, failed("version %d is not published; the newest is %d", version, s.Head)
+}
+
+// BundleRollCmd puts an approved version in force.
+type BundleRollCmd struct {
+	Version  uint64 `arg:"" help:"Version to put in force."`
+	Replaces uint64 `help:"Version in force that the roll was planned for. The one in force now when left out."`
+	bundleSignFlags
+	bundleLogFlags
+	bundleOutput
+	bundleWatch
+}
+
+// Run rolls.
+func (c *BundleRollCmd) Run() error {
+	ctx, cancel, l, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if err := c.run(ctx, l, os.Stdout); err != nil {
+		return err
+	}
+	return c.watch(ctx, os.Stderr, c.Version)
+}
+
+func (c *BundleRollCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
+	key, err := c.privateKey()
+	if err != nil {
+		return err
+	}
+	if err := l.catchUp(ctx, 0); err != nil {
+		return err
+	}
+	published, err := findPublished(l.state, c.Version)
+	if err != nil {
+		return err
+	}
+	roll, err := bundle.Roll(published, c.replaces(l.state), c.Signer, key)
+	if err != nil {
+		return badInput("%w", err)
+	}
+	return finish(ctx, l, c.bundleOutput, out, roll, record.BundleRolled{Roll: roll})
+}
+
+// replaces returns the version that the roll replaces. If the version is in force already,
+// the command is given again after a lost answer, and the statement must be the same.
+func (c *BundleRollCmd) replaces(s *fold.State) uint64 {
+	switch {
+	case c.Replaces != 0 || s.InForce == nil:
+		return c.Replaces
+	case s.InForce.Version == c.Version:
+		return s.Proof.Roll.Follows
+	default:
+		return s.InForce.Version
+	}
+}
--- /dev/null
+++ b/internal/cmds/bundlewatch.go
@@ -0,0 +1,82 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"example.org/mustardring/internal/admin"
+)
+
+// watchEvery is the time between two questions to an instance.
+const watchEvery = 200 * time.Millisecond
+
+// bundleWatch says which instance to ask how far a roll has come.
+type bundleWatch struct {
+	Watch string `help:"Operator address of an instance, as IP:PORT, to follow the roll through the domains."`
+	Token string `env:"MUSTARDRING_TOKEN" help:"Operator token for --watch."`
+}
+
+// watch prints a line each time a domain comes to serve the version, until all that the
+// instance has heard of do, or the context ends.
+func (b bundleWatch) watch(ctx context.Context, out io.Writer, version uint64) error {
+	if b.Watch == "" {
+		return nil
+	}
+	done := make(map[string]bool)
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		status, err := b.ask(ctx)
+		if err == nil {
+			text, complete := report(status, version, done)
+			if err := write(out, text); err != nil || complete {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return &CommandError{Code: ExitUncertain, Err: fmt.Errorf("%w: version %d is not in force in all domains yet", errStatus, version)}
+		case <-ticker.C:
+		}
+	}
+}
+
+// report returns a line for each domain that is new to the version, and whether none is left.
+func report(s admin.Status, version uint64, done map[string]bool) (text string, complete bool) {
+	complete = len(s.Domains) > 0
+	for _, d := range s.Domains {
+		switch {
+		case d.Lowest < version:
+			complete = false
+		case !done[d.Domain]:
+			done[d.Domain] = true
+			text += fmt.Sprintf("version %d in force at %s\n", version, d.Domain)
+		}
+	}
+	return text, complete
+}
+
+func (b bundleWatch) ask(ctx context.Context) (admin.Status, error) {
+	var status admin.Status
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.Watch+admin.PathStatus, nil)
+	if err != nil {
+		return status, fmt.Errorf("%w: %w", errStatus, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+b.Token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return status, fmt.Errorf("%w: %w", errStatus, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return status, fmt.Errorf("%w: %s", errStatus, resp.Status)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		return status, fmt.Errorf("%w: %w", errStatus, err)
+	}
+	return status, nil
+}
