--- a/internal/fold/homes.go
+++ b/internal/fold/homes.go
@@ -13,29 +13,48 @@
 type Taken struct {
 	Service string       `json:"service"`
 	Domain  string       `json:"domain"`
-	Version uint64       `json:"version"`
 	Ranges  []keys.Range `json:"ranges"`
 	// Offset is that of the record that last changed the entry.
 	Offset uint64 `json:"offset"`
 	// Evicted says that the ranges were last freed by HomesEvicted.
 	Evicted bool `json:"evicted,omitempty"`
+	// Notice is the offset plus one of a notice that the ranges are going to be freed; zero if
+	// there is none, or the domain has stated its homes since.
+	Notice uint64 `json:"notice,omitempty"`
 }
 
-// TakenBy returns what a domain has taken of a service; nil if nothing.
-func (s *State) TakenBy(service, domain string) *Taken {
-	for i := range s.Homes {
-		if t := &s.Homes[i]; t.Service == service && t.Domain == domain {
+// TakenBy returns what a domain has taken of a service; the zero value but for the names if
+// nothing.
+func TakenBy(homes []Taken, service, domain string) Taken {
+	for _, t := range homes {
+		if t.Service == service && t.Domain == domain {
 			return t
 		}
 	}
-	return nil
+	return Taken{Service: service, Domain: domain}
+}
+
+// HomesBase returns the offset plus one of the record that last changed what a domain has
+// taken, zero if none did. It is what the next statement of the domain is based on.
+func HomesBase(homes []Taken, domain string) uint64 {
+	var base uint64
+	for _, t := range homes {
+		if t.Domain == domain {
+			base = max(base, t.Offset+1)
+		}
+	}
+	return base
 }
 
 // takeHomes gives a domain the ranges that no other has. The order of the log decides between
 // two domains that state the same range, so that a range has one home at every instance.
+//
+// A statement is void unless it is based on the newest change of its domain. A leader that
+// was succeeded may have left a range out in a statement that arrives late; its successor,
+// which serves the range again, has stated its homes since.
 func (s *State) takeHomes(offset uint64, r record.HomesTaken) Verdict {
-	if r.Domain == "" || r.Service == "" {
-		return refuse(offset, CauseMalformed, "homes name a domain and a service")
+	if r.Domain == "" {
+		return refuse(offset, CauseMalformed, "homes name no domain")
 	}
 	if s.InForce != nil && !hasDomain(s.InForce, r.Domain) {
 		return refuse(offset, CauseInvalid, "domain %q is not in the bundle in force", r.Domain)
@@ -43,15 +62,13 @@
 	if term := s.Terms[r.Domain]; r.Log < term.Log {
 		return refuse(offset, CauseSuperseded, "log term %d of %q is over, %d is newest", r.Log, r.Domain, term.Log)
 	}
-	old := s.TakenBy(r.Service, r.Domain)
-	if old != nil && r.Version < old.Version {
-		return refuse(offset, CauseSuperseded, "%q has taken homes of version %d", r.Domain, old.Version)
+	if base := HomesBase(s.Homes, r.Domain); r.Base != base {
+		return refuse(offset, CauseSuperseded, "homes of %q were stated after %d, at %d", r.Domain, r.Base, base)
 	}
-	given := keys.Subtract(r.Ranges, s.takenByOthers(r.Service, r.Domain))
-	if old != nil && old.Version == r.Version && keys.Equal(old.Ranges, given) && !old.Evicted {
-		return Repeated{}
+	for _, v := range r.Services {
+		given := keys.Subtract(v.Ranges, s.takenByOthers(v.Service, r.Domain))
+		s.putHomes(Taken{Service: v.Service, Domain: r.Domain, Ranges: given, Offset: offset})
 	}
-	s.putHomes(Taken{Service: r.Service, Domain: r.Domain, Version: r.Version, Ranges: given, Offset: offset})
 	return Accepted{}
 }
 
@@ -65,18 +82,28 @@
 	return all
 }
 
-// evictHomes frees what a domain has taken of a service that may move. The domain's leader
-// renews such grants only within a bound of its last read of the log, so whoever takes the
-// ranges waits for that bound after it has read this record.
+// evictHomes gives notice, or frees what a domain has taken of a service that may move. The
+// domain's leader renews such grants only within a bound of its last read of the log, so
+// whoever takes the ranges waits for that bound after it has read the second record.
 func (s *State) evictHomes(offset uint64, r record.HomesEvicted) Verdict {
-	old := s.TakenBy(r.Service, r.Domain)
-	if old == nil || old.Offset != r.Taken {
+	old := TakenBy(s.Homes, r.Service, r.Domain)
+	if len(old.Ranges) == 0 || HomesBase(s.Homes, r.Domain) != r.Base {
 		return refuse(offset, CauseSuperseded, "what %q has taken of %q has changed since", r.Domain, r.Service)
 	}
 	if s.InForce == nil || !mayMove(s.InForce, r.Service) || !hasDomain(s.InForce, r.By) || r.By == r.Domain {
 		return refuse(offset, CauseInvalid, "%q may not free what %q has taken of %q", r.By, r.Domain, r.Service)
 	}
-	s.putHomes(Taken{Service: r.Service, Domain: r.Domain, Version: old.Version, Offset: offset, Evicted: true})
+	next := old
+	next.Offset = offset
+	switch {
+	case r.Notice == 0:
+		next.Notice = offset + 1
+	case r.Notice != old.Notice:
+		return refuse(offset, CauseOrder, "there is another notice for %q of %q", r.Domain, r.Service)
+	default:
+		next = Taken{Service: r.Service, Domain: r.Domain, Offset: offset, Evicted: true}
+	}
+	s.putHomes(next)
 	return Accepted{}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -78,28 +78,41 @@
 	Next uint64 `json:"next"`
 }
 
-// HomesTaken states which ranges of a service one failure domain serves from now on. The
-// fold gives it those that no other domain has taken, and frees those that it leaves out. A
-// domain that wants a range waits until the one that had it has left it out.
+// HomesTaken states which ranges of each divided service one failure domain serves from now
+// on. The fold gives it those that no other domain has taken, and frees those that it leaves
+// out. A domain that wants a range waits until the one that had it has left it out.
 type HomesTaken struct {
-	Domain  string `json:"domain"`
-	Service string `json:"service"`
+	Domain string `json:"domain"`
 	// Version is the bundle that asks for the ranges.
 	Version uint64 `json:"version"`
 	// Log is the log term of the domain under which the statement was made.
-	Log    uint64       `json:"log"`
-	Ranges []keys.Range `json:"ranges"`
+	Log uint64 `json:"log"`
+	// Base is the offset plus one of the record that last changed what the domain has; zero
+	// for none. The statement is void if the domain has changed since.
+	Base     uint64         `json:"base"`
+	Services []ServiceHomes `json:"services"`
+}
+
+// ServiceHomes is what a failure domain serves of one service.
+type ServiceHomes struct {
+	Service string       `json:"service"`
+	Ranges  []keys.Range `json:"ranges"`
 }
 
-// HomesEvicted frees the ranges of a service that a failure domain has taken. It is valid
-// only for a service whose isolation rule is move.
+// HomesEvicted frees the ranges of a service that a failure domain has taken, in two steps.
+// The first record gives notice; the domain objects by stating its homes again. The second
+// names the notice and frees the ranges. It is valid only for a service whose isolation rule
+// is move.
 type HomesEvicted struct {
 	Domain  string `json:"domain"`
 	Service string `json:"service"`
 	// By is the failure domain that has not heard from Domain for long.
 	By string `json:"by"`
-	// Taken is the offset of the record that is undone. A newer one stands.
-	Taken uint64 `json:"taken"`
+	// Base is the offset plus one of the record that last changed what Domain has. The
+	// eviction is void if the domain has changed since.
+	Base uint64 `json:"base"`
+	// Notice is the offset of the notice plus one; zero in the notice itself.
+	Notice uint64 `json:"notice,omitempty"`
 }
 
 func (HomesTaken) isRecord()       {}
