--- a/pkg/bundle/canonical.go
+++ b/pkg/bundle/canonical.go
@@ -41,36 +41,35 @@
 // Parse parses a bundle. Unknown members, repeated documents and other formats are refused.
 // It does not check that the parts agree with each other: see Validate.
 func Parse(data []byte) (*Bundle, error) {
-	if err := checkFormat(data); err != nil {
-		return nil, err
-	}
 	var b Bundle
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&b); err != nil {
+		if isNewer(data) {
+			return nil, fmt.Errorf("%w: %w", ErrNewerFormat, err)
+		}
 		return nil, fmt.Errorf("%w: %w", ErrParse, err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return nil, fmt.Errorf("%w: text after the bundle", ErrParse)
 	}
-	return &b, nil
+	switch {
+	case b.Format > FormatVersion:
+		return nil, fmt.Errorf("%w: %d", ErrNewerFormat, b.Format)
+	case b.Format < 1:
+		return nil, fmt.Errorf("%w: format %d", ErrParse, b.Format)
+	default:
+		return &b, nil
+	}
 }
 
-func checkFormat(data []byte) error {
+// isNewer reports whether bytes that do not parse are JSON of a newer format, whose members
+// this release does not know.
+func isNewer(data []byte) bool {
 	var head struct {
 		Format int `json:"format"`
 	}
-	if err := json.Unmarshal(data, &head); err != nil {
-		return fmt.Errorf("%w: %w", ErrParse, err)
-	}
-	switch {
-	case head.Format > FormatVersion:
-		return fmt.Errorf("%w: %d", ErrNewerFormat, head.Format)
-	case head.Format < 1:
-		return fmt.Errorf("%w: format %d", ErrParse, head.Format)
-	default:
-		return nil
-	}
+	return json.Unmarshal(data, &head) == nil && head.Format > FormatVersion
 }
 
 // normal returns a copy of b in which absent lists are empty.
--- a/pkg/bundle/sign.go
+++ b/pkg/bundle/sign.go
@@ -154,15 +154,25 @@
 	if !bytes.Equal(canonical, s.Canonical) {
 		return nil, ErrCanonical
 	}
+	if !bytes.Equal(Hash(canonical), s.Statement.Hash) {
+		return nil, ErrHash
+	}
+	if err := s.Statement.checkPublished(b); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// checkPublished checks what a publisher's statement says of a bundle, but for the hash.
+func (s Statement) checkPublished(b *Bundle) error {
 	signers, err := HashSigners(b.Signers)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	about := Statement{Version: b.Version, Hash: Hash(canonical), Signers: signers}
-	if s.Statement.Role != RolePublish || !s.Statement.SameBundle(about) || s.Statement.Follows != b.Follows {
-		return nil, ErrHash
+	if s.Role != RolePublish || s.Version != b.Version || s.Follows != b.Follows || !bytes.Equal(s.Signers, signers) {
+		return ErrHash
 	}
-	return b, nil
+	return nil
 }
 
 // VerifyRelease checks the three statements that put a version in force against the signers
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -86,7 +86,7 @@
 }
 
 func (b *Bundle) validateServices(domains map[string]bool) error {
-	services, servers := make(map[string]bool), make(map[string]bool)
+	services, servers := make(map[string]bool), make(map[string]bool, b.countServers())
 	for i := range b.Services {
 		s := &b.Services[i]
 		at := fmt.Sprintf("/services/%d", i)
@@ -100,23 +100,38 @@
 		if err := validateHomes(at, s, domains); err != nil {
 			return err
 		}
-		for j, v := range s.Servers {
-			at := fmt.Sprintf("%s/servers/%d", at, j)
-			if v.Name == "" || servers[v.Name] {
-				return fmt.Errorf("%w: %s/name is %q, want a name that no server of any service has", ErrInvalid, at, v.Name)
-			}
-			servers[v.Name] = true
-			if !domains[v.Domain] {
-				return fmt.Errorf("%w: %s/domain is %q, want a name in /domains", ErrInvalid, at, v.Domain)
-			}
-			if v.Slots < 0 || v.Slots > maxShare {
-				return fmt.Errorf("%w: %s/slots is %d, want 0 to %d", ErrInvalid, at, v.Slots, maxShare)
+		for j := range s.Servers {
+			if err := validateServer(&s.Servers[j], servers, domains); err != nil {
+				return fmt.Errorf("%w: %s/servers/%d%w", ErrInvalid, at, j, err)
 			}
 		}
 	}
 	return nil
 }
 
+func (b *Bundle) countServers() int {
+	n := 0
+	for i := range b.Services {
+		n += len(b.Services[i].Servers)
+	}
+	return n
+}
+
+// validateServer returns an error whose text goes on with the JSON pointer.
+func validateServer(v *Server, servers, domains map[string]bool) error {
+	switch {
+	case v.Name == "" || servers[v.Name]:
+		return fmt.Errorf("/name is %q, want a name that no server of any service has", v.Name)
+	case !domains[v.Domain]:
+		return fmt.Errorf("/domain is %q, want a name in /domains", v.Domain)
+	case v.Slots < 0 || v.Slots > maxShare:
+		return fmt.Errorf("/slots is %d, want 0 to %d", v.Slots, maxShare)
+	default:
+		servers[v.Name] = true
+		return nil
+	}
+}
+
 func validateHomes(at string, s *Service, domains map[string]bool) error {
 	seen := make(map[string]bool)
 	for j, h := range s.Homes {
