Publish large bundles as deltas, and hand updates to peers

Before: each record held the whole bundle. After: a record may hold a delta from the version in force or one that waits; the publisher's signature is judged before anything is parsed, so that only a publisher can make instances parse or doubt. With 1,000 servers the second version takes less than 2,000 bytes (TestLargeBundlesArePublishedAsDeltas). Conclusion: the verdict on a record does not depend on the form of its bundle.

--- a/internal/cmds/bundle_test.go
+++ b/internal/cmds/bundle_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -341,6 +342,32 @@
 	is.Equal(b.Follows, uint64(1))
 }
 
+// A bundle of a thousand servers is in the log once; each change of it is small.
+func TestLargeBundlesArePublishedAsDeltas(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	many := func(hot string) func(*bundle.Bundle) {
+		return func(b *bundle.Bundle) {
+			s := &b.Services[0]
+			s.HotKeys = []string{hot}
+			for i := range 1000 {
+				s.Servers = append(s.Servers, bundle.Server{
+					Name: fmt.Sprintf("server-%d", i), Domain: "klet",
+					Address: fmt.Sprintf("10.1.%d.%d:80", i>>8, i&255), Slots: 2, Connections: 110,
+				})
+			}
+		}
+	}
+	d.release(d.file(1, "one.json", many("gauda")), 1)
+	d.release(d.file(2, "two.json", many("tolminc")), 2)
+	is.True(len(d.log.entries[0].Data) > 100_000)
+	is.True(len(d.log.entries[3].Data) < 2000)
+	s, err := d.publish(filepath.Join(d.dir, "two.json"), "ana", false)
+	is.NoErr(err)
+	is.Equal(s.Verdict, wordRepeated)
+	is.Equal(len(d.log.entries), 6)
+}
+
 func TestReportNamesEachDomainOnce(t *testing.T) {
 	is := is.New(t)
 	done := make(map[string]bool)
--- a/internal/cmds/bundlelog.go
+++ b/internal/cmds/bundlelog.go
@@ -115,13 +115,18 @@
 	}
 }
 
-// outcome returns the verdict on a record: the first that let it take effect, or else the
-// last refusal. It is nil if the record was not read.
-func (l *bundleLog) outcome(id string, data []byte) (fold.Verdict, uint64) {
+// outcome returns the verdict on a statement: the first that let it take effect, or else the
+// last refusal. It is nil if no record with the statement was read. The statement is what
+// counts, not the bytes of the record, which may hold the bundle whole or as a delta.
+func (l *bundleLog) outcome(st bundle.Statement) (fold.Verdict, uint64) {
+	id := st.ID()
 	var last fold.Verdict
 	var offset uint64
 	for _, j := range l.judged {
-		if j.entry.ID != id || !bytes.Equal(j.entry.Data, data) {
+		if j.entry.ID != id {
+			continue
+		}
+		if found, _, ok := statementIn(j.entry.Data); !ok || !bytes.Equal(found.Signature, st.Signature) {
 			continue
 		}
 		last, offset = j.verdict, j.entry.Offset
@@ -137,24 +142,24 @@
 //
 // It guards against a lost answer, after which the command is given again or tries again by
 // itself: the ID is the same each time, so the fold lets the record take effect once.
-func (l *bundleLog) submit(ctx context.Context, id string, r record.Record) (fold.Verdict, uint64, error) {
+func (l *bundleLog) submit(ctx context.Context, st bundle.Statement, r record.Record) (fold.Verdict, uint64, error) {
 	data, err := record.Encode(r)
 	if err != nil {
 		return nil, 0, failed("%w", err)
 	}
-	if v, offset := l.outcome(id, data); v != nil {
+	if v, offset := l.outcome(st); v != nil {
 		if _, refused := v.(fold.Refused); !refused {
 			return fold.Repeated{}, offset, nil
 		}
 	}
-	offset, err := retry(ctx, func() (uint64, error) { return l.log.Append(ctx, id, data) })
+	offset, err := retry(ctx, func() (uint64, error) { return l.log.Append(ctx, st.ID(), data) })
 	if err != nil {
 		return nil, 0, err
 	}
 	if err := l.catchUp(ctx, offset+1); err != nil {
 		return nil, 0, err
 	}
-	v, at := l.outcome(id, data)
+	v, at := l.outcome(st)
 	if v == nil {
 		return nil, 0, &CommandError{Code: ExitUncertain, Err: errNotReadBack}
 	}
--- a/internal/cmds/bundleshow.go
+++ b/internal/cmds/bundleshow.go
@@ -170,29 +170,12 @@
 	}
 }
 
-// eventOf returns false for records that are not about bundles, or name none.
+// eventOf returns false for records that are not about bundles.
 func eventOf(j judged) (event, bool) {
-	r, err := record.Decode(j.entry.Data)
-	if err != nil {
+	st, action, ok := statementIn(j.entry.Data)
+	if !ok {
 		return event{}, false
 	}
-	var st bundle.Statement
-	action := ""
-	switch r := r.(type) {
-	case record.BundlePublished:
-		st = r.Signed.Statement
-	case record.BundleApproved:
-		st = r.Approval
-	case record.BundleRolled:
-		st = r.Roll
-	case record.BundleProven:
-		st, action = r.Proof.Roll, "return"
-	default:
-		return event{}, false
-	}
-	if action == "" {
-		action = string(st.Role)
-	}
 	hash := fmt.Sprintf("%0*x", minHash, st.Hash)
 	e := event{Offset: j.entry.Offset, Action: action, Version: st.Version, Hash: hash, Signer: st.Signer, Verdict: wordAccepted}
 	switch v := j.verdict.(type) {
@@ -203,3 +186,26 @@
 	}
 	return e, true
 }
+
+// actionReturn is the action of a record that brings a bundle back into a log.
+const actionReturn = "return"
+
+// statementIn returns the statement of a record about bundles, and what it does.
+func statementIn(data []byte) (st bundle.Statement, action string, ok bool) {
+	r, err := record.Decode(data)
+	if err != nil {
+		return st, "", false
+	}
+	switch r := r.(type) {
+	case record.BundlePublished:
+		return r.Signed.Statement, string(bundle.RolePublish), true
+	case record.BundleApproved:
+		return r.Approval, string(bundle.RoleApprove), true
+	case record.BundleRolled:
+		return r.Roll, string(bundle.RoleRoll), true
+	case record.BundleProven:
+		return r.Proof.Roll, actionReturn, true
+	default:
+		return st, "", false
+	}
+}
--- a/internal/cmds/bundlesign.go
+++ b/internal/cmds/bundlesign.go
@@ -56,7 +56,7 @@
 
 // finish submits a statement's record, shows the verdict, and returns an error if refused.
 func finish(ctx context.Context, l *bundleLog, o bundleOutput, out io.Writer, st bundle.Statement, r record.Record) error {
-	v, offset, err := l.submit(ctx, st.ID(), r)
+	v, offset, err := l.submit(ctx, st, r)
 	if err != nil {
 		return err
 	}
@@ -121,7 +121,35 @@
 			return badInput("%w", err)
 		}
 	}
-	return finish(ctx, l, c.bundleOutput, out, signed.Statement, record.BundlePublished{Signed: signed})
+	r, err := publishedRecord(l.state, b, signed)
+	if err != nil {
+		return failed("%w", err)
+	}
+	return finish(ctx, l, c.bundleOutput, out, signed.Statement, r)
+}
+
+// minDelta is the size in bytes from which on a bundle is published as a delta, if the log
+// holds the version that it follows.
+const minDelta = 16 << 10
+
+func publishedRecord(s *fold.State, b *bundle.Bundle, signed bundle.Signed) (record.Record, error) {
+	whole := record.BundlePublished{Signed: signed}
+	if len(signed.Canonical) < minDelta {
+		return whole, nil
+	}
+	followed, err := findPublished(s, b.Follows)
+	if err != nil {
+		return whole, nil
+	}
+	base, hash := s.Base(followed.Hash)
+	if base == nil {
+		return whole, nil
+	}
+	d, err := bundle.NewDelta(base, hash, b, signed.Statement.Hash)
+	if err != nil {
+		return nil, err
+	}
+	return record.BundlePublished{Signed: bundle.Signed{Statement: signed.Statement}, Delta: &d}, nil
 }
 
 // checkedBundle reads a file that must have no problems.
--- a/internal/fold/apply.go
+++ b/internal/fold/apply.go
@@ -52,7 +52,7 @@
 func (s *State) applyKind(offset uint64, r record.Record) Verdict {
 	switch r := r.(type) {
 	case record.BundlePublished:
-		return s.publish(offset, r.Signed)
+		return s.publish(offset, r)
 	case record.BundleApproved:
 		return s.approve(offset, r.Approval)
 	case record.BundleRolled:
--- a/internal/fold/checkpoint_test.go
+++ b/internal/fold/checkpoint_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"crypto/ed25519"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/record"
+	"example.org/mustardring/pkg/bundle"
 	"example.org/mustardring/pkg/keys"
 )
 
@@ -129,7 +131,8 @@
 		"unknown kind":   {data: `{"format":1,"kind":"nothing","body":{}}`, want: CauseMalformed},
 		"unknown member": {data: `{"format":1,"kind":"term-claimed","body":{"colour":1}}`, want: CauseMalformed},
 		"newer format":   {data: `{"format":2,"kind":"term-claimed","body":{}}`, want: CauseNewer},
-		"newer bundle":   {data: `{"format":1,"kind":"bundle-published","body":{"signed":{"canonical":"eyJmb3JtYXQiOjJ9","statement":{}}}}`, want: CauseNewer},
+		"newer bundle":   {data: newerBundle("ana"), want: CauseNewer},
+		"newer unsigned": {data: newerBundle("cene"), want: CauseSignature},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -144,6 +147,16 @@
 	}
 }
 
+// newerBundle returns a published bundle of format 2, signed by somebody.
+func newerBundle(name string) string {
+	canonical := []byte(`{"format":2,"version":1,"follows":0,"colours":[]}`)
+	st := publish(sample(1, "a"), name).Statement
+	st.Hash = bundle.Hash(canonical)
+	st.Signature = ed25519.Sign(keyOf(name), st.Text())
+	signed := bundle.Signed{Canonical: canonical, Statement: st}
+	return string(must(record.Encode(record.BundlePublished{Signed: signed})))
+}
+
 // The log service was replaced by an empty one and has grown past the offset that a reader
 // waits for. Offsets alone do not show it; the last entry it read is another one now.
 func TestNewLogIsNoticed(t *testing.T) {
--- a/internal/fold/newest.go
+++ b/internal/fold/newest.go
@@ -70,6 +70,23 @@
 	return nil
 }
 
+// Update takes over the release that replaced the version known, as a peer handed it over.
+// It returns an error that wraps bundle.ErrStep or bundle.ErrBase if another version is known;
+// the caller then asks for the whole proof, and calls Learn.
+func (n *Newest) Update(u bundle.Update) error {
+	next, err := u.Apply(n.Held(), n.anchors)
+	if err != nil {
+		return err
+	}
+	n.take(next.Proof, next.Bundle, OriginPeer, 0)
+	return nil
+}
+
+// Held returns the bundle with its proof, to make an Update from.
+func (n *Newest) Held() bundle.Held {
+	return bundle.Held{Proof: n.proof, Bundle: n.parsed}
+}
+
 // Follow takes the bundle of the log over, unless it is older than the one known. It reports
 // whether the bundle changed. Of two bundles with one version, which only a log that started
 // anew can bring about, that of the log stands: all instances then agree again.
--- a/internal/fold/newest_test.go
+++ b/internal/fold/newest_test.go
@@ -126,3 +126,22 @@
 	j.fold(s)
 	is.True(errors.Is(n.Learn(s.Proof), bundle.ErrFork))
 }
+
+// A release reaches an instance as an update. Another one is lost on its way, so that the
+// next does not fit and the whole proof is asked for.
+func TestNewestTakesUpdates(t *testing.T) {
+	is := is.New(t)
+	held := make([]bundle.Held, 5)
+	for v := uint64(1); v <= 4; v++ {
+		s := stateOf(v, "a")
+		held[v] = bundle.Held{Proof: s.Proof, Bundle: s.InForce}
+	}
+	n := NewNewest(crew())
+	is.True(errors.Is(n.Update(must(bundle.NewUpdate(held[1], held[2]))), bundle.ErrStep))
+	is.NoErr(n.Learn(held[1].Proof))
+	is.NoErr(n.Update(must(bundle.NewUpdate(held[1], held[2]))))
+	is.True(errors.Is(n.Update(must(bundle.NewUpdate(held[3], held[4]))), bundle.ErrStep))
+	is.Equal(n.Bundle().Version, uint64(2))
+	is.NoErr(n.Learn(held[4].Proof))
+	is.Equal(n.Held(), held[4])
+}
--- a/internal/fold/release.go
+++ b/internal/fold/release.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 
+	"example.org/mustardring/internal/record"
 	"example.org/mustardring/pkg/bundle"
 )
 
@@ -39,15 +41,9 @@
 	return &s.Candidates[i]
 }
 
-func (s *State) publish(offset uint64, signed bundle.Signed) Verdict {
-	st := signed.Statement
-	b, err := signed.Open()
-	if err != nil {
-		if v, ok := s.refuseUnreadable(offset, err).(Refused); ok && v.Cause == CauseNewer {
-			return v
-		}
-		return refuse(offset, CauseInvalid, "%v", err)
-	}
+// publish judges the signature first: only a publisher makes the instances parse anything.
+func (s *State) publish(offset uint64, r record.BundlePublished) Verdict {
+	st := r.Signed.Statement
 	if _, err := st.Verify(s.signers()); err != nil {
 		return refuse(offset, CauseSignature, "%v", err)
 	}
@@ -57,12 +53,48 @@
 	if st.Follows != s.Head {
 		return refuse(offset, CauseOrder, "version %d follows %d, but the newest published version is %d", st.Version, st.Follows, s.Head)
 	}
+	signed, b, err := s.openPublished(r)
+	switch {
+	case errors.Is(err, bundle.ErrNewerFormat):
+		return s.refuseUnreadable(offset, err)
+	case err != nil:
+		return refuse(offset, CauseInvalid, "%v", err)
+	}
 	s.Head = st.Version
 	s.Candidates = append(slices.Clone(s.Candidates), Candidate{Signed: signed, Offset: offset, parsed: b})
 	s.dropExtraCandidate()
 	return Accepted{}
 }
 
+// openPublished returns the bundle of a record, whole or by a delta from one that is held.
+func (s *State) openPublished(r record.BundlePublished) (bundle.Signed, *bundle.Bundle, error) {
+	if r.Delta == nil {
+		b, err := r.Signed.Open()
+		return r.Signed, b, err
+	}
+	if len(r.Signed.Canonical) > 0 {
+		return bundle.Signed{}, nil, bundle.ErrDelta
+	}
+	base, hash := s.Base(r.Delta.BaseHash)
+	if base == nil {
+		return bundle.Signed{}, nil, bundle.ErrBase
+	}
+	return r.Delta.Open(base, hash, r.Signed.Statement)
+}
+
+// Base returns the bundle in force or waiting that has a hash, and the hash; nil if none has.
+func (s *State) Base(hash []byte) (*bundle.Bundle, []byte) {
+	if s.InForce != nil && bytes.Equal(s.InForceSigned.Statement.Hash, hash) {
+		return s.InForce, hash
+	}
+	for i := range s.Candidates {
+		if c := &s.Candidates[i]; bytes.Equal(c.Signed.Statement.Hash, hash) {
+			return c.parsed, hash
+		}
+	}
+	return nil, nil
+}
+
 func (s *State) refusePublished(offset uint64, st bundle.Statement) Verdict {
 	if c := s.candidate(st.Version); c != nil {
 		if c.Signed.Statement.SameBundle(st) && c.Signed.Statement.Signer == st.Signer {
--- a/internal/fold/release_test.go
+++ b/internal/fold/release_test.go
@@ -213,3 +213,46 @@
 	is.Equal(s.Candidates[0].Signed.Statement.Version, uint64(2))
 	is.Equal(s.Candidates[1].Signed.Statement.Version, uint64(6))
 }
+
+// deltaOf returns the record of a version that is published as a delta.
+func deltaOf(base, next *bundle.Bundle, baseHash []byte) record.BundlePublished {
+	signed := publish(next, "ana")
+	d := must(bundle.NewDelta(base, baseHash, next, signed.Statement.Hash))
+	return record.BundlePublished{Signed: bundle.Signed{Statement: signed.Statement}, Delta: &d}
+}
+
+func TestPublishedDeltas(t *testing.T) {
+	one, two, three := sample(1, "a"), sample(2, "b"), sample(3, "c")
+	hash := func(b *bundle.Bundle) []byte { return publish(b, "ana").Statement.Hash }
+	whole := deltaOf(one, two, hash(one))
+	whole.Signed.Canonical = publish(two, "ana").Canonical
+	tests := map[string]struct {
+		records []record.Record
+		cause   Cause
+	}{
+		"from in force": {records: []record.Record{deltaOf(one, two, hash(one))}},
+		"from waiting":  {records: []record.Record{deltaOf(one, two, hash(one)), deltaOf(two, three, hash(two))}},
+		"from nothing":  {records: []record.Record{deltaOf(two, two, hash(two))}, cause: CauseInvalid},
+		"both forms":    {records: []record.Record{whole}, cause: CauseInvalid},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var j journal
+			j.addAll(release(one, 0)...)
+			j.addAll(tt.records...)
+			s := New(crew())
+			v := j.fold(s)
+			if tt.cause != "" {
+				refusal(t, v[len(v)-1], tt.cause)
+				return
+			}
+			is.Equal(v[len(v)-1], Accepted{})
+			last := s.Candidates[len(s.Candidates)-1]
+			is.Equal(last.Signed, publish(sample(uint64(len(tt.records))+1, []string{"b", "c"}[len(tt.records)-1]), "ana"))
+			restored := must(Restore(must(s.Encode()), crew()))
+			base, _ := restored.Base(last.Signed.Statement.Hash)
+			is.True(base != nil)
+		})
+	}
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -16,6 +16,9 @@
 // BundlePublished puts a signed bundle into the log. It puts nothing in force.
 type BundlePublished struct {
 	Signed bundle.Signed `json:"signed"`
+	// Delta stands in place of the canonical form, which is then absent. Its base is the
+	// version in force or one that waits.
+	Delta *bundle.Delta `json:"delta,omitempty"`
 }
 
 // BundleApproved is the statement of an approver about one version and its hash.
--- a/pkg/bundle/delta.go
+++ b/pkg/bundle/delta.go
@@ -102,6 +102,25 @@
 	return next, canonical, nil
 }
 
+// Open returns the bundle that the delta leads to, signed by its publisher's statement, after
+// the checks of Signed.Open.
+func (d Delta) Open(base *Bundle, baseHash []byte, published Statement) (Signed, *Bundle, error) {
+	if !bytes.Equal(published.Hash, d.Hash) {
+		return Signed{}, nil, ErrHash
+	}
+	b, canonical, err := d.Apply(base, baseHash)
+	if err != nil {
+		return Signed{}, nil, err
+	}
+	if err := b.Validate(); err != nil {
+		return Signed{}, nil, err
+	}
+	if err := published.checkPublished(b); err != nil {
+		return Signed{}, nil, err
+	}
+	return Signed{Canonical: canonical, Statement: published}, b, nil
+}
+
 func (d Delta) applyFrame(base *Bundle) (*Bundle, error) {
 	before, err := base.frame().Canonical()
 	if err != nil {
