Let no leader serve homes before it has said what it holds

Ruled out: the fold's rule; the successor acted before its voters told it the fence. Conclusion: an instance that does not lead is allowed nothing.

--- a/internal/homes/core.go
+++ b/internal/homes/core.go
@@ -66,6 +66,8 @@
 		c.copied(ev)
 	case Domains:
 		c.hear(ev)
+	case Follows:
+		c.held = nil
 	case Held:
 		c.held = &ev
 		c.fence = max(c.fence, ev.Fence)
@@ -170,9 +172,12 @@
 }
 
 func (c *Core) allowedOf(s *bundle.Service) []keys.Range {
+	if c.held == nil {
+		return nil
+	}
 	may := keys.Intersect(c.wanted(s), c.takenBy(s.Name, c.config.Domain).Ranges)
 	if c.blocked() {
-		return keys.Intersect(may, c.heldOf(s.Name))
+		return keys.Intersect(may, c.held.Ranges[s.Name])
 	}
 	until := c.waitUntil(s)
 	if c.now > until {
@@ -181,14 +186,6 @@
 	return keys.Intersect(may, keys.Union(c.allowed[s.Name], c.recorded(s.Name)))
 }
 
-// heldOf returns what servers of this domain may act on, as far as the leader has heard.
-func (c *Core) heldOf(service string) []keys.Range {
-	if c.held == nil {
-		return nil
-	}
-	return c.held.Ranges[service]
-}
-
 // recorded returns what the log says servers of this domain were assigned. Such ranges are
 // past any wait.
 func (c *Core) recorded(service string) []keys.Range {
--- a/internal/homes/declare.go
+++ b/internal/homes/declare.go
@@ -41,7 +41,7 @@
 	changes, leaves := false, false
 	for _, name := range c.divided() {
 		taken := c.takenBy(name, c.config.Domain)
-		state := keys.Union(c.wantedOf(name), keys.Intersect(taken.Ranges, c.heldOf(name)))
+		state := keys.Union(c.wantedOf(name), keys.Intersect(taken.Ranges, c.held.Ranges[name]))
 		given := keys.Subtract(state, c.takenByOthers(name))
 		changes = changes || taken.Evicted || taken.Notice != 0 || !slices.Equal(given, taken.Ranges)
 		leaves = leaves || !keys.Covers(given, taken.Ranges)
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -58,6 +58,10 @@
 	Taught uint64
 }
 
+// Follows says that this instance does not lead its domain.
+type Follows struct{}
+
+func (Follows) isEvent() {}
 func (InForce) isEvent() {}
 func (LogRead) isEvent() {}
 func (Copied) isEvent()  {}
@@ -69,7 +73,8 @@
 	isEffect()
 }
 
-// Allow says which ranges of each divided service the domain may serve from now on.
+// Allow says which ranges of each divided service the domain may serve from now on. An
+// instance that does not lead is allowed none: it knows neither what is held nor the fence.
 type Allow struct {
 	Bundle *bundle.Bundle
 	// Ranges is sorted and disjoint for each service.
--- /dev/null
+++ b/internal/homes/successor_test.go
@@ -0,0 +1,50 @@
+package homes
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/pkg/keys"
+)
+
+// A bundle moves a range away from a domain; its leader leaves the range out, another domain
+// takes and serves it, and is then cut off from everything. The first domain loses the log
+// before it reads of this, and learns from a neighbour of a bundle that moves the range back.
+// By what it last read it still has the range. A buyer would be sold the same cheese twice if
+// its leader, or a successor that was told nothing, served it.
+func TestLeftOutRangeIsNotServedAgain(t *testing.T) {
+	tests := map[string]struct {
+		succeeded bool
+	}{
+		"same leader": {},
+		"successor":   {succeeded: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 3)
+			first, second, third := w.domains[0], w.domains[1], w.domains[2]
+			w.roll(1, 6, 6, 6)
+			w.run(200)
+			before := first.serves
+			w.roll(2, 3, 9, 6)
+			for keys.Covers(w.state.Homes[0].Ranges, before) {
+				w.step()
+			}
+			first.cutLog = true
+			for keys.Covers(w.held(second), before) || !w.served() {
+				w.step()
+			}
+			second.cutLog, second.silent = true, true
+			w.roll(3, 6, 6, 6)
+			third.cutLog = true
+			if tt.succeeded {
+				w.succeed(first)
+			}
+			w.run(100)
+			is.Equal(first.core.bundle.Version, uint64(3))
+			is.True(!keys.Covers(first.serves, before))
+		})
+	}
+}
--- a/internal/homes/world_test.go
+++ b/internal/homes/world_test.go
@@ -40,6 +40,8 @@
 	queue  []Append
 	// fence is what the voters of the domain remember.
 	fence uint64
+	// fresh says that the leader was replaced and has not told what it holds yet.
+	fresh bool
 }
 
 const (
@@ -107,6 +109,10 @@
 		Fence:   d.fence,
 		Taught:  d.fence,
 	}))
+	if d.fresh {
+		d.fresh = false
+		w.perform(d, []Effect{Allow{Ranges: d.core.allowed}})
+	}
 }
 
 // held returns what the servers of a domain may act on now.
@@ -127,6 +133,9 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case Allow:
+			if d.core.held == nil {
+				continue
+			}
 			next := e.Ranges[worldService]
 			for _, r := range keys.Subtract(w.held(d), next) {
 				d.lost[r] = min(w.now+worldLease, d.readAt+Time(d.core.config.MoveBound))
@@ -164,6 +173,7 @@
 func (w *world) succeed(d *domainWorld) {
 	old := d.core
 	d.core = New(DefaultConfig(d.name))
+	d.fresh = true
 	if old.bundle == nil || old.state == nil {
 		return
 	}
