Order the answers of a holder by a serial

It counts the set as not held and grants its ranges to another server. Clocks can read the same twice, so Answer now carries a serial.

--- a/internal/leader/answer.go
+++ b/internal/leader/answer.go
@@ -38,7 +38,7 @@
 }
 
 // follows reports whether an answer is newer than what is known of its holder. Answers may
-// arrive in another order than they were given. Of one process the clock orders them. Of
+// arrive in another order than they were given. Of one process the serial orders them. Of
 // two processes only this is sure: what was asked after an answer had arrived was answered
 // later.
 func (c *Core) follows(h *holding, ev Answered) bool {
@@ -46,9 +46,9 @@
 		return true
 	}
 	if h.incarnation == ev.Answer.Incarnation {
-		return ev.Answer.Clock >= h.clock
+		return ev.Answer.Serial > h.serial || c.config.without(mutOrder)
 	}
-	if ev.AskedAt <= h.heardAt {
+	if ev.AskedAt <= h.heardAt && !c.config.without(mutProcesses) {
 		return false
 	}
 	c.restarted(h)
@@ -81,6 +81,7 @@
 	h.heard = true
 	h.incarnation = a.Incarnation
 	h.clock = a.Clock
+	h.serial = a.Serial
 	h.heardAt = c.now
 	h.chased = false
 	h.live = live
@@ -90,7 +91,7 @@
 		h.ackedAway = c.log.away
 		c.noteMoves(h)
 	}
-	if live {
+	if live && !c.config.without(mutAdopted) {
 		h.lapsesAt = max(h.lapsesAt, c.now+c.config.stretch(Time(a.Deadline-a.Clock)))
 	}
 	if h.pending != nil && a.Epoch.Compare(h.pending.epoch) >= 0 {
--- a/internal/leader/chaos_test.go
+++ b/internal/leader/chaos_test.go
@@ -25,7 +25,7 @@
 		instances: 1 + random.IntN(4),
 		checking:  random.IntN(6),
 		unchecked: random.IntN(3),
-		drift:     random.IntN(2) == 0,
+		drift:     []int{0, 4, 40}[random.IntN(3)],
 	}
 	if l.checking+l.unchecked < 2 {
 		l.checking += 2
@@ -35,6 +35,7 @@
 		p := &slicePlacer{slices: 8}
 		if restless {
 			p.restless = w.random
+			p.calm = func() bool { return !w.jitter }
 		}
 		return p
 	}
@@ -43,7 +44,10 @@
 
 // runSchedule runs one random schedule and returns the world at its end or first failure.
 func runSchedule(seed uint64, guard mutation) *world {
-	w := newWorld(seed, randomLayout(seed), guard)
+	return newWorld(seed, randomLayout(seed), guard).runSchedule()
+}
+
+func (w *world) runSchedule() *world {
 	w.startAll()
 	w.jitter = true
 	w.faults()
@@ -83,7 +87,7 @@
 	last := Time(w.random.Int64N(int64(2500 * ms)))
 	server := w.servers[w.random.IntN(len(w.servers))]
 	instance := w.instances[w.random.IntN(len(w.instances))]
-	switch w.random.IntN(11) {
+	switch w.random.IntN(15) {
 	case 0, 1:
 		w.cut(w.anyName(), w.anyName(), last, false)
 	case 2:
@@ -102,6 +106,46 @@
 		w.crashInstance(instance, last)
 	case 10:
 		w.log.downTo = max(w.log.downTo, w.now+2*last)
+	case 11, 12:
+		w.split(last)
+	case 13:
+		w.deafen(instance)
+	case 14:
+		w.split(last)
+		w.deafen(instance)
+	}
+}
+
+// split lets each half of the servers be reached by one half of the instances only.
+func (w *world) split(last Time) {
+	half := func(int) bool { return w.random.IntN(2) == 0 }
+	var left, right []string
+	for i, m := range w.ordered() {
+		if half(i) {
+			left = append(left, m.name)
+		} else {
+			right = append(right, m.name)
+		}
+	}
+	for _, a := range left {
+		for _, b := range right {
+			w.cut(a, b, last, true)
+		}
+	}
+}
+
+// deafen lets a follower believe that its leader is lost, as when heartbeats are cut.
+func (w *world) deafen(n *simInstance) {
+	if !n.down && n.core.lead == nil {
+		n.core.leaderAt = n.core.now - 10*n.core.heartbeat()
+	}
+}
+
+// led may restart a server just after a leader won, when its fence matters most.
+func (w *world) led() {
+	if w.jitter && w.now < faultsEnd && w.random.IntN(3) == 0 {
+		m := w.servers[w.random.IntN(len(w.servers))]
+		w.after(Time(w.random.Int64N(int64(400*ms))), func() { w.boot(m) })
 	}
 }
 
@@ -192,7 +236,7 @@
 		}
 		found := false
 		for _, o := range table.Owners {
-			found = found || o.Range.Contains(hash) && (o.Offset != 0 || w.restless())
+			found = found || o.Range.Contains(hash) && o.Offset != 0
 		}
 		if !found {
 			w.fail("hash %016x is not in the table as acknowledged %s", hash, w.describe())
@@ -201,12 +245,6 @@
 	}
 }
 
-// restless reports whether ranges still move, so that the newest may not be recorded yet.
-func (w *world) restless() bool {
-	p, ok := w.layout.placer(w).(*slicePlacer)
-	return ok && p.restless != nil
-}
-
 func (w *world) describe() string {
 	return fmt.Sprintf("(%d instances, %d checking, %d unchecked)", w.layout.instances, w.layout.checking, w.layout.unchecked)
 }
--- a/internal/leader/config.go
+++ b/internal/leader/config.go
@@ -50,9 +50,8 @@
 
 // stretch lengthens a time on another clock to the longest it may take on this one.
 func (c *Config) stretch(d Time) Time {
+	if c.without(mutStretch) {
+		return d
+	}
 	return d + d*Time(c.DriftPerMille)/1000 + 1
 }
-
-// mutation switches one guard off, so that tests can show that the guard is needed. The zero
-// value breaks nothing.
-type mutation string
--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -98,6 +98,9 @@
 // leaseEnd returns when a grant given now ends, on this clock.
 func (c *Core) leaseEnd(h *holding) Time {
 	end := c.authority() + Time(c.config.Lease)
+	if c.config.without(mutBound) {
+		end = c.now + Time(c.config.Lease)
+	}
 	s := c.serviceOf(h.service)
 	if s != nil && s.Isolation == bundle.IsolationMove {
 		end = min(end, c.log.readAt+Time(c.config.MoveBound))
--- a/internal/leader/holder_test.go
+++ b/internal/leader/holder_test.go
@@ -22,9 +22,6 @@
 		Clock:       func() grant.Instant { return grant.Instant(m.clock(w.now)) },
 		MaxLease:    1250 * time.Millisecond,
 	}
-	if w.guard == mutTooLong || w.guard == mutReceipt {
-		config.MaxLease = time.Hour
-	}
 	return &simHolder{w: w, m: m, real: grant.NewHolder(config)}
 }
 
@@ -74,5 +71,6 @@
 	mutIncarnation mutation = "incarnation-ignored"
 	mutVoting      mutation = "young-server-votes"
 	mutDraining    mutation = "drain-not-stated"
-	mutTooLong     mutation = "deadline-not-bounded"
+	mutLateWork    mutation = "work-not-rechecked"
+	mutSendBefore  mutation = "send-before-not-rechecked"
 )
--- a/internal/leader/holding.go
+++ b/internal/leader/holding.go
@@ -27,6 +27,8 @@
 	// clock is the newest reading of the holder's clock, received at heardAt.
 	clock   grant.Instant
 	heardAt Time
+	// serial is that of the newest answer.
+	serial uint64
 	// lapsesAt is when every grant sent or stated so far has ended, on this clock.
 	lapsesAt Time
 	// epoch and set are what the holder stated last; live says that it was within its lease.
@@ -54,14 +56,15 @@
 	ranges []keys.Range
 }
 
-// claims returns every range that the holder may act on. Others must not be granted it.
-func (h *holding) claims() []keys.Range {
+// claims returns every range that the holder may act on, those of a set under way included.
+// Others must not be granted them.
+func (h *holding) claims(pending bool) []keys.Range {
 	var all []keys.Range
 	if h.live {
 		all = append(all, h.set...)
 	}
 	all = append(all, h.draining...)
-	if h.pending != nil {
+	if h.pending != nil && pending {
 		all = append(all, h.pending.ranges...)
 	}
 	return all
@@ -175,7 +178,11 @@
 // other leader can have renewed it: a majority still followed this term afterwards.
 func (c *Core) lapsed(h *holding) bool {
 	end := h.lapsesAt + h.lingers
-	return c.now > end && c.authority() > h.lapsesAt
+	if c.config.without(mutLingers) {
+		end = h.lapsesAt
+	}
+	confirmed := c.authority() > h.lapsesAt || c.config.without(mutConfirm)
+	return c.now > end && confirmed
 }
 
 // lapse frees the ranges of holders whose leases are over.
--- a/internal/leader/instance_test.go
+++ b/internal/leader/instance_test.go
@@ -40,6 +40,7 @@
 	n.stopped = false
 	config := DefaultConfig("d", n.name, n.incarnation)
 	config.Pause = 600e6
+	config.DriftPerMille = max(config.DriftPerMille, 5*int64(n.w.layout.drift)/2)
 	if n.w.layout.config != nil {
 		n.w.layout.config(&config)
 	}
@@ -122,6 +123,11 @@
 		case Append:
 			n.pending[e.ID] = e.Record
 			n.append(life, e.ID)
+		case Led:
+			n.w.led()
+			n.w.tracef("%s leads %v", n.name, e.Term)
+		case Stepped:
+			n.w.tracef("%s steps down from %v: %s", n.name, e.Term, e.Reason)
 		case Publish:
 			n.published(e.Table)
 		}
@@ -129,7 +135,7 @@
 }
 
 func (n *simInstance) sendExchange(e Send) {
-	if n.clock(n.w.now) > e.SendBefore {
+	if n.clock(n.w.now) > e.SendBefore && n.w.guard != mutSendBefore {
 		return
 	}
 	life := n.life
@@ -143,6 +149,10 @@
 	n.w.send(n.name, to, func() {
 		m := n.w.machines[to]
 		answer := n.w.holder(m, e.Server).exchange(e.Exchange)
+		if g := e.Exchange.Grant; g != nil {
+			n.w.tracef("%s -> %s/%s grant %v renewal=%v inc=%x ranges=%v: %q until %d ms, term %v", n.name, e.Server, e.Via,
+				g.Epoch, g.Renewal, g.Incarnation, g.Ranges, answer.Refusal, Time(answer.Deadline-answer.Clock)/ms, e.Exchange.Term)
+		}
 		n.w.checkSingle()
 		if n.w.observe != nil {
 			n.w.observe(n.w.now)
--- a/internal/leader/placer_test.go
+++ b/internal/leader/placer_test.go
@@ -12,6 +12,8 @@
 type slicePlacer struct {
 	slices   int
 	restless *rand.Rand
+	// calm ends the moves.
+	calm func() bool
 }
 
 func (p *slicePlacer) Place(v place.View) []place.Target {
@@ -33,7 +35,7 @@
 			if _, fine := count[server]; !fine {
 				server = ""
 			}
-			if p.restless != nil && p.restless.IntN(6) == 0 {
+			if p.restless != nil && !p.calm() && p.restless.IntN(6) == 0 {
 				server = accepting[p.restless.IntN(len(accepting))]
 			}
 			if server != "" {
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -92,12 +92,13 @@
 
 func (c *Core) claimsOf(s *service, members []*holding) claims {
 	var all claims
+	pending := !c.config.without(mutPending)
 	for _, h := range members {
-		all.add(h)
+		all.add(h, pending)
 	}
 	for _, h := range c.lead.retired {
 		if h.service == s.Name {
-			all.add(h)
+			all.add(h, pending)
 		}
 	}
 	slices.SortFunc(all.list, func(a, b rangeClaim) int { return cmp.Compare(a.First, b.First) })
@@ -109,8 +110,8 @@
 	return all
 }
 
-func (a *claims) add(h *holding) {
-	for _, r := range h.claims() {
+func (a *claims) add(h *holding, pending bool) {
+	for _, r := range h.claims(pending) {
 		a.list = append(a.list, rangeClaim{Range: r, holder: h})
 	}
 }
--- a/internal/leader/settle.go
+++ b/internal/leader/settle.go
@@ -12,6 +12,9 @@
 	if !l.won() {
 		return forever
 	}
+	if c.config.without(mutWait) {
+		return l.wonAt
+	}
 	at := l.wonAt + c.config.stretch(Time(c.config.Lease))
 	if s.unchecked {
 		at += lingering(s, &c.config)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -106,7 +106,7 @@
 		}
 		return
 	}
-	if c.now > c.authority()+Time(c.config.Lease) {
+	if c.now > c.authority()+Time(c.config.Lease) && !c.config.without(mutAuthority) {
 		c.stepDown(reasonAuthority)
 	}
 }
@@ -126,7 +126,7 @@
 		v = &vote{incarnation: ev.Answer.Incarnation}
 		l.votes[ev.Server] = v
 	}
-	if v.incarnation != ev.Answer.Incarnation {
+	if v.incarnation != ev.Answer.Incarnation && !c.config.without(mutRestarted) {
 		v.spoiled = true
 		l.stale = true
 		return
@@ -134,9 +134,13 @@
 	if !ev.Answer.Voting {
 		return
 	}
-	if !v.counted || ev.AskedAt > v.askedAt {
+	askedAt := ev.AskedAt
+	if c.config.without(mutAnswered) {
+		askedAt = c.now
+	}
+	if !v.counted || askedAt > v.askedAt {
 		v.counted = true
-		v.askedAt = ev.AskedAt
+		v.askedAt = askedAt
 		l.stale = true
 	}
 }
@@ -172,6 +176,9 @@
 		}
 	}
 	majority := len(e)/2 + 1
+	if c.config.without(mutOneVote) {
+		majority = 1
+	}
 	if len(asked) < majority {
 		return never
 	}
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -38,6 +38,8 @@
 	messages int
 	bytes    int
 	observe  func(at Time)
+	// trace, if set, gets a line for each step of interest.
+	trace func(line string)
 }
 
 // layout says what a world is made of.
@@ -47,9 +49,10 @@
 	unchecked int
 	leaving   string
 	isolation string
-	drift     bool
-	placer    func(w *world) place.Placer
-	config    func(c *Config)
+	// drift bounds how many thousandths a clock is fast or slow.
+	drift  int
+	placer func(w *world) place.Placer
+	config func(c *Config)
 }
 
 // machine is a process that holds grants: a server, or an instance that is gate or voter.
@@ -131,10 +134,11 @@
 // boot starts a new process at the place of a machine.
 func (w *world) boot(m *machine) {
 	m.incarnation = uint64(w.random.Uint32()) + 1
+	w.tracef("boot %s as %x", m.name, m.incarnation)
 	m.offset = Time(w.random.Int64N(int64(time.Hour)))
 	m.perMille = 0
-	if w.layout.drift {
-		m.perMille = Time(w.random.IntN(9) - 4)
+	if d := w.layout.drift; d > 0 {
+		m.perMille = Time(w.random.IntN(2*d+1) - d)
 	}
 	m.holders = make(map[string]*simHolder)
 	m.pausedTo = 0
@@ -172,6 +176,12 @@
 	}
 }
 
+func (w *world) tracef(format string, args ...any) {
+	if w.trace != nil {
+		w.trace(fmt.Sprintf("%9.4f ", float64(w.now)/1e9) + fmt.Sprintf(format, args...))
+	}
+}
+
 func (w *world) fail(format string, args ...any) {
 	if w.failure == "" {
 		w.failure = fmt.Sprintf("%.3f s: ", float64(w.now)/1e9) + fmt.Sprintf(format, args...)
@@ -329,7 +339,7 @@
 		w.at(m.pausedTo, func() { w.effect(m, process, hash, work) })
 		return
 	}
-	if work.Check() == nil {
+	if work.Check() == nil || w.guard == mutLateWork {
 		for _, name := range w.owners(hash) {
 			if name != m.name+"@"+m.name {
 				w.fail("request at %s took effect on %016x of %s", m.name, hash, name)
--- a/pkg/grant/holder.go
+++ b/pkg/grant/holder.go
@@ -26,6 +26,7 @@
 	votesAt Instant
 
 	mu       sync.Mutex
+	serial   uint64
 	fence    Term
 	epoch    Epoch
 	deadline Instant
@@ -53,10 +54,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.config.Clock()
+	h.serial++
 	refusal := h.apply(now, x)
 	answer := Answer{
 		Refusal:     refusal,
 		Clock:       now,
+		Serial:      h.serial,
 		Incarnation: h.config.Incarnation,
 		Fence:       h.fence,
 		Voting:      now >= h.votesAt,
--- a/pkg/grant/message.go
+++ b/pkg/grant/message.go
@@ -105,6 +105,9 @@
 	Refusal Refusal `json:"refusal,omitempty"`
 	// Clock is the server's clock when it handled the exchange.
 	Clock Instant `json:"clock"`
+	// Serial counts the exchanges that the process has handled. It orders the answers of one
+	// process, which the clock cannot do when it reads the same twice.
+	Serial uint64 `json:"serial"`
 	// Incarnation identifies the server process.
 	Incarnation uint64 `json:"incarnation"`
 	// Fence is the highest term the server has seen, that of the exchange included.
