--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -83,6 +84,7 @@
 	i.forwards = httptest.NewServer(f.Forwards())
 	t.Cleanup(func() {
 		i.callers.Close()
+		f.Close()
 		transport.CloseIdleConnections()
 		i.forwards.Close()
 	})
@@ -148,3 +150,17 @@
 	}
 	return r
 }
+
+// awaitWaiting waits until a number of requests wait at the gate.
+func (i *instance) awaitWaiting(service string, n int) {
+	for {
+		s := i.front.service(service)
+		s.mu.Lock()
+		waiting := s.core.Waiting()
+		s.mu.Unlock()
+		if waiting >= n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -2,48 +2,45 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 )
 
 // inFlight counts the requests in progress.
 type inFlight struct {
-	mu    sync.Mutex
-	count int
-	// empty is closed when count falls to zero; nil while nobody waits.
+	count atomic.Int64
+	// waited says that somebody waits for the count to fall to zero.
+	waited atomic.Bool
+	// empty has room for one token, which says that the count was zero.
 	empty chan struct{}
 }
 
+func newInFlight() *inFlight {
+	return &inFlight{empty: make(chan struct{}, 1)}
+}
+
 func (i *inFlight) begin() {
-	i.mu.Lock()
-	i.count++
-	i.mu.Unlock()
+	i.count.Add(1)
 }
 
 func (i *inFlight) end() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.count--
-	if i.count == 0 && i.empty != nil {
-		close(i.empty)
-		i.empty = nil
+	if i.count.Add(-1) > 0 || !i.waited.Load() {
+		return
+	}
+	select {
+	case i.empty <- struct{}{}:
+	default:
 	}
 }
 
+// wait returns when nothing is in progress, or with the context's error.
 func (i *inFlight) wait(ctx context.Context) error {
-	i.mu.Lock()
-	if i.count == 0 {
-		i.mu.Unlock()
-		return nil
-	}
-	if i.empty == nil {
-		i.empty = make(chan struct{})
-	}
-	empty := i.empty
-	i.mu.Unlock()
-	select {
-	case <-empty:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	i.waited.Store(true)
+	for i.count.Load() > 0 {
+		select {
+		case <-i.empty:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
 }
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/caller"
 )
@@ -17,87 +18,152 @@
 // errForward is wrapped by errors of forwarding.
 var errForward = errors.New("front: forwarding failed")
 
+// relay is a request on its way to another instance.
+type relay struct {
+	*request
+	front *Front
+	dest  route.Forward
+	// mark is the memory that this instance keeps of the request, nil if none is needed.
+	mark *policy.Mark
+	// timer cancels the request at the deadline of the answer's head.
+	timer *time.Timer
+}
+
 // forward sends a request to another instance and passes its answer on. Addresses are tried
 // in turn while no byte of the request has left.
-func (f *Front) forward(w http.ResponseWriter, q *request, d route.Forward) (refusal, bool) {
+func (f *Front) forward(w http.ResponseWriter, q *request, d route.Forward) *refusal {
 	if q.hops+1 >= maxHops {
-		return refusal{
-			status: http.StatusServiceUnavailable, reason: ReasonHops, outcome: caller.NotRun, retry: retrySoon,
-			detail: "the owner of the key moved while the request was on its way",
-		}, true
+		return moving(q)
 	}
 	if len(d.Addresses) == 0 {
-		return absent(route.Absent{Reason: route.AbsentDomain}), true
+		return absent(q, route.Absent{Reason: route.AbsentDomain})
 	}
 	ctx, cancel := context.WithCancelCause(q.Context())
 	defer cancel(nil)
-	timer := time.AfterFunc(q.deadline.Until(f.now()), func() { cancel(errDeadline) })
-	defer timer.Stop()
-	body := newBody(q.Body, limitOf(d.Service))
-	first := int(f.turn.Add(1))
-	for i := range d.Addresses {
-		address := d.Addresses[(first+i)%len(d.Addresses)]
-		response, sent, err := f.forwardTo(ctx, q, address, body)
+	r := &relay{request: q, front: f, dest: d}
+	r.timer = time.AfterFunc(q.deadline.Until(f.now()), func() { cancel(errDeadline) })
+	defer r.timer.Stop()
+	r.remember()
+	no := r.send(ctx, w)
+	if no != nil {
+		r.settle(no.outcome, 0)
+	}
+	return no
+}
+
+// remember makes this instance the witness of a request that must not run twice.
+func (r *relay) remember() {
+	if !r.once() {
+		return
+	}
+	scope := ""
+	if r.dest.Service.Divided {
+		scope = r.key
+	}
+	m := policy.Mark{
+		Service: r.service, Name: policy.NameOf(r.service, scope, r.id), Hash: r.hash, Sending: r.sending,
+		UntilMillis: r.front.at(r.deadline.Add(policy.MemoryTime)).UnixMilli(), Outcome: caller.Unknown,
+	}
+	if r.front.service(r.service).adopt(m) {
+		r.mark = &m
+	}
+}
+
+// settle takes in what became of the request.
+func (r *relay) settle(o caller.Outcome, status int) {
+	if r.mark == nil || o == caller.Unknown {
+		return
+	}
+	r.mark.Outcome, r.mark.Status = o, status
+	r.front.service(r.service).adopt(*r.mark)
+}
+
+// send tries the addresses in turn.
+func (r *relay) send(ctx context.Context, w http.ResponseWriter) *refusal {
+	f := r.front
+	first := int(f.turn.Add(1) % uint64(len(r.dest.Addresses)))
+	for i := range r.dest.Addresses {
+		address := r.dest.Addresses[(first+i)%len(r.dest.Addresses)]
+		r.body.rewind()
+		response, sent, err := r.sendTo(ctx, address)
 		if err == nil {
-			if q.idempotent {
-				timer.Stop()
-			}
-			f.answerForward(w, q, response)
-			return refusal{}, false
+			r.timer.Stop()
+			r.answer(w, response)
+			return nil
 		}
-		f.deps.Log.Warn("forward failed", "request", q.id, "service", q.service, "address", address, "sent", sent, "error", err)
-		if sent || body.touched() {
-			return failed(ctx, body, caller.Unknown), true
+		f.deps.Log.Warn("forward failed", "request", r.id, "service", r.service, "address", address, "sent", sent, "error", err)
+		if sent || r.body.begun {
+			return failed(r.request, caller.Unknown, context.Cause(ctx))
 		}
 		if ctx.Err() != nil {
-			return failed(ctx, body, caller.NotRun), true
+			return failed(r.request, unreached(r.request), context.Cause(ctx))
 		}
 	}
-	return refusal{
-		status: http.StatusServiceUnavailable, reason: ReasonUnreachable, outcome: caller.NotRun, retry: retrySoon,
-	}, true
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: ReasonUnreachable, outcome: unreached(r.request), retry: retrySoon,
+	}
 }
 
-// forwardTo sends a request to one instance. The second result says whether bytes may have
+// sendTo sends the request to one instance. The second result says whether bytes may have
 // left.
-func (f *Front) forwardTo(ctx context.Context, q *request, address string, b *body) (*http.Response, bool, error) {
+func (r *relay) sendTo(ctx context.Context, address string) (*http.Response, bool, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out := f.outgoing(httptrace.WithClientTrace(ctx, trace), q, b)
-	out.URL = &url.URL{Scheme: f.deps.ForwardScheme, Host: address, RawQuery: q.URL.RawQuery}
-	setPath(out.URL, "/"+q.service+q.rest)
-	out.Header.Set(caller.HeaderHops, strconv.Itoa(q.hops+1))
-	out.Header.Set(caller.HeaderRequest, q.id)
-	out.Header.Set(caller.HeaderCaller, q.caller)
-	out.Header.Set(caller.HeaderWitness, f.deps.Domain)
-	response, err := f.deps.Forward.RoundTrip(out)
+	out := r.front.outgoing(httptrace.WithClientTrace(ctx, trace), r.request)
+	hideID(out.Header)
+	out.URL.Scheme, out.URL.Host = r.front.deps.ForwardScheme, address
+	setPath(out.URL, "/"+r.service+r.rest)
+	out.Header.Set(caller.HeaderHops, strconv.Itoa(r.hops+1))
+	out.Header.Set(caller.HeaderRequest, r.id)
+	out.Header.Set(caller.HeaderCaller, r.caller)
+	if r.once() {
+		text, _ := r.sending.MarshalText()
+		out.Header.Set(caller.HeaderSending, string(text))
+	}
+	if r.mark != nil {
+		out.Header.Set(caller.HeaderWitness, r.front.deps.Instance)
+	}
+	response, err := r.front.deps.Forward.RoundTrip(out)
 	if err != nil {
 		return nil, connected.Load(), errors.Join(errForward, err)
 	}
 	return response, true, nil
 }
 
-// answerForward passes on the answer of another instance, whose headers say what happened.
-func (f *Front) answerForward(w http.ResponseWriter, q *request, response *http.Response) {
+// answer passes on the answer of another instance, whose headers say what happened.
+func (r *relay) answer(w http.ResponseWriter, response *http.Response) {
 	defer response.Body.Close()
+	r.settle(caller.Outcome(response.Header.Get(caller.HeaderOutcome)), response.StatusCode)
 	copyHeader(w.Header(), response.Header)
-	f.stream(w, q, response)
+	buffer := chunks.Get().(*[chunk]byte)
+	defer chunks.Put(buffer)
+	if err := stream(w, response, buffer); err != nil {
+		r.front.deps.Log.Warn("answer cut", "request", r.id, "service", r.service, "error", err)
+		panic(http.ErrAbortHandler)
+	}
 }
 
-// outgoing returns a copy of a request for the next hop.
-func (f *Front) outgoing(ctx context.Context, q *request, b *body) *http.Request {
+// outgoing returns a copy of a request for the next hop, without a path.
+func (f *Front) outgoing(ctx context.Context, q *request) *http.Request {
+	b := q.body
 	out := (&http.Request{
 		Method: q.Method, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: make(http.Header, len(q.Header)+4), ContentLength: q.ContentLength, Host: q.Host,
+		URL: &url.URL{RawQuery: q.URL.RawQuery},
 	}).WithContext(ctx)
-	if q.ContentLength != 0 {
+	switch {
+	case b.whole:
+		out.ContentLength = int64(len(b.prefix))
+		if len(b.prefix) > 0 {
+			out.Body = b
+		}
+	default:
 		out.Body = b
 	}
 	copyHeader(out.Header, q.Header)
 	for _, name := range ours {
 		delete(out.Header, name)
 	}
-	hideID(out.Header)
 	if _, found := out.Header["User-Agent"]; !found {
 		// An empty value keeps net/http from naming itself in the caller's place.
 		out.Header["User-Agent"] = []string{""}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,10 +13,12 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/trace"
 
 	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/caller"
+	"example.org/mustardring/pkg/keys"
 )
 
 // ErrDeps is returned by New when a dependency is missing.
@@ -30,30 +32,35 @@
 }
 
 // Witness is the memory that one other instance of the domain keeps of non-idempotent
-// requests at this gate.
+// requests at this gate, so that the loss of one instance loses none.
 type Witness interface {
-	// Begin returns nil when another instance remembers the mark. It is called before the
-	// first byte is written to a server.
+	// Begin returns nil when one other instance remembers the mark, or when the domain has no
+	// other instance. It is called before the first byte is written to a server.
 	Begin(ctx context.Context, m policy.Mark) error
 	// End tells the outcome to the instance that remembers the mark. It does not wait.
 	End(m policy.Mark)
-	// Recall returns the marks that the other instances of the domain hold for a service. An
-	// error says that an instance which may hold some did not answer.
-	Recall(ctx context.Context, service string) ([]policy.Mark, error)
+	// Recall returns the marks that the other instances of the domain hold for a range of a
+	// service. Each mark is held by two instances, so one instance may fail to answer; an
+	// error says that more did.
+	Recall(ctx context.Context, service string, r keys.Range) ([]policy.Mark, error)
 }
 
-// Deps is what a Front depends on. The zero values of Right, Witness, Log, CallerHeader and
-// Hint are allowed.
+// Deps is what a Front depends on. Instance, Domain, Finder and Forward are required.
 type Deps struct {
 	// Instance and Domain are this instance's name and failure domain.
 	Instance string
 	Domain   string
 	Finder   route.Finder
+	// Home returns the destination of a named, non-idempotent request to a service that is
+	// not divided: the gate in the domain that policy.Home names for the hash of the id, so
+	// that a resend through any domain meets the memory of the first sending. Nil means
+	// Finder.Find.
+	Home func(service string, hash uint64) route.Destination
 	// Right is asked for servers that do not check grants. Nil means that it is always held.
 	Right Right
 	// Witness is nil when there is no other instance.
 	Witness Witness
-	// Forward carries requests to other instances, at URLs with ForwardScheme.
+	// Forward carries requests to other instances, at URLs with ForwardScheme, https if empty.
 	Forward       http.RoundTripper
 	ForwardScheme string
 	// CallerHeader names the request header that identifies a caller. Empty means the remote
@@ -61,7 +68,16 @@
 	CallerHeader string
 	// Hint returns the last reported load of a server; it breaks ties only.
 	Hint func(service, server string) float64
-	Log  *log.Logger
+	// Ran is told of each request that ran, for the load of ranges.
+	Ran func(service, server string, hash uint64, d time.Duration)
+	// Tracer makes a span for each hop. Nil means none.
+	Tracer trace.Tracer
+	Log    *log.Logger
+	// Bounds bound the memory of request ids of one service; zero means the default.
+	Bounds policy.Bounds
+	// Patience is the least time for which a connection to a server may be silent before it
+	// is doubted; zero means the default.
+	Patience time.Duration
 }
 
 // Front is the request path of one instance.
@@ -72,12 +88,14 @@
 	forwards http.Handler
 	tickets  atomic.Uint64
 	turn     atomic.Uint64
+	buffered atomic.Int64
 
-	mu    sync.Mutex
-	gates map[string]*gate
+	mu       sync.RWMutex
+	services map[string]*service
+	lifted   []policy.Print
 
 	draining atomic.Bool
-	inFlight inFlight
+	inFlight *inFlight
 }
 
 // New returns the request path of one instance.
@@ -91,7 +109,10 @@
 	if d.ForwardScheme == "" {
 		d.ForwardScheme = "https"
 	}
-	f := &Front{deps: d, origin: time.Now(), gates: make(map[string]*gate)}
+	if d.Bounds == (policy.Bounds{}) {
+		d.Bounds = policy.DefaultBounds
+	}
+	f := &Front{deps: d, origin: time.Now(), services: make(map[string]*service), inFlight: newInFlight()}
 	var err error
 	if f.callers, err = f.handler(fromCaller); err != nil {
 		return nil, err
@@ -109,18 +130,11 @@
 // reach it: it believes their headers.
 func (f *Front) Forwards() http.Handler { return f.forwards }
 
-// RightLost closes all connections to a server to which this instance may no longer send.
+// RightLost says that this instance is no longer the gate of a server. All connections to it
+// are closed at once, and what was recalled for it is recalled anew before it serves again.
 func (f *Front) RightLost(service, server string) {
-	f.mu.Lock()
-	gates := make([]*gate, 0, len(f.gates))
-	for _, g := range f.gates {
-		gates = append(gates, g)
-	}
-	f.mu.Unlock()
-	for _, g := range gates {
-		if g.service == service {
-			g.cut(server)
-		}
+	if s := f.known(service); s != nil {
+		s.lose(server)
 	}
 }
 
@@ -134,6 +148,76 @@
 	return f.inFlight.wait(ctx)
 }
 
+// Close closes the connections to servers. No request may be in flight.
+func (f *Front) Close() {
+	for _, s := range f.all() {
+		s.close()
+	}
+}
+
+// Marks returns what this instance remembers of requests in a range of a service, for
+// another instance's Recall.
+func (f *Front) Marks(service string, r keys.Range) []policy.Mark {
+	s := f.known(service)
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Marks(f.now(), r)
+}
+
+// Witnessed takes in a mark for which another instance's Begin or End asks. It reports false
+// when there is no room for it.
+func (f *Front) Witnessed(m policy.Mark) bool {
+	return f.service(m.Service).adopt(m)
+}
+
+// Blocks returns what is known of requests that may crash servers, for the other instances.
+func (f *Front) Blocks() []policy.Block {
+	var blocks []policy.Block
+	for _, s := range f.all() {
+		s.mu.Lock()
+		blocks = append(blocks, s.core.Blocks(f.now())...)
+		s.mu.Unlock()
+	}
+	return blocks
+}
+
+// Merge takes in the Blocks of another instance.
+func (f *Front) Merge(blocks []policy.Block) {
+	for _, b := range blocks {
+		s := f.service(b.Service)
+		s.mu.Lock()
+		s.core.Merge([]policy.Block{b})
+		s.mu.Unlock()
+	}
+}
+
+// Lift replaces the set of blocked requests that operators let pass: the lifted-blocks of the
+// bundle in force. Text that is no print is ignored and reported.
+func (f *Front) Lift(texts []string) error {
+	var faults []error
+	prints := make([]policy.Print, 0, len(texts))
+	for _, text := range texts {
+		var p policy.Print
+		if err := p.UnmarshalText([]byte(text)); err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		prints = append(prints, p)
+	}
+	f.mu.Lock()
+	f.lifted = prints
+	f.mu.Unlock()
+	for _, s := range f.all() {
+		s.mu.Lock()
+		s.core.Lift(prints)
+		s.mu.Unlock()
+	}
+	return errors.Join(faults...)
+}
+
 // now returns the present time of the policy's clock.
 func (f *Front) now() policy.Time {
 	return policy.Time(time.Since(f.origin))
@@ -144,6 +228,39 @@
 	return f.origin.Add(time.Duration(t))
 }
 
+// known returns a service that was seen before, nil otherwise.
+func (f *Front) known(name string) *service {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.services[name]
+}
+
+// service returns a service, a new one if it was not seen before.
+func (f *Front) service(name string) *service {
+	if s := f.known(name); s != nil {
+		return s
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.services[name]
+	if s == nil {
+		s = newService(f, name)
+		s.core.Lift(f.lifted)
+		f.services[name] = s
+	}
+	return s
+}
+
+func (f *Front) all() []*service {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	all := make([]*service, 0, len(f.services))
+	for _, s := range f.services {
+		all = append(all, s)
+	}
+	return all
+}
+
 // outcomeHeader sets the headers that each answer carries.
 func outcomeHeader(h http.Header, id string, outcome caller.Outcome) {
 	h.Set(caller.HeaderRequest, id)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -35,7 +35,7 @@
 	app.OnAnyErrorCode(func(ctx iris.Context) {
 		ctx.ResponseWriter().SetWritten(0)
 		status := ctx.GetStatusCode()
-		refuse(ctx.ResponseWriter().Naive(), newID(), refusal{
+		refuse(ctx.ResponseWriter().Naive(), newID(), &refusal{
 			status: status, reason: ReasonNoRoute, outcome: caller.NotRun,
 			detail: "the path has the form /{service}/{rest}",
 		})
--- a/internal/front/header.go
+++ b/internal/front/header.go
@@ -13,8 +13,12 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// ours are the headers that only mustardring sets, on requests between its instances.
-var ours = []string{caller.HeaderHops, caller.HeaderRequest, caller.HeaderCaller, caller.HeaderWitness, caller.HeaderEpoch}
+// ours are the headers that only mustardring sets, on requests between its instances and to
+// servers.
+var ours = []string{
+	caller.HeaderHops, caller.HeaderRequest, caller.HeaderCaller, caller.HeaderWitness, caller.HeaderSending,
+	caller.HeaderEpoch,
+}
 
 // copyHeader copies the end-to-end headers.
 func copyHeader(to, from http.Header) {
@@ -34,8 +38,8 @@
 // hideID moves the request id to a name that net/http does not recognise. On the wire header
 // names have no case, so the receiver sees no difference.
 //
-// It guards against net/http sending a request again by itself: it takes an Idempotency-Key
-// for the promise that the receiver removes duplicates, which a server need not do.
+// It guards against http.Transport sending a forwarded request again by itself: it takes an
+// Idempotency-Key for the promise that the receiver removes duplicates.
 func hideID(h http.Header) {
 	if id, found := h[caller.HeaderRequestID]; found {
 		delete(h, caller.HeaderRequestID)
--- /dev/null
+++ b/internal/front/recall.go
@@ -0,0 +1,84 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"example.org/mustardring/internal/policy"
+	"example.org/mustardring/pkg/grant"
+	"example.org/mustardring/pkg/keys"
+)
+
+// A gate that is new to a range does not know what the last one ran there. Before it takes
+// named, non-idempotent requests it recalls the marks that the domain's other instances hold.
+// It does so by shards of the hash space, with the first request that needs one, so that a
+// move of ownership costs little at a time.
+const shardBits = 8
+
+// recallTime bounds a recall.
+const recallTime = 500 * time.Millisecond
+
+// shard is a part of the hash space of a service at one server.
+type shard struct {
+	number uint8
+	server string
+}
+
+// recallState says for which grant a shard was recalled.
+type recallState struct {
+	epoch grant.Epoch
+}
+
+func shardOf(hash uint64, server string) shard {
+	return shard{number: uint8(hash >> (64 - shardBits)), server: server}
+}
+
+// hashes returns the hashes of the shard.
+func (s shard) hashes() keys.Range {
+	first := uint64(s.number) << (64 - shardBits)
+	return keys.Range{First: first, Last: first | (1<<(64-shardBits) - 1)}
+}
+
+// recall makes sure that the memory holds what other instances know of a hash. The epoch
+// changes whenever the server gets or loses a range.
+func (s *service) recall(ctx context.Context, hash uint64, server string, epoch grant.Epoch) error {
+	witness := s.front.deps.Witness
+	if witness == nil {
+		return nil
+	}
+	k := shardOf(hash, server)
+	if s.isRecalled(k, epoch) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recallTime)
+	defer cancel()
+	_, err, _ := s.recalls.Do(fmt.Sprint(k, epoch), func() (any, error) {
+		marks, err := witness.Recall(ctx, s.name, k.hashes())
+		if err != nil {
+			return nil, err
+		}
+		return nil, s.remember(k, epoch, marks)
+	})
+	return err
+}
+
+func (s *service) isRecalled(k shard, epoch grant.Epoch) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, found := s.recalled[k]
+	return found && state.epoch == epoch
+}
+
+// remember takes in recalled marks.
+func (s *service) remember(k shard, epoch grant.Epoch, marks []policy.Mark) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range marks {
+		if !s.core.Adopt(s.front.now(), m) {
+			return fmt.Errorf("front: no room for the marks of %s", s.name)
+		}
+	}
+	s.recalled[k] = recallState{epoch: epoch}
+	return nil
+}
--- a/internal/front/refuse.go
+++ b/internal/front/refuse.go
@@ -28,6 +28,8 @@
 	ReasonCanceled    policy.Reason = "caller-gone"
 	ReasonAnswerCut   policy.Reason = "answer-cut"
 	ReasonNoWitness   policy.Reason = "no-witness"
+	ReasonNoMemory    policy.Reason = "memory-incomplete"
+	ReasonSilent      policy.Reason = "connection-silent"
 )
 
 // statusCallerGone is the status of an answer that nobody waits for.
@@ -52,6 +54,12 @@
 	policy.ReasonTooLate:        "The request would wait beyond its deadline",
 	policy.ReasonExpired:        "The deadline of the request passed before it ran",
 	policy.ReasonOutOfShare:     "The caller has more requests waiting than others",
+	policy.ReasonBlocked:        "The request is suspected to crash servers",
+	policy.ReasonInProgress:     "An earlier sending of the request runs or may have run",
+	policy.ReasonAlreadyRan:     "An earlier sending of the request ran",
+	policy.ReasonIDReused:       "The request id was used for another request",
+	policy.ReasonMemoryFull:     "Too many request ids to remember",
+	ReasonNoMemory:              "It cannot be found out whether the request ran before",
 	ReasonServerLost:            "The server was lost while the request may have run",
 	ReasonAnswerCut:             "The server's answer ended early",
 	ReasonTimeout:               "The server did not answer by the deadline",
@@ -61,7 +69,7 @@
 func reasonOf(a route.Absence) policy.Reason { return policy.Reason(a) }
 
 // refuse writes a refusal as a problem (RFC 9457).
-func refuse(w http.ResponseWriter, id string, r refusal) {
+func refuse(w http.ResponseWriter, id string, r *refusal) {
 	h := w.Header()
 	outcomeHeader(h, id, r.outcome)
 	h.Set("Content-Type", caller.ContentTypeProblem)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -26,6 +26,8 @@
 	maxHops = 4
 	// defaultDeadline bounds requests to services that state no bound.
 	defaultDeadline = 30 * time.Second
+	// maxDeadline keeps a far deadline from overflowing the policy's clock.
+	maxDeadline = 24 * time.Hour
 	// hopTime is what is taken off the deadline at each hop, for the answer's way back.
 	hopTime = 2 * time.Millisecond
 )
@@ -45,19 +47,30 @@
 	id         string
 	named      bool
 	idempotent bool
-	caller     string
-	hops       int
+	// sending identifies this sending of a named request, over all hops.
+	sending policy.Name
+	// attempt is which sending of the request the caller says this is, zero if it does not.
+	attempt int
+	caller  string
+	hops    int
 	// deadline is when the caller needs the answer; zero until bound sets it if none is stated.
 	deadline policy.Time
-	// witnessed names the domain whose instance remembers the request, empty if none.
-	witnessed string
+	// body is set when the request's service is known.
+	body *body
+	// moves counts how often the request was looked up anew at this instance.
+	moves int
+	// witness names the instance that remembers the request beside the gate, empty if none.
+	witness string
 }
 
+// once reports whether the request must not run twice, and can be recognised.
+func (q *request) once() bool { return q.named && !q.idempotent }
+
 // parse reads what the headers say.
 func (f *Front) parse(r *http.Request, from origin) (*request, error) {
 	q := &request{Request: r, from: from}
 	q.service, q.rest = splitPath(r.URL.EscapedPath())
-	if err := f.parseID(q); err != nil {
+	if err := q.parseID(); err != nil {
 		return q, err
 	}
 	q.key = r.Header.Get(caller.HeaderKey)
@@ -66,16 +79,19 @@
 	}
 	q.hash = keys.Hash(q.service, q.key)
 	q.idempotent = idempotent(r.Method) || r.Header.Get(caller.HeaderIdempotent) == "true"
+	var err error
+	if q.attempt, err = parseAttempt(r.Header.Get(caller.HeaderAttempt)); err != nil {
+		return q, err
+	}
 	if from == fromInstance {
-		hops, err := parseHops(r.Header.Get(caller.HeaderHops))
-		if err != nil {
+		if err := q.parseHop(); err != nil {
 			return q, err
 		}
-		q.hops = hops
-		q.witnessed = r.Header.Get(caller.HeaderWitness)
-		q.caller = r.Header.Get(caller.HeaderCaller)
 	} else {
 		q.caller = f.identify(r)
+		if q.once() {
+			q.sending = policy.Name(uuid.New())
+		}
 	}
 	stated := r.Header.Get(caller.HeaderDeadline)
 	if stated == "" {
@@ -89,22 +105,25 @@
 	return q, nil
 }
 
-// maxDeadline keeps a far deadline from overflowing the policy's clock.
-const maxDeadline = 24 * time.Hour
-
-// bound sets or shortens the deadline to the limit of the service.
-func (f *Front) bound(q *request, service *bundle.Service) {
-	limit := defaultDeadline
-	if service != nil && service.Limits.RequestMillis > 0 {
-		limit = time.Duration(service.Limits.RequestMillis) * time.Millisecond
+// parseHop reads what another instance says.
+func (q *request) parseHop() error {
+	hops, err := parseHops(q.Header.Get(caller.HeaderHops))
+	if err != nil {
+		return err
 	}
-	latest := f.now().Add(limit)
-	if q.deadline == 0 || q.deadline > latest {
-		q.deadline = latest
+	q.hops = hops
+	q.witness = q.Header.Get(caller.HeaderWitness)
+	q.caller = q.Header.Get(caller.HeaderCaller)
+	if !q.once() {
+		return nil
+	}
+	if err := q.sending.UnmarshalText([]byte(q.Header.Get(caller.HeaderSending))); err != nil {
+		return fmt.Errorf("%w: %s: %w", errHeader, caller.HeaderSending, err)
 	}
+	return nil
 }
 
-func (f *Front) parseID(q *request) error {
+func (q *request) parseID() error {
 	q.id = q.Header.Get(caller.HeaderRequestID)
 	q.named = q.id != ""
 	if len(q.id) > maxID {
@@ -120,6 +139,18 @@
 	return nil
 }
 
+// bound sets or shortens the deadline to the limit of the service.
+func (f *Front) bound(q *request, service *bundle.Service) {
+	limit := defaultDeadline
+	if service.Limits.RequestMillis > 0 {
+		limit = time.Duration(service.Limits.RequestMillis) * time.Millisecond
+	}
+	latest := f.now().Add(limit)
+	if q.deadline == 0 || q.deadline > latest {
+		q.deadline = latest
+	}
+}
+
 // identify returns the identity of a caller.
 func (f *Front) identify(r *http.Request) string {
 	if f.deps.CallerHeader != "" {
@@ -152,6 +183,18 @@
 	return int(hops), nil
 }
 
+// parseAttempt reads which sending of a request this is, zero if that is not stated.
+func parseAttempt(text string) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	attempt, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || attempt == 0 {
+		return 0, fmt.Errorf("%w: %s is not a count from 1", errHeader, caller.HeaderAttempt)
+	}
+	return int(attempt), nil
+}
+
 // splitPath splits an escaped path into the service and the path that the server sees.
 func splitPath(path string) (service, rest string) {
 	service, rest, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"example.org/mustardring/internal/policy"
@@ -15,178 +12,248 @@
 	"example.org/mustardring/pkg/grant"
 )
 
-// run is the way of a request through the gate.
-func (f *Front) run(w http.ResponseWriter, q *request, d route.Here) (refusal, bool) {
-	ctx, cancel := context.WithCancelCause(q.Context())
-	defer cancel(nil)
-	timer := time.AfterFunc(q.deadline.Until(f.now()), func() { cancel(errDeadline) })
-	defer timer.Stop()
-	b := newBody(q.Body, limitOf(d.Service))
-	g := f.gateOf(d)
-	ask := policy.Ask{Ticket: policy.Ticket(f.tickets.Add(1)), Caller: q.caller, Deadline: q.deadline}
-	verdict, err := g.acquire(ctx, ask, d, f.deps.Hint)
-	if err != nil {
-		return failed(ctx, b, caller.NotRun), true
-	}
-	switch v := verdict.(type) {
-	case policy.Start:
-		return f.send(ctx, w, q, attempt{gate: g, dest: d, server: v.Server, body: b, timer: timer})
-	case policy.Shed:
-		return f.shed(v), true
-	default:
-		return refusal{status: http.StatusInternalServerError, reason: ReasonNoRoute, outcome: caller.NotRun}, true
-	}
+// job is a request at its gate.
+type job struct {
+	*request
+	front   *Front
+	service *service
+	dest    route.Here
+	policy  *policy.Request
+	// told says that another instance remembers the request on behalf of this gate.
+	told bool
+	// fresh asks for a new connection in the next try.
+	fresh bool
 }
 
-// shed returns the refusal for a request that the queue did not take.
-func (f *Front) shed(v policy.Shed) refusal {
-	no := refusal{
-		status: http.StatusServiceUnavailable, reason: v.Reason, outcome: caller.NotRun,
-		retry: v.RetryAt.Until(f.now()),
+// run is the way of a request through the gate.
+func (f *Front) run(w http.ResponseWriter, q *request, d route.Here) *refusal {
+	j := &job{request: q, front: f, service: f.service(d.Service.Name), dest: d}
+	if err := j.body.hold(w, q.ContentLength, f.at(q.deadline)); err != nil {
+		return failed(q, unreached(q), err)
 	}
-	if v.Reason == policy.ReasonOutOfShare {
-		no.status = http.StatusTooManyRequests
+	j.policy = &policy.Request{
+		Ticket: policy.Ticket(f.tickets.Add(1)), Pool: poolOf(d), Hash: q.hash, Caller: q.caller,
+		Deadline: q.deadline, Idempotent: q.idempotent, Replayable: j.body.whole,
 	}
-	return no
-}
-
-// attempt is one try of a request at a server whose slot it holds.
-type attempt struct {
-	gate   *gate
-	dest   route.Here
-	server string
-	body   *body
-	timer  *time.Timer
-}
-
-// target returns the server of the attempt.
-func (a *attempt) target() (route.Target, bool) {
-	for _, t := range a.dest.Servers {
-		if t.Server.Name == a.server {
-			return t, true
+	if q.once() {
+		if no := j.remember(w); no != nil {
+			return no
 		}
+	} else if j.service.suspicious() {
+		j.print()
 	}
-	return route.Target{}, false
+	no := j.tries(w)
+	if no != nil {
+		j.tellEnd(no.outcome, 0)
+	}
+	return no
 }
 
-// send writes a request to the server whose slot it holds, and streams the answer.
-func (f *Front) send(ctx context.Context, w http.ResponseWriter, q *request, a attempt) (refusal, bool) {
-	t, found := a.target()
-	if !found {
-		a.gate.release(a.server, 0)
-		return refusal{status: http.StatusServiceUnavailable, reason: policy.ReasonNoServer, outcome: caller.NotRun, retry: retrySoon}, true
+// remember asks the memory about a request that must not run twice, and makes sure that the
+// loss of this instance does not lose that it was sent.
+func (j *job) remember(w http.ResponseWriter) *refusal {
+	scope := ""
+	if j.dest.Service.Divided {
+		scope = j.key
 	}
-	if !t.Server.ChecksGrants && f.deps.Right != nil {
-		if err := f.deps.Right.Check(q.service, a.server, q.hash); err != nil {
-			a.gate.release(a.server, 0)
-			return refusal{
-				status: http.StatusServiceUnavailable, reason: ReasonNoRight, outcome: caller.NotRun,
-				detail: err.Error(), server: a.server, retry: retrySoon,
-			}, true
+	j.policy.Name = policy.NameOf(j.request.service, scope, j.id)
+	j.policy.Sending = j.sending
+	j.print()
+	server, epoch := j.owner()
+	if err := j.service.recall(j.Context(), j.hash, server, epoch); err != nil {
+		j.front.deps.Log.Warn("recall failed", "request", j.id, "service", j.service.name, "error", err)
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), retry: retrySoon,
 		}
 	}
-	began := f.now()
-	answer, err := a.gate.connections(t.Server).Send(f.outgoingTo(ctx, q, t, a.body), f.at(q.deadline))
-	defer f.releaseWhenDone(a, answer, began)
-	if err != nil {
-		return f.unanswered(ctx, q, a, err), true
+	known := j.service.recollect(j.policy)
+	if _, fresh := known.(policy.Fresh); !fresh {
+		return j.answerKnown(w, known)
 	}
-	defer answer.Body.Close()
-	if refusedBefore(answer.Response) {
-		return refusedBy(answer.Response, a.server), true
+	if j.witness != "" && j.witness != j.front.deps.Instance || j.front.deps.Witness == nil {
+		return nil
 	}
-	if q.idempotent {
-		a.timer.Stop()
+	ctx, cancel := context.WithDeadline(j.Context(), j.front.at(j.deadline))
+	defer cancel()
+	if err := j.front.deps.Witness.Begin(ctx, j.mark(caller.Unknown, 0)); err != nil {
+		j.service.forget(j.policy)
+		j.front.deps.Log.Warn("no witness", "request", j.id, "service", j.service.name, "error", err)
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: ReasonNoWitness, outcome: caller.NotRun, retry: retrySoon,
+		}
 	}
-	copyHeader(w.Header(), answer.Header)
-	outcomeHeader(w.Header(), q.id, outcomeOf(answer.Response))
-	w.Header().Set(caller.HeaderServer, a.server)
-	f.stream(w, q, answer.Response)
-	return refusal{}, false
+	j.told = true
+	return nil
 }
 
-// releaseWhenDone gives the slot back when the server is done with the request.
-func (f *Front) releaseWhenDone(a attempt, answer upstr.Answer, began policy.Time) {
-	select {
-	case <-answer.Done:
-		a.gate.release(a.server, time.Duration(f.now()-began))
-		return
-	default:
+// owner returns the server and epoch for which the memory must be complete.
+func (j *job) owner() (string, grant.Epoch) {
+	if j.policy.Pool == "" {
+		return "", grant.Epoch{}
 	}
-	go func() {
-		<-answer.Done
-		a.gate.release(a.server, time.Duration(f.now()-began))
-	}()
+	return j.policy.Pool, j.dest.Servers[0].Epoch
 }
 
-// outgoingTo returns the request as the server gets it.
-func (f *Front) outgoingTo(ctx context.Context, q *request, t route.Target, b *body) *http.Request {
-	out := f.outgoing(ctx, q, b)
-	out.URL = &url.URL{RawQuery: q.URL.RawQuery}
-	setPath(out.URL, q.rest)
-	out.Header.Set(caller.HeaderRequest, q.id)
-	if !t.Epoch.IsZero() {
-		out.Header.Set(caller.HeaderEpoch, epochText(t.Epoch))
+func (j *job) mark(o caller.Outcome, status int) policy.Mark {
+	m := j.service.core.MarkOf(j.policy, o)
+	m.Status = status
+	return m
+}
+
+// tellEnd tells the witness what became of the request.
+func (j *job) tellEnd(o caller.Outcome, status int) {
+	if j.told {
+		j.front.deps.Witness.End(j.mark(o, status))
 	}
-	return out
 }
 
-// epochText returns the header form of an epoch: log.sub.incarnation.sequence.
-func epochText(e grant.Epoch) string {
-	buffer := make([]byte, 0, 64)
-	for i, n := range []uint64{e.Term.Log, e.Term.Sub, e.Term.Incarnation, e.Sequence} {
-		if i > 0 {
-			buffer = append(buffer, '.')
+// print computes what the request asks, as suspects are known by it.
+func (j *job) print() {
+	j.policy.Print = policy.PrintOf(policy.Content{
+		Service: j.request.service, Method: j.Method, Path: j.URL.RequestURI(), Key: j.key,
+		Body: j.body.prefix, Length: j.ContentLength,
+	})
+}
+
+// answerKnown answers a resend from memory.
+func (j *job) answerKnown(w http.ResponseWriter, known policy.Recollection) *refusal {
+	no := &refusal{status: http.StatusConflict, outcome: caller.Unknown, reason: policy.ReasonInProgress, retry: retrySoon}
+	switch k := known.(type) {
+	case policy.Finished:
+		if k.Kept != nil {
+			j.replay(w, k.Kept)
+			return nil
 		}
-		buffer = strconv.AppendUint(buffer, n, 10)
+		no.reason, no.outcome, no.retry = policy.ReasonAlreadyRan, caller.Ran, 0
+	case policy.Reused:
+		no.status, no.reason, no.outcome, no.retry = http.StatusUnprocessableEntity, policy.ReasonIDReused, caller.NotRun, 0
+	case policy.Full:
+		no.status, no.reason, no.outcome = http.StatusServiceUnavailable, policy.ReasonMemoryFull, caller.NotRun
+	case policy.Doubtful, policy.Fresh:
 	}
-	return string(buffer)
+	return no
 }
 
-// unanswered returns the refusal for a request to which the server gave no answer.
-func (f *Front) unanswered(ctx context.Context, q *request, a attempt, err error) refusal {
-	f.deps.Log.Warn("no answer", "request", q.id, "service", q.service, "server", a.server, "error", err)
-	outcome := caller.Unknown
-	if errors.Is(err, upstr.ErrNotSent) {
-		outcome = caller.NotRun
+// tries asks for a slot and sends the request, as often as the policy lets it.
+func (j *job) tries(w http.ResponseWriter) *refusal {
+	for first := true; ; first = false {
+		verdict, waited, err := j.service.acquire(j.Context(), j.policy, j.dest)
+		if err != nil {
+			return failed(j.request, caller.NotRun, err)
+		}
+		start, started := verdict.(policy.Start)
+		if !started {
+			return j.shed(w, verdict)
+		}
+		if (waited || !first) && !j.stillHere(start.Server) {
+			j.service.withdraw(j.policy, start.Server)
+			return j.front.route(w, j.request)
+		}
+		target, found := j.target(start.Server)
+		if !found {
+			j.service.withdraw(j.policy, start.Server)
+			return &refusal{
+				status: http.StatusServiceUnavailable, reason: policy.ReasonNoServer, outcome: caller.NotRun, retry: retrySoon,
+			}
+		}
+		no, again := j.try(w, target)
+		if !again {
+			return no
+		}
+		j.body.rewind()
 	}
-	no := failed(ctx, a.body, outcome)
-	if no.reason == ReasonServerLost && outcome == caller.NotRun {
-		no.status, no.reason = http.StatusServiceUnavailable, ReasonUnreachable
+}
+
+// stillHere looks up once more where the request belongs: while it waited the key may have
+// got another owner, or the server another gate.
+func (j *job) stillHere(server string) bool {
+	d, here := j.front.find(j.request).(route.Here)
+	if !here || poolOf(d) != j.policy.Pool {
+		return false
 	}
-	no.server = a.server
-	return no
+	j.dest = d
+	_, found := j.target(server)
+	return found
 }
 
-// refusedBefore reports whether a server says that it refused a request before running it.
-func refusedBefore(r *http.Response) bool {
-	refusing := r.StatusCode == http.StatusMisdirectedRequest || r.StatusCode == http.StatusServiceUnavailable ||
-		r.StatusCode == http.StatusTooManyRequests
-	return refusing && r.Header.Get(caller.HeaderOutcome) == string(caller.NotRun)
+// target returns the server of a try.
+func (j *job) target(server string) (route.Target, bool) {
+	for _, t := range j.dest.Servers {
+		if t.Server.Name == server {
+			return t, true
+		}
+	}
+	return route.Target{}, false
 }
 
-// refusedBy returns the refusal for a request that the server refused before running it.
-func refusedBy(r *http.Response, server string) refusal {
-	no := refusal{
-		status: http.StatusServiceUnavailable, reason: ReasonServerBusy, outcome: caller.NotRun, server: server,
-		retry: retrySoon,
+// shed returns the refusal for a request that did not get a slot.
+func (j *job) shed(w http.ResponseWriter, verdict policy.Verdict) *refusal {
+	switch v := verdict.(type) {
+	case policy.Shed:
+		no := &refusal{
+			status: http.StatusServiceUnavailable, reason: v.Reason, outcome: caller.NotRun,
+			retry: v.RetryAt.Until(j.front.now()),
+		}
+		if v.Reason == policy.ReasonOutOfShare {
+			no.status = http.StatusTooManyRequests
+		}
+		if v.Reason == policy.ReasonBlocked {
+			no.detail = "block " + j.policy.Print.String()
+		}
+		return no
+	case policy.Known:
+		return j.answerKnown(w, v.Recollection)
+	default:
+		return &refusal{status: http.StatusInternalServerError, reason: ReasonNoRoute, outcome: caller.NotRun}
 	}
-	if r.StatusCode == http.StatusMisdirectedRequest {
-		no.reason = ReasonNotOwner
+}
+
+// try writes the request to a server whose slot it holds, and streams the answer. It returns
+// true when the request is to be tried once more.
+func (j *job) try(w http.ResponseWriter, t route.Target) (*refusal, bool) {
+	f, server := j.front, t.Server.Name
+	if !t.Server.ChecksGrants && f.deps.Right != nil {
+		if err := f.deps.Right.Check(j.request.service, server, j.hash); err != nil {
+			j.service.withdraw(j.policy, server)
+			return &refusal{
+				status: http.StatusServiceUnavailable, reason: ReasonNoRight, outcome: caller.NotRun,
+				detail: err.Error(), server: server, retry: retrySoon,
+			}, false
+		}
 	}
-	if seconds, err := strconv.Atoi(r.Header.Get("Retry-After")); err == nil && seconds > 0 {
-		no.retry = time.Duration(seconds) * time.Second
+	slot := j.service.held(j.policy, server)
+	began := f.now()
+	response, err := j.service.connections(t.Server).Send(j.outgoing(t), upstr.Order{
+		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh,
+		Done: func(sent bool) {
+			ran := time.Duration(f.now() - began)
+			if !sent {
+				ran = 0
+			}
+			j.service.freed(slot, ran)
+		},
+	})
+	if err != nil {
+		return j.unanswered(slot, t, err)
 	}
-	return no
+	defer response.Body.Close()
+	if refusedBefore(response) {
+		return j.refused(slot, response)
+	}
+	no, again := j.answer(w, slot, t, response)
+	if f.deps.Ran != nil {
+		f.deps.Ran(j.request.service, server, j.hash, time.Duration(f.now()-began))
+	}
+	return no, again
 }
 
-// outcomeOf returns what an answer says of its request. A server that sheds load without
-// saying so may or may not have begun the work.
-func outcomeOf(r *http.Response) caller.Outcome {
-	switch r.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return caller.Unknown
-	default:
-		return caller.Ran
+// outgoing returns the request as the server gets it.
+func (j *job) outgoing(t route.Target) *http.Request {
+	out := j.front.outgoing(j.Context(), j.request)
+	setPath(out.URL, j.rest)
+	out.Header.Set(caller.HeaderRequest, j.id)
+	if !t.Epoch.IsZero() {
+		out.Header.Set(caller.HeaderEpoch, epochText(t.Epoch))
 	}
+	return out
 }
--- a/internal/front/serve_test.go
+++ b/internal/front/serve_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/route"
-	"example.org/mustardring/pkg/bundle"
 	"example.org/mustardring/pkg/caller"
 )
 
@@ -177,5 +176,4 @@
 	is := is.New(t)
 	_, err := New(Deps{})
 	is.True(err != nil)
-	is.Equal(limitOf(&bundle.Service{}), int64(0))
 }
--- a/internal/policy/core.go
+++ b/internal/policy/core.go
@@ -133,15 +133,25 @@
 	return c.settle(q.Configure(now, limit, servers))
 }
 
-// Arrive takes a request in. The first verdict is on the request itself, any others are on
-// requests that wait. They are valid until the next call.
+// Recollect asks the memory about a request. If it returns Fresh, the memory holds this
+// sending from now on, until Answered, Failed with a Final, Leave or Withdraw, or a verdict that
+// sheds it. A request without a name, or one that is idempotent, is always Fresh.
+func (c *Core) Recollect(now Time, r *Request) Recollection {
+	if r.Idempotent || r.Name.IsZero() || r.remembered {
+		return Fresh{}
+	}
+	known := c.memory.Begin(now, r.sent())
+	_, r.remembered = known.(Fresh)
+	return known
+}
+
+// Arrive takes a request in, asking the memory if Recollect was not called before. The first
+// verdict is on the request itself, any others are on requests that wait. They are valid
+// until the next call.
 func (c *Core) Arrive(now Time, r *Request) []Verdict {
-	if !r.Idempotent && !r.Name.IsZero() && !r.remembered {
-		known := c.memory.Begin(now, r.sent())
-		if _, fresh := known.(Fresh); !fresh {
-			return []Verdict{Known{Ticket: r.Ticket, Recollection: known}}
-		}
-		r.remembered = true
+	known := c.Recollect(now, r)
+	if _, fresh := known.(Fresh); !fresh {
+		return []Verdict{Known{Ticket: r.Ticket, Recollection: known}}
 	}
 	if r.tries == 0 {
 		c.budget.Earn()
@@ -149,8 +159,7 @@
 	switch c.degree(now, r.Print) {
 	case Blocked:
 		c.forget(r)
-		until := Time((c.suspects.Until(r.Print) - c.originMillis) * int64(time.Millisecond))
-		return []Verdict{Shed{Ticket: r.Ticket, Reason: ReasonBlocked, RetryAt: until}}
+		return []Verdict{Shed{Ticket: r.Ticket, Reason: ReasonBlocked, RetryAt: c.blockedUntil(now, r.Print)}}
 	case Suspect:
 		r.suspect = true
 	case Unsuspected:
@@ -158,6 +167,12 @@
 	return c.ask(now, r)
 }
 
+// blockedUntil returns when a blocked request may be sent again: soon, while it is still
+// being found out whether the server was lost.
+func (c *Core) blockedUntil(now Time, p Print) Time {
+	return max(c.time(c.suspects.Until(p)), now.Add(retryFloor))
+}
+
 func (c *Core) ask(now Time, r *Request) []Verdict {
 	q := c.queues[r.Pool]
 	if q == nil {
@@ -195,6 +210,11 @@
 	c.forget(r)
 }
 
+// Doubt says that a request may have run, and that its answer did not come whole.
+func (c *Core) Doubt(r *Request) {
+	c.doubt(r)
+}
+
 // Held returns the slot of a request that was started at a server.
 func (c *Core) Held(r *Request, server string) Slot {
 	return Slot{Pool: r.Pool, Server: server, Suspect: r.suspect}
@@ -206,10 +226,15 @@
 	return c.settle(c.queues[s.Pool].Release(now, s.Server, ran, s.Suspect))
 }
 
-// Advance starts or sheds waiting requests of a pool after time has passed. The verdicts are
-// valid until the next call.
-func (c *Core) Advance(now Time, pool string) []Verdict {
-	return c.settle(c.queues[pool].Advance(now))
+// Advance starts or sheds waiting requests of all pools after time has passed.
+func (c *Core) Advance(now Time) []Verdict {
+	var verdicts []Verdict
+	for _, q := range c.queues {
+		if q.Waiting() > 0 {
+			verdicts = append(verdicts, c.settle(q.Advance(now))...)
+		}
+	}
+	return verdicts
 }
 
 // Answered says that the request had its whole answer. Kept may be nil.
--- a/internal/policy/differ_test.go
+++ b/internal/policy/differ_test.go
@@ -163,7 +163,7 @@
 // advance tells a gate that time has passed.
 func (w *world) advance(gate int) {
 	if core := w.cores[gate]; core != nil {
-		w.take(gate, core.Advance(w.now, ""))
+		w.take(gate, core.Advance(w.now))
 	}
 }
 
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -136,6 +136,9 @@
 	if q.limit != limit {
 		return false
 	}
+	if slices.EqualFunc(q.servers, servers, func(p place, c Capacity) bool { return !p.gone && p.Capacity == c }) {
+		return true
+	}
 	present := 0
 	for i := range q.servers {
 		if !q.servers[i].gone {
--- a/internal/policy/suspect.go
+++ b/internal/policy/suspect.go
@@ -80,7 +80,7 @@
 }
 
 // Hold says that a connection was lost while the request ran, and that it is being found out
-// whether the server was. Until Settle the request counts as a suspect at least.
+// whether the server was. Until Settle it counts as a loss.
 func (s *Suspects) Hold(p Print) {
 	s.held[p]++
 }
@@ -113,10 +113,13 @@
 	if b := s.blocks[p]; b != nil && b.UntilMillis > nowMillis {
 		count = len(b.Losses)
 	}
+	// A loss that is still being found out counts, lest a caller who resends quickly walks
+	// through more servers meanwhile.
+	count += s.held[p]
 	switch {
 	case count >= losses:
 		return Blocked
-	case count+s.held[p] > 0:
+	case count > 0:
 		return Suspect
 	default:
 		return Unsuspected
--- a/internal/upstr/conn.go
+++ b/internal/upstr/conn.go
@@ -1,147 +1,234 @@
 package upstr
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
-// errSecondWrite refuses a write on a second connection for a request of which bytes may
-// have left on a first one.
-var errSecondWrite = errors.New("upstr: request already written on another connection")
-
-// The states of a flight.
+// The sizes of a connection's buffers. A request whose head and body fit goes out in one
+// write.
 const (
-	flightFresh int32 = iota
-	flightWriting
-	flightClosed
+	readBuffer  = 8 << 10
+	writeBuffer = 8 << 10
 )
 
-// flight follows one request on the wire. It is the evidence behind "not run": Abandon
-// succeeds only if no byte was handed to the kernel, and makes sure that none will be.
-type flight struct {
-	state atomic.Int32
-	conn  atomic.Pointer[conn]
-	// until is when the server must have dropped the work at the latest.
-	until time.Time
-	once  sync.Once
-	done  chan struct{}
-}
+// errHead is returned when the head of an answer is larger than headBytes.
+var errHead = errors.New("upstr: head of the answer too large")
+
+// past is a deadline that ends all reading and writing.
+var past = time.Unix(1, 0)
 
-func newFlight(until time.Time) *flight {
-	return &flight{until: until, done: make(chan struct{})}
+// conn is a connection to a backend server. It carries one request at a time, and belongs to
+// the goroutine that carries it.
+type conn struct {
+	net.Conn
+	server *Server
+	in     *bufio.Reader
+	out    *bufio.Writer
+	// idleSince is when the connection last had nothing to do.
+	idleSince time.Time
+	// reused says that the connection carried a request before the present one.
+	reused bool
+	// wrote says that bytes of the present request may have left.
+	wrote bool
+	// headLeft is the number of bytes that the head of the answer may still have; negative
+	// while the body is read.
+	headLeft int
+
+	// mu guards what follows. Serial is that of the present request, zero from when its fate
+	// is known: from then on it cannot be interrupted. Interrupted says that it was.
+	mu          sync.Mutex
+	serial      uint64
+	interrupted bool
 }
 
-// abandon reports whether no byte of the request left. From then on none can.
-func (f *flight) abandon() bool {
-	return f.state.CompareAndSwap(flightFresh, flightClosed)
+func newConn(raw net.Conn, s *Server) *conn {
+	c := &conn{Conn: raw, server: s}
+	c.in = bufio.NewReaderSize(c, readBuffer)
+	c.out = bufio.NewWriterSize(c, writeBuffer)
+	return c
 }
 
-// finish says that the server is done with the request or known to have dropped it.
-func (f *flight) finish() {
-	f.once.Do(func() { close(f.done) })
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, errHead
+	}
+	if c.headLeft > 0 && len(p) > c.headLeft {
+		p = p[:c.headLeft]
+	}
+	n, err := c.Conn.Read(p)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
+	return n, err
 }
 
-// claim admits the first connection that wants to write and refuses others.
-//
-// It guards against net/http, which sends a request again by itself on a new connection when
-// a kept-alive one breaks and the request looks idempotent to it (GET, or any request with
-// an Idempotency-Key): the work would run twice, or a crashing request kill two servers,
-// with nobody told. The guard holds because every byte passes here.
-func (f *flight) claim(c *conn) bool {
-	if f.state.CompareAndSwap(flightFresh, flightWriting) {
-		f.conn.Store(c)
-		return true
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	before := c.wrote
+	c.wrote = true
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		c.wrote = before
 	}
-	return f.state.Load() == flightWriting && f.conn.Load() == c
+	return n, err
 }
 
-// unclaim undoes a claim after a first write of which no byte was taken.
-func (f *flight) unclaim() {
-	f.conn.Store(nil)
-	f.state.CompareAndSwap(flightWriting, flightFresh)
+// begin prepares the connection for a request.
+func (c *conn) begin(serial uint64, deadline time.Time) {
+	c.wrote = false
+	c.headLeft = headBytes
+	_ = c.SetWriteDeadline(deadline)
+	c.mu.Lock()
+	c.serial, c.interrupted = serial, false
+	c.mu.Unlock()
 }
 
-// conn is a connection to a backend server that tells its flight what happens on it.
-type conn struct {
-	net.Conn
-	flight atomic.Pointer[flight]
-	closed atomic.Bool
-	// release gives the connection back to the budget.
-	release func()
+// settle says that the request's fate is known.
+func (c *conn) settle() {
+	c.mu.Lock()
+	c.serial = 0
+	c.mu.Unlock()
 }
 
-// carry makes the connection carry a flight.
-func (c *conn) carry(f *flight) {
-	c.flight.Store(f)
+// interrupt ends the reading and writing of a request. It does nothing if the connection
+// carries another one by now.
+func (c *conn) interrupt(serial uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.serial == serial {
+		c.interrupted = true
+		_ = c.SetDeadline(past)
+	}
 }
 
-// drop ends the carrying of a flight.
-func (c *conn) drop(f *flight) {
-	c.flight.CompareAndSwap(f, nil)
+// await sets the deadline of reading, unless the request was interrupted.
+func (c *conn) await(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted {
+		_ = c.SetReadDeadline(t)
+	}
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	f := c.flight.Load()
-	if f == nil {
-		return 0, errSecondWrite
+// awaitHead reads the head of the answer, leaving out informational ones.
+func (c *conn) awaitHead(r *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.in, r)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			c.headLeft = -1
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("upstr: protocol switched unasked")
+		}
 	}
-	fresh := f.state.Load() == flightFresh
-	if !f.claim(c) {
-		return 0, errSecondWrite
+}
+
+// withdraw takes leave of a server that may still run the request, and calls done when it has
+// dropped it. Only the sending side is closed: the server takes that as a cancellation, and
+// closes the connection when it has dropped the work. If the connection went silent even
+// that is left out, to hear whether the server was only slow.
+func (c *conn) withdraw(s *sending) {
+	c.settle()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && !s.silent {
+		_ = half.CloseWrite()
 	}
-	n, err := c.Conn.Write(p)
-	if n == 0 && err != nil && fresh {
-		f.unclaim()
+	go c.linger(s)
+}
+
+// linger reads until the server closes the connection, or until the request's time is over
+// if it does not, and then calls done.
+//
+// A timeout in the kernel ends the connection but proves nothing: the server may run on at
+// the other end of a connection that went silent. Then the request ends with its time.
+func (c *conn) linger(s *sending) {
+	defer s.done(true)
+	_ = c.SetReadDeadline(s.until)
+	var scrap [4 << 10]byte
+	for {
+		n, err := c.Conn.Read(scrap[:])
+		if n > 0 {
+			c.server.observe(time.Since(s.began))
+		}
+		if err == nil {
+			continue
+		}
+		c.end()
+		var failure net.Error
+		if errors.As(err, &failure) && failure.Timeout() {
+			time.Sleep(time.Until(s.until))
+		}
+		return
 	}
-	return n, err
 }
 
-// Close implements net.Conn. While the server may still run a request that came on the
-// connection, only the sending side is closed: the server takes that as a cancellation, and
-// closes the connection when it has dropped the work, which is when the slot is free again.
-func (c *conn) Close() error {
-	if !c.closed.CompareAndSwap(false, true) {
-		return nil
+// end closes the connection.
+func (c *conn) end() {
+	_ = c.Close()
+	c.server.forget(c)
+}
+
+// body is the body of an answer.
+type body struct {
+	io.ReadCloser
+	conn    *conn
+	sending *sending
+	// keep says that the connection may carry another request afterwards.
+	keep  bool
+	ended bool
+}
+
+// Read implements io.Reader. At the end of the body the server is done.
+func (b *body) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
 	}
-	f := c.flight.Load()
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if f == nil || f.conn.Load() != c || !ok || isDone(f) {
-		return c.end(f)
+	if b.conn.in.Buffered() == 0 {
+		b.conn.await(time.Now().Add(stall))
 	}
-	if err := half.CloseWrite(); err != nil {
-		return c.end(f)
+	n, err := b.ReadCloser.Read(p)
+	if err == nil {
+		return n, nil
 	}
-	go c.linger(f)
-	return nil
-}
-
-// linger reads until the server closes the connection or the request's time is over. It ends
-// by itself at f.until, and f.done reports its end.
-func (c *conn) linger(f *flight) {
-	_ = c.SetReadDeadline(f.until)
-	_, _ = io.Copy(io.Discard, c.Conn)
-	_ = c.end(f)
+	if errors.Is(err, io.EOF) {
+		b.finish()
+		return n, io.EOF
+	}
+	return n, b.conn.server.failure(b.sending, err)
 }
 
-func (c *conn) end(f *flight) error {
-	err := c.Conn.Close()
-	c.release()
-	if f != nil && f.conn.Load() == c {
-		f.finish()
+// Close implements io.Closer. Before the end of the body it cancels the request.
+func (b *body) Close() error {
+	if !b.ended {
+		b.ended = true
+		b.sending.stop()
+		b.conn.withdraw(b.sending)
 	}
-	return err
+	return nil
 }
 
-func isDone(f *flight) bool {
-	select {
-	case <-f.done:
-		return true
-	default:
-		return false
+// finish gives the connection back after the whole answer.
+//
+// Bytes beyond the answer would become the answer to the next request, which may be another
+// caller's. A connection with any is closed.
+func (b *body) finish() {
+	b.ended = true
+	b.sending.stop()
+	b.conn.settle()
+	if b.keep && b.conn.in.Buffered() == 0 && b.sending.written() {
+		b.conn.server.put(b.conn)
+	} else {
+		b.conn.end()
 	}
+	b.sending.done(true)
 }
--- a/internal/upstr/server.go
+++ b/internal/upstr/server.go
@@ -1,16 +1,24 @@
 // Package upstr sends requests to backend servers over HTTP and reports what left, what came
 // back and when the server was done.
+//
+// It has its own pool of connections beneath the request and answer types of net/http. The
+// pool of http.Transport cannot give the evidence that "not run" needs: it sends a request
+// again by itself when a kept-alive connection breaks and the request looks idempotent to it
+// (GET, or any request with an Idempotency-Key), it may take bytes that a server sent too much
+// for the answer to the next request, and it does not tell when a server has dropped a
+// cancelled request.
 package upstr
 
 import (
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
+	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,172 +26,304 @@
 var (
 	// ErrNotSent says that no byte of the request was written to the server.
 	ErrNotSent = errors.New("upstr: request not sent")
-	// ErrInDoubt says that bytes were written and no whole answer header came back.
+	// ErrInDoubt says that bytes were written and no whole answer came back.
 	ErrInDoubt = errors.New("upstr: request in doubt")
 	// ErrLost marks an ErrInDoubt that came with the loss of the connection.
-	ErrLost = errors.New("upstr: server closed the connection")
+	ErrLost = errors.New("upstr: connection lost")
+	// ErrSilent marks an ErrInDoubt of a connection that went silent while the server
+	// answers on new ones.
+	ErrSilent = errors.New("upstr: connection went silent")
+	// ErrDeadline marks an ErrInDoubt of a server that did not answer in time.
+	ErrDeadline = errors.New("upstr: no answer by the deadline")
+	// ErrBudget marks an ErrNotSent: all connections are in use.
+	ErrBudget = errors.New("upstr: no connection left")
 )
 
-// The bounds of a connection.
+// The bounds of connections.
 const (
-	dialTimeout   = 2 * time.Second
-	idleTimeout   = 60 * time.Second
-	headerBytes   = 64 << 10
-	dropGrace     = time.Second
+	dialTimeout = 2 * time.Second
+	// idleTimeout bounds how long a connection that went silent can go unnoticed between two
+	// requests. A new one costs about a millisecond.
+	idleTimeout   = 3 * time.Second
+	headBytes     = 64 << 10
 	budgetDivisor = 3
+	// dropGrace is how long after its deadline a server may still run a request.
+	dropGrace = time.Second
+	// stall is how long a server may take over the next part of an answer's body.
+	stall = 30 * time.Second
 )
 
+// Settings describe a backend server.
+type Settings struct {
+	Name string
+	// Address is an IP address with port.
+	Address string
+	// Connections is the number that the server accepts from all instances.
+	Connections int
+	Slots       int
+	// Patience is the least time for which a connection may be silent before it is doubted;
+	// zero means DefaultPatience.
+	Patience time.Duration
+}
+
+// DefaultPatience is long beside the answers of today's services.
+const DefaultPatience = time.Second
+
 // Server is the connections to one backend server.
 type Server struct {
-	name      string
-	address   string
-	transport *http.Transport
-	budget    chan struct{}
-	dialer    func(ctx context.Context, network, address string) (net.Conn, error)
-	mu        sync.Mutex
-	open      map[*conn]struct{}
-}
-
-// NewServer returns the connections to the server at an IP address with port. It opens at
-// most a third of the connections that the server accepts from all instances, so that a
-// successor of this gate, and heartbeats, have room beside it.
-func NewServer(name, address string, connections, slots int) *Server {
-	budget := max(connections/budgetDivisor, slots+1)
-	s := &Server{
-		name:    name,
-		address: address,
-		budget:  make(chan struct{}, budget),
-		dialer:  (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		open:    make(map[*conn]struct{}),
-	}
-	s.transport = &http.Transport{
-		DialContext:            s.dial,
-		DisableCompression:     true,
-		MaxIdleConns:           budget,
-		MaxIdleConnsPerHost:    budget,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: headerBytes,
+	settings Settings
+	budget   int
+	dialer   net.Dialer
+	// slowest is the longest time to an answer of late, in nanoseconds.
+	slowest atomic.Int64
+	watch   *watch
+	// serial numbers the requests.
+	serial atomic.Uint64
+
+	mu     sync.Mutex
+	open   map[*conn]struct{}
+	dials  int
+	idle   []*conn
+	reaper *time.Timer
+	closed bool
+}
+
+// filled returns the settings with the defaults in place.
+func (s Settings) filled() Settings {
+	if s.Patience == 0 {
+		s.Patience = DefaultPatience
 	}
 	return s
 }
 
-// Name returns the name of the server.
-func (s *Server) Name() string { return s.name }
+// NewServer returns the connections to a server. It opens at most a third of the connections
+// that the server accepts, so that a successor of this gate, and heartbeats, have room
+// beside it. Close ends it.
+func NewServer(settings Settings) *Server {
+	settings = settings.filled()
+	s := &Server{
+		settings: settings,
+		budget:   max(settings.Connections/budgetDivisor, settings.Slots+1),
+		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: userTimeout},
+		open:     make(map[*conn]struct{}),
+	}
+	s.slowest.Store(int64(settings.Patience) / patienceTimes)
+	s.watch = newWatch(s)
+	return s
+}
 
-// Address returns the address of the server.
-func (s *Server) Address() string { return s.address }
+// Made reports whether the server was made from the given settings.
+func (s *Server) Made(settings Settings) bool { return s.settings == settings.filled() }
 
-// Answer is the answer of a server. Done is closed when the server is done with the request
-// or known to have dropped it: only then its slot is free.
-type Answer struct {
-	*http.Response
-	Done <-chan struct{}
+// Order says how a request is to be sent.
+type Order struct {
+	// Deadline is when the head of the answer must be there. The server must have dropped
+	// the work shortly after it.
+	Deadline time.Time
+	// InMemory says that the request's body is in memory, or that it has none.
+	InMemory bool
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Done is called once, in any case, when the server is done with the request or known to
+	// have dropped it: only then its slot is free. Sent says whether bytes may have left.
+	Done func(sent bool)
 }
 
-// Send sends a request and returns when the answer's header is there. The request's context
-// cancels it at any time. Done is never nil, also not with an error. Errors wrap ErrNotSent
-// or ErrInDoubt.
-func (s *Server) Send(r *http.Request, until time.Time) (Answer, error) {
-	f := newFlight(until.Add(dropGrace))
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.carry(f)
-		}
-	}}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
-	r.URL.Scheme, r.URL.Host = "http", s.address
-	response, err := s.transport.RoundTrip(r) //nolint:bodyclose // the reader of the Answer closes it
-	if err == nil {
-		b := &body{ReadCloser: response.Body, flight: f}
-		if response.Body == http.NoBody {
-			b.end()
-		}
-		response.Body = b
-		return Answer{Response: response, Done: f.done}, nil
+// Send sends a request and returns when the head of the answer is there. The request's
+// context cancels it at any time. Its answer's body must be closed. Errors wrap ErrNotSent or
+// ErrInDoubt.
+func (s *Server) Send(r *http.Request, o Order) (*http.Response, error) {
+	s.watch.start()
+	c, err := s.get(r.Context(), o)
+	if err != nil {
+		o.Done(false)
+		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, s.settings.Name, err)
 	}
-	if f.abandon() {
-		f.finish()
-		return Answer{Done: f.done}, fmt.Errorf("%w to %s: %w", ErrNotSent, s.name, err)
+	out := &sending{
+		serial: s.serial.Add(1), request: r, began: time.Now(),
+		deadline: o.Deadline, until: o.Deadline.Add(dropGrace), done: o.Done,
 	}
-	if r.Context().Err() == nil {
+	c.begin(out.serial, o.Deadline)
+	out.stop = context.AfterFunc(r.Context(), func() { c.interrupt(out.serial) })
+	if err := out.write(c, o.InMemory); err != nil {
+		return nil, s.giveUp(out, c, err)
+	}
+	response, err := out.await(c)
+	if err != nil {
+		return nil, s.giveUp(out, c, err)
+	}
+	s.observe(time.Since(out.began))
+	b := &body{ReadCloser: response.Body, conn: c, sending: out, keep: !response.Close && !r.Close}
+	response.Body = b
+	if b.ReadCloser == http.NoBody {
+		b.finish()
+	}
+	return response, nil
+}
+
+// giveUp ends a request without an answer.
+func (s *Server) giveUp(out *sending, c *conn, err error) error {
+	out.stop()
+	if out.writing == nil && !c.wrote {
+		c.settle()
+		c.end()
+		out.done(false)
+		return fmt.Errorf("%w to %s: %w", ErrNotSent, s.settings.Name, err)
+	}
+	failure := s.failure(out, err)
+	c.withdraw(out)
+	return failure
+}
+
+// failure says what an error after the first byte means.
+func (s *Server) failure(out *sending, err error) error {
+	switch {
+	case out.silent:
+		err = ErrSilent
+	case out.request.Context().Err() != nil:
+		err = context.Cause(out.request.Context())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = fmt.Errorf("%w: %w", ErrDeadline, err)
+	default:
 		err = fmt.Errorf("%w: %w", ErrLost, err)
 	}
-	return Answer{Done: f.done}, fmt.Errorf("%w at %s: %w", ErrInDoubt, s.name, err)
+	return fmt.Errorf("%w at %s: %w", ErrInDoubt, s.settings.Name, err)
 }
 
 // Cut closes all connections at once, for when the right to use the server is lost.
 func (s *Server) Cut() {
-	s.transport.CloseIdleConnections()
+	s.dropIdle()
 	s.mu.Lock()
-	open := make([]*conn, 0, len(s.open))
+	defer s.mu.Unlock()
 	for c := range s.open {
-		open = append(open, c)
-	}
-	s.mu.Unlock()
-	for _, c := range open {
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections, and others when they become idle, and ends the watch.
+// Requests in progress go on.
 func (s *Server) Close() {
-	s.transport.CloseIdleConnections()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.dropIdle()
+	s.watch.stop()
 }
 
-// Open returns the number of open connections.
+// Open returns the number of open connections, those being opened included.
 func (s *Server) Open() int {
-	return len(s.budget)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open) + s.dials
 }
 
-func (s *Server) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	select {
-	case s.budget <- struct{}{}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
+// get returns a connection for a request.
+func (s *Server) get(ctx context.Context, o Order) (*conn, error) {
+	for !o.Fresh {
+		c := s.takeIdle()
+		if c == nil {
+			break
+		}
+		if time.Since(c.idleSince) < idleTimeout && quiet(c.Conn) {
+			c.reused = true
+			return c, nil
+		}
+		c.end()
 	}
-	raw, err := s.dialer(ctx, network, address)
+	if !s.reserve() {
+		return nil, ErrBudget
+	}
+	dialer := s.dialer
+	dialer.Deadline = o.Deadline
+	raw, err := dialer.DialContext(ctx, "tcp", s.settings.Address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dials--
 	if err != nil {
-		<-s.budget
 		return nil, err
 	}
-	c := &conn{Conn: raw}
-	c.release = func() { s.forget(c) }
-	s.mu.Lock()
+	c := newConn(raw, s)
 	s.open[c] = struct{}{}
-	s.mu.Unlock()
 	return c, nil
 }
 
-func (s *Server) forget(c *conn) {
-	s.mu.Lock()
-	delete(s.open, c)
-	s.mu.Unlock()
-	<-s.budget
+// reserve counts a connection about to be opened. If all are in use an idle one gives way.
+func (s *Server) reserve() bool {
+	for {
+		s.mu.Lock()
+		if len(s.open)+s.dials < s.budget {
+			s.dials++
+			s.mu.Unlock()
+			return true
+		}
+		s.mu.Unlock()
+		c := s.takeIdle()
+		if c == nil {
+			return false
+		}
+		c.end()
+	}
 }
 
-// body is an answer's body that tells its flight when it was read to the end.
-type body struct {
-	io.ReadCloser
-	flight *flight
+// takeIdle returns the connection that became idle last, nil if there is none.
+func (s *Server) takeIdle() *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := len(s.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	c := s.idle[last]
+	s.idle[last] = nil
+	s.idle = s.idle[:last]
+	return c
 }
 
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.end()
+// put makes a connection idle.
+func (s *Server) put(c *conn) {
+	c.idleSince = time.Now()
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		c.end()
+		return
 	}
-	return n, err
+	s.idle = append(s.idle, c)
+	if s.reaper == nil {
+		s.reaper = time.AfterFunc(idleTimeout, s.reap)
+	}
+	s.mu.Unlock()
 }
 
-// Close implements io.Closer.
-func (b *body) Close() error {
-	return b.ReadCloser.Close()
+// reap closes the connections that have been idle for too long.
+func (s *Server) reap() {
+	s.mu.Lock()
+	limit := time.Now().Add(-idleTimeout)
+	fresh := slices.IndexFunc(s.idle, func(c *conn) bool { return c.idleSince.After(limit) })
+	if fresh < 0 {
+		fresh = len(s.idle)
+	}
+	old := slices.Clone(s.idle[:fresh])
+	s.idle = slices.Delete(s.idle, 0, fresh)
+	s.reaper = nil
+	if len(s.idle) > 0 {
+		s.reaper = time.AfterFunc(time.Until(s.idle[0].idleSince.Add(idleTimeout)), s.reap)
+	}
+	s.mu.Unlock()
+	for _, c := range old {
+		c.end()
+	}
 }
 
-func (b *body) end() {
-	if c := b.flight.conn.Load(); c != nil {
-		c.drop(b.flight)
+// dropIdle closes all idle connections.
+func (s *Server) dropIdle() {
+	for c := s.takeIdle(); c != nil; c = s.takeIdle() {
+		c.end()
 	}
-	b.flight.finish()
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
 }
--- /dev/null
+++ b/internal/upstr/server_test.go
@@ -0,0 +1,470 @@
+package upstr
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// connect returns the connections to an address, closed with the test.
+func connect(t *testing.T, address string, change func(*Settings)) *Server {
+	t.Helper()
+	settings := Settings{Name: "a", Address: address, Connections: 110, Slots: 2}
+	if change != nil {
+		change(&settings)
+	}
+	s := NewServer(settings)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func request(is *is.I, method, body string) *http.Request {
+	is.Helper()
+	r, err := http.NewRequest(method, "http://server/x", strings.NewReader(body))
+	is.NoErr(err)
+	r.GetBody = nil
+	if body == "" {
+		r.Body = nil
+	}
+	return r
+}
+
+// result is what became of a request.
+type result struct {
+	text string
+	err  error
+	// done is closed when the server is done.
+	done chan struct{}
+}
+
+// order returns an order without a deadline to speak of, and a channel that its Done closes.
+func order() (Order, chan struct{}) {
+	done := make(chan struct{})
+	return Order{Deadline: time.Now().Add(time.Hour), InMemory: true, Done: func(bool) { close(done) }}, done
+}
+
+// send sends a request and reads its answer.
+func send(s *Server, r *http.Request) result {
+	o, done := order()
+	response, err := s.Send(r, o)
+	if err != nil {
+		return result{err: err, done: done}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return result{text: string(text), err: err, done: done}
+}
+
+// script is a server whose behaviour on each connection is written out.
+type script struct {
+	net.Listener
+	// asked counts the requests that were read.
+	asked atomic.Int32
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// play starts a script; handle gets the connection's number from 0.
+func play(t *testing.T, handle func(s *script, number int, c net.Conn, in *bufio.Reader)) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{Listener: l}
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			// The watch's connection sends nothing and takes no number.
+			group.Go(func() { s.serve(c, handle) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			c.Close()
+		}
+		s.mu.Unlock()
+		group.Wait()
+	})
+	return s
+}
+
+var numbers sync.Map
+
+func (s *script) serve(c net.Conn, handle func(s *script, number int, c net.Conn, in *bufio.Reader)) {
+	in := bufio.NewReader(c)
+	if _, err := in.Peek(1); err != nil {
+		return
+	}
+	counter, _ := numbers.LoadOrStore(s, new(atomic.Int32))
+	handle(s, int(counter.(*atomic.Int32).Add(1))-1, c, in)
+}
+
+// read takes in one request and reports false at the connection's end.
+func (s *script) read(in *bufio.Reader) bool {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	s.asked.Add(1)
+	return true
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// A server restarts between two requests on one connection. net/http would take the second
+// one, read by the server and unanswered, and send it again by itself: the crash would be
+// doubled, and a submission with an Idempotency-Key run twice.
+func TestRequestIsNeverSentTwice(t *testing.T) {
+	tests := map[string]struct {
+		method, header string
+	}{
+		"get":                    {method: http.MethodGet},
+		"post with a request id": {method: http.MethodPost, header: "Idempotency-Key"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := play(t, func(s *script, number int, c net.Conn, in *bufio.Reader) {
+				defer c.Close()
+				for i := 0; s.read(in); i++ {
+					if number == 0 && i == 1 {
+						return
+					}
+					_, _ = io.WriteString(c, ok)
+				}
+			})
+			s := connect(t, server.Addr().String(), nil)
+			is.NoErr(send(s, request(is, http.MethodGet, "")).err)
+			r := request(is, tt.method, "")
+			if tt.header != "" {
+				r.Header.Set(tt.header, "id")
+			}
+			got := send(s, r)
+			is.True(errors.Is(got.err, ErrInDoubt))
+			is.True(errors.Is(got.err, ErrLost))
+			<-got.done
+			is.Equal(server.asked.Load(), int32(2))
+		})
+	}
+}
+
+func TestNothingListens(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	s := connect(t, address, nil)
+	got := send(s, request(is, http.MethodPost, "text"))
+	is.True(errors.Is(got.err, ErrNotSent))
+	<-got.done
+	is.Equal(s.Open(), 0)
+}
+
+// A caller goes away while the server works. The server is told by the end of the sending
+// side. Its slot is free only when it has dropped the work, else it would run three requests
+// in two slots.
+func TestCancelledRequestHoldsItsSlot(t *testing.T) {
+	is := is.New(t)
+	begun, told, drop := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(begun)
+		<-r.Context().Done()
+		close(told)
+		<-drop
+	}))
+	defer server.Close()
+	s := connect(t, server.Listener.Addr().String(), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	got := send(s, request(is, http.MethodPost, "text").WithContext(ctx))
+	is.True(errors.Is(got.err, ErrInDoubt))
+	is.True(!errors.Is(got.err, ErrLost))
+	<-told
+	select {
+	case <-got.done:
+		t.Fatal("the slot is free while the server works")
+	default:
+	}
+	close(drop)
+	<-got.done
+}
+
+// A server takes no notice of a cancellation. Its slot is free when the request's time is
+// over, as the server was told the deadline.
+func TestSlotIsFreeAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	server := play(t, func(s *script, _ int, _ net.Conn, in *bufio.Reader) {
+		s.read(in)
+		close(begun)
+	})
+	s := connect(t, server.Addr().String(), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	o, done := order()
+	o.Deadline = time.Now().Add(time.Second)
+	_, err := s.Send(request(is, http.MethodPost, "text").WithContext(ctx), o) //nolint:bodyclose // there is none
+	is.True(errors.Is(err, ErrInDoubt))
+	<-done
+}
+
+// A server answers half and closes. The reader must see an error, not an end.
+func TestHalfAnswer(t *testing.T) {
+	tests := map[string]string{
+		"short":            "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+		"chunked":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"header only half": "HTTP/1.1 200 OK\r\nConte",
+		"no HTTP":          "hello, this is no HTTP\r\n\r\n",
+		"two lengths":      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nhalf",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := play(t, func(s *script, _ int, c net.Conn, in *bufio.Reader) {
+				s.read(in)
+				_, _ = io.WriteString(c, text)
+				c.Close()
+			})
+			s := connect(t, server.Addr().String(), nil)
+			got := send(s, request(is, http.MethodGet, ""))
+			is.True(errors.Is(got.err, ErrInDoubt))
+			<-got.done
+		})
+	}
+}
+
+// The bytes after a stated length belong to no answer. They must not become the next one.
+func TestLongAnswerDoesNotCross(t *testing.T) {
+	is := is.New(t)
+	server := play(t, func(s *script, number int, c net.Conn, in *bufio.Reader) {
+		for s.read(in) {
+			if number > 0 {
+				_, _ = io.WriteString(c, ok)
+				continue
+			}
+			_, _ = io.WriteString(c, ok+"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstrays")
+		}
+	})
+	s := connect(t, server.Addr().String(), nil)
+	for range 3 {
+		got := send(s, request(is, http.MethodGet, ""))
+		is.NoErr(got.err)
+		is.Equal(got.text, "ok")
+		<-got.done
+	}
+}
+
+// A request's connection ends without an answer. When all others live, the server only
+// disliked the request; when they end as well, its process did.
+func TestDeathIsToldFromACut(t *testing.T) {
+	tests := map[string]struct {
+		dies bool
+	}{
+		"closes one connection": {},
+		"dies and is back":      {dies: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := play(t, func(s *script, _ int, c net.Conn, in *bufio.Reader) {
+				for i := 0; s.read(in); i++ {
+					if i == 0 {
+						_, _ = io.WriteString(c, ok)
+						continue
+					}
+					if !tt.dies {
+						c.Close()
+						return
+					}
+					s.mu.Lock()
+					for _, o := range s.conns {
+						o.Close()
+					}
+					s.mu.Unlock()
+				}
+			})
+			s := connect(t, server.Addr().String(), nil)
+			is.NoErr(send(s, request(is, http.MethodGet, "")).err)
+			server.awaitConns(2)
+			is.True(errors.Is(send(s, request(is, http.MethodGet, "")).err, ErrLost))
+			is.Equal(s.Died(context.Background(), time.Now()), tt.dies)
+		})
+	}
+}
+
+// awaitConns waits until a number of connections were accepted.
+func (s *script) awaitConns(n int) {
+	for {
+		s.mu.Lock()
+		reached := len(s.conns) >= n
+		s.mu.Unlock()
+		if reached {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Something between the two ends loses track of a connection: the request on it vanishes
+// while new connections work. The user would wait for the whole deadline.
+func TestSilentConnectionIsDropped(t *testing.T) {
+	is := is.New(t)
+	server := play(t, func(s *script, number int, c net.Conn, in *bufio.Reader) {
+		for i := 0; s.read(in); i++ {
+			if number == 0 && i == 1 {
+				return
+			}
+			_, _ = io.WriteString(c, ok)
+		}
+	})
+	s := connect(t, server.Addr().String(), func(s *Settings) { s.Patience = 20 * time.Millisecond })
+	is.NoErr(send(s, request(is, http.MethodGet, "")).err)
+	silent := send(s, request(is, http.MethodGet, ""))
+	is.True(errors.Is(silent.err, ErrSilent))
+	is.True(errors.Is(silent.err, ErrInDoubt))
+	got := send(s, request(is, http.MethodGet, ""))
+	is.NoErr(got.err)
+	is.Equal(got.text, "ok")
+}
+
+// A server freezes: its kernel still takes connections, and nothing answers on any. To drop
+// the connection would gain nothing, and the server is back in a while.
+func TestFrozenServerIsNotSilence(t *testing.T) {
+	is := is.New(t)
+	thaw := make(chan struct{})
+	server := play(t, func(s *script, number int, c net.Conn, in *bufio.Reader) {
+		for i := 0; s.read(in); i++ {
+			switch {
+			case number == 0 && i == 1:
+				<-thaw
+			case number > 0:
+				close(thaw)
+				return
+			}
+			_, _ = io.WriteString(c, ok)
+		}
+	})
+	s := connect(t, server.Addr().String(), func(s *Settings) { s.Patience = 20 * time.Millisecond })
+	is.NoErr(send(s, request(is, http.MethodGet, "")).err)
+	got := send(s, request(is, http.MethodGet, ""))
+	is.NoErr(got.err)
+	is.Equal(got.text, "ok")
+}
+
+// The server bears 110 connections from all instances. One gate stays within a third.
+func TestConnectionsStayWithinBudget(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-release
+	}))
+	defer server.Close()
+	s := connect(t, server.Listener.Addr().String(), func(s *Settings) { s.Connections, s.Slots = 12, 2 })
+	results := make(chan result, 4)
+	for range 4 {
+		r := request(is, http.MethodGet, "")
+		go func() { results <- send(s, r) }()
+	}
+	for range 4 {
+		<-begun
+	}
+	is.Equal(s.Open(), 4)
+	got := send(s, request(is, http.MethodGet, ""))
+	is.True(errors.Is(got.err, ErrBudget))
+	is.True(errors.Is(got.err, ErrNotSent))
+	<-got.done
+	close(release)
+	for range 4 {
+		got := <-results
+		is.NoErr(got.err)
+		<-got.done
+	}
+	is.Equal(s.Open(), 4)
+}
+
+// A long upload is answered before its end. The answer counts, and the connection, on which
+// the rest of the body may still be, is not used again.
+func TestAnswerBeforeTheEndOfTheBody(t *testing.T) {
+	is := is.New(t)
+	server := play(t, func(_ *script, _ int, c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\nno")
+		}
+	})
+	s := connect(t, server.Addr().String(), nil)
+	from, to := io.Pipe()
+	defer func() { _ = to.Close() }()
+	r := request(is, http.MethodPost, "text")
+	r.Body, r.ContentLength = from, 1000
+	o, done := order()
+	o.InMemory = false
+	response, err := s.Send(r, o)
+	is.NoErr(err)
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(string(text), "no")
+	<-done
+	is.Equal(s.Open(), 0)
+}
+
+// A caller's upload ends early. The server must not take the part for the whole.
+func TestUploadEndsEarly(t *testing.T) {
+	tests := map[string]int64{"stated length": 1000, "chunked": -1}
+	for name, length := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			seen := make(chan error, 1)
+			server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, err := io.Copy(io.Discard, r.Body)
+				seen <- err
+			}))
+			defer server.Close()
+			s := connect(t, server.Listener.Addr().String(), nil)
+			from, to := io.Pipe()
+			r := request(is, http.MethodPost, "text")
+			r.Body, r.ContentLength = from, length
+			go func() {
+				_, _ = to.Write([]byte("half"))
+				_ = to.CloseWithError(errors.New("caller gone"))
+			}()
+			o, done := order()
+			o.InMemory = false
+			_, err := s.Send(r, o) //nolint:bodyclose // there is none
+			is.True(errors.Is(err, ErrInDoubt))
+			is.True(<-seen != nil)
+			<-done
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstr/timeout_linux.go
@@ -0,0 +1,23 @@
+package upstr
+
+import "syscall"
+
+// tcpUserTimeout is the socket option TCP_USER_TIMEOUT (RFC 5482), which package syscall does
+// not name. It ends a connection whose sent bytes stay unacknowledged, where keep-alive
+// probes are not sent.
+const tcpUserTimeout = 18
+
+// userTimeoutMillis agrees with keepAlive.
+const userTimeoutMillis = 5000
+
+// userTimeout sets the option on a new connection.
+func userTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, userTimeoutMillis)
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
--- a/pkg/caller/problem.go
+++ b/pkg/caller/problem.go
@@ -13,11 +13,15 @@
 	HeaderRequest = "Mustardring-Request"
 	// HeaderCaller is the caller's identity, between which queues are fair.
 	HeaderCaller = "Mustardring-Caller"
-	// HeaderWitness names the failure domain of the entry instance that remembers the request
-	// beside the gate.
+	// HeaderWitness names the entry instance that remembers the request beside the gate.
 	HeaderWitness = "Mustardring-Witness"
+	// HeaderSending identifies one sending of a request id.
+	HeaderSending = "Mustardring-Sending"
 )
 
+// HeaderReplayed says "true" on the answer to an earlier sending of the same request id.
+const HeaderReplayed = "Mustardring-Replayed"
+
 // HeaderAttempt counts the sendings of one request id, from 1. A caller who resends and says
 // so gets "not-run" only where no earlier sending can have run.
 const HeaderAttempt = "Mustardring-Attempt"
