Serve only the homes that the domain has by the log

Cause: homes followed the bundle at once. Before: two domains could serve a range that a bundle moves. Conclusion: wired; MayHold tells what may still be held.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -48,6 +48,7 @@
 				go e.beat(ctx, r, ended)
 			}
 			e.state.setMembers(e.peers.members(time.Now()))
+			e.tell(ctx, domainsHeard{domains: e.peers.domains(time.Now())})
 		case b := <-ended:
 			e.peers.answered(b.remote, time.Now(), b.result)
 			if b.result != nil {
@@ -77,7 +78,7 @@
 	}
 	view, _, _ := e.state.snapshot()
 	if view.Bundle == nil && h.BundleVersion > 0 || view.Bundle != nil && h.BundleVersion > view.Bundle.Version {
-		go e.fetchProof(ctx, r.client)
+		go e.fetchProof(ctx, r)
 	}
 	if h.Domain != e.deps.Settings.Domain {
 		return
--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -13,12 +13,14 @@
 // that checks grants.
 const voterService = "entry-instances"
 
-// configured returns what a bundle asks of one domain.
-func configured(b *bundle.Bundle, domain string) leader.Configured {
+// configured returns what a bundle asks of one domain, which may serve the allowed ranges of
+// its divided services.
+func configured(b *bundle.Bundle, domain string, allowed map[string][]keys.Range) leader.Configured {
 	c := leader.Configured{Version: b.Version}
 	checking := false
 	for i := range b.Services {
-		s := domainService(b, &b.Services[i], domain)
+		s := domainService(&b.Services[i], domain)
+		s.Homes = allowed[s.Name]
 		checking = checking || slices.ContainsFunc(s.Servers, func(v leader.Server) bool { return v.Votes })
 		c.Services = append(c.Services, s)
 	}
@@ -28,7 +30,7 @@
 	return c
 }
 
-func domainService(b *bundle.Bundle, s *bundle.Service, domain string) leader.Service {
+func domainService(s *bundle.Service, domain string) leader.Service {
 	made := leader.Service{
 		Name:          s.Name,
 		Divided:       s.Divided,
@@ -51,11 +53,6 @@
 	if !s.Divided {
 		return made
 	}
-	for _, h := range b.HomeRanges(s.Name) {
-		if h.Domain == domain {
-			made.Homes = append(made.Homes, h.Range)
-		}
-	}
 	for _, key := range s.HotKeys {
 		made.HotHashes = append(made.HotHashes, keys.Hash(s.Name, key))
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -5,18 +5,46 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/keys"
 )
 
-// tickPeriod is how often the core looks at its deadlines.
+// tickPeriod is how often the cores look at their deadlines.
 const tickPeriod = 20 * time.Millisecond
 
+// event is an input of the duty that runs the cores: a leader.Event, inForce, logRead,
+// homesCopied or domainsHeard.
+type event any
+
+// inForce says that a bundle came in force at this instance.
+type inForce struct {
+	bundle *bundle.Bundle
+}
+
+// logRead is the newest folded state.
+type logRead struct {
+	state *fold.State
+}
+
+// homesCopied is what another instance of the domain knows of homes.
+type homesCopied struct {
+	homes []fold.Taken
+}
+
+// domainsHeard are the other domains that were heard lately.
+type domainsHeard struct {
+	domains []string
+}
+
 // coreView holds the core's statement about itself. The core duty writes it, others read it.
 type coreView struct {
 	heartbeat atomic.Pointer[leader.PeerHeard]
 }
 
-// runCore is the only duty that touches the core. It turns events into effects.
+// runCore is the only duty that touches the cores. It turns events into effects.
 func (e *Entry) runCore(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -26,13 +54,29 @@
 			return ctx.Err()
 		case <-ticker.C:
 			e.handle(leader.Ticked{})
+			e.reportHeld()
 		case ev := <-e.events:
 			e.handle(ev)
 		}
 	}
 }
 
-func (e *Entry) handle(ev leader.Event) {
+func (e *Entry) handle(ev event) {
+	switch ev := ev.(type) {
+	case inForce:
+		e.performHomes(e.homes.Handle(e.now(), homes.InForce{Bundle: ev.bundle}))
+	case logRead:
+		e.performHomes(e.homes.Handle(e.now(), homes.LogRead{State: ev.state}))
+	case homesCopied:
+		e.performHomes(e.homes.Handle(e.now(), homes.Copied{Homes: ev.homes}))
+	case domainsHeard:
+		e.performHomes(e.homes.Handle(e.now(), homes.Domains{Heard: ev.domains}))
+	case leader.Event:
+		e.lead(ev)
+	}
+}
+
+func (e *Entry) lead(ev leader.Event) {
 	for _, effect := range e.core.Handle(e.now(), ev) {
 		e.perform(effect)
 	}
@@ -40,6 +84,40 @@
 	e.coreView.heartbeat.Store(&heartbeat)
 }
 
+// reportHeld tells the core of homes what this instance holds as leader.
+func (e *Entry) reportHeld() {
+	term, leads := e.core.LogTerm()
+	b := e.state.bundle()
+	if !leads || b == nil {
+		e.performHomes(e.homes.Handle(e.now(), homes.Follows{}))
+		return
+	}
+	held := homes.Held{Log: term, Settled: true, Ranges: make(map[string][]keys.Range)}
+	held.Fence, held.Taught = e.core.HomesFence()
+	for _, s := range b.Services {
+		if !s.Divided {
+			continue
+		}
+		ranges, settled := e.core.MayHold(s.Name)
+		held.Ranges[s.Name] = ranges
+		held.Settled = held.Settled && settled
+	}
+	e.performHomes(e.homes.Handle(e.now(), held))
+}
+
+func (e *Entry) performHomes(effects []homes.Effect) {
+	for _, effect := range effects {
+		switch f := effect.(type) {
+		case homes.Allow:
+			e.lead(configured(f.Bundle, e.deps.Settings.Domain, f.Ranges))
+		case homes.Append:
+			e.queueAppend(leader.Append{ID: f.ID, Record: f.Record})
+		case homes.Teach:
+			e.core.TeachHomes(f.Fence)
+		}
+	}
+}
+
 func (e *Entry) perform(effect leader.Effect) {
 	switch f := effect.(type) {
 	case leader.Send:
@@ -76,9 +154,9 @@
 	}
 }
 
-// tell hands an event to the core. A full ring means that the core is far behind; the event
-// waits until there is room or the context ends.
-func (e *Entry) tell(ctx context.Context, ev leader.Event) {
+// tell hands an event to the core duty. A full ring means that the cores are far behind; the
+// event waits until there is room or the context ends.
+func (e *Entry) tell(ctx context.Context, ev event) {
 	select {
 	case e.events <- ev:
 	case <-ctx.Done():
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"example.org/mustardring/internal/duty"
 	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/front"
+	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/listcl"
 	"example.org/mustardring/internal/logcl"
@@ -65,6 +66,7 @@
 	origin time.Time
 
 	core    *leader.Core
+	homes   *homes.Core
 	state   *state
 	peers   *peers
 	holders *holders
@@ -72,7 +74,7 @@
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
 
-	events  chan leader.Event
+	events  chan event
 	sends   chan leader.Send
 	appends chan leader.Append
 	// coreView is the core's newest statement about itself, for heartbeats.
@@ -85,11 +87,12 @@
 		deps:    d,
 		origin:  time.Now(),
 		state:   newState(d.Settings),
-		events:  make(chan leader.Event, eventCapacity),
+		events:  make(chan event, eventCapacity),
 		sends:   make(chan leader.Send, sendCapacity),
 		appends: make(chan leader.Append, appendCapacity),
 	}
 	e.core = leader.New(leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation), d.Placer)
+	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
 	e.peers = newPeers(d.Settings, d.TLS)
 	e.holders = newHolders(d.Incarnation, e.clock)
 	f, err := front.New(front.Deps{
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/bundle"
@@ -45,9 +46,12 @@
 // ProofFetch asks for the bundle in force.
 type ProofFetch struct{}
 
-// ProofPush hands over a bundle in force with the signatures that prove it.
+// ProofPush hands over a bundle in force with the signatures that prove it, and the homes
+// that the instance last read. The homes count only within a failure domain, whose instances
+// authenticate each other.
 type ProofPush struct {
 	Proof bundle.Proof `json:"proof"`
+	Homes []fold.Taken `json:"homes,omitempty"`
 }
 
 // Done is the result of a call that returns nothing.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -102,6 +102,20 @@
 	return all
 }
 
+// domains returns the other failure domains of which an instance answered lately.
+func (p *peers) domains(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var heard []string
+	for _, r := range p.known {
+		if r.Domain != p.self.Domain && r.live(now, p.self.Domain) {
+			heard = append(heard, r.Domain)
+		}
+	}
+	slices.Sort(heard)
+	return slices.Compact(heard)
+}
+
 func (r *remote) live(now time.Time, domain string) bool {
 	limit := silentInDomain
 	if r.Domain != domain {
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -115,13 +115,16 @@
 	return true
 }
 
-// publish hands the folded state to the other duties.
+// publish hands the folded state to the other duties. What it says of homes goes first: the
+// read extends leases of services that may move, which must not reach ranges that the domain
+// has lost meanwhile.
 func (r *reader) publish(ctx context.Context, began leader.Time) {
 	e := r.entry
 	view := r.state.Snapshot()
 	e.folded.Store(view)
 	e.enforce(ctx, view.InForce, view.Proof)
 	domain := e.deps.Settings.Domain
+	e.tell(ctx, logRead{state: view})
 	e.tell(ctx, leader.Folded{
 		ReadAt:   began,
 		Term:     view.Terms[domain],
@@ -135,7 +138,7 @@
 		return
 	}
 	e.deps.Logger.Info("bundle-in-force", "version", b.Version)
-	e.tell(ctx, configured(b, e.deps.Settings.Domain))
+	e.tell(ctx, inForce{bundle: b})
 }
 
 // learn takes a bundle that another instance handed over, after checking its signatures and
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -39,18 +39,26 @@
 
 func (e *Entry) handleProof(context.Context, ProofFetch) (ProofPush, error) {
 	_, proof, _ := e.state.snapshot()
-	return ProofPush{Proof: proof}, nil
+	push := ProofPush{Proof: proof}
+	if state := e.folded.Load(); state != nil {
+		push.Homes = state.Homes
+	}
+	return push, nil
 }
 
 // fetchProof takes a newer bundle from another instance. The signatures are checked: a peer
 // is trusted no more than a stranger with the same bytes.
-func (e *Entry) fetchProof(ctx context.Context, c *peer.Client) {
-	result, err := call[ProofFetch, ProofPush](ctx, c, fetchLimit, methodProof, ProofFetch{})
+func (e *Entry) fetchProof(ctx context.Context, r *remote) {
+	result, err := call[ProofFetch, ProofPush](ctx, r.client, fetchLimit, methodProof, ProofFetch{})
 	if err != nil || result.Proof.IsZero() {
 		return
 	}
 	if err := e.learn(ctx, result.Proof); err != nil {
 		e.deps.Logger.Warn("bundle-refused", "version", result.Proof.Version(), "error", err)
+		return
+	}
+	if r.Domain == e.deps.Settings.Domain {
+		e.tell(ctx, homesCopied{homes: result.Homes})
 	}
 }
 
--- a/internal/leader/claims.go
+++ b/internal/leader/claims.go
@@ -2,25 +2,24 @@
 
 import "example.org/mustardring/pkg/keys"
 
-// MayHold returns the ranges of a service that some server of the domain may act on, sorted
-// and disjoint. It is the whole hash space unless this instance leads and knows better.
-func (c *Core) MayHold(service string) []keys.Range {
+// MayHold returns the ranges of a service that some server of the domain may act on, as far
+// as this leader has heard, sorted and disjoint. Settled says that there are no others.
+func (c *Core) MayHold(service string) (held []keys.Range, settled bool) {
 	s := c.serviceOf(service)
-	if s == nil || c.lead == nil || c.now <= c.settledAt(s) {
-		return []keys.Range{keys.Full}
+	if s == nil || c.lead == nil {
+		return nil, false
 	}
-	var held []keys.Range
 	for _, h := range c.lead.holdings {
 		if h.service == service {
-			held = append(held, h.claims()...)
+			held = append(held, h.claims(true)...)
 		}
 	}
 	for _, h := range c.lead.retired {
 		if h.service == service {
-			held = append(held, h.claims()...)
+			held = append(held, h.claims(true)...)
 		}
 	}
-	return keys.Union(held, nil)
+	return keys.Union(held, nil), c.now > c.settledAt(s)
 }
 
 // LogTerm returns the log term under which this instance leads, and whether it leads.
--- a/internal/leader/core.go
+++ b/internal/leader/core.go
@@ -35,6 +35,8 @@
 	claim    *claim
 	lead     *leadership
 	stopping bool
+	// homesFence is the highest value of the homes fence that this instance knows.
+	homesFence uint64
 }
 
 // logView is what this instance knows of the log.
--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -55,7 +55,7 @@
 
 // exchange asks a holder and carries its grant.
 func (c *Core) exchange(h *holding) {
-	x := grant.Exchange{Service: h.service, Server: h.server, Term: c.lead.term, Known: h.epoch}
+	x := grant.Exchange{Service: h.service, Server: h.server, Term: c.lead.term, Known: h.epoch, HomesFence: c.homesFence}
 	if c.lead.won() {
 		x.Grant = c.grant(h)
 	}
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -30,7 +30,7 @@
 		}
 		members := c.members(s)
 		markSuperseded(members)
-		if c.now <= c.settledAt(s) || len(c.lead.targets[s.Name]) == 0 {
+		if c.now <= c.settledAt(s) || len(c.lead.targets[s.Name]) == 0 && len(s.Homes) > 0 {
 			continue
 		}
 		all := c.claimsOf(s, members)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -55,6 +55,8 @@
 	// counted says that the voter follows; spoiled that it restarted within this term.
 	counted bool
 	spoiled bool
+	// homesFence is the highest value of the homes fence that the voter knows.
+	homesFence uint64
 }
 
 func (l *leadership) won() bool {
@@ -134,6 +136,8 @@
 	if !ev.Answer.Voting {
 		return
 	}
+	v.homesFence = max(v.homesFence, ev.Answer.HomesFence)
+	c.homesFence = max(c.homesFence, v.homesFence)
 	askedAt := ev.AskedAt
 	if c.config.without(mutAnswered) {
 		askedAt = c.now
--- a/pkg/grant/holder.go
+++ b/pkg/grant/holder.go
@@ -32,6 +32,7 @@
 	deadline Instant
 	ranges   []keys.Range
 	tenure   uint64
+	homes    uint64
 	running  map[*Work]struct{}
 }
 
@@ -66,6 +67,7 @@
 		Epoch:       h.epoch,
 		Deadline:    h.deadline,
 		Draining:    h.draining(now),
+		HomesFence:  h.homes,
 	}
 	if x.Known != h.epoch {
 		answer.Ranges = h.ranges
@@ -81,6 +83,7 @@
 		return RefusalFenced
 	}
 	h.fence = x.Term
+	h.homes = max(h.homes, x.HomesFence)
 	if x.Grant == nil {
 		return RefusalNone
 	}
--- a/pkg/grant/message.go
+++ b/pkg/grant/message.go
@@ -83,6 +83,9 @@
 	// Known is the epoch of the held set that the leader knows. The answer leaves the
 	// ranges out when this is what the server holds.
 	Known Epoch `json:"known"`
+	// HomesFence is a number that the server remembers if it is the highest so far, and tells
+	// to later leaders. It says which statements about the homes of the domain may be under way.
+	HomesFence uint64 `json:"homes-fence,omitempty"`
 }
 
 // Refusal says why a server did not do what an Exchange asked.
@@ -123,4 +126,6 @@
 	// Draining are ranges given up by the newest grant in which requests still run. Another
 	// server must not be granted them yet.
 	Draining []keys.Range `json:"draining,omitempty"`
+	// HomesFence is the highest that the server was told.
+	HomesFence uint64 `json:"homes-fence,omitempty"`
 }
