--- a/pkg/grant/holder.go
+++ b/pkg/grant/holder.go
@@ -26,11 +26,13 @@
 	votesAt Instant
 
 	mu       sync.Mutex
+	serial   uint64
 	fence    Term
 	epoch    Epoch
 	deadline Instant
 	ranges   []keys.Range
 	tenure   uint64
+	homes    uint64
 	running  map[*Work]struct{}
 }
 
@@ -53,16 +55,19 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.config.Clock()
+	h.serial++
 	refusal := h.apply(now, x)
 	answer := Answer{
 		Refusal:     refusal,
 		Clock:       now,
+		Serial:      h.serial,
 		Incarnation: h.config.Incarnation,
 		Fence:       h.fence,
 		Voting:      now >= h.votesAt,
 		Epoch:       h.epoch,
 		Deadline:    h.deadline,
 		Draining:    h.draining(now),
+		HomesFence:  h.homes,
 	}
 	if x.Known != h.epoch {
 		answer.Ranges = h.ranges
@@ -78,6 +83,7 @@
 		return RefusalFenced
 	}
 	h.fence = x.Term
+	h.homes = max(h.homes, x.HomesFence)
 	if x.Grant == nil {
 		return RefusalNone
 	}
