Run the log's appender, reader and checkpointer; tell a witness of requests

Cause: the first shell retried one append at a time and kept no request memory outside the gate. After: the pure cores of logcl run in one duty; marks, recalls and blocks travel between instances. Conclusion: one duty owns the log.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -73,6 +73,7 @@
 
 // heard handles what another instance said of itself in answer to a heartbeat.
 func (e *Entry) heard(ctx context.Context, r *remote, h Heartbeat) {
+	e.front.Merge(h.Blocks)
 	if h.Domain == e.deps.Settings.Domain {
 		e.tell(ctx, peerHeard(h))
 	}
@@ -120,6 +121,7 @@
 	for _, m := range view.Members {
 		h.Heard = append(h.Heard, m.Name)
 	}
+	h.Blocks = e.front.Blocks()
 	if core := e.coreView.heartbeat.Load(); core != nil {
 		h.Leading, h.Term = core.Leading, core.Term
 	}
@@ -133,6 +135,8 @@
 	peer.Register(m, methodTable, e.handleTable)
 	peer.Register(m, methodProof, e.handleProof)
 	peer.Register(m, methodExchange, e.handleExchange)
+	peer.Register(m, methodMark, e.handleMark)
+	peer.Register(m, methodRecall, e.handleRecall)
 	return m
 }
 
@@ -143,6 +147,7 @@
 		PeerAddress:    h.PeerAddress,
 		ForwardAddress: h.ForwardAddress,
 	})
+	e.front.Merge(h.Blocks)
 	if h.Domain == e.deps.Settings.Domain && (h.Leading || h.Stopping) {
 		e.tell(ctx, peerHeard(h))
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,7 @@
 	state   *state
 	peers   *peers
 	holders *holders
+	witness *witness
 	front   *front.Front
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
@@ -95,11 +96,14 @@
 	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
 	e.peers = newPeers(d.Settings, d.TLS)
 	e.holders = newHolders(d.Incarnation, e.clock)
+	e.witness = newWitness(e.peers, d.Logger)
 	f, err := front.New(front.Deps{
 		Instance:      d.Settings.Name,
 		Domain:        d.Settings.Domain,
 		Finder:        e.state.directory,
 		Right:         right{state: e.state, holders: e.holders},
+		Witness:       e.witness,
+		Home:          e.state.directory.FindHome,
 		Forward:       newForwardTransport(d.TLS),
 		ForwardScheme: "https",
 		Log:           d.Logger,
@@ -164,10 +168,10 @@
 func (e *Entry) start(group *duty.Group, l *listeners) {
 	group.Go("core", e.runCore)
 	group.Go("exchanges", e.runExchanges)
-	group.Go("appender", e.runAppender)
-	group.Go("reader", e.runReader)
+	group.Go("log", e.runLog)
 	group.Go("heartbeats", e.runHeartbeats)
 	group.Go("list", e.runList)
+	group.Go("witness", e.witness.run)
 	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
 	group.Go("caller-http", e.serveCallers(l.caller))
 	group.Go("forward-http", e.serveForwards(l.forward))
--- /dev/null
+++ b/internal/entry/logduty.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/leader"
+	"example.org/mustardring/internal/logcl"
+	"example.org/mustardring/internal/record"
+)
+
+// Bounds of the traffic with the log. The rates are those of one instance.
+const (
+	readLimit       = 1000
+	readWait        = 1500 * time.Millisecond
+	readsPerSecond  = 100
+	readBurst       = 20
+	appendLimit     = 2 * time.Second
+	appendPerSecond = 30
+	appendBurst     = 20
+	appendCalls     = 4
+	appendQueue     = 4096
+	logTick         = 100 * time.Millisecond
+	provenAgain     = 5 * time.Second
+)
+
+// Bounds of checkpoints.
+const (
+	checkpointRecords  = 5000
+	checkpointInterval = 30 * time.Minute
+	checkpointGrace    = 5 * time.Second
+)
+
+// logDuty is all that this instance does with the log. Only the log duty touches it.
+type logDuty struct {
+	entry        *Entry
+	appender     *logcl.Appender
+	reader       *logcl.Reader
+	checkpointer *logcl.Checkpointer
+	written      chan logcl.Written
+	fetched      chan logcl.Fetched
+	oldest       uint64
+	current      bool
+	// provenAt is when the bundle in force may be appended next, should the log lack it.
+	provenAt time.Time
+}
+
+func newLogDuty(e *Entry) *logDuty {
+	random := rand.New(rand.NewPCG(e.deps.Incarnation, 0))
+	return &logDuty{
+		entry: e,
+		appender: logcl.NewAppender(logcl.AppenderConfig{
+			PerSecond: appendPerSecond, Burst: appendBurst, Queue: appendQueue, Calls: appendCalls, Random: random,
+		}),
+		reader: logcl.NewReader(logcl.ReaderConfig{
+			Anchors: e.deps.Settings.Roots, Limit: readLimit, PerSecond: readsPerSecond, Burst: readBurst, Random: random,
+		}),
+		checkpointer: logcl.NewCheckpointer(logcl.CheckpointerConfig{
+			Instance: e.deps.Settings.Name, Incarnation: e.deps.Incarnation,
+			Records: checkpointRecords, Interval: checkpointInterval, Grace: checkpointGrace,
+		}),
+		written: make(chan logcl.Written, appendCalls),
+		fetched: make(chan logcl.Fetched, 1),
+	}
+}
+
+// runLog appends what the cores ask for and tells them what the log says.
+func (e *Entry) runLog(ctx context.Context) error {
+	d := newLogDuty(e)
+	ticker := time.NewTicker(logTick)
+	defer ticker.Stop()
+	go d.fetch(ctx, d.reader.Start(e.now()))
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			d.append(ctx, logcl.Ticked{})
+		case a := <-e.appends:
+			d.append(ctx, logcl.Submitted{ID: a.ID, Record: a.Record})
+		case w := <-d.written:
+			d.append(ctx, w)
+		case f := <-d.fetched:
+			d.read(ctx, f)
+		}
+	}
+}
+
+// append hands an event to the appender and carries out what it decides.
+func (d *logDuty) append(ctx context.Context, ev logcl.AppendEvent) {
+	if w, is := ev.(logcl.Written); is && w.Err != nil {
+		d.entry.deps.Logger.Warn("append-failed", "id", w.ID, "error", w.Err)
+		d.entry.tell(ctx, leader.LogFailed{})
+	}
+	for _, effect := range d.appender.Handle(d.entry.now(), ev) {
+		switch f := effect.(type) {
+		case logcl.Write:
+			go d.write(ctx, f)
+		case logcl.Acknowledged:
+			d.entry.tell(ctx, leader.Appended{ID: f.ID, Offset: f.Offset})
+		case logcl.Dropped:
+			d.entry.deps.Logger.Warn("append-dropped", "id", f.ID, "reason", f.Reason)
+		case logcl.WakeAt:
+			// The ticker is finer than the pace of retries.
+		}
+	}
+}
+
+func (d *logDuty) write(ctx context.Context, w logcl.Write) {
+	bounded, cancel := context.WithTimeout(ctx, appendLimit)
+	defer cancel()
+	offset, err := d.entry.deps.Log.Append(bounded, w.ID, w.Data)
+	select {
+	case d.written <- logcl.Written{ID: w.ID, Offset: offset, Err: err}:
+	case <-ctx.Done():
+	}
+}
+
+func (d *logDuty) fetch(ctx context.Context, f logcl.Fetch) {
+	pause(ctx, time.Duration(f.At-d.entry.now()))
+	result := logcl.Fetched{Fetch: f, AskedAt: d.entry.now()}
+	bounded, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	result.Batch, result.Err = d.entry.deps.Log.Read(bounded, f.From, f.Limit)
+	select {
+	case d.fetched <- result:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// read hands the answer of a read to the reader, carries out what it decides and reads on.
+func (d *logDuty) read(ctx context.Context, f logcl.Fetched) {
+	d.oldest = f.Batch.Oldest
+	d.current = false
+	effects, next := d.reader.Handle(d.entry.now(), f)
+	for _, effect := range effects {
+		d.perform(ctx, effect)
+	}
+	d.checkpoint(ctx, logcl.Progressed{
+		Next:   d.reader.State().Next,
+		Oldest: d.oldest,
+		Rank:   d.entry.rank(),
+		Able:   d.current && d.reader.State().MayLead(),
+	})
+	go d.fetch(ctx, next)
+}
+
+func (d *logDuty) perform(ctx context.Context, effect logcl.ReadEffect) {
+	logger := d.entry.deps.Logger
+	switch f := effect.(type) {
+	case logcl.Folded:
+		d.folded(ctx, f)
+	case logcl.Current:
+		d.current = true
+		d.publish(ctx, f.AskedAt)
+	case logcl.Gapped:
+		logger.Warn("log-gap", "wanted", f.Wanted, "oldest", f.Oldest)
+	case logcl.Restarted:
+		logger.Warn("log-started-anew", "identity", f.Identity)
+		d.append(ctx, logcl.LogRestarted{})
+	case logcl.Unread:
+		logger.Warn("log-unavailable", "error", f.Err)
+		d.entry.tell(ctx, leader.LogFailed{})
+	}
+}
+
+func (d *logDuty) folded(ctx context.Context, f logcl.Folded) {
+	if v, refused := f.Verdict.(fold.Refused); refused {
+		d.entry.deps.Logger.Warn("record-refused", "offset", v.Offset, "cause", v.Cause, "reason", v.Reason)
+	}
+	d.append(ctx, logcl.Seen{ID: f.Entry.ID, Offset: f.Entry.Offset})
+	if _, accepted := f.Verdict.(fold.Accepted); !accepted {
+		return
+	}
+	r, err := record.Decode(f.Entry.Data)
+	if err != nil {
+		return
+	}
+	d.checkpoint(ctx, logcl.Met{ID: f.Entry.ID, Offset: f.Entry.Offset, Record: r})
+}
+
+func (d *logDuty) checkpoint(ctx context.Context, ev logcl.CheckpointEvent) {
+	for _, effect := range d.checkpointer.Handle(d.entry.now(), ev) {
+		switch f := effect.(type) {
+		case logcl.SubmitMark:
+			d.submit(ctx, f.ID, func() (record.Record, error) { return d.reader.State().Mark(d.entry.deps.Settings.Name) })
+		case logcl.SubmitCheckpoint:
+			d.submit(ctx, f.ID, func() (record.Record, error) { return d.reader.State().Checkpoint() })
+		}
+	}
+}
+
+func (d *logDuty) submit(ctx context.Context, id string, make func() (record.Record, error)) {
+	r, err := make()
+	if err != nil {
+		d.entry.deps.Logger.Warn("checkpoint-failed", "id", id, "error", err)
+		return
+	}
+	d.append(ctx, logcl.Submitted{ID: id, Record: r})
+}
+
+// publish hands the folded state to the other duties. What it says of homes goes first: the
+// read extends leases of services that may move, which must not reach ranges that the domain
+// has lost meanwhile.
+func (d *logDuty) publish(ctx context.Context, askedAt leader.Time) {
+	e := d.entry
+	view := d.reader.State().Snapshot()
+	e.folded.Store(view)
+	e.enforce(ctx, view.InForce, view.Proof)
+	domain := e.deps.Settings.Domain
+	e.tell(ctx, logRead{state: view})
+	e.tell(ctx, leader.Folded{
+		ReadAt:   askedAt,
+		Term:     view.Terms[domain],
+		Assigned: view.Assigned[domain],
+	})
+	d.restore(ctx, view)
+}
+
+// restore appends the bundle in force to a log that lacks it, because it started anew or
+// lost records. A version in force never reverts.
+func (d *logDuty) restore(ctx context.Context, view *fold.State) {
+	_, proof, _ := d.entry.state.snapshot()
+	known := uint64(0)
+	if view.InForce != nil {
+		known = view.InForce.Version
+	}
+	if proof.Version() <= known || d.entry.rank() > 0 || time.Now().Before(d.provenAt) {
+		return
+	}
+	d.provenAt = time.Now().Add(provenAgain)
+	d.append(ctx, logcl.Submitted{
+		ID:     fmt.Sprintf("proven/%d/%x", proof.Version(), proof.Signed.Statement.Hash),
+		Record: record.BundleProven{Proof: proof},
+	})
+}
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -3,6 +3,7 @@
 import (
 	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/peer"
+	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/bundle"
 	"example.org/mustardring/pkg/grant"
@@ -36,6 +37,8 @@
 	TableSerial uint64     `json:"table-serial"`
 	// Heard are the instances that answered this one lately.
 	Heard []string `json:"heard,omitempty"`
+	// Blocks are requests that may crash servers.
+	Blocks []policy.Block `json:"blocks,omitempty"`
 }
 
 // TablePush hands over a routing table. A nil table in a result says that there is none.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -88,6 +88,37 @@
 	return clients
 }
 
+// liveInDomain returns the clients of the other instances of this domain that answered
+// lately, in the order of their names.
+func (p *peers) liveInDomain(now time.Time) []*peer.Client {
+	return p.selectClients(func(r *remote) bool { return r.live(now, p.self.Domain) })
+}
+
+// recentInDomain returns the clients of the other instances of this domain that answered
+// within the time for which what they remember may matter, in the order of their names.
+func (p *peers) recentInDomain(now time.Time) []*peer.Client {
+	return p.selectClients(func(r *remote) bool {
+		return !r.answeredAt.IsZero() && now.Before(r.answeredAt.Add(recallAfter))
+	})
+}
+
+func (p *peers) selectClients(accept func(*remote) bool) []*peer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var chosen []*remote
+	for _, r := range p.known {
+		if r.Domain == p.self.Domain && accept(r) {
+			chosen = append(chosen, r)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b *remote) int { return strings.Compare(a.Name, b.Name) })
+	clients := make([]*peer.Client, 0, len(chosen))
+	for _, r := range chosen {
+		clients = append(clients, r.client)
+	}
+	return clients
+}
+
 // members returns the instances that answered lately, this one included, sorted by name.
 func (p *peers) members(now time.Time) []route.Member {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/entry/witness.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"example.org/mustardring/internal/peer"
+	"example.org/mustardring/internal/policy"
+	"example.org/mustardring/pkg/keys"
+)
+
+// The calls by which instances of one domain remember each other's requests.
+const (
+	methodMark   peer.Method = "mark"
+	methodRecall peer.Method = "recall"
+)
+
+// Bounds of the witness.
+const (
+	markLimit    = 400 * time.Millisecond
+	markCapacity = 4096
+	// markSenders is the number of outcomes that are told to other instances at once.
+	markSenders = 8
+	// recallAfter is for how long after its last answer an instance is asked what it remembers.
+	recallAfter = 10 * time.Minute
+)
+
+// Errors of the witness.
+var (
+	errNoRoom = errors.New("entry: the witness has no room for a mark")
+	errRecall = errors.New("entry: instances that may remember requests did not answer")
+)
+
+// MarkCall hands a mark to the instance that is to remember it.
+type MarkCall struct {
+	Mark policy.Mark `json:"mark"`
+}
+
+// RecallCall asks what an instance remembers of requests in a range of a service.
+type RecallCall struct {
+	Service string     `json:"service"`
+	Range   keys.Range `json:"range"`
+}
+
+// RecallResult is the answer to a RecallCall.
+type RecallResult struct {
+	Marks []policy.Mark `json:"marks"`
+}
+
+// witness implements front.Witness by calls to the other instances of the domain.
+type witness struct {
+	peers  *peers
+	ended  chan policy.Mark
+	logger logger
+}
+
+// logger is the part of the log of events that the witness uses.
+type logger interface {
+	Warn(msg any, keyvals ...any)
+}
+
+func newWitness(p *peers, l logger) *witness {
+	return &witness{peers: p, ended: make(chan policy.Mark, markCapacity), logger: l}
+}
+
+// Begin implements front.Witness. The instance is chosen by the mark, the next one if it
+// does not answer.
+func (w *witness) Begin(ctx context.Context, m policy.Mark) error {
+	others := w.peers.liveInDomain(time.Now())
+	if len(others) == 0 {
+		return nil
+	}
+	var err error
+	first := int(spread(m) % uint64(len(others)))
+	for i := range min(len(others), 2) {
+		if err = tellMark(ctx, others[(first+i)%len(others)], m); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// spread returns where a mark stands among the instances.
+func spread(m policy.Mark) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, m.Name)
+	return h.Sum64()
+}
+
+func tellMark(ctx context.Context, c *peer.Client, m policy.Mark) error {
+	_, err := call[MarkCall, Done](ctx, c, markLimit, methodMark, MarkCall{Mark: m})
+	return err
+}
+
+// End implements front.Witness. A full ring drops the outcome: the witness then goes on
+// calling the request in doubt, which is safe.
+func (w *witness) End(m policy.Mark) {
+	select {
+	case w.ended <- m:
+	default:
+		w.logger.Warn("mark-dropped", "service", m.Service)
+	}
+}
+
+// run tells outcomes to the instances that remember the requests.
+func (w *witness) run(ctx context.Context) error {
+	free := make(chan struct{}, markSenders)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-w.ended:
+			select {
+			case free <- struct{}{}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			go func() {
+				defer func() { <-free }()
+				if err := w.Begin(ctx, m); err != nil && ctx.Err() == nil {
+					w.logger.Warn("mark-untold", "service", m.Service, "error", err)
+				}
+			}()
+		}
+	}
+}
+
+// Recall implements front.Witness.
+func (w *witness) Recall(ctx context.Context, service string, r keys.Range) ([]policy.Mark, error) {
+	clients := w.peers.recentInDomain(time.Now())
+	type answer struct {
+		result RecallResult
+		err    error
+	}
+	answers := make(chan answer, len(clients))
+	for _, c := range clients {
+		go func() {
+			result, err := call[RecallCall, RecallResult](ctx, c, markLimit, methodRecall, RecallCall{Service: service, Range: r})
+			answers <- answer{result: result, err: err}
+		}()
+	}
+	var marks []policy.Mark
+	failed := 0
+	for range clients {
+		a := <-answers
+		if a.err != nil {
+			failed++
+			continue
+		}
+		marks = append(marks, a.result.Marks...)
+	}
+	if failed > 1 {
+		return marks, fmt.Errorf("%w: %d of %d", errRecall, failed, len(clients))
+	}
+	return marks, nil
+}
+
+func (e *Entry) handleMark(_ context.Context, c MarkCall) (Done, error) {
+	if !e.front.Witnessed(c.Mark) {
+		return Done{}, errNoRoom
+	}
+	return Done{}, nil
+}
+
+func (e *Entry) handleRecall(_ context.Context, c RecallCall) (RecallResult, error) {
+	return RecallResult{Marks: e.front.Marks(c.Service, c.Range)}, nil
+}
--- a/internal/route/directory.go
+++ b/internal/route/directory.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync/atomic"
 
+	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/pkg/bundle"
 	"example.org/mustardring/pkg/keys"
 )
@@ -58,6 +59,12 @@
 	return d.index.Load().find(service, hash)
 }
 
+// FindHome returns the destination of a request that must meet the memory of its first
+// sending: in a service that is not divided, the gate in the domain that policy.Home names.
+func (d *Directory) FindHome(service string, hash uint64) Destination {
+	return d.index.Load().findHome(service, hash)
+}
+
 // index is a View arranged for look-up.
 type index struct {
 	view     View
@@ -75,8 +82,9 @@
 	// pool are the servers of this domain that accept work, for a service that is not divided.
 	pool     []Target
 	poolGate string
-	// elsewhere are the other domains with servers of the service.
+	// elsewhere are the other domains with servers of the service, domains all of them.
 	elsewhere []string
+	domains   []string
 }
 
 func newIndex(v View) *index {
@@ -118,6 +126,9 @@
 
 func (x *serviceIndex) add(server *bundle.Server, domain string) {
 	x.servers[server.Name] = server
+	if !slices.Contains(x.domains, server.Domain) {
+		x.domains = append(x.domains, server.Domain)
+	}
 	switch {
 	case server.Leaving:
 	case server.Domain == domain:
@@ -158,6 +169,18 @@
 	}
 }
 
+func (x *index) findHome(service string, hash uint64) Destination {
+	s, found := x.services[service]
+	if !found || s.service.Divided {
+		return x.find(service, hash)
+	}
+	domain := policy.Home(s.domains, hash)
+	if domain == x.view.Domain {
+		return x.findPool(s)
+	}
+	return x.forwardToDomains(s, []string{domain})
+}
+
 func (x *index) findOwner(s *serviceIndex, hash uint64) Destination {
 	i := sortedIndex(s.homes, hash, func(h Home) keys.Range { return h.Range })
 	if i < 0 {
