Report loads and hot keys to the leader; close connections of lost gates

Cause: placement saw no load, and a gate kept connections to servers that check nothing after its grant ended. Conclusion: placement now sees load; not yet measured.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -135,6 +135,7 @@
 	peer.Register(m, methodTable, e.handleTable)
 	peer.Register(m, methodProof, e.handleProof)
 	peer.Register(m, methodExchange, e.handleExchange)
+	peer.Register(m, methodLoads, e.handleLoads)
 	peer.Register(m, methodMark, e.handleMark)
 	peer.Register(m, methodRecall, e.handleRecall)
 	return m
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -55,6 +55,7 @@
 		case <-ticker.C:
 			e.handle(leader.Ticked{})
 			e.reportHeld()
+			e.closeLapsed()
 		case ev := <-e.events:
 			e.handle(ev)
 		}
@@ -125,7 +126,7 @@
 	case leader.Append:
 		e.queueAppend(f)
 	case leader.Publish:
-		if e.state.setTable(&f.Table) {
+		if e.setTable(&f.Table) {
 			e.pushTable(&f.Table)
 		}
 	case leader.Led:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,8 @@
 	peers   *peers
 	holders *holders
 	witness *witness
+	loads   *loads
+	reports *reports
 	front   *front.Front
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
@@ -96,6 +98,8 @@
 	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
 	e.peers = newPeers(d.Settings, d.TLS)
 	e.holders = newHolders(d.Incarnation, e.clock)
+	e.loads = newLoads(time.Now())
+	e.reports = newReports()
 	e.witness = newWitness(e.peers, d.Logger)
 	f, err := front.New(front.Deps{
 		Instance:      d.Settings.Name,
@@ -103,6 +107,7 @@
 		Finder:        e.state.directory,
 		Right:         right{state: e.state, holders: e.holders},
 		Witness:       e.witness,
+		Ran:           e.ran,
 		Home:          e.state.directory.FindHome,
 		Forward:       newForwardTransport(d.TLS),
 		ForwardScheme: "https",
@@ -172,6 +177,7 @@
 	group.Go("heartbeats", e.runHeartbeats)
 	group.Go("list", e.runList)
 	group.Go("witness", e.witness.run)
+	group.Go("loads", e.runLoads)
 	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
 	group.Go("caller-http", e.serveCallers(l.caller))
 	group.Go("forward-http", e.serveForwards(l.forward))
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -22,6 +22,8 @@
 	clock       func() grant.Instant
 	mu          sync.Mutex
 	holders     map[holderName]*grant.Holder
+	// valid are the holders that had ranges at the last call of lapsed.
+	valid map[holderName]bool
 }
 
 type holderName struct {
@@ -30,7 +32,7 @@
 }
 
 func newHolders(incarnation uint64, clock func() grant.Instant) *holders {
-	return &holders{incarnation: incarnation, clock: clock, holders: make(map[holderName]*grant.Holder)}
+	return &holders{incarnation: incarnation, clock: clock, holders: make(map[holderName]*grant.Holder), valid: make(map[holderName]bool)}
 }
 
 // exchange serves an exchange for any server name: the leader decides which instance is the
@@ -71,3 +73,18 @@
 	w.End()
 	return nil
 }
+
+// lapsed returns the holders whose grant ended since the last call.
+func (h *holders) lapsed() []holderName {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var names []holderName
+	for name, holder := range h.holders {
+		valid := holder.Valid()
+		if h.valid[name] && !valid {
+			names = append(names, name)
+		}
+		h.valid[name] = valid
+	}
+	return names
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -12,6 +12,7 @@
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/grant"
 )
 
 // peers are the other instances that this one knows of, with a client for each.
@@ -32,6 +33,8 @@
 	answeredAt  time.Time
 	incarnation uint64
 	version     uint64
+	leading     bool
+	term        grant.Term
 	stopping    bool
 	// busy is true while a heartbeat to it is under way.
 	busy bool
@@ -119,6 +122,26 @@
 	return clients
 }
 
+// leader returns the client of the instance of this domain that leads in the highest term, or
+// nil.
+func (p *peers) leader() *peer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var found *remote
+	for _, r := range p.known {
+		if r.Domain != p.self.Domain || !r.leading {
+			continue
+		}
+		if found == nil || found.term.Compare(r.term) < 0 {
+			found = r
+		}
+	}
+	if found == nil {
+		return nil
+	}
+	return found.client
+}
+
 // members returns the instances that answered lately, this one included, sorted by name.
 func (p *peers) members(now time.Time) []route.Member {
 	p.mu.Lock()
@@ -183,6 +206,7 @@
 	r.incarnation = result.Incarnation
 	r.stopping = result.Stopping
 	r.version = result.BundleVersion
+	r.leading, r.term = result.Leading, result.Term
 }
 
 // versions returns the bundle versions in force by domain, sorted by domain. Own is that of
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -55,16 +55,18 @@
 	return homes
 }
 
-// setTable takes a routing table of this domain. It reports whether the table is newer.
-func (s *state) setTable(t *route.Table) bool {
+// setTable takes a routing table of this domain. It returns the table before and whether the
+// new one is newer.
+func (s *state) setTable(t *route.Table) (old *route.Table, newer bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t == nil || t.Domain != s.view.Domain || !t.Newer(s.view.Table) {
-		return false
+	old = s.view.Table
+	if t == nil || t.Domain != s.view.Domain || !t.Newer(old) {
+		return old, false
 	}
 	s.view.Table = t
 	s.directory.Set(s.view)
-	return true
+	return old, true
 }
 
 // setMembers replaces the live instances.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -112,6 +112,8 @@
 type Measured struct {
 	Service string
 	Loads   []RangeLoad
+	// Hot are the hashes of keys that are hot by measurement, sorted.
+	Hot []uint64
 }
 
 // RangeLoad is the load of one range in requests per second.
--- a/internal/leader/service.go
+++ b/internal/leader/service.go
@@ -11,6 +11,8 @@
 	Service
 	loads map[keys.Range]load
 	moves map[keys.Range]move
+	// hot are the hashes of keys that are hot by measurement, sorted.
+	hot []uint64
 	// unchecked says that at least one server does not check grants.
 	unchecked bool
 }
@@ -48,7 +50,7 @@
 	made := &service{Service: s, loads: make(map[keys.Range]load), moves: make(map[keys.Range]move)}
 	for _, o := range old {
 		if o.Name == s.Name {
-			made.loads, made.moves = o.loads, o.moves
+			made.loads, made.moves, made.hot = o.loads, o.moves, o.hot
 		}
 	}
 	made.unchecked = slices.ContainsFunc(s.Servers, func(b Server) bool { return b.Slots > 0 && !b.Checks })
@@ -98,12 +100,20 @@
 	if s == nil {
 		return
 	}
+	s.hot = ev.Hot
 	clear(s.loads)
 	for _, l := range ev.Loads {
 		s.loads[l.Range] = load{value: l.Load, at: c.now}
 	}
 }
 
+// hotHashes returns the hot keys of the bundle and of measurement, sorted.
+func (s *service) hotHashes() []uint64 {
+	all := slices.Concat(s.HotHashes, s.hot)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 func (c *Core) serviceOf(name string) *service {
 	for _, s := range c.services {
 		if s.Name == name {
--- a/internal/leader/targets.go
+++ b/internal/leader/targets.go
@@ -45,7 +45,7 @@
 		Service:   s.Name,
 		Weights:   s.Weights,
 		Homes:     s.Homes,
-		HotHashes: s.HotHashes,
+		HotHashes: s.hotHashes(),
 	}
 	for _, b := range s.Servers {
 		if b.Slots > 0 {
--- a/internal/route/directory.go
+++ b/internal/route/directory.go
@@ -65,6 +65,19 @@
 	return d.index.Load().findHome(service, hash)
 }
 
+// Owner returns the ownership of a hash by the routing table of this domain.
+func (d *Directory) Owner(service string, hash uint64) (Owner, bool) {
+	s, found := d.index.Load().services[service]
+	if !found {
+		return Owner{}, false
+	}
+	i := sortedIndex(s.owners, hash, func(o Owner) keys.Range { return o.Range })
+	if i < 0 {
+		return Owner{}, false
+	}
+	return s.owners[i], true
+}
+
 // index is a View arranged for look-up.
 type index struct {
 	view     View
