--- a/internal/leader/chaos_test.go
+++ b/internal/leader/chaos_test.go
@@ -50,10 +50,11 @@
 func (w *world) runSchedule() *world {
 	w.startAll()
 	w.jitter = true
+	w.pace = []Time{300 * ms, 700 * ms, 2000 * ms}[w.random.IntN(3)]
 	w.faults()
 	w.requests()
 	w.advance(faultsEnd)
-	if w.failure != "" {
+	if w.failure != "" || w.guard != "" {
 		return w
 	}
 	w.heal()
@@ -72,7 +73,7 @@
 	for range 1 + w.random.IntN(2) {
 		w.fault()
 	}
-	w.after(Time(w.random.Int64N(int64(700*ms))), w.faults)
+	w.after(Time(w.random.Int64N(int64(w.pace))), w.faults)
 }
 
 func (w *world) requests() {
@@ -80,14 +81,14 @@
 		return
 	}
 	w.request()
-	w.after(Time(w.random.Int64N(int64(80*ms))), w.requests)
+	w.after(Time(w.random.Int64N(int64(40*ms))), w.requests)
 }
 
 func (w *world) fault() {
 	last := Time(w.random.Int64N(int64(2500 * ms)))
 	server := w.servers[w.random.IntN(len(w.servers))]
 	instance := w.instances[w.random.IntN(len(w.instances))]
-	switch w.random.IntN(15) {
+	switch w.random.IntN(17) {
 	case 0, 1:
 		w.cut(w.anyName(), w.anyName(), last, false)
 	case 2:
@@ -113,6 +114,8 @@
 	case 14:
 		w.split(last)
 		w.deafen(instance)
+	case 15, 16:
+		w.slow[instance.name] = w.now + last
 	}
 }
 
@@ -201,6 +204,7 @@
 func (w *world) heal() {
 	w.jitter = false
 	clear(w.cuts)
+	clear(w.slow)
 	w.log.downTo = 0
 	for _, m := range w.servers {
 		m.pausedTo = 0
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -14,6 +14,9 @@
 
 const ms = Time(time.Millisecond)
 
+// longestRequest bounds the running time of requests.
+const longestRequest = 1200 * ms
+
 // world runs cores, holders and a log in virtual time. True time is in nanoseconds.
 type world struct {
 	random *rand.Rand
@@ -29,10 +32,13 @@
 	log       *simLog
 	runs      []run
 	cuts      map[[2]string]Time
-	hashes    []uint64
-	homes     []keys.Range
-	oneWay    Time
-	jitter    bool
+	slow      map[string]Time
+	// pace is the longest time between two faults.
+	pace   Time
+	hashes []uint64
+	homes  []keys.Range
+	oneWay Time
+	jitter bool
 
 	failure  string
 	messages int
@@ -107,6 +113,7 @@
 		guard:    guard,
 		machines: make(map[string]*machine),
 		cuts:     make(map[[2]string]Time),
+		slow:     make(map[string]Time),
 		homes:    []keys.Range{keys.Full},
 		oneWay:   ms / 2,
 		now:      1,
@@ -131,11 +138,14 @@
 	return m
 }
 
-// boot starts a new process at the place of a machine.
+// boot starts a new process at the place of a machine. Its clock may be that of the machine,
+// which goes on, or one of its own.
 func (w *world) boot(m *machine) {
 	m.incarnation = uint64(w.random.Uint32()) + 1
 	w.tracef("boot %s as %x", m.name, m.incarnation)
-	m.offset = Time(w.random.Int64N(int64(time.Hour)))
+	if m.offset == 0 || w.random.IntN(2) == 0 {
+		m.offset = Time(w.random.Int64N(int64(time.Hour)))
+	}
 	m.perMille = 0
 	if d := w.layout.drift; d > 0 {
 		m.perMille = Time(w.random.IntN(2*d+1) - d)
@@ -203,8 +213,16 @@
 		}
 	}
 	for range copies {
-		w.after(w.delay(), func() { w.deliver(to, deliver) })
+		w.after(w.delay()+w.lag(to), func() { w.deliver(to, deliver) })
+	}
+}
+
+// lag returns by how much messages to a machine are late just now.
+func (w *world) lag(to string) Time {
+	if w.slow[to] > w.now {
+		return 300*ms + Time(w.random.Int64N(int64(600*ms)))
 	}
+	return 0
 }
 
 func (w *world) delay() Time {
@@ -242,7 +260,7 @@
 
 // services is the configuration of the domain.
 func (w *world) services() []Service {
-	s := Service{Name: "svc", Divided: true, Homes: w.homes, RequestMillis: 400}
+	s := Service{Name: "svc", Divided: true, Homes: w.homes, RequestMillis: int64(longestRequest / ms)}
 	if w.layout.isolation != "" {
 		s.Isolation = "move"
 	}
@@ -316,7 +334,7 @@
 }
 
 func (w *world) work(m *machine, server string, hash uint64, work *grant.Work) {
-	takes := 1 + Time(w.random.Int64N(int64(360*ms)))
+	takes := 1 + Time(w.random.Int64N(int64(longestRequest)))
 	if m.name == server {
 		process := m.incarnation
 		w.after(takes, func() { w.effect(m, process, hash, work) })
