--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/peer"
+	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/bundle"
 	"example.org/mustardring/pkg/grant"
@@ -35,6 +37,8 @@
 	TableSerial uint64     `json:"table-serial"`
 	// Heard are the instances that answered this one lately.
 	Heard []string `json:"heard,omitempty"`
+	// Blocks are requests that may crash servers.
+	Blocks []policy.Block `json:"blocks,omitempty"`
 }
 
 // TablePush hands over a routing table. A nil table in a result says that there is none.
@@ -45,9 +49,12 @@
 // ProofFetch asks for the bundle in force.
 type ProofFetch struct{}
 
-// ProofPush hands over a bundle in force with the signatures that prove it.
+// ProofPush hands over a bundle in force with the signatures that prove it, and the homes
+// that the instance last read. The homes count only within a failure domain, whose instances
+// authenticate each other.
 type ProofPush struct {
 	Proof bundle.Proof `json:"proof"`
+	Homes []fold.Taken `json:"homes,omitempty"`
 }
 
 // Done is the result of a call that returns nothing.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -88,6 +88,37 @@
 	return clients
 }
 
+// liveInDomain returns the clients of the other instances of this domain that answered
+// lately, in the order of their names.
+func (p *peers) liveInDomain(now time.Time) []*peer.Client {
+	return p.selectClients(func(r *remote) bool { return r.live(now, p.self.Domain) })
+}
+
+// recentInDomain returns the clients of the other instances of this domain that answered
+// within the time for which what they remember may matter, in the order of their names.
+func (p *peers) recentInDomain(now time.Time) []*peer.Client {
+	return p.selectClients(func(r *remote) bool {
+		return !r.answeredAt.IsZero() && now.Before(r.answeredAt.Add(recallAfter))
+	})
+}
+
+func (p *peers) selectClients(accept func(*remote) bool) []*peer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var chosen []*remote
+	for _, r := range p.known {
+		if r.Domain == p.self.Domain && accept(r) {
+			chosen = append(chosen, r)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b *remote) int { return strings.Compare(a.Name, b.Name) })
+	clients := make([]*peer.Client, 0, len(chosen))
+	for _, r := range chosen {
+		clients = append(clients, r.client)
+	}
+	return clients
+}
+
 // members returns the instances that answered lately, this one included, sorted by name.
 func (p *peers) members(now time.Time) []route.Member {
 	p.mu.Lock()
@@ -102,6 +133,20 @@
 	return all
 }
 
+// domains returns the other failure domains of which an instance answered lately.
+func (p *peers) domains(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var heard []string
+	for _, r := range p.known {
+		if r.Domain != p.self.Domain && r.live(now, p.self.Domain) {
+			heard = append(heard, r.Domain)
+		}
+	}
+	slices.Sort(heard)
+	return slices.Compact(heard)
+}
+
 func (r *remote) live(now time.Time, domain string) bool {
 	limit := silentInDomain
 	if r.Domain != domain {
