--- a/internal/cmds/run.go
+++ b/internal/cmds/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"expvar"
 	"fmt"
 	"net/http"
 	"os"
@@ -41,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	expvar.Publish("mustardring-control", e.Control().Var())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	return e.Run(ctx)
--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -62,6 +62,10 @@
 func (e *Entry) beat(ctx context.Context, r *remote, ended chan<- beat) {
 	b := beat{remote: r}
 	result, err := call[Heartbeat, Heartbeat](ctx, r.client, beatLimit, methodHeartbeat, e.heartbeat())
+	e.meter.CallsSent.Add(1)
+	if err != nil {
+		e.meter.CallsFailed.Add(1)
+	}
 	if err == nil && result.Name == r.Name {
 		b.result = &result
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -130,8 +130,10 @@
 			e.pushTable(&f.Table)
 		}
 	case leader.Led:
+		e.meter.TermsBegun.Add(1)
 		e.deps.Logger.Info("leading", "domain", e.deps.Settings.Domain, "term", f.Term)
 	case leader.Stepped:
+		e.meter.TermsEnded.Add(1)
 		e.deps.Logger.Warn("stepped-down", "domain", e.deps.Settings.Domain, "term", f.Term, "reason", f.Reason)
 	}
 }
@@ -141,6 +143,7 @@
 	select {
 	case e.sends <- s:
 	default:
+		e.meter.EventsDropped.Add(1)
 		e.deps.Logger.Warn("exchange-dropped", "server", s.Server)
 	}
 }
@@ -151,6 +154,7 @@
 	select {
 	case e.appends <- a:
 	default:
+		e.meter.EventsDropped.Add(1)
 		e.deps.Logger.Warn("append-dropped", "id", a.ID)
 	}
 }
--- a/internal/entry/enforce.go
+++ b/internal/entry/enforce.go
@@ -11,6 +11,7 @@
 	if !e.state.setBundle(b, proof) {
 		return
 	}
+	e.meter.BundleVersion.Set(int64(b.Version))
 	e.deps.Logger.Info("bundle-in-force", "version", b.Version)
 	if err := e.front.Lift(b.Lifted); err != nil {
 		e.deps.Logger.Warn("lifted-block-ignored", "error", err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/listcl"
 	"example.org/mustardring/internal/logcl"
+	"example.org/mustardring/internal/meter"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/place"
 	"example.org/mustardring/pkg/grant"
@@ -71,6 +72,7 @@
 	peers   *peers
 	holders *holders
 	witness *witness
+	meter   *meter.Control
 	loads   *loads
 	reports *reports
 	front   *front.Front
@@ -95,8 +97,9 @@
 		appends: make(chan leader.Append, appendCapacity),
 	}
 	e.core = leader.New(leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation), d.Placer)
+	e.meter = meter.NewControl()
 	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
-	e.peers = newPeers(d.Settings, d.TLS)
+	e.peers = newPeers(d.Settings, d.TLS, e.meter)
 	e.holders = newHolders(d.Incarnation, e.clock)
 	e.loads = newLoads(time.Now())
 	e.reports = newReports()
@@ -120,6 +123,11 @@
 	return e, nil
 }
 
+// Control returns the counters of this instance's control traffic.
+func (e *Entry) Control() *meter.Control {
+	return e.meter
+}
+
 // now reads the monotonic clock of the cores.
 func (e *Entry) now() leader.Time {
 	return leader.Time(time.Since(e.origin))
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -68,7 +68,9 @@
 }
 
 func (e *Entry) exchangeEnded(ctx context.Context, x exchanged) {
+	e.meter.ExchangesSent.Add(1)
 	if x.err != nil {
+		e.meter.ExchangesFailed.Add(1)
 		e.deps.Logger.Debug("exchange-failed", "server", x.send.Server, "error", x.err)
 		return
 	}
@@ -142,7 +144,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return answer, fmt.Errorf("%w: %s", errStatus, resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&answer); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return answer, fmt.Errorf("entry: reading an answer: %w", err)
+	}
+	e.meter.ExchangeBytes.Add(int64(len(body) + len(data)))
+	if err := json.Unmarshal(data, &answer); err != nil {
 		return answer, fmt.Errorf("entry: decoding an answer: %w", err)
 	}
 	return answer, nil
--- a/internal/entry/gates.go
+++ b/internal/entry/gates.go
@@ -9,6 +9,7 @@
 	if !newer {
 		return false
 	}
+	e.meter.TablesTaken.Add(1)
 	for _, g := range lostGates(old, t, e.deps.Settings.Name) {
 		e.front.RightLost(g.Service, g.Server)
 	}
--- a/internal/entry/logduty.go
+++ b/internal/entry/logduty.go
@@ -92,6 +92,7 @@
 // append hands an event to the appender and carries out what it decides.
 func (d *logDuty) append(ctx context.Context, ev logcl.AppendEvent) {
 	if w, is := ev.(logcl.Written); is && w.Err != nil {
+		d.entry.meter.LogAppendsFailed.Add(1)
 		d.entry.deps.Logger.Warn("append-failed", "id", w.ID, "error", w.Err)
 		d.entry.tell(ctx, leader.LogFailed{})
 	}
@@ -112,6 +113,7 @@
 func (d *logDuty) write(ctx context.Context, w logcl.Write) {
 	bounded, cancel := context.WithTimeout(ctx, appendLimit)
 	defer cancel()
+	d.entry.meter.LogAppends.Add(1)
 	offset, err := d.entry.deps.Log.Append(bounded, w.ID, w.Data)
 	select {
 	case d.written <- logcl.Written{ID: w.ID, Offset: offset, Err: err}:
@@ -124,6 +126,7 @@
 	result := logcl.Fetched{Fetch: f, AskedAt: d.entry.now()}
 	bounded, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
+	d.entry.meter.LogReads.Add(1)
 	result.Batch, result.Err = d.entry.deps.Log.Read(bounded, f.From, f.Limit)
 	select {
 	case d.fetched <- result:
@@ -174,6 +177,7 @@
 		logger.Warn("log-started-anew", "identity", f.Identity)
 		d.append(ctx, logcl.LogRestarted{})
 	case logcl.Unread:
+		d.entry.meter.LogReadsFailed.Add(1)
 		logger.Warn("log-unavailable", "error", f.Err)
 		d.entry.tell(ctx, leader.LogFailed{})
 	}
@@ -181,6 +185,7 @@
 
 func (d *logDuty) folded(ctx context.Context, f logcl.Folded) {
 	if v, refused := f.Verdict.(fold.Refused); refused {
+		d.entry.meter.RecordsRefused.Add(1)
 		d.entry.deps.Logger.Warn("record-refused", "offset", v.Offset, "cause", v.Cause, "reason", v.Reason)
 	}
 	d.append(ctx, logcl.Seen{ID: f.Entry.ID, Offset: f.Entry.Offset})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -10,6 +10,7 @@
 
 	"example.org/mustardring/internal/admin"
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/meter"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/grant"
@@ -19,6 +20,7 @@
 type peers struct {
 	self   config.Run
 	config *tls.Config
+	meter  *meter.Control
 
 	mu    sync.Mutex
 	known map[string]*remote
@@ -42,8 +44,8 @@
 	nextAt time.Time
 }
 
-func newPeers(self config.Run, tlsConfig *tls.Config) *peers {
-	p := &peers{self: self, config: tlsConfig, known: make(map[string]*remote)}
+func newPeers(self config.Run, tlsConfig *tls.Config, m *meter.Control) *peers {
+	p := &peers{self: self, config: tlsConfig, meter: m, known: make(map[string]*remote)}
 	for _, seed := range self.Peers {
 		p.learn(seed)
 	}
@@ -65,7 +67,13 @@
 	if known {
 		old.client.Close()
 	}
-	p.known[found.Name] = &remote{Peer: found, client: peer.NewClient(found.PeerAddress, p.config)}
+	p.known[found.Name] = &remote{Peer: found, client: peer.NewClient(found.PeerAddress, p.config, p.count)}
+}
+
+// count adds the bytes of a connection to another instance.
+func (p *peers) count(in, out int) {
+	p.meter.PeerBytesIn.Add(int64(in))
+	p.meter.PeerBytesOut.Add(int64(out))
 }
 
 // client returns the client of an instance, or nil.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,6 +13,7 @@
 type Client struct {
 	address string
 	config  *tls.Config
+	count   func(in, out int)
 
 	// lock guards conn. It is a channel so that a call which waits for another one's dial
 	// gives up when its own context ends.
@@ -20,9 +21,10 @@
 	conn *jsonrpc2.Conn
 }
 
-// NewClient returns a client of the instance at an IP address and port.
-func NewClient(address string, config *tls.Config) *Client {
-	return &Client{address: address, config: config, lock: make(chan struct{}, 1)}
+// NewClient returns a client of the instance at an IP address and port. Count, if not nil, is
+// told of plain bytes read and written.
+func NewClient(address string, config *tls.Config, count func(in, out int)) *Client {
+	return &Client{address: address, config: config, count: count, lock: make(chan struct{}, 1)}
 }
 
 // Call runs a method at the peer and waits for the result or the end of the context. A call
@@ -74,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.conn = jsonrpc2.NewConn(context.Background(), newStream(conn), refuseCalls{})
+	c.conn = jsonrpc2.NewConn(context.Background(), newStream(counted(conn, c.count)), refuseCalls{})
 	return c.conn, nil
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -51,7 +51,7 @@
 	authority, err := certs.NewAuthority(time.Now())
 	is.NoErr(err)
 	address := startServer(t, newConfig(t, authority))
-	c := NewClient(address, newConfig(t, authority))
+	c := NewClient(address, newConfig(t, authority), nil)
 	defer c.Close()
 	got, err := Call[string, string](t.Context(), c, echo, "x")
 	is.NoErr(err)
@@ -83,7 +83,7 @@
 	for name, config := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			c := NewClient(address, config)
+			c := NewClient(address, config, nil)
 			defer c.Close()
 			got, err := Call[string, string](t.Context(), c, echo, "x")
 			is.True(err != nil)
