--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -8,20 +8,23 @@
 
 // Status is what an instance says of itself.
 type Status struct {
-	Instance      string          `json:"instance"`
-	Domain        string          `json:"domain"`
-	Incarnation   uint64          `json:"incarnation"`
-	Leading       bool            `json:"leading"`
-	Term          grant.Term      `json:"term"`
-	BundleVersion uint64          `json:"bundle-version"`
-	LogNext       uint64          `json:"log-next"`
-	TableTerm     grant.Term      `json:"table-term"`
-	TableSerial   uint64          `json:"table-serial"`
-	Ranges        int             `json:"ranges"`
-	Provisional   int             `json:"provisional"`
-	Members       []route.Member  `json:"members"`
-	Domains       []DomainVersion `json:"domains"`
-	Stopping      bool            `json:"stopping"`
+	Instance      string     `json:"instance"`
+	Domain        string     `json:"domain"`
+	Incarnation   uint64     `json:"incarnation"`
+	Leading       bool       `json:"leading"`
+	Term          grant.Term `json:"term"`
+	BundleVersion uint64     `json:"bundle-version"`
+	LogNext       uint64     `json:"log-next"`
+	TableTerm     grant.Term `json:"table-term"`
+	TableSerial   uint64     `json:"table-serial"`
+	Ranges        int        `json:"ranges"`
+	// Owned is the least share, over the divided services, of the domain's homes by the bundle
+	// that has an owner; 1 when nothing is unavailable, 0 without a table.
+	Owned       float64         `json:"owned"`
+	Provisional int             `json:"provisional"`
+	Members     []route.Member  `json:"members"`
+	Domains     []DomainVersion `json:"domains"`
+	Stopping    bool            `json:"stopping"`
 }
 
 // DomainVersion is the lowest and highest bundle version in force at the instances of a
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -34,11 +34,43 @@
 		s.TableTerm, s.TableSerial = t.Term, t.Serial
 		s.Ranges = len(t.Owners)
 		s.Provisional = countProvisional(t)
+		s.Owned = ownedShare(view)
 	}
 	s.Domains = e.peers.versions(time.Now(), s.BundleVersion)
 	return s
 }
 
+// ownedShare returns the least share, over the divided services, of the domain's homes that
+// has an owner.
+func ownedShare(view route.View) float64 {
+	least := 1.0
+	for service, homes := range view.Homes {
+		var want, have []keys.Range
+		for _, h := range homes {
+			if h.Domain == view.Domain {
+				want = append(want, h.Range)
+			}
+		}
+		for _, o := range view.Table.Owners {
+			if o.Service == service {
+				have = append(have, o.Range)
+			}
+		}
+		if total := width(want); total > 0 {
+			least = min(least, width(keys.Intersect(want, have))/total)
+		}
+	}
+	return least
+}
+
+func width(ranges []keys.Range) float64 {
+	sum := 0.0
+	for _, r := range ranges {
+		sum += r.Width()
+	}
+	return sum
+}
+
 func countProvisional(t *route.Table) int {
 	count := 0
 	for _, o := range t.Owners {
