Test the request path under faults, and mend what the tests found

Found and mended: a replayed answer was written twice, as the request went on to its tries; two losses of one server within a millisecond counted as one (losses now carry nanoseconds); the first request at a server could crash it before the watched connection was there (it now waits for it). The right to a server that checks nothing is asked when the connection is there, not before it is opened.

--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -20,6 +20,13 @@
 func (j *job) unanswered(slot policy.Slot, t route.Target, err error) (*refusal, bool) {
 	f := j.front
 	f.deps.Log.Warn("no answer", "request", j.id, "service", j.request.service, "server", slot.Server, "error", err)
+	if errors.Is(err, errNoRight) {
+		j.service.forget(j.policy)
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: ReasonNoRight, outcome: caller.NotRun,
+			detail: err.Error(), server: slot.Server, retry: retrySoon,
+		}, false
+	}
 	fault := faultOf(err)
 	if fault == policy.Lost {
 		j.blame(t, slot)
--- /dev/null
+++ b/internal/front/fault_test.go
@@ -0,0 +1,431 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/caller"
+	"example.org/mustardring/pkg/grant"
+)
+
+// undivided returns the destination of a service of two servers that any request may use.
+func undivided(addresses ...string) route.Here {
+	s := testService()
+	s.Divided = false
+	d := here(s, addresses...)
+	for i := range d.Servers {
+		d.Servers[i].Epoch = grant.Epoch{}
+	}
+	return d
+}
+
+// get returns an idempotent request.
+func get(is *is.I, url string) *http.Request {
+	is.Helper()
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	is.NoErr(err)
+	r.Header.Set(caller.HeaderKey, "volume-7")
+	return r
+}
+
+// mortal is a backend server that dies and is back at once: all its connections end.
+type mortal struct {
+	*httptest.Server
+	deaths atomic.Int32
+}
+
+// startMortal starts a server that dies of requests whose body or path holds a word.
+func startMortal(t *testing.T, word string) *mortal {
+	m := &mortal{}
+	m.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if bytes.Contains(body, []byte(word)) || bytes.Contains([]byte(r.URL.Path), []byte(word)) {
+			m.deaths.Add(1)
+			m.CloseClientConnections()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "ok")
+	}))
+	t.Cleanup(m.Close)
+	return m
+}
+
+// settled waits until the front is done with finding out about lost servers.
+func (i *instance) settled() {
+	for i.front.inFlight.count.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// One request crashes each server that runs it, and its caller sends it again and again, each
+// time with a new id. It may take two servers; then it is refused, also by instances that
+// never saw it, until operators lift the block. Other requests are served all the while.
+func TestRequestThatCrashesServers(t *testing.T) {
+	is := is.New(t)
+	a, b, c := startMortal(t, "poison"), startMortal(t, "poison"), startMortal(t, "poison")
+	d := undivided(address(a.Server), address(b.Server), address(c.Server))
+	one, two := start(t, "one", nil), start(t, "two", nil)
+	one.finder.set(d)
+	two.finder.set(d)
+	for i := range 12 {
+		is.Equal(do(t, get(is, one.callers.URL+"/oddaja/well")).outcome(), caller.Ran)
+		do(t, post(is, one.callers.URL+"/oddaja/x", "poison", caller.HeaderRequestID, fmt.Sprint("id-", i)))
+		one.settled()
+	}
+	deaths := func() int32 { return a.deaths.Load() + b.deaths.Load() + c.deaths.Load() }
+	is.Equal(deaths(), int32(2))
+	blocked := do(t, post(is, one.callers.URL+"/oddaja/x", "poison"))
+	is.Equal(blocked.outcome(), caller.NotRun)
+	is.Equal(blocked.problem(t).Reason, "blocked")
+	is.True(blocked.header.Get("Retry-After") != "")
+
+	two.front.Merge(one.front.Blocks())
+	is.Equal(do(t, post(is, two.callers.URL+"/oddaja/x", "poison")).problem(t).Reason, "blocked")
+	is.Equal(do(t, post(is, two.callers.URL+"/oddaja/x", "bread")).outcome(), caller.Ran)
+	is.Equal(deaths(), int32(2))
+
+	is.NoErr(two.front.Lift([]string{two.front.Blocks()[0].Print.String()}))
+	do(t, post(is, two.callers.URL+"/oddaja/x", "poison"))
+	is.Equal(deaths(), int32(3))
+	is.True(two.front.Lift([]string{"no print"}) != nil)
+}
+
+// The same with an idempotent request, which the gate itself would try again: it stops
+// after the second server, and tells the caller at once.
+func TestIdempotentRequestThatCrashesServers(t *testing.T) {
+	is := is.New(t)
+	servers := []*mortal{startMortal(t, "poison"), startMortal(t, "poison"), startMortal(t, "poison")}
+	i := start(t, "one", nil)
+	i.finder.set(undivided(address(servers[0].Server), address(servers[1].Server), address(servers[2].Server)))
+	for range 40 {
+		is.Equal(do(t, get(is, i.callers.URL+"/oddaja/well")).status, http.StatusOK)
+	}
+	for _, want := range []caller.Outcome{caller.Unknown, caller.NotRun, caller.NotRun} {
+		got := do(t, get(is, i.callers.URL+"/oddaja/poison"))
+		is.Equal(got.outcome(), want)
+		is.Equal(got.problem(t).Reason, "blocked")
+	}
+	deaths := int32(0)
+	for _, s := range servers {
+		deaths += s.deaths.Load()
+	}
+	is.Equal(deaths, int32(2))
+}
+
+// A server closes the connection of one request each time, and lives. That request is not
+// blamed for a lost server.
+func TestClosedConnectionIsNoLostServer(t *testing.T) {
+	is := is.New(t)
+	i := start(t, "one", nil)
+	i.finder.set(here(testService(), backend(t, func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	})))
+	for range 4 {
+		got := do(t, post(is, i.callers.URL+"/oddaja/x", "text"))
+		is.Equal(got.outcome(), caller.Unknown)
+		is.Equal(got.problem(t).Reason, "server-lost")
+		i.settled()
+	}
+	is.Equal(len(i.front.Blocks()), 0)
+}
+
+// Twenty callers at once, and a server with two slots. It never runs three requests.
+func TestSlotsAreExact(t *testing.T) {
+	is := is.New(t)
+	var running, most atomic.Int32
+	s := testService()
+	s.Limits.Queue = 50
+	i := start(t, "one", nil)
+	entry := start(t, "two", nil)
+	d := here(s, backend(t, func(http.ResponseWriter, *http.Request) {
+		n := running.Add(1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+		}
+		time.Sleep(time.Millisecond)
+		running.Add(-1)
+	}))
+	i.finder.set(d)
+	entry.finder.set(route.Forward{Service: s, Addresses: []string{address(i.forwards)}})
+	var group sync.WaitGroup
+	var ran atomic.Int32
+	for n := range 20 {
+		url := i.callers.URL
+		if n%2 == 0 {
+			url = entry.callers.URL
+		}
+		requests := make([]*http.Request, 10)
+		for k := range requests {
+			requests[k] = post(is, url+"/oddaja/x", "text")
+		}
+		group.Go(func() {
+			for _, r := range requests {
+				if do(t, r).outcome() == caller.Ran {
+					ran.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(ran.Load(), int32(200))
+	is.Equal(most.Load(), int32(2))
+}
+
+// A server is restarted. Requests that any server may run go to the other one, and the caller
+// sees nothing of it.
+func TestServerDownIsAvoided(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	down := l.Addr().String()
+	is.NoErr(l.Close())
+	i := start(t, "one", nil)
+	i.finder.set(undivided(down, backend(t, echo)))
+	up := backend(t, echo)
+	i.finder.set(undivided(up))
+	for range 30 {
+		is.Equal(do(t, post(is, i.callers.URL+"/oddaja/x", "text")).outcome(), caller.Ran)
+	}
+	i.finder.set(undivided(down, up))
+	for range 5 {
+		got := do(t, post(is, i.callers.URL+"/oddaja/x", "text"))
+		is.Equal(got.outcome(), caller.Ran)
+	}
+}
+
+// A server sheds load. If it says that it did not run the request, the caller may send it
+// again; if it says nothing, nobody knows.
+func TestServerSheds(t *testing.T) {
+	tests := map[string]struct {
+		header string
+		want   caller.Outcome
+	}{
+		"says so":      {header: string(caller.NotRun), want: caller.NotRun},
+		"says nothing": {want: caller.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := start(t, "one", nil)
+			i.finder.set(here(testService(), backend(t, func(w http.ResponseWriter, _ *http.Request) {
+				if tt.header != "" {
+					w.Header().Set(caller.HeaderOutcome, tt.header)
+				}
+				w.Header().Set("Retry-After", "7")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})))
+			got := do(t, post(is, i.callers.URL+"/oddaja/x", "text"))
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.Equal(got.outcome(), tt.want)
+			is.Equal(got.header.Get("Retry-After"), "7")
+		})
+	}
+}
+
+// A server freezes. Its caller learns of it at the deadline, not later, and that it may run.
+func TestFrozenServer(t *testing.T) {
+	is := is.New(t)
+	thaw := make(chan struct{})
+	i := start(t, "one", nil)
+	i.finder.set(here(testService(), backend(t, func(http.ResponseWriter, *http.Request) { <-thaw })))
+	soon := strconv.FormatInt(time.Now().Add(100*time.Millisecond).UnixMilli(), 10)
+	got := do(t, post(is, i.callers.URL+"/oddaja/x", "text", caller.HeaderDeadline, soon))
+	is.Equal(got.status, http.StatusGatewayTimeout)
+	is.Equal(got.outcome(), caller.Unknown)
+	is.Equal(got.problem(t).Reason, "timeout")
+	close(thaw)
+}
+
+// The caller goes away. The server hears of it, through an instance between as well.
+func TestCancellationReachesTheServer(t *testing.T) {
+	is := is.New(t)
+	begun, told := make(chan struct{}), make(chan struct{})
+	gate, entry := start(t, "one", nil), start(t, "two", nil)
+	gate.finder.set(here(testService(), backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(begun)
+		<-r.Context().Done()
+		close(told)
+	})))
+	entry.finder.set(route.Forward{Service: testService(), Addresses: []string{address(gate.forwards)}})
+	ctx, cancel := context.WithCancel(context.Background())
+	r := post(is, entry.callers.URL+"/oddaja/x", "text").WithContext(ctx)
+	go func() {
+		<-begun
+		cancel()
+	}()
+	_, err := http.DefaultTransport.RoundTrip(r) //nolint:bodyclose // there is none
+	is.True(errors.Is(err, context.Canceled))
+	<-told
+}
+
+// The deadline that the server sees is the caller's, less the hops.
+func TestDeadlineIsHandedOn(t *testing.T) {
+	is := is.New(t)
+	gate, entry := start(t, "one", nil), start(t, "two", nil)
+	gate.finder.set(here(testService(), backend(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get(caller.HeaderDeadline))
+	})))
+	entry.finder.set(route.Forward{Service: testService(), Addresses: []string{address(gate.forwards)}})
+	stated := time.Now().Add(20 * time.Second).UnixMilli()
+	got := do(t, post(is, entry.callers.URL+"/oddaja/x", "text", caller.HeaderDeadline, strconv.FormatInt(stated, 10)))
+	seen, err := strconv.ParseInt(string(got.body), 10, 64)
+	is.NoErr(err)
+	hops := 2 * hopTime.Milliseconds()
+	is.True(seen <= stated-hops)
+	is.True(seen >= stated-hops-4)
+}
+
+// The right to a server that checks nothing is lost while a connection is being opened. No
+// byte may be written, and what runs on open connections is cut.
+func TestRightIsCheckedBeforeTheWrite(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Int32
+	holder := &rightHolder{}
+	i := start(t, "one", func(d *Deps) { d.Right = holder })
+	begun := make(chan struct{}, 1)
+	d := here(testService(), backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		seen.Add(1)
+		begun <- struct{}{}
+		<-r.Context().Done()
+	}))
+	d.Servers[0].Server.ChecksGrants = false
+	i.finder.set(d)
+	holder.fault.Store(true)
+	got := do(t, post(is, i.callers.URL+"/oddaja/x", "text"))
+	is.Equal(got.outcome(), caller.NotRun)
+	is.Equal(got.problem(t).Reason, "right-lost")
+	is.Equal(seen.Load(), int32(0))
+	holder.fault.Store(false)
+	r := post(is, i.callers.URL+"/oddaja/x", "text")
+	go func() {
+		<-begun
+		i.front.RightLost("oddaja", "oddaja-a")
+	}()
+	is.Equal(do(t, r).outcome(), caller.Unknown)
+	is.Equal(seen.Load(), int32(1))
+}
+
+// rightHolder is a Right that tests take away.
+type rightHolder struct{ fault atomic.Bool }
+
+func (r *rightHolder) Check(string, string, uint64) error {
+	if r.fault.Load() {
+		return errors.New("lapsed")
+	}
+	return nil
+}
+
+// An archivist pulls a volume of 64 MB while the instance is told to stop. The volume comes
+// whole, the stop waits for it, and new callers are sent elsewhere.
+func TestDrainLetsDownloadsEnd(t *testing.T) {
+	is := is.New(t)
+	const size = 64 << 20
+	half, resume := make(chan struct{}), make(chan struct{})
+	i := start(t, "one", nil)
+	i.finder.set(here(testService(), backend(t, func(w http.ResponseWriter, _ *http.Request) {
+		part := make([]byte, 1<<20)
+		for n := range size / len(part) {
+			if n == size/len(part)/2 {
+				_ = http.NewResponseController(w).Flush()
+				close(half)
+				<-resume
+			}
+			_, _ = w.Write(part)
+		}
+	})))
+	r := get(is, i.callers.URL+"/oddaja/volume")
+	result := make(chan answer, 1)
+	go func() { result <- do(t, r) }()
+	<-half
+	drained := make(chan error, 1)
+	go func() { drained <- i.front.Drain(context.Background()) }()
+	for i.front.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	select {
+	case err := <-drained:
+		t.Fatalf("drained with a download in flight: %v", err)
+	default:
+	}
+	close(resume)
+	got := <-result
+	is.NoErr(got.cut)
+	is.Equal(len(got.body), size)
+	is.NoErr(<-drained)
+}
+
+// A leaving server gets nothing new, and what runs there ends.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}, 1), make(chan struct{})
+	leaving := backend(t, func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-release
+	})
+	i := start(t, "one", nil)
+	i.finder.set(undivided(leaving))
+	r := post(is, i.callers.URL+"/oddaja/x", "text")
+	result := make(chan answer, 1)
+	go func() { result <- do(t, r) }()
+	<-begun
+	d := undivided(leaving, backend(t, echo))
+	d.Servers[0].Server.Leaving = true
+	i.finder.set(d)
+	for range 5 {
+		is.Equal(do(t, post(is, i.callers.URL+"/oddaja/x", "text")).header.Get(caller.HeaderServer), "oddaja-b")
+	}
+	close(release)
+	is.Equal((<-result).outcome(), caller.Ran)
+}
+
+// A caller sends half of its body and goes on later. It must not use a slot meanwhile.
+func TestSlowCallerHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	i := start(t, "one", nil)
+	d := here(testService(), backend(t, echo))
+	d.Servers[0].Server.Slots = 1
+	i.finder.set(d)
+	from, to := io.Pipe()
+	slow := post(is, i.callers.URL+"/oddaja/x", "")
+	slow.Body, slow.ContentLength = from, 8
+	result := make(chan answer, 1)
+	go func() { result <- do(t, slow) }()
+	_, err := to.Write([]byte("slow"))
+	is.NoErr(err)
+	is.Equal(do(t, post(is, i.callers.URL+"/oddaja/x", "quick")).status, http.StatusOK)
+	_, err = to.Write([]byte("ness"))
+	is.NoErr(err)
+	is.Equal(string((<-result).body), "POST /x epoch=3.1.7.9 body=slowness")
+}
+
+// A body that turns out too large, without a stated length, is refused before it runs if its
+// beginning shows it.
+func TestBodyWithoutLengthIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := testService()
+	s.Limits = bundle.Limits{BodyBytes: 1000, RequestMillis: 60_000}
+	i := start(t, "one", nil)
+	i.finder.set(here(s, backend(t, echo)))
+	for size, status := range map[int]int{1000: 200, 1001: 413, 50_000: 413} {
+		r := post(is, i.callers.URL+"/oddaja/x", "")
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, size))), -1
+		got := do(t, r)
+		is.Equal(got.status, status)
+	}
+}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -12,6 +14,9 @@
 	"example.org/mustardring/pkg/grant"
 )
 
+// errNoRight is wrapped by errors of a Right.
+var errNoRight = errors.New("front: no right to the server")
+
 // job is a request at its gate.
 type job struct {
 	*request
@@ -36,7 +41,7 @@
 		Deadline: q.deadline, Idempotent: q.idempotent, Replayable: j.body.whole,
 	}
 	if q.once() {
-		if no := j.remember(w); no != nil {
+		if no, ended := j.remember(w); ended {
 			return no
 		}
 	} else if j.service.suspicious() {
@@ -50,8 +55,9 @@
 }
 
 // remember asks the memory about a request that must not run twice, and makes sure that the
-// loss of this instance does not lose that it was sent.
-func (j *job) remember(w http.ResponseWriter) *refusal {
+// loss of this instance does not lose that it was sent. It returns true when the request has
+// its answer, with the refusal if that is not yet written.
+func (j *job) remember(w http.ResponseWriter) (*refusal, bool) {
 	scope := ""
 	if j.dest.Service.Divided {
 		scope = j.key
@@ -64,14 +70,14 @@
 		j.front.deps.Log.Warn("recall failed", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), retry: retrySoon,
-		}
+		}, true
 	}
 	known := j.service.recollect(j.policy)
 	if _, fresh := known.(policy.Fresh); !fresh {
-		return j.answerKnown(w, known)
+		return j.answerKnown(w, known), true
 	}
 	if j.witness != "" && j.witness != j.front.deps.Instance || j.front.deps.Witness == nil {
-		return nil
+		return nil, false
 	}
 	ctx, cancel := context.WithDeadline(j.Context(), j.front.at(j.deadline))
 	defer cancel()
@@ -80,10 +86,10 @@
 		j.front.deps.Log.Warn("no witness", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: ReasonNoWitness, outcome: caller.NotRun, retry: retrySoon,
-		}
+		}, true
 	}
 	j.told = true
-	return nil
+	return nil, false
 }
 
 // owner returns the server and epoch for which the memory must be complete.
@@ -212,19 +218,10 @@
 // true when the request is to be tried once more.
 func (j *job) try(w http.ResponseWriter, t route.Target) (*refusal, bool) {
 	f, server := j.front, t.Server.Name
-	if !t.Server.ChecksGrants && f.deps.Right != nil {
-		if err := f.deps.Right.Check(j.request.service, server, j.hash); err != nil {
-			j.service.withdraw(j.policy, server)
-			return &refusal{
-				status: http.StatusServiceUnavailable, reason: ReasonNoRight, outcome: caller.NotRun,
-				detail: err.Error(), server: server, retry: retrySoon,
-			}, false
-		}
-	}
 	slot := j.service.held(j.policy, server)
 	began := f.now()
 	response, err := j.service.connections(t.Server).Send(j.outgoing(t), upstr.Order{
-		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh,
+		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh, Permit: j.permit(t),
 		Done: func(sent bool) {
 			ran := time.Duration(f.now() - began)
 			if !sent {
@@ -247,6 +244,24 @@
 	return no, again
 }
 
+// permit returns the check of the right to a server that does not check grants itself, nil
+// for one that does.
+//
+// It guards against sending after the right was lost, which the server would not notice: two
+// gates would then send to two servers for one key. It is called when the connection is
+// there, as opening one may take long.
+func (j *job) permit(t route.Target) func() error {
+	if t.Server.ChecksGrants || j.front.deps.Right == nil {
+		return nil
+	}
+	return func() error {
+		if err := j.front.deps.Right.Check(j.request.service, t.Server.Name, j.hash); err != nil {
+			return fmt.Errorf("%w: %w", errNoRight, err)
+		}
+		return nil
+	}
+}
+
 // outgoing returns the request as the server gets it.
 func (j *job) outgoing(t route.Target) *http.Request {
 	out := j.front.outgoing(j.Context(), j.request)
--- a/internal/policy/core.go
+++ b/internal/policy/core.go
@@ -244,7 +244,7 @@
 		r.remembered = false
 	}
 	if r.Print != 0 {
-		c.suspects.Clear(r.Print, c.millis(now))
+		c.suspects.Clear(r.Print, c.nanos(now))
 	}
 }
 
@@ -284,8 +284,8 @@
 		c.suspects.Settle(p, nil, 0)
 		return
 	}
-	at := c.millis(now)
-	c.suspects.Settle(p, &Loss{Server: server, AtMillis: at}, at+c.blockTime().Milliseconds())
+	until := c.millis(now) + c.blockTime().Milliseconds()
+	c.suspects.Settle(p, &Loss{Server: server, AtNanos: c.nanos(now)}, until)
 }
 
 // Suspicious reports whether any request is suspected, so that Prints are needed.
@@ -402,6 +402,11 @@
 	return c.originMillis + int64(t)/int64(time.Millisecond)
 }
 
+// nanos returns the Unix time in nanoseconds.
+func (c *Core) nanos(t Time) int64 {
+	return c.originMillis*int64(time.Millisecond) + int64(t)
+}
+
 // time returns the Time of a Unix time in milliseconds.
 func (c *Core) time(millis int64) Time {
 	return Time((millis - c.originMillis) * int64(time.Millisecond))
--- a/internal/policy/suspect.go
+++ b/internal/policy/suspect.go
@@ -11,8 +11,9 @@
 // Loss is the loss of a server while a request ran there.
 type Loss struct {
 	Server string `json:"server"`
-	// AtMillis is when the gate saw the loss, in Unix milliseconds.
-	AtMillis int64 `json:"at-ms"`
+	// AtNanos is when the gate saw the loss, in Unix nanoseconds: two losses may be less than a
+	// millisecond apart.
+	AtNanos int64 `json:"at-ns"`
 }
 
 // Block is what is known of a request that is suspected to crash servers. Two Blocks of one
@@ -21,25 +22,25 @@
 	Service string `json:"service"`
 	Print   Print  `json:"print"`
 	Losses  []Loss `json:"losses,omitempty"`
-	// ClearedMillis is when the request last had a whole answer. Losses up to then do not
+	// ClearedNanos is when the request last had a whole answer. Losses up to then do not
 	// count: a request that crashes servers has no answers.
-	ClearedMillis int64 `json:"cleared-ms,omitempty"`
+	ClearedNanos int64 `json:"cleared-ns,omitempty"`
 	// UntilMillis is when all this is forgotten, in Unix milliseconds.
 	UntilMillis int64 `json:"until-ms"`
 }
 
 // merge takes in the losses of another block.
 func (b *Block) merge(o Block) {
-	b.ClearedMillis = max(b.ClearedMillis, o.ClearedMillis)
+	b.ClearedNanos = max(b.ClearedNanos, o.ClearedNanos)
 	b.UntilMillis = max(b.UntilMillis, o.UntilMillis)
 	for _, l := range o.Losses {
 		if !slices.Contains(b.Losses, l) {
 			b.Losses = append(b.Losses, l)
 		}
 	}
-	b.Losses = slices.DeleteFunc(b.Losses, func(l Loss) bool { return l.AtMillis <= b.ClearedMillis })
+	b.Losses = slices.DeleteFunc(b.Losses, func(l Loss) bool { return l.AtNanos <= b.ClearedNanos })
 	slices.SortFunc(b.Losses, func(x, y Loss) int {
-		return cmp.Or(cmp.Compare(x.AtMillis, y.AtMillis), cmp.Compare(x.Server, y.Server))
+		return cmp.Or(cmp.Compare(x.AtNanos, y.AtNanos), cmp.Compare(x.Server, y.Server))
 	})
 }
 
@@ -96,12 +97,12 @@
 }
 
 // Clear says that the request had a whole answer.
-func (s *Suspects) Clear(p Print, nowMillis int64) {
+func (s *Suspects) Clear(p Print, nowNanos int64) {
 	b := s.blocks[p]
 	if b == nil || len(b.Losses) == 0 {
 		return
 	}
-	b.merge(Block{ClearedMillis: nowMillis})
+	b.merge(Block{ClearedNanos: nowNanos})
 }
 
 // Degree returns how far a request is suspected, blocked being from a number of losses on.
--- a/internal/policy/suspect_test.go
+++ b/internal/policy/suspect_test.go
@@ -17,13 +17,13 @@
 	s := NewSuspects("pregled")
 	const cause, bystander Print = 1, 2
 	for _, p := range []Print{cause, bystander} {
-		s.Lost(p, Loss{Server: "a", AtMillis: 10}, blockEnd)
+		s.Lost(p, Loss{Server: "a", AtNanos: 10}, blockEnd)
 		is.Equal(s.Degree(p, 2, 10), Suspect)
 	}
 	s.Clear(bystander, 20)
 	is.Equal(s.Degree(bystander, 2, 20), Unsuspected)
-	s.Lost(cause, Loss{Server: "b", AtMillis: 30}, blockEnd)
-	s.Lost(bystander, Loss{Server: "b", AtMillis: 30}, blockEnd)
+	s.Lost(cause, Loss{Server: "b", AtNanos: 30}, blockEnd)
+	s.Lost(bystander, Loss{Server: "b", AtNanos: 30}, blockEnd)
 	is.Equal(s.Degree(cause, 2, 30), Blocked)
 	is.Equal(s.Degree(bystander, 2, 30), Suspect)
 
@@ -51,7 +51,7 @@
 	is.Equal(s.Degree(1, 2, 10), Unsuspected)
 	is.True(!s.Any())
 	s.Hold(1)
-	s.Settle(1, &Loss{Server: "a", AtMillis: 10}, blockEnd)
+	s.Settle(1, &Loss{Server: "a", AtNanos: 10}, blockEnd)
 	is.Equal(s.Degree(1, 1, 10), Blocked)
 }
 
@@ -61,10 +61,10 @@
 		return Block{
 			Service: "pregled", Print: 1,
 			Losses: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Loss {
-				return Loss{Server: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server"), AtMillis: rapid.Int64Range(1, 9).Draw(t, "at")}
+				return Loss{Server: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server"), AtNanos: rapid.Int64Range(1, 9).Draw(t, "at")}
 			}), 0, 3).Draw(t, "losses"),
-			ClearedMillis: rapid.Int64Range(0, 9).Draw(t, "cleared"),
-			UntilMillis:   rapid.Int64Range(50, 60).Draw(t, "until"),
+			ClearedNanos: rapid.Int64Range(0, 9).Draw(t, "cleared"),
+			UntilMillis:  rapid.Int64Range(50, 60).Draw(t, "until"),
 		}
 	})
 	rapid.Check(t, func(t *rapid.T) {
@@ -79,7 +79,7 @@
 		if len(x) != 1 || len(y) != 1 {
 			t.Fatalf("%d and %d blocks", len(x), len(y))
 		}
-		if len(x[0].Losses) != len(y[0].Losses) || x[0].ClearedMillis != y[0].ClearedMillis || x[0].UntilMillis != y[0].UntilMillis {
+		if len(x[0].Losses) != len(y[0].Losses) || x[0].ClearedNanos != y[0].ClearedNanos || x[0].UntilMillis != y[0].UntilMillis {
 			t.Fatalf("%+v and %+v", x[0], y[0])
 		}
 	})
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	s := NewSuspects("pregled")
 	for i := range maxSuspects + 10 {
-		s.Lost(Print(i+1), Loss{Server: "a", AtMillis: 1}, int64(100+i))
+		s.Lost(Print(i+1), Loss{Server: "a", AtNanos: 1}, int64(100+i))
 	}
 	is.Equal(len(s.Blocks(0)), maxSuspects)
 	is.Equal(s.Degree(1, 1, 0), Unsuspected)
--- a/internal/upstr/server.go
+++ b/internal/upstr/server.go
@@ -124,21 +124,36 @@
 	InMemory bool
 	// Fresh asks for a new connection.
 	Fresh bool
+	// Permit, if not nil, is called when a connection is there, immediately before the first
+	// byte is written. Its error ends the request unsent.
+	Permit func() error
 	// Done is called once, in any case, when the server is done with the request or known to
 	// have dropped it: only then its slot is free. Sent says whether bytes may have left.
 	Done func(sent bool)
 }
 
+func (o *Order) permitted() error {
+	if o.Permit == nil {
+		return nil
+	}
+	return o.Permit()
+}
+
 // Send sends a request and returns when the head of the answer is there. The request's
 // context cancels it at any time. Its answer's body must be closed. Errors wrap ErrNotSent or
 // ErrInDoubt.
 func (s *Server) Send(r *http.Request, o Order) (*http.Response, error) {
-	s.watch.start()
+	s.watch.start(r.Context())
 	c, err := s.get(r.Context(), o)
 	if err != nil {
 		o.Done(false)
 		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, s.settings.Name, err)
 	}
+	if err := o.permitted(); err != nil {
+		s.put(c)
+		o.Done(false)
+		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, s.settings.Name, err)
+	}
 	out := &sending{
 		serial: s.serial.Add(1), request: r, began: time.Now(),
 		deadline: o.Deadline, until: o.Deadline.Add(dropGrace), done: o.Done,
--- a/internal/upstr/watch.go
+++ b/internal/upstr/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 )
@@ -36,15 +37,28 @@
 	return &watch{server: s, cancel: func() {}, ended: make(chan struct{}), broke: make(chan struct{})}
 }
 
-// start begins the watch with the first request.
-func (w *watch) start() {
+// start begins the watch with the first request, which waits until the watched connection is
+// there: it may be the one that crashes the server.
+func (w *watch) start(ctx context.Context) {
 	w.once.Do(func() {
-		ctx, cancel := context.WithCancel(context.Background())
+		first := w.dial(ctx)
+		ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		w.cancel = cancel
-		go w.run(ctx)
+		go w.run(ctx, first)
 	})
 }
 
+// dial returns a connection to watch, nil if there is none.
+func (w *watch) dial(ctx context.Context) net.Conn {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := w.server.dialer.DialContext(ctx, "tcp", w.server.settings.Address)
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
 // stop ends the watch and waits for its end.
 func (w *watch) stop() {
 	w.once.Do(func() { close(w.ended) })
@@ -52,19 +66,14 @@
 	<-w.ended
 }
 
-// run keeps the connection until the context ends, and then closes ended.
-func (w *watch) run(ctx context.Context) {
+// run keeps a connection until the context ends, and then closes ended.
+func (w *watch) run(ctx context.Context, c net.Conn) {
 	defer close(w.ended)
 	pause := redialFirst
-	for ctx.Err() == nil {
-		c, err := w.server.dialer.DialContext(ctx, "tcp", w.server.settings.Address)
-		if err == nil {
+	for ; ctx.Err() == nil; c = w.dial(ctx) {
+		if c != nil {
 			pause = redialFirst
-			stopped := context.AfterFunc(ctx, func() { _ = c.Close() })
-			_, _ = c.Read(make([]byte, 1))
-			stopped()
-			_ = c.Close()
-			w.sawEnd()
+			w.hold(ctx, c)
 		}
 		select {
 		case <-ctx.Done():
@@ -74,6 +83,17 @@
 	}
 }
 
+// hold keeps a connection until it or the context ends.
+func (w *watch) hold(ctx context.Context, c net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	_, _ = c.Read(make([]byte, 1))
+	_ = c.Close()
+	if ctx.Err() == nil {
+		w.sawEnd()
+	}
+}
+
 func (w *watch) sawEnd() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
