--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,151 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/caller"
+)
+
+// small is what a stock check answers.
+func small(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "42 wheels of cheese")
+}
+
+// direct is the call that is compared with: the caller's transport straight to the server.
+// All benchmarks use it for the caller's side.
+func benchmark(b *testing.B, url string, method string, header ...string) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	defer transport.CloseIdleConnections()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		r, err := http.NewRequest(method, url, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if method == http.MethodPost {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader("text")), 4
+		}
+		r.Header.Set(caller.HeaderKey, "cheese-7")
+		for i := 0; i+1 < len(header); i += 2 {
+			r.Header.Set(header[i], header[i+1]+newID())
+		}
+		response, err := transport.RoundTrip(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+			b.Fatal(response.Status, err)
+		}
+		response.Body.Close()
+	}
+}
+
+func BenchmarkDirect(b *testing.B) {
+	benchmark(b, "http://"+backend(b, small)+"/x", http.MethodGet)
+}
+
+func BenchmarkGate(b *testing.B) {
+	i := start(b, "one", nil)
+	i.finder.set(here(testService(), backend(b, small)))
+	benchmark(b, i.callers.URL+"/oddaja/x", http.MethodGet)
+}
+
+func BenchmarkForward(b *testing.B) {
+	gate, entry := start(b, "one", nil), start(b, "two", nil)
+	gate.finder.set(here(testService(), backend(b, small)))
+	entry.finder.set(route.Forward{Service: testService(), Addresses: []string{address(gate.forwards)}})
+	benchmark(b, entry.callers.URL+"/oddaja/x", http.MethodGet)
+}
+
+func BenchmarkSubmission(b *testing.B) {
+	i := start(b, "one", nil)
+	i.finder.set(here(testService(), backend(b, small)))
+	benchmark(b, i.callers.URL+"/oddaja/x", http.MethodPost, caller.HeaderRequestID, "id-")
+}
+
+// wide returns the destination of a server with many slots.
+func wide(address string) route.Here {
+	d := here(testService(), address)
+	d.Servers[0].Server.Slots, d.Servers[0].Server.Connections = 64, 400
+	return d
+}
+
+// benchmarkMany has 16 callers at once. On one processor (-cpu 1) the time for each request
+// is the processor time of all that it passes, so that the difference to the direct call is
+// what the instance costs.
+func benchmarkMany(b *testing.B, url string) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	defer transport.CloseIdleConnections()
+	b.ReportAllocs()
+	b.SetParallelism(16)
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			r, err := http.NewRequest(http.MethodGet, url, nil)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			r.Header.Set(caller.HeaderKey, "cheese-7")
+			response, err := transport.RoundTrip(r)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				b.Error(response.Status)
+				return
+			}
+		}
+	})
+}
+
+func BenchmarkManyDirect(b *testing.B) {
+	benchmarkMany(b, "http://"+backend(b, small)+"/x")
+}
+
+func BenchmarkManyGate(b *testing.B) {
+	i := start(b, "one", nil)
+	i.finder.set(wide(backend(b, small)))
+	benchmarkMany(b, i.callers.URL+"/oddaja/x")
+}
+
+func BenchmarkManyForward(b *testing.B) {
+	gate, entry := start(b, "one", nil), start(b, "two", nil)
+	gate.finder.set(wide(backend(b, small)))
+	entry.finder.set(route.Forward{Service: testService(), Addresses: []string{address(gate.forwards)}})
+	benchmarkMany(b, entry.callers.URL+"/oddaja/x")
+}
+
+// discard is a ResponseWriter that keeps nothing.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) WriteHeader(int)             {}
+
+// BenchmarkHandler is one request through the front to a server on loopback, without the
+// caller's connection.
+func BenchmarkHandler(b *testing.B) {
+	i := start(b, "one", nil)
+	i.finder.set(here(testService(), backend(b, small)))
+	r, err := http.NewRequest(http.MethodGet, "/oddaja/x", nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Header.Set(caller.HeaderKey, "cheese-7")
+	r.RemoteAddr = "127.0.0.1:99"
+	b.ReportAllocs()
+	for b.Loop() {
+		w := &discard{header: http.Header{}}
+		i.front.Callers().ServeHTTP(w, r)
+		if w.header.Get(caller.HeaderOutcome) != string(caller.Ran) {
+			b.Fatal(w.header)
+		}
+	}
+}
