--- /dev/null
+++ b/internal/record/codec_test.go
@@ -0,0 +1,102 @@
+package record
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/grant"
+	"example.org/mustardring/pkg/keys"
+)
+
+// every holds one record of each kind.
+func every() []Record {
+	st := bundle.Statement{Role: bundle.RoleRoll, Version: 2, Follows: 1, Hash: []byte{1}, Signers: []byte{2}, Signer: "ana", Signature: []byte{3}}
+	signed := bundle.Signed{Canonical: []byte("{}"), Statement: st}
+	return []Record{
+		BundlePublished{Signed: signed, Delta: &bundle.Delta{BaseHash: []byte{4}}},
+		BundleApproved{Approval: st},
+		BundleRolled{Roll: st},
+		BundleProven{Proof: bundle.Proof{Signed: signed, Approval: st, Roll: st}},
+		TermClaimed{Domain: "klet", Follows: 1, Instance: "one", Incarnation: 7, Floor: 3},
+		AssignmentMade{Domain: "klet", Service: "pregled", Provisional: true, Assignments: []Assignment{{
+			Server: "a", Epoch: grant.Epoch{Term: grant.Term{Log: 1}, Sequence: 2}, Ranges: []keys.Range{keys.Full},
+		}}},
+		HomesTaken{Domain: "klet", Version: 1, Log: 2, Base: 3, Services: []ServiceHomes{
+			{Service: "pregled", Ranges: []keys.Range{keys.Full}},
+		}},
+		HomesEvicted{Domain: "klet", Service: "pregled", By: "podstresje", Base: 4, Notice: 5},
+		CheckpointMarked{Instance: "one"},
+		Checkpoint{State: []byte("x"), Next: 9},
+	}
+}
+
+func TestEncodeAndDecode(t *testing.T) {
+	for _, r := range every() {
+		t.Run(reflect.TypeOf(r).Name(), func(t *testing.T) {
+			is := is.New(t)
+			data, err := Encode(r)
+			is.NoErr(err)
+			got, err := Decode(data)
+			is.NoErr(err)
+			is.Equal(got, r)
+		})
+	}
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	tests := map[string]struct {
+		data string
+		want error
+	}{
+		"newer format":   {data: `{"format":2,"kind":"term-claimed","body":{}}`, want: ErrNewer},
+		"newer kind":     {data: `{"format":2,"kind":"server-lent","body":{}}`, want: ErrNewer},
+		"unknown kind":   {data: `{"format":1,"kind":"server-lent","body":{}}`, want: ErrKind},
+		"no format":      {data: `{"kind":"term-claimed","body":{}}`, want: ErrFormat},
+		"unknown member": {data: `{"format":1,"kind":"term-claimed","body":{"colour":"red"}}`, want: ErrFormat},
+		"no body":        {data: `{"format":1,"kind":"term-claimed"}`, want: ErrFormat},
+		"wrong type":     {data: `{"format":1,"kind":"term-claimed","body":{"follows":-1}}`, want: ErrFormat},
+		"no JSON":        {data: `term`, want: ErrFormat},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Decode([]byte(tt.data))
+			is.True(errors.Is(err, tt.want))
+		})
+	}
+}
+
+// FuzzDecode checks that each record that decodes has an encoded form of its own.
+func FuzzDecode(f *testing.F) {
+	for _, r := range every() {
+		data, err := Encode(r)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte(`{"format":1,"kind":"checkpoint","body":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := Decode(data)
+		if err != nil {
+			return
+		}
+		first, err := Encode(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Decode(first)
+		if err != nil {
+			t.Fatalf("%v: %s", err, first)
+		}
+		second, err := Encode(again)
+		if err != nil || !bytes.Equal(first, second) {
+			t.Fatalf("two forms: %s and %s", first, second)
+		}
+	})
+}
--- a/pkg/bundle/sign.go
+++ b/pkg/bundle/sign.go
@@ -28,9 +28,9 @@
 const statementDomain = "mustardring bundle statement v1"
 
 // Text returns the text that is signed: a line that names the purpose, then one line for
-// each field.
+// each field. Names are quoted, so that no two statements have one text.
 func (s Statement) Text() []byte {
-	return fmt.Appendf(nil, "%s\nrole %s\nversion %d\nfollows %d\nhash %x\nsigners %x\nsigner %q\n",
+	return fmt.Appendf(nil, "%s\nrole %q\nversion %d\nfollows %d\nhash %x\nsigners %x\nsigner %q\n",
 		statementDomain, s.Role, s.Version, s.Follows, s.Hash, s.Signers, s.Signer)
 }
 
