--- a/internal/fold/encoding.go
+++ b/internal/fold/encoding.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -52,16 +53,17 @@
 
 // MarshalText implements encoding.TextMarshaler.
 func (d digest) MarshalText() ([]byte, error) {
-	return fmt.Appendf(nil, "%x", d[:]), nil
+	return hex.AppendEncode(nil, d[:]), nil
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *digest) UnmarshalText(text []byte) error {
-	var b []byte
-	if _, err := fmt.Sscanf(string(text), "%x", &b); err != nil || len(b) != len(d) || len(text) != 2*len(d) {
+	if len(text) != 2*len(d) {
 		return fmt.Errorf("%w: digest %q", ErrCheckpoint, text)
 	}
-	copy(d[:], b)
+	if _, err := hex.Decode(d[:], text); err != nil {
+		return fmt.Errorf("%w: digest: %w", ErrCheckpoint, err)
+	}
 	return nil
 }
 
