--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -55,6 +55,7 @@
 		case <-ticker.C:
 			e.handle(leader.Ticked{})
 			e.reportHeld()
+			e.closeLapsed()
 		case ev := <-e.events:
 			e.handle(ev)
 		}
@@ -125,12 +126,14 @@
 	case leader.Append:
 		e.queueAppend(f)
 	case leader.Publish:
-		if e.state.setTable(&f.Table) {
+		if e.setTable(&f.Table) {
 			e.pushTable(&f.Table)
 		}
 	case leader.Led:
+		e.meter.TermsBegun.Add(1)
 		e.deps.Logger.Info("leading", "domain", e.deps.Settings.Domain, "term", f.Term)
 	case leader.Stepped:
+		e.meter.TermsEnded.Add(1)
 		e.deps.Logger.Warn("stepped-down", "domain", e.deps.Settings.Domain, "term", f.Term, "reason", f.Reason)
 	}
 }
@@ -140,6 +143,7 @@
 	select {
 	case e.sends <- s:
 	default:
+		e.meter.EventsDropped.Add(1)
 		e.deps.Logger.Warn("exchange-dropped", "server", s.Server)
 	}
 }
@@ -150,6 +154,7 @@
 	select {
 	case e.appends <- a:
 	default:
+		e.meter.EventsDropped.Add(1)
 		e.deps.Logger.Warn("append-dropped", "id", a.ID)
 	}
 }
