--- a/internal/cmds/bundle_test.go
+++ b/internal/cmds/bundle_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -166,7 +167,10 @@
 	var out bytes.Buffer
 	signers, err := readSigners(d.roots)
 	is.NoErr(err)
-	is.NoErr((&BundleStatusCmd{}).run(t.Context(), newBundleLog(d.log, signers), &out))
+	saved := filepath.Join(d.dir, "saved.json")
+	is.NoErr((&BundleStatusCmd{Save: saved}).run(t.Context(), newBundleLog(d.log, signers), &out))
+	is.NoErr((&BundleDiffCmd{Before: filepath.Join(d.dir, "two.json"), After: saved}).run(&out))
+	is.True(strings.Contains(out.String(), "from version 2 to 2, 0 changes"))
 	is.True(strings.Contains(out.String(), `is in force: published by "ana", approved by "cene", rolled by "dora" at offset 5`))
 	is.True(strings.Contains(out.String(), "the next version is 3 and follows 2"))
 	out.Reset()
@@ -205,6 +209,7 @@
 		is := is.New(t)
 		_, err := d.publish(file, "ana", false)
 		is.Equal(ExitCode(err), ExitUncertain)
+		is.True(errors.Is(err, errNoAnswer))
 		is.Equal(len(d.log.entries), 0)
 		d.log.down = 1
 		s, err := d.publish(file, "ana", false)
--- a/internal/cmds/bundlelog.go
+++ b/internal/cmds/bundlelog.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -41,25 +42,30 @@
 	return &bundleLog{log: log, anchors: anchors, state: fold.New(anchors)}
 }
 
+// errNoAnswer says that the log did not answer in time.
+var errNoAnswer = errors.New("cmds: the log does not answer; give the same command again")
+
 // retry calls f until it succeeds, fails for good, or the context ends.
 func retry[T any](ctx context.Context, f func() (T, error)) (T, error) {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = bundleRetryLowest
+	var last error
 	value, err := backoff.Retry(ctx, func() (T, error) {
 		v, err := f()
+		last = err
 		if err != nil && !passing(err) {
 			return v, backoff.Permanent(err)
 		}
 		return v, err
 	}, backoff.WithBackOff(b), backoff.WithMaxElapsedTime(0))
-	if err != nil {
-		code := ExitFailed
-		if passing(err) || ctx.Err() != nil {
-			code = ExitUncertain
-		}
-		return value, &CommandError{Code: code, Err: err}
+	switch {
+	case err == nil:
+		return value, nil
+	case passing(last) || ctx.Err() != nil:
+		return value, &CommandError{Code: ExitUncertain, Err: fmt.Errorf("%w: %w", errNoAnswer, last)}
+	default:
+		return value, &CommandError{Code: ExitFailed, Err: err}
 	}
-	return value, nil
 }
 
 // passing reports whether an error of the log may go away.
--- a/internal/cmds/bundleshow.go
+++ b/internal/cmds/bundleshow.go
@@ -17,6 +17,7 @@
 
 // BundleStatusCmd shows what the log says of bundles and leaders.
 type BundleStatusCmd struct {
+	Save string `type:"path" help:"Write the bundle in force to this file."`
 	bundleLogFlags
 	bundleOutput
 }
@@ -35,6 +36,14 @@
 	if err := l.catchUp(ctx, 0); err != nil {
 		return err
 	}
+	if c.Save != "" {
+		if l.state.InForce == nil {
+			return failed("no version is in force")
+		}
+		if err := writeJSONFile(c.Save, l.state.InForce); err != nil {
+			return err
+		}
+	}
 	return c.show(out, statusOf(l.state))
 }
 
