--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -48,6 +48,7 @@
 				go e.beat(ctx, r, ended)
 			}
 			e.state.setMembers(e.peers.members(time.Now()))
+			e.tell(ctx, domainsHeard{domains: e.peers.domains(time.Now())})
 		case b := <-ended:
 			e.peers.answered(b.remote, time.Now(), b.result)
 			if b.result != nil {
@@ -61,6 +62,10 @@
 func (e *Entry) beat(ctx context.Context, r *remote, ended chan<- beat) {
 	b := beat{remote: r}
 	result, err := call[Heartbeat, Heartbeat](ctx, r.client, beatLimit, methodHeartbeat, e.heartbeat())
+	e.meter.CallsSent.Add(1)
+	if err != nil {
+		e.meter.CallsFailed.Add(1)
+	}
 	if err == nil && result.Name == r.Name {
 		b.result = &result
 	}
@@ -72,12 +77,13 @@
 
 // heard handles what another instance said of itself in answer to a heartbeat.
 func (e *Entry) heard(ctx context.Context, r *remote, h Heartbeat) {
+	e.front.Merge(h.Blocks)
 	if h.Domain == e.deps.Settings.Domain {
 		e.tell(ctx, peerHeard(h))
 	}
 	view, _, _ := e.state.snapshot()
 	if view.Bundle == nil && h.BundleVersion > 0 || view.Bundle != nil && h.BundleVersion > view.Bundle.Version {
-		go e.fetchProof(ctx, r.client)
+		go e.fetchProof(ctx, r)
 	}
 	if h.Domain != e.deps.Settings.Domain {
 		return
@@ -119,6 +125,7 @@
 	for _, m := range view.Members {
 		h.Heard = append(h.Heard, m.Name)
 	}
+	h.Blocks = e.front.Blocks()
 	if core := e.coreView.heartbeat.Load(); core != nil {
 		h.Leading, h.Term = core.Leading, core.Term
 	}
@@ -132,6 +139,9 @@
 	peer.Register(m, methodTable, e.handleTable)
 	peer.Register(m, methodProof, e.handleProof)
 	peer.Register(m, methodExchange, e.handleExchange)
+	peer.Register(m, methodLoads, e.handleLoads)
+	peer.Register(m, methodMark, e.handleMark)
+	peer.Register(m, methodRecall, e.handleRecall)
 	return m
 }
 
@@ -142,6 +152,7 @@
 		PeerAddress:    h.PeerAddress,
 		ForwardAddress: h.ForwardAddress,
 	})
+	e.front.Merge(h.Blocks)
 	if h.Domain == e.deps.Settings.Domain && (h.Leading || h.Stopping) {
 		e.tell(ctx, peerHeard(h))
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,9 +17,11 @@
 	"example.org/mustardring/internal/duty"
 	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/front"
+	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/listcl"
 	"example.org/mustardring/internal/logcl"
+	"example.org/mustardring/internal/meter"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/place"
 	"example.org/mustardring/pkg/grant"
@@ -65,14 +67,19 @@
 	origin time.Time
 
 	core    *leader.Core
+	homes   *homes.Core
 	state   *state
 	peers   *peers
 	holders *holders
+	witness *witness
+	meter   *meter.Control
+	loads   *loads
+	reports *reports
 	front   *front.Front
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
 
-	events  chan leader.Event
+	events  chan event
 	sends   chan leader.Send
 	appends chan leader.Append
 	// coreView is the core's newest statement about itself, for heartbeats.
@@ -85,18 +92,26 @@
 		deps:    d,
 		origin:  time.Now(),
 		state:   newState(d.Settings),
-		events:  make(chan leader.Event, eventCapacity),
+		events:  make(chan event, eventCapacity),
 		sends:   make(chan leader.Send, sendCapacity),
 		appends: make(chan leader.Append, appendCapacity),
 	}
 	e.core = leader.New(leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation), d.Placer)
-	e.peers = newPeers(d.Settings, d.TLS)
+	e.meter = meter.NewControl()
+	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
+	e.peers = newPeers(d.Settings, d.TLS, e.meter)
 	e.holders = newHolders(d.Incarnation, e.clock)
+	e.loads = newLoads(time.Now())
+	e.reports = newReports()
+	e.witness = newWitness(e.peers, d.Logger)
 	f, err := front.New(front.Deps{
 		Instance:      d.Settings.Name,
 		Domain:        d.Settings.Domain,
 		Finder:        e.state.directory,
 		Right:         right{state: e.state, holders: e.holders},
+		Witness:       e.witness,
+		Ran:           e.ran,
+		Home:          e.state.directory.FindHome,
 		Forward:       newForwardTransport(d.TLS),
 		ForwardScheme: "https",
 		Log:           d.Logger,
@@ -108,6 +123,11 @@
 	return e, nil
 }
 
+// Control returns the counters of this instance's control traffic.
+func (e *Entry) Control() *meter.Control {
+	return e.meter
+}
+
 // now reads the monotonic clock of the cores.
 func (e *Entry) now() leader.Time {
 	return leader.Time(time.Since(e.origin))
@@ -161,10 +181,11 @@
 func (e *Entry) start(group *duty.Group, l *listeners) {
 	group.Go("core", e.runCore)
 	group.Go("exchanges", e.runExchanges)
-	group.Go("appender", e.runAppender)
-	group.Go("reader", e.runReader)
+	group.Go("log", e.runLog)
 	group.Go("heartbeats", e.runHeartbeats)
 	group.Go("list", e.runList)
+	group.Go("witness", e.witness.run)
+	group.Go("loads", e.runLoads)
 	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
 	group.Go("caller-http", e.serveCallers(l.caller))
 	group.Go("forward-http", e.serveForwards(l.forward))
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -10,14 +10,17 @@
 
 	"example.org/mustardring/internal/admin"
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/meter"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/grant"
 )
 
 // peers are the other instances that this one knows of, with a client for each.
 type peers struct {
 	self   config.Run
 	config *tls.Config
+	meter  *meter.Control
 
 	mu    sync.Mutex
 	known map[string]*remote
@@ -32,6 +35,8 @@
 	answeredAt  time.Time
 	incarnation uint64
 	version     uint64
+	leading     bool
+	term        grant.Term
 	stopping    bool
 	// busy is true while a heartbeat to it is under way.
 	busy bool
@@ -39,8 +44,8 @@
 	nextAt time.Time
 }
 
-func newPeers(self config.Run, tlsConfig *tls.Config) *peers {
-	p := &peers{self: self, config: tlsConfig, known: make(map[string]*remote)}
+func newPeers(self config.Run, tlsConfig *tls.Config, m *meter.Control) *peers {
+	p := &peers{self: self, config: tlsConfig, meter: m, known: make(map[string]*remote)}
 	for _, seed := range self.Peers {
 		p.learn(seed)
 	}
@@ -62,7 +67,13 @@
 	if known {
 		old.client.Close()
 	}
-	p.known[found.Name] = &remote{Peer: found, client: peer.NewClient(found.PeerAddress, p.config)}
+	p.known[found.Name] = &remote{Peer: found, client: peer.NewClient(found.PeerAddress, p.config, p.count)}
+}
+
+// count adds the bytes of a connection to another instance.
+func (p *peers) count(in, out int) {
+	p.meter.PeerBytesIn.Add(int64(in))
+	p.meter.PeerBytesOut.Add(int64(out))
 }
 
 // client returns the client of an instance, or nil.
@@ -88,6 +99,57 @@
 	return clients
 }
 
+// liveInDomain returns the clients of the other instances of this domain that answered
+// lately, in the order of their names.
+func (p *peers) liveInDomain(now time.Time) []*peer.Client {
+	return p.selectClients(func(r *remote) bool { return r.live(now, p.self.Domain) })
+}
+
+// recentInDomain returns the clients of the other instances of this domain that answered
+// within the time for which what they remember may matter, in the order of their names.
+func (p *peers) recentInDomain(now time.Time) []*peer.Client {
+	return p.selectClients(func(r *remote) bool {
+		return !r.answeredAt.IsZero() && now.Before(r.answeredAt.Add(recallAfter))
+	})
+}
+
+func (p *peers) selectClients(accept func(*remote) bool) []*peer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var chosen []*remote
+	for _, r := range p.known {
+		if r.Domain == p.self.Domain && accept(r) {
+			chosen = append(chosen, r)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b *remote) int { return strings.Compare(a.Name, b.Name) })
+	clients := make([]*peer.Client, 0, len(chosen))
+	for _, r := range chosen {
+		clients = append(clients, r.client)
+	}
+	return clients
+}
+
+// leader returns the client of the instance of this domain that leads in the highest term, or
+// nil.
+func (p *peers) leader() *peer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var found *remote
+	for _, r := range p.known {
+		if r.Domain != p.self.Domain || !r.leading {
+			continue
+		}
+		if found == nil || found.term.Compare(r.term) < 0 {
+			found = r
+		}
+	}
+	if found == nil {
+		return nil
+	}
+	return found.client
+}
+
 // members returns the instances that answered lately, this one included, sorted by name.
 func (p *peers) members(now time.Time) []route.Member {
 	p.mu.Lock()
@@ -102,6 +164,20 @@
 	return all
 }
 
+// domains returns the other failure domains of which an instance answered lately.
+func (p *peers) domains(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var heard []string
+	for _, r := range p.known {
+		if r.Domain != p.self.Domain && r.live(now, p.self.Domain) {
+			heard = append(heard, r.Domain)
+		}
+	}
+	slices.Sort(heard)
+	return slices.Compact(heard)
+}
+
 func (r *remote) live(now time.Time, domain string) bool {
 	limit := silentInDomain
 	if r.Domain != domain {
@@ -138,6 +214,7 @@
 	r.incarnation = result.Incarnation
 	r.stopping = result.Stopping
 	r.version = result.BundleVersion
+	r.leading, r.term = result.Leading, result.Term
 }
 
 // versions returns the bundle versions in force by domain, sorted by domain. Own is that of
--- a/pkg/grant/message.go
+++ b/pkg/grant/message.go
@@ -83,6 +83,9 @@
 	// Known is the epoch of the held set that the leader knows. The answer leaves the
 	// ranges out when this is what the server holds.
 	Known Epoch `json:"known"`
+	// HomesFence is a number that the server remembers if it is the highest so far, and tells
+	// to later leaders. It says which statements about the homes of the domain may be under way.
+	HomesFence uint64 `json:"homes-fence,omitempty"`
 }
 
 // Refusal says why a server did not do what an Exchange asked.
@@ -105,6 +108,9 @@
 	Refusal Refusal `json:"refusal,omitempty"`
 	// Clock is the server's clock when it handled the exchange.
 	Clock Instant `json:"clock"`
+	// Serial counts the exchanges that the process has handled. It orders the answers of one
+	// process, which the clock cannot do when it reads the same twice.
+	Serial uint64 `json:"serial"`
 	// Incarnation identifies the server process.
 	Incarnation uint64 `json:"incarnation"`
 	// Fence is the highest term the server has seen, that of the exchange included.
@@ -120,4 +126,6 @@
 	// Draining are ranges given up by the newest grant in which requests still run. Another
 	// server must not be granted them yet.
 	Draining []keys.Range `json:"draining,omitempty"`
+	// HomesFence is the highest that the server was told.
+	HomesFence uint64 `json:"homes-fence,omitempty"`
 }
