--- a/internal/stand/fault.go
+++ b/internal/stand/fault.go
@@ -75,14 +75,15 @@
 	}
 }
 
-// thaw waits while the server is frozen. It returns even when the peer has gone: a frozen
-// process does not know.
-func (f *faults) thaw() {
+// thaw waits while the server is frozen and reports whether it was. It returns even when the
+// peer has gone: a frozen process does not know.
+func (f *faults) thaw() (frozen bool) {
 	for {
 		wait := time.Until(time.UnixMilli(f.get().FreezeUntil))
 		if wait <= 0 {
-			return
+			return frozen
 		}
+		frozen = true
 		time.Sleep(min(wait, 50*time.Millisecond))
 	}
 }
--- a/internal/stand/request.go
+++ b/internal/stand/request.go
@@ -126,18 +126,17 @@
 		duration *= coldFactor
 	}
 	if duration <= 0 {
-		s.runs.end(place, false)
+		s.runs.end(place, false, false)
 		return nil
 	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		s.faults.thaw()
-		s.runs.end(place, false)
+		s.runs.end(place, false, s.faults.thaw())
 		return nil
 	case <-ctx.Done():
-		s.runs.end(place, true)
+		s.runs.end(place, true, s.faults.thaw())
 		return ctx.Err()
 	}
 }
--- a/internal/stand/runs.go
+++ b/internal/stand/runs.go
@@ -29,6 +29,8 @@
 	End int64 `json:"end"`
 	// Stopped says that the caller cancelled it, or its deadline passed, before its end.
 	Stopped bool `json:"stopped,omitempty"`
+	// Frozen says that the server was frozen while it ran.
+	Frozen bool `json:"frozen,omitempty"`
 	// Crashed says that the request was one that crashes servers.
 	Crashed bool `json:"crashed,omitempty"`
 	// Incarnation counts the processes that ran at the server's place, from 1.
@@ -127,8 +129,10 @@
 	return len(r.list) - 1
 }
 
-func (r *runs) end(place int, stopped bool) {
-	r.change(place, func(run *Run) { run.End, run.Stopped = time.Now().UnixMicro(), stopped })
+func (r *runs) end(place int, stopped, frozen bool) {
+	r.change(place, func(run *Run) {
+		run.End, run.Stopped, run.Frozen = time.Now().UnixMicro(), stopped, frozen
+	})
 }
 
 func (r *runs) crash(place int) {
