Free the ranges of a lost server a lease after its last answer

Cause: a server that no longer answers was sent renewals for a lease longer, and each put the lapse off, although the server could not have acted on them as far as the leader knows. A grant now ends at the latest a lease after the holder's last answer.

Requests that a lost gate left at an unchecked server now conflict in the schedules with every other gate too, not only with other servers.

--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -76,7 +76,7 @@
 // makes it shorter, never longer.
 func (c *Core) grant(h *holding) *grant.Grant {
 	end := c.leaseEnd(h)
-	if !h.owns || !h.heard || end <= c.now || c.now > h.heardAt+Time(c.config.Lease) {
+	if !h.owns || !h.heard || end <= c.now {
 		return nil
 	}
 	g := &grant.Grant{
@@ -95,12 +95,14 @@
 	return g
 }
 
-// leaseEnd returns when a grant given now ends, on this clock.
+// leaseEnd returns when a grant given now ends, on this clock. A holder that does not answer
+// is given no more time, so that its ranges are free a lease after its last answer.
 func (c *Core) leaseEnd(h *holding) Time {
-	end := c.authority() + Time(c.config.Lease)
+	end := c.authority()
 	if c.config.without(mutBound) {
-		end = c.now + Time(c.config.Lease)
+		end = c.now
 	}
+	end = min(end, h.heardAt) + Time(c.config.Lease)
 	s := c.serviceOf(h.service)
 	if s != nil && s.Isolation == bundle.IsolationMove {
 		end = min(end, c.log.readAt+Time(c.config.MoveBound))
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -72,8 +72,10 @@
 	holders     map[string]*simHolder
 }
 
-// run is a request that runs at a server without a check of its own.
+// run is a request that a gate sent to a server without a check of its own. It runs on when
+// the gate is lost.
 type run struct {
+	gate   *simHolder
 	server string
 	hash   uint64
 	until  Time
@@ -281,6 +283,7 @@
 // owners returns the names of the servers that now may act on a hash.
 func (w *world) owners(hash uint64) []string {
 	var names []string
+	var gates []*simHolder
 	for _, m := range w.ordered() {
 		if m.down {
 			continue
@@ -288,12 +291,14 @@
 		for _, name := range slices.Sorted(mapKeys(m.holders)) {
 			if m.holders[name].owns(hash) {
 				names = append(names, name+"@"+m.name)
+				gates = append(gates, m.holders[name])
 			}
 		}
 	}
 	for _, r := range w.runs {
-		if r.hash == hash && r.until > w.now && !slices.ContainsFunc(names, func(n string) bool { return n[:len(r.server)] == r.server }) {
+		if r.hash == hash && r.until > w.now && !slices.Contains(gates, r.gate) {
 			names = append(names, r.server+"(request)")
+			gates = append(gates, r.gate)
 		}
 	}
 	return names
@@ -344,7 +349,7 @@
 		takes += Time(w.random.Int64N(int64(550 * ms)))
 	}
 	w.runs = slices.DeleteFunc(w.runs, func(r run) bool { return r.until <= w.now })
-	w.runs = append(w.runs, run{server: server, hash: hash, until: w.now + takes})
+	w.runs = append(w.runs, run{gate: m.holders[server], server: server, hash: hash, until: w.now + takes})
 	w.after(takes, work.End)
 }
 
