Lease the gates, stop the doors first, let moved gates finish their work

Cause, by the proofs over processes: a stop cut requests because moved gates closed their connections and because cores ended before the HTTP servers; a paused gate could run a request whose resend the next gate runs. Ruled out: the servers.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -30,8 +30,9 @@
 
 // beat is a heartbeat that has ended, with its result or nil.
 type beat struct {
-	remote *remote
-	result *Heartbeat
+	remote  *remote
+	askedAt leader.Time
+	result  *Heartbeat
 }
 
 // runHeartbeats tells the other instances of this one and learns of them by their results.
@@ -53,6 +54,7 @@
 			e.peers.answered(b.remote, time.Now(), b.result)
 			if b.result != nil {
 				e.heard(ctx, b.remote, *b.result)
+				e.lease.confirm(b.askedAt, *b.result, e.state.table())
 			}
 		}
 	}
@@ -60,7 +62,7 @@
 
 // beat sends one heartbeat and reports its end.
 func (e *Entry) beat(ctx context.Context, r *remote, ended chan<- beat) {
-	b := beat{remote: r}
+	b := beat{remote: r, askedAt: e.now()}
 	result, err := call[Heartbeat, Heartbeat](ctx, r.client, beatLimit, methodHeartbeat, e.heartbeat())
 	e.meter.CallsSent.Add(1)
 	if err != nil {
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -55,6 +55,7 @@
 		case <-ticker.C:
 			e.handle(leader.Ticked{})
 			e.reportHeld()
+			e.confirmOwnGates()
 			e.closeLapsed()
 		case ev := <-e.events:
 			e.handle(ev)
@@ -106,6 +107,13 @@
 	e.performHomes(e.homes.Handle(e.now(), held))
 }
 
+// confirmOwnGates extends the right of the leader to be a gate itself.
+func (e *Entry) confirmOwnGates() {
+	if asked, leads := e.core.Authority(); leads {
+		e.lease.extend(asked + leader.Time(gateLease))
+	}
+}
+
 func (e *Entry) performHomes(effects []homes.Effect) {
 	for _, effect := range effects {
 		switch f := effect.(type) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -72,6 +73,8 @@
 	peers   *peers
 	holders *holders
 	witness *witness
+	gained  *gains
+	lease   *gateClock
 	meter   *meter.Control
 	loads   *loads
 	reports *reports
@@ -103,12 +106,14 @@
 	e.holders = newHolders(d.Incarnation, e.clock)
 	e.loads = newLoads(time.Now())
 	e.reports = newReports()
-	e.witness = newWitness(e.peers, d.Logger)
+	e.gained = newGains()
+	e.lease = &gateClock{}
+	e.witness = newWitness(e.peers, e.gained, e.state, d.Logger)
 	f, err := front.New(front.Deps{
 		Instance:      d.Settings.Name,
 		Domain:        d.Settings.Domain,
 		Finder:        e.state.directory,
-		Right:         right{state: e.state, holders: e.holders},
+		Right:         right{state: e.state, holders: e.holders, lease: e.lease, now: e.now},
 		Witness:       e.witness,
 		Ran:           e.ran,
 		Home:          e.state.directory.FindHome,
@@ -162,20 +167,32 @@
 		return err
 	}
 	group := duty.New(context.WithoutCancel(ctx), maxDuties)
+	doors := duty.New(context.WithoutCancel(ctx), maxDuties)
 	e.start(group, listeners)
+	e.open(doors, listeners)
 	e.deps.Logger.Info("started", "instance", e.deps.Settings.Name, "domain", e.deps.Settings.Domain,
 		"incarnation", e.deps.Incarnation, "callers", e.deps.Settings.CallerAddress)
 	select {
 	case end := <-group.Ends():
+		_ = doors.Wait(0)
 		_ = group.Wait(1)
 		return fmt.Errorf("%w: %s: %w", ErrDuty, end.Name, end.Err)
+	case end := <-doors.Ends():
+		_ = doors.Wait(1)
+		_ = group.Wait(0)
+		return fmt.Errorf("%w: %s: %w", ErrDuty, end.Name, end.Err)
 	case <-ctx.Done():
 	}
 	drained := e.drain()
-	if err := group.Wait(0); err != nil {
-		return err
-	}
-	return drained
+	closed := doors.Wait(0)
+	return cmp.Or(drained, closed, group.Wait(0))
+}
+
+// open starts the duties by which requests come in. They end before the others, which serve
+// the requests that are still in flight.
+func (e *Entry) open(group *duty.Group, l *listeners) {
+	group.Go("caller-http", e.serveCallers(l.caller))
+	group.Go("forward-http", e.serveForwards(l.forward))
 }
 
 func (e *Entry) start(group *duty.Group, l *listeners) {
@@ -187,8 +204,6 @@
 	group.Go("witness", e.witness.run)
 	group.Go("loads", e.runLoads)
 	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
-	group.Go("caller-http", e.serveCallers(l.caller))
-	group.Go("forward-http", e.serveForwards(l.forward))
 	group.Go("operator-http", e.serveOperators(l.operator))
 }
 
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -58,20 +58,15 @@
 	return holder
 }
 
-// check reports whether a grant held here covers a hash at this moment.
-func (h *holders) check(service, server string, hash uint64) error {
+// begin starts work on a hash under the grant held here for a server.
+func (h *holders) begin(service, server string, hash uint64) (*grant.Work, error) {
 	h.mu.Lock()
 	holder, found := h.holders[holderName{service: service, server: server}]
 	h.mu.Unlock()
 	if !found {
-		return fmt.Errorf("%w: %s", errNoGrant, server)
+		return nil, fmt.Errorf("%w: %s", errNoGrant, server)
 	}
-	w, err := holder.Begin(hash)
-	if err != nil {
-		return err
-	}
-	w.End()
-	return nil
+	return holder.Begin(hash)
 }
 
 // lapsed returns the holders whose grant ended since the last call.
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -9,6 +9,8 @@
 
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/policy"
+	"example.org/mustardring/internal/route"
+	"example.org/mustardring/pkg/grant"
 	"example.org/mustardring/pkg/keys"
 )
 
@@ -32,6 +34,7 @@
 var (
 	errNoRoom = errors.New("entry: the witness has no room for a mark")
 	errRecall = errors.New("entry: instances that may remember requests did not answer")
+	errFormer = errors.New("entry: the former gate may still act")
 )
 
 // MarkCall hands a mark to the instance that is to remember it.
@@ -45,14 +48,21 @@
 	Range   keys.Range `json:"range"`
 }
 
-// RecallResult is the answer to a RecallCall.
+// RecallResult is the answer to a RecallCall. The table is the newest that the instance
+// knows: from one that is current it follows that the instance is the gate of no server which
+// the table gives to another.
 type RecallResult struct {
-	Marks []policy.Mark `json:"marks"`
+	Instance    string        `json:"instance"`
+	Marks       []policy.Mark `json:"marks"`
+	TableTerm   grant.Term    `json:"table-term"`
+	TableSerial uint64        `json:"table-serial"`
 }
 
 // witness implements front.Witness by calls to the other instances of the domain.
 type witness struct {
 	peers  *peers
+	gained *gains
+	state  *state
 	ended  chan policy.Mark
 	logger logger
 }
@@ -62,8 +72,8 @@
 	Warn(msg any, keyvals ...any)
 }
 
-func newWitness(p *peers, l logger) *witness {
-	return &witness{peers: p, ended: make(chan policy.Mark, markCapacity), logger: l}
+func newWitness(p *peers, g *gains, s *state, l logger) *witness {
+	return &witness{peers: p, gained: g, state: s, ended: make(chan policy.Mark, markCapacity), logger: l}
 }
 
 // Begin implements front.Witness. The instance is chosen by the mark, the next one if it
@@ -128,7 +138,9 @@
 	}
 }
 
-// Recall implements front.Witness.
+// Recall implements front.Witness. Until the former gate of a server of the service has said
+// that it knows of its end, or cannot act any more, it returns an error: what the former gate
+// is about to send is not remembered anywhere yet.
 func (w *witness) Recall(ctx context.Context, service string, r keys.Range) ([]policy.Mark, error) {
 	clients := w.peers.recentInDomain(time.Now())
 	type answer struct {
@@ -143,7 +155,9 @@
 		}()
 	}
 	var marks []policy.Mark
+	var told []string
 	failed := 0
+	table := w.state.table()
 	for range clients {
 		a := <-answers
 		if a.err != nil {
@@ -151,6 +165,12 @@
 			continue
 		}
 		marks = append(marks, a.result.Marks...)
+		if table != nil && !table.Newer(&route.Table{Term: a.result.TableTerm, Serial: a.result.TableSerial}) {
+			told = append(told, a.result.Instance)
+		}
+	}
+	if n := w.gained.open(service, told, time.Now()); n > 0 {
+		return marks, fmt.Errorf("%w: of %d servers", errFormer, n)
 	}
 	if failed > 1 {
 		return marks, fmt.Errorf("%w: %d of %d", errRecall, failed, len(clients))
@@ -166,5 +186,10 @@
 }
 
 func (e *Entry) handleRecall(_ context.Context, c RecallCall) (RecallResult, error) {
-	return RecallResult{Marks: e.front.Marks(c.Service, c.Range)}, nil
+	result := RecallResult{Instance: e.deps.Settings.Name}
+	if t := e.state.table(); t != nil {
+		result.TableTerm, result.TableSerial = t.Term, t.Serial
+	}
+	result.Marks = e.front.Marks(c.Service, c.Range)
+	return result, nil
 }
--- a/internal/front/fault_test.go
+++ b/internal/front/fault_test.go
@@ -324,13 +324,18 @@
 // rightHolder is a Right that tests take away.
 type rightHolder struct{ fault atomic.Bool }
 
-func (r *rightHolder) Check(string, string, uint64) error {
+func (r *rightHolder) Begin(Approach) (Work, error) {
 	if r.fault.Load() {
-		return errors.New("lapsed")
+		return nil, errors.New("lapsed")
 	}
-	return nil
+	return endless{}, nil
 }
 
+// endless is a Work whose end nobody waits for.
+type endless struct{}
+
+func (endless) End() {}
+
 // An archivist pulls a volume of 64 MB while the instance is told to stop. The volume comes
 // whole, the stop waits for it, and new callers are sent elsewhere.
 func TestDrainLetsDownloadsEnd(t *testing.T) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,11 +24,26 @@
 // ErrDeps is returned by New when a dependency is missing.
 var ErrDeps = errors.New("front: missing dependency")
 
-// Right is this instance's right to send work to backend servers that do not check grants.
+// Right is this instance's right to send work to backend servers as their gate.
 type Right interface {
-	// Check returns nil if the server may be sent a request with the hash at this moment. It
-	// is called immediately before each write to a server that does not check grants.
-	Check(service, server string, hash uint64) error
+	// Begin returns nil if the server may be sent the request at this moment. It is called
+	// immediately before each write to a server. The Work is ended when the server is done.
+	Begin(a Approach) (Work, error)
+}
+
+// Approach is a request that is about to be written to a server.
+type Approach struct {
+	Service    string
+	Server     string
+	Hash       uint64
+	Checks     bool
+	Idempotent bool
+}
+
+// Work is a request that was written to a server.
+type Work interface {
+	// End says that the server is done with the request, or never got it.
+	End()
 }
 
 // Witness is the memory that one other instance of the domain keeps of non-idempotent
@@ -56,7 +71,7 @@
 	// that a resend through any domain meets the memory of the first sending. Nil means
 	// Finder.Find.
 	Home func(service string, hash uint64) route.Destination
-	// Right is asked for servers that do not check grants. Nil means that it is always held.
+	// Right is asked before each write to a server. Nil means that it is always held.
 	Right Right
 	// Witness is nil when there is no other instance.
 	Witness Witness
@@ -130,11 +145,20 @@
 // reach it: it believes their headers.
 func (f *Front) Forwards() http.Handler { return f.forwards }
 
-// RightLost says that this instance is no longer the gate of a server. All connections to it
-// are closed at once, and what was recalled for it is recalled anew before it serves again.
+// GateMoved says that another instance is the gate of a server now. What runs goes on to its
+// end, and what was recalled for the server is recalled anew before it serves again.
+func (f *Front) GateMoved(service, server string) {
+	if s := f.known(service); s != nil {
+		s.unrecall(server)
+	}
+}
+
+// RightLost says that the right to send to a server that checks nothing has ended. All
+// connections to it are closed at once, since another gate may use the server by now.
 func (f *Front) RightLost(service, server string) {
 	if s := f.known(service); s != nil {
-		s.lose(server)
+		s.unrecall(server)
+		s.cut(server)
 	}
 }
 
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -220,9 +220,13 @@
 	f, server := j.front, t.Server.Name
 	slot := j.service.held(j.policy, server)
 	began := f.now()
+	var work Work
 	response, err := j.service.connections(t.Server).Send(j.outgoing(t), upstr.Order{
-		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh, Permit: j.permit(t),
+		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh, Permit: j.permit(t, &work),
 		Done: func(sent bool) {
+			if work != nil {
+				work.End()
+			}
 			ran := time.Duration(f.now() - began)
 			if !sent {
 				ran = 0
@@ -244,20 +248,28 @@
 	return no, again
 }
 
-// permit returns the check of the right to a server that does not check grants itself, nil
-// for one that does.
+// permit returns the check of this instance's right as the gate of a server, which keeps the
+// work that begins.
 //
-// It guards against sending after the right was lost, which the server would not notice: two
-// gates would then send to two servers for one key. It is called when the connection is
-// there, as opening one may take long.
-func (j *job) permit(t route.Target) func() error {
-	if t.Server.ChecksGrants || j.front.deps.Right == nil {
+// It guards against sending after the right was lost, which the server may not notice: two
+// gates would then send to two servers for one key, or run one request twice. It is called
+// when the connection is there, as opening one may take long.
+func (j *job) permit(t route.Target, work *Work) func() error {
+	if j.front.deps.Right == nil {
 		return nil
 	}
 	return func() error {
-		if err := j.front.deps.Right.Check(j.request.service, t.Server.Name, j.hash); err != nil {
+		begun, err := j.front.deps.Right.Begin(Approach{
+			Service:    j.request.service,
+			Server:     t.Server.Name,
+			Hash:       j.hash,
+			Checks:     t.Server.ChecksGrants,
+			Idempotent: j.idempotent,
+		})
+		if err != nil {
 			return fmt.Errorf("%w: %w", errNoRight, err)
 		}
+		*work = begun
 		return nil
 	}
 }
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -194,15 +194,21 @@
 	return fresh
 }
 
-// lose closes the connections to a server at once and forgets what was recalled for it.
-func (s *service) lose(server string) {
+// unrecall drops what was recalled for a server.
+func (s *service) unrecall(server string) {
 	s.mu.Lock()
-	connections := s.servers[server]
+	defer s.mu.Unlock()
 	for k := range s.recalled {
 		if k.server == server || k.server == "" {
 			delete(s.recalled, k)
 		}
 	}
+}
+
+// cut closes the connections to a server at once.
+func (s *service) cut(server string) {
+	s.mu.Lock()
+	connections := s.servers[server]
 	s.mu.Unlock()
 	if connections != nil {
 		connections.Cut()
--- a/internal/leader/claims.go
+++ b/internal/leader/claims.go
@@ -29,3 +29,12 @@
 	}
 	return c.lead.term.Log, true
 }
+
+// Authority returns the newest moment at which a majority of the voters was asked and
+// followed this leader; false when this instance does not lead.
+func (c *Core) Authority() (Time, bool) {
+	if c.lead == nil || !c.lead.won() {
+		return 0, false
+	}
+	return c.authority(), true
+}
--- a/internal/proof/traffic_test.go
+++ b/internal/proof/traffic_test.go
@@ -17,6 +17,8 @@
 	keyCount    = 48
 	maxResends  = 60
 	resendPause = 50 * time.Millisecond
+	// attemptLimit is when a caller, or the balancer before it, turns to another instance.
+	attemptLimit = time.Second
 )
 
 // traffic is a number of callers who send non-idempotent requests one after the other, and
@@ -53,7 +55,7 @@
 func (t *traffic) call(number int) {
 	defer t.wait.Done()
 	random := rand.New(rand.NewPCG(uint64(number), 7))
-	client := &http.Client{Timeout: 8 * time.Second}
+	client := &http.Client{Timeout: attemptLimit}
 	for i := 0; ; i++ {
 		select {
 		case <-t.stop:
@@ -182,11 +184,15 @@
 }
 
 func (s *site) runs(address string) map[string]int {
-	resp, err := http.Get("http://" + address + stand.RunsPath)
-	s.is.NoErr(err)
-	defer resp.Body.Close()
 	var page stand.RunsPage
-	s.is.NoErr(json.NewDecoder(resp.Body).Decode(&page))
+	s.eventually("the runs of "+address, func() bool {
+		resp, err := http.Get("http://" + address + stand.RunsPath)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return json.NewDecoder(resp.Body).Decode(&page) == nil
+	})
 	counts := make(map[string]int)
 	for _, r := range page.Runs {
 		counts[r.RequestID]++
