Spend fewer allocations on a request at the gate

The profile of the handler named header values, the epoch's text, the look at idle connections and read deadlines set twice. Allocations for one request through the handler: 68 before, 61 after (BenchmarkHandler); through the whole instance 145 and 138 (BenchmarkManyGate). The time on one shared processor did not change beyond its spread (87 to 98 us before, 90 to 92 after).

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -15,6 +15,9 @@
 	"example.org/mustardring/pkg/caller"
 )
 
+// noAgent keeps net/http from naming itself. Headers are not written to, so it is shared.
+var noAgent = []string{""}
+
 // errForward is wrapped by errors of forwarding.
 var errForward = errors.New("front: forwarding failed")
 
@@ -114,7 +117,6 @@
 	out.URL.Scheme, out.URL.Host = r.front.deps.ForwardScheme, address
 	setPath(out.URL, "/"+r.service+r.rest)
 	out.Header.Set(caller.HeaderHops, strconv.Itoa(r.hops+1))
-	out.Header.Set(caller.HeaderRequest, r.id)
 	out.Header.Set(caller.HeaderCaller, r.caller)
 	if r.once() {
 		text, _ := r.sending.MarshalText()
@@ -165,11 +167,13 @@
 		delete(out.Header, name)
 	}
 	if _, found := out.Header["User-Agent"]; !found {
-		// An empty value keeps net/http from naming itself in the caller's place.
-		out.Header["User-Agent"] = []string{""}
+		out.Header["User-Agent"] = noAgent
 	}
 	handed := f.at(q.deadline).Add(-hopTime)
-	out.Header.Set(caller.HeaderDeadline, strconv.FormatInt(handed.UnixMilli(), 10))
+	// One array serves the values that are set on every request.
+	values := [...]string{strconv.FormatInt(handed.UnixMilli(), 10), q.id}
+	out.Header[caller.HeaderDeadline] = values[0:1:1]
+	out.Header[caller.HeaderRequest] = values[1:2:2]
 	return out
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -263,6 +263,7 @@
 
 // outcomeHeader sets the headers that each answer carries.
 func outcomeHeader(h http.Header, id string, outcome caller.Outcome) {
-	h.Set(caller.HeaderRequest, id)
-	h.Set(caller.HeaderOutcome, string(outcome))
+	values := [...]string{id, string(outcome)}
+	h[caller.HeaderRequest] = values[0:1:1]
+	h[caller.HeaderOutcome] = values[1:2:2]
 }
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -266,9 +266,8 @@
 func (j *job) outgoing(t route.Target) *http.Request {
 	out := j.front.outgoing(j.Context(), j.request)
 	setPath(out.URL, j.rest)
-	out.Header.Set(caller.HeaderRequest, j.id)
 	if !t.Epoch.IsZero() {
-		out.Header.Set(caller.HeaderEpoch, epochText(t.Epoch))
+		out.Header[caller.HeaderEpoch] = j.service.epochOf(t)
 	}
 	return out
 }
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -11,6 +11,7 @@
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/pkg/bundle"
+	"example.org/mustardring/pkg/grant"
 )
 
 // tick is how often waiting requests are looked at when nothing else happens.
@@ -26,6 +27,8 @@
 	waiters  map[policy.Ticket]chan policy.Verdict
 	servers  map[string]*upstr.Server
 	recalled map[shard]recallState
+	// epochs holds the header forms of the newest epochs of servers.
+	epochs sync.Map
 	// ticking says that a tick is set.
 	ticking bool
 	// capacity is reused by configure.
@@ -170,6 +173,24 @@
 	s.tell(s.core.Configure(s.front.now(), pool, d.Service.Limits, s.capacity))
 }
 
+// epochForm is an epoch with its header form.
+type epochForm struct {
+	epoch grant.Epoch
+	text  []string
+}
+
+// epochOf returns the header form of a target's epoch, which few requests see change.
+func (s *service) epochOf(t route.Target) []string {
+	if known, found := s.epochs.Load(t.Server.Name); found {
+		if form := known.(*epochForm); form.epoch == t.Epoch {
+			return form.text
+		}
+	}
+	form := &epochForm{epoch: t.Epoch, text: []string{epochText(t.Epoch)}}
+	s.epochs.Store(t.Server.Name, form)
+	return form.text
+}
+
 // connections returns the connections to a server, new ones if its settings changed.
 func (s *service) connections(b *bundle.Server) *upstr.Server {
 	settings := upstr.Settings{
--- a/internal/upstr/conn.go
+++ b/internal/upstr/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -28,6 +29,7 @@
 type conn struct {
 	net.Conn
 	server *Server
+	peeker *peeker
 	in     *bufio.Reader
 	out    *bufio.Writer
 	// idleSince is when the connection last had nothing to do.
@@ -36,6 +38,8 @@
 	reused bool
 	// wrote says that bytes of the present request may have left.
 	wrote bool
+	// writeDeadline is the deadline of writing, zero for none.
+	writeDeadline time.Time
 	// headLeft is the number of bytes that the head of the answer may still have; negative
 	// while the body is read.
 	headLeft int
@@ -48,7 +52,7 @@
 }
 
 func newConn(raw net.Conn, s *Server) *conn {
-	c := &conn{Conn: raw, server: s}
+	c := &conn{Conn: raw, server: s, peeker: newPeeker(raw)}
 	c.in = bufio.NewReaderSize(c, readBuffer)
 	c.out = bufio.NewWriterSize(c, writeBuffer)
 	return c
@@ -84,7 +88,10 @@
 func (c *conn) begin(serial uint64, deadline time.Time) {
 	c.wrote = false
 	c.headLeft = headBytes
-	_ = c.SetWriteDeadline(deadline)
+	if deadline != c.writeDeadline {
+		c.writeDeadline = deadline
+		_ = c.SetWriteDeadline(deadline)
+	}
 	c.mu.Lock()
 	c.serial, c.interrupted = serial, false
 	c.mu.Unlock()
@@ -104,6 +111,7 @@
 	defer c.mu.Unlock()
 	if c.serial == serial {
 		c.interrupted = true
+		c.writeDeadline = past
 		_ = c.SetDeadline(past)
 	}
 }
@@ -117,6 +125,12 @@
 	}
 }
 
+// hasHead reports whether the whole head of the answer is in memory.
+func (c *conn) hasHead() bool {
+	head, _ := c.in.Peek(c.in.Buffered())
+	return bytes.Contains(head, []byte("\r\n\r\n"))
+}
+
 // awaitHead reads the head of the answer, leaving out informational ones.
 func (c *conn) awaitHead(r *http.Request) (*http.Response, error) {
 	for {
--- a/internal/upstr/quiet_linux.go
+++ b/internal/upstr/quiet_linux.go
@@ -6,17 +6,31 @@
 	"syscall"
 )
 
+// peeker looks whether there is anything to read on a connection, without reading it.
+type peeker struct {
+	raw     syscall.RawConn
+	peek    func(fd uintptr)
+	failure error
+	one     [1]byte
+}
+
+func newPeeker(c net.Conn) *peeker {
+	p := &peeker{}
+	if s, ok := c.(syscall.Conn); ok {
+		p.raw, _ = s.SyscallConn()
+	}
+	p.peek = func(fd uintptr) {
+		_, _, p.failure = syscall.Recvfrom(int(fd), p.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+	return p
+}
+
 // quiet reports whether an idle connection is open with nothing to read. A server that closed
 // it would lose the next request; bytes that it sent unasked would become the next answer.
-func quiet(c net.Conn) bool {
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
+func (p *peeker) quiet() bool {
+	if p.raw == nil {
 		return false
 	}
-	var failure error
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, failure = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && (errors.Is(failure, syscall.EAGAIN))
+	err := p.raw.Control(p.peek)
+	return err == nil && errors.Is(p.failure, syscall.EAGAIN)
 }
--- a/internal/upstr/quiet_other.go
+++ b/internal/upstr/quiet_other.go
@@ -4,5 +4,10 @@
 
 import "net"
 
-// quiet reports true where it cannot be found out.
-func quiet(net.Conn) bool { return true }
+// peeker knows nothing here.
+type peeker struct{}
+
+func newPeeker(net.Conn) *peeker { return &peeker{} }
+
+// quiet reports true, as it cannot be found out.
+func (p *peeker) quiet() bool { return true }
--- a/internal/upstr/sending.go
+++ b/internal/upstr/sending.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// writeDeadline returns the deadline of writing. A request that fits the buffers of both ends
+// is never blocked, and needs none.
+func (s *sending) writeDeadline(o Order) time.Time {
+	if o.InMemory && s.request.ContentLength < writeBuffer {
+		return time.Time{}
+	}
+	return o.Deadline
+}
+
 // write writes the request. A body that is not in memory is written beside the reading of the
 // answer, which may come before the body's end.
 func (s *sending) write(c *conn, inMemory bool) error {
@@ -79,7 +88,9 @@
 		c.await(limit)
 		_, err := c.in.Peek(1)
 		if err == nil {
-			c.await(s.deadline)
+			if !c.hasHead() {
+				c.await(s.deadline)
+			}
 			return c.awaitHead(s.request)
 		}
 		if !patient || !errors.Is(err, os.ErrDeadlineExceeded) || s.over() {
--- a/internal/upstr/server.go
+++ b/internal/upstr/server.go
@@ -158,7 +158,7 @@
 		serial: s.serial.Add(1), request: r, began: time.Now(),
 		deadline: o.Deadline, until: o.Deadline.Add(dropGrace), done: o.Done,
 	}
-	c.begin(out.serial, o.Deadline)
+	c.begin(out.serial, out.writeDeadline(o))
 	out.stop = context.AfterFunc(r.Context(), func() { c.interrupt(out.serial) })
 	if err := out.write(c, o.InMemory); err != nil {
 		return nil, s.giveUp(out, c, err)
@@ -239,7 +239,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) < idleTimeout && quiet(c.Conn) {
+		if time.Since(c.idleSince) < idleTimeout && c.peeker.quiet() {
 			c.reused = true
 			return c, nil
 		}
