Take witnesses from the gate's own domain; forget sendings that wrote nothing

And refusals before the write left marks that made every resend in doubt. Before: TestWitnessIsInTheDomainOfTheGate and TestUnsentRequestIsNotRemembered fail. Conclusion: found only across processes.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -49,7 +49,7 @@
 	r.remember()
 	no := r.send(ctx, w)
 	if no != nil {
-		r.settle(no.outcome, 0)
+		r.settle(sendingOutcome(no.outcome, no.unsent), 0)
 	}
 	return no
 }
@@ -72,6 +72,15 @@
 	}
 }
 
+// sendingOutcome returns what became of one sending of a request, given what is said of the
+// request as a whole.
+func sendingOutcome(request caller.Outcome, unsent bool) caller.Outcome {
+	if unsent && request == caller.Unknown {
+		return caller.NotRun
+	}
+	return request
+}
+
 // settle takes in what became of the request.
 func (r *relay) settle(o caller.Outcome, status int) {
 	if r.mark == nil || o == caller.Unknown {
@@ -99,11 +108,13 @@
 			return failed(r.request, caller.Unknown, context.Cause(ctx))
 		}
 		if ctx.Err() != nil {
-			return failed(r.request, unreached(r.request), context.Cause(ctx))
+			no := failed(r.request, unreached(r.request), context.Cause(ctx))
+			no.unsent = true
+			return no
 		}
 	}
 	return &refusal{
-		status: http.StatusServiceUnavailable, reason: ReasonUnreachable, outcome: unreached(r.request), retry: retrySoon,
+		status: http.StatusServiceUnavailable, reason: ReasonUnreachable, outcome: unreached(r.request), unsent: true, retry: retrySoon,
 	}
 }
 
@@ -122,7 +133,8 @@
 		text, _ := r.sending.MarshalText()
 		out.Header.Set(caller.HeaderSending, string(text))
 	}
-	if r.mark != nil {
+	if r.mark != nil && r.dest.Domain == r.front.deps.Domain {
+		// A new gate asks only the instances of its own domain what they remember.
 		out.Header.Set(caller.HeaderWitness, r.front.deps.Instance)
 	}
 	response, err := r.front.deps.Forward.RoundTrip(out)
@@ -135,7 +147,8 @@
 // answer passes on the answer of another instance, whose headers say what happened.
 func (r *relay) answer(w http.ResponseWriter, response *http.Response) {
 	defer response.Body.Close()
-	r.settle(caller.Outcome(response.Header.Get(caller.HeaderOutcome)), response.StatusCode)
+	outcome := caller.Outcome(response.Header.Get(caller.HeaderOutcome))
+	r.settle(sendingOutcome(outcome, response.Header.Get(caller.HeaderUnsent) == "true"), response.StatusCode)
 	copyHeader(w.Header(), response.Header)
 	buffer := chunks.Get().(*[chunk]byte)
 	defer chunks.Put(buffer)
--- a/internal/front/refuse.go
+++ b/internal/front/refuse.go
@@ -40,6 +40,9 @@
 	status  int
 	reason  policy.Reason
 	outcome caller.Outcome
+	// unsent says that this sending wrote nothing to a server, though an earlier one of the same
+	// id may have.
+	unsent  bool
 	detail  string
 	service string
 	server  string
@@ -74,6 +77,9 @@
 	outcomeHeader(h, id, r.outcome)
 	h.Set("Content-Type", caller.ContentTypeProblem)
 	h.Set("Cache-Control", "no-store")
+	if r.unsent {
+		h.Set(caller.HeaderUnsent, "true")
+	}
 	if r.retry > 0 {
 		seconds := (r.retry + time.Second - 1) / time.Second
 		h.Set("Retry-After", strconv.Itoa(int(seconds)))
--- a/pkg/caller/problem.go
+++ b/pkg/caller/problem.go
@@ -15,6 +15,10 @@
 	HeaderCaller = "Mustardring-Caller"
 	// HeaderWitness names the entry instance that remembers the request beside the gate.
 	HeaderWitness = "Mustardring-Witness"
+	// HeaderUnsent says "true" in a refusal when this sending of the request wrote nothing to a
+	// server, whatever an earlier sending of the same id did. Instances drop what they remember
+	// of the sending by it.
+	HeaderUnsent = "Mustardring-Unsent"
 	// HeaderSending identifies one sending of a request id.
 	HeaderSending = "Mustardring-Sending"
 )
