--- a/internal/proof/traffic_test.go
+++ b/internal/proof/traffic_test.go
@@ -19,6 +19,10 @@
 	resendPause = 50 * time.Millisecond
 	// attemptLimit is when a caller, or the balancer before it, turns to another instance.
 	attemptLimit = time.Second
+	// Keys that are probed, how often, and when a probe turns to another instance.
+	probedKeys = 24
+	probePause = 20 * time.Millisecond
+	probeLimit = 250 * time.Millisecond
 )
 
 // traffic is a number of callers who send non-idempotent requests one after the other, and
@@ -38,6 +42,7 @@
 	served map[string]time.Time
 	gap    map[string]time.Duration
 	faults map[string]int
+	probes int
 }
 
 func (s *site) startTraffic() *traffic {
@@ -49,9 +54,43 @@
 		t.wait.Add(1)
 		go t.call(i)
 	}
+	for i := range probedKeys {
+		t.wait.Add(1)
+		go t.probe(i)
+	}
 	return t
 }
 
+// probe asks for one key again and again, with reads that may run twice, to see for how long
+// it is not served.
+func (t *traffic) probe(number int) {
+	defer t.wait.Done()
+	random := rand.New(rand.NewPCG(uint64(number), 8))
+	client := &http.Client{Timeout: probeLimit}
+	key := fmt.Sprintf("key-%d", number)
+	for {
+		select {
+		case <-t.stop:
+			return
+		case <-time.After(probePause):
+		}
+		address := t.site.at(1+random.IntN(len(domains)), 1+random.IntN(hosts), 8080)
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/"+divided+"/stock", nil)
+		if err != nil {
+			panic(err)
+		}
+		req.Header.Set(caller.HeaderKey, key)
+		resp, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.Header.Get(caller.HeaderOutcome) == string(caller.Ran) {
+			t.note(key)
+		}
+	}
+}
+
 func (t *traffic) call(number int) {
 	defer t.wait.Done()
 	random := rand.New(rand.NewPCG(uint64(number), 7))
@@ -78,7 +117,9 @@
 		address := t.site.at(1+random.IntN(len(domains)), 1+random.IntN(hosts), 8080)
 		outcome = t.send(client, address, service, id, key)
 		if outcome == caller.Ran {
-			t.note(service, id, key)
+			t.mu.Lock()
+			t.ran[id] = true
+			t.mu.Unlock()
 			return
 		}
 		time.Sleep(resendPause)
@@ -116,13 +157,11 @@
 	return outcome
 }
 
-func (t *traffic) note(service, id, key string) {
+// note says that a key was served.
+func (t *traffic) note(key string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ran[id] = true
-	if service != divided {
-		return
-	}
+	t.probes++
 	now := time.Now()
 	if last, found := t.served[key]; found {
 		t.gap[key] = max(t.gap[key], now.Sub(last))
@@ -157,6 +196,7 @@
 		}
 	}
 	doubled, lost, untrue := 0, 0, 0
+	delete(counts, "") // Probes have no id and may run more than once.
 	for id, n := range counts {
 		if n > 1 {
 			doubled++
@@ -179,8 +219,8 @@
 	for _, g := range t.gap {
 		worst = max(worst, g)
 	}
-	s.t.Logf("sent %d, ran %d, in doubt or not run %d, doubled %d, lost %d, falsely not run %d, worst gap of a key %v, refusals %v",
-		t.sent, len(t.ran), len(t.others), doubled, lost, untrue, worst.Round(time.Millisecond), t.faults)
+	s.t.Logf("sent %d, ran %d, in doubt or not run %d, doubled %d, lost %d, falsely not run %d, %d probes, worst gap of a key %v, refusals %v",
+		t.sent, len(t.ran), len(t.others), doubled, lost, untrue, t.probes, worst.Round(time.Millisecond), t.faults)
 }
 
 func (s *site) runs(address string) map[string]int {
