--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -103,6 +103,7 @@
 
 // replay gives a resend the answer to the first sending.
 func (j *job) replay(w http.ResponseWriter, k *policy.Kept) {
+	j.front.meters.replayed.Add(1)
 	copyHeader(w.Header(), k.Header)
 	outcomeHeader(w.Header(), j.id, caller.Ran)
 	w.Header().Set(caller.HeaderReplayed, "true")
@@ -116,6 +117,7 @@
 // cut ends an answer that broke on its way. The caller's connection is aborted: a cut answer
 // must not look whole.
 func (j *job) cut(t route.Target, slot policy.Slot, err error) {
+	j.front.meters.cut.Add(1)
 	j.front.deps.Log.Warn("answer cut", "request", j.id, "service", j.request.service, "server", slot.Server, "error", err)
 	if !errors.Is(err, errCaller) && faultOf(err) == policy.Lost {
 		j.blame(t, slot)
--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -35,6 +35,9 @@
 		j.policy.Replayable = false
 	}
 	decision := j.service.failed(j.policy, slot, fault)
+	if errors.Is(err, upstr.ErrSilent) {
+		f.meters.silent.Add(1)
+	}
 	if _, again := decision.(policy.Retry); again {
 		j.fresh = errors.Is(err, upstr.ErrSilent)
 		return nil, true
@@ -83,6 +86,7 @@
 		defer cancel()
 		died := server.Died(ctx, lostAt)
 		if died {
+			j.front.meters.lost.Add(1)
 			j.front.deps.Log.Warn("server lost", "service", j.service.name, "server", slot.Server, "request", j.id, "print", print)
 		}
 		j.service.settle(print, slot.Server, died)
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -125,6 +125,8 @@
 	if r.mark != nil {
 		out.Header.Set(caller.HeaderWitness, r.front.deps.Instance)
 	}
+	r.front.meters.forwarded.Add(1)
+	defer r.front.nextSpan(ctx, spanForward, address, out.Header)()
 	response, err := r.front.deps.Forward.RoundTrip(out)
 	if err != nil {
 		return nil, connected.Load(), errors.Join(errForward, err)
@@ -140,6 +142,7 @@
 	buffer := chunks.Get().(*[chunk]byte)
 	defer chunks.Put(buffer)
 	if err := stream(w, response, buffer); err != nil {
+		r.front.meters.cut.Add(1)
 		r.front.deps.Log.Warn("answer cut", "request", r.id, "service", r.service, "error", err)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -96,6 +96,7 @@
 
 	draining atomic.Bool
 	inFlight *inFlight
+	meters   meters
 }
 
 // New returns the request path of one instance.
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -137,6 +137,7 @@
 		no.status, no.reason, no.outcome = http.StatusServiceUnavailable, policy.ReasonMemoryFull, caller.NotRun
 	case policy.Doubtful, policy.Fresh:
 	}
+	j.front.meters.resent.Add(1)
 	return no
 }
 
@@ -166,6 +167,7 @@
 		if !again {
 			return no
 		}
+		j.front.meters.retried.Add(1)
 		j.body.rewind()
 	}
 }
@@ -220,7 +222,9 @@
 	f, server := j.front, t.Server.Name
 	slot := j.service.held(j.policy, server)
 	began := f.now()
-	response, err := j.service.connections(t.Server).Send(j.outgoing(t), upstr.Order{
+	out := j.outgoing(t)
+	defer f.nextSpan(j.Context(), spanSend, server, out.Header)()
+	response, err := j.service.connections(t.Server).Send(out, upstr.Order{
 		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh, Permit: j.permit(t),
 		Done: func(sent bool) {
 			ran := time.Duration(f.now() - began)
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -30,10 +30,13 @@
 		return
 	}
 	defer q.free()
+	defer f.serveSpan(w, q)()
 	if no := f.route(w, q); no != nil {
 		no.service = q.service
+		f.meters.refusals.Add(string(no.reason), 1)
 		refuse(w, q.id, no)
 	}
+	f.meters.count(w.Header())
 }
 
 // route sends a request to where it goes next. A refusal is returned if nothing was written.
--- a/internal/policy/suspect.go
+++ b/internal/policy/suspect.go
@@ -5,8 +5,12 @@
 	"slices"
 )
 
-// maxSuspects bounds the suspects of one service. The oldest gives way.
-const maxSuspects = 1024
+// The bounds of what is kept of the suspects of one service. The oldest suspects give way, and
+// of one suspect's losses the newest are kept.
+const (
+	maxSuspects = 1024
+	maxLosses   = 16
+)
 
 // Loss is the loss of a server while a request ran there.
 type Loss struct {
@@ -42,6 +46,9 @@
 	slices.SortFunc(b.Losses, func(x, y Loss) int {
 		return cmp.Or(cmp.Compare(x.AtNanos, y.AtNanos), cmp.Compare(x.Server, y.Server))
 	})
+	if len(b.Losses) > maxLosses {
+		b.Losses = slices.Delete(b.Losses, 0, len(b.Losses)-maxLosses)
+	}
 }
 
 // Suspicion is the degree to which a request is suspected.
