--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -14,6 +14,9 @@
 
 const ms = Time(time.Millisecond)
 
+// longestRequest bounds the running time of requests.
+const longestRequest = 1200 * ms
+
 // world runs cores, holders and a log in virtual time. True time is in nanoseconds.
 type world struct {
 	random *rand.Rand
@@ -29,15 +32,20 @@
 	log       *simLog
 	runs      []run
 	cuts      map[[2]string]Time
-	hashes    []uint64
-	homes     []keys.Range
-	oneWay    Time
-	jitter    bool
+	slow      map[string]Time
+	// pace is the longest time between two faults.
+	pace   Time
+	hashes []uint64
+	homes  []keys.Range
+	oneWay Time
+	jitter bool
 
 	failure  string
 	messages int
 	bytes    int
 	observe  func(at Time)
+	// trace, if set, gets a line for each step of interest.
+	trace func(line string)
 }
 
 // layout says what a world is made of.
@@ -47,9 +55,10 @@
 	unchecked int
 	leaving   string
 	isolation string
-	drift     bool
-	placer    func(w *world) place.Placer
-	config    func(c *Config)
+	// drift bounds how many thousandths a clock is fast or slow.
+	drift  int
+	placer func(w *world) place.Placer
+	config func(c *Config)
 }
 
 // machine is a process that holds grants: a server, or an instance that is gate or voter.
@@ -63,8 +72,10 @@
 	holders     map[string]*simHolder
 }
 
-// run is a request that runs at a server without a check of its own.
+// run is a request that a gate sent to a server without a check of its own. It runs on when
+// the gate is lost.
 type run struct {
+	gate   *simHolder
 	server string
 	hash   uint64
 	until  Time
@@ -104,6 +115,7 @@
 		guard:    guard,
 		machines: make(map[string]*machine),
 		cuts:     make(map[[2]string]Time),
+		slow:     make(map[string]Time),
 		homes:    []keys.Range{keys.Full},
 		oneWay:   ms / 2,
 		now:      1,
@@ -128,13 +140,17 @@
 	return m
 }
 
-// boot starts a new process at the place of a machine.
+// boot starts a new process at the place of a machine. Its clock may be that of the machine,
+// which goes on, or one of its own.
 func (w *world) boot(m *machine) {
 	m.incarnation = uint64(w.random.Uint32()) + 1
-	m.offset = Time(w.random.Int64N(int64(time.Hour)))
+	w.tracef("boot %s as %x", m.name, m.incarnation)
+	if m.offset == 0 || w.random.IntN(2) == 0 {
+		m.offset = Time(w.random.Int64N(int64(time.Hour)))
+	}
 	m.perMille = 0
-	if w.layout.drift {
-		m.perMille = Time(w.random.IntN(9) - 4)
+	if d := w.layout.drift; d > 0 {
+		m.perMille = Time(w.random.IntN(2*d+1) - d)
 	}
 	m.holders = make(map[string]*simHolder)
 	m.pausedTo = 0
@@ -172,6 +188,12 @@
 	}
 }
 
+func (w *world) tracef(format string, args ...any) {
+	if w.trace != nil {
+		w.trace(fmt.Sprintf("%9.4f ", float64(w.now)/1e9) + fmt.Sprintf(format, args...))
+	}
+}
+
 func (w *world) fail(format string, args ...any) {
 	if w.failure == "" {
 		w.failure = fmt.Sprintf("%.3f s: ", float64(w.now)/1e9) + fmt.Sprintf(format, args...)
@@ -193,8 +215,16 @@
 		}
 	}
 	for range copies {
-		w.after(w.delay(), func() { w.deliver(to, deliver) })
+		w.after(w.delay()+w.lag(to), func() { w.deliver(to, deliver) })
+	}
+}
+
+// lag returns by how much messages to a machine are late just now.
+func (w *world) lag(to string) Time {
+	if w.slow[to] > w.now {
+		return 300*ms + Time(w.random.Int64N(int64(600*ms)))
 	}
+	return 0
 }
 
 func (w *world) delay() Time {
@@ -232,7 +262,7 @@
 
 // services is the configuration of the domain.
 func (w *world) services() []Service {
-	s := Service{Name: "svc", Divided: true, Homes: w.homes, RequestMillis: 400}
+	s := Service{Name: "svc", Divided: true, Homes: w.homes, RequestMillis: int64(longestRequest / ms)}
 	if w.layout.isolation != "" {
 		s.Isolation = "move"
 	}
@@ -253,6 +283,7 @@
 // owners returns the names of the servers that now may act on a hash.
 func (w *world) owners(hash uint64) []string {
 	var names []string
+	var gates []*simHolder
 	for _, m := range w.ordered() {
 		if m.down {
 			continue
@@ -260,12 +291,14 @@
 		for _, name := range slices.Sorted(mapKeys(m.holders)) {
 			if m.holders[name].owns(hash) {
 				names = append(names, name+"@"+m.name)
+				gates = append(gates, m.holders[name])
 			}
 		}
 	}
 	for _, r := range w.runs {
-		if r.hash == hash && r.until > w.now && !slices.ContainsFunc(names, func(n string) bool { return n[:len(r.server)] == r.server }) {
+		if r.hash == hash && r.until > w.now && !slices.Contains(gates, r.gate) {
 			names = append(names, r.server+"(request)")
+			gates = append(gates, r.gate)
 		}
 	}
 	return names
@@ -306,7 +339,7 @@
 }
 
 func (w *world) work(m *machine, server string, hash uint64, work *grant.Work) {
-	takes := 1 + Time(w.random.Int64N(int64(360*ms)))
+	takes := 1 + Time(w.random.Int64N(int64(longestRequest)))
 	if m.name == server {
 		process := m.incarnation
 		w.after(takes, func() { w.effect(m, process, hash, work) })
@@ -316,7 +349,7 @@
 		takes += Time(w.random.Int64N(int64(550 * ms)))
 	}
 	w.runs = slices.DeleteFunc(w.runs, func(r run) bool { return r.until <= w.now })
-	w.runs = append(w.runs, run{server: server, hash: hash, until: w.now + takes})
+	w.runs = append(w.runs, run{gate: m.holders[server], server: server, hash: hash, until: w.now + takes})
 	w.after(takes, work.End)
 }
 
@@ -329,7 +362,7 @@
 		w.at(m.pausedTo, func() { w.effect(m, process, hash, work) })
 		return
 	}
-	if work.Check() == nil {
+	if work.Check() == nil || w.guard == mutLateWork {
 		for _, name := range w.owners(hash) {
 			if name != m.name+"@"+m.name {
 				w.fail("request at %s took effect on %016x of %s", m.name, hash, name)
