Tell what became of a sending apart from what became of the request

A refusal with 'unknown' because earlier sendings may have run left the mark of the refused sending itself in doubt at the instance that forwarded it, so that its resend was refused for the memory's ten minutes (seen by the proofs over processes: 12 of 1136 requests). Such a refusal now says that this sending did not run, and its mark is taken back. The test fails without that. A recall asks again within its half second, as a planned move ends sooner.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -48,8 +48,8 @@
 	defer r.timer.Stop()
 	r.remember()
 	no := r.send(ctx, w)
-	if no != nil {
-		r.settle(no.outcome, 0)
+	if no != nil && no.ranNot() {
+		r.settle(caller.NotRun, 0)
 	}
 	return no
 }
@@ -72,6 +72,16 @@
 	}
 }
 
+// outcomeOfSending returns what another instance says of this sending, as opposed to what it
+// says of the request, of which earlier sendings may have run.
+func outcomeOfSending(h http.Header) caller.Outcome {
+	o := caller.Outcome(h.Get(caller.HeaderOutcome))
+	if o != caller.Ran && h.Get(caller.HeaderUnsent) == "true" {
+		return caller.NotRun
+	}
+	return o
+}
+
 // settle takes in what became of the request.
 func (r *relay) settle(o caller.Outcome, status int) {
 	if r.mark == nil || o == caller.Unknown {
@@ -99,11 +109,11 @@
 			return failed(r.request, caller.Unknown, context.Cause(ctx))
 		}
 		if ctx.Err() != nil {
-			return failed(r.request, unreached(r.request), context.Cause(ctx))
+			return unsent(failed(r.request, unreached(r.request), context.Cause(ctx)))
 		}
 	}
 	return &refusal{
-		status: http.StatusServiceUnavailable, reason: ReasonUnreachable, outcome: unreached(r.request), retry: retrySoon,
+		status: http.StatusServiceUnavailable, reason: ReasonUnreachable, outcome: unreached(r.request), unsent: true, retry: retrySoon,
 	}
 }
 
@@ -137,7 +147,7 @@
 // answer passes on the answer of another instance, whose headers say what happened.
 func (r *relay) answer(w http.ResponseWriter, response *http.Response) {
 	defer response.Body.Close()
-	r.settle(caller.Outcome(response.Header.Get(caller.HeaderOutcome)), response.StatusCode)
+	r.settle(outcomeOfSending(response.Header), response.StatusCode)
 	copyHeader(w.Header(), response.Header)
 	buffer := chunks.Get().(*[chunk]byte)
 	defer chunks.Put(buffer)
--- a/internal/front/once_test.go
+++ b/internal/front/once_test.go
@@ -316,3 +316,26 @@
 		})
 	}
 }
+
+// A submission comes while the gate cannot yet recall what ran before, and is refused with
+// "unknown". It did not run itself, so its memory must not keep the resend from running once
+// the gate can recall again. Its user would have to wait ten minutes.
+func TestRefusedSendingLeavesNoDoubt(t *testing.T) {
+	is := is.New(t)
+	instances := startDomain(t, "one", "two", "three")
+	d := here(testService(), backend(t, echo))
+	makeGate(instances, "one", d)
+	gate := instances["one"].front
+	willing := gate.deps.Witness
+	gate.deps.Witness = refuser{recall: errors.New("cut off")}
+	request := func(name string) *http.Request {
+		return post(is, instances[name].callers.URL+"/oddaja/x", "text", caller.HeaderRequestID, "evening")
+	}
+	for _, name := range []string{"one", "two"} {
+		refused := do(t, request(name))
+		is.Equal(refused.outcome(), caller.Unknown)
+		is.Equal(refused.header.Get(caller.HeaderUnsent), "true")
+	}
+	gate.deps.Witness = willing
+	is.Equal(do(t, request("three")).outcome(), caller.Ran)
+}
--- a/internal/front/recall.go
+++ b/internal/front/recall.go
@@ -16,8 +16,11 @@
 // move of ownership costs little at a time.
 const shardBits = 8
 
-// recallTime bounds a recall.
-const recallTime = 500 * time.Millisecond
+// The bounds of a recall: how long it may take, and the pause before it is asked again.
+const (
+	recallTime  = 500 * time.Millisecond
+	recallPause = 25 * time.Millisecond
+)
 
 // shard is a part of the hash space of a service at one server.
 type shard struct {
@@ -54,15 +57,27 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recallTime)
 	defer cancel()
 	_, err, _ := s.recalls.Do(fmt.Sprint(k, epoch), func() (any, error) {
-		marks, err := witness.Recall(ctx, s.name, k.hashes())
-		if err != nil {
-			return nil, err
-		}
-		return nil, s.remember(k, epoch, marks)
+		return nil, s.recallShard(ctx, witness, k, epoch)
 	})
 	return err
 }
 
+// recallShard asks until all that is needed answered, or the context ends. In a planned move
+// the former gate answers within a few round trips.
+func (s *service) recallShard(ctx context.Context, witness Witness, k shard, epoch grant.Epoch) error {
+	for {
+		marks, err := witness.Recall(ctx, s.name, k.hashes())
+		if err == nil {
+			return s.remember(k, epoch, marks)
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(recallPause):
+		}
+	}
+}
+
 func (s *service) isRecalled(k shard, epoch grant.Epoch) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/front/refuse.go
+++ b/internal/front/refuse.go
@@ -43,10 +43,18 @@
 	detail  string
 	service string
 	server  string
+	// unsent says that this sending did not run, whatever the outcome says of earlier ones. It
+	// is implied by NotRun.
+	unsent bool
 	// retry is how long the caller should wait before the next sending; zero states nothing.
 	retry time.Duration
 }
 
+// ranNot reports whether this sending did not run, nor will.
+func (r *refusal) ranNot() bool {
+	return r.unsent || r.outcome == caller.NotRun
+}
+
 // titles are the titles of problems where the reason says less than it could.
 var titles = map[policy.Reason]string{
 	ReasonNoKey:                 "The service is divided by key and the request names none",
@@ -72,6 +80,9 @@
 func refuse(w http.ResponseWriter, id string, r *refusal) {
 	h := w.Header()
 	outcomeHeader(h, id, r.outcome)
+	if r.ranNot() {
+		h.Set(caller.HeaderUnsent, "true")
+	}
 	h.Set("Content-Type", caller.ContentTypeProblem)
 	h.Set("Cache-Control", "no-store")
 	if r.retry > 0 {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -34,7 +34,7 @@
 func (f *Front) run(w http.ResponseWriter, q *request, d route.Here) *refusal {
 	j := &job{request: q, front: f, service: f.service(d.Service.Name), dest: d}
 	if err := j.body.hold(w, q.ContentLength, f.at(q.deadline)); err != nil {
-		return failed(q, unreached(q), err)
+		return unsent(failed(q, unreached(q), err))
 	}
 	j.policy = &policy.Request{
 		Ticket: policy.Ticket(f.tickets.Add(1)), Pool: poolOf(d), Hash: q.hash, Caller: q.caller,
@@ -48,8 +48,8 @@
 		j.print()
 	}
 	no := j.tries(w)
-	if no != nil {
-		j.tellEnd(no.outcome, 0)
+	if no != nil && no.ranNot() {
+		j.tellEnd(caller.NotRun, 0)
 	}
 	return no
 }
@@ -69,7 +69,8 @@
 	if err := j.service.recall(j.Context(), j.hash, server, epoch); err != nil {
 		j.front.deps.Log.Warn("recall failed", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
-			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), retry: retrySoon,
+			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), unsent: true,
+			retry: retrySoon,
 		}, true
 	}
 	known := j.service.recollect(j.policy)
@@ -123,7 +124,9 @@
 
 // answerKnown answers a resend from memory.
 func (j *job) answerKnown(w http.ResponseWriter, known policy.Recollection) *refusal {
-	no := &refusal{status: http.StatusConflict, outcome: caller.Unknown, reason: policy.ReasonInProgress, retry: retrySoon}
+	no := &refusal{
+		status: http.StatusConflict, outcome: caller.Unknown, unsent: true, reason: policy.ReasonInProgress, retry: retrySoon,
+	}
 	switch k := known.(type) {
 	case policy.Finished:
 		if k.Kept != nil {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -55,7 +55,7 @@
 	case route.Absent:
 		return absent(q, d)
 	default:
-		return &refusal{status: http.StatusInternalServerError, reason: ReasonNoRoute, outcome: unreached(q)}
+		return &refusal{status: http.StatusInternalServerError, reason: ReasonNoRoute, outcome: unreached(q), unsent: true}
 	}
 }
 
@@ -109,7 +109,7 @@
 // moving returns the refusal for a request whose owner moves faster than it follows.
 func moving(q *request) *refusal {
 	return &refusal{
-		status: http.StatusServiceUnavailable, reason: ReasonHops, outcome: unreached(q), retry: retrySoon,
+		status: http.StatusServiceUnavailable, reason: ReasonHops, outcome: unreached(q), unsent: true, retry: retrySoon,
 		detail: "the owner of the key moved while the request was on its way",
 	}
 }
@@ -130,7 +130,7 @@
 		return &refusal{status: http.StatusNotFound, reason: reasonOf(a.Reason), outcome: caller.NotRun}
 	}
 	return &refusal{
-		status: http.StatusServiceUnavailable, reason: reasonOf(a.Reason), outcome: unreached(q), retry: retrySoon,
+		status: http.StatusServiceUnavailable, reason: reasonOf(a.Reason), outcome: unreached(q), unsent: true, retry: retrySoon,
 	}
 }
 
@@ -155,6 +155,12 @@
 	return no
 }
 
+// unsent says of a refusal that this sending did not run.
+func unsent(no *refusal) *refusal {
+	no.unsent = true
+	return no
+}
+
 func isTimeout(err error) bool {
 	return errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded)
 }
--- a/pkg/caller/problem.go
+++ b/pkg/caller/problem.go
@@ -17,6 +17,9 @@
 	HeaderWitness = "Mustardring-Witness"
 	// HeaderSending identifies one sending of a request id.
 	HeaderSending = "Mustardring-Sending"
+	// HeaderUnsent says "true" on an answer if this sending did not run, nor will, whatever
+	// became of earlier sendings of the same id.
+	HeaderUnsent = "Mustardring-Unsent"
 )
 
 // HeaderReplayed says "true" on the answer to an earlier sending of the same request id.
