Send a forwarded request once more when its connection broke

An idempotent request, or one whose id the gate remembers, is looked up and sent again within the retry budget: the gate does not run a second sending of what came or comes. A 'not run' of the second is never told of the first.

--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -132,6 +132,18 @@
 
 // The calls of the policy core, each under the service's lock.
 
+func (s *service) earn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Earn()
+}
+
+func (s *service) spend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Spend()
+}
+
 func (s *service) suspicious() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/caller"
@@ -46,7 +48,13 @@
 	r := &relay{request: q, front: f, dest: d}
 	r.timer = time.AfterFunc(q.deadline.Until(f.now()), func() { cancel(errDeadline) })
 	defer r.timer.Stop()
+	if q.once() {
+		if err := q.body.hold(w, q.ContentLength, f.at(q.deadline)); err != nil {
+			return unsent(failed(q, unreached(q), err))
+		}
+	}
 	r.remember()
+	f.service(q.service).earn()
 	no := r.send(ctx, w)
 	if no != nil && no.ranNot() {
 		r.settle(caller.NotRun, 0)
@@ -101,12 +109,11 @@
 		response, sent, err := r.sendTo(ctx, address)
 		if err == nil {
 			r.timer.Stop()
-			r.answer(w, response)
-			return nil
+			return r.answer(w, response)
 		}
 		f.deps.Log.Warn("forward failed", "request", r.id, "service", r.service, "address", address, "sent", sent, "error", err)
 		if sent || r.body.begun {
-			return failed(r.request, caller.Unknown, context.Cause(ctx))
+			return r.inDoubt(ctx, w)
 		}
 		if ctx.Err() != nil {
 			return unsent(failed(r.request, unreached(r.request), context.Cause(ctx)))
@@ -117,6 +124,25 @@
 	}
 }
 
+// inDoubt follows a request of which bytes may have reached the other instance without an
+// answer, as when an instance ends. An idempotent one is looked up and sent anew. So is one
+// whose id the gate remembers: as a new sending, which the gate does not run if the first one
+// came, or comes later.
+func (r *relay) inDoubt(ctx context.Context, w http.ResponseWriter) *refusal {
+	again := (r.idempotent || r.mark != nil) && r.body.rewind() && ctx.Err() == nil
+	if !again || !r.front.service(r.service).spend() {
+		return failed(r.request, caller.Unknown, context.Cause(ctx))
+	}
+	r.front.meters.retried.Add(1)
+	r.sending = policy.Name(uuid.New())
+	r.doubt = true
+	no := r.front.route(w, r.request)
+	if no != nil && no.ranNot() {
+		no.outcome, no.unsent = caller.Unknown, false
+	}
+	return no
+}
+
 // sendTo sends the request to one instance. The second result says whether bytes may have
 // left.
 func (r *relay) sendTo(ctx context.Context, address string) (*http.Response, bool, error) {
@@ -144,10 +170,15 @@
 	return response, true, nil
 }
 
-// answer passes on the answer of another instance, whose headers say what happened.
-func (r *relay) answer(w http.ResponseWriter, response *http.Response) {
+// answer passes on the answer of another instance, whose headers say what happened. A refusal
+// is returned in its place if it says "not run" of this sending while another one of the same
+// request is in doubt.
+func (r *relay) answer(w http.ResponseWriter, response *http.Response) *refusal {
 	defer response.Body.Close()
 	r.settle(outcomeOfSending(response.Header), response.StatusCode)
+	if r.doubt && response.Header.Get(caller.HeaderOutcome) == string(caller.NotRun) {
+		return &refusal{status: http.StatusBadGateway, reason: ReasonServerLost, outcome: caller.Unknown, retry: retrySoon}
+	}
 	copyHeader(w.Header(), response.Header)
 	buffer := chunks.Get().(*[chunk]byte)
 	defer chunks.Put(buffer)
@@ -156,6 +187,7 @@
 		r.front.deps.Log.Warn("answer cut", "request", r.id, "service", r.service, "error", err)
 		panic(http.ErrAbortHandler)
 	}
+	return nil
 }
 
 // outgoing returns a copy of a request for the next hop, without a path.
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -57,6 +57,8 @@
 	deadline policy.Time
 	// body is set when the request's service is known.
 	body *body
+	// doubt says that an earlier sending of the request by this instance may run.
+	doubt bool
 	// moves counts how often the request was looked up anew at this instance.
 	moves int
 	// witness names the instance that remembers the request beside the gate, empty if none.
--- a/internal/policy/core.go
+++ b/internal/policy/core.go
@@ -288,6 +288,12 @@
 	c.suspects.Settle(p, &Loss{Server: server, AtNanos: c.nanos(now)}, until)
 }
 
+// Earn counts a request that goes on to another instance.
+func (c *Core) Earn() { c.budget.Earn() }
+
+// Spend reports whether such a request may be sent once more.
+func (c *Core) Spend() bool { return c.budget.Spend() }
+
 // Suspicious reports whether any request is suspected, so that Prints are needed.
 func (c *Core) Suspicious() bool { return c.suspects.Any() }
 
