--- a/pkg/caller/problem.go
+++ b/pkg/caller/problem.go
@@ -15,12 +15,11 @@
 	HeaderCaller = "Mustardring-Caller"
 	// HeaderWitness names the entry instance that remembers the request beside the gate.
 	HeaderWitness = "Mustardring-Witness"
-	// HeaderUnsent says "true" in a refusal when this sending of the request wrote nothing to a
-	// server, whatever an earlier sending of the same id did. Instances drop what they remember
-	// of the sending by it.
-	HeaderUnsent = "Mustardring-Unsent"
 	// HeaderSending identifies one sending of a request id.
 	HeaderSending = "Mustardring-Sending"
+	// HeaderUnsent says "true" on an answer if this sending did not run, nor will, whatever
+	// became of earlier sendings of the same id.
+	HeaderUnsent = "Mustardring-Unsent"
 )
 
 // HeaderReplayed says "true" on the answer to an earlier sending of the same request id.
