Let a follower ask the voters before it begins a term

Cause: two instances that cannot hear each other but reach every server took the voters from each other in turns.

--- a/internal/leader/answer.go
+++ b/internal/leader/answer.go
@@ -7,6 +7,7 @@
 func (c *Core) answered(ev Answered) {
 	l := c.lead
 	if l == nil {
+		c.surveyed(ev)
 		return
 	}
 	switch ev.Answer.Fence.Compare(l.term) {
@@ -89,6 +90,8 @@
 	if a.Epoch != h.epoch {
 		h.epoch, h.set = a.Epoch, a.Ranges
 		h.ackedAway = c.log.away
+		h.superseded = false
+		l.adopted = l.adopted || a.Epoch.Term != l.term
 		c.noteMoves(h)
 	}
 	if live && !c.config.without(mutAdopted) {
--- a/internal/leader/chaos_test.go
+++ b/internal/leader/chaos_test.go
@@ -26,6 +26,7 @@
 		checking:  random.IntN(6),
 		unchecked: random.IntN(3),
 		drift:     []int{0, 4, 40}[random.IntN(3)],
+		rash:      random.IntN(4) > 0,
 	}
 	if l.checking+l.unchecked < 2 {
 		l.checking += 2
@@ -141,6 +142,7 @@
 func (w *world) deafen(n *simInstance) {
 	if !n.down && n.core.lead == nil {
 		n.core.leaderAt = n.core.now - 10*n.core.heartbeat()
+		n.core.resigned = true
 	}
 }
 
--- a/internal/leader/core.go
+++ b/internal/leader/core.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"time"
+
 	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/place"
 	"example.org/mustardring/internal/route"
@@ -32,6 +34,9 @@
 	// leaderAt is when a leader of the domain was last heard, or may be hoped for since.
 	leaderAt Time
 	leader   string
+	// resigned says that the last leader said itself that it leads no more.
+	resigned bool
+	survey   *survey
 	claim    *claim
 	lead     *leadership
 	stopping bool
@@ -141,17 +146,31 @@
 		return
 	}
 	c.place()
-	if l.dirty {
+	if l.dirty && c.now >= l.reconcileAt {
 		l.dirty = false
+		l.reconcileAt = c.now + l.spacing()
 		c.reconcile()
 	}
 	c.exchangeDue()
 	c.exchangePrompted()
-	if l.tableDirty {
+	if l.tableDirty && c.now >= l.publishAt {
+		l.publishAt = c.now + l.spacing()
 		c.publish()
 	}
 }
 
+// costPerRange bounds the processor time that work over all ranges takes when many servers
+// answer at once. With few ranges it is shorter than a round trip.
+const costPerRange = Time(2 * time.Microsecond)
+
+// spacing returns the least time between two passes over all ranges.
+func (l *leadership) spacing() Time {
+	if l.published == nil {
+		return 0
+	}
+	return costPerRange * Time(len(l.published.Owners))
+}
+
 func (c *Core) routed(ev Routed) {
 	if c.hint.Term.Compare(ev.Table.Term) <= 0 {
 		c.hint = ev.Table
@@ -160,6 +179,6 @@
 
 func (c *Core) stop() {
 	c.stopping = true
-	c.claim = nil
+	c.claim, c.survey = nil, nil
 	c.stepDown(reasonStopping)
 }
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -33,7 +33,12 @@
 	if c.now < c.leaderAt+wait {
 		return
 	}
-	c.claimTerm()
+	switch {
+	case c.resigned:
+		c.claimTerm()
+	case c.survey == nil || c.now >= c.survey.deadline:
+		c.beginSurvey()
+	}
 }
 
 func (c *Core) claimTerm() {
@@ -79,7 +84,7 @@
 		}
 		return
 	}
-	c.claim = nil
+	c.claim, c.survey = nil, nil
 	c.leaderAt = c.now
 }
 
@@ -99,12 +104,14 @@
 	case ev.Leading && ev.Term.Compare(c.known) >= 0:
 		c.leader = ev.Name
 		c.leaderAt = c.now
-		c.claim = nil
+		c.resigned = false
+		c.claim, c.survey = nil, nil
 		if c.lead != nil && c.lead.term.Compare(ev.Term) < 0 {
 			c.stepDown(reasonPeer)
 		}
 	case !ev.Leading && ev.Name == c.leader:
 		c.leader = ""
+		c.resigned = true
 		c.leaderAt = c.now - missedHeartbeats*c.heartbeat()
 	}
 }
--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -105,7 +105,16 @@
 	end = min(end, h.heardAt) + Time(c.config.Lease)
 	s := c.serviceOf(h.service)
 	if s != nil && s.Isolation == bundle.IsolationMove {
-		end = min(end, c.log.readAt+Time(c.config.MoveBound))
+		end = min(end, c.moveEnd())
 	}
 	return end
 }
+
+// moveEnd returns until when a domain may serve a service that moves away from it when it is
+// isolated. A domain that never read the log does not know whether it was taken over.
+func (c *Core) moveEnd() Time {
+	if !c.log.read {
+		return never
+	}
+	return c.log.readAt + Time(c.config.MoveBound)
+}
--- a/internal/leader/gates.go
+++ b/internal/leader/gates.go
@@ -62,6 +62,7 @@
 		}
 	}
 	c.listed = now
+	c.forgetPeers()
 }
 
 func (c *Core) instanceGone(name string) {
@@ -85,3 +86,13 @@
 	c.seat()
 	c.placeSoon()
 }
+
+// forgetPeers drops instances that were not heard for long, so that the instances of months
+// do not add up.
+func (c *Core) forgetPeers() {
+	for name, p := range c.peers {
+		if c.now > p.heardAt+100*missedHeartbeats*c.heartbeat() {
+			delete(c.peers, name)
+		}
+	}
+}
--- a/internal/leader/instance_test.go
+++ b/internal/leader/instance_test.go
@@ -170,6 +170,9 @@
 }
 
 func (n *simInstance) heartbeat() {
+	if n.w.layout.rash {
+		n.core.resigned = true
+	}
 	beat := n.core.Heartbeat()
 	n.event(beat)
 	for _, o := range n.w.instances {
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -29,15 +29,30 @@
 			continue
 		}
 		members := c.members(s)
-		markSuperseded(members)
+		if c.lead.adopted {
+			markSuperseded(members)
+		}
 		if c.now <= c.settledAt(s) || len(c.lead.targets[s.Name]) == 0 && len(s.Homes) > 0 {
 			continue
 		}
-		all := c.claimsOf(s, members)
-		wanted := c.wanted(s)
-		for _, h := range members {
-			c.adjust(h, wanted[h.seat], all)
+		c.adjustAll(s, members)
+	}
+	c.lead.adopted = false
+}
+
+// adjustAll leaves alone the holders that have what they should, which mostly are all but a
+// few, and works out the claims only if there are others.
+func (c *Core) adjustAll(s *service, members []*holding) {
+	var all *claims
+	wanted := c.wanted(s)
+	for _, h := range members {
+		if slices.Equal(wanted[h.seat], h.current()) {
+			continue
+		}
+		if all == nil {
+			all = c.claimsOf(s, members)
 		}
+		c.adjust(h, wanted[h.seat], all)
 	}
 }
 
@@ -67,7 +82,7 @@
 
 // adjust proposes a new set to a holder if it should change. Only one set at a time is under
 // way to a holder, so that its claims are the old and the new set.
-func (c *Core) adjust(h *holding, wanted []keys.Range, all claims) {
+func (c *Core) adjust(h *holding, wanted []keys.Range, all *claims) {
 	if h.pending != nil || !h.heard || c.now > h.heardAt+Time(c.config.Lease) {
 		return
 	}
@@ -90,8 +105,8 @@
 	c.lead.prompted = append(c.lead.prompted, h)
 }
 
-func (c *Core) claimsOf(s *service, members []*holding) claims {
-	var all claims
+func (c *Core) claimsOf(s *service, members []*holding) *claims {
+	all := new(claims)
 	pending := !c.config.without(mutPending)
 	for _, h := range members {
 		all.add(h, pending)
--- /dev/null
+++ b/internal/leader/scenarios_test.go
@@ -0,0 +1,120 @@
+package leader
+
+// moreScenarios are those about fences, majorities and the order of answers.
+func moreScenarios() map[string]scenario {
+	return map[string]scenario{
+		// Two leaders share one voter. Without the fence it follows both, and each has a
+		// majority: one renews a server that the other counts as lost.
+		"voter follows two leaders": {
+			guard:  mutFence,
+			layout: scripted(2, 3, 0, reachable),
+			script: func(w *world) {
+				w.firstLeads()
+				w.part("i0", "i1", "s01")
+				w.part("i1", "s00")
+				w.instance("i1").outrank()
+				w.deafen(w.instance("i1"))
+				w.advance(w.now + 3000*ms)
+			},
+		},
+		// A leader does not hear a server any more, and a little later loses its majority to
+		// another, which renews that server. The lease that the first had given lapses while
+		// its authority still runs; it must not move the ranges, since it cannot know.
+		"lapse without a majority after it": {
+			guard: mutConfirm,
+			layout: scripted(2, 5, 0, func(n *simInstance, _ int) string {
+				if n.name == "i0" && n.w.cuts[[2]string{"s00", "i0"}] > n.w.now {
+					return "s03"
+				}
+				return "s00"
+			}),
+			script: func(w *world) {
+				w.firstLeads()
+				w.part("i0", "s00")
+				w.part("i1", "s03", "s04")
+				w.instance("i1").outrank()
+				w.advance(w.now + 400*ms)
+				w.part("i0", "i1", "s01", "s02")
+				w.deafen(w.instance("i1"))
+				w.advance(w.now + 3000*ms)
+			},
+		},
+		// A gate is lost just after it sent a payout to a server that does not check grants.
+		// The server runs it for longer than the lease. A new gate would send the payout,
+		// which the caller repeats, a second time while the first still runs.
+		"request outlives its gate": {
+			guard:  mutLingers,
+			layout: scripted(3, 3, 1, func(*simInstance, int) string { return "s03" }),
+			script: func(w *world) {
+				w.firstLeads()
+				core := w.instance("i0").core
+				core.gates["s03"] = "i1"
+				core.seat()
+				core.placeSoon()
+				w.advance(w.now + 1000*ms)
+				gate := w.instance("i1").holders["s03"]
+				for _, hash := range w.hashes {
+					if _, err := gate.real.Begin(hash); err == nil {
+						w.runs = append(w.runs, run{gate: gate, server: "s03", hash: hash, until: w.now + longestRequest})
+					}
+				}
+				w.kill(w.instance("i1"))
+				w.advance(w.now + 3000*ms)
+			},
+		},
+		// A server answers, restarts, and answers again; the first answer is late and comes
+		// last. The leader takes it for a newer process that holds nothing, and grants the
+		// range, which it had just moved to the present process, to a third server.
+		"answer of the process before comes last": {
+			guard: mutProcesses,
+			layout: scripted(1, 3, 0, func(n *simInstance, _ int) string {
+				switch started := n.w.marked; {
+				case started == 0 || n.w.now < started+340*ms:
+					return "s01"
+				case n.w.now < started+650*ms:
+					return "s00"
+				default:
+					return "s02"
+				}
+			}),
+			script: func(w *world) {
+				w.firstLeads()
+				var asked, answered []Time
+				w.late = func(from, to string) Time {
+					switch {
+					case to == "s00":
+						asked = append(asked, w.now)
+						if len(asked) == 1 {
+							w.marked = w.now
+							w.after(180*ms, func() { w.restart(w.servers[0]) })
+							w.after(340*ms, func() { w.leading().core.placeSoon() })
+							return 300 * ms
+						}
+					case from == "s00":
+						answered = append(answered, w.now)
+						if len(answered) == 1 {
+							return 500 * ms
+						}
+					}
+					return 0
+				}
+				w.advance(w.now + 3000*ms)
+			},
+		},
+	}
+}
+
+// frequent are the guards whose absence the random schedules find soon.
+var frequent = []mutation{
+	mutReceipt, mutDraining, mutLateWork, mutBound, mutWait, mutOrder, mutOneVote, mutPending,
+}
+
+// firstFound returns the first schedule up to a limit on which a broken guard shows, or zero.
+func firstFound(guard mutation, limit uint64) uint64 {
+	for seed := uint64(1); seed <= limit; seed++ {
+		if runSchedule(seed, guard).failure != "" {
+			return seed
+		}
+	}
+	return 0
+}
--- a/internal/leader/service.go
+++ b/internal/leader/service.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"example.org/mustardring/internal/place"
 	"example.org/mustardring/pkg/keys"
 )
 
@@ -112,3 +113,17 @@
 	}
 	return nil
 }
+
+// forgetMoves drops what is known of ranges that exist no more, when these have become many.
+func (s *service) forgetMoves(owned []place.Owned) {
+	if len(s.moves) < 4*len(owned)+100 {
+		return
+	}
+	kept := make(map[keys.Range]move, len(owned))
+	for _, o := range owned {
+		if m, found := s.moves[o.Range]; found {
+			kept[o.Range] = m
+		}
+	}
+	s.moves = kept
+}
--- a/internal/leader/targets.go
+++ b/internal/leader/targets.go
@@ -31,7 +31,9 @@
 		if !s.Divided || c.now <= c.settledAt(s) {
 			continue
 		}
-		targets := c.placer.Place(c.view(s))
+		view := c.view(s)
+		s.forgetMoves(view.Owned)
+		targets := c.placer.Place(view)
 		if !slices.Equal(targets, l.targets[s.Name]) {
 			l.targets[s.Name] = targets
 			l.dirty = true
@@ -103,21 +105,39 @@
 	return owned
 }
 
-// remembered returns the gaps of a partition with the owners that they had by the log or
-// else by the former table.
+// remembered returns the gaps of a partition, which is sorted and disjoint, with the owners
+// that they had by the log or else by the former table.
 func (c *Core) remembered(s *service, taken []keys.Range) []place.Owned {
+	var gaps []keys.Range
+	for _, home := range s.Homes {
+		gaps = append(gaps, subtract(home, taken)...)
+	}
+	if len(gaps) == 0 {
+		return nil
+	}
 	var owned []place.Owned
 	for _, o := range c.formerOwners(s) {
-		parts := subtract(o.Range, taken)
+		parts := intersect(o.Range, gaps)
+		if len(parts) == 0 {
+			continue
+		}
 		for _, r := range parts {
 			owned = append(owned, place.Owned{Range: r, Server: o.server})
 		}
-		taken = append(slices.Clone(taken), parts...)
-		keys.Sort(taken)
+		gaps = without(gaps, o.Range)
 	}
 	return owned
 }
 
+// without returns sorted ranges less one range.
+func without(ranges []keys.Range, gone keys.Range) []keys.Range {
+	var left []keys.Range
+	for _, r := range ranges {
+		left = append(left, subtract(r, []keys.Range{gone})...)
+	}
+	return left
+}
+
 // formerOwners returns recorded and published owners that accept, newest first.
 func (c *Core) formerOwners(s *service) []claimed {
 	var former []claimed
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -36,8 +36,12 @@
 	placeAt    Time
 	placedAt   Time
 	targets    map[string][]place.Target
-	// dirty says that sets may have to change, tableDirty that the table may have.
+	// dirty says that sets may have to change, tableDirty that the table may have, adopted
+	// that a set of another term was learned of.
 	dirty        bool
+	adopted      bool
+	reconcileAt  Time
+	publishAt    Time
 	prompted     []*holding
 	settled      map[string]bool
 	tableDirty   bool
@@ -64,7 +68,7 @@
 }
 
 func (c *Core) begin(t grant.Term) {
-	c.claim = nil
+	c.claim, c.survey, c.resigned = nil, nil, false
 	c.know(t)
 	c.lead = &leadership{
 		term:      t,
--- a/pkg/grant/holder.go
+++ b/pkg/grant/holder.go
@@ -28,6 +28,7 @@
 	mu       sync.Mutex
 	serial   uint64
 	fence    Term
+	ledAt    Instant
 	epoch    Epoch
 	deadline Instant
 	ranges   []keys.Range
@@ -63,6 +64,7 @@
 		Serial:      h.serial,
 		Incarnation: h.config.Incarnation,
 		Fence:       h.fence,
+		LedAt:       h.ledAt,
 		Voting:      now >= h.votesAt,
 		Epoch:       h.epoch,
 		Deadline:    h.deadline,
@@ -83,6 +85,9 @@
 		return RefusalFenced
 	}
 	h.fence = x.Term
+	if x.Term != (Term{}) {
+		h.ledAt = now
+	}
 	h.homes = max(h.homes, x.HomesFence)
 	if x.Grant == nil {
 		return RefusalNone
--- a/pkg/grant/message.go
+++ b/pkg/grant/message.go
@@ -74,7 +74,7 @@
 }
 
 // Exchange is what a leader sends to a server: its term, which fences lower ones, and
-// optionally a grant.
+// optionally a grant. With the zero term it only asks.
 type Exchange struct {
 	Service string `json:"service"`
 	Server  string `json:"server"`
@@ -115,6 +115,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Fence is the highest term the server has seen, that of the exchange included.
 	Fence Term `json:"fence"`
+	// LedAt is when the server last obeyed an exchange under Fence, or zero.
+	LedAt Instant `json:"led-at,omitempty"`
 	// Voting is false while the server is so young that an earlier process at its place may
 	// have voted for another leader whose grants still run.
 	Voting bool `json:"voting"`
