--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -55,6 +55,8 @@
 		case <-ticker.C:
 			e.handle(leader.Ticked{})
 			e.reportHeld()
+			e.confirmOwnGates()
+			e.closeLapsed()
 		case ev := <-e.events:
 			e.handle(ev)
 		}
@@ -105,6 +107,13 @@
 	e.performHomes(e.homes.Handle(e.now(), held))
 }
 
+// confirmOwnGates extends the right of the leader to be a gate itself.
+func (e *Entry) confirmOwnGates() {
+	if asked, leads := e.core.Authority(); leads {
+		e.lease.extend(asked + leader.Time(gateLease))
+	}
+}
+
 func (e *Entry) performHomes(effects []homes.Effect) {
 	for _, effect := range effects {
 		switch f := effect.(type) {
@@ -125,12 +134,14 @@
 	case leader.Append:
 		e.queueAppend(f)
 	case leader.Publish:
-		if e.state.setTable(&f.Table) {
+		if e.setTable(&f.Table) {
 			e.pushTable(&f.Table)
 		}
 	case leader.Led:
+		e.meter.TermsBegun.Add(1)
 		e.deps.Logger.Info("leading", "domain", e.deps.Settings.Domain, "term", f.Term)
 	case leader.Stepped:
+		e.meter.TermsEnded.Add(1)
 		e.deps.Logger.Warn("stepped-down", "domain", e.deps.Settings.Domain, "term", f.Term, "reason", f.Reason)
 	}
 }
@@ -140,6 +151,7 @@
 	select {
 	case e.sends <- s:
 	default:
+		e.meter.EventsDropped.Add(1)
 		e.deps.Logger.Warn("exchange-dropped", "server", s.Server)
 	}
 }
@@ -150,6 +162,7 @@
 	select {
 	case e.appends <- a:
 	default:
+		e.meter.EventsDropped.Add(1)
 		e.deps.Logger.Warn("append-dropped", "id", a.ID)
 	}
 }
