--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -34,7 +34,9 @@
 func (f *Front) run(w http.ResponseWriter, q *request, d route.Here) *refusal {
 	j := &job{request: q, front: f, service: f.service(d.Service.Name), dest: d}
 	if err := j.body.hold(w, q.ContentLength, f.at(q.deadline)); err != nil {
-		return failed(q, unreached(q), err)
+		no := failed(q, unreached(q), err)
+		no.unsent = true
+		return no
 	}
 	j.policy = &policy.Request{
 		Ticket: policy.Ticket(f.tickets.Add(1)), Pool: poolOf(d), Hash: q.hash, Caller: q.caller,
@@ -69,7 +71,7 @@
 	if err := j.service.recall(j.Context(), j.hash, server, epoch); err != nil {
 		j.front.deps.Log.Warn("recall failed", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
-			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), retry: retrySoon,
+			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), unsent: true, retry: retrySoon,
 		}, true
 	}
 	known := j.service.recollect(j.policy)
@@ -123,7 +125,9 @@
 
 // answerKnown answers a resend from memory.
 func (j *job) answerKnown(w http.ResponseWriter, known policy.Recollection) *refusal {
-	no := &refusal{status: http.StatusConflict, outcome: caller.Unknown, reason: policy.ReasonInProgress, retry: retrySoon}
+	no := &refusal{
+		status: http.StatusConflict, outcome: caller.Unknown, unsent: true, reason: policy.ReasonInProgress, retry: retrySoon,
+	}
 	switch k := known.(type) {
 	case policy.Finished:
 		if k.Kept != nil {
@@ -220,9 +224,13 @@
 	f, server := j.front, t.Server.Name
 	slot := j.service.held(j.policy, server)
 	began := f.now()
+	var work Work
 	response, err := j.service.connections(t.Server).Send(j.outgoing(t), upstr.Order{
-		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh, Permit: j.permit(t),
+		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh, Permit: j.permit(t, &work),
 		Done: func(sent bool) {
+			if work != nil {
+				work.End()
+			}
 			ran := time.Duration(f.now() - began)
 			if !sent {
 				ran = 0
@@ -244,20 +252,28 @@
 	return no, again
 }
 
-// permit returns the check of the right to a server that does not check grants itself, nil
-// for one that does.
+// permit returns the check of this instance's right as the gate of a server, which keeps the
+// work that begins.
 //
-// It guards against sending after the right was lost, which the server would not notice: two
-// gates would then send to two servers for one key. It is called when the connection is
-// there, as opening one may take long.
-func (j *job) permit(t route.Target) func() error {
-	if t.Server.ChecksGrants || j.front.deps.Right == nil {
+// It guards against sending after the right was lost, which the server may not notice: two
+// gates would then send to two servers for one key, or run one request twice. It is called
+// when the connection is there, as opening one may take long.
+func (j *job) permit(t route.Target, work *Work) func() error {
+	if j.front.deps.Right == nil {
 		return nil
 	}
 	return func() error {
-		if err := j.front.deps.Right.Check(j.request.service, t.Server.Name, j.hash); err != nil {
+		begun, err := j.front.deps.Right.Begin(Approach{
+			Service:    j.request.service,
+			Server:     t.Server.Name,
+			Hash:       j.hash,
+			Checks:     t.Server.ChecksGrants,
+			Idempotent: j.idempotent,
+		})
+		if err != nil {
 			return fmt.Errorf("%w: %w", errNoRight, err)
 		}
+		*work = begun
 		return nil
 	}
 }
@@ -266,9 +282,8 @@
 func (j *job) outgoing(t route.Target) *http.Request {
 	out := j.front.outgoing(j.Context(), j.request)
 	setPath(out.URL, j.rest)
-	out.Header.Set(caller.HeaderRequest, j.id)
 	if !t.Epoch.IsZero() {
-		out.Header.Set(caller.HeaderEpoch, epochText(t.Epoch))
+		out.Header[caller.HeaderEpoch] = j.service.epochOf(t)
 	}
 	return out
 }
