--- a/cmd/mustardring/main.go
+++ b/cmd/mustardring/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
@@ -11,13 +10,6 @@
 	"github.com/charmbracelet/log"
 
 	"example.org/mustardring/internal/cmds"
-	"example.org/mustardring/internal/config"
-)
-
-// Exit codes.
-const (
-	exitFailed = 1
-	exitInput  = 2
 )
 
 // version is set by the linker for a release.
@@ -34,6 +26,7 @@
 	Owner       cmds.OwnerCmd       `cmd:"" help:"Show who owns a key."`
 	Assignments cmds.AssignmentsCmd `cmd:"" help:"Show the recorded assignments."`
 	Replay      cmds.ReplayCmd      `cmd:"" help:"Play a trace to the placer and to naive placements, or make one."`
+	Bundle      cmds.BundleCmd      `cmd:"" help:"Publish, approve and roll bundles."`
 	Certs       cmds.CertsCmd       `cmd:"" help:"Make key pairs for instances."`
 	Version     versionCmd          `cmd:"" help:"Print the version."`
 }
@@ -56,20 +49,18 @@
 	logger, err := newLogger(p.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitInput
+		return cmds.ExitInput
 	}
 	err = ctx.Run(logger)
-	var fault *config.Error
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &fault):
-		fmt.Fprintln(os.Stderr, fault)
-		return exitInput
+	code := cmds.ExitCode(err)
+	switch code {
+	case cmds.ExitDone:
+	case cmds.ExitInput:
+		fmt.Fprintln(os.Stderr, err)
 	default:
 		logger.Error("failed", "error", err)
-		return exitFailed
 	}
+	return code
 }
 
 func newLogger(level string) (*log.Logger, error) {
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"example.org/mustardring/internal/front"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/grant"
 	"example.org/mustardring/pkg/keys"
@@ -25,6 +26,9 @@
 	Members     []route.Member  `json:"members"`
 	Domains     []DomainVersion `json:"domains"`
 	Stopping    bool            `json:"stopping"`
+	// Services is the request path of this instance: waiting requests, slots, connections and
+	// the requests that are blocked because they may crash servers.
+	Services []front.ServiceStatus `json:"services"`
 }
 
 // DomainVersion is the lowest and highest bundle version in force at the instances of a
--- a/internal/cmds/run.go
+++ b/internal/cmds/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"expvar"
 	"fmt"
 	"net/http"
@@ -11,7 +12,6 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
-	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -21,6 +21,7 @@
 	"example.org/mustardring/internal/listcl"
 	"example.org/mustardring/internal/logcl"
 	"example.org/mustardring/internal/place"
+	"example.org/mustardring/internal/trace"
 )
 
 // RunCmd runs an entry instance.
@@ -38,14 +39,20 @@
 	if err != nil {
 		return err
 	}
+	spans, err := trace.New(trace.Exporter(settings.Traces), settings.Name, settings.Domain, os.Stdout)
+	if err != nil {
+		return err
+	}
+	deps.Tracer = spans.Tracer()
 	e, err := entry.New(deps)
 	if err != nil {
 		return err
 	}
 	expvar.Publish("mustardring-control", e.Control().Var())
+	expvar.Publish("mustardring-requests", e.Requests())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return e.Run(ctx)
+	return errors.Join(e.Run(ctx), spans.Close(context.Background()))
 }
 
 func newDeps(file string, settings config.Run, logger *log.Logger) (entry.Deps, error) {
@@ -70,7 +77,6 @@
 		Placer:      place.New(),
 		Logger:      logger,
 		Incarnation: incarnation,
-		Now:         time.Now,
 	}, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,12 +7,14 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"expvar"
 	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/trace"
 
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/duty"
@@ -58,8 +60,8 @@
 	Logger *log.Logger
 	// Incarnation differs between all processes that ever ran under the instance's name.
 	Incarnation uint64
-	// Now is the wall clock.
-	Now func() time.Time
+	// Tracer makes a span for each hop of a request. Nil means none.
+	Tracer trace.Tracer
 }
 
 // Entry is an entry instance.
@@ -119,6 +121,7 @@
 		Home:          e.state.directory.FindHome,
 		Forward:       newForwardTransport(d.TLS),
 		ForwardScheme: "https",
+		Tracer:        d.Tracer,
 		Log:           d.Logger,
 	})
 	if err != nil {
@@ -133,6 +136,11 @@
 	return e.meter
 }
 
+// Requests returns the counters of the request path.
+func (e *Entry) Requests() expvar.Var {
+	return e.front.Vars()
+}
+
 // now reads the monotonic clock of the cores.
 func (e *Entry) now() leader.Time {
 	return leader.Time(time.Since(e.origin))
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -20,6 +20,7 @@
 		Incarnation: e.deps.Incarnation,
 		Members:     view.Members,
 		Stopping:    stopping,
+		Services:    e.front.Status(),
 	}
 	if h := e.coreView.heartbeat.Load(); h != nil {
 		s.Leading, s.Term = h.Leading, h.Term
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -210,7 +211,7 @@
 // A request for a key reaches the one server that owns the key, through whichever instance
 // the balancer picked, and the whole answer comes back.
 func TestEachInstanceReachesTheSameOwner(t *testing.T) {
-	s := newSite(t, 77)
+	s := newSite(t, 20+os.Getpid()%100)
 	s.startStandIns()
 	for domain := 1; domain <= 2; domain++ {
 		for host := 1; host <= 2; host++ {
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -66,7 +67,8 @@
 			f.flow()
 		},
 	}
-	network := 80
+	// Another run of the tests on the machine uses other addresses.
+	network := 130 + 12*(os.Getpid()%10)
 	for name, disturb := range tests {
 		network++
 		t.Run(name, func(t *testing.T) {
