--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,23 +3,28 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
+	"expvar"
 	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/trace"
 
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/duty"
 	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/front"
+	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/listcl"
 	"example.org/mustardring/internal/logcl"
+	"example.org/mustardring/internal/meter"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/place"
 	"example.org/mustardring/pkg/grant"
@@ -55,8 +60,8 @@
 	Logger *log.Logger
 	// Incarnation differs between all processes that ever ran under the instance's name.
 	Incarnation uint64
-	// Now is the wall clock.
-	Now func() time.Time
+	// Tracer makes a span for each hop of a request. Nil means none.
+	Tracer trace.Tracer
 }
 
 // Entry is an entry instance.
@@ -65,14 +70,21 @@
 	origin time.Time
 
 	core    *leader.Core
+	homes   *homes.Core
 	state   *state
 	peers   *peers
 	holders *holders
+	witness *witness
+	gained  *gains
+	lease   *gateClock
+	meter   *meter.Control
+	loads   *loads
+	reports *reports
 	front   *front.Front
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
 
-	events  chan leader.Event
+	events  chan event
 	sends   chan leader.Send
 	appends chan leader.Append
 	// coreView is the core's newest statement about itself, for heartbeats.
@@ -85,20 +97,31 @@
 		deps:    d,
 		origin:  time.Now(),
 		state:   newState(d.Settings),
-		events:  make(chan leader.Event, eventCapacity),
+		events:  make(chan event, eventCapacity),
 		sends:   make(chan leader.Send, sendCapacity),
 		appends: make(chan leader.Append, appendCapacity),
 	}
 	e.core = leader.New(leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation), d.Placer)
-	e.peers = newPeers(d.Settings, d.TLS)
+	e.meter = meter.NewControl()
+	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
+	e.peers = newPeers(d.Settings, d.TLS, e.meter)
 	e.holders = newHolders(d.Incarnation, e.clock)
+	e.loads = newLoads(time.Now())
+	e.reports = newReports()
+	e.gained = newGains()
+	e.lease = &gateClock{}
+	e.witness = newWitness(e.peers, e.gained, e.state, d.Logger)
 	f, err := front.New(front.Deps{
 		Instance:      d.Settings.Name,
 		Domain:        d.Settings.Domain,
 		Finder:        e.state.directory,
-		Right:         right{state: e.state, holders: e.holders},
+		Right:         right{state: e.state, holders: e.holders, lease: e.lease, now: e.now},
+		Witness:       e.witness,
+		Ran:           e.ran,
+		Home:          e.state.directory.FindHome,
 		Forward:       newForwardTransport(d.TLS),
 		ForwardScheme: "https",
+		Tracer:        d.Tracer,
 		Log:           d.Logger,
 	})
 	if err != nil {
@@ -108,6 +131,16 @@
 	return e, nil
 }
 
+// Control returns the counters of this instance's control traffic.
+func (e *Entry) Control() *meter.Control {
+	return e.meter
+}
+
+// Requests returns the counters of the request path.
+func (e *Entry) Requests() expvar.Var {
+	return e.front.Vars()
+}
+
 // now reads the monotonic clock of the cores.
 func (e *Entry) now() leader.Time {
 	return leader.Time(time.Since(e.origin))
@@ -142,32 +175,43 @@
 		return err
 	}
 	group := duty.New(context.WithoutCancel(ctx), maxDuties)
+	doors := duty.New(context.WithoutCancel(ctx), maxDuties)
 	e.start(group, listeners)
+	e.open(doors, listeners)
 	e.deps.Logger.Info("started", "instance", e.deps.Settings.Name, "domain", e.deps.Settings.Domain,
 		"incarnation", e.deps.Incarnation, "callers", e.deps.Settings.CallerAddress)
 	select {
 	case end := <-group.Ends():
+		_ = doors.Wait(0)
 		_ = group.Wait(1)
 		return fmt.Errorf("%w: %s: %w", ErrDuty, end.Name, end.Err)
+	case end := <-doors.Ends():
+		_ = doors.Wait(1)
+		_ = group.Wait(0)
+		return fmt.Errorf("%w: %s: %w", ErrDuty, end.Name, end.Err)
 	case <-ctx.Done():
 	}
 	drained := e.drain()
-	if err := group.Wait(0); err != nil {
-		return err
-	}
-	return drained
+	closed := doors.Wait(0)
+	return cmp.Or(drained, closed, group.Wait(0))
+}
+
+// open starts the duties by which requests come in. They end before the others, which serve
+// the requests that are still in flight.
+func (e *Entry) open(group *duty.Group, l *listeners) {
+	group.Go("caller-http", e.serveCallers(l.caller))
+	group.Go("forward-http", e.serveForwards(l.forward))
 }
 
 func (e *Entry) start(group *duty.Group, l *listeners) {
 	group.Go("core", e.runCore)
 	group.Go("exchanges", e.runExchanges)
-	group.Go("appender", e.runAppender)
-	group.Go("reader", e.runReader)
+	group.Go("log", e.runLog)
 	group.Go("heartbeats", e.runHeartbeats)
 	group.Go("list", e.runList)
+	group.Go("witness", e.witness.run)
+	group.Go("loads", e.runLoads)
 	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
-	group.Go("caller-http", e.serveCallers(l.caller))
-	group.Go("forward-http", e.serveForwards(l.forward))
 	group.Go("operator-http", e.serveOperators(l.operator))
 }
 
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -22,6 +22,8 @@
 	clock       func() grant.Instant
 	mu          sync.Mutex
 	holders     map[holderName]*grant.Holder
+	// valid are the holders that had ranges at the last call of lapsed.
+	valid map[holderName]bool
 }
 
 type holderName struct {
@@ -30,7 +32,7 @@
 }
 
 func newHolders(incarnation uint64, clock func() grant.Instant) *holders {
-	return &holders{incarnation: incarnation, clock: clock, holders: make(map[holderName]*grant.Holder)}
+	return &holders{incarnation: incarnation, clock: clock, holders: make(map[holderName]*grant.Holder), valid: make(map[holderName]bool)}
 }
 
 // exchange serves an exchange for any server name: the leader decides which instance is the
@@ -56,18 +58,28 @@
 	return holder
 }
 
-// check reports whether a grant held here covers a hash at this moment.
-func (h *holders) check(service, server string, hash uint64) error {
+// begin starts work on a hash under the grant held here for a server.
+func (h *holders) begin(service, server string, hash uint64) (*grant.Work, error) {
 	h.mu.Lock()
 	holder, found := h.holders[holderName{service: service, server: server}]
 	h.mu.Unlock()
 	if !found {
-		return fmt.Errorf("%w: %s", errNoGrant, server)
+		return nil, fmt.Errorf("%w: %s", errNoGrant, server)
 	}
-	w, err := holder.Begin(hash)
-	if err != nil {
-		return err
+	return holder.Begin(hash)
+}
+
+// lapsed returns the holders whose grant ended since the last call.
+func (h *holders) lapsed() []holderName {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var names []holderName
+	for name, holder := range h.holders {
+		valid := holder.Valid()
+		if h.valid[name] && !valid {
+			names = append(names, name)
+		}
+		h.valid[name] = valid
 	}
-	w.End()
-	return nil
+	return names
 }
--- a/internal/fold/newest_test.go
+++ b/internal/fold/newest_test.go
@@ -104,4 +104,44 @@
 	is.True(errors.Is(n.Learn(f.Proof), bundle.ErrFork))
 	refusal(t, s.prove(99, f.Proof), CauseLost)
 	is.Equal(n.Bundle().Version, uint64(2))
+	other := NewNewest(crew())
+	is.NoErr(other.Learn(f.Proof))
+	_, _, missing := other.Missing(s)
+	is.True(!missing)
+}
+
+// A peer hands over version 3, which replaced version 1, to an instance that saw version 2 in
+// force. The signers are the same, yet it is another history: nobody who saw version 2 could
+// have signed that roll and won.
+func TestRollPastTheHeldVersionIsAFork(t *testing.T) {
+	is := is.New(t)
+	n := NewNewest(crew())
+	n.Follow(stateOf(2, "a"))
+	var j journal
+	j.addAll(release(sample(1, "a"), 0)...)
+	two, three := publish(sample(2, "f"), "ana"), publish(sample(3, "f"), "ana")
+	j.addAll(record.BundlePublished{Signed: two}, record.BundlePublished{Signed: three},
+		record.BundleApproved{Approval: approve(three, "cene")}, record.BundleRolled{Roll: roll(three, 1, "dora")})
+	s := New(crew())
+	j.fold(s)
+	is.True(errors.Is(n.Learn(s.Proof), bundle.ErrFork))
+}
+
+// A release reaches an instance as an update. Another one is lost on its way, so that the
+// next does not fit and the whole proof is asked for.
+func TestNewestTakesUpdates(t *testing.T) {
+	is := is.New(t)
+	held := make([]bundle.Held, 5)
+	for v := uint64(1); v <= 4; v++ {
+		s := stateOf(v, "a")
+		held[v] = bundle.Held{Proof: s.Proof, Bundle: s.InForce}
+	}
+	n := NewNewest(crew())
+	is.True(errors.Is(n.Update(must(bundle.NewUpdate(held[1], held[2]))), bundle.ErrStep))
+	is.NoErr(n.Learn(held[1].Proof))
+	is.NoErr(n.Update(must(bundle.NewUpdate(held[1], held[2]))))
+	is.True(errors.Is(n.Update(must(bundle.NewUpdate(held[3], held[4]))), bundle.ErrStep))
+	is.Equal(n.Bundle().Version, uint64(2))
+	is.NoErr(n.Learn(held[4].Proof))
+	is.Equal(n.Held(), held[4])
 }
--- a/internal/leader/holder_test.go
+++ b/internal/leader/holder_test.go
@@ -12,6 +12,8 @@
 	m     *machine
 	real  *grant.Holder
 	fence grant.Term
+	// exchanges counts those with a grant that was accepted.
+	exchanges int
 }
 
 func newSimHolder(w *world, m *machine, server string) *simHolder {
@@ -22,9 +24,6 @@
 		Clock:       func() grant.Instant { return grant.Instant(m.clock(w.now)) },
 		MaxLease:    1250 * time.Millisecond,
 	}
-	if w.guard == mutTooLong || w.guard == mutReceipt {
-		config.MaxLease = time.Hour
-	}
 	return &simHolder{w: w, m: m, real: grant.NewHolder(config)}
 }
 
@@ -39,7 +38,8 @@
 
 func (h *simHolder) exchange(x grant.Exchange) grant.Answer {
 	asked := x.Term
-	if h.w.guard == mutFence && x.Term.Compare(h.fence) < 0 {
+	asks := x.Term == (grant.Term{})
+	if h.w.guard == mutFence && !asks && x.Term.Compare(h.fence) < 0 {
 		x.Term = h.fence
 	}
 	if x.Grant != nil {
@@ -56,6 +56,9 @@
 	}
 	a := h.real.Exchange(x)
 	h.fence = a.Fence
+	if x.Grant != nil && a.Refusal == grant.RefusalNone {
+		h.exchanges++
+	}
 	switch h.w.guard {
 	case mutFence:
 		a.Fence = asked
@@ -74,5 +77,6 @@
 	mutIncarnation mutation = "incarnation-ignored"
 	mutVoting      mutation = "young-server-votes"
 	mutDraining    mutation = "drain-not-stated"
-	mutTooLong     mutation = "deadline-not-bounded"
+	mutLateWork    mutation = "work-not-rechecked"
+	mutSendBefore  mutation = "send-before-not-rechecked"
 )
--- a/internal/leader/service.go
+++ b/internal/leader/service.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"example.org/mustardring/internal/place"
 	"example.org/mustardring/pkg/keys"
 )
 
@@ -11,6 +12,8 @@
 	Service
 	loads map[keys.Range]load
 	moves map[keys.Range]move
+	// hot are the hashes of keys that are hot by measurement, sorted.
+	hot []uint64
 	// unchecked says that at least one server does not check grants.
 	unchecked bool
 }
@@ -48,7 +51,7 @@
 	made := &service{Service: s, loads: make(map[keys.Range]load), moves: make(map[keys.Range]move)}
 	for _, o := range old {
 		if o.Name == s.Name {
-			made.loads, made.moves = o.loads, o.moves
+			made.loads, made.moves, made.hot = o.loads, o.moves, o.hot
 		}
 	}
 	made.unchecked = slices.ContainsFunc(s.Servers, func(b Server) bool { return b.Slots > 0 && !b.Checks })
@@ -98,12 +101,20 @@
 	if s == nil {
 		return
 	}
+	s.hot = ev.Hot
 	clear(s.loads)
 	for _, l := range ev.Loads {
 		s.loads[l.Range] = load{value: l.Load, at: c.now}
 	}
 }
 
+// hotHashes returns the hot keys of the bundle and of measurement, sorted.
+func (s *service) hotHashes() []uint64 {
+	all := slices.Concat(s.HotHashes, s.hot)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 func (c *Core) serviceOf(name string) *service {
 	for _, s := range c.services {
 		if s.Name == name {
@@ -112,3 +123,17 @@
 	}
 	return nil
 }
+
+// forgetMoves drops what is known of ranges that exist no more, when these have become many.
+func (s *service) forgetMoves(owned []place.Owned) {
+	if len(s.moves) < 4*len(owned)+100 {
+		return
+	}
+	kept := make(map[keys.Range]move, len(owned))
+	for _, o := range owned {
+		if m, found := s.moves[o.Range]; found {
+			kept[o.Range] = m
+		}
+	}
+	s.moves = kept
+}
--- a/pkg/grant/holder.go
+++ b/pkg/grant/holder.go
@@ -26,11 +26,14 @@
 	votesAt Instant
 
 	mu       sync.Mutex
+	serial   uint64
 	fence    Term
+	ledAt    Instant
 	epoch    Epoch
 	deadline Instant
 	ranges   []keys.Range
 	tenure   uint64
+	homes    uint64
 	running  map[*Work]struct{}
 }
 
@@ -53,16 +56,20 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.config.Clock()
+	h.serial++
 	refusal := h.apply(now, x)
 	answer := Answer{
 		Refusal:     refusal,
 		Clock:       now,
+		Serial:      h.serial,
 		Incarnation: h.config.Incarnation,
 		Fence:       h.fence,
+		LedAt:       h.ledAt,
 		Voting:      now >= h.votesAt,
 		Epoch:       h.epoch,
 		Deadline:    h.deadline,
 		Draining:    h.draining(now),
+		HomesFence:  h.homes,
 	}
 	if x.Known != h.epoch {
 		answer.Ranges = h.ranges
@@ -78,6 +85,10 @@
 		return RefusalFenced
 	}
 	h.fence = x.Term
+	if x.Term != (Term{}) {
+		h.ledAt = now
+	}
+	h.homes = max(h.homes, x.HomesFence)
 	if x.Grant == nil {
 		return RefusalNone
 	}
