Take only whole answers of the log service

Cause: an answer "{}" with status 200, as a balancer's page might be, acknowledged an append at offset 0, and as a batch looked like an empty log, which made the reader start anew. The load endpoint of the stand-in server now lags as its settings say; until now the setting did nothing. Conclusion: what does not state its offset or its ends is no answer.

--- a/internal/logcl/client.go
+++ b/internal/logcl/client.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"example.org/mustardring/internal/record"
 )
 
 // The bounds of one call.
@@ -76,11 +78,16 @@
 	default:
 		return 0, fmt.Errorf("%w: %s", ErrUncertain, resp.Status)
 	}
-	var answer AppendAnswer
+	var answer struct {
+		Offset *uint64 `json:"offset"`
+	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&answer); err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUncertain, err)
 	}
-	return answer.Offset, nil
+	if answer.Offset == nil {
+		return 0, fmt.Errorf("%w: answer without an offset", ErrUncertain)
+	}
+	return *answer.Offset, nil
 }
 
 // Read implements Log.
@@ -120,12 +127,39 @@
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
 		return Batch{}, fmt.Errorf("%w: %s", ErrUnavailable, resp.Status)
 	}
-	var batch Batch
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&batch); err != nil {
+	var answer struct {
+		Entries  []record.Entry `json:"entries"`
+		Oldest   *uint64        `json:"oldest"`
+		Next     *uint64        `json:"next"`
+		Identity string         `json:"identity"`
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&answer); err != nil {
 		return Batch{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
+	// Something else than the log may answer at its address, such as an error page of a
+	// balancer. Taken for a batch, it would look like an empty log and reset the reader.
+	if answer.Oldest == nil || answer.Next == nil {
+		return Batch{}, fmt.Errorf("%w: answer without oldest and next", ErrUnavailable)
+	}
+	batch := Batch{Entries: answer.Entries, Oldest: *answer.Oldest, Next: *answer.Next, Identity: answer.Identity}
+	if !batch.isSound() {
+		return Batch{}, fmt.Errorf("%w: answer with entries out of place", ErrUnavailable)
+	}
 	if resp.StatusCode == http.StatusGone {
 		return batch, ErrGap
 	}
 	return batch, nil
 }
+
+// isSound reports whether the entries follow each other within what the log keeps.
+func (b *Batch) isSound() bool {
+	if b.Oldest > b.Next {
+		return false
+	}
+	for i, e := range b.Entries {
+		if e.Offset < b.Oldest || e.Offset >= b.Next || i > 0 && e.Offset != b.Entries[i-1].Offset+1 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/stand/runs.go
+++ b/internal/stand/runs.go
@@ -89,6 +89,12 @@
 	r.arrived--
 }
 
+func (r *runs) present() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrived
+}
+
 func (r *runs) countShed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -29,10 +29,13 @@
 	connections *connections
 	newGuard    func() guard
 
-	// mu guards what a crash replaces.
+	// mu guards what a crash replaces, and the load shown.
 	mu      sync.Mutex
 	process *process
 	address string
+	// load is what the load endpoint shows until loadUntil.
+	load      Load
+	loadUntil time.Time
 }
 
 // process is what a crash of the server ends.
@@ -211,18 +214,33 @@
 }
 
 func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.shownLoad(time.Now()))
+}
+
+// shownLoad returns the load as of up to the stated lag ago: an endpoint that lags shows a
+// server as free when it is full, and the reverse.
+func (s *Server) shownLoad(now time.Time) Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.loadUntil) {
+		return s.load
+	}
+	s.load = s.presentLoad(now)
+	s.loadUntil = now.Add(time.Duration(s.settings.LoadLagMillis) * time.Millisecond)
+	return s.load
+}
+
+func (s *Server) presentLoad(now time.Time) Load {
 	f := s.faults.get()
-	s.runs.mu.Lock()
-	present := s.runs.arrived
-	s.runs.mu.Unlock()
+	present := s.runs.present()
 	running := min(present, s.settings.Slots)
-	writeJSON(w, http.StatusOK, Load{
+	return Load{
 		Running:  running,
 		Waiting:  present - running,
 		Slots:    s.settings.Slots,
-		Cold:     f.isCold(time.Now()),
+		Cold:     f.isCold(now),
 		Shedding: f.Shed,
-	})
+	}
 }
 
 func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
--- a/internal/stand/settings.go
+++ b/internal/stand/settings.go
@@ -53,7 +53,7 @@
 	RunMillis float64 `json:"run-ms,omitempty"`
 	// ColdMillis is for how long after the start each request takes ten times as long.
 	ColdMillis int64 `json:"cold-ms,omitempty"`
-	// LoadLagMillis is the age of what the load and health endpoints show.
+	// LoadLagMillis is how old what the load endpoint shows may be.
 	LoadLagMillis int64 `json:"load-lag-ms,omitempty"`
 	// LeaseMaxMillis is the farthest grant deadline that the server accepts, 10000 if unstated.
 	LeaseMaxMillis int64 `json:"lease-max-ms,omitempty"`
