--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -34,9 +34,7 @@
 func (f *Front) run(w http.ResponseWriter, q *request, d route.Here) *refusal {
 	j := &job{request: q, front: f, service: f.service(d.Service.Name), dest: d}
 	if err := j.body.hold(w, q.ContentLength, f.at(q.deadline)); err != nil {
-		no := failed(q, unreached(q), err)
-		no.unsent = true
-		return no
+		return unsent(failed(q, unreached(q), err))
 	}
 	j.policy = &policy.Request{
 		Ticket: policy.Ticket(f.tickets.Add(1)), Pool: poolOf(d), Hash: q.hash, Caller: q.caller,
@@ -50,8 +48,8 @@
 		j.print()
 	}
 	no := j.tries(w)
-	if no != nil {
-		j.tellEnd(no.outcome, 0)
+	if no != nil && no.ranNot() {
+		j.tellEnd(caller.NotRun, 0)
 	}
 	return no
 }
@@ -71,7 +69,8 @@
 	if err := j.service.recall(j.Context(), j.hash, server, epoch); err != nil {
 		j.front.deps.Log.Warn("recall failed", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
-			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), unsent: true, retry: retrySoon,
+			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), unsent: true,
+			retry: retrySoon,
 		}, true
 	}
 	known := j.service.recollect(j.policy)
@@ -141,6 +140,7 @@
 		no.status, no.reason, no.outcome = http.StatusServiceUnavailable, policy.ReasonMemoryFull, caller.NotRun
 	case policy.Doubtful, policy.Fresh:
 	}
+	j.front.meters.resent.Add(1)
 	return no
 }
 
@@ -170,6 +170,7 @@
 		if !again {
 			return no
 		}
+		j.front.meters.retried.Add(1)
 		j.body.rewind()
 	}
 }
@@ -224,8 +225,10 @@
 	f, server := j.front, t.Server.Name
 	slot := j.service.held(j.policy, server)
 	began := f.now()
+	out := j.outgoing(t)
+	defer f.nextSpan(j.Context(), spanSend, server, out.Header)()
 	var work Work
-	response, err := j.service.connections(t.Server).Send(j.outgoing(t), upstr.Order{
+	response, err := j.service.connections(t.Server).Send(out, upstr.Order{
 		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh, Permit: j.permit(t, &work),
 		Done: func(sent bool) {
 			if work != nil {
