--- a/cmd/mustardring/main.go
+++ b/cmd/mustardring/main.go
@@ -22,6 +22,7 @@
 	Run         cmds.RunCmd         `cmd:"" help:"Run an entry instance."`
 	StandIn     cmds.StandInCmd     `cmd:"" name:"stand-in" help:"Run stand-ins of the platform and of backend servers."`
 	Load        cmds.LoadCmd        `cmd:"" help:"Send load to instances on this machine and check the answers."`
+	Ask         cmds.AskCmd         `cmd:"" help:"Send one request and show what became of it."`
 	Status      cmds.StatusCmd      `cmd:"" help:"Show the status of an instance."`
 	Owner       cmds.OwnerCmd       `cmd:"" help:"Show who owns a key."`
 	Assignments cmds.AssignmentsCmd `cmd:"" help:"Show the recorded assignments."`
--- a/internal/cmds/bundlefile.go
+++ b/internal/cmds/bundlefile.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"encoding/hex"
 	"fmt"
 	"io"
 	"os"
@@ -36,7 +37,15 @@
 		}
 		problems = movesProblems(c.File, before, b)
 	}
-	if err := c.show(out, checked{File: c.File, Problems: problems}); err != nil {
+	result := checked{File: c.File, Problems: problems}
+	if len(problems) == 0 {
+		canonical, err := b.Canonical()
+		if err != nil {
+			return badInput("%w", err)
+		}
+		result.Hash = hex.EncodeToString(bundle.Hash(canonical))
+	}
+	if err := c.show(out, result); err != nil {
 		return err
 	}
 	if err := problems.Err(); err != nil {
@@ -46,7 +55,9 @@
 }
 
 type checked struct {
-	File     string         `json:"file"`
+	File string `json:"file"`
+	// Hash is what an approver states, in hexadecimal digits; empty if there are problems.
+	Hash     string         `json:"hash,omitempty"`
 	Problems check.Problems `json:"problems"`
 }
 
@@ -55,7 +66,7 @@
 		fmt.Fprintln(w, p)
 	}
 	if len(c.Problems) == 0 {
-		fmt.Fprintf(w, "%s: no problems\n", c.File)
+		fmt.Fprintf(w, "%s: no problems, hash %s\n", c.File, c.Hash)
 	}
 }
 
--- a/internal/entry/sums.go
+++ b/internal/entry/sums.go
@@ -14,6 +14,8 @@
 const (
 	hotPart = 0.25
 	maxHot  = 32
+	// minHotRate keeps an idle service from setting apart the few keys that are asked for.
+	minHotRate = 20
 )
 
 // sums adds up the loads of several gates.
@@ -96,6 +98,9 @@
 	var hot []uint64
 	for hash, c := range v.hot {
 		was := slices.Contains(present, hash)
+		if c.Count < minHotRate {
+			continue
+		}
 		if c.Count-c.Error >= rule.Enter*v.total || was && c.Count >= rule.Leave*v.total {
 			hot = append(hot, hash)
 		}
