Stop without cutting a connection; give exchanges up well before a lease

Cause: net/http waits 5 s for connections in reserve, kept connections were closed under callers, and an exchange on a silent connection outlasted the lease. Before: replacing all instances in turn failed with a drain error; silent connections up to 1.02 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,9 +84,11 @@
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
 
-	events  chan event
-	sends   chan leader.Send
-	appends chan leader.Append
+	events        chan event
+	sends         chan leader.Send
+	appends       chan leader.Append
+	callerServer  *http.Server
+	forwardServer *http.Server
 	// coreView is the core's newest statement about itself, for heartbeats.
 	coreView coreView
 }
@@ -128,6 +130,8 @@
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	e.front = f
+	e.callerServer = newServer(f.Callers())
+	e.forwardServer = newServer(f.Forwards())
 	return e, nil
 }
 
@@ -203,6 +207,15 @@
 	group.Go("forward-http", e.serveForwards(l.forward))
 }
 
+// balancerTime is for how long a stopping instance goes on serving, so that the balancer and
+// the other instances have turned away before it closes its addresses.
+const balancerTime = 500 * time.Millisecond
+
+func (e *Entry) balancerLag(ctx context.Context) {
+	e.front.Refuse()
+	pause(ctx, balancerTime)
+}
+
 func (e *Entry) start(group *duty.Group, l *listeners) {
 	group.Go("core", e.runCore)
 	group.Go("exchanges", e.runExchanges)
@@ -225,6 +238,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	e.announceStop(ctx)
+	// From here on each answer asks its caller to connect anew, elsewhere: a caller whose kept
+	// connection is closed cannot tell whether the request that it just wrote was read.
+	e.callerServer.SetKeepAlivesEnabled(false)
+	e.forwardServer.SetKeepAlivesEnabled(false)
+	e.balancerLag(ctx)
 	if err := e.front.Drain(ctx); err != nil {
 		return fmt.Errorf("%w: %w", ErrDrain, err)
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -17,10 +17,12 @@
 
 // Limits of exchanges.
 const (
-	exchangeLimit  = 800 * time.Millisecond
+	// exchangeLimit is well below a lease, so that an exchange on a connection that went silent
+	// is given up, and the next one on a new connection still renews the lease.
+	exchangeLimit  = 250 * time.Millisecond
 	maxExchanges   = 256
 	maxAnswerBytes = 4 << 20
-	exchangeIdle   = 2
+	exchangeIdle   = 1
 )
 
 // Errors of exchanges.
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -14,9 +14,11 @@
 
 // Bounds of HTTP connections.
 const (
-	headerLimit   = 10 * time.Second
-	idleLimit     = 2 * time.Minute
-	maxHeader     = 64 << 10
+	headerLimit = 10 * time.Second
+	idleLimit   = 2 * time.Minute
+	maxHeader   = 64 << 10
+	// shutdownGrace is for how long connections without a request are waited for.
+	shutdownGrace = 300 * time.Millisecond
 	shutdownLimit = 5 * time.Second
 )
 
@@ -57,13 +59,13 @@
 // serveCallers serves callers. It goes on while the instance drains: the balancer's view of
 // readiness lags.
 func (e *Entry) serveCallers(l net.Listener) func(context.Context) error {
-	return serveHTTP(l, newServer(e.front.Callers()))
+	return serveHTTP(l, e.callerServer, e.front.Drain)
 }
 
 // serveForwards serves requests that other instances forward, which the authority's
 // signature on their certificate identifies.
 func (e *Entry) serveForwards(l net.Listener) func(context.Context) error {
-	return serveHTTP(tls.NewListener(l, e.deps.TLS), newServer(e.front.Forwards()))
+	return serveHTTP(tls.NewListener(l, e.deps.TLS), e.forwardServer, e.front.Drain)
 }
 
 func (e *Entry) serveOperators(l net.Listener) func(context.Context) error {
@@ -71,7 +73,7 @@
 	if err != nil {
 		return func(context.Context) error { return err }
 	}
-	return serveHTTP(l, newServer(handler))
+	return serveHTTP(l, newServer(handler), nil)
 }
 
 func newServer(h http.Handler) *http.Server {
@@ -83,14 +85,13 @@
 	}
 }
 
-// serveHTTP serves until the context ends, and then lets the requests in flight end.
-func serveHTTP(l net.Listener, server *http.Server) func(context.Context) error {
+// serveHTTP serves until the context ends, and then lets the requests in flight end. Drained,
+// if not nil, returns when there are none.
+func serveHTTP(l net.Listener, server *http.Server, drained func(context.Context) error) func(context.Context) error {
 	return func(ctx context.Context) error {
 		ended := make(chan error, 1)
 		stop := context.AfterFunc(ctx, func() {
-			bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownLimit)
-			defer cancel()
-			ended <- server.Shutdown(bounded)
+			ended <- shutDown(context.WithoutCancel(ctx), server, drained)
 		})
 		defer stop()
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -99,3 +100,25 @@
 		return <-ended
 	}
 }
+
+// shutDown ends a server without cutting a request. net/http waits 5 s for a connection on
+// which no request has come yet, such as one that a balancer holds in reserve, so after a
+// short grace only the requests are waited for.
+func shutDown(ctx context.Context, server *http.Server, drained func(context.Context) error) error {
+	grace, cancel := context.WithTimeout(ctx, shutdownGrace)
+	defer cancel()
+	err := server.Shutdown(grace)
+	if err == nil {
+		return nil
+	}
+	if drained != nil {
+		limit, cancel := context.WithTimeout(ctx, shutdownLimit)
+		defer cancel()
+		err = drained(limit)
+	}
+	if !errors.Is(err, context.DeadlineExceeded) || drained == nil {
+		err = nil
+	}
+	_ = server.Close()
+	return err
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -166,6 +166,9 @@
 // Ready reports whether the balancer should send callers here.
 func (f *Front) Ready() bool { return !f.draining.Load() }
 
+// Refuse makes Ready report false. Requests are served as before.
+func (f *Front) Refuse() { f.draining.Store(true) }
+
 // Drain refuses readiness and returns when no request is in flight, or with the context's
 // error. Requests that still come are served: the balancer's view lags.
 func (f *Front) Drain(ctx context.Context) error {
--- a/internal/proof/site_test.go
+++ b/internal/proof/site_test.go
@@ -47,7 +47,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	program = filepath.Join(dir, "mustardring")
 	build := exec.Command("go", "build", "-o", program, "example.org/mustardring/cmd/mustardring")
 	build.Stderr = os.Stderr
