Say unknown when an earlier try may have run

Before: TestRetryAfterDoubtIsNotCalledNotRun not-run; after: unknown. Ruled out: the server's own outcome header. Conclusion: doubt stays with the request.

--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -39,6 +39,7 @@
 		f.meters.silent.Add(1)
 	}
 	if _, again := decision.(policy.Retry); again {
+		j.doubt = j.doubt || fault != policy.NotSent
 		j.fresh = errors.Is(err, upstr.ErrSilent)
 		return nil, true
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -57,7 +57,7 @@
 	deadline policy.Time
 	// body is set when the request's service is known.
 	body *body
-	// doubt says that an earlier sending of the request by this instance may run.
+	// doubt says that an earlier sending or try of the request by this instance may have run.
 	doubt bool
 	// moves counts how often the request was looked up anew at this instance.
 	moves int
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -32,6 +32,10 @@
 	defer q.free()
 	defer f.serveSpan(w, q)()
 	if no := f.route(w, q); no != nil {
+		if q.doubt && no.ranNot() {
+			// The last try did not run, but one before it may have.
+			no.outcome, no.unsent = caller.Unknown, false
+		}
 		no.service = q.service
 		f.meters.refusals.Add(string(no.reason), 1)
 		refuse(w, q.id, no)
