Add restarts of every server in turn to the proofs

Cause: a restarted voter counts no more in its leader's term, so restarts might cost a domain its majority.

--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -61,6 +61,14 @@
 				}
 			}
 		},
+		"every server of a domain restarted in turn": func(s *site, f *traffic) {
+			for k := 1; k <= 3; k++ {
+				s.fault(s.at(1, 100+k, 8000), stand.ServerFault{Crash: true, RestartMillis: 200})
+				f.flow()
+				time.Sleep(3 * time.Second)
+				f.flow()
+			}
+		},
 		"log loses answers": func(s *site, f *traffic) {
 			s.faultLog(stand.LogFault{LoseAnswers: 20})
 			s.kill(instance(1, s.leader(1)))
