--- a/internal/leader/chaos_test.go
+++ b/internal/leader/chaos_test.go
@@ -255,6 +255,63 @@
 	return fmt.Sprintf("(%d instances, %d checking, %d unchecked)", w.layout.instances, w.layout.checking, w.layout.unchecked)
 }
 
+// changeVoters takes one voter away by a bundle and gives it back by the next. Instances learn
+// of each at different times, but of the second only when all have the first.
+func (w *world) changeVoters() {
+	out := w.servers[w.random.IntN(len(w.servers))].name
+	versions := map[Time]func(string) bool{
+		3000 * ms: func(server string) bool { return server != out },
+		6000 * ms: func(string) bool { return true },
+	}
+	for _, n := range w.instances {
+		for _, at := range []Time{3000 * ms, 6000 * ms} {
+			voters := versions[at]
+			w.at(at+Time(w.random.Int64N(int64(2000*ms))), func() { n.revote(voters) })
+		}
+	}
+}
+
+// revote gives an instance a bundle with other voters. It stays over a restart.
+func (n *simInstance) revote(voters func(string) bool) {
+	n.voters = voters
+	life := n.life
+	n.w.deliver(n.name, func() {
+		if n.life == life {
+			n.event(Configured{Version: 1, Services: n.services()})
+		}
+	})
+}
+
+// services is the configuration as this instance has it.
+func (n *simInstance) services() []Service {
+	services := n.w.services()
+	if n.voters == nil {
+		return services
+	}
+	for i := range services[0].Servers {
+		s := &services[0].Servers[i]
+		s.Votes = s.Votes && n.voters(s.Name)
+	}
+	return services
+}
+
+// A bundle changes one voter while instances fail and learn of it one after another. Two
+// leaders by two bundles must still meet in a voter.
+func TestRandomSchedulesWithChangingVoters(t *testing.T) {
+	is := is.New(t)
+	for seed := uint64(1); seed <= 80; seed++ {
+		l := randomLayout(seed)
+		l.checking = max(l.checking, 2)
+		w := newWorld(seed, l, "")
+		w.changeVoters()
+		w.runSchedule()
+		if w.failure != "" {
+			t.Logf("seed %d: %s", seed, w.failure)
+		}
+		is.Equal(w.failure, "")
+	}
+}
+
 // TestRandomSchedules is the proof of single ownership under two and three faults together:
 // messages late, lost, doubled and out of order, processes paused, lost and restarted, cuts
 // in one and both directions, outages of the log and lost answers, clocks that differ.
--- a/internal/leader/instance_test.go
+++ b/internal/leader/instance_test.go
@@ -20,6 +20,8 @@
 	table   *route.Table
 	pending map[string]record.Record
 	stopped bool
+	// voters says which checking servers vote by the bundle that this instance has.
+	voters func(string) bool
 }
 
 const (
@@ -49,7 +51,7 @@
 	n.pending = make(map[string]record.Record)
 	n.w.starting = n
 	n.core = New(config, n.w.layout.placer(n.w))
-	n.event(Configured{Version: 1, Services: n.w.services()})
+	n.event(Configured{Version: 1, Services: n.services()})
 	life := n.life
 	n.every(life, tickPeriod, func() { n.event(Ticked{}) })
 	n.every(life, Time(config.Heartbeat), n.heartbeat)
