--- a/internal/cmds/bundlelog_test.go
+++ b/internal/cmds/bundlelog_test.go
@@ -52,6 +52,8 @@
 			is.NoErr(err)
 			if tt.checkpoint {
 				d.addCheckpoint(signers)
+				_, err := d.publish(d.file(2, "two.json", nil), "ana", false)
+				is.NoErr(err)
 			}
 			l := newBundleLog(&forgetful{fakeLog: d.log, oldest: 2}, signers)
 			is.NoErr(l.catchUp(t.Context(), 0))
--- a/pkg/bundle/delta_test.go
+++ b/pkg/bundle/delta_test.go
@@ -1,6 +1,7 @@
 package bundle_test
 
 import (
+	"crypto/ed25519"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -155,6 +156,49 @@
 	is.True(errors.Is(err, bundle.ErrSigner))
 }
 
+// All three signers are tricked into a release that goes back, or into one that is not valid.
+// Instances must not follow.
+func TestUpdateRefusesWhatSignersShouldNotHaveSigned(t *testing.T) {
+	tests := map[string]struct {
+		next *bundle.Bundle
+		want error
+	}{
+		"older version": {next: sample(1), want: bundle.ErrStep},
+		"not valid":     {next: &bundle.Bundle{Format: 1, Version: 3, Follows: 2}, want: bundle.ErrInvalid},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			held := hold(t, prove(t, sample(2), bundle.Proof{}))
+			signed := force(t, tt.next)
+			approval, err := bundle.Approve(signed.Statement, "cene", keyOf("cene"))
+			is.NoErr(err)
+			roll, err := bundle.Roll(signed.Statement, 2, "dora", keyOf("dora"))
+			is.NoErr(err)
+			u, err := bundle.NewUpdate(held, bundle.Held{Proof: bundle.Proof{Signed: signed, Approval: approval, Roll: roll}, Bundle: tt.next})
+			is.NoErr(err)
+			_, err = u.Apply(held, crew())
+			is.True(errors.Is(err, tt.want))
+		})
+	}
+}
+
+// force signs a bundle as its publisher without validating it.
+func force(t *testing.T, b *bundle.Bundle) bundle.Signed {
+	t.Helper()
+	is := is.New(t)
+	canonical, err := b.Canonical()
+	is.NoErr(err)
+	signers, err := bundle.HashSigners(b.Signers)
+	is.NoErr(err)
+	st := bundle.Statement{
+		Role: bundle.RolePublish, Version: b.Version, Follows: b.Follows,
+		Hash: bundle.Hash(canonical), Signers: signers, Signer: "ana",
+	}
+	st.Signature = ed25519.Sign(keyOf("ana"), st.Text())
+	return bundle.Signed{Canonical: canonical, Statement: st}
+}
+
 // Updates carry no chain of signers; the receiver makes it, also when the signers change.
 func TestUpdateThroughRotations(t *testing.T) {
 	is := is.New(t)
--- a/pkg/bundle/proof_test.go
+++ b/pkg/bundle/proof_test.go
@@ -88,6 +88,9 @@
 	is.True(err != nil) // the anchors are too old
 	_, err = last.Verify(step(2))
 	is.NoErr(err)
+	last.Chain = append([]bundle.Link{proofs[3].Chain[1]}, last.Chain...)
+	_, err = last.Verify(step(1))
+	is.True(errors.Is(err, bundle.ErrChain)) // it would hold, but is too long
 }
 
 // Keys of two generations are stolen. A chain that goes from the newer back to the older one
