--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,15 +3,18 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
+	"expvar"
 	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/trace"
 
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/duty"
@@ -57,8 +60,8 @@
 	Logger *log.Logger
 	// Incarnation differs between all processes that ever ran under the instance's name.
 	Incarnation uint64
-	// Now is the wall clock.
-	Now func() time.Time
+	// Tracer makes a span for each hop of a request. Nil means none.
+	Tracer trace.Tracer
 }
 
 // Entry is an entry instance.
@@ -72,6 +75,8 @@
 	peers   *peers
 	holders *holders
 	witness *witness
+	gained  *gains
+	lease   *gateClock
 	meter   *meter.Control
 	loads   *loads
 	reports *reports
@@ -79,9 +84,11 @@
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
 
-	events  chan event
-	sends   chan leader.Send
-	appends chan leader.Append
+	events        chan event
+	sends         chan leader.Send
+	appends       chan leader.Append
+	callerServer  *http.Server
+	forwardServer *http.Server
 	// coreView is the core's newest statement about itself, for heartbeats.
 	coreView coreView
 }
@@ -103,23 +110,28 @@
 	e.holders = newHolders(d.Incarnation, e.clock)
 	e.loads = newLoads(time.Now())
 	e.reports = newReports()
-	e.witness = newWitness(e.peers, d.Logger)
+	e.gained = newGains()
+	e.lease = &gateClock{}
+	e.witness = newWitness(e.peers, e.gained, e.state, d.Logger)
 	f, err := front.New(front.Deps{
 		Instance:      d.Settings.Name,
 		Domain:        d.Settings.Domain,
 		Finder:        e.state.directory,
-		Right:         right{state: e.state, holders: e.holders},
+		Right:         right{state: e.state, holders: e.holders, lease: e.lease, now: e.now},
 		Witness:       e.witness,
 		Ran:           e.ran,
 		Home:          e.state.directory.FindHome,
 		Forward:       newForwardTransport(d.TLS),
 		ForwardScheme: "https",
+		Tracer:        d.Tracer,
 		Log:           d.Logger,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	e.front = f
+	e.callerServer = newServer(f.Callers())
+	e.forwardServer = newServer(f.Forwards())
 	return e, nil
 }
 
@@ -128,6 +140,11 @@
 	return e.meter
 }
 
+// Requests returns the counters of the request path.
+func (e *Entry) Requests() expvar.Var {
+	return e.front.Vars()
+}
+
 // now reads the monotonic clock of the cores.
 func (e *Entry) now() leader.Time {
 	return leader.Time(time.Since(e.origin))
@@ -162,20 +179,41 @@
 		return err
 	}
 	group := duty.New(context.WithoutCancel(ctx), maxDuties)
+	doors := duty.New(context.WithoutCancel(ctx), maxDuties)
 	e.start(group, listeners)
+	e.open(doors, listeners)
 	e.deps.Logger.Info("started", "instance", e.deps.Settings.Name, "domain", e.deps.Settings.Domain,
 		"incarnation", e.deps.Incarnation, "callers", e.deps.Settings.CallerAddress)
 	select {
 	case end := <-group.Ends():
+		_ = doors.Wait(0)
 		_ = group.Wait(1)
 		return fmt.Errorf("%w: %s: %w", ErrDuty, end.Name, end.Err)
+	case end := <-doors.Ends():
+		_ = doors.Wait(1)
+		_ = group.Wait(0)
+		return fmt.Errorf("%w: %s: %w", ErrDuty, end.Name, end.Err)
 	case <-ctx.Done():
 	}
 	drained := e.drain()
-	if err := group.Wait(0); err != nil {
-		return err
-	}
-	return drained
+	closed := doors.Wait(0)
+	return cmp.Or(drained, closed, group.Wait(0))
+}
+
+// open starts the duties by which requests come in. They end before the others, which serve
+// the requests that are still in flight.
+func (e *Entry) open(group *duty.Group, l *listeners) {
+	group.Go("caller-http", e.serveCallers(l.caller))
+	group.Go("forward-http", e.serveForwards(l.forward))
+}
+
+// balancerTime is for how long a stopping instance goes on serving, so that the balancer and
+// the other instances have turned away before it closes its addresses.
+const balancerTime = 500 * time.Millisecond
+
+func (e *Entry) balancerLag(ctx context.Context) {
+	e.front.Refuse()
+	pause(ctx, balancerTime)
 }
 
 func (e *Entry) start(group *duty.Group, l *listeners) {
@@ -187,8 +225,6 @@
 	group.Go("witness", e.witness.run)
 	group.Go("loads", e.runLoads)
 	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
-	group.Go("caller-http", e.serveCallers(l.caller))
-	group.Go("forward-http", e.serveForwards(l.forward))
 	group.Go("operator-http", e.serveOperators(l.operator))
 }
 
@@ -202,6 +238,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	e.announceStop(ctx)
+	// From here on each answer asks its caller to connect anew, elsewhere: a caller whose kept
+	// connection is closed cannot tell whether the request that it just wrote was read.
+	e.callerServer.SetKeepAlivesEnabled(false)
+	e.forwardServer.SetKeepAlivesEnabled(false)
+	e.balancerLag(ctx)
 	if err := e.front.Drain(ctx); err != nil {
 		return fmt.Errorf("%w: %w", ErrDrain, err)
 	}
--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -20,6 +20,13 @@
 func (j *job) unanswered(slot policy.Slot, t route.Target, err error) (*refusal, bool) {
 	f := j.front
 	f.deps.Log.Warn("no answer", "request", j.id, "service", j.request.service, "server", slot.Server, "error", err)
+	if errors.Is(err, errNoRight) {
+		j.service.forget(j.policy)
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: ReasonNoRight, outcome: caller.NotRun,
+			detail: err.Error(), server: slot.Server, retry: retrySoon,
+		}, false
+	}
 	fault := faultOf(err)
 	if fault == policy.Lost {
 		j.blame(t, slot)
@@ -28,7 +35,11 @@
 		j.policy.Replayable = false
 	}
 	decision := j.service.failed(j.policy, slot, fault)
+	if errors.Is(err, upstr.ErrSilent) {
+		f.meters.silent.Add(1)
+	}
 	if _, again := decision.(policy.Retry); again {
+		j.doubt = j.doubt || fault != policy.NotSent
 		j.fresh = errors.Is(err, upstr.ErrSilent)
 		return nil, true
 	}
@@ -76,6 +87,7 @@
 		defer cancel()
 		died := server.Died(ctx, lostAt)
 		if died {
+			j.front.meters.lost.Add(1)
 			j.front.deps.Log.Warn("server lost", "service", j.service.name, "server", slot.Server, "request", j.id, "print", print)
 		}
 		j.service.settle(print, slot.Server, died)
@@ -121,6 +133,18 @@
 
 // The calls of the policy core, each under the service's lock.
 
+func (s *service) earn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Earn()
+}
+
+func (s *service) spend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Spend()
+}
+
 func (s *service) suspicious() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -12,6 +14,9 @@
 	"example.org/mustardring/pkg/grant"
 )
 
+// errNoRight is wrapped by errors of a Right.
+var errNoRight = errors.New("front: no right to the server")
+
 // job is a request at its gate.
 type job struct {
 	*request
@@ -29,29 +34,30 @@
 func (f *Front) run(w http.ResponseWriter, q *request, d route.Here) *refusal {
 	j := &job{request: q, front: f, service: f.service(d.Service.Name), dest: d}
 	if err := j.body.hold(w, q.ContentLength, f.at(q.deadline)); err != nil {
-		return failed(q, unreached(q), err)
+		return unsent(failed(q, unreached(q), err))
 	}
 	j.policy = &policy.Request{
 		Ticket: policy.Ticket(f.tickets.Add(1)), Pool: poolOf(d), Hash: q.hash, Caller: q.caller,
 		Deadline: q.deadline, Idempotent: q.idempotent, Replayable: j.body.whole,
 	}
 	if q.once() {
-		if no := j.remember(w); no != nil {
+		if no, ended := j.remember(w); ended {
 			return no
 		}
 	} else if j.service.suspicious() {
 		j.print()
 	}
 	no := j.tries(w)
-	if no != nil {
-		j.tellEnd(no.outcome, 0)
+	if no != nil && no.ranNot() {
+		j.tellEnd(caller.NotRun, 0)
 	}
 	return no
 }
 
 // remember asks the memory about a request that must not run twice, and makes sure that the
-// loss of this instance does not lose that it was sent.
-func (j *job) remember(w http.ResponseWriter) *refusal {
+// loss of this instance does not lose that it was sent. It returns true when the request has
+// its answer, with the refusal if that is not yet written.
+func (j *job) remember(w http.ResponseWriter) (*refusal, bool) {
 	scope := ""
 	if j.dest.Service.Divided {
 		scope = j.key
@@ -63,15 +69,16 @@
 	if err := j.service.recall(j.Context(), j.hash, server, epoch); err != nil {
 		j.front.deps.Log.Warn("recall failed", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
-			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), retry: retrySoon,
-		}
+			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), unsent: true,
+			retry: retrySoon,
+		}, true
 	}
 	known := j.service.recollect(j.policy)
 	if _, fresh := known.(policy.Fresh); !fresh {
-		return j.answerKnown(w, known)
+		return j.answerKnown(w, known), true
 	}
 	if j.witness != "" && j.witness != j.front.deps.Instance || j.front.deps.Witness == nil {
-		return nil
+		return nil, false
 	}
 	ctx, cancel := context.WithDeadline(j.Context(), j.front.at(j.deadline))
 	defer cancel()
@@ -80,10 +87,10 @@
 		j.front.deps.Log.Warn("no witness", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: ReasonNoWitness, outcome: caller.NotRun, retry: retrySoon,
-		}
+		}, true
 	}
 	j.told = true
-	return nil
+	return nil, false
 }
 
 // owner returns the server and epoch for which the memory must be complete.
@@ -117,7 +124,9 @@
 
 // answerKnown answers a resend from memory.
 func (j *job) answerKnown(w http.ResponseWriter, known policy.Recollection) *refusal {
-	no := &refusal{status: http.StatusConflict, outcome: caller.Unknown, reason: policy.ReasonInProgress, retry: retrySoon}
+	no := &refusal{
+		status: http.StatusConflict, outcome: caller.Unknown, unsent: true, reason: policy.ReasonInProgress, retry: retrySoon,
+	}
 	switch k := known.(type) {
 	case policy.Finished:
 		if k.Kept != nil {
@@ -131,6 +140,7 @@
 		no.status, no.reason, no.outcome = http.StatusServiceUnavailable, policy.ReasonMemoryFull, caller.NotRun
 	case policy.Doubtful, policy.Fresh:
 	}
+	j.front.meters.resent.Add(1)
 	return no
 }
 
@@ -160,6 +170,7 @@
 		if !again {
 			return no
 		}
+		j.front.meters.retried.Add(1)
 		j.body.rewind()
 	}
 }
@@ -212,20 +223,17 @@
 // true when the request is to be tried once more.
 func (j *job) try(w http.ResponseWriter, t route.Target) (*refusal, bool) {
 	f, server := j.front, t.Server.Name
-	if !t.Server.ChecksGrants && f.deps.Right != nil {
-		if err := f.deps.Right.Check(j.request.service, server, j.hash); err != nil {
-			j.service.withdraw(j.policy, server)
-			return &refusal{
-				status: http.StatusServiceUnavailable, reason: ReasonNoRight, outcome: caller.NotRun,
-				detail: err.Error(), server: server, retry: retrySoon,
-			}, false
-		}
-	}
 	slot := j.service.held(j.policy, server)
 	began := f.now()
-	response, err := j.service.connections(t.Server).Send(j.outgoing(t), upstr.Order{
-		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh,
+	out := j.outgoing(t)
+	defer f.nextSpan(j.Context(), spanSend, server, out.Header)()
+	var work Work
+	response, err := j.service.connections(t.Server).Send(out, upstr.Order{
+		Deadline: f.at(j.deadline), InMemory: j.body.whole, Fresh: j.fresh, Permit: j.permit(t, &work),
 		Done: func(sent bool) {
+			if work != nil {
+				work.End()
+			}
 			ran := time.Duration(f.now() - began)
 			if !sent {
 				ran = 0
@@ -247,13 +255,38 @@
 	return no, again
 }
 
+// permit returns the check of this instance's right as the gate of a server, which keeps the
+// work that begins.
+//
+// It guards against sending after the right was lost, which the server may not notice: two
+// gates would then send to two servers for one key, or run one request twice. It is called
+// when the connection is there, as opening one may take long.
+func (j *job) permit(t route.Target, work *Work) func() error {
+	if j.front.deps.Right == nil {
+		return nil
+	}
+	return func() error {
+		begun, err := j.front.deps.Right.Begin(Approach{
+			Service:    j.request.service,
+			Server:     t.Server.Name,
+			Hash:       j.hash,
+			Checks:     t.Server.ChecksGrants,
+			Idempotent: j.idempotent,
+		})
+		if err != nil {
+			return fmt.Errorf("%w: %w", errNoRight, err)
+		}
+		*work = begun
+		return nil
+	}
+}
+
 // outgoing returns the request as the server gets it.
 func (j *job) outgoing(t route.Target) *http.Request {
 	out := j.front.outgoing(j.Context(), j.request)
 	setPath(out.URL, j.rest)
-	out.Header.Set(caller.HeaderRequest, j.id)
 	if !t.Epoch.IsZero() {
-		out.Header.Set(caller.HeaderEpoch, epochText(t.Epoch))
+		out.Header[caller.HeaderEpoch] = j.service.epochOf(t)
 	}
 	return out
 }
--- a/internal/leader/world_test.go
+++ b/internal/leader/world_test.go
@@ -33,6 +33,13 @@
 	runs      []run
 	cuts      map[[2]string]Time
 	slow      map[string]Time
+	// starting is the instance that is being started; processes are incarnations to compare.
+	starting  *simInstance
+	processes map[string]uint64
+	// marked is when a script began.
+	marked Time
+	// late, if set, returns by how much a message is late besides.
+	late func(from, to string) Time
 	// pace is the longest time between two faults.
 	pace   Time
 	hashes []uint64
@@ -43,7 +50,10 @@
 	failure  string
 	messages int
 	bytes    int
-	observe  func(at Time)
+	// count says that bytes are counted too.
+	count        bool
+	lastExchange grant.Exchange
+	observe      func(at Time)
 	// trace, if set, gets a line for each step of interest.
 	trace func(line string)
 }
@@ -55,8 +65,12 @@
 	unchecked int
 	leaving   string
 	isolation string
+	// voters says which servers vote; nil means those that check.
+	voters func(server string) bool
 	// drift bounds how many thousandths a clock is fast or slow.
-	drift  int
+	drift int
+	// rash lets followers begin terms without a survey, which is for liveness only.
+	rash   bool
 	placer func(w *world) place.Placer
 	config func(c *Config)
 }
@@ -72,8 +86,10 @@
 	holders     map[string]*simHolder
 }
 
-// run is a request that runs at a server without a check of its own.
+// run is a request that a gate sent to a server without a check of its own. It runs on when
+// the gate is lost.
 type run struct {
+	gate   *simHolder
 	server string
 	hash   uint64
 	until  Time
@@ -213,12 +229,15 @@
 		}
 	}
 	for range copies {
-		w.after(w.delay()+w.lag(to), func() { w.deliver(to, deliver) })
+		w.after(w.delay()+w.lag(from, to), func() { w.deliver(to, deliver) })
 	}
 }
 
 // lag returns by how much messages to a machine are late just now.
-func (w *world) lag(to string) Time {
+func (w *world) lag(from, to string) Time {
+	if w.late != nil {
+		return w.late(from, to)
+	}
 	if w.slow[to] > w.now {
 		return 300*ms + Time(w.random.Int64N(int64(600*ms)))
 	}
@@ -267,7 +286,7 @@
 	for i, m := range w.servers {
 		checks := i < w.layout.checking
 		s.Servers = append(s.Servers, Server{
-			Name: m.name, Checks: checks, Votes: checks, Slots: 2, Leaving: m.name == w.layout.leaving,
+			Name: m.name, Checks: checks, Votes: w.votes(m.name, checks), Slots: 2, Leaving: m.name == w.layout.leaving,
 		})
 	}
 	if w.layout.checking == 0 {
@@ -278,9 +297,17 @@
 	return []Service{s}
 }
 
+func (w *world) votes(server string, checks bool) bool {
+	if w.layout.voters != nil {
+		return w.layout.voters(server)
+	}
+	return checks
+}
+
 // owners returns the names of the servers that now may act on a hash.
 func (w *world) owners(hash uint64) []string {
 	var names []string
+	var gates []*simHolder
 	for _, m := range w.ordered() {
 		if m.down {
 			continue
@@ -288,12 +315,14 @@
 		for _, name := range slices.Sorted(mapKeys(m.holders)) {
 			if m.holders[name].owns(hash) {
 				names = append(names, name+"@"+m.name)
+				gates = append(gates, m.holders[name])
 			}
 		}
 	}
 	for _, r := range w.runs {
-		if r.hash == hash && r.until > w.now && !slices.ContainsFunc(names, func(n string) bool { return n[:len(r.server)] == r.server }) {
+		if r.hash == hash && r.until > w.now && !slices.Contains(gates, r.gate) {
 			names = append(names, r.server+"(request)")
+			gates = append(gates, r.gate)
 		}
 	}
 	return names
@@ -316,57 +345,6 @@
 	}
 }
 
-// request starts a request for a random hash at its present owner, if there is one.
-func (w *world) request() {
-	hash := w.hashes[w.random.IntN(len(w.hashes))]
-	for _, m := range w.ordered() {
-		if m.down || m.pausedTo > w.now {
-			continue
-		}
-		for _, name := range slices.Sorted(mapKeys(m.holders)) {
-			work, err := m.holders[name].real.Begin(hash)
-			if err == nil {
-				w.work(m, name, hash, work)
-				return
-			}
-		}
-	}
-}
-
-func (w *world) work(m *machine, server string, hash uint64, work *grant.Work) {
-	takes := 1 + Time(w.random.Int64N(int64(longestRequest)))
-	if m.name == server {
-		process := m.incarnation
-		w.after(takes, func() { w.effect(m, process, hash, work) })
-		return
-	}
-	if w.random.IntN(10) == 0 {
-		takes += Time(w.random.Int64N(int64(550 * ms)))
-	}
-	w.runs = slices.DeleteFunc(w.runs, func(r run) bool { return r.until <= w.now })
-	w.runs = append(w.runs, run{server: server, hash: hash, until: w.now + takes})
-	w.after(takes, work.End)
-}
-
-// effect lets a request that ran at a checking server take effect, if the check allows it.
-func (w *world) effect(m *machine, process uint64, hash uint64, work *grant.Work) {
-	if m.down || m.incarnation != process {
-		return
-	}
-	if m.pausedTo > w.now {
-		w.at(m.pausedTo, func() { w.effect(m, process, hash, work) })
-		return
-	}
-	if work.Check() == nil || w.guard == mutLateWork {
-		for _, name := range w.owners(hash) {
-			if name != m.name+"@"+m.name {
-				w.fail("request at %s took effect on %016x of %s", m.name, hash, name)
-			}
-		}
-	}
-	work.End()
-}
-
 func mapKeys[V any](m map[string]V) func(yield func(string) bool) {
 	return func(yield func(string) bool) {
 		for k := range m {
--- a/internal/upstr/server.go
+++ b/internal/upstr/server.go
@@ -124,26 +124,41 @@
 	InMemory bool
 	// Fresh asks for a new connection.
 	Fresh bool
+	// Permit, if not nil, is called when a connection is there, immediately before the first
+	// byte is written. Its error ends the request unsent.
+	Permit func() error
 	// Done is called once, in any case, when the server is done with the request or known to
 	// have dropped it: only then its slot is free. Sent says whether bytes may have left.
 	Done func(sent bool)
 }
 
+func (o *Order) permitted() error {
+	if o.Permit == nil {
+		return nil
+	}
+	return o.Permit()
+}
+
 // Send sends a request and returns when the head of the answer is there. The request's
 // context cancels it at any time. Its answer's body must be closed. Errors wrap ErrNotSent or
 // ErrInDoubt.
 func (s *Server) Send(r *http.Request, o Order) (*http.Response, error) {
-	s.watch.start()
+	s.watch.start(r.Context())
 	c, err := s.get(r.Context(), o)
 	if err != nil {
 		o.Done(false)
 		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, s.settings.Name, err)
 	}
+	if err := o.permitted(); err != nil {
+		s.put(c)
+		o.Done(false)
+		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, s.settings.Name, err)
+	}
 	out := &sending{
 		serial: s.serial.Add(1), request: r, began: time.Now(),
 		deadline: o.Deadline, until: o.Deadline.Add(dropGrace), done: o.Done,
 	}
-	c.begin(out.serial, o.Deadline)
+	c.begin(out.serial, out.writeDeadline(o))
 	out.stop = context.AfterFunc(r.Context(), func() { c.interrupt(out.serial) })
 	if err := out.write(c, o.InMemory); err != nil {
 		return nil, s.giveUp(out, c, err)
@@ -224,7 +239,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) < idleTimeout && quiet(c.Conn) {
+		if time.Since(c.idleSince) < idleTimeout && c.peeker.quiet() {
 			c.reused = true
 			return c, nil
 		}
