--- a/internal/proof/site_test.go
+++ b/internal/proof/site_test.go
@@ -68,9 +68,19 @@
 	bundle    *bundle.Bundle
 	log       *logcl.Client
 	processes map[string]*exec.Cmd
+	// logOf is the base URL at which the instances of a domain find the log.
+	logOf [2]string
 }
 
 func startSite(t *testing.T, network int) *site {
+	t.Helper()
+	s := prepareSite(t, network)
+	s.launch()
+	return s
+}
+
+// prepareSite makes the keys and the bundle of a site.
+func prepareSite(t *testing.T, network int) *site {
 	t.Helper()
 	s := &site{
 		t: t, is: is.New(t), dir: t.TempDir(), net: network,
@@ -78,6 +88,12 @@
 	}
 	s.bundle = s.newBundle()
 	s.log = logcl.New("http://"+s.at(0, 1, 7000), http.DefaultClient)
+	s.logOf = [2]string{"http://" + s.at(0, 1, 7000), "http://" + s.at(0, 1, 7000)}
+	return s
+}
+
+// launch starts the processes of a site and waits until every range is owned.
+func (s *site) launch() {
 	s.writeCerts()
 	s.writeStandIn()
 	s.start("stand-in", "stand-in", "--settings", s.path("stand-in.json"))
@@ -88,7 +104,6 @@
 	}
 	s.roll()
 	s.eventually("every range is owned", s.everyRangeOwned)
-	return s
 }
 
 func (s *site) at(domain, host, port int) string {
@@ -159,7 +174,7 @@
 		Name: name, Domain: domains[domain],
 		CallerAddress: s.at(domain+1, host, 8080), PeerAddress: s.at(domain+1, host, 9080),
 		ForwardAddress: s.at(domain+1, host, 9081), OperatorAddress: s.at(domain+1, host, 9090),
-		OperatorToken: token, LogURL: "http://" + s.at(0, 1, 7000), ListURL: "http://" + s.at(0, 1, 7001),
+		OperatorToken: token, LogURL: s.logOf[domain], ListURL: "http://" + s.at(0, 1, 7001),
 		TLS:         config.TLS{Certificate: name + ".pem", Key: name + "-key.pem", Authority: "authority.pem"},
 		Roots:       s.bundle.Signers,
 		DrainMillis: 10_000,
