Refuse resends after two instances lost their memory; hand it over at a stop

A stopping instance hands its marks to two others. Also: fresh instances of a cut-off domain take homes from neighbours and lead; package fold's Newest replaces the shell's own rule; updates travel as deltas between peers.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -81,10 +81,13 @@
 func (e *Entry) heard(ctx context.Context, r *remote, h Heartbeat) {
 	e.front.Merge(h.Blocks)
 	if h.Domain == e.deps.Settings.Domain {
+		e.losses.heard(h, time.Now())
 		e.tell(ctx, peerHeard(h))
 	}
-	view, _, _ := e.state.snapshot()
-	if view.Bundle == nil && h.BundleVersion > 0 || view.Bundle != nil && h.BundleVersion > view.Bundle.Version {
+	view, _ := e.state.snapshot()
+	newer := view.Bundle == nil && h.BundleVersion > 0 || view.Bundle != nil && h.BundleVersion > view.Bundle.Version
+	homes := h.BundleVersion > 0 && h.Domain == e.deps.Settings.Domain && e.lacksHomes()
+	if newer || homes {
 		go e.fetchProof(ctx, r)
 	}
 	if h.Domain != e.deps.Settings.Domain {
@@ -108,7 +111,7 @@
 
 // heartbeat returns what this instance says of itself now.
 func (e *Entry) heartbeat() Heartbeat {
-	view, _, stopping := e.state.snapshot()
+	view, stopping := e.state.snapshot()
 	settings := e.deps.Settings
 	h := Heartbeat{
 		Name:           settings.Name,
@@ -143,6 +146,7 @@
 	peer.Register(m, methodExchange, e.handleExchange)
 	peer.Register(m, methodLoads, e.handleLoads)
 	peer.Register(m, methodMark, e.handleMark)
+	peer.Register(m, methodMarks, e.handleMarks)
 	peer.Register(m, methodRecall, e.handleRecall)
 	return m
 }
@@ -155,6 +159,9 @@
 		ForwardAddress: h.ForwardAddress,
 	})
 	e.front.Merge(h.Blocks)
+	if h.Domain == e.deps.Settings.Domain {
+		e.losses.heard(h, time.Now())
+	}
 	if h.Domain == e.deps.Settings.Domain && (h.Leading || h.Stopping) {
 		e.tell(ctx, peerHeard(h))
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,7 @@
 	holders *holders
 	witness *witness
 	gained  *gains
+	losses  *losses
 	lease   *gateClock
 	meter   *meter.Control
 	loads   *loads
@@ -83,6 +84,8 @@
 	front   *front.Front
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
+	// copied are the homes that another instance of the domain has read, or nil.
+	copied atomic.Pointer[[]fold.Taken]
 
 	events        chan event
 	sends         chan leader.Send
@@ -112,7 +115,8 @@
 	e.reports = newReports()
 	e.gained = newGains()
 	e.lease = &gateClock{}
-	e.witness = newWitness(e.peers, e.gained, e.state, d.Logger)
+	e.losses = newLosses()
+	e.witness = newWitness(e.peers, e.gained, e.losses, e.state, d.Logger)
 	f, err := front.New(front.Deps{
 		Instance:      d.Settings.Name,
 		Domain:        d.Settings.Domain,
@@ -246,6 +250,7 @@
 	if err := e.front.Drain(ctx); err != nil {
 		return fmt.Errorf("%w: %w", ErrDrain, err)
 	}
+	e.handOver(ctx)
 	e.deps.Logger.Info("drained", "instance", e.deps.Settings.Name)
 	return nil
 }
--- a/internal/entry/logduty.go
+++ b/internal/entry/logduty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -226,7 +225,9 @@
 	e := d.entry
 	view := d.reader.State().Snapshot()
 	e.folded.Store(view)
-	e.enforce(ctx, view.InForce, view.Proof)
+	if e.state.follow(view) {
+		e.enforced(ctx)
+	}
 	domain := e.deps.Settings.Domain
 	e.tell(ctx, logRead{state: view})
 	e.tell(ctx, leader.Folded{
@@ -240,17 +241,13 @@
 // restore appends the bundle in force to a log that lacks it, because it started anew or
 // lost records. A version in force never reverts.
 func (d *logDuty) restore(ctx context.Context, view *fold.State) {
-	_, proof, _ := d.entry.state.snapshot()
-	known := uint64(0)
-	if view.InForce != nil {
-		known = view.InForce.Version
+	if d.entry.rank() > 0 || time.Now().Before(d.provenAt) {
+		return
 	}
-	if proof.Version() <= known || d.entry.rank() > 0 || time.Now().Before(d.provenAt) {
+	r, id, missing := d.entry.state.missing(view)
+	if !missing {
 		return
 	}
 	d.provenAt = time.Now().Add(provenAgain)
-	d.append(ctx, logcl.Submitted{
-		ID:     fmt.Sprintf("proven/%d/%x", proof.Version(), proof.Signed.Statement.Hash),
-		Record: record.BundleProven{Proof: proof},
-	})
+	d.append(ctx, logcl.Submitted{ID: id, Record: r})
 }
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -46,15 +46,19 @@
 	Table *route.Table `json:"table"`
 }
 
-// ProofFetch asks for the bundle in force.
-type ProofFetch struct{}
+// ProofFetch asks for the bundle in force. Have is the version that the caller holds.
+type ProofFetch struct {
+	Have uint64 `json:"have"`
+}
 
 // ProofPush hands over a bundle in force with the signatures that prove it, and the homes
 // that the instance last read. The homes count only within a failure domain, whose instances
 // authenticate each other.
 type ProofPush struct {
 	Proof bundle.Proof `json:"proof"`
-	Homes []fold.Taken `json:"homes,omitempty"`
+	// Update stands in place of Proof if the caller holds the version before.
+	Update *bundle.Update `json:"update,omitempty"`
+	Homes  []fold.Taken   `json:"homes,omitempty"`
 }
 
 // Done is the result of a call that returns nothing.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -13,7 +13,7 @@
 
 // Status implements admin.Source.
 func (e *Entry) Status() admin.Status {
-	view, _, stopping := e.state.snapshot()
+	view, stopping := e.state.snapshot()
 	s := admin.Status{
 		Instance:    e.deps.Settings.Name,
 		Domain:      e.deps.Settings.Domain,
@@ -84,7 +84,7 @@
 
 // Owner implements admin.Source.
 func (e *Entry) Owner(service, key string) (admin.Ownership, bool) {
-	view, _, _ := e.state.snapshot()
+	view, _ := e.state.snapshot()
 	if view.Bundle == nil || view.Bundle.Service(service) == nil {
 		return admin.Ownership{}, false
 	}
--- a/internal/entry/right.go
+++ b/internal/entry/right.go
@@ -40,7 +40,7 @@
 	if !a.Idempotent && r.now() >= r.lease.until() {
 		return nil, errGateLapsed
 	}
-	view, _, _ := r.state.snapshot()
+	view, _ := r.state.snapshot()
 	if a.Checks || !divided(view, a.Service) {
 		return noWork{}, nil
 	}
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 
+	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/route"
@@ -37,31 +39,53 @@
 	}
 }
 
-func (e *Entry) handleProof(context.Context, ProofFetch) (ProofPush, error) {
-	_, proof, _ := e.state.snapshot()
-	push := ProofPush{Proof: proof}
-	if state := e.folded.Load(); state != nil {
-		push.Homes = state.Homes
-	}
+func (e *Entry) handleProof(_ context.Context, f ProofFetch) (ProofPush, error) {
+	push := e.state.offer(f.Have)
+	push.Homes = e.knownHomes()
 	return push, nil
 }
 
 // fetchProof takes a newer bundle from another instance. The signatures are checked: a peer
 // is trusted no more than a stranger with the same bytes.
 func (e *Entry) fetchProof(ctx context.Context, r *remote) {
-	result, err := call[ProofFetch, ProofPush](ctx, r.client, fetchLimit, methodProof, ProofFetch{})
-	if err != nil || result.Proof.IsZero() {
-		return
+	fetch := ProofFetch{}
+	if b := e.state.bundle(); b != nil {
+		fetch.Have = b.Version
 	}
-	if err := e.learn(ctx, result.Proof); err != nil {
-		e.deps.Logger.Warn("bundle-refused", "version", result.Proof.Version(), "error", err)
+	result, err := call[ProofFetch, ProofPush](ctx, r.client, fetchLimit, methodProof, fetch)
+	if err != nil || result.Update == nil && result.Proof.IsZero() {
 		return
 	}
-	if r.Domain == e.deps.Settings.Domain {
+	switch err := e.state.learn(result); {
+	case err == nil:
+		e.enforced(ctx)
+	case !errors.Is(err, fold.ErrOlder):
+		e.deps.Logger.Warn("bundle-refused", "from", r.Name, "error", err)
+	}
+	if r.Domain == e.deps.Settings.Domain && len(result.Homes) > 0 {
+		e.copied.Store(&result.Homes)
 		e.tell(ctx, homesCopied{homes: result.Homes})
 	}
 }
 
+// knownHomes returns the homes of all domains as this instance has read them, or else as
+// another instance of its domain has.
+func (e *Entry) knownHomes() []fold.Taken {
+	if state := e.folded.Load(); state != nil {
+		return state.Homes
+	}
+	if copied := e.copied.Load(); copied != nil {
+		return *copied
+	}
+	return nil
+}
+
+// lacksHomes reports whether this instance knows of no homes yet. One that starts while its
+// domain is cut off from the log cannot lead without.
+func (e *Entry) lacksHomes() bool {
+	return len(e.knownHomes()) == 0
+}
+
 // handleExchange serves the leader's exchange with a grant that this instance holds for a
 // server which does not check grants, or with its own vote.
 func (e *Entry) handleExchange(_ context.Context, x ExchangeCall) (ExchangeResult, error) {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/record"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/bundle"
 )
@@ -14,34 +16,81 @@
 type state struct {
 	directory *route.Directory
 
-	mu       sync.Mutex
-	view     route.View
-	proof    bundle.Proof
+	mu     sync.Mutex
+	view   route.View
+	newest *fold.Newest
+	// before is the bundle that the newest one replaced at this instance.
+	before   bundle.Held
 	stopping bool
 }
 
 func newState(settings config.Run) *state {
 	return &state{
 		directory: route.NewDirectory(),
+		newest:    fold.NewNewest(settings.Roots),
 		view:      route.View{Self: settings.Name, Domain: settings.Domain},
 	}
 }
 
-// setBundle puts a bundle in force. It reports false, and does nothing, for a version that
-// is not newer: a version in force never reverts.
-func (s *state) setBundle(b *bundle.Bundle, proof bundle.Proof) bool {
+// follow takes the bundle in force by the log. It reports whether the bundle changed.
+func (s *state) follow(log *fold.State) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b == nil || s.view.Bundle != nil && s.view.Bundle.Version >= b.Version {
+	before := s.newest.Held()
+	if !s.newest.Follow(log) {
 		return false
 	}
-	s.proof = proof
-	s.view.Bundle = b
-	s.view.Homes = homesOf(b)
-	s.directory.Set(s.view)
+	s.replace(before)
 	return true
 }
 
+// learn takes a bundle that another instance handed over, as an update of the one held or
+// else as a whole proof. Only signatures count.
+func (s *state) learn(push ProofPush) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.newest.Held()
+	var err error
+	if push.Update != nil {
+		err = s.newest.Update(*push.Update)
+	} else {
+		err = s.newest.Learn(push.Proof)
+	}
+	if err != nil {
+		return err
+	}
+	s.replace(before)
+	return nil
+}
+
+// replace makes the view of a bundle that came after another one. The lock is held.
+func (s *state) replace(before bundle.Held) {
+	s.before = before
+	s.view.Bundle = s.newest.Bundle()
+	s.view.Homes = homesOf(s.view.Bundle)
+	s.directory.Set(s.view)
+}
+
+// missing returns the record that brings the bundle back into a log which lost it.
+func (s *state) missing(log *fold.State) (record.Record, string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest.Missing(log)
+}
+
+// offer returns what an instance that holds a version needs to have the newest: an update if
+// it holds the version before, the whole proof otherwise.
+func (s *state) offer(version uint64) ProofPush {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version > 0 && version == s.before.Proof.Version() {
+		if u, err := bundle.NewUpdate(s.before, s.newest.Held()); err == nil {
+			return ProofPush{Update: &u}
+		}
+	}
+	return ProofPush{Proof: s.newest.Proof()}
+}
+
 func homesOf(b *bundle.Bundle) map[string][]route.Home {
 	homes := make(map[string][]route.Home)
 	for _, service := range b.Services {
@@ -86,11 +135,11 @@
 	s.stopping = true
 }
 
-// snapshot returns the present view and proof.
-func (s *state) snapshot() (route.View, bundle.Proof, bool) {
+// snapshot returns the present view, and whether the instance is stopping.
+func (s *state) snapshot() (route.View, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.view, s.proof, s.stopping
+	return s.view, s.stopping
 }
 
 func (s *state) bundle() *bundle.Bundle {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -66,7 +66,7 @@
 	j.policy.Sending = j.sending
 	j.print()
 	server, epoch := j.owner()
-	if err := j.service.recall(j.Context(), j.hash, server, epoch); err != nil {
+	if err := j.service.recall(j.Context(), j.hash, server, epoch); err != nil && j.attempt != 1 {
 		j.front.deps.Log.Warn("recall failed", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), unsent: true,
--- a/internal/proof/cutoff_test.go
+++ b/internal/proof/cutoff_test.go
@@ -30,6 +30,21 @@
 	})
 	s.eventually("every range is owned", s.everyRangeOwned)
 	f.flow()
+	for h := 1; h <= hosts; h++ {
+		if h != leader {
+			s.kill(instance(1, h))
+		}
+	}
+	s.eventually("the new instance leads", func() bool {
+		status, answered := s.status(1, leader)
+		return answered && status.Leading && status.Owned == 1
+	})
+	for h := 1; h <= hosts; h++ {
+		if h != leader {
+			s.startInstance(1, h)
+		}
+	}
+	f.flow()
 	l.set(false)
 	s.eventually("every assignment is in the log", func() bool {
 		for h := 1; h <= hosts; h++ {
