--- a/internal/cmds/bundlelog.go
+++ b/internal/cmds/bundlelog.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -62,7 +63,7 @@
 	case err == nil:
 		return value, nil
 	case passing(last) || ctx.Err() != nil:
-		return value, &CommandError{Code: ExitUncertain, Err: fmt.Errorf("%w: %w", errNoAnswer, last)}
+		return value, &CommandError{Code: ExitUncertain, Err: fmt.Errorf("%w: %w", errNoAnswer, cmp.Or(last, err))}
 	default:
 		return value, &CommandError{Code: ExitFailed, Err: err}
 	}
