--- a/internal/cmds/bundle_test.go
+++ b/internal/cmds/bundle_test.go
@@ -180,6 +180,19 @@
 	is.True(strings.Contains(out.String(), `service "pregled": 25.00% of the keys move, the least possible is 25.00%`))
 	is.True(strings.Contains(out.String(), "from klet to podstresje: 25.00%"))
 	is.NoErr((&BundleCheckCmd{File: settled, Before: one}).run(&bytes.Buffer{}))
+	b, err := readBundle(settled)
+	is.NoErr(err)
+	is.Equal(len(b.Services[0].Homes[0].Ranges), 0) // shares in order move the least here
+	turned := d.file(2, "turned.json", func(v *bundle.Bundle) {
+		v.Services[0].Homes = []bundle.Home{{Domain: "podstresje", Share: 1}, {Domain: "klet", Share: 1}}
+	})
+	out.Reset()
+	is.NoErr((&BundlePlanCmd{Before: one, After: turned}).run(&out))
+	is.True(strings.Contains(out.String(), "100.00% of the keys move, the least possible is 0.00%"))
+	out.Reset()
+	is.NoErr((&BundlePlanCmd{Before: one, After: turned, Settle: settled}).run(&out))
+	is.True(strings.Contains(out.String(), "\"pregled\": 0.00% of the keys move, the least possible is 0.00%"))
+	is.NoErr((&BundleCheckCmd{File: settled, Before: one}).run(&bytes.Buffer{}))
 	out.Reset()
 	is.NoErr((&BundleDiffCmd{Before: one, After: two}).run(&out))
 	is.True(strings.Contains(out.String(), `service "pregled" home "podstresje": share 1 becomes 3`))
--- a/internal/cmds/bundleplan.go
+++ b/internal/cmds/bundleplan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"strings"
 	"time"
@@ -14,7 +15,8 @@
 // revoke and acknowledgement, grant, and the first request to the new owner.
 const roundTrips = 3
 
-// BundlePlanCmd says what a version will move before anything is published.
+// BundlePlanCmd says what a version will move before anything is published. With Settle it
+// speaks of the version that it writes.
 type BundlePlanCmd struct {
 	Before    string        `arg:"" type:"path" help:"File of the version in force."`
 	After     string        `arg:"" type:"path" help:"File of the planned version."`
@@ -52,16 +54,23 @@
 	return c.show(out, p)
 }
 
-// settle states ranges in the planned version and writes it.
+// settle states ranges in the planned version, where the rule does not move the least, and
+// writes it.
 func (c *BundlePlanCmd) settle(before, after *bundle.Bundle) error {
-	for i := range after.Services {
-		if homes := after.SettleHomes(before, after.Services[i].Name); homes != nil {
-			after.Services[i].Homes = homes
+	for _, m := range bundle.CompareMoves(before, after) {
+		if math.Abs(m.Between-m.LeastBetween) < leastDifference {
+			continue
+		}
+		if homes := after.SettleHomes(before, m.Service); homes != nil {
+			after.Service(m.Service).Homes = homes
 		}
 	}
 	return writeJSONFile(c.Settle, after)
 }
 
+// leastDifference is the share of the hash space below which two divisions count as equal.
+const leastDifference = 1e-9
+
 func millis(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
@@ -102,7 +111,7 @@
 	if s.Lost > 0 {
 		fmt.Fprintf(w, "  servers with %.2f%% of the keys are removed without leaving first: if they do not answer, %.0f ms\n", 100*s.Lost, s.LostServer)
 	}
-	if s.Total > s.Least+1e-9 {
+	if s.Total > s.Least+leastDifference {
 		fmt.Fprintf(w, "  plan --settle FILE writes the version with ranges that move the least\n")
 	}
 }
