--- a/internal/front/fault_test.go
+++ b/internal/front/fault_test.go
@@ -144,6 +144,24 @@
 	is.Equal(len(i.front.Blocks()), 0)
 }
 
+// The same with an idempotent request, which the gate tries again: the server closed two
+// connections and lives, and the third try is answered.
+func TestClosedConnectionIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int32
+	i := start(t, "one", nil)
+	i.finder.set(here(testService(), backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/odd" && asked.Add(1) <= 2 {
+			panic(http.ErrAbortHandler)
+		}
+	})))
+	for range 40 {
+		is.Equal(do(t, get(is, i.callers.URL+"/oddaja/even")).outcome(), caller.Ran)
+	}
+	is.Equal(do(t, get(is, i.callers.URL+"/oddaja/odd")).outcome(), caller.Ran)
+	is.Equal(asked.Load(), int32(3))
+}
+
 // Twenty callers at once, and a server with two slots. It never runs three requests.
 func TestSlotsAreExact(t *testing.T) {
 	is := is.New(t)
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,6 +66,21 @@
 	finder   *finder
 	callers  *httptest.Server
 	forwards *httptest.Server
+	// open counts the connections of callers that were taken.
+	open atomic.Int32
+}
+
+func (i *instance) count(_ net.Conn, s http.ConnState) {
+	if s == http.StateNew {
+		i.open.Add(1)
+	}
+}
+
+// awaitOpen waits until a number of connections were taken.
+func (i *instance) awaitOpen(n int32) {
+	for i.open.Load() < n {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // start returns an instance on loopback that ends with the test.
@@ -80,7 +97,9 @@
 		t.Fatal(err)
 	}
 	i.front = f
-	i.callers = httptest.NewServer(f.Callers())
+	i.callers = httptest.NewUnstartedServer(f.Callers())
+	i.callers.Config.ConnState = i.count
+	i.callers.Start()
 	i.forwards = httptest.NewServer(f.Forwards())
 	t.Cleanup(func() {
 		i.callers.Close()
--- a/internal/front/once_test.go
+++ b/internal/front/once_test.go
@@ -347,6 +347,8 @@
 type fragile struct {
 	http.RoundTripper
 	before, after atomic.Bool
+	// broke is called when the connection breaks, if not nil.
+	broke func()
 }
 
 var errBroken = errors.New("connection broken")
@@ -355,6 +357,9 @@
 	if f.before.CompareAndSwap(true, false) {
 		httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
 		_, _ = io.Copy(io.Discard, r.Body)
+		if f.broke != nil {
+			f.broke()
+		}
 		return nil, errBroken
 	}
 	response, err := f.RoundTripper.RoundTrip(r)
@@ -372,7 +377,7 @@
 	tests := map[string]struct {
 		before, after bool
 		headers       []string
-		gone          bool
+		gone, absent  bool
 		want          caller.Outcome
 		runs          int32
 	}{
@@ -381,6 +386,7 @@
 		"without an id, there":          {before: true, want: caller.Unknown},
 		"without an id, back":           {after: true, want: caller.Unknown, runs: 1},
 		"idempotent, back":              {after: true, headers: []string{caller.HeaderIdempotent, "true"}, want: caller.Unknown, runs: 1},
+		"then nobody owns the key":      {before: true, absent: true, headers: []string{caller.HeaderRequestID, "x", caller.HeaderAttempt, "1"}, want: caller.Unknown},
 		"then the gate is out of reach": {before: true, gone: true, headers: []string{caller.HeaderRequestID, "x", caller.HeaderAttempt, "1"}, want: caller.Unknown},
 	}
 	for name, tt := range tests {
@@ -396,6 +402,9 @@
 			}
 			broken.before.Store(tt.before)
 			broken.after.Store(tt.after)
+			if tt.absent {
+				broken.broke = func() { entry.finder.set(route.Absent{Reason: route.AbsentOwner}) }
+			}
 			if tt.gone {
 				gate.finder.set(route.Absent{Reason: route.AbsentOwner})
 			}
--- a/internal/upstr/server_test.go
+++ b/internal/upstr/server_test.go
@@ -284,6 +284,39 @@
 	}
 }
 
+// A server closes an idle connection, or sends something unasked on it. The next request must
+// not be lost on it, and what was sent must not become its answer.
+func TestIdleConnectionIsLookedAt(t *testing.T) {
+	tests := map[string]func(c net.Conn){
+		"closed":  func(c net.Conn) { _ = c.Close() },
+		"unasked": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstrays") },
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answered, disturbed := make(chan struct{}), make(chan struct{})
+			server := play(t, func(s *script, number int, c net.Conn, in *bufio.Reader) {
+				for s.read(in) {
+					_, _ = io.WriteString(c, ok)
+					if number == 0 {
+						<-answered
+						disturb(c)
+						close(disturbed)
+						return
+					}
+				}
+			})
+			s := connect(t, server.Addr().String(), nil)
+			is.NoErr(send(s, request(is, http.MethodPost, "text")).err)
+			close(answered)
+			<-disturbed
+			got := send(s, request(is, http.MethodPost, "text"))
+			is.NoErr(got.err)
+			is.Equal(got.text, "ok")
+		})
+	}
+}
+
 // A request's connection ends without an answer. When all others live, the server only
 // disliked the request; when they end as well, its process did.
 func TestDeathIsToldFromACut(t *testing.T) {
