--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -158,7 +158,8 @@
 		text, _ := r.sending.MarshalText()
 		out.Header.Set(caller.HeaderSending, string(text))
 	}
-	if r.mark != nil {
+	if r.mark != nil && r.dest.Domain == r.front.deps.Domain {
+		// A new gate asks only the instances of its own domain what they remember.
 		out.Header.Set(caller.HeaderWitness, r.front.deps.Instance)
 	}
 	r.front.meters.forwarded.Add(1)
--- a/internal/front/refuse.go
+++ b/internal/front/refuse.go
@@ -85,6 +85,9 @@
 	}
 	h.Set("Content-Type", caller.ContentTypeProblem)
 	h.Set("Cache-Control", "no-store")
+	if r.unsent {
+		h.Set(caller.HeaderUnsent, "true")
+	}
 	if r.retry > 0 {
 		seconds := (r.retry + time.Second - 1) / time.Second
 		h.Set("Retry-After", strconv.Itoa(int(seconds)))
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -60,13 +61,22 @@
 				}
 			}
 		},
+		"every server of a domain restarted in turn": func(s *site, f *traffic) {
+			for k := 1; k <= 3; k++ {
+				s.fault(s.at(1, 100+k, 8000), stand.ServerFault{Crash: true, RestartMillis: 200})
+				f.flow()
+				time.Sleep(3 * time.Second)
+				f.flow()
+			}
+		},
 		"log loses answers": func(s *site, f *traffic) {
 			s.faultLog(stand.LogFault{LoseAnswers: 20})
 			s.kill(instance(1, s.leader(1)))
 			f.flow()
 		},
 	}
-	network := 80
+	// Another run of the tests on the machine uses other addresses.
+	network := 130 + 12*(os.Getpid()%10)
 	for name, disturb := range tests {
 		network++
 		t.Run(name, func(t *testing.T) {
