Move seen ranges before the requests of unknown gates end

Cause: in a service with a server that does not check, nothing moved after a change of leader for lease, longest request and pause bound together, 33 s with requests of 30 s and a bound of 2 s. Only ranges that nobody is seen to hold can have such requests running. A range held by a holder that was asked after the leader won cannot: a former leader would have had to wait out that lease, and its authority ended before.

--- a/internal/leader/answer.go
+++ b/internal/leader/answer.go
@@ -94,6 +94,7 @@
 		l.adopted = l.adopted || a.Epoch.Term != l.term
 		c.noteMoves(h)
 	}
+	c.see(h, ev)
 	if live && !c.config.without(mutAdopted) {
 		h.lapsesAt = max(h.lapsesAt, c.now+c.config.stretch(Time(a.Deadline-a.Clock)))
 	}
--- a/internal/leader/handover_test.go
+++ b/internal/leader/handover_test.go
@@ -228,6 +228,29 @@
 	is.Equal(w.served(), len(w.hashes))
 }
 
+// A new leader is there, and a server that checks is to leave a service that has servers which
+// do not. What the server holds was seen held, so nothing of it lingers elsewhere: it moves
+// after a lease, not after the longest request and pause.
+func TestSeenRangesMoveBeforeRequestsEnd(t *testing.T) {
+	is := is.New(t)
+	l := quiet(3, 3, 1)
+	l.config = func(c *Config) { c.Pause = 20_000_000_000 }
+	w := newWorld(1, l, "")
+	w.startAll()
+	w.advance(30_000 * ms)
+	w.kill(w.leading())
+	w.layout.leaving = "s00"
+	for _, n := range w.instances {
+		if !n.down {
+			n.event(Configured{Version: 2, Services: w.services()})
+		}
+	}
+	w.advance(32_000 * ms)
+	for _, server := range w.ownersBy() {
+		is.True(server != "s00")
+	}
+}
+
 func TestSubtract(t *testing.T) {
 	r := func(first, last uint64) keys.Range { return keys.Range{First: first, Last: last} }
 	top := ^uint64(0)
--- a/internal/leader/holding.go
+++ b/internal/leader/holding.go
@@ -44,6 +44,8 @@
 	chased bool
 	// prompt asks for an exchange before the next period.
 	prompt bool
+	// seenEpoch is that of the set which was noted as seen held.
+	seenEpoch grant.Epoch
 	// superseded says that another holder has a newer grant of one of the ranges.
 	superseded bool
 	// ackedAway says that the set was acknowledged while the log was away.
--- a/internal/leader/mutation.go
+++ b/internal/leader/mutation.go
@@ -8,6 +8,7 @@
 const (
 	mutAnswered  mutation = "authority-by-answer-not-asking"
 	mutBound     mutation = "lease-from-now-not-authority"
+	mutSeen      mutation = "held-before-winning-counts"
 	mutWait      mutation = "no-wait-after-winning"
 	mutConfirm   mutation = "no-majority-after-lapse"
 	mutRestarted mutation = "restarted-voter-counts"
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -32,7 +32,7 @@
 		if c.lead.adopted {
 			markSuperseded(members)
 		}
-		if c.now <= c.settledAt(s) || len(c.lead.targets[s.Name]) == 0 && len(s.Homes) > 0 {
+		if c.now <= c.movesAt() || len(c.lead.targets[s.Name]) == 0 && len(s.Homes) > 0 {
 			continue
 		}
 		c.adjustAll(s, members)
@@ -52,7 +52,7 @@
 		if all == nil {
 			all = c.claimsOf(s, members)
 		}
-		c.adjust(h, wanted[h.seat], all)
+		c.adjust(s, h, wanted[h.seat], all)
 	}
 }
 
@@ -82,7 +82,7 @@
 
 // adjust proposes a new set to a holder if it should change. Only one set at a time is under
 // way to a holder, so that its claims are the old and the new set.
-func (c *Core) adjust(h *holding, wanted []keys.Range, all *claims) {
+func (c *Core) adjust(s *service, h *holding, wanted []keys.Range, all *claims) {
 	if h.pending != nil || !h.heard || c.now > h.heardAt+Time(c.config.Lease) {
 		return
 	}
@@ -90,7 +90,7 @@
 	var parts []keys.Range
 	for _, w := range wanted {
 		parts = append(parts, intersect(w, held)...)
-		parts = append(parts, subtract(w, all.against(h, w))...)
+		parts = append(parts, c.grantable(s, subtract(w, all.against(h, w)))...)
 	}
 	next := join(parts, wanted)
 	if slices.Equal(next, held) {
--- a/internal/leader/targets.go
+++ b/internal/leader/targets.go
@@ -28,7 +28,7 @@
 	l.placedAt = c.now
 	l.placeAt = c.now + Time(c.config.Placing)
 	for _, s := range c.services {
-		if !s.Divided || c.now <= c.settledAt(s) {
+		if !s.Divided || c.now <= c.movesAt() {
 			continue
 		}
 		view := c.view(s)
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -6,6 +6,7 @@
 	"example.org/mustardring/internal/place"
 	"example.org/mustardring/internal/route"
 	"example.org/mustardring/pkg/grant"
+	"example.org/mustardring/pkg/keys"
 )
 
 // The reasons for which a leadership ends.
@@ -38,12 +39,16 @@
 	targets    map[string][]place.Target
 	// dirty says that sets may have to change, tableDirty that the table may have, adopted
 	// that a set of another term was learned of.
-	dirty        bool
-	adopted      bool
-	reconcileAt  Time
-	publishAt    Time
-	prompted     []*holding
-	settled      map[string]bool
+	dirty       bool
+	adopted     bool
+	reconcileAt Time
+	publishAt   Time
+	prompted    []*holding
+	settled     map[string]bool
+	// movable says that a lease has passed since the leader won.
+	movable bool
+	// seen are the ranges seen held in this term, by service.
+	seen         map[string][]keys.Range
 	tableDirty   bool
 	published    *route.Table
 	recording    map[string]recording
@@ -79,6 +84,7 @@
 		recording: make(map[string]recording),
 		recorded:  make(map[string]recorded),
 		settled:   make(map[string]bool),
+		seen:      make(map[string][]keys.Range),
 	}
 	c.electorates = c.electorates[len(c.electorates)-1:]
 	c.recallGates()
