Let a restarted voter vote again within the term

Cause: a voter that restarted lost its vote for the rest of the term. After: one term through six restarts.

--- a/internal/leader/fence.go
+++ b/internal/leader/fence.go
@@ -24,7 +24,7 @@
 func (c *Core) taughtOf(e electorate) uint64 {
 	var known []uint64
 	for name := range e {
-		if v := c.lead.votes[name]; v != nil && v.counted && !v.spoiled {
+		if v := c.lead.votes[name]; v != nil && v.counted {
 			known = append(known, v.homesFence)
 		}
 	}
--- a/internal/leader/handover_test.go
+++ b/internal/leader/handover_test.go
@@ -251,6 +251,25 @@
 	}
 }
 
+// Servers are restarted one after another, as on any day. Were a voter's restart to cost its
+// vote for the rest of the term, the leader would lose its majority with the second of three,
+// and every range of the domain would be unavailable until the next leader has waited.
+func TestVotersRestartInTurn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, quiet(2, 3, 0), "")
+	w.startAll()
+	w.advance(6000 * ms)
+	term := w.leading().core.lead.term
+	for i := range 6 {
+		w.boot(w.servers[i%3])
+		w.advance(w.now + 1500*ms)
+		is.Equal(w.served(), len(w.hashes))
+		w.advance(w.now + 1500*ms)
+	}
+	is.True(w.leading() != nil)
+	is.Equal(w.leading().core.lead.term, term)
+}
+
 func TestSubtract(t *testing.T) {
 	r := func(first, last uint64) keys.Range { return keys.Range{First: first, Last: last} }
 	top := ^uint64(0)
--- a/internal/leader/mutation.go
+++ b/internal/leader/mutation.go
@@ -11,7 +11,6 @@
 	mutSeen      mutation = "held-before-winning-counts"
 	mutWait      mutation = "no-wait-after-winning"
 	mutConfirm   mutation = "no-majority-after-lapse"
-	mutRestarted mutation = "restarted-voter-counts"
 	mutAuthority mutation = "authority-never-lapses"
 	mutAdopted   mutation = "stated-deadline-ignored"
 	mutOrder     mutation = "answers-in-any-order"
--- a/internal/leader/mutation_test.go
+++ b/internal/leader/mutation_test.go
@@ -28,6 +28,21 @@
 	}
 }
 
+// frequent are the guards whose absence the random schedules find soon.
+var frequent = []mutation{
+	mutReceipt, mutDraining, mutLateWork, mutBound, mutWait, mutOrder, mutOneVote,
+}
+
+// firstFound returns the first schedule up to a limit on which a broken guard shows, or zero.
+func firstFound(guard mutation, limit uint64) uint64 {
+	for seed := uint64(1); seed <= limit; seed++ {
+		if runSchedule(seed, guard).failure != "" {
+			return seed
+		}
+	}
+	return 0
+}
+
 // TestSearch looks for schedules that break an invariant. It runs none unless told so:
 //
 //	go test ./internal/leader -run TestSearch -v -args -schedules 4000 -guard drift-ignored
--- a/internal/leader/scenarios_test.go
+++ b/internal/leader/scenario_order_test.go
@@ -162,18 +162,3 @@
 		},
 	}
 }
-
-// frequent are the guards whose absence the random schedules find soon.
-var frequent = []mutation{
-	mutReceipt, mutDraining, mutLateWork, mutBound, mutWait, mutOrder, mutOneVote,
-}
-
-// firstFound returns the first schedule up to a limit on which a broken guard shows, or zero.
-func firstFound(guard mutation, limit uint64) uint64 {
-	for seed := uint64(1); seed <= limit; seed++ {
-		if runSchedule(seed, guard).failure != "" {
-			return seed
-		}
-	}
-	return 0
-}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -61,9 +61,10 @@
 type vote struct {
 	incarnation uint64
 	askedAt     Time
-	// counted says that the voter follows; spoiled that it restarted within this term.
+	// heardAt is when the newest answer of the process arrived.
+	heardAt Time
+	// counted says that the voter follows.
 	counted bool
-	spoiled bool
 	// homesFence is the highest value of the homes fence that the voter knows.
 	homesFence uint64
 }
@@ -125,9 +126,10 @@
 
 // count takes the vote of an answer that follows the term.
 //
-// A voter that restarted within the term may have followed a higher one in between and
-// forgotten it, so it counts no more in this term. A young process says itself that it does
-// not vote, which covers a restart that this leader did not see.
+// A voter that restarts may have followed a higher term and forgotten it. Its new process
+// does not vote until the longest lease has passed since its start. A leader of a higher term
+// that had its vote has by then either had a newer majority, or stepped down for want of
+// one, as checkAuthority makes it; so the voter may be counted again.
 func (c *Core) count(ev Answered) {
 	if ev.Via != "" || !c.votes(ev.Server) {
 		return
@@ -138,11 +140,13 @@
 		v = &vote{incarnation: ev.Answer.Incarnation}
 		l.votes[ev.Server] = v
 	}
-	if v.incarnation != ev.Answer.Incarnation && !c.config.without(mutRestarted) {
-		v.spoiled = true
-		l.stale = true
-		return
+	if v.incarnation != ev.Answer.Incarnation {
+		if ev.AskedAt <= v.heardAt {
+			return
+		}
+		v.incarnation, v.homesFence = ev.Answer.Incarnation, 0
 	}
+	v.heardAt = c.now
 	if !ev.Answer.Voting {
 		return
 	}
@@ -185,7 +189,7 @@
 	var asked []Time
 	for name := range e {
 		v := c.lead.votes[name]
-		if v != nil && v.counted && !v.spoiled {
+		if v != nil && v.counted {
 			asked = append(asked, v.askedAt)
 		}
 	}
