--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -121,7 +121,7 @@
 		no.retry = time.Duration(seconds) * time.Second
 	}
 	if r.StatusCode == http.StatusMisdirectedRequest {
-		no.reason, fault = ReasonNotOwner, policy.Moved
+		no.reason, fault = ReasonNotOwner, policy.NotOwner
 	} else {
 		j.service.busy(slot, j.front.now().Add(no.retry))
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -147,10 +147,11 @@
 func (f *Front) Forwards() http.Handler { return f.forwards }
 
 // GateMoved says that another instance is the gate of a server now. What runs goes on to its
-// end, and what was recalled for the server is recalled anew before it serves again.
+// end, what waits is looked up anew, and what was recalled for the server is recalled anew before it serves again.
 func (f *Front) GateMoved(service, server string) {
 	if s := f.known(service); s != nil {
 		s.unrecall(server)
+		s.move(server)
 	}
 }
 
--- a/internal/front/once_test.go
+++ b/internal/front/once_test.go
@@ -218,6 +218,18 @@
 // A request waits at the gate while its key moves to another server with another gate. It
 // follows, runs once, and its caller sees one answer.
 func TestOwnerMovesWhileRequestWaits(t *testing.T) {
+	tests := map[string]struct {
+		told bool
+	}{
+		"found out when a slot is free": {},
+		"told at once":                  {told: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { moveOwner(t, tt.told) })
+	}
+}
+
+func moveOwner(t *testing.T, told bool) {
 	is := is.New(t)
 	begun, release := make(chan struct{}, 8), make(chan struct{})
 	busy := here(testService(), backend(t, func(http.ResponseWriter, *http.Request) {
@@ -237,10 +249,18 @@
 	moved := here(testService(), backend(t, echo))
 	moved.Servers[0].Server.Name = "oddaja-z"
 	makeGate(instances, "two", moved)
-	close(release)
+	if told {
+		instances["one"].front.GateMoved("oddaja", "oddaja-a")
+	} else {
+		close(release)
+	}
 	servers := map[string]int{}
-	for range 2 {
+	for n := range 2 {
 		got := <-results
+		if told && n == 0 {
+			is.Equal(got.header.Get(caller.HeaderServer), "oddaja-z")
+			close(release)
+		}
 		is.Equal(got.status, http.StatusOK)
 		is.Equal(got.outcome(), caller.Ran)
 		servers[got.header.Get(caller.HeaderServer)]++
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -214,6 +214,8 @@
 		return no
 	case policy.Known:
 		return j.answerKnown(w, v.Recollection)
+	case policy.Moved:
+		return j.front.route(w, j.request)
 	default:
 		return &refusal{status: http.StatusInternalServerError, reason: ReasonNoRoute, outcome: caller.NotRun}
 	}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -130,6 +130,8 @@
 			t = v.Ticket
 		case policy.Shed:
 			t = v.Ticket
+		case policy.Moved:
+			t = v.Ticket
 		case policy.Wait, policy.Known:
 			continue
 		}
@@ -226,6 +228,15 @@
 	}
 }
 
+// move lets the requests that wait for a server go on to its new gate.
+func (s *service) move(server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if server != "" {
+		s.tell(s.core.Move(server))
+	}
+}
+
 // cut closes the connections to a server at once.
 func (s *service) cut(server string) {
 	s.mu.Lock()
--- a/internal/policy/core.go
+++ b/internal/policy/core.go
@@ -1,11 +1,12 @@
 package policy
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"example.org/mustardring/pkg/bundle"
 	"example.org/mustardring/pkg/caller"
-	"example.org/mustardring/pkg/keys"
 )
 
 // MemoryTime is for how long a request is remembered after its deadline. A caller's resend
@@ -57,41 +58,6 @@
 	Suspect bool
 }
 
-// Fault is how a try of a request ended without a whole answer.
-type Fault int
-
-// The faults.
-const (
-	// NotSent says that no byte of the request was written to the server.
-	NotSent Fault = iota
-	// Refused says that the server refused the request before running it.
-	Refused
-	// Moved says that the server refused the request because it does not own the key.
-	Moved
-	// InDoubt says that bytes were written and no whole answer came in time.
-	InDoubt
-	// Lost says that bytes were written and the server's end of the connection was lost.
-	Lost
-)
-
-// Decision is what becomes of a request after a Fault: Retry or Final. The set is sealed.
-type Decision interface {
-	isDecision()
-}
-
-// Retry says that the request is to ask for a slot once more.
-type Retry struct{}
-
-// Final says that the caller gets its answer now.
-type Final struct {
-	Outcome caller.Outcome
-	// Blocked says that the request is refused from now on.
-	Blocked bool
-}
-
-func (Retry) isDecision() {}
-func (Final) isDecision() {}
-
 // Core is the policy of one service at one instance.
 type Core struct {
 	service  string
@@ -187,7 +153,7 @@
 		r.tries++
 	case Shed:
 		c.forget(r)
-	case Known:
+	case Known, Moved:
 	}
 	c.settle(verdicts[1:])
 	return verdicts
@@ -204,6 +170,20 @@
 	return c.queues[r.Pool].Leave(r.Ticket)
 }
 
+// Move takes out the waiting requests of a pool whose gate is elsewhere now.
+func (c *Core) Move(pool string) []Verdict {
+	var verdicts []Verdict
+	for t, r := range c.waiting {
+		if r.Pool == pool && c.Leave(r) {
+			verdicts = append(verdicts, Moved{Ticket: t})
+		}
+	}
+	slices.SortFunc(verdicts, func(a, b Verdict) int {
+		return cmp.Compare(a.(Moved).Ticket, b.(Moved).Ticket)
+	})
+	return verdicts
+}
+
 // Withdraw says that a request will not run here: it goes on to another gate, or is refused
 // before a byte was written.
 func (c *Core) Withdraw(r *Request) {
@@ -275,80 +255,6 @@
 	return Final{Outcome: caller.NotRun}
 }
 
-// Hold says that the connection was lost while the request ran, before Failed.
-func (c *Core) Hold(p Print) { c.suspects.Hold(p) }
-
-// Settle says whether a connection's loss was that of the server.
-func (c *Core) Settle(now Time, p Print, server string, died bool) {
-	if !died {
-		c.suspects.Settle(p, nil, 0)
-		return
-	}
-	until := c.millis(now) + c.blockTime().Milliseconds()
-	c.suspects.Settle(p, &Loss{Server: server, AtNanos: c.nanos(now)}, until)
-}
-
-// Earn counts a request that goes on to another instance.
-func (c *Core) Earn() { c.budget.Earn() }
-
-// Spend reports whether such a request may be sent once more.
-func (c *Core) Spend() bool { return c.budget.Spend() }
-
-// Suspicious reports whether any request is suspected, so that Prints are needed.
-func (c *Core) Suspicious() bool { return c.suspects.Any() }
-
-// Blocks returns what is known of requests that may crash servers.
-func (c *Core) Blocks(now Time) []Block { return c.suspects.Blocks(c.millis(now)) }
-
-// Merge takes in what other instances know of such requests.
-func (c *Core) Merge(blocks []Block) { c.suspects.Merge(blocks) }
-
-// Lift replaces the set of blocked requests that operators let pass.
-func (c *Core) Lift(prints []Print) { c.suspects.Lift(prints) }
-
-// Adopt takes in a mark of another instance. It reports false when there is no room.
-func (c *Core) Adopt(now Time, m Mark) bool {
-	s := Sent{Name: m.Name, Hash: m.Hash, Sending: m.Sending, Print: m.Print, Until: c.time(m.UntilMillis)}
-	return c.memory.Adopt(now, s, m.Outcome, m.Status)
-}
-
-// Marks returns the remembered requests in a range.
-func (c *Core) Marks(now Time, r keys.Range) []Mark {
-	var marks []Mark
-	c.memory.Each(now, r, func(s Sent, o caller.Outcome, status int) {
-		marks = append(marks, c.mark(s, o, status))
-	})
-	return marks
-}
-
-// MarkOf returns the mark of a request, as other instances take it.
-func (c *Core) MarkOf(r *Request, o caller.Outcome) Mark {
-	return c.mark(r.sent(), o, 0)
-}
-
-// Look returns what is known of a request without taking it in.
-func (c *Core) Look(now Time, n Name) Recollection { return c.memory.Look(now, n) }
-
-// Remembers returns the number of remembered requests.
-func (c *Core) Remembers() int { return c.memory.Len() }
-
-// Each calls visit for each server of each pool with its slots in use.
-func (c *Core) Each(visit func(p Capacity, busy int)) {
-	for _, q := range c.queues {
-		q.Each(visit)
-	}
-}
-
-// Waiting returns the number of waiting requests.
-func (c *Core) Waiting() int { return len(c.waiting) }
-
-func (c *Core) mark(s Sent, o caller.Outcome, status int) Mark {
-	return Mark{
-		Service: c.service, Name: s.Name, Hash: s.Hash, Sending: s.Sending, Print: s.Print,
-		UntilMillis: c.millis(s.Until), Outcome: o, Status: status,
-	}
-}
-
 // settle keeps account of verdicts on waiting requests.
 func (c *Core) settle(verdicts []Verdict) []Verdict {
 	for _, v := range verdicts {
@@ -363,7 +269,7 @@
 				c.forget(r)
 				delete(c.waiting, v.Ticket)
 			}
-		case Wait, Known:
+		case Wait, Known, Moved:
 		}
 	}
 	return verdicts
--- a/internal/policy/core_test.go
+++ b/internal/policy/core_test.go
@@ -38,7 +38,7 @@
 	}{
 		"not sent":            {fault: NotSent, want: Retry{}, again: Doubtful{}},
 		"refused":             {fault: Refused, want: Retry{}, again: Doubtful{}},
-		"moved":               {fault: Moved, want: Retry{}, again: Doubtful{}},
+		"moved":               {fault: NotOwner, want: Retry{}, again: Doubtful{}},
 		"in doubt":            {fault: InDoubt, want: Final{Outcome: caller.Unknown}, again: Doubtful{}},
 		"lost":                {fault: Lost, want: Final{Outcome: caller.Unknown}, again: Doubtful{}},
 		"not sent and late":   {fault: NotSent, late: true, want: Final{Outcome: caller.NotRun}, again: Fresh{}},
--- a/internal/policy/differ_test.go
+++ b/internal/policy/differ_test.go
@@ -145,6 +145,8 @@
 			default:
 				w.end(w.sendings[v.Ticket], caller.Unknown)
 			}
+		case Moved:
+			w.pass(w.sendings[v.Ticket], gate, 1)
 		case Wait:
 			s := w.sendings[v.Ticket]
 			w.after(int(s.request.Deadline-w.now)/int(ms)+1, func() { w.expire(s, gate) })
@@ -238,6 +240,8 @@
 	}
 	if lose {
 		w.lose(old)
+	} else if w.random.IntN(2) == 0 {
+		w.take(old, w.cores[old].Move(""))
 	}
 	for _, core := range w.cores {
 		if core == nil || core == w.cores[w.gate] {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -42,8 +42,8 @@
 	ReasonMemoryFull Reason = "memory-full"
 )
 
-// Verdict is what a Queue says of a request: Start, Wait or Shed. A Core says Known as well.
-// The set is sealed.
+// Verdict is what a Queue says of a request: Start, Wait or Shed. A Core says Known and Moved as
+// well. The set is sealed.
 type Verdict interface {
 	isVerdict()
 }
@@ -74,7 +74,13 @@
 	Recollection Recollection
 }
 
+// Moved says that the request no longer belongs at this gate. It did not run.
+type Moved struct {
+	Ticket Ticket
+}
+
 func (Known) isVerdict() {}
+func (Moved) isVerdict() {}
 func (Start) isVerdict() {}
 func (Wait) isVerdict()  {}
 func (Shed) isVerdict()  {}
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -99,12 +99,6 @@
 	}
 }
 
-// line is the waiting requests of one caller, earliest deadline first.
-type line struct {
-	caller string
-	asks   []Ask
-}
-
 // NewQueue returns a queue without servers, in which at most limit requests wait.
 func NewQueue(limit int) *Queue {
 	return &Queue{limit: limit, callers: make(map[string]*line), meanRun: defaultRun}
@@ -326,41 +320,6 @@
 	q.verdicts = append(q.verdicts, Shed{Ticket: t, Reason: reason, RetryAt: now.Add(wait)})
 }
 
-// expected returns the time that a new request of a caller is likely to wait. Callers take
-// turns, so a caller with a short line is served before the long lines end.
-//
-// When a server is frozen no request ends, and the mean running time stays as it was. The
-// time since the newest start then grows, and takes the mean's place.
-func (q *Queue) expected(now Time, caller string) time.Duration {
-	ahead := q.waiting
-	if caller != "" {
-		turn := q.lineLength(caller) + 1
-		ahead = 0
-		for _, l := range q.order {
-			ahead += min(len(l.asks), turn)
-		}
-	}
-	slots := 0
-	quiet := time.Duration(-1)
-	for i := range q.servers {
-		p := &q.servers[i]
-		usable := p.usable(now)
-		slots += usable
-		if usable == 0 {
-			continue
-		}
-		since := time.Duration(0)
-		if p.busy >= usable {
-			since = time.Duration(now - p.startedAt)
-		}
-		if quiet < 0 || since < quiet {
-			quiet = since
-		}
-	}
-	run := max(q.meanRun, quiet)
-	return run * time.Duration(ahead+1) / time.Duration(max(slots, 1))
-}
-
 // free returns the server with the smallest share of its slots in use, nil if none is free.
 func (q *Queue) free(now Time, suspect bool) *place {
 	var best *place
@@ -406,77 +365,3 @@
 func (q *Queue) forget() {
 	q.servers = slices.DeleteFunc(q.servers, func(p place) bool { return p.gone && p.busy == 0 })
 }
-
-func (q *Queue) lineLength(caller string) int {
-	if l := q.callers[caller]; l != nil {
-		return len(l.asks)
-	}
-	return 0
-}
-
-func (q *Queue) longest() *line {
-	var longest *line
-	for _, l := range q.order {
-		if longest == nil || len(l.asks) > len(longest.asks) {
-			longest = l
-		}
-	}
-	return longest
-}
-
-func (q *Queue) enqueue(a Ask) {
-	l := q.callers[a.Caller]
-	if l == nil {
-		l = &line{caller: a.Caller}
-		q.callers[a.Caller] = l
-		q.order = append(q.order, l)
-	}
-	i, _ := slices.BinarySearchFunc(l.asks, a, func(x, y Ask) int {
-		return cmp.Or(cmp.Compare(x.Deadline, y.Deadline), cmp.Compare(x.Ticket, y.Ticket))
-	})
-	l.asks = slices.Insert(l.asks, i, a)
-	q.waiting++
-}
-
-// next takes out the first request that can start, in the order of the callers' turns, and
-// the server for it. The server is nil if there is none.
-func (q *Queue) next(now Time) (Ask, *place) {
-	if q.free(now, false) == nil {
-		return Ask{}, nil
-	}
-	for turn, l := range q.order {
-		for i, a := range l.asks {
-			p := q.free(now, a.Suspect)
-			if p == nil {
-				continue
-			}
-			l.asks = slices.Delete(l.asks, i, i+1)
-			q.waiting--
-			q.order = slices.Delete(q.order, turn, turn+1)
-			if len(l.asks) > 0 {
-				q.order = append(q.order, l)
-			} else {
-				delete(q.callers, l.caller)
-			}
-			return a, p
-		}
-	}
-	return Ask{}, nil
-}
-
-func (q *Queue) remove(t Ticket) bool {
-	for i, l := range q.order {
-		at := slices.IndexFunc(l.asks, func(a Ask) bool { return a.Ticket == t })
-		if at < 0 {
-			continue
-		}
-		l.asks = slices.Delete(l.asks, at, at+1)
-		q.waiting--
-		if len(l.asks) == 0 {
-			q.order = slices.Delete(q.order, i, i+1)
-			delete(q.callers, l.caller)
-		}
-		return true
-	}
-	return false
-}
