State the second sending of a broken forward as one

An instance that sends a request once more after a broken forward passed on the caller's 'Mustardring-Attempt: 1'. A new gate that could not recall believed it, and ran the request a second time: the test saw two runs before, one after.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -136,6 +136,9 @@
 	r.front.meters.retried.Add(1)
 	r.sending = policy.Name(uuid.New())
 	r.doubt = true
+	// What the caller stated is true of the first sending only.
+	r.attempt = max(r.attempt, 1) + 1
+	r.Header.Set(caller.HeaderAttempt, strconv.Itoa(r.attempt))
 	no := r.front.route(w, r.request)
 	if no != nil && no.ranNot() {
 		no.outcome, no.unsent = caller.Unknown, false
--- a/internal/front/once_test.go
+++ b/internal/front/once_test.go
@@ -367,7 +367,7 @@
 type fragile struct {
 	http.RoundTripper
 	before, after atomic.Bool
-	// broke is called when the connection breaks, if not nil.
+	// broke is called when the connection breaks, either way, if not nil.
 	broke func()
 }
 
@@ -385,6 +385,9 @@
 	response, err := f.RoundTripper.RoundTrip(r)
 	if err == nil && f.after.CompareAndSwap(true, false) {
 		response.Body.Close()
+		if f.broke != nil {
+			f.broke()
+		}
 		return nil, errBroken
 	}
 	return response, err
@@ -434,3 +437,30 @@
 		})
 	}
 }
+
+// A first sending runs, and its answer is lost with the gate. The instance that forwarded it
+// sends it once more, to a new gate that cannot recall what ran. That is no first sending any
+// more, whatever the caller stated: the new gate must not run it.
+func TestSecondSendingIsNoFirst(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	d := here(testService(), backend(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	broken := &fragile{RoundTripper: &http.Transport{DisableKeepAlives: true}}
+	entry := start(t, "two", func(d *Deps) { d.Forward = broken })
+	old := start(t, "one", nil)
+	next := start(t, "three", func(d *Deps) { d.Witness = refuser{recall: errors.New("cut off")} })
+	old.finder.set(d)
+	next.finder.set(d)
+	to := func(i *instance) route.Forward {
+		return route.Forward{Service: testService(), Addresses: []string{address(i.forwards)}}
+	}
+	entry.finder.set(to(old))
+	broken.broke = func() { entry.finder.set(to(next)) }
+	for range 10 {
+		entry.front.service("oddaja").earn()
+	}
+	broken.after.Store(true)
+	got := do(t, post(is, entry.callers.URL+"/oddaja/x", "text", caller.HeaderRequestID, "x", caller.HeaderAttempt, "1"))
+	is.Equal(got.outcome(), caller.Unknown)
+	is.Equal(runs.Load(), int32(1))
+}
