--- a/internal/upstr/server_test.go
+++ b/internal/upstr/server_test.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,73 +64,6 @@
 	return result{text: string(text), err: err, done: done}
 }
 
-// script is a server whose behaviour on each connection is written out.
-type script struct {
-	net.Listener
-	// asked counts the requests that were read.
-	asked atomic.Int32
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-// play starts a script; handle gets the connection's number from 0.
-func play(t *testing.T, handle func(s *script, number int, c net.Conn, in *bufio.Reader)) *script {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &script{Listener: l}
-	var group sync.WaitGroup
-	group.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			s.conns = append(s.conns, c)
-			s.mu.Unlock()
-			// The watch's connection sends nothing and takes no number.
-			group.Go(func() { s.serve(c, handle) })
-		}
-	})
-	t.Cleanup(func() {
-		l.Close()
-		s.mu.Lock()
-		for _, c := range s.conns {
-			c.Close()
-		}
-		s.mu.Unlock()
-		group.Wait()
-	})
-	return s
-}
-
-var numbers sync.Map
-
-func (s *script) serve(c net.Conn, handle func(s *script, number int, c net.Conn, in *bufio.Reader)) {
-	in := bufio.NewReader(c)
-	if _, err := in.Peek(1); err != nil {
-		return
-	}
-	counter, _ := numbers.LoadOrStore(s, new(atomic.Int32))
-	handle(s, int(counter.(*atomic.Int32).Add(1))-1, c, in)
-}
-
-// read takes in one request and reports false at the connection's end.
-func (s *script) read(in *bufio.Reader) bool {
-	r, err := http.ReadRequest(in)
-	if err != nil {
-		return false
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	s.asked.Add(1)
-	return true
-}
-
-const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-
 // A server restarts between two requests on one connection. net/http would take the second
 // one, read by the server and unanswered, and send it again by itself: the crash would be
 // doubled, and a submission with an Idempotency-Key run twice.
