--- a/internal/replay/queues.go
+++ b/internal/replay/queues.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"math/rand/v2"
-	"slices"
 
 	"example.org/mustardring/internal/naive"
 )
@@ -104,22 +103,29 @@
 		}
 		return a
 	case ChoiceLeast, ChoiceLeastHint:
-		return slices.MinFunc(open, func(a, b int) int {
-			x, y := q.level(known, a), q.level(known, b)
-			switch {
-			case x < y:
-				return -1
-			case x > y:
-				return 1
-			default:
-				return 0
-			}
-		})
+		return q.least(known, open, random)
 	default:
 		return q.draw(open, random)
 	}
 }
 
+// least returns an open server of the lowest level, each of several as likely.
+func (q *queues) least(known, open []int, random *rand.Rand) int {
+	best, ties := open[0], 1
+	for _, at := range open[1:] {
+		switch x, y := q.level(known, at), q.level(known, best); {
+		case x < y:
+			best, ties = at, 1
+		case x == y:
+			ties++
+			if random.IntN(ties) == 0 {
+				best = at
+			}
+		}
+	}
+	return best
+}
+
 // draw returns a random open server by slots.
 func (q *queues) draw(open []int, random *rand.Rand) int {
 	servers := make([]naive.Server, len(open))
