--- a/internal/cmds/replay.go
+++ b/internal/cmds/replay.go
@@ -45,7 +45,7 @@
 		if err := report.Plot(c.Plot); err != nil {
 			return err
 		}
-		logger.Info("plot written", "file", c.Plot)
+		logger.Info("plot-written", "file", c.Plot)
 	}
 	if c.Output == "json" {
 		return report.WriteJSON(os.Stdout)
--- a/internal/cmds/standin.go
+++ b/internal/cmds/standin.go
@@ -25,6 +25,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	logger.Info("stand-in starting", "servers", len(settings.Servers), "log", settings.Log != nil, "list", settings.List != nil)
+	logger.Info("stand-in-starting", "servers", len(settings.Servers), "log", settings.Log != nil, "list", settings.List != nil)
 	return stand.New(settings).Run(ctx)
 }
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -118,7 +118,7 @@
 // must not look whole.
 func (j *job) cut(t route.Target, slot policy.Slot, err error) {
 	j.front.meters.cut.Add(1)
-	j.front.deps.Log.Warn("answer cut", "request", j.id, "service", j.request.service, "server", slot.Server, "error", err)
+	j.front.deps.Log.Warn("answer-cut", "request", j.id, "service", j.request.service, "server", slot.Server, "error", err)
 	if !errors.Is(err, errCaller) && faultOf(err) == policy.Lost {
 		j.blame(t, slot)
 	}
--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -19,7 +19,7 @@
 // unanswered decides what becomes of a request to which the server gave no whole answer.
 func (j *job) unanswered(slot policy.Slot, t route.Target, err error) (*refusal, bool) {
 	f := j.front
-	f.deps.Log.Warn("no answer", "request", j.id, "service", j.request.service, "server", slot.Server, "error", err)
+	f.deps.Log.Warn("no-answer", "request", j.id, "service", j.request.service, "server", slot.Server, "error", err)
 	if errors.Is(err, errNoRight) {
 		j.service.forget(j.policy)
 		return &refusal{
@@ -88,7 +88,7 @@
 		died := server.Died(ctx, lostAt)
 		if died {
 			j.front.meters.lost.Add(1)
-			j.front.deps.Log.Warn("server lost", "service", j.service.name, "server", slot.Server, "request", j.id, "print", print)
+			j.front.deps.Log.Warn("server-lost", "service", j.service.name, "server", slot.Server, "request", j.id, "print", print)
 		}
 		j.service.settle(print, slot.Server, died)
 	}
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -111,7 +111,7 @@
 			r.timer.Stop()
 			return r.answer(w, response)
 		}
-		f.deps.Log.Warn("forward failed", "request", r.id, "service", r.service, "address", address, "sent", sent, "error", err)
+		f.deps.Log.Warn("forward-failed", "request", r.id, "service", r.service, "address", address, "sent", sent, "error", err)
 		if sent || r.body.begun {
 			return r.inDoubt(ctx, w)
 		}
@@ -188,7 +188,7 @@
 	defer chunks.Put(buffer)
 	if err := stream(w, response, buffer); err != nil {
 		r.front.meters.cut.Add(1)
-		r.front.deps.Log.Warn("answer cut", "request", r.id, "service", r.service, "error", err)
+		r.front.deps.Log.Warn("answer-cut", "request", r.id, "service", r.service, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 	return nil
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -67,7 +67,7 @@
 	j.print()
 	server, epoch := j.owner()
 	if err := j.service.recall(j.Context(), j.hash, server, epoch); err != nil && j.attempt != 1 {
-		j.front.deps.Log.Warn("recall failed", "request", j.id, "service", j.service.name, "error", err)
+		j.front.deps.Log.Warn("recall-failed", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: ReasonNoMemory, outcome: unreached(j.request), unsent: true,
 			retry: retrySoon,
@@ -84,7 +84,7 @@
 	defer cancel()
 	if err := j.front.deps.Witness.Begin(ctx, j.mark(caller.Unknown, 0)); err != nil {
 		j.service.forget(j.policy)
-		j.front.deps.Log.Warn("no witness", "request", j.id, "service", j.service.name, "error", err)
+		j.front.deps.Log.Warn("no-witness", "request", j.id, "service", j.service.name, "error", err)
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: ReasonNoWitness, outcome: caller.NotRun, retry: retrySoon,
 		}, true
--- a/internal/route/directory.go
+++ b/internal/route/directory.go
@@ -71,7 +71,7 @@
 	if !found {
 		return Owner{}, false
 	}
-	i := sortedIndex(s.owners, hash, func(o Owner) keys.Range { return o.Range })
+	i := keys.FindBy(s.owners, hash, func(o Owner) keys.Range { return o.Range })
 	if i < 0 {
 		return Owner{}, false
 	}
@@ -195,14 +195,14 @@
 }
 
 func (x *index) findOwner(s *serviceIndex, hash uint64) Destination {
-	i := sortedIndex(s.homes, hash, func(h Home) keys.Range { return h.Range })
+	i := keys.FindBy(s.homes, hash, func(h Home) keys.Range { return h.Range })
 	if i < 0 {
 		return Absent{Reason: AbsentOwner}
 	}
 	if domain := s.homes[i].Domain; domain != x.view.Domain {
 		return x.forwardToDomains(s, []string{domain})
 	}
-	i = sortedIndex(s.owners, hash, func(o Owner) keys.Range { return o.Range })
+	i = keys.FindBy(s.owners, hash, func(o Owner) keys.Range { return o.Range })
 	if i < 0 {
 		return Absent{Reason: AbsentOwner}
 	}
@@ -243,22 +243,3 @@
 	}
 	return Absent{Reason: AbsentDomain}
 }
-
-// sortedIndex returns the index of the item whose range contains the hash, or -1.
-func sortedIndex[T any](items []T, hash uint64, rangeOf func(T) keys.Range) int {
-	i, found := slices.BinarySearchFunc(items, hash, func(item T, h uint64) int {
-		r := rangeOf(item)
-		switch {
-		case r.Last < h:
-			return -1
-		case r.First > h:
-			return 1
-		default:
-			return 0
-		}
-	})
-	if !found {
-		return -1
-	}
-	return i
-}
--- a/pkg/keys/split.go
+++ b/pkg/keys/split.go
@@ -53,7 +53,14 @@
 // Find returns the index of the range that contains a hash in a sorted list of disjoint
 // ranges, or -1.
 func Find(ranges []Range, hash uint64) int {
-	i, found := slices.BinarySearchFunc(ranges, hash, func(r Range, h uint64) int {
+	return FindBy(ranges, hash, func(r Range) Range { return r })
+}
+
+// FindBy returns the index of the item whose range contains a hash in a list that is sorted
+// by disjoint ranges, or -1.
+func FindBy[T any](items []T, hash uint64, rangeOf func(T) Range) int {
+	i, found := slices.BinarySearchFunc(items, hash, func(item T, h uint64) int {
+		r := rangeOf(item)
 		switch {
 		case r.Last < h:
 			return -1
