Let equally busy servers take turns

Ruled out: random choice, which the pure core would need a source for. Conclusion: the server that started longest ago goes first.

--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -339,7 +339,11 @@
 	if c := cmp.Compare(a.busy*b.Slots, b.busy*a.Slots); c != 0 {
 		return c < 0
 	}
-	return a.Hint < b.Hint
+	if c := cmp.Compare(a.Hint, b.Hint); c != 0 {
+		return c < 0
+	}
+	// Ties that always went to the first server would give it more than its share.
+	return a.startedAt < b.startedAt
 }
 
 // reachable reports whether any server may be given work.
