--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -9,22 +9,29 @@
 	"example.org/mustardring/pkg/keys"
 )
 
-// voterService is the service under which entry instances vote in a domain without a server
-// that checks grants.
+// voterService is the service under which entry instances vote.
 const voterService = "entry-instances"
 
+// enoughVoters is the number of servers that check grants from which on a domain needs no
+// other voters: the least of which one may be lost.
+const enoughVoters = 3
+
 // configured returns what a bundle asks of one domain, which may serve the allowed ranges of
 // its divided services.
 func configured(b *bundle.Bundle, domain string, allowed map[string][]keys.Range) leader.Configured {
 	c := leader.Configured{Version: b.Version}
-	checking := false
+	checking := 0
 	for i := range b.Services {
 		s := domainService(&b.Services[i], domain)
 		s.Homes = allowed[s.Name]
-		checking = checking || slices.ContainsFunc(s.Servers, func(v leader.Server) bool { return v.Votes })
+		for _, v := range s.Servers {
+			if v.Votes {
+				checking++
+			}
+		}
 		c.Services = append(c.Services, s)
 	}
-	if !checking {
+	if checking < enoughVoters {
 		c.Services = append(c.Services, instanceVoters(b, domain))
 	}
 	return c
--- a/internal/proof/site_test.go
+++ b/internal/proof/site_test.go
@@ -132,6 +132,9 @@
 		{Name: undivided, Limits: limits, Weights: weights},
 	}
 	for d, domain := range domains {
+		for h := 1; h <= hosts; h++ {
+			b.Instances = append(b.Instances, bundle.Instance{Name: instance(d, h), Domain: domain, Address: s.at(d+1, h, 9080)})
+		}
 		b.Domains = append(b.Domains, bundle.Domain{Name: domain})
 		b.Services[0].Homes = append(b.Services[0].Homes, bundle.Home{Domain: domain, Share: 1})
 		for k := 1; k <= 3; k++ {
