Refuse bundles that change more than one voter of a domain

Cause: nothing enforced it, and majorities of two sets that differ by more need not meet. Conclusion: operators are told before anything is rolled.

--- a/internal/cmds/bundlefile.go
+++ b/internal/cmds/bundlefile.go
@@ -13,9 +13,10 @@
 
 // BundleCheckCmd examines a file without the log.
 type BundleCheckCmd struct {
-	File       string `arg:"" type:"path" help:"Bundle file."`
-	Before     string `type:"path" help:"File of the version in force, to compare moves with."`
-	AllowMoves bool   `help:"Accept that more keys move than the version before allows."`
+	File        string `arg:"" type:"path" help:"Bundle file."`
+	Before      string `type:"path" help:"File of the version in force, to compare moves with."`
+	AllowMoves  bool   `help:"Accept that more keys move than the version before allows."`
+	AllowVoters bool   `help:"Accept that more than one voter of a domain changes."`
 	bundleOutput
 }
 
@@ -30,12 +31,12 @@
 		return badInput("%w", err)
 	}
 	b, problems := check.File(c.File, data)
-	if len(problems) == 0 && c.Before != "" && !c.AllowMoves {
+	if len(problems) == 0 && c.Before != "" {
 		before, err := readBundle(c.Before)
 		if err != nil {
 			return err
 		}
-		problems = movesProblems(c.File, before, b)
+		problems = changeProblems(c.File, before, b, c.AllowMoves, c.AllowVoters)
 	}
 	result := checked{File: c.File, Problems: problems}
 	if len(problems) == 0 {
@@ -70,6 +71,32 @@
 	}
 }
 
+// changeProblems reports what a version may not change at once, unless it was allowed.
+func changeProblems(file string, before, after *bundle.Bundle, moves, voters bool) check.Problems {
+	var problems check.Problems
+	if !moves {
+		problems = movesProblems(file, before, after)
+	}
+	if !voters {
+		problems = append(problems, voterProblems(file, before, after)...)
+	}
+	return problems
+}
+
+// voterProblems reports domains of which more than one voter changes.
+func voterProblems(file string, before, after *bundle.Bundle) check.Problems {
+	var problems check.Problems
+	for _, c := range bundle.CompareVoters(before, after) {
+		problems = append(problems, check.Problem{
+			File:     file,
+			Pointer:  "/domains",
+			Found:    fmt.Sprintf("a change of the voters of %q that adds %v and removes %v", c.Domain, c.Added, c.Removed),
+			Expected: "one voter a version, or the flag --allow-voters",
+		})
+	}
+	return problems
+}
+
 // movesProblems reports services of which more keys move than the version before allows.
 func movesProblems(file string, before, after *bundle.Bundle) check.Problems {
 	var problems check.Problems
--- a/internal/cmds/bundlesign.go
+++ b/internal/cmds/bundlesign.go
@@ -83,8 +83,9 @@
 
 // BundlePublishCmd signs a bundle as its publisher and appends it.
 type BundlePublishCmd struct {
-	File       string `arg:"" type:"path" help:"Bundle file."`
-	AllowMoves bool   `help:"Publish although more keys move than the bundle in force allows."`
+	File        string `arg:"" type:"path" help:"Bundle file."`
+	AllowMoves  bool   `help:"Publish although more keys move than the bundle in force allows."`
+	AllowVoters bool   `help:"Publish although more than one voter of a domain changes."`
 	bundleSignFlags
 	bundleLogFlags
 	bundleOutput
@@ -116,8 +117,8 @@
 	if err := l.catchUp(ctx, 0); err != nil {
 		return err
 	}
-	if before := l.state.InForce; before != nil && before.Version < b.Version && !c.AllowMoves {
-		if err := movesProblems(c.File, before, b).Err(); err != nil {
+	if before := l.state.InForce; before != nil && before.Version < b.Version {
+		if err := changeProblems(c.File, before, b, c.AllowMoves, c.AllowVoters).Err(); err != nil {
 			return badInput("%w", err)
 		}
 	}
--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -12,27 +12,17 @@
 // voterService is the service under which entry instances vote.
 const voterService = "entry-instances"
 
-// enoughVoters is the number of servers that check grants from which on a domain needs no
-// other voters: the least of which one may be lost.
-const enoughVoters = 3
-
 // configured returns what a bundle asks of one domain, which may serve the allowed ranges of
 // its divided services.
 func configured(b *bundle.Bundle, domain string, allowed map[string][]keys.Range) leader.Configured {
 	c := leader.Configured{Version: b.Version}
-	checking := 0
 	for i := range b.Services {
 		s := domainService(&b.Services[i], domain)
 		s.Homes = allowed[s.Name]
-		for _, v := range s.Servers {
-			if v.Votes {
-				checking++
-			}
-		}
 		c.Services = append(c.Services, s)
 	}
-	if checking < enoughVoters {
-		c.Services = append(c.Services, instanceVoters(b, domain))
+	if s := instanceVoters(b, domain); len(s.Servers) > 0 {
+		c.Services = append(c.Services, s)
 	}
 	return c
 }
@@ -67,11 +57,12 @@
 	return made
 }
 
-// instanceVoters makes the entry instances that the bundle names the voters of a domain.
+// instanceVoters has the entry instances of a domain that vote by the bundle.
 func instanceVoters(b *bundle.Bundle, domain string) leader.Service {
 	made := leader.Service{Name: voterService}
+	voters := b.Voters(domain)
 	for _, i := range b.Instances {
-		if i.Domain == domain {
+		if i.Domain == domain && slices.Contains(voters, i.Name) {
 			made.Servers = append(made.Servers, leader.Server{Name: i.Name, Votes: true})
 		}
 	}
