Count the bytes of calls that an instance answers

peer-bytes-in and peer-bytes-out left out what the server side of a link reads and writes, so control traffic was shown at half its size.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -224,7 +224,7 @@
 	group.Go("list", e.runList)
 	group.Go("witness", e.witness.run)
 	group.Go("loads", e.runLoads)
-	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
+	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux(), e.peers.count).Run)
 	group.Go("operator-http", e.serveOperators(l.operator))
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -26,7 +26,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- NewServer(listener, config, mux).Run(ctx) }()
+	go func() { done <- NewServer(listener, config, mux, nil).Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; !errors.Is(err, context.Canceled) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,16 +20,19 @@
 type Server struct {
 	listener net.Listener
 	mux      *Mux
+	count    func(in, out int)
 	slots    chan struct{}
 	calls    chan struct{}
 }
 
 // NewServer returns a server that accepts TLS connections on the listener. The TLS
-// configuration must demand and verify a certificate of the peer.
-func NewServer(listener net.Listener, config *tls.Config, mux *Mux) *Server {
+// configuration must demand and verify a certificate of the peer. Count, if not nil, is told of
+// plain bytes read and written.
+func NewServer(listener net.Listener, config *tls.Config, mux *Mux, count func(in, out int)) *Server {
 	return &Server{
 		listener: tls.NewListener(listener, config),
 		mux:      mux,
+		count:    count,
 		slots:    make(chan struct{}, maxConnections),
 		calls:    make(chan struct{}, maxCalls),
 	}
@@ -66,7 +69,7 @@
 		return
 	}
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.bounded).SuppressErrClosed())
-	c := jsonrpc2.NewConn(ctx, newStream(conn), handler)
+	c := jsonrpc2.NewConn(ctx, newStream(counted(conn, s.count)), handler)
 	select {
 	case <-c.DisconnectNotify():
 	case <-ctx.Done():
