Let the core of membership decide in the shell; short heartbeats

The shell had a membership of its own: everybody sent 500 bytes of JSON to everybody. Now member.Core says whom to send to and who lives, and a heartbeat carries what an instance says of itself only to one that lacks it, as a number otherwise. Of two contacts one sends and the other answers, a follower always to its leader, whose answer the right of a gate rests on. Other domains are contacted once a second, two instances each.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/peer"
 )
@@ -12,27 +12,32 @@
 // Periods and limits of heartbeats.
 const (
 	beatInDomain    = 100 * time.Millisecond
-	beatElsewhere   = 500 * time.Millisecond
+	beatElsewhere   = time.Second
 	beatLimit       = 400 * time.Millisecond
 	silentInDomain  = 500 * time.Millisecond
-	silentElsewhere = 2 * time.Second
-	beatCheck       = 25 * time.Millisecond
+	silentElsewhere = 3 * time.Second
+	beatCheck       = 50 * time.Millisecond
 	fetchLimit      = 2 * time.Second
 	maxBeats        = 64
 )
 
-func periodFor(sameDomain bool) time.Duration {
-	if sameDomain {
-		return beatInDomain
-	}
-	return beatElsewhere
-}
+// Bounds of membership.
+const (
+	// beatAll is the size up to which all instances of a domain are in direct contact.
+	beatAll = 16
+	// beatDelegates is the number of instances of another domain that are contacted.
+	beatDelegates = 2
+	beatHearsay   = 64
+	// beatPatience is after how long a silence another process may take the name of a listed
+	// one although the list does not say so.
+	beatPatience = 3 * time.Second
+)
 
 // beat is a heartbeat that has ended, with its result or nil.
 type beat struct {
 	remote  *remote
 	askedAt leader.Time
-	result  *Heartbeat
+	result  *Pulse
 }
 
 // runHeartbeats tells the other instances of this one and learns of them by their results.
@@ -45,25 +50,38 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			for _, r := range e.peers.due(time.Now()) {
-				go e.beat(ctx, r, ended)
-			}
-			e.state.setMembers(e.peers.members(time.Now()))
-			e.tell(ctx, domainsHeard{domains: e.peers.domains(time.Now())})
+			e.tickMembers(ctx, ended)
 		case b := <-ended:
-			e.peers.answered(b.remote, time.Now(), b.result)
+			e.peers.ended(b.remote)
 			if b.result != nil {
-				e.heard(ctx, b.remote, *b.result)
-				e.lease.confirm(b.askedAt, *b.result, e.state.table())
+				e.answered(ctx, b)
 			}
 		}
 	}
 }
 
-// beat sends one heartbeat and reports its end.
-func (e *Entry) beat(ctx context.Context, r *remote, ended chan<- beat) {
+// tickMembers sends the heartbeats that are due and hands on what the core now believes.
+func (e *Entry) tickMembers(ctx context.Context, ended chan<- beat) {
+	h := e.heartbeat()
+	e.peers.led(e.now(), h)
+	for _, r := range e.peers.due(e.now()) {
+		go func() {
+			b := e.beat(ctx, r)
+			select {
+			case ended <- b:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	e.state.setMembers(e.peers.members())
+	e.tell(ctx, domainsHeard{domains: e.peers.domains()})
+}
+
+// beat sends one heartbeat and waits for its end.
+func (e *Entry) beat(ctx context.Context, r *remote) beat {
 	b := beat{remote: r, askedAt: e.now()}
-	result, err := call[Heartbeat, Heartbeat](ctx, r.client, beatLimit, methodHeartbeat, e.heartbeat())
+	pulse := e.peers.pulse(e.now(), r.Name, e.heartbeat())
+	result, err := call[Pulse, Pulse](ctx, r.client, beatLimit, methodHeartbeat, pulse)
 	e.meter.CallsSent.Add(1)
 	if err != nil {
 		e.meter.CallsFailed.Add(1)
@@ -71,67 +89,51 @@
 	if err == nil && result.Name == r.Name {
 		b.result = &result
 	}
-	select {
-	case ended <- b:
-	case <-ctx.Done():
+	return b
+}
+
+// answered handles what another instance said in answer to a heartbeat. The right to be a
+// gate is extended only by an answer that states the leader's present table.
+func (e *Entry) answered(ctx context.Context, b beat) {
+	h, fresh, held := e.peers.hear(e.now(), *b.result, true)
+	if !held {
+		return
 	}
+	e.heard(ctx, h, fresh)
+	e.lease.confirm(b.askedAt, h, e.state.table())
 }
 
-// heard handles what another instance said of itself in answer to a heartbeat.
-func (e *Entry) heard(ctx context.Context, r *remote, h Heartbeat) {
-	e.front.Merge(h.Blocks)
+// heard handles what another instance says of itself. Fresh says that it was not known.
+func (e *Entry) heard(ctx context.Context, h Heartbeat, fresh bool) {
+	if fresh {
+		e.front.Merge(h.Blocks)
+	}
 	if h.Domain == e.deps.Settings.Domain {
 		e.tell(ctx, peerHeard(h))
 	}
 	view, _, _ := e.state.snapshot()
 	if view.Bundle == nil && h.BundleVersion > 0 || view.Bundle != nil && h.BundleVersion > view.Bundle.Version {
-		go e.fetchProof(ctx, r)
+		e.fetch(h.Name, func(r *remote) { e.fetchProof(ctx, r) })
 	}
 	if h.Domain != e.deps.Settings.Domain {
 		return
 	}
 	t := view.Table
 	if t == nil || h.TableTerm.Compare(t.Term) > 0 || h.TableTerm == t.Term && h.TableSerial > t.Serial {
-		go e.fetchTable(ctx, r.client)
-	}
-}
-
-func peerHeard(h Heartbeat) leader.PeerHeard {
-	return leader.PeerHeard{
-		Name:        h.Name,
-		Incarnation: h.Incarnation,
-		Leading:     h.Leading,
-		Term:        h.Term,
-		Leaving:     h.Stopping,
+		e.fetch(h.Name, func(r *remote) { e.fetchTable(ctx, r.client) })
 	}
 }
 
-// heartbeat returns what this instance says of itself now.
-func (e *Entry) heartbeat() Heartbeat {
-	view, _, stopping := e.state.snapshot()
-	settings := e.deps.Settings
-	h := Heartbeat{
-		Name:           settings.Name,
-		Domain:         settings.Domain,
-		Incarnation:    e.deps.Incarnation,
-		PeerAddress:    settings.PeerAddress,
-		ForwardAddress: settings.ForwardAddress,
-		Stopping:       stopping,
-	}
-	if view.Bundle != nil {
-		h.BundleVersion = view.Bundle.Version
-	}
-	if view.Table != nil {
-		h.TableTerm, h.TableSerial = view.Table.Term, view.Table.Serial
-	}
-	for _, m := range view.Members {
-		h.Heard = append(h.Heard, m.Name)
-	}
-	h.Blocks = e.front.Blocks()
-	if core := e.coreView.heartbeat.Load(); core != nil {
-		h.Leading, h.Term = core.Leading, core.Term
+// fetch runs a fetch from an instance unless one is under way.
+func (e *Entry) fetch(name string, run func(r *remote)) {
+	r := e.peers.remote(name)
+	if r == nil || !r.fetching.CompareAndSwap(false, true) {
+		return
 	}
-	return h
+	go func() {
+		defer r.fetching.Store(false)
+		run(r)
+	}()
 }
 
 // mux answers the calls of other instances.
@@ -147,25 +149,21 @@
 	return m
 }
 
-func (e *Entry) handleHeartbeat(ctx context.Context, h Heartbeat) (Heartbeat, error) {
-	e.peers.learn(config.Peer{
-		Name:           h.Name,
-		Domain:         h.Domain,
-		PeerAddress:    h.PeerAddress,
-		ForwardAddress: h.ForwardAddress,
-	})
-	e.front.Merge(h.Blocks)
-	if h.Domain == e.deps.Settings.Domain && (h.Leading || h.Stopping) {
-		e.tell(ctx, peerHeard(h))
+func (e *Entry) handleHeartbeat(ctx context.Context, p Pulse) (Pulse, error) {
+	h, fresh, held := e.peers.hear(e.now(), p, false)
+	if held {
+		e.heard(ctx, h, fresh)
 	}
-	return e.heartbeat(), nil
+	return e.peers.reply(e.now(), p, e.heartbeat()), nil
 }
 
 // announceStop tells the domain at once that this instance is leaving.
 func (e *Entry) announceStop(ctx context.Context) {
-	for _, c := range e.peers.inDomain() {
-		_, _ = call[Heartbeat, Heartbeat](ctx, c, beatLimit, methodHeartbeat, e.heartbeat())
+	var told sync.WaitGroup
+	for _, r := range e.peers.stop(e.now()) {
+		told.Go(func() { e.beat(ctx, r) })
 	}
+	told.Wait()
 	if err := e.deps.List.Leave(ctx, e.listed()); err != nil {
 		e.deps.Logger.Warn("list-unavailable", "error", err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,7 @@
 	meter   *meter.Control
 	loads   *loads
 	reports *reports
+	listing listing
 	front   *front.Front
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
@@ -106,7 +107,7 @@
 	e.core = leader.New(leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation), d.Placer)
 	e.meter = meter.NewControl()
 	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
-	e.peers = newPeers(d.Settings, d.TLS, e.meter)
+	e.peers = newPeers(d.Settings, d.Incarnation, d.TLS, e.meter)
 	e.holders = newHolders(d.Incarnation, e.clock)
 	e.loads = newLoads(time.Now())
 	e.reports = newReports()
--- a/internal/entry/lister.go
+++ b/internal/entry/lister.go
@@ -2,25 +2,28 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/listcl"
+	"example.org/mustardring/internal/member"
 )
 
 // Periods of reading the platform's list.
 const (
 	listPeriod = 500 * time.Millisecond
 	listLimit  = 2 * time.Second
+	// listSettle is the time that instances have to register again at a list that lost them.
+	listSettle = 10 * time.Second
 )
 
 // runList reads the platform's list and registers this instance there.
 func (e *Entry) runList(ctx context.Context) error {
-	registered := false
 	for ctx.Err() == nil {
-		if !registered {
-			registered = e.register(ctx)
+		if !e.listing.registered {
+			e.listing.registered = e.register(ctx)
 		}
 		e.readList(ctx)
 		pause(ctx, listPeriod)
@@ -58,9 +61,17 @@
 		e.deps.Logger.Debug("list-unavailable", "error", err)
 		return
 	}
+	e.takeList(ctx, list)
+}
+
+// takeList learns from the list, and takes it as evidence of what is gone unless the service
+// has lost what it knew.
+func (e *Entry) takeList(ctx context.Context, list listcl.List) {
 	ev := leader.Listed{}
+	var listed []member.ListedInstance
 	for _, i := range list.Instances {
 		ev.Instances = append(ev.Instances, i.Name)
+		listed = append(listed, listedMember(i))
 		if i.Leaving || i.Name == e.deps.Settings.Name {
 			continue
 		}
@@ -74,5 +85,57 @@
 	for _, s := range list.Servers {
 		ev.Servers = append(ev.Servers, s.Name)
 	}
+	if !e.listing.isEvidence(time.Now(), e.deps.Settings.Name, ev.Instances) {
+		return
+	}
+	if e.peers.list(e.now(), listed) {
+		e.deps.Logger.Warn("removed", "instance", e.deps.Settings.Name)
+		e.state.stop()
+		e.tell(ctx, leader.Stopping{})
+	}
 	e.tell(ctx, ev)
 }
+
+// listing is what the list showed. Only the list duty touches it.
+type listing struct {
+	names []string
+	// registered says that this instance need not register.
+	registered bool
+	// evidenceFrom is from when on the list is evidence again.
+	evidenceFrom time.Time
+}
+
+// isEvidence reports whether the list proves that what it shows no more is gone.
+//
+// The failure guarded against is a list service that lost what it knew. It shows few instances
+// although all run, and each would take the others for gone, for good. It shows by the absence
+// of this instance and of most others at once; the instances then register again, and the
+// list counts as evidence when all have had the time to do so.
+func (l *listing) isEvidence(now time.Time, self string, names []string) bool {
+	missing := 0
+	for _, name := range l.names {
+		if !slices.Contains(names, name) {
+			missing++
+		}
+	}
+	lost := slices.Contains(l.names, self) && !slices.Contains(names, self) && 2*missing > len(l.names)
+	if lost {
+		l.registered, l.evidenceFrom = false, now.Add(listSettle)
+	}
+	if now.Before(l.evidenceFrom) {
+		return false
+	}
+	l.names = names
+	return true
+}
+
+func listedMember(i listcl.Instance) member.ListedInstance {
+	return member.ListedInstance{
+		Instance: member.Instance{
+			Process: member.Process{Name: i.Name, Incarnation: i.Incarnation},
+			Domain:  i.Domain,
+			Address: i.PeerAddress,
+		},
+		Leaving: i.Leaving,
+	}
+}
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/member"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/internal/route"
@@ -17,8 +18,23 @@
 	methodProof     peer.Method = "bundle-proof"
 )
 
-// Heartbeat is what two instances tell each other about themselves, as the parameters and as
-// the result of a heartbeat.
+// Pulse is a heartbeat, as the parameters and as the result of a call. It carries the sender's
+// Heartbeat only to a receiver that lacks it.
+type Pulse struct {
+	Name string `json:"name"`
+	// Count grows with each pulse of the process.
+	Count uint64 `json:"count"`
+	// Stated identifies the sender's Heartbeat.
+	Stated uint64 `json:"stated"`
+	// Knows identifies the receiver's Heartbeat as the sender has it, zero for none.
+	Knows uint64 `json:"knows,omitempty"`
+	// Hears says that the sender hears the receiver.
+	Hears     bool           `json:"hears,omitempty"`
+	Heartbeat *Heartbeat     `json:"heartbeat,omitempty"`
+	Hearsay   []member.Count `json:"hearsay,omitempty"`
+}
+
+// Heartbeat is what an instance says of itself.
 type Heartbeat struct {
 	Name           string `json:"name"`
 	Domain         string `json:"domain"`
@@ -35,8 +51,6 @@
 	// TableTerm and TableSerial identify the newest routing table of the instance's domain.
 	TableTerm   grant.Term `json:"table-term"`
 	TableSerial uint64     `json:"table-serial"`
-	// Heard are the instances that answered this one lately.
-	Heard []string `json:"heard,omitempty"`
 	// Blocks are requests that may crash servers.
 	Blocks []policy.Block `json:"blocks,omitempty"`
 }
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"time"
 
 	"example.org/mustardring/internal/admin"
 	"example.org/mustardring/internal/route"
@@ -37,7 +36,7 @@
 		s.Provisional = countProvisional(t)
 		s.Owned = ownedShare(view)
 	}
-	s.Domains = e.peers.versions(time.Now(), s.BundleVersion)
+	s.Domains = e.peers.versions(s.BundleVersion)
 	return s
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,49 +3,66 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/mustardring/internal/admin"
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/member"
 	"example.org/mustardring/internal/meter"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/route"
-	"example.org/mustardring/pkg/grant"
 )
 
-// peers are the other instances that this one knows of, with a client for each.
+// peers are the other instances that this one knows of, with a client for each. The core of
+// membership decides which of them live and whom to send heartbeats to.
 type peers struct {
 	self   config.Run
 	config *tls.Config
 	meter  *meter.Control
 
-	mu    sync.Mutex
-	known map[string]*remote
+	mu     sync.Mutex
+	member *member.Core
+	own    member.Process
+	known  map[string]*remote
 }
 
 // remote is another instance.
 type remote struct {
 	config.Peer
 	client *peer.Client
-	// answeredAt is when it last answered a heartbeat, which proves that the link works both
-	// ways; the zero time if never.
-	answeredAt  time.Time
-	incarnation uint64
-	version     uint64
-	leading     bool
-	term        grant.Term
-	stopping    bool
+	// heartbeat is what it last said of itself, stated the number of that, and count that of the
+	// pulse which said so.
+	heartbeat Heartbeat
+	stated    uint64
+	count     uint64
+	// knows is the number of this instance's Heartbeat that it last had.
+	knows uint64
+	// heardAt is when it was last heard; the zero time if never.
+	heardAt time.Time
 	// busy is true while a heartbeat to it is under way.
-	busy bool
-	// nextAt is when the next heartbeat is due.
-	nextAt time.Time
-}
-
-func newPeers(self config.Run, tlsConfig *tls.Config, m *meter.Control) *peers {
-	p := &peers{self: self, config: tlsConfig, meter: m, known: make(map[string]*remote)}
+	busy     bool
+	fetching atomic.Bool
+}
+
+func newPeers(self config.Run, incarnation uint64, tlsConfig *tls.Config, m *meter.Control) *peers {
+	own := member.Process{Name: self.Name, Incarnation: incarnation}
+	p := &peers{self: self, config: tlsConfig, meter: m, own: own, known: make(map[string]*remote)}
+	p.member = member.New(member.Config{
+		Self:           member.Instance{Process: own, Domain: self.Domain, Address: self.PeerAddress},
+		Period:         beatInDomain,
+		PeriodOutside:  beatElsewhere,
+		Silence:        silentInDomain,
+		SilenceOutside: silentElsewhere,
+		All:            beatAll,
+		Delegates:      beatDelegates,
+		Patience:       beatPatience,
+		Hearsay:        beatHearsay,
+	})
 	for _, seed := range self.Peers {
 		p.learn(seed)
 	}
@@ -55,19 +72,28 @@
 // learn adds an instance, or moves it to another address. The process at the new address is
 // another one, so nothing known of the old process stands.
 func (p *peers) learn(found config.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learnLocked(found)
+}
+
+func (p *peers) learnLocked(found config.Peer) {
 	if found.Name == "" || found.Name == p.self.Name {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	old, known := p.known[found.Name]
 	if known && old.Peer == found {
 		return
 	}
 	if known {
-		old.client.Close()
+		go old.client.Close()
 	}
 	p.known[found.Name] = &remote{Peer: found, client: peer.NewClient(found.PeerAddress, p.config, p.count)}
+	p.member.Handle(0, member.Learned{Instance: member.Instance{
+		Process: member.Process{Name: found.Name},
+		Domain:  found.Domain,
+		Address: found.PeerAddress,
+	}})
 }
 
 // count adds the bytes of a connection to another instance.
@@ -99,141 +125,116 @@
 	return clients
 }
 
-// liveInDomain returns the clients of the other instances of this domain that answered
-// lately, in the order of their names.
-func (p *peers) liveInDomain(now time.Time) []*peer.Client {
-	return p.selectClients(func(r *remote) bool { return r.live(now, p.self.Domain) })
+// liveInDomain returns the clients of the other live instances of this domain, in the order of
+// their names.
+func (p *peers) liveInDomain() []*peer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var clients []*peer.Client
+	for _, l := range p.member.View().Live {
+		if r := p.known[l.Name]; r != nil && accepts(l) {
+			clients = append(clients, r.client)
+		}
+	}
+	return clients
 }
 
-// recentInDomain returns the clients of the other instances of this domain that answered
-// within the time for which what they remember may matter, in the order of their names.
-func (p *peers) recentInDomain(now time.Time) []*peer.Client {
-	return p.selectClients(func(r *remote) bool {
-		return !r.answeredAt.IsZero() && now.Before(r.answeredAt.Add(recallAfter))
-	})
+// accepts reports whether work may be sent to an instance. One that is known by hearsay only
+// is beyond the direct contacts of a large domain.
+func accepts(l member.Live) bool {
+	return !l.Leaving && (l.Link == member.LinkBoth || l.Link == member.LinkNone)
 }
 
-func (p *peers) selectClients(accept func(*remote) bool) []*peer.Client {
+// recentInDomain returns the clients of the other instances of this domain that were heard
+// within the time for which what they remember may matter, in the order of their names.
+func (p *peers) recentInDomain(now time.Time) []*peer.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var chosen []*remote
-	for _, r := range p.known {
-		if r.Domain == p.self.Domain && accept(r) {
-			chosen = append(chosen, r)
+	var clients []*peer.Client
+	for _, name := range slices.Sorted(maps.Keys(p.known)) {
+		r := p.known[name]
+		if r.Domain == p.self.Domain && !r.heardAt.IsZero() && now.Before(r.heardAt.Add(recallAfter)) {
+			clients = append(clients, r.client)
 		}
 	}
-	slices.SortFunc(chosen, func(a, b *remote) int { return strings.Compare(a.Name, b.Name) })
-	clients := make([]*peer.Client, 0, len(chosen))
-	for _, r := range chosen {
-		clients = append(clients, r.client)
-	}
 	return clients
 }
 
-// leader returns the client of the instance of this domain that leads in the highest term, or
-// nil.
+// leader returns the client of the instance that leads this domain, or nil.
 func (p *peers) leader() *peer.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var found *remote
-	for _, r := range p.known {
-		if r.Domain != p.self.Domain || !r.leading {
-			continue
-		}
-		if found == nil || found.term.Compare(r.term) < 0 {
-			found = r
-		}
-	}
-	if found == nil {
-		return nil
+	if r := p.known[p.member.View().Leader.Name]; r != nil {
+		return r.client
 	}
-	return found.client
+	return nil
 }
 
-// members returns the instances that answered lately, this one included, sorted by name.
-func (p *peers) members(now time.Time) []route.Member {
+func (p *peers) remote(name string) *remote {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := []route.Member{{Name: p.self.Name, Domain: p.self.Domain, Address: p.self.ForwardAddress}}
-	for _, r := range p.known {
-		if r.live(now, p.self.Domain) {
-			all = append(all, route.Member{Name: r.Name, Domain: r.Domain, Address: r.ForwardAddress})
-		}
-	}
-	slices.SortFunc(all, func(a, b route.Member) int { return strings.Compare(a.Name, b.Name) })
-	return all
+	return p.known[name]
 }
 
-// domains returns the other failure domains of which an instance answered lately.
-func (p *peers) domains(now time.Time) []string {
+// members returns the live instances, this one included, sorted by name.
+func (p *peers) members() []route.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var heard []string
-	for _, r := range p.known {
-		if r.Domain != p.self.Domain && r.live(now, p.self.Domain) {
-			heard = append(heard, r.Domain)
-		}
-	}
-	slices.Sort(heard)
-	return slices.Compact(heard)
-}
-
-func (r *remote) live(now time.Time, domain string) bool {
-	limit := silentInDomain
-	if r.Domain != domain {
-		limit = silentElsewhere
+	all := []route.Member{{Name: p.self.Name, Domain: p.self.Domain, Address: p.self.ForwardAddress}}
+	for _, r := range p.liveLocked() {
+		all = append(all, route.Member{Name: r.Name, Domain: r.Domain, Address: r.ForwardAddress})
 	}
-	return !r.stopping && !r.answeredAt.IsZero() && now.Before(r.answeredAt.Add(limit))
+	slices.SortFunc(all, func(a, b route.Member) int { return strings.Compare(a.Name, b.Name) })
+	return all
 }
 
-// due returns the instances to which a heartbeat is due and marks them busy.
-func (p *peers) due(now time.Time) []*remote {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// liveLocked returns the live instances of all domains but this one.
+func (p *peers) liveLocked() []*remote {
 	var all []*remote
-	for _, r := range p.known {
-		if r.busy || now.Before(r.nextAt) {
-			continue
+	view := p.member.View()
+	for _, l := range view.Live {
+		if r := p.known[l.Name]; r != nil && accepts(l) {
+			all = append(all, r)
+		}
+	}
+	for _, d := range view.Domains {
+		for _, i := range d.Reachable {
+			if r := p.known[i.Name]; r != nil && !r.heartbeat.Stopping {
+				all = append(all, r)
+			}
 		}
-		r.busy = true
-		r.nextAt = now.Add(periodFor(r.Domain == p.self.Domain))
-		all = append(all, r)
 	}
 	return all
 }
 
-// answered notes the result of a heartbeat, nil if there was none.
-func (p *peers) answered(r *remote, now time.Time, result *Heartbeat) {
+// domains returns the other failure domains of which an instance was heard lately.
+func (p *peers) domains() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r.busy = false
-	if result == nil {
-		return
+	var heard []string
+	for _, d := range p.member.View().Domains {
+		if len(d.Reachable) > 0 {
+			heard = append(heard, d.Name)
+		}
 	}
-	r.answeredAt = now
-	r.incarnation = result.Incarnation
-	r.stopping = result.Stopping
-	r.version = result.BundleVersion
-	r.leading, r.term = result.Leading, result.Term
+	return heard
 }
 
 // versions returns the bundle versions in force by domain, sorted by domain. Own is that of
 // this instance.
-func (p *peers) versions(now time.Time, own uint64) []admin.DomainVersion {
+func (p *peers) versions(own uint64) []admin.DomainVersion {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := []admin.DomainVersion{{Domain: p.self.Domain, Lowest: own, Highest: own}}
-	for _, r := range p.known {
-		if !r.live(now, p.self.Domain) {
-			continue
-		}
+	for _, r := range p.liveLocked() {
+		version := r.heartbeat.BundleVersion
 		i := slices.IndexFunc(all, func(v admin.DomainVersion) bool { return v.Domain == r.Domain })
 		if i < 0 {
-			all = append(all, admin.DomainVersion{Domain: r.Domain, Lowest: r.version, Highest: r.version})
+			all = append(all, admin.DomainVersion{Domain: r.Domain, Lowest: version, Highest: version})
 			continue
 		}
-		all[i].Lowest = min(all[i].Lowest, r.version)
-		all[i].Highest = max(all[i].Highest, r.version)
+		all[i].Lowest = min(all[i].Lowest, version)
+		all[i].Highest = max(all[i].Highest, version)
 	}
 	slices.SortFunc(all, func(a, b admin.DomainVersion) int { return strings.Compare(a.Domain, b.Domain) })
 	return all
--- /dev/null
+++ b/internal/entry/pulse.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/mustardring/internal/leader"
+	"example.org/mustardring/internal/member"
+	"example.org/mustardring/internal/policy"
+)
+
+// statedBits keeps the number that stands for a Heartbeat short on the wire. Two in sequence
+// are taken for the same once in 2^48 changes.
+const statedBits = 48
+
+// stated returns the number that stands for a Heartbeat. It differs after a restart, because
+// the incarnation is part of the Heartbeat, and is never zero.
+func stated(h Heartbeat) uint64 {
+	data, err := json.Marshal(h)
+	if err != nil {
+		return 1
+	}
+	return xxhash.Sum64(data)>>(64-statedBits) | 1
+}
+
+// heartbeat returns what this instance says of itself now.
+func (e *Entry) heartbeat() Heartbeat {
+	view, _, stopping := e.state.snapshot()
+	settings := e.deps.Settings
+	h := Heartbeat{
+		Name:           settings.Name,
+		Domain:         settings.Domain,
+		Incarnation:    e.deps.Incarnation,
+		PeerAddress:    settings.PeerAddress,
+		ForwardAddress: settings.ForwardAddress,
+		Stopping:       stopping,
+	}
+	if view.Bundle != nil {
+		h.BundleVersion = view.Bundle.Version
+	}
+	if view.Table != nil {
+		h.TableTerm, h.TableSerial = view.Table.Term, view.Table.Serial
+	}
+	h.Blocks = e.front.Blocks()
+	slices.SortFunc(h.Blocks, compareBlocks)
+	if core := e.coreView.heartbeat.Load(); core != nil {
+		h.Leading, h.Term = core.Leading, core.Term
+	}
+	return h
+}
+
+func compareBlocks(a, b policy.Block) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Print, b.Print))
+}
+
+func (h Heartbeat) instance() member.Instance {
+	return member.Instance{
+		Process: member.Process{Name: h.Name, Incarnation: h.Incarnation},
+		Domain:  h.Domain,
+		Address: h.PeerAddress,
+	}
+}
+
+// beat returns the heartbeat of the core of membership that a pulse with h stands for.
+func (p Pulse) beat(h Heartbeat, self member.Process) member.Beat {
+	b := member.Beat{
+		Instance: h.instance(),
+		Count:    p.Count,
+		Leaving:  h.Stopping,
+		Term:     h.Term,
+		Hearsay:  p.Hearsay,
+	}
+	if h.Leading {
+		b.Leader = b.Process
+	}
+	if p.Hears {
+		b.Direct = []member.Process{self}
+	}
+	return b
+}
+
+func peerHeard(h Heartbeat) leader.PeerHeard {
+	return leader.PeerHeard{
+		Name:        h.Name,
+		Incarnation: h.Incarnation,
+		Leading:     h.Leading,
+		Term:        h.Term,
+		Leaving:     h.Stopping,
+	}
+}
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -79,7 +79,7 @@
 // Begin implements front.Witness. The instance is chosen by the mark, the next one if it
 // does not answer.
 func (w *witness) Begin(ctx context.Context, m policy.Mark) error {
-	others := w.peers.liveInDomain(time.Now())
+	others := w.peers.liveInDomain()
 	if len(others) == 0 {
 		return nil
 	}
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -20,8 +20,11 @@
 	SilenceOutside time.Duration
 	// All is the size up to which everybody in a group sends to everybody.
 	All int
-	// Delegates is the number of instances that keep contact with other domains.
+	// Delegates is the number of instances of another domain that are contacted.
 	Delegates int
+	// Patience is for how long after its silence began a process that the platform's list shows
+	// keeps its name against another one. Zero means as long as the list shows it.
+	Patience time.Duration
 	// Hearsay bounds the counters passed on in one heartbeat.
 	Hearsay int
 }
@@ -36,8 +39,10 @@
 	leaving bool
 	known   map[string]*known
 	// order is known by name, and told the place in it where the last heartbeat ended.
-	order   []*known
-	told    int
+	order []*known
+	told  int
+	// turn chooses among silent instances of other domains.
+	turn    int
 	leader  Process
 	term    grant.Term
 	nextAt  Time
@@ -62,6 +67,8 @@
 	liveUntil  Time
 	heardUntil Time
 	hearsUntil Time
+	// calledUntil is until when its heartbeats, answered here, stand for own ones to it.
+	calledUntil Time
 	// listed says that the platform's list has shown the present process.
 	listed bool
 	// gone is set for good when the list shows the process no more.
@@ -140,7 +147,11 @@
 	}
 	wasLive, link, leaving := now < k.liveUntil, k.link(now), k.leaving
 	silence := c.silence(k)
-	if e.Beat.Count > k.count {
+	isNew := e.Beat.Count > k.count
+	if !e.Answered {
+		k.calledUntil = now + c.period(k) + c.period(k)/2
+	}
+	if isNew {
 		k.count = e.Beat.Count
 		k.leaving = e.Beat.Leaving
 		k.liveUntil, k.heardUntil = now+silence, now+silence
@@ -151,7 +162,7 @@
 	if !wasLive || link != k.link(now) || leaving != k.leaving {
 		c.stale = true
 	}
-	if k.Domain != c.config.Self.Domain {
+	if k.Domain != c.config.Self.Domain || !isNew {
 		return
 	}
 	for _, h := range e.Beat.Hearsay {
@@ -202,13 +213,26 @@
 	case i.Incarnation == k.Incarnation:
 		k.Domain = i.Domain
 		return !k.gone
-	case k.isRefused(i.Process), now < k.liveUntil, k.listed && !k.gone:
+	case k.isRefused(i.Process), now < k.liveUntil, k.listed && !k.gone && !c.isOverdue(now, k):
 		return false
 	}
 	k.replace(i)
 	return true
 }
 
+// isOverdue reports whether a listed process has been silent for so long that another may take
+// its name though the list does not say so yet. Without it an instance that is replaced while
+// the list can't be read would stay unknown for as long.
+func (c *Core) isOverdue(now Time, k *known) bool {
+	return c.config.Patience > 0 && now >= k.liveUntil+Time(c.config.Patience)
+}
+
+// Holds reports whether a process has its name now and is not known to be gone.
+func (c *Core) Holds(p Process) bool {
+	k := c.known[p.Name]
+	return k != nil && k.Process == p && !k.gone
+}
+
 func (k *known) isRefused(p Process) bool {
 	f := k.findFormer(p)
 	return f != nil && (f.replaced || f.gone)
@@ -260,6 +284,13 @@
 	k.liveUntil = now + c.silence(k)
 }
 
+func (c *Core) period(k *known) Time {
+	if k.Domain == c.config.Self.Domain {
+		return Time(c.config.Period)
+	}
+	return Time(c.config.PeriodOutside)
+}
+
 func (c *Core) silence(k *known) Time {
 	if k.Domain == c.config.Self.Domain {
 		return Time(c.config.Silence)
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -9,20 +9,43 @@
 func (c *Core) tick(now Time) []Effect {
 	var targets []string
 	if now >= c.nextAt {
-		c.nextAt = now + Time(c.config.Period)
+		c.nextAt = nextAfter(now, c.nextAt, Time(c.config.Period))
 		targets = c.inside()
 	}
 	if now >= c.nextOut {
-		c.nextOut = now + Time(c.config.PeriodOutside)
+		c.nextOut = nextAfter(now, c.nextOut, Time(c.config.PeriodOutside))
 		targets = append(targets, c.outside(now)...)
 	}
 	var effects []Effect
 	for _, name := range targets {
-		effects = append(effects, Send{To: c.known[name].Instance, Beat: c.Beat(now)})
+		k := c.known[name]
+		if !c.leaving && now < k.calledUntil && c.isCaller(k) {
+			continue
+		}
+		effects = append(effects, Send{To: k.Instance, Beat: c.Beat(now)})
 	}
 	return effects
 }
 
+// nextAfter keeps the pace when ticks come a little late, and does not make up for a pause.
+func nextAfter(now, due, period Time) Time {
+	return max(due+period, now+period/2)
+}
+
+// isCaller reports whether a contact is the one of the two that sends, while the other only
+// answers: the follower of a leader, whose rights rest on the leader's answers, otherwise the
+// first by name. Where they disagree both send.
+func (c *Core) isCaller(k *known) bool {
+	switch c.leader {
+	case c.config.Self.Process:
+		return k.Domain == c.config.Self.Domain || k.Name < c.config.Self.Name
+	case k.Process:
+		return false
+	default:
+		return k.Name < c.config.Self.Name
+	}
+}
+
 // Beat returns the next heartbeat, to be sent or to answer one.
 func (c *Core) Beat(now Time) Beat {
 	c.count++
@@ -38,7 +61,9 @@
 			b.Direct = append(b.Direct, k.Process)
 		}
 	}
-	b.Hearsay = c.hearsayFor(now)
+	if len(c.namesOf(c.config.Self.Domain)) > c.config.All {
+		b.Hearsay = c.hearsayFor(now)
+	}
 	return b
 }
 
@@ -73,17 +98,19 @@
 }
 
 // inside returns the contacts in the own domain, dead ones included: only a heartbeat to
-// them finds out that they have returned. What is gone for certain is left out.
+// them finds out that they have returned. What is gone for certain is left out. The leader is
+// among them in any case.
 func (c *Core) inside() []string {
-	return contacts(c.namesOf(c.config.Self.Domain), c.config.Self.Name, c.config.All)
+	names := contacts(c.namesOf(c.config.Self.Domain), c.config.Self.Name, c.config.All)
+	leader := c.known[c.leader.Name]
+	if leader != nil && !leader.gone && !slices.Contains(names, c.leader.Name) {
+		names = append(names, c.leader.Name)
+	}
+	return names
 }
 
-// outside returns contacts in other domains. Only the first few live instances of a domain
-// have any, each with the first few known in each contacted domain.
+// outside returns contacts in other domains, a few in each.
 func (c *Core) outside(now Time) []string {
-	if !c.isDelegate(now) {
-		return nil
-	}
 	domains := []string{c.config.Self.Domain}
 	for _, k := range c.known {
 		if !slices.Contains(domains, k.Domain) {
@@ -113,19 +140,10 @@
 	return names
 }
 
-func (c *Core) isDelegate(now Time) bool {
-	before := 0
-	for name, k := range c.known {
-		if name < c.config.Self.Name && k.Domain == c.config.Self.Domain && now < k.liveUntil && !k.leaving {
-			before++
-		}
-	}
-	return before < c.config.Delegates
-}
-
-// delegatesOf returns those to contact in another domain: the first live ones, and one that
-// is not known to live, a different one each time, so that a domain whose known instances
-// were all replaced is found again.
+// delegatesOf returns those to contact in another domain: a few live ones, and one that is
+// not known to live, a different one each time, so that a domain whose known instances were
+// all replaced is found again. Instances begin at the place that they have among their own,
+// so that no instance of the other domain answers them all.
 func (c *Core) delegatesOf(now Time, domain string) []string {
 	var live, silent []string
 	for _, name := range c.namesOf(domain) {
@@ -135,9 +153,14 @@
 			silent = append(silent, name)
 		}
 	}
-	chosen := live[:min(len(live), c.config.Delegates)]
+	var chosen []string
+	place := slices.Index(c.namesOf(c.config.Self.Domain), c.config.Self.Name)
+	for n := range min(len(live), c.config.Delegates) {
+		chosen = append(chosen, live[(place+n)%len(live)])
+	}
 	if len(silent) > 0 {
-		chosen = append(slices.Clone(chosen), silent[int(c.count)%len(silent)])
+		c.turn++
+		chosen = append(chosen, silent[c.turn%len(silent)])
 	}
 	return chosen
 }
