Tell the core of homes what is held when it decides, not every 20 ms

The held ranges of all services were worked out 50 times a second. Now before each piece of news that the core of homes decides on, and every 100 ms.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -19,6 +19,9 @@
 	beatCheck       = 50 * time.Millisecond
 	fetchLimit      = 2 * time.Second
 	maxBeats        = 64
+	// domainsPeriod is how often it is said which domains are heard: a tenth of the silence for
+	// which a domain may be given notice.
+	domainsPeriod = time.Second
 )
 
 // Bounds of membership.
@@ -74,7 +77,10 @@
 		}()
 	}
 	e.state.setMembers(e.peers.members())
-	e.tell(ctx, domainsHeard{domains: e.peers.domains()})
+	if now := e.now(); now >= e.domainsAt {
+		e.domainsAt = now + leader.Time(domainsPeriod)
+		e.tell(ctx, domainsHeard{domains: e.peers.domains()})
+	}
 }
 
 // beat sends one heartbeat and waits for its end.
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -15,6 +15,10 @@
 // tickPeriod is how often the cores look at their deadlines.
 const tickPeriod = 20 * time.Millisecond
 
+// heldPeriod is how often the core of homes is told what this instance holds, beside each time
+// that it decides on other news.
+const heldPeriod = 100 * time.Millisecond
+
 // event is an input of the duty that runs the cores: a leader.Event, inForce, logRead,
 // homesCopied or domainsHeard.
 type event any
@@ -48,13 +52,17 @@
 func (e *Entry) runCore(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
+	var heldAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case now := <-ticker.C:
 			e.handle(leader.Ticked{})
-			e.reportHeld()
+			if !now.Before(heldAt) {
+				heldAt = now.Add(heldPeriod)
+				e.reportHeld()
+			}
 			e.confirmOwnGates()
 			e.closeLapsed()
 		case ev := <-e.events:
@@ -63,15 +71,22 @@
 	}
 }
 
+// handle hands an event to the core that it is for. The core of homes decides only on what
+// this instance holds at that moment: a range that the leader adopted just before must not
+// count as one that nobody holds.
 func (e *Entry) handle(ev event) {
 	switch ev := ev.(type) {
 	case inForce:
+		e.reportHeld()
 		e.performHomes(e.homes.Handle(e.now(), homes.InForce{Bundle: ev.bundle}))
 	case logRead:
+		e.reportHeld()
 		e.performHomes(e.homes.Handle(e.now(), homes.LogRead{State: ev.state}))
 	case homesCopied:
+		e.reportHeld()
 		e.performHomes(e.homes.Handle(e.now(), homes.Copied{Homes: ev.homes}))
 	case domainsHeard:
+		e.reportHeld()
 		e.performHomes(e.homes.Handle(e.now(), homes.Domains{Heard: ev.domains}))
 	case leader.Event:
 		e.lead(ev)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,7 +81,10 @@
 	loads   *loads
 	reports *reports
 	listing listing
-	front   *front.Front
+	// domainsAt is when the core of homes is next told which domains are heard. Only the
+	// heartbeat duty touches it.
+	domainsAt leader.Time
+	front     *front.Front
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
 
