--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		e.meter.CallsFailed.Add(1)
 	}
+	result = result.restore(pulse, r.Name)
 	if err == nil && result.Name == r.Name {
 		b.result = &result
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"example.org/mustardring/internal/config"
@@ -79,30 +80,30 @@
 func (p *peers) pulse(now member.Time, to string, own Heartbeat) Pulse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pulseLocked(now, to, own)
+	pulse := p.fill(now, to, own)
+	if r := p.known[to]; r != nil && r.knows == pulse.Stated {
+		pulse.Heartbeat = nil
+	}
+	return pulse
 }
 
 // reply returns the answer to a pulse.
 func (p *peers) reply(now member.Time, asked Pulse, own Heartbeat) Pulse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pulseLocked(now, asked.Name, own)
+	return p.fill(now, asked.Name, own).shorten(asked)
 }
 
-func (p *peers) pulseLocked(now member.Time, to string, own Heartbeat) Pulse {
+// fill returns a whole pulse.
+func (p *peers) fill(now member.Time, to string, own Heartbeat) Pulse {
 	b := p.member.Beat(now)
-	pulse := Pulse{Name: own.Name, Count: b.Count, Stated: stated(own), Hearsay: b.Hearsay}
+	pulse := Pulse{Name: own.Name, Count: b.Count, Stated: stated(own), Heartbeat: &own, Hearsay: b.Hearsay, Deaf: true}
 	r := p.known[to]
-	if r == nil || r.knows != pulse.Stated {
-		pulse.Heartbeat = &own
-	}
 	if r == nil {
 		return pulse
 	}
 	pulse.Knows = r.stated
-	for _, d := range b.Direct {
-		pulse.Hears = pulse.Hears || d == r.heartbeat.instance().Process
-	}
+	pulse.Deaf = !slices.Contains(b.Direct, r.heartbeat.instance().Process)
 	return pulse
 }
 
@@ -115,6 +116,9 @@
 	if pulse.Name == p.self.Name {
 		return h, false, false
 	}
+	if r := p.known[pulse.Name]; r != nil {
+		r.knows = pulse.Knows
+	}
 	h, found := p.resolve(pulse)
 	if !found {
 		return h, false, false
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -19,17 +19,21 @@
 )
 
 // Pulse is a heartbeat, as the parameters and as the result of a call. It carries the sender's
-// Heartbeat only to a receiver that lacks it.
+// Heartbeat only to a receiver that lacks it. A result leaves out what its caller can tell.
 type Pulse struct {
-	Name string `json:"name"`
+	// Name and Stated are left out of a result if the caller knows the sender's Heartbeat.
+	Name string `json:"name,omitempty"`
 	// Count grows with each pulse of the process.
 	Count uint64 `json:"count"`
 	// Stated identifies the sender's Heartbeat.
-	Stated uint64 `json:"stated"`
-	// Knows identifies the receiver's Heartbeat as the sender has it, zero for none.
+	Stated uint64 `json:"stated,omitempty"`
+	// Knows identifies the receiver's Heartbeat as the sender has it, zero for none. It is left
+	// out of a result if that is the one that the caller stated.
 	Knows uint64 `json:"knows,omitempty"`
-	// Hears says that the sender hears the receiver.
-	Hears     bool           `json:"hears,omitempty"`
+	// Lacks says in a result that the sender has no Heartbeat of the caller.
+	Lacks bool `json:"lacks,omitempty"`
+	// Deaf says that the sender does not hear the receiver.
+	Deaf      bool           `json:"deaf,omitempty"`
 	Heartbeat *Heartbeat     `json:"heartbeat,omitempty"`
 	Hearsay   []member.Count `json:"hearsay,omitempty"`
 }
--- a/internal/entry/pulse.go
+++ b/internal/entry/pulse.go
@@ -64,6 +64,29 @@
 	}
 }
 
+// shorten leaves out of a result what its caller can tell.
+func (p Pulse) shorten(asked Pulse) Pulse {
+	if p.Stated == asked.Knows {
+		p.Name, p.Stated, p.Heartbeat = "", 0, nil
+	}
+	p.Lacks = p.Knows == 0
+	if p.Knows == asked.Stated {
+		p.Knows = 0
+	}
+	return p
+}
+
+// restore adds to a result what was left out of it.
+func (p Pulse) restore(asked Pulse, name string) Pulse {
+	if p.Stated == 0 {
+		p.Name, p.Stated = name, asked.Knows
+	}
+	if p.Knows == 0 && !p.Lacks {
+		p.Knows = asked.Stated
+	}
+	return p
+}
+
 // beat returns the heartbeat of the core of membership that a pulse with h stands for.
 func (p Pulse) beat(h Heartbeat, self member.Process) member.Beat {
 	b := member.Beat{
@@ -76,7 +99,7 @@
 	if h.Leading {
 		b.Leader = b.Process
 	}
-	if p.Hears {
+	if !p.Deaf {
 		b.Direct = []member.Process{self}
 	}
 	return b
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -42,7 +42,9 @@
 	order []*known
 	told  int
 	// turn chooses among silent instances of other domains.
-	turn    int
+	turn int
+	// round counts periods.
+	round   int
 	leader  Process
 	term    grant.Term
 	nextAt  Time
@@ -285,10 +287,14 @@
 }
 
 func (c *Core) period(k *known) Time {
-	if k.Domain == c.config.Self.Domain {
+	switch {
+	case k.Domain != c.config.Self.Domain:
+		return Time(c.config.PeriodOutside)
+	case c.isSparse(k):
+		return sparsePeriods * Time(c.config.Period)
+	default:
 		return Time(c.config.Period)
 	}
-	return Time(c.config.PeriodOutside)
 }
 
 func (c *Core) silence(k *known) Time {
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -10,6 +10,7 @@
 	var targets []string
 	if now >= c.nextAt {
 		c.nextAt = nextAfter(now, c.nextAt, Time(c.config.Period))
+		c.round++
 		targets = c.inside()
 	}
 	if now >= c.nextOut {
@@ -19,7 +20,7 @@
 	var effects []Effect
 	for _, name := range targets {
 		k := c.known[name]
-		if !c.leaving && now < k.calledUntil && c.isCaller(k) {
+		if !c.leaving && (c.isSparse(k) && c.round%sparsePeriods != 0 || now < k.calledUntil && c.isCaller(k)) {
 			continue
 		}
 		effects = append(effects, Send{To: k.Instance, Beat: c.Beat(now)})
@@ -27,6 +28,16 @@
 	return effects
 }
 
+// sparsePeriods is the number of periods between heartbeats of two followers.
+const sparsePeriods = 2
+
+// isSparse reports whether a contact needs fewer heartbeats: one of two followers in a small
+// domain, where no right and no succession rests on their hearing of each other.
+func (c *Core) isSparse(k *known) bool {
+	return k.Domain == c.config.Self.Domain && len(c.known) < c.config.All &&
+		c.leader.Name != "" && c.leader != c.config.Self.Process && c.leader != k.Process
+}
+
 // nextAfter keeps the pace when ticks come a little late, and does not make up for a pause.
 func nextAfter(now, due, period Time) Time {
 	return max(due+period, now+period/2)
