--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -208,14 +208,14 @@
 // The failure it guards against is an instance that was replaced at its address, and whose
 // old process was only paused: both then send under one name. It shows as two incarnations.
 // The present one stays until the platform lists the other in its place or, if it was never
-// listed itself, until it has been silent for its time. One that was replaced stays so unless
+// listed itself or said that it leaves, until it has been silent for its time. One that was replaced stays so unless
 // the list shows it.
 func (c *Core) admit(now Time, k *known, i Instance) bool {
 	switch {
 	case i.Incarnation == k.Incarnation:
 		k.Domain = i.Domain
 		return !k.gone
-	case k.isRefused(i.Process), now < k.liveUntil, k.listed && !k.gone && !c.isOverdue(now, k):
+	case k.isRefused(i.Process), now < k.liveUntil, k.listed && !k.gone && !k.leaving && !c.isOverdue(now, k):
 		return false
 	}
 	k.replace(i)
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -34,10 +34,21 @@
 // isSparse reports whether a contact needs fewer heartbeats: one of two followers in a small
 // domain, where no right and no succession rests on their hearing of each other.
 func (c *Core) isSparse(k *known) bool {
-	return k.Domain == c.config.Self.Domain && len(c.known) < c.config.All &&
+	return k.Domain == c.config.Self.Domain && c.isSmall() &&
 		c.leader.Name != "" && c.leader != c.config.Self.Process && c.leader != k.Process
 }
 
+// isSmall reports whether all instances of the domain are in direct contact.
+func (c *Core) isSmall() bool {
+	others := 0
+	for _, k := range c.known {
+		if k.Domain == c.config.Self.Domain && !k.gone {
+			others++
+		}
+	}
+	return others < c.config.All
+}
+
 // nextAfter keeps the pace when ticks come a little late, and does not make up for a pause.
 func nextAfter(now, due, period Time) Time {
 	return max(due+period, now+period/2)
@@ -72,7 +83,7 @@
 			b.Direct = append(b.Direct, k.Process)
 		}
 	}
-	if len(c.namesOf(c.config.Self.Domain)) > c.config.All {
+	if !c.isSmall() {
 		b.Hearsay = c.hearsayFor(now)
 	}
 	return b
