--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -102,7 +102,7 @@
 // answered handles what another instance said in answer to a heartbeat. The right to be a
 // gate is extended only by an answer that states the leader's present table.
 func (e *Entry) answered(ctx context.Context, b beat) {
-	h, fresh, held := e.peers.hear(e.now(), *b.result, true)
+	h, fresh, held := e.hear(*b.result, true)
 	if !held {
 		return
 	}
@@ -110,6 +110,15 @@
 	e.lease.confirm(b.askedAt, h, e.state.table())
 }
 
+// hear takes a pulse. A process that is not believed to have its name yet may answer calls all
+// the same, so that it took the place of another is noted before anything else.
+func (e *Entry) hear(p Pulse, answer bool) (h Heartbeat, fresh, held bool) {
+	if p.Heartbeat != nil && p.Heartbeat.Domain == e.deps.Settings.Domain {
+		e.losses.heard(*p.Heartbeat, time.Now())
+	}
+	return e.peers.hear(e.now(), p, answer)
+}
+
 // heard handles what another instance says of itself. Fresh says that it was not known.
 func (e *Entry) heard(ctx context.Context, h Heartbeat, fresh bool) {
 	if fresh {
@@ -118,8 +127,10 @@
 	if h.Domain == e.deps.Settings.Domain {
 		e.tell(ctx, peerHeard(h))
 	}
-	view, _, _ := e.state.snapshot()
-	if view.Bundle == nil && h.BundleVersion > 0 || view.Bundle != nil && h.BundleVersion > view.Bundle.Version {
+	view, _ := e.state.snapshot()
+	newer := view.Bundle == nil && h.BundleVersion > 0 || view.Bundle != nil && h.BundleVersion > view.Bundle.Version
+	homes := h.BundleVersion > 0 && h.Domain == e.deps.Settings.Domain && e.lacksHomes()
+	if newer || homes {
 		e.fetch(h.Name, func(r *remote) { e.fetchProof(ctx, r) })
 	}
 	if h.Domain != e.deps.Settings.Domain {
@@ -152,12 +163,13 @@
 	peer.Register(m, methodExchange, e.handleExchange)
 	peer.Register(m, methodLoads, e.handleLoads)
 	peer.Register(m, methodMark, e.handleMark)
+	peer.Register(m, methodMarks, e.handleMarks)
 	peer.Register(m, methodRecall, e.handleRecall)
 	return m
 }
 
 func (e *Entry) handleHeartbeat(ctx context.Context, p Pulse) (Pulse, error) {
-	h, fresh, held := e.peers.hear(e.now(), p, false)
+	h, fresh, held := e.hear(p, false)
 	if held {
 		e.heard(ctx, h, fresh)
 	}
--- a/internal/entry/pulse.go
+++ b/internal/entry/pulse.go
@@ -28,7 +28,7 @@
 
 // heartbeat returns what this instance says of itself now.
 func (e *Entry) heartbeat() Heartbeat {
-	view, _, stopping := e.state.snapshot()
+	view, stopping := e.state.snapshot()
 	settings := e.deps.Settings
 	h := Heartbeat{
 		Name:           settings.Name,
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -111,7 +111,7 @@
 			r.timer.Stop()
 			return r.answer(w, response)
 		}
-		f.deps.Log.Warn("forward failed", "request", r.id, "service", r.service, "address", address, "sent", sent, "error", err)
+		f.deps.Log.Warn("forward-failed", "request", r.id, "service", r.service, "address", address, "sent", sent, "error", err)
 		if sent || r.body.begun {
 			return r.inDoubt(ctx, w)
 		}
@@ -136,6 +136,9 @@
 	r.front.meters.retried.Add(1)
 	r.sending = policy.Name(uuid.New())
 	r.doubt = true
+	// What the caller stated is true of the first sending only.
+	r.attempt = max(r.attempt, 1) + 1
+	r.Header.Set(caller.HeaderAttempt, strconv.Itoa(r.attempt))
 	no := r.front.route(w, r.request)
 	if no != nil && no.ranNot() {
 		no.outcome, no.unsent = caller.Unknown, false
@@ -185,7 +188,7 @@
 	defer chunks.Put(buffer)
 	if err := stream(w, response, buffer); err != nil {
 		r.front.meters.cut.Add(1)
-		r.front.deps.Log.Warn("answer cut", "request", r.id, "service", r.service, "error", err)
+		r.front.deps.Log.Warn("answer-cut", "request", r.id, "service", r.service, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 	return nil
--- a/internal/leader/handover_test.go
+++ b/internal/leader/handover_test.go
@@ -228,6 +228,48 @@
 	is.Equal(w.served(), len(w.hashes))
 }
 
+// A new leader is there, and a server that checks is to leave a service that has servers which
+// do not. What the server holds was seen held, so nothing of it lingers elsewhere: it moves
+// after a lease, not after the longest request and pause.
+func TestSeenRangesMoveBeforeRequestsEnd(t *testing.T) {
+	is := is.New(t)
+	l := quiet(3, 3, 1)
+	l.config = func(c *Config) { c.Pause = 20_000_000_000 }
+	w := newWorld(1, l, "")
+	w.startAll()
+	w.advance(30_000 * ms)
+	w.kill(w.leading())
+	w.layout.leaving = "s00"
+	for _, n := range w.instances {
+		if !n.down {
+			n.event(Configured{Version: 2, Services: w.services()})
+		}
+	}
+	w.advance(32_000 * ms)
+	for _, server := range w.ownersBy() {
+		is.True(server != "s00")
+	}
+}
+
+// Servers are restarted one after another, as on any day. Were a voter's restart to cost its
+// vote for the rest of the term, the leader would lose its majority with the second of three,
+// and every range of the domain would be unavailable until the next leader has waited.
+func TestVotersRestartInTurn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, quiet(2, 3, 0), "")
+	w.startAll()
+	w.advance(6000 * ms)
+	term := w.leading().core.lead.term
+	for i := range 6 {
+		w.boot(w.servers[i%3])
+		w.advance(w.now + 1500*ms)
+		is.Equal(w.served(), len(w.hashes))
+		w.advance(w.now + 1500*ms)
+	}
+	is.True(w.leading() != nil)
+	is.Equal(w.leading().core.lead.term, term)
+}
+
 func TestSubtract(t *testing.T) {
 	r := func(first, last uint64) keys.Range { return keys.Range{First: first, Last: last} }
 	top := ^uint64(0)
