--- /dev/null
+++ b/internal/entry/pulse_bench_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"example.org/mustardring/internal/leader"
+)
+
+// BenchmarkPulse measures a heartbeat and its answer between two instances: the time that both
+// take without the sockets, and the bytes of both messages.
+func BenchmarkPulse(b *testing.B) {
+	tests := map[string]func(t *talker, n uint64){
+		"nothing new": func(*talker, uint64) {},
+		"new table":   func(t *talker, n uint64) { t.heartbeat.TableSerial = n },
+	}
+	for name, change := range tests {
+		b.Run(name, func(b *testing.B) {
+			asker, asked := newTalker("dvorana-a-2", 1<<62), newTalker("dvorana-a-1", 1<<63)
+			now, n, bytes := testStep, uint64(1000), 0
+			for b.Loop() {
+				now += leader.Time(1000)
+				n++
+				change(asker, n)
+				bytes = carry(b, asker, asked, now)
+			}
+			b.ReportMetric(float64(bytes), "bytes/call")
+		})
+	}
+}
+
+// carry makes one call with all its encoding and returns the bytes of both messages.
+func carry(b *testing.B, from, to *talker, now leader.Time) int {
+	pulse := from.peers.pulse(now, to.heartbeat.Name, from.heartbeat)
+	request := jsonrpc2.Request{Method: string(methodHeartbeat), ID: jsonrpc2.ID{Num: 12345}}
+	must(b, request.SetParams(pulse))
+	asked := encode(b, request)
+	var got Pulse
+	must(b, json.Unmarshal(*request.Params, &got))
+	to.peers.hear(now, got, false)
+	response := jsonrpc2.Response{ID: request.ID}
+	must(b, response.SetResult(to.peers.reply(now, got, to.heartbeat)))
+	answered := encode(b, response)
+	var answer Pulse
+	must(b, json.Unmarshal(*response.Result, &answer))
+	from.peers.hear(now, answer.restore(pulse, to.heartbeat.Name), true)
+	return len(asked) + len(answered)
+}
+
+func encode(b *testing.B, message any) []byte {
+	data, err := json.Marshal(message)
+	must(b, err)
+	return data
+}
+
+func must(b *testing.B, err error) {
+	if err != nil {
+		b.Fatal(err)
+	}
+}
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -43,6 +43,8 @@
 	told  int
 	// turn chooses among silent instances of other domains.
 	turn int
+	// mates is the number of other instances of the domain at the last tick.
+	mates int
 	// round counts periods.
 	round   int
 	leader  Process
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -11,6 +11,7 @@
 	if now >= c.nextAt {
 		c.nextAt = nextAfter(now, c.nextAt, Time(c.config.Period))
 		c.round++
+		c.mates = c.countMates()
 		targets = c.inside()
 	}
 	if now >= c.nextOut {
@@ -38,15 +39,21 @@
 		c.leader.Name != "" && c.leader != c.config.Self.Process && c.leader != k.Process
 }
 
-// isSmall reports whether all instances of the domain are in direct contact.
+// isSmall reports whether all instances of the domain are in direct contact, as of the last
+// tick.
 func (c *Core) isSmall() bool {
-	others := 0
+	return c.mates < c.config.All
+}
+
+// countMates returns the number of other instances of the domain.
+func (c *Core) countMates() int {
+	mates := 0
 	for _, k := range c.known {
 		if k.Domain == c.config.Self.Domain && !k.gone {
-			others++
+			mates++
 		}
 	}
-	return others < c.config.All
+	return mates
 }
 
 // nextAfter keeps the pace when ticks come a little late, and does not make up for a pause.
