--- a/internal/entry/members_test.go
+++ b/internal/entry/members_test.go
@@ -121,3 +121,25 @@
 		})
 	}
 }
+
+// A gate asks its leader, whose answer is slow: meanwhile the leader publishes a table and its
+// own heartbeat brings the news. Then the answer arrives, which only says that nothing was new.
+// Taken for a confirmation of the new table, it would extend the right of a gate that the
+// leader did not confirm.
+func TestOvertakenAnswerConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	a, b := newTalker("a", 1), newTalker("b", 2)
+	now := testStep
+	for range 3 {
+		a.call(now, b)
+		now += testStep
+	}
+	asked := a.peers.pulse(now, "b", a.heartbeat)
+	b.peers.hear(now, asked, false)
+	answer := b.peers.reply(now, asked, b.heartbeat)
+	b.heartbeat.TableSerial = 8
+	b.call(now, a)
+	is.True(a.knows(b))
+	_, _, held := a.peers.hear(now, answer.restore(asked, "b"), true)
+	is.True(!held)
+}
