--- a/internal/entry/configured.go
+++ b/internal/entry/configured.go
@@ -9,23 +9,20 @@
 	"example.org/mustardring/pkg/keys"
 )
 
-// voterService is the service under which entry instances vote in a domain without a server
-// that checks grants.
+// voterService is the service under which entry instances vote.
 const voterService = "entry-instances"
 
 // configured returns what a bundle asks of one domain, which may serve the allowed ranges of
 // its divided services.
 func configured(b *bundle.Bundle, domain string, allowed map[string][]keys.Range) leader.Configured {
 	c := leader.Configured{Version: b.Version}
-	checking := false
 	for i := range b.Services {
 		s := domainService(&b.Services[i], domain)
 		s.Homes = allowed[s.Name]
-		checking = checking || slices.ContainsFunc(s.Servers, func(v leader.Server) bool { return v.Votes })
 		c.Services = append(c.Services, s)
 	}
-	if !checking {
-		c.Services = append(c.Services, instanceVoters(b, domain))
+	if s := instanceVoters(b, domain); len(s.Servers) > 0 {
+		c.Services = append(c.Services, s)
 	}
 	return c
 }
@@ -37,6 +34,8 @@
 		Isolation:     cmp.Or(s.Isolation, bundle.IsolationHold),
 		Weights:       s.Weights,
 		RequestMillis: s.Limits.RequestMillis,
+
+		ColdStartMillis: s.Limits.ColdStartMillis,
 	}
 	for _, v := range s.Servers {
 		if v.Domain != domain {
@@ -60,11 +59,12 @@
 	return made
 }
 
-// instanceVoters makes the entry instances that the bundle names the voters of a domain.
+// instanceVoters has the entry instances of a domain that vote by the bundle.
 func instanceVoters(b *bundle.Bundle, domain string) leader.Service {
 	made := leader.Service{Name: voterService}
+	voters := b.Voters(domain)
 	for _, i := range b.Instances {
-		if i.Domain == domain {
+		if i.Domain == domain && slices.Contains(voters, i.Name) {
 			made.Servers = append(made.Servers, leader.Server{Name: i.Name, Votes: true})
 		}
 	}
