--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,7 +81,11 @@
 	meter   *meter.Control
 	loads   *loads
 	reports *reports
-	front   *front.Front
+	listing listing
+	// domainsAt is when the core of homes is next told which domains are heard. Only the
+	// heartbeat duty touches it.
+	domainsAt leader.Time
+	front     *front.Front
 	// folded is the newest folded state of the log, or nil.
 	folded atomic.Pointer[fold.State]
 	// copied are the homes that another instance of the domain has read, or nil.
@@ -109,7 +113,7 @@
 	e.core = leader.New(leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation), d.Placer)
 	e.meter = meter.NewControl()
 	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
-	e.peers = newPeers(d.Settings, d.TLS, e.meter)
+	e.peers = newPeers(d.Settings, d.Incarnation, d.TLS, e.meter)
 	e.holders = newHolders(d.Incarnation, e.clock)
 	e.loads = newLoads(time.Now())
 	e.reports = newReports()
@@ -228,7 +232,7 @@
 	group.Go("list", e.runList)
 	group.Go("witness", e.witness.run)
 	group.Go("loads", e.runLoads)
-	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux()).Run)
+	group.Go("peer-server", peer.NewServer(l.peer, e.deps.TLS, e.mux(), e.peers.count).Run)
 	group.Go("operator-http", e.serveOperators(l.operator))
 }
 
--- a/internal/entry/losses.go
+++ b/internal/entry/losses.go
@@ -70,7 +70,7 @@
 	if b == nil {
 		return
 	}
-	clients := e.peers.liveInDomain(time.Now())
+	clients := e.peers.liveInDomain()
 	for _, s := range b.Services {
 		marks := e.front.Marks(s.Name, keys.Full)
 		for part := range slices.Chunk(marks, maxMarks) {
