--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/peer"
 )
@@ -79,7 +80,7 @@
 	e.state.setMembers(e.peers.members())
 	if now := e.now(); now >= e.domainsAt {
 		e.domainsAt = now + leader.Time(domainsPeriod)
-		e.tell(ctx, domainsHeard{domains: e.peers.domains()})
+		e.tellHomes(ctx, homes.Domains{Heard: e.peers.domains()})
 	}
 }
 
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -5,10 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
-	"example.org/mustardring/pkg/bundle"
 	"example.org/mustardring/pkg/keys"
 )
 
@@ -19,29 +17,23 @@
 // that it decides on other news.
 const heldPeriod = 100 * time.Millisecond
 
-// event is an input of the duty that runs the cores: a leader.Event, inForce, logRead,
-// homesCopied or domainsHeard.
-type event any
-
-// inForce says that a bundle came in force at this instance.
-type inForce struct {
-	bundle *bundle.Bundle
+// event is an input of the duty that runs the cores: forLeader or forHomes. The set is sealed.
+type event interface {
+	isEvent()
 }
 
-// logRead is the newest folded state.
-type logRead struct {
-	state *fold.State
+// forLeader is an event of the core that leads the domain.
+type forLeader struct {
+	event leader.Event
 }
 
-// homesCopied is what another instance of the domain knows of homes.
-type homesCopied struct {
-	homes []fold.Taken
+// forHomes is an event of the core that keeps the homes of the domain.
+type forHomes struct {
+	event homes.Event
 }
 
-// domainsHeard are the other domains that were heard lately.
-type domainsHeard struct {
-	domains []string
-}
+func (forLeader) isEvent() {}
+func (forHomes) isEvent()  {}
 
 // coreView holds the core's statement about itself. The core duty writes it, others read it.
 type coreView struct {
@@ -58,7 +50,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			e.handle(leader.Ticked{})
+			e.lead(leader.Ticked{})
 			if !now.Before(heldAt) {
 				heldAt = now.Add(heldPeriod)
 				e.reportHeld()
@@ -76,20 +68,11 @@
 // count as one that nobody holds.
 func (e *Entry) handle(ev event) {
 	switch ev := ev.(type) {
-	case inForce:
-		e.reportHeld()
-		e.performHomes(e.homes.Handle(e.now(), homes.InForce{Bundle: ev.bundle}))
-	case logRead:
-		e.reportHeld()
-		e.performHomes(e.homes.Handle(e.now(), homes.LogRead{State: ev.state}))
-	case homesCopied:
-		e.reportHeld()
-		e.performHomes(e.homes.Handle(e.now(), homes.Copied{Homes: ev.homes}))
-	case domainsHeard:
+	case forHomes:
 		e.reportHeld()
-		e.performHomes(e.homes.Handle(e.now(), homes.Domains{Heard: ev.domains}))
-	case leader.Event:
-		e.lead(ev)
+		e.performHomes(e.homes.Handle(e.now(), ev.event))
+	case forLeader:
+		e.lead(ev.event)
 	}
 }
 
@@ -182,9 +165,19 @@
 	}
 }
 
-// tell hands an event to the core duty. A full ring means that the cores are far behind; the
+// tell hands an event to the core that leads.
+func (e *Entry) tell(ctx context.Context, ev leader.Event) {
+	e.put(ctx, forLeader{event: ev})
+}
+
+// tellHomes hands an event to the core of homes.
+func (e *Entry) tellHomes(ctx context.Context, ev homes.Event) {
+	e.put(ctx, forHomes{event: ev})
+}
+
+// put gives an event to the core duty. A full ring means that the cores are far behind; the
 // event waits until there is room or the context ends.
-func (e *Entry) tell(ctx context.Context, ev event) {
+func (e *Entry) put(ctx context.Context, ev event) {
 	select {
 	case e.events <- ev:
 	case <-ctx.Done():
--- a/internal/entry/enforce.go
+++ b/internal/entry/enforce.go
@@ -1,6 +1,10 @@
 package entry
 
-import "context"
+import (
+	"context"
+
+	"example.org/mustardring/internal/homes"
+)
 
 // enforced makes the bundle that has just come in force at this instance take effect.
 func (e *Entry) enforced(ctx context.Context) {
@@ -10,7 +14,7 @@
 	if err := e.front.Lift(b.Lifted); err != nil {
 		e.deps.Logger.Warn("lifted-block-ignored", "error", err)
 	}
-	e.tell(ctx, inForce{bundle: b})
+	e.tellHomes(ctx, homes.InForce{Bundle: b})
 }
 
 // rank is the number of live instances before this one in the order of their names.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -241,10 +241,10 @@
 func (e *Entry) drain() error {
 	e.deps.Logger.Info("stopping", "instance", e.deps.Settings.Name)
 	e.state.stop()
-	e.events <- leader.Stopping{}
 	limit := time.Duration(e.deps.Settings.DrainMillis) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	e.tell(ctx, leader.Stopping{})
 	e.announceStop(ctx)
 	// From here on each answer asks its caller to connect anew, elsewhere: a caller whose kept
 	// connection is closed cannot tell whether the request that it just wrote was read.
--- a/internal/entry/logduty.go
+++ b/internal/entry/logduty.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/logcl"
 	"example.org/mustardring/internal/record"
@@ -230,7 +231,7 @@
 	}
 	e.state.takeHomes(view.Homes)
 	domain := e.deps.Settings.Domain
-	e.tell(ctx, logRead{state: view})
+	e.tellHomes(ctx, homes.LogRead{State: view})
 	e.tell(ctx, leader.Folded{
 		ReadAt:   askedAt,
 		Term:     view.Terms[domain],
--- a/internal/entry/logduty_test.go
+++ b/internal/entry/logduty_test.go
@@ -82,7 +82,11 @@
 				start := time.Now()
 				acknowledged, held := false, false
 				for !acknowledged || !held {
-					switch ev := (<-e.events).(type) {
+					told, forLeads := (<-e.events).(forLeader)
+					if !forLeads {
+						continue
+					}
+					switch ev := told.event.(type) {
 					case leader.Appended:
 						acknowledged = ev.ID == "move" && ev.Offset < uint64(service.Appends())
 					case leader.Folded:
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"example.org/mustardring/internal/fold"
+	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/route"
@@ -67,7 +68,7 @@
 		if e.folded.Load() == nil {
 			e.state.takeHomes(result.Homes)
 		}
-		e.tell(ctx, homesCopied{homes: result.Homes})
+		e.tellHomes(ctx, homes.Copied{Homes: result.Homes})
 	}
 }
 
