Keep one copy of the socketless transport and of the log commands' frame

Cause: duplicates found the transport in three tests and the frame in five commands. After: stand.Direct and bundleLogFlags.with; tests of cmds, logcl, stand, entry green. Conclusion: logic stands once.

--- a/internal/cmds/bundle.go
+++ b/internal/cmds/bundle.go
@@ -121,14 +121,15 @@
 	Wait  time.Duration `default:"30s" help:"How long to try while the log does not answer."`
 }
 
-// open returns a reader of the log, and a context that ends when the waiting ends.
-func (f bundleLogFlags) open() (context.Context, context.CancelFunc, *bundleLog, error) {
+// with runs a command on the log, within the time that its flags allow.
+func (f bundleLogFlags) with(run func(ctx context.Context, l *bundleLog, out io.Writer) error) error {
 	anchors, err := readSigners(f.Roots)
 	if err != nil {
-		return nil, nil, nil, err
+		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), f.Wait)
-	return ctx, cancel, newBundleLog(logcl.New(f.Log, http.DefaultClient), anchors), nil
+	defer cancel()
+	return run(ctx, newBundleLog(logcl.New(f.Log, http.DefaultClient), anchors), os.Stdout)
 }
 
 func readSigners(file string) ([]bundle.Signer, error) {
--- a/internal/cmds/bundleshow.go
+++ b/internal/cmds/bundleshow.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 
@@ -24,12 +23,7 @@
 
 // Run shows the status.
 func (c *BundleStatusCmd) Run() error {
-	ctx, cancel, l, err := c.open()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	return c.run(ctx, l, os.Stdout)
+	return c.with(c.run)
 }
 
 func (c *BundleStatusCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
@@ -133,12 +127,7 @@
 
 // Run shows the history.
 func (c *BundleHistoryCmd) Run() error {
-	ctx, cancel, l, err := c.open()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	return c.run(ctx, l, os.Stdout)
+	return c.with(c.run)
 }
 
 func (c *BundleHistoryCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
--- a/internal/cmds/bundlesign.go
+++ b/internal/cmds/bundlesign.go
@@ -93,12 +93,7 @@
 
 // Run publishes.
 func (c *BundlePublishCmd) Run() error {
-	ctx, cancel, l, err := c.open()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	return c.run(ctx, l, os.Stdout)
+	return c.with(c.run)
 }
 
 func (c *BundlePublishCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
@@ -177,12 +172,7 @@
 
 // Run approves.
 func (c *BundleApproveCmd) Run() error {
-	ctx, cancel, l, err := c.open()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	return c.run(ctx, l, os.Stdout)
+	return c.with(c.run)
 }
 
 func (c *BundleApproveCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
@@ -236,15 +226,12 @@
 
 // Run rolls.
 func (c *BundleRollCmd) Run() error {
-	ctx, cancel, l, err := c.open()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	if err := c.run(ctx, l, os.Stdout); err != nil {
-		return err
-	}
-	return c.watch(ctx, os.Stderr, c.Version)
+	return c.with(func(ctx context.Context, l *bundleLog, out io.Writer) error {
+		if err := c.run(ctx, l, out); err != nil {
+			return err
+		}
+		return c.watch(ctx, os.Stderr, c.Version)
+	})
 }
 
 func (c *BundleRollCmd) run(ctx context.Context, l *bundleLog, out io.Writer) error {
--- a/internal/entry/logduty_test.go
+++ b/internal/entry/logduty_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,26 +23,6 @@
 	"example.org/mustardring/pkg/keys"
 )
 
-// direct calls a handler without sockets. An aborted handler is a broken connection.
-type direct struct {
-	handler http.Handler
-}
-
-// RoundTrip implements http.RoundTripper.
-func (d direct) RoundTrip(r *http.Request) (resp *http.Response, err error) {
-	recorder := httptest.NewRecorder()
-	defer func() {
-		if p := recover(); p != nil {
-			resp, err = nil, errors.New("connection broken")
-		}
-	}()
-	d.handler.ServeHTTP(recorder, r)
-	if r.Context().Err() != nil {
-		return nil, r.Context().Err()
-	}
-	return recorder.Result(), nil
-}
-
 // A leader has moved a range while the log has a fault, which ends after a minute. The move
 // must be acknowledged with its offset, and what is read must hold it. Operators would
 // otherwise see a provisional move for ever, or lose it.
@@ -64,7 +43,7 @@
 				e, err := New(Deps{
 					Settings:    config.Run{Name: "klet-1", Domain: "klet"},
 					TLS:         &tls.Config{MinVersion: tls.VersionTLS13},
-					Log:         logcl.New("http://log", &http.Client{Transport: direct{handler: service}}),
+					Log:         logcl.New("http://log", &http.Client{Transport: stand.Direct{Handler: service}}),
 					Placer:      place.New(),
 					Logger:      log.New(io.Discard),
 					Incarnation: 1,
--- a/internal/logcl/fuzz_test.go
+++ b/internal/logcl/fuzz_test.go
@@ -8,6 +8,7 @@
 
 	"example.org/mustardring/internal/logcl"
 	"example.org/mustardring/internal/record"
+	"example.org/mustardring/internal/stand"
 )
 
 // FuzzReader gives the reader entries with any data. It must pass over each with a verdict:
@@ -37,7 +38,7 @@
 	f.Add([]byte(`{}`))
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) })
-		client := logcl.New("http://log", &http.Client{Transport: direct{handler: handler}})
+		client := logcl.New("http://log", &http.Client{Transport: stand.Direct{Handler: handler}})
 		var members map[string]any
 		_ = json.NewDecoder(bytes.NewReader(answer)).Decode(&members)
 		if _, err := client.Append(t.Context(), "id", nil); err == nil && len(members) == 0 {
--- a/internal/stand/logservice_test.go
+++ b/internal/stand/logservice_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,26 +14,6 @@
 	"example.org/mustardring/internal/stand"
 )
 
-// direct is an http.RoundTripper that calls a handler without sockets, so that a test can
-// run on a fake clock. An aborted handler is a broken connection.
-type direct struct {
-	handler http.Handler
-}
-
-func (d direct) RoundTrip(r *http.Request) (resp *http.Response, err error) {
-	recorder := httptest.NewRecorder()
-	defer func() {
-		if p := recover(); p != nil {
-			resp, err = nil, errors.New("connection broken")
-		}
-	}()
-	d.handler.ServeHTTP(recorder, r)
-	if r.Context().Err() != nil {
-		return nil, r.Context().Err()
-	}
-	return recorder.Result(), nil
-}
-
 func TestLogServiceFaults(t *testing.T) {
 	tests := map[string]struct {
 		settings   stand.LogSettings
@@ -58,7 +37,7 @@
 				is := is.New(t)
 				service := stand.NewLogService(test.settings)
 				service.SetFault(test.fault)
-				client := logcl.New("http://log", &http.Client{Transport: direct{handler: service}})
+				client := logcl.New("http://log", &http.Client{Transport: stand.Direct{Handler: service}})
 				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 				defer cancel()
 				var err error
@@ -81,7 +60,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		service := stand.NewLogService(stand.LogSettings{})
-		client := logcl.New("http://log", &http.Client{Transport: direct{handler: service}})
+		client := logcl.New("http://log", &http.Client{Transport: stand.Direct{Handler: service}})
 		start := time.Now()
 		time.AfterFunc(time.Second, func() { _, _ = client.Append(context.Background(), "a", []byte("x")) })
 		batch, err := client.Read(t.Context(), 0, 10)
@@ -98,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		service := stand.NewLogService(stand.LogSettings{})
-		client := logcl.New("http://log", &http.Client{Transport: direct{handler: service}})
+		client := logcl.New("http://log", &http.Client{Transport: stand.Direct{Handler: service}})
 		for range 2 {
 			_, err := client.Append(t.Context(), "a", nil)
 			is.NoErr(err)
