Tell the leader of every bundle, not only of those that change homes

Cause: the core of homes published to the leader only when the allowed ranges changed, so a rolled bundle in which a server leaves changed nothing; seen with the operators' commands on the example: 2 s after the roll the server still had its range. Ruled out: placement and the leader, whose drain tests passed. Conclusion: a proof with a changed bundle was missing.

--- a/internal/homes/core.go
+++ b/internal/homes/core.go
@@ -35,6 +35,8 @@
 	// noticedAt is when this instance first read each notice of an eviction.
 	noticedAt map[uint64]Time
 	allowed   map[string][]keys.Range
+	// allowedFor is the bundle that the leader was told of last.
+	allowedFor *bundle.Bundle
 	// sentAt is when a record was last asked for, by its ID.
 	sentAt map[string]Time
 }
@@ -152,7 +154,8 @@
 	return keys.Union(want, nil)
 }
 
-// allow publishes what may be served if it changed.
+// allow publishes what may be served if that or the bundle changed. The leader learns of a
+// bundle only so.
 func (c *Core) allow() {
 	if c.bundle == nil || !c.known {
 		return
@@ -164,10 +167,10 @@
 			next[s.Name] = c.allowedOf(s)
 		}
 	}
-	if c.allowed != nil && maps.EqualFunc(c.allowed, next, slices.Equal[[]keys.Range]) {
+	if c.allowedFor == c.bundle && maps.EqualFunc(c.allowed, next, slices.Equal[[]keys.Range]) {
 		return
 	}
-	c.allowed = next
+	c.allowed, c.allowedFor = next, c.bundle
 	c.effects = append(c.effects, Allow{Bundle: c.bundle, Ranges: next})
 }
 
--- a/internal/proof/move_test.go
+++ b/internal/proof/move_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"fmt"
 	"net/http"
 	"os"
 	"testing"
@@ -41,7 +40,7 @@
 	for i := range probedKeys {
 		req, err := http.NewRequest(http.MethodGet, "http://"+s.at(domain+1, 1, 8080)+"/"+divided+"/stock", nil)
 		s.is.NoErr(err)
-		req.Header.Set(caller.HeaderKey, fmt.Sprintf("key-%d", i))
+		req.Header.Set(caller.HeaderKey, keyName(i))
 		resp, err := client.Do(req)
 		if err != nil {
 			return false
--- a/internal/proof/site_test.go
+++ b/internal/proof/site_test.go
@@ -308,17 +308,27 @@
 
 // status returns what an instance says of itself, false if it does not answer.
 func (s *site) status(domain, host int) (admin.Status, bool) {
-	var status admin.Status
-	req, err := http.NewRequest(http.MethodGet, "http://"+s.at(domain+1, host, 9090)+admin.PathStatus, nil)
+	return ask[admin.Status](s, domain, host, admin.PathStatus)
+}
+
+// owner returns what an instance says of the owner of a key.
+func (s *site) owner(domain, host int, key string) (admin.Ownership, bool) {
+	return ask[admin.Ownership](s, domain, host, admin.PathOwner+"?service="+divided+"&key="+key)
+}
+
+// ask asks an instance as an operator.
+func ask[T any](s *site, domain, host int, path string) (T, bool) {
+	var answer T
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.at(domain+1, host, 9090)+path, nil)
 	s.is.NoErr(err)
 	req.Header.Set("Authorization", "Bearer "+token)
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Do(req)
 	if err != nil {
-		return status, false
+		return answer, false
 	}
 	defer resp.Body.Close()
-	return status, json.NewDecoder(resp.Body).Decode(&status) == nil
+	return answer, json.NewDecoder(resp.Body).Decode(&answer) == nil
 }
 
 // leader returns the host of the leader of a domain.
--- a/internal/proof/traffic_test.go
+++ b/internal/proof/traffic_test.go
@@ -68,7 +68,7 @@
 	defer t.wait.Done()
 	random := rand.New(rand.NewPCG(uint64(number), 8))
 	client := &http.Client{Timeout: probeLimit}
-	key := fmt.Sprintf("key-%d", number)
+	key := keyName(number)
 	for {
 		select {
 		case <-t.stop:
@@ -107,7 +107,7 @@
 			service = undivided
 		}
 		id := fmt.Sprintf("%s-%d-%d", t.site.t.Name(), number, i)
-		t.finish(client, random, service, id, fmt.Sprintf("key-%d", random.IntN(keyCount)))
+		t.finish(client, random, service, id, keyName(random.IntN(keyCount)))
 	}
 }
 
