--- a/internal/proof/traffic_test.go
+++ b/internal/proof/traffic_test.go
@@ -225,7 +225,17 @@
 		t.sent, len(t.ran), len(t.others), doubled, lost, untrue, t.probes, worst.Round(time.Millisecond), t.faults)
 }
 
+// runs returns how often a server ran each request id.
 func (s *site) runs(address string) map[string]int {
+	counts := make(map[string]int)
+	for _, r := range s.page(address).Runs {
+		counts[r.RequestID]++
+	}
+	return counts
+}
+
+// page returns what a server ran.
+func (s *site) page(address string) stand.RunsPage {
 	var page stand.RunsPage
 	s.eventually("the runs of "+address, func() bool {
 		resp, err := http.Get("http://" + address + stand.RunsPath)
@@ -235,9 +245,5 @@
 		defer resp.Body.Close()
 		return json.NewDecoder(resp.Body).Decode(&page) == nil
 	})
-	counts := make(map[string]int)
-	for _, r := range page.Runs {
-		counts[r.RequestID]++
-	}
-	return counts
+	return page
 }
