Ask no shared state before each write; take one bound from its keeper

The check of a gate's right copied the whole view under the instance's lock for each request, to learn what the request path had in hand; and the wait of another domain repeated three bounds of the leader that it must not fall below. After: the approach states whether the service is divided, and homes takes the leader's bounds.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,9 +110,10 @@
 		sends:   make(chan leader.Send, sendCapacity),
 		appends: make(chan leader.Append, appendCapacity),
 	}
-	e.core = leader.New(leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation), d.Placer)
+	leading := leader.DefaultConfig(d.Settings.Domain, d.Settings.Name, d.Incarnation)
+	e.core = leader.New(leading, d.Placer)
 	e.meter = meter.NewControl()
-	e.homes = homes.New(homes.DefaultConfig(d.Settings.Domain))
+	e.homes = homes.New(homesConfig(leading))
 	e.peers = newPeers(d.Settings, d.Incarnation, d.TLS, e.meter)
 	e.holders = newHolders(d.Incarnation, e.clock)
 	e.loads = newLoads(time.Now())
@@ -125,7 +126,7 @@
 		Instance:      d.Settings.Name,
 		Domain:        d.Settings.Domain,
 		Finder:        e.state.directory,
-		Right:         right{state: e.state, holders: e.holders, lease: e.lease, now: e.now},
+		Right:         right{holders: e.holders, lease: e.lease, now: e.now},
 		Witness:       e.witness,
 		Ran:           e.ran,
 		Home:          e.state.directory.FindHome,
@@ -143,6 +144,15 @@
 	return e, nil
 }
 
+// homesConfig takes the bounds that another domain waits for from the leader that keeps to them.
+func homesConfig(l leader.Config) homes.Config {
+	c := homes.DefaultConfig(l.Domain)
+	c.MoveBound = l.MoveBound
+	c.Pause = l.Pause
+	c.DriftPerMille = l.DriftPerMille
+	return c
+}
+
 // Control returns the counters of this instance's control traffic.
 func (e *Entry) Control() *meter.Control {
 	return e.meter
--- a/internal/entry/right.go
+++ b/internal/entry/right.go
@@ -25,7 +25,6 @@
 
 // right is this instance's right to send work to servers as their gate.
 type right struct {
-	state   *state
 	holders *holders
 	lease   *gateClock
 	now     func() leader.Time
@@ -40,8 +39,7 @@
 	if !a.Idempotent && r.now() >= r.lease.until() {
 		return nil, errGateLapsed
 	}
-	view, _ := r.state.snapshot()
-	if a.Checks || !divided(view, a.Service) {
+	if a.Checks || !a.Divided {
 		return noWork{}, nil
 	}
 	return r.holders.begin(a.Service, a.Server, a.Hash)
@@ -53,14 +51,6 @@
 // End implements front.Work.
 func (noWork) End() {}
 
-func divided(view route.View, service string) bool {
-	if view.Bundle == nil {
-		return true
-	}
-	s := view.Bundle.Service(service)
-	return s == nil || s.Divided
-}
-
 // gateClock keeps until when this instance may act as the gate that its table makes it.
 type gateClock struct {
 	mu       sync.Mutex
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,9 +33,12 @@
 
 // Approach is a request that is about to be written to a server.
 type Approach struct {
-	Service    string
-	Server     string
-	Hash       uint64
+	Service string
+	Server  string
+	Hash    uint64
+	// Divided says that each key of the service has one owner.
+	Divided bool
+	// Checks says that the server itself checks grants.
 	Checks     bool
 	Idempotent bool
 }
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -272,6 +272,7 @@
 			Service:    j.request.service,
 			Server:     t.Server.Name,
 			Hash:       j.hash,
+			Divided:    j.dest.Service.Divided,
 			Checks:     t.Server.ChecksGrants,
 			Idempotent: j.idempotent,
 		})
