--- /dev/null
+++ b/internal/config/serve.go
@@ -0,0 +1,63 @@
+package config
+
+// Serve is the settings of an instance on the users' platform.
+type Serve struct {
+	// Name is the instance's name, Domain its failure domain.
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	// IP is the address for what instances say to one another.
+	IP string `json:"ip"`
+	// Front is the address for callers, Ready the one that the platform's balancer asks.
+	Front string `json:"front"`
+	Ready string `json:"ready"`
+	// PeerPorts is the first and the last port for what instances say to one another.
+	PeerPorts   []int `json:"peer-ports"`
+	MetricsPort int   `json:"metrics-port"`
+	// Store is the address of the shared store.
+	Store string `json:"store"`
+	// CPUShare is the part of a core that the instance has, MemoryMB its memory.
+	CPUShare       float64 `json:"cpu-share"`
+	MemoryMB       int     `json:"memory-mb"`
+	MaxDescriptors int     `json:"max-descriptors"`
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool   `json:"first-start"`
+	Bounds     Bounds `json:"bounds"`
+}
+
+// Bounds are what the users demand.
+type Bounds struct {
+	// DrainSeconds is how long after its leaving is known a server may still get requests.
+	DrainSeconds float64 `json:"drain-seconds"`
+	// StopSeconds is how long an instance may take to stop.
+	StopSeconds float64 `json:"stop-seconds"`
+	// LeaseMostSeconds is the longest lease that servers take.
+	LeaseMostSeconds float64 `json:"lease-most-seconds"`
+	// All instances together may send RetryRatio of the requests in RetryWindowSeconds a second
+	// time, and RetrySlack more.
+	RetryRatio         float64 `json:"retry-ratio"`
+	RetryWindowSeconds float64 `json:"retry-window-seconds"`
+	RetrySlack         float64 `json:"retry-slack"`
+}
+
+// Check implements Checker.
+func (s *Serve) Check(file string) error {
+	c := checks{file: file}
+	c.need("name", s.Name)
+	c.need("domain", s.Domain)
+	c.address("front", s.Front)
+	c.address("ready", s.Ready)
+	c.address("store", s.Store)
+	if len(s.PeerPorts) != 2 || s.PeerPorts[0] <= 0 || s.PeerPorts[1] < s.PeerPorts[0] {
+		c.fail("peer-ports", "no range of ports", "give the first and the last port, such as [7200, 7215]")
+	}
+	for field, value := range map[string]float64{
+		"cpu-share": s.CPUShare, "memory-mb": float64(s.MemoryMB),
+		"bounds.drain-seconds": s.Bounds.DrainSeconds, "bounds.stop-seconds": s.Bounds.StopSeconds,
+		"bounds.retry-window-seconds": s.Bounds.RetryWindowSeconds,
+	} {
+		if value <= 0 {
+			c.fail(field, "nothing or less", "give a number above zero")
+		}
+	}
+	return c.first()
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,133 @@
+// Package edge answers the requests of callers: it finds the route and the server, asks for a
+// permit, sends the request, and decides what an outcome means for the caller.
+//
+// Three states are told apart at all times. "Not run" is said only when no byte was written to
+// a server, or the server itself said so; it alone leads to the statuses 429 and 503. "Ran" is
+// an answer, which is passed on as it is. All else is in doubt: a request that is not
+// idempotent is then not sent again, and the caller gets 502 or 504.
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/inlet"
+	"example.org/mustardring/internal/permit"
+	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
+)
+
+// Call is what a caller states about its request.
+type Call struct {
+	// ID is the identity of this sending.
+	ID string
+	// Patience is how long the caller will wait, if Patient is set.
+	Patience time.Duration
+	Patient  bool
+	// Key is the key of the request, if Keyed is set.
+	Key   uint16
+	Keyed bool
+}
+
+// Answer is what a server states in its answer.
+type Answer struct {
+	// ID is the identity of the sending that is answered.
+	ID string
+	// NotRun says that the server did not run the request; Moved that it is not the server that
+	// was meant, or does not hold the key.
+	NotRun bool
+	Moved  bool
+	// Signed says that the answer carries the server's signature.
+	Signed bool
+	Load   permit.Load
+}
+
+// Wire translates between the headers of requests and what they mean.
+type Wire interface {
+	Call(h http.Header) Call
+	// Address states which server alone may run the request, and how long it may take.
+	Address(h http.Header, server string, left time.Duration)
+	Answer(r *http.Response) Answer
+}
+
+// Permits gives permits to send.
+type Permits interface {
+	// Acquire waits for a permit. The granted one must be given back. A nil refusal means that
+	// it was granted.
+	Acquire(ctx context.Context, a permit.Ask, domain string) (Permit, *permit.Refused)
+}
+
+// Permit is the right to send one request to a server.
+type Permit interface {
+	Server() string
+	Done(d permit.Done)
+}
+
+// World is what the edge knows of its surroundings at a moment.
+type World interface {
+	Config() *rules.Config
+	Server(id string) (rules.Server, bool)
+	// Owner returns the range of a key, and a channel that is closed when owners change.
+	Owner(service string, key uint16) (shard.Range, bool, <-chan struct{})
+	// Count takes in a request for a key.
+	Count(service string, key uint16)
+	// Suspicious reports whether a request is known to crash servers; Crashed takes in that a
+	// server was lost while it ran, Cleared that it had an answer.
+	Suspicious(print uint64) bool
+	Crashed(print uint64, s rules.Server)
+	Cleared(print uint64)
+}
+
+// Deps is what an Edge needs.
+type Deps struct {
+	Wire    Wire
+	World   World
+	Permits Permits
+	Pool    *Pool
+	Budget  *Budget
+	Events  *event.Log
+	Meters  *Meters
+}
+
+// Edge answers requests.
+type Edge struct {
+	Deps
+	patience patience
+}
+
+// New returns an edge.
+func New(d Deps) *Edge { return &Edge{Deps: d} }
+
+// Handle is an inlet.Handler.
+func (e *Edge) Handle(ctx context.Context, r *http.Request) *inlet.Reply {
+	arrivedAt := time.Now()
+	q, refused := e.admit(r, arrivedAt)
+	if refused != nil {
+		return refused
+	}
+	e.Budget.Earn(q.service)
+	ctx, cancel := context.WithDeadline(ctx, q.limitAt)
+	defer cancel()
+	reply := q.serve(ctx)
+	e.note(q, reply)
+	return reply
+}
+
+// note logs and counts how a request ended.
+func (e *Edge) note(q *request, reply *inlet.Reply) {
+	class := event.Success
+	status := 0
+	if reply != nil {
+		status = reply.Status
+	}
+	if status < 200 || status > 299 {
+		class = event.Failure
+	}
+	took := time.Since(q.arrivedAt)
+	e.Meters.Request(q.route.Name, q.why, took)
+	e.Events.Note(class, "request", "id", q.call.ID, "route", q.route.Name, "config", q.version, "service", q.service,
+		"status", status, "why", q.why, "server", q.server, "attempts", q.attempts, "took", took,
+		"waited", q.waited, "left", time.Until(q.limitAt), "returning", q.returning, "key", q.call.Key, "fence", q.fence)
+}
--- /dev/null
+++ b/internal/edge/meters.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The range of latencies that are told apart, in microseconds, and their significant figures.
+const (
+	latencyLeast   = 100
+	latencyMost    = 60_000_000
+	latencyFigures = 2
+	// labelsMost bounds the number of routes that are counted apart.
+	labelsMost = 256
+)
+
+// Meters counts requests and their latencies.
+type Meters struct {
+	mu      sync.Mutex
+	counts  map[string]map[why]int64
+	latency map[why]*hdrhistogram.Histogram
+}
+
+// NewMeters returns meters.
+func NewMeters() *Meters {
+	return &Meters{counts: map[string]map[why]int64{}, latency: map[why]*hdrhistogram.Histogram{}}
+}
+
+// Request takes in how a request ended.
+func (m *Meters) Request(route string, reason why, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.counts[route] == nil {
+		if len(m.counts) >= labelsMost {
+			route = "other"
+		}
+		if m.counts[route] == nil {
+			m.counts[route] = map[why]int64{}
+		}
+	}
+	m.counts[route][reason]++
+	h := m.latency[reason]
+	if h == nil {
+		h = hdrhistogram.New(latencyLeast, latencyMost, latencyFigures)
+		m.latency[reason] = h
+	}
+	_ = h.RecordValue(min(max(took.Microseconds(), latencyLeast), latencyMost))
+}
+
+// Latencies are quantiles in microseconds.
+type Latencies struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50-us"`
+	P99   int64 `json:"p99-us"`
+	Most  int64 `json:"most-us"`
+}
+
+// Snapshot is the state of the meters.
+type Snapshot struct {
+	Requests map[string]map[why]int64 `json:"requests"`
+	Latency  map[why]Latencies        `json:"latency"`
+}
+
+// Snapshot returns the state of the meters.
+func (m *Meters) Snapshot() Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := Snapshot{Requests: map[string]map[why]int64{}, Latency: map[why]Latencies{}}
+	for route, counts := range m.counts {
+		s.Requests[route] = map[why]int64{}
+		for reason, n := range counts {
+			s.Requests[route][reason] = n
+		}
+	}
+	for reason, h := range m.latency {
+		s.Latency[reason] = Latencies{
+			Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99), Most: h.Max(),
+		}
+	}
+	return s
+}
+
+// Var returns the meters as a variable of expvar.
+func (m *Meters) Var() expvar.Var { return expvar.Func(func() any { return m.Snapshot() }) }
--- /dev/null
+++ b/internal/edge/send.go
@@ -0,0 +1,121 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"example.org/mustardring/internal/inlet"
+	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/upstr"
+)
+
+// errOtherAnswer says that a server sent the answer to another request.
+var errOtherAnswer = errors.New("edge: answer to another request")
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Content-Length",
+}
+
+// noAgent keeps net/http from adding a User-Agent of its own.
+var noAgent = []string{""}
+
+// send sends the request to a server and returns the head of its answer.
+func (q *request) send(ctx context.Context, s rules.Server) (*http.Response, error) {
+	out := (&http.Request{
+		Method: q.Method, URL: q.URL, Host: q.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: make(http.Header, len(q.Header)+2), ContentLength: int64(len(q.body)),
+	}).WithContext(ctx)
+	if len(q.body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(q.body))
+	}
+	copyHeader(out.Header, q.Header)
+	if _, found := out.Header["User-Agent"]; !found {
+		out.Header["User-Agent"] = noAgent
+	}
+	q.edge.Wire.Address(out.Header, s.ID, time.Until(q.limitAt))
+	pool := q.edge.Pool.server(s)
+	return pool.Send(out, upstr.Order{Deadline: q.limitAt, InMemory: true, Done: func(bool) {}})
+}
+
+// copyHeader copies the headers that concern more than one connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, name := range hopHeaders {
+		delete(to, name)
+	}
+}
+
+// whole reads an answer to its end. Only then is it known to be whole: a part must not reach
+// the caller as if it were all.
+func whole(r *http.Response) (*inlet.Reply, error) {
+	defer r.Body.Close()
+	var body bytes.Buffer
+	if r.ContentLength > 0 {
+		body.Grow(int(min(r.ContentLength, 1<<20)) + bytes.MinRead)
+	}
+	if _, err := body.ReadFrom(r.Body); err != nil {
+		return nil, err
+	}
+	h := make(http.Header, len(r.Header))
+	copyHeader(h, r.Header)
+	return &inlet.Reply{Status: r.StatusCode, Header: h, Body: body.Bytes()}, nil
+}
+
+// The settings of connections to servers.
+const (
+	// idleTime is below the ten seconds after which servers close idle connections.
+	idleTime = 8 * time.Second
+	// unacknowledged ends a connection to a machine that has gone dark. Three packets in a row
+	// that get lost on a bad link take longer only once in some ten thousand.
+	unacknowledged = 1200 * time.Millisecond
+	// quietMost is beyond all deadlines: a server is not asked in between whether it lives.
+	quietMost = time.Minute
+)
+
+// Pool holds the connections to servers.
+type Pool struct {
+	// Connections returns how many connections this instance may open to one server.
+	Connections func(service string) int
+
+	mu      sync.Mutex
+	servers map[string]*upstr.Server
+}
+
+// NewPool returns a pool.
+func NewPool(connections func(service string) int) *Pool {
+	return &Pool{Connections: connections, servers: map[string]*upstr.Server{}}
+}
+
+func (p *Pool) server(s rules.Server) *upstr.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.servers[s.ID]
+	if known == nil {
+		known = upstr.NewServer(upstr.Settings{
+			Name: s.ID, Address: s.Address, Connections: p.Connections(s.Service), Slots: s.Slots,
+			Idle: idleTime, Patience: quietMost, Unwatched: true, Abrupt: true, Unacknowledged: unacknowledged,
+		})
+		p.servers[s.ID] = known
+	}
+	return known
+}
+
+// Keep closes the connections to servers that are gone.
+func (p *Pool) Keep(there func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.servers {
+		if !there(id) {
+			s.Close()
+			delete(p.servers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,124 @@
+// Package event writes one line for each decision that touches a request or changes what the
+// process believes. Writing never blocks the one who decides: lines pass a bounded ring, and
+// when it is full or their kind is over its rate they are dropped and counted.
+package event
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
+)
+
+// Class orders events by how much they are missed when dropped.
+type Class int
+
+// The classes.
+const (
+	// Belief is a change of what the process believes: rare, and never thinned out.
+	Belief Class = iota
+	// Failure is a request that did not end well.
+	Failure
+	// Success is a request that did.
+	Success
+)
+
+// The bounds of what is written. A line costs some 5 microseconds of processor time, so that
+// the three rates together take below 1% of a core.
+const (
+	ringSize     = 1024
+	beliefRate   = 400
+	failureRate  = 200
+	successRate  = 100
+	burstSeconds = 5
+	// reportEvery is how often dropped lines are reported, in seconds.
+	reportEvery = 5 * time.Second
+)
+
+type line struct {
+	level log.Level
+	name  string
+	pairs []any
+	at    time.Time
+}
+
+// Log takes events.
+type Log struct {
+	ring    chan line
+	logger  *log.Logger
+	limits  [3]*rate.Limiter
+	dropped [3]atomic.Int64
+	count   *expvar.Map
+}
+
+// New returns a log that writes to w. Run writes what it takes.
+func New(w io.Writer, level log.Level) *Log {
+	l := &Log{
+		ring: make(chan line, ringSize),
+		logger: log.NewWithOptions(w, log.Options{
+			Level: level, Formatter: log.LogfmtFormatter, ReportTimestamp: true,
+			TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		}),
+		count: new(expvar.Map).Init(),
+	}
+	for i, r := range [...]float64{beliefRate, failureRate, successRate} {
+		l.limits[i] = rate.NewLimiter(rate.Limit(r), int(r)*burstSeconds)
+	}
+	return l
+}
+
+// Note takes one event. Pairs are keys and values in turn.
+func (l *Log) Note(c Class, name string, pairs ...any) {
+	l.count.Add(name, 1)
+	if !l.limits[c].Allow() {
+		l.dropped[c].Add(1)
+		return
+	}
+	level := log.InfoLevel
+	if c == Failure {
+		level = log.WarnLevel
+	}
+	select {
+	case l.ring <- line{level: level, name: name, pairs: pairs, at: time.Now()}:
+	default:
+		l.dropped[c].Add(1)
+	}
+}
+
+// Counts is the number of events by name.
+func (l *Log) Counts() *expvar.Map { return l.count }
+
+// Run writes events until the context ends, and then what is left in the ring.
+func (l *Log) Run(ctx context.Context) error {
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
+	for {
+		select {
+		case n := <-l.ring:
+			l.write(n)
+		case <-report.C:
+			l.report()
+		case <-ctx.Done():
+			for len(l.ring) > 0 {
+				l.write(<-l.ring)
+			}
+			l.report()
+			return ctx.Err()
+		}
+	}
+}
+
+func (l *Log) write(n line) {
+	l.logger.Log(n.level, n.name, append(n.pairs, "decided", n.at.UTC().Format("15:04:05.000"))...)
+}
+
+func (l *Log) report() {
+	beliefs, failures, successes := l.dropped[0].Swap(0), l.dropped[1].Swap(0), l.dropped[2].Swap(0)
+	if beliefs+failures+successes > 0 {
+		l.logger.Warn("lines-dropped", "beliefs", beliefs, "failures", failures, "successes", successes)
+	}
+}
--- /dev/null
+++ b/internal/gram/gram.go
@@ -0,0 +1,224 @@
+// Package gram carries small messages between instances in datagrams. A message may be lost,
+// doubled or late; the messages are made so that each of these does no harm.
+package gram
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"example.org/mustardring/internal/permit"
+	"example.org/mustardring/internal/roster"
+)
+
+// Message is what instances tell one another.
+type Message interface{ kind() byte }
+
+// The messages.
+type (
+	// Heartbeat says that an instance lives, and what it confirms.
+	Heartbeat struct{ roster.Beat }
+	// Ask asks the keeper of a service or a server for a permit. Times are in milliseconds
+	// from now, since clocks differ between machines.
+	Ask struct {
+		Serial    uint64
+		Service   string
+		Server    string
+		Domain    string
+		Route     string
+		Priority  int
+		Returning bool
+		TargetIn  int
+		LimitIn   int
+		Avoid     string
+	}
+	// Verdict is the keeper's answer. Server is set if the permit is granted, Reason if it is
+	// refused; else the request waits.
+	Verdict struct {
+		Serial  uint64
+		Server  string
+		Reason  string
+		RetryIn int
+		Wait    int
+	}
+	// Done gives a permit back.
+	Done struct {
+		Serial  uint64
+		Service string
+		Server  string
+		Route   string
+		Outcome permit.Outcome
+		TookUs  int
+		Bytes   int
+		Running int
+		Waiting int
+		Loaded  bool
+	}
+	// Withdraw takes an Ask back.
+	Withdraw struct {
+		Serial  uint64
+		Service string
+	}
+	// Loads tells the leader how many requests an instance had since the last such message, by
+	// service and bucket of keys, and what servers can do in a second.
+	Loads struct {
+		Name    string
+		Service string
+		// Buckets and Counts belong together.
+		Buckets []uint16
+		Counts  []uint16
+		Servers []string
+		Powers  []float64
+	}
+	// Crash says that a server was lost while a request ran there.
+	Crash struct {
+		Print  uint64
+		Server string
+		// Cleared says the contrary: the request had an answer.
+		Cleared bool
+	}
+)
+
+func (Heartbeat) kind() byte { return 1 }
+func (Ask) kind() byte       { return 2 }
+func (Verdict) kind() byte   { return 3 }
+func (Done) kind() byte      { return 4 }
+func (Withdraw) kind() byte  { return 5 }
+func (Loads) kind() byte     { return 6 }
+func (Crash) kind() byte     { return 7 }
+
+// Received is a message with its sender's address.
+type Received struct {
+	From    netip.AddrPort
+	Message Message
+}
+
+// ErrMessage says that a datagram is no message.
+var ErrMessage = errors.New("gram: malformed message")
+
+// Encode returns the datagram of a message.
+func Encode(m Message) ([]byte, error) {
+	var out bytes.Buffer
+	out.WriteByte(m.kind())
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&out)
+	// Without field names a message is a third of the size, and bytes between domains are dear.
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(m); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// Decode reads a datagram.
+func Decode(data []byte) (Message, error) {
+	if len(data) == 0 {
+		return nil, ErrMessage
+	}
+	switch data[0] {
+	case 1:
+		return decode[Heartbeat](data[1:])
+	case 2:
+		return decode[Ask](data[1:])
+	case 3:
+		return decode[Verdict](data[1:])
+	case 4:
+		return decode[Done](data[1:])
+	case 5:
+		return decode[Withdraw](data[1:])
+	case 6:
+		return decode[Loads](data[1:])
+	case 7:
+		return decode[Crash](data[1:])
+	default:
+		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
+	}
+}
+
+func decode[M Message](body []byte) (Message, error) {
+	var m M
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	return m, nil
+}
+
+// The sizes of a port.
+const (
+	largest  = 8 << 10
+	inbound  = 1024
+	readSize = 64 << 10
+)
+
+// Port sends and receives messages.
+type Port struct {
+	conn *net.UDPConn
+	in   chan Received
+	// Failed counts messages that could not be sent or understood, Lost those for which the
+	// reader was too slow.
+	Failed atomic.Int64
+	Lost   atomic.Int64
+}
+
+// Listen opens a port on an address.
+func Listen(address string) (*Port, error) {
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetReadBuffer(readSize)
+	return &Port{conn: conn, in: make(chan Received, inbound)}, nil
+}
+
+// In is the channel of messages.
+func (p *Port) In() <-chan Received { return p.in }
+
+// Send sends a message. Errors are counted: a message may be lost anyway.
+func (p *Port) Send(to netip.AddrPort, m Message) {
+	data, err := Encode(m)
+	if err == nil {
+		_, err = p.conn.WriteToUDPAddrPort(data, to)
+	}
+	if err != nil {
+		p.Failed.Add(1)
+	}
+}
+
+// Run receives until the context ends.
+func (p *Port) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
+	defer stop()
+	buffer := make([]byte, largest)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			p.Failed.Add(1)
+			continue
+		}
+		m, err := Decode(buffer[:n])
+		if err != nil {
+			p.Failed.Add(1)
+			continue
+		}
+		select {
+		case p.in <- Received{From: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), Message: m}:
+		default:
+			p.Lost.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/holder/holder.go
@@ -0,0 +1,131 @@
+// Package holder keeps the rights of backend servers to their keys: it renews them, and moves
+// keys from one server to another when it leads.
+//
+// What must hold is that two servers never have the same key. It rests on four rules.
+//   - A move is a record of the shared store that is written only behind the record that it
+//     was decided from. Its fence is higher than all before.
+//   - The new owner gets its first grant when the old one has answered a release with the new
+//     fence: from then on it takes no older grant, however late that comes. A server that does
+//     not answer loses its right by time: when every instance has confirmed that it acts by
+//     the new record, or has not read the store for knowledgeTime, and the lease has run out
+//     after that.
+//   - An instance renews only what its newest record says, only while that record is known to
+//     be the newest as of at most knowledgeTime ago, and checks both at the last moment.
+//   - An instance is registered before it reads the owners for the first time, and who moves
+//     keys reads the register after the move is written.
+//
+// Renewals change no owner, so any instance may send them. Who leads is a matter of cost.
+package holder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
+)
+
+// The errors of an Orders.
+var (
+	// ErrFenced says that the server has seen a higher fence on some of the keys.
+	ErrFenced = errors.New("holder: higher fence seen")
+	// ErrSilent says that no answer came: the order may be carried out, also later.
+	ErrSilent = errors.New("holder: no answer")
+	// ErrRefused says that the server refused the order for another reason.
+	ErrRefused = errors.New("holder: refused")
+)
+
+// The times of rights.
+const (
+	// leaseTime is how long a grant is good for, from its arrival. A server that goes silent
+	// leaves its keys without an owner for as long; a renewal may fail three times in it.
+	leaseTime = 2200 * time.Millisecond
+	// renewEvery is how often a grant is renewed.
+	renewEvery = 550 * time.Millisecond
+	// drift is the factor by which the clock of a server may be slow.
+	drift = 1.02
+	// flightTime is how long an order that was sent before it was given up may still take to
+	// arrive: the delay of a link, of which the longest is 20 milliseconds.
+	flightTime = 150 * time.Millisecond
+	// knowledgeTime is how old the knowledge may be that an owner still is the owner. It
+	// bridges that long an outage of the store. Takeovers from a server that is silent wait as
+	// long for instances that are silent as well.
+	knowledgeTime = 15 * time.Second
+	// orderTimeout bounds a grant, releaseTimeout a release, which is answered when the work
+	// in progress has ended.
+	orderTimeout   = 350 * time.Millisecond
+	releaseTimeout = 4 * time.Second
+	// tickEvery is the pace of decisions.
+	tickEvery = 50 * time.Millisecond
+	// failuresMost is the number of renewals in a row without an answer after which a server
+	// is reported as failing.
+	failuresMost = 2
+	// failingTime is how long a server that is not tried any more counts as failing. It then
+	// gets keys again, and loses them within a lease if it still does not answer.
+	failingTime = 4 * time.Second
+	// witnesses is the number of instances that must find a server failing before it loses its
+	// keys: the first alone may have lost its own way to it.
+	witnesses = 2
+	// balanceEvery is the least time between two plans that only even out the load.
+	balanceEvery = 1500 * time.Millisecond
+	// registerSilence is how long an instance may be silent before its record is removed.
+	registerSilence = 6 * time.Second
+)
+
+// Grant is an order about keys. Lease and Handover do not matter in a release.
+type Grant struct {
+	From  uint16
+	To    uint16
+	Fence uint64
+	Lease time.Duration
+	// Handover is what the last owner gave out, so that the new one starts with its state.
+	Handover string
+}
+
+// Orders sends orders to servers.
+type Orders interface {
+	Grant(ctx context.Context, address string, g Grant) error
+	// Release ends a right. It returns, when the work in progress has ended, the handover for
+	// the next owner.
+	Release(ctx context.Context, address string, g Grant) (string, error)
+}
+
+// Owners is what the holder knows of the owners of all services.
+type Owners struct {
+	// Maps holds the owners by service.
+	Maps map[string]*shard.Map
+	// End is the offset behind the newest record.
+	End int64
+}
+
+// Deps is what a Holder needs.
+type Deps struct {
+	Name   string
+	Domain string
+	Orders Orders
+	Store  follow.Store
+	// Topic is the topic of owners, Instances that of the register.
+	Topic     string
+	Instances string
+	Clock     clock.Clock
+	Roster    *roster.Roster
+	Events    *event.Log
+	// Servers returns the servers of the directory, by id; Services the divided services.
+	Servers  func() map[string]rules.Server
+	Services func() []string
+	// Load returns the requests in a second by bucket, and what servers can do in a second.
+	Load func(service string) ([]float64, map[string]float64)
+	// Again asks for a new read of the topic of owners.
+	Again func()
+	// Register takes in the records of the register of instances.
+	Register func(records []follow.Record) error
+	// Changed is called when the owners have changed, Announce when peers should hear of what
+	// this instance confirms.
+	Changed  func()
+	Announce func()
+}
--- /dev/null
+++ b/internal/holder/lead.go
@@ -0,0 +1,240 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
+)
+
+// lead decides about owners, if this instance is the one to do so.
+func (h *Holder) lead(ctx context.Context, now time.Time) {
+	leader, found := h.Roster.Leader(now)
+	leads := found && leader.Name == h.Name && h.storeOK && h.know.fresh(h.Clock.Now())
+	if leads != h.leads {
+		h.leads = leads
+		h.Events.Note(event.Belief, "leading", "leads", leads, "offset", h.know.get().End)
+	}
+	if !leads {
+		h.dropMoves()
+		return
+	}
+	h.clear(now)
+	if now.Before(h.pauseUntil) {
+		return
+	}
+	for _, service := range h.Services() {
+		h.decide(ctx, service, now)
+	}
+	h.move(ctx)
+}
+
+// clear removes the records of instances that have been silent for long.
+func (h *Holder) clear(now time.Time) {
+	for _, p := range h.Roster.Others() {
+		if p.HeardAt.IsZero() || now.Sub(p.HeardAt) < registerSilence {
+			continue
+		}
+		h.Events.Note(event.Belief, "instance-removed", "instance", p.Name, "silent-for", now.Sub(p.HeardAt))
+		h.Roster.Remove(p.Name, now)
+		name := p.Name
+		h.jobs.Add(1)
+		go func() {
+			defer h.jobs.Done()
+			if _, err := h.Store.Append(context.Background(), h.Instances, name, nil, -1); err != nil {
+				h.Events.Note(event.Belief, "instance-not-removed", "instance", name, "error", err)
+			}
+		}()
+	}
+}
+
+// decide writes the next owners of a service, if they should change.
+func (h *Holder) decide(ctx context.Context, service string, now time.Time) {
+	known := h.know.get()
+	current := known.Maps[service]
+	if current == nil {
+		current = &shard.Map{}
+	}
+	next := h.settle(service, current)
+	in := h.input(service, current, now)
+	urgent := len(current.Ranges) == 0 || slices.ContainsFunc(in.Members, func(m shard.Member) bool {
+		return m.Lost && len(current.Of(m.ID)) > 0
+	}) || h.orphans(in, current)
+	if urgent || now.Sub(h.plannedAt) >= balanceEvery {
+		if next != nil {
+			in.Map = next
+		}
+		if !urgent {
+			h.plannedAt = now
+		}
+		if planned := shard.Plan(in); planned != nil {
+			next = planned
+		}
+	}
+	if next != nil {
+		h.write(ctx, service, current, next)
+	}
+}
+
+// orphans reports whether keys belong to servers that are not there.
+func (h *Holder) orphans(in shard.Input, m *shard.Map) bool {
+	known := make(map[string]bool, len(in.Members))
+	for _, s := range in.Members {
+		known[s.ID] = true
+	}
+	return slices.ContainsFunc(m.Ranges, func(r shard.Range) bool { return !known[r.Server] })
+}
+
+// settle returns the map without the owners of old whose moves are complete, nil if there are
+// none.
+func (h *Holder) settle(service string, m *shard.Map) *shard.Map {
+	var next *shard.Map
+	for _, s := range h.finished {
+		if s.service != service {
+			continue
+		}
+		if next == nil {
+			next = m.Clone()
+		}
+		if i := next.Find(s.from); i >= 0 && next.Ranges[i].Fence == s.fence && next.Ranges[i].From == s.from {
+			next.Ranges[i].Before = nil
+		}
+	}
+	if next == nil || slices.EqualFunc(next.Ranges, m.Ranges, sameRight) {
+		return nil
+	}
+	return next
+}
+
+// input gathers what a plan is made from.
+func (h *Holder) input(service string, m *shard.Map, now time.Time) shard.Input {
+	servers := h.Servers()
+	load, powers := h.Load(service)
+	in := shard.Input{Map: m, Load: load, Addresses: map[string]string{}, Ended: func(id string) bool { return h.ended[id] }}
+	usual, n := 0.0, 0
+	for _, p := range powers {
+		usual, n = usual+p, n+1
+	}
+	if n > 0 {
+		usual /= float64(n)
+	}
+	failing := h.failing(now)
+	reborn := make(map[string]string, len(servers))
+	for id, s := range servers {
+		if s.Service != service {
+			reborn[s.Address] = id
+			continue
+		}
+		reborn[s.Address] = id
+		power := powers[id]
+		if power == 0 {
+			power = max(usual, float64(s.Slots))
+			if usual > 0 {
+				power = usual
+			}
+		}
+		lost := s.Draining || failing[id] >= witnesses
+		warm := !now.Before(s.WarmAt)
+		in.Members = append(in.Members, shard.Member{
+			ID: id, Address: s.Address, Power: power, Usable: !lost && (warm || len(m.Ranges) == 0), Lost: lost,
+		})
+		in.Addresses[id] = s.Address
+	}
+	h.remember(servers, reborn, in.Addresses)
+	return in
+}
+
+// remember keeps the addresses of servers that left, and notes those whose address another
+// life has: they have ended.
+func (h *Holder) remember(servers map[string]rules.Server, reborn, addresses map[string]string) {
+	if h.addresses == nil {
+		h.addresses = map[string]string{}
+	}
+	for id, s := range servers {
+		h.addresses[id] = s.Address
+	}
+	for id, address := range h.addresses {
+		if _, there := servers[id]; there {
+			continue
+		}
+		addresses[id] = address
+		if other := reborn[address]; other != "" && other != id {
+			h.ended[id] = true
+		}
+	}
+}
+
+// failing counts for each server the instances that do not reach it.
+func (h *Holder) failing(now time.Time) map[string]int {
+	out := map[string]int{}
+	alive := h.Roster.Alive(now)
+	for _, p := range alive {
+		for _, id := range p.Beat.Failing {
+			out[id]++
+		}
+	}
+	if len(alive) < witnesses {
+		for id := range out {
+			out[id] = witnesses
+		}
+	}
+	return out
+}
+
+// write appends the next owners of a service behind those they were decided from.
+func (h *Holder) write(ctx context.Context, service string, from, to *shard.Map) {
+	value, err := to.Encode()
+	if err != nil {
+		h.Events.Note(event.Belief, "owners-not-written", "service", service, "error", err)
+		return
+	}
+	end := h.know.get().End
+	begun := h.Clock.Now()
+	offset, err := h.Store.Append(ctx, h.Topic, service, value, end)
+	if err != nil {
+		h.Events.Note(event.Belief, "owners-not-written", "service", service, "as-of", end, "error", err)
+		if errors.Is(err, follow.ErrConflict) || errors.Is(err, follow.ErrUnknown) {
+			h.Again()
+		}
+		h.plannedAt = time.Now()
+		h.pauseUntil = time.Now().Add(writePause)
+		return
+	}
+	h.Events.Note(event.Belief, "owners-written", "service", service, "offset", offset, "fence", to.Fence,
+		"ranges", len(to.Ranges), "changes", describe(from, to))
+	h.finished = slices.DeleteFunc(h.finished, func(s settlement) bool { return s.service == service })
+	h.fold(follow.Update{
+		Topic: h.Topic, BegunAt: begun,
+		Batch: follow.Batch{End: offset + 1, Records: []follow.Record{{Key: service, Value: value, Offset: offset}}},
+	})
+}
+
+// writePause is the time between attempts to write the owners: some fifty answers of the store.
+const writePause = 200 * time.Millisecond
+
+// describe lists the changes of owners, for the log.
+func describe(from, to *shard.Map) string {
+	var b strings.Builder
+	for _, r := range to.Ranges {
+		i := from.Find(r.From)
+		if i >= 0 && from.Ranges[i].Server == r.Server {
+			continue
+		}
+		if b.Len() > 200 {
+			b.WriteString("...")
+			break
+		}
+		old := ""
+		if i >= 0 {
+			old = from.Ranges[i].Server
+		}
+		b.WriteString(old + ">" + r.Server + " ")
+	}
+	return strings.TrimSpace(b.String())
+}
--- /dev/null
+++ b/internal/holder/move.go
@@ -0,0 +1,256 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/shard"
+)
+
+// moveKey identifies a move: a fence is used once.
+type moveKey struct {
+	service string
+	from    uint16
+	fence   uint64
+}
+
+// settlement is a move that is complete: the new owner has the keys, and no other does.
+type settlement struct {
+	service string
+	from    uint16
+	fence   uint64
+}
+
+// move is the change of owner of one range in progress.
+type move struct {
+	cancel context.CancelFunc
+}
+
+// grantRetry is the pause between attempts to grant keys to their new owner.
+const grantRetry = 150 * time.Millisecond
+
+// dropMoves ends the moves in progress: another instance leads and carries them on.
+func (h *Holder) dropMoves() {
+	for key, m := range h.moves {
+		m.cancel()
+		delete(h.moves, key)
+	}
+	h.finished = nil
+}
+
+// move starts the moves that the records ask for, and ends those that are overtaken.
+func (h *Holder) move(ctx context.Context) {
+	owners := h.know.get()
+	wanted := map[moveKey]bool{}
+	for service, m := range owners.Maps {
+		for _, r := range m.Ranges {
+			if len(r.Before) == 0 {
+				continue
+			}
+			key := moveKey{service, r.From, r.Fence}
+			wanted[key] = true
+			if h.moves[key] != nil {
+				continue
+			}
+			inner, cancel := context.WithCancel(ctx)
+			h.moves[key] = &move{cancel: cancel}
+			h.jobs.Add(1)
+			go func() {
+				defer h.jobs.Done()
+				h.carryOut(inner, service, r, owners.End-1)
+			}()
+		}
+	}
+	for key, m := range h.moves {
+		if !wanted[key] {
+			m.cancel()
+			delete(h.moves, key)
+		}
+	}
+}
+
+// carryOut ends the rights of the owners of old and grants the keys to the new one. The record
+// of the move is at the given offset or before it.
+func (h *Holder) carryOut(ctx context.Context, service string, r shard.Range, offset int64) {
+	begun := time.Now()
+	handover := ""
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, b := range r.Before {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			got, how := h.end(ctx, b, r, offset)
+			mu.Lock()
+			defer mu.Unlock()
+			if got != "" {
+				handover = got
+			}
+			h.Events.Note(event.Belief, "right-ended", "service", service, "from", r.From, "to", r.To,
+				"server", b.Server, "fence", r.Fence, "how", how, "took", time.Since(begun))
+		}()
+	}
+	all.Wait()
+	if ctx.Err() != nil {
+		return
+	}
+	h.grantFirst(ctx, service, r, handover, begun)
+}
+
+// The ways in which a right ends.
+const (
+	endReleased  = "released"
+	endLapsed    = "lapsed"
+	endReborn    = "server-ended"
+	endAbandoned = "move-overtaken"
+)
+
+// end returns when an owner of old can have no right to a range any more.
+func (h *Holder) end(ctx context.Context, b shard.Holder, r shard.Range, offset int64) (handover, how string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	lapsed := make(chan struct{})
+	h.jobs.Add(1)
+	go func() {
+		defer h.jobs.Done()
+		if h.awaitLapse(ctx, offset) {
+			close(lapsed)
+		}
+	}()
+	released := make(chan string, 1)
+	if b.Address != "" {
+		h.jobs.Add(1)
+		go func() {
+			defer h.jobs.Done()
+			h.release(ctx, b, r, released)
+		}()
+	}
+	select {
+	case handover = <-released:
+		return handover, endReleased
+	case <-lapsed:
+		return "", endLapsed
+	case <-ctx.Done():
+		return "", endAbandoned
+	}
+}
+
+// release asks an owner of old to give a range up until it answers.
+func (h *Holder) release(ctx context.Context, b shard.Holder, r shard.Range, released chan<- string) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, releaseTimeout)
+		handover, err := h.Orders.Release(call, b.Address, Grant{From: r.From, To: r.To, Fence: r.Fence})
+		cancel()
+		if err == nil {
+			released <- handover
+			return
+		}
+		pause(ctx, grantRetry)
+	}
+}
+
+// awaitLapse returns true when every grant that an older record gave rise to has run out: once
+// all instances have confirmed the record, or may not act on older ones any more, the lease
+// that the last of them may have granted.
+func (h *Holder) awaitLapse(ctx context.Context, offset int64) bool {
+	writtenAt := h.Clock.Now()
+	wallAt := time.Now()
+	// Instances that registered before the record was written, and may have read the owners
+	// before, are in the register now.
+	for h.register(ctx) != nil {
+		if !pause(ctx, writePause) {
+			return false
+		}
+	}
+	for {
+		waiting := h.Roster.Unconfirmed(offset, wallAt.Add(-knowledgeTime))
+		if len(waiting) == 0 || h.Clock.Now().Sub(writtenAt) > knowledgeTime {
+			break
+		}
+		if !pause(ctx, tickEvery) {
+			return false
+		}
+	}
+	last := h.Clock.Now()
+	until := last.Add(time.Duration(float64(leaseTime)*drift) + flightTime)
+	return h.sleepUntil(ctx, until)
+}
+
+// sleepUntil waits for an instant of the lease clock.
+func (h *Holder) sleepUntil(ctx context.Context, until clock.Instant) bool {
+	for {
+		left := until.Sub(h.Clock.Now())
+		if left <= 0 {
+			return true
+		}
+		if !pause(ctx, left) {
+			return false
+		}
+	}
+}
+
+// register reads the register of instances.
+func (h *Holder) register(ctx context.Context) error {
+	batch, err := h.Store.Newest(ctx, h.Instances)
+	if err != nil {
+		return err
+	}
+	return h.Register(batch.Records)
+}
+
+// grantFirst grants a range to its new owner until the owner answers, and from then on renews
+// the grant until the record says that the move is complete: before that nobody else does.
+func (h *Holder) grantFirst(ctx context.Context, service string, r shard.Range, handover string, begun time.Time) {
+	g := Grant{From: r.From, To: r.To, Fence: r.Fence, Lease: leaseTime, Handover: handover}
+	granted := false
+	wait := grantRetry
+	for ctx.Err() == nil {
+		s, found := h.Servers()[r.Server]
+		if !found {
+			if !pause(ctx, grantRetry) {
+				return
+			}
+			continue
+		}
+		err := h.renewer(s).send(ctx, g, func() bool { return h.current(service, r) })
+		switch {
+		case err == nil && !granted:
+			granted, wait = true, renewEvery
+			h.Events.Note(event.Belief, "moved", "service", service, "from", r.From, "to", r.To, "server", r.Server,
+				"fence", r.Fence, "handover", handover != "", "took", time.Since(begun))
+			h.settled <- settlement{service, r.From, r.Fence}
+		case err != nil:
+			h.Events.Note(event.Belief, "first-grant-failed", "server", r.Server, "fence", r.Fence, "error", err)
+		}
+		if errors.Is(err, ErrFenced) {
+			return
+		}
+		pause(ctx, wait)
+	}
+}
+
+// current reports whether a move is still what the newest record says.
+func (h *Holder) current(service string, r shard.Range) bool {
+	m := h.know.get().Maps[service]
+	if m == nil {
+		return false
+	}
+	i := m.Find(r.From)
+	return i >= 0 && m.Ranges[i].Fence == r.Fence && m.Ranges[i].Server == r.Server
+}
+
+// pause waits and returns false if the context ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/holder/run.go
@@ -0,0 +1,247 @@
+package holder
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
+)
+
+// Holder is the duty that keeps rights.
+type Holder struct {
+	Deps
+	know    *knowledge
+	updates chan follow.Update
+	// settled takes moves that are complete.
+	settled chan settlement
+	jobs    sync.WaitGroup
+
+	mu        sync.Mutex
+	renewers  map[string]*renewer
+	confirmed int64
+	stopping  bool
+
+	// The rest belongs to the goroutine of Run.
+	moves     map[moveKey]*move
+	finished  []settlement
+	plannedAt time.Time
+	leads     bool
+	storeOK   bool
+	// pauseUntil keeps a failed write from being repeated at once.
+	pauseUntil time.Time
+	// addresses remembers those of servers that left.
+	addresses map[string]string
+	// ended remembers the servers that were proved to have ended.
+	ended map[string]bool
+}
+
+// New returns a holder.
+func New(d Deps) *Holder {
+	return &Holder{
+		Deps: d, know: newKnowledge(), updates: make(chan follow.Update, 16),
+		settled: make(chan settlement, 256), renewers: map[string]*renewer{},
+		moves: map[moveKey]*move{}, ended: map[string]bool{},
+	}
+}
+
+// Updates takes the updates of the topic of owners.
+func (h *Holder) Updates() chan<- follow.Update { return h.updates }
+
+// Owners returns what is known of the owners.
+func (h *Holder) Owners() *Owners { return h.know.get() }
+
+// Confirmed returns the offset that a heartbeat confirms.
+func (h *Holder) Confirmed() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.confirmed
+}
+
+// Failing returns the servers that do not answer renewals.
+func (h *Holder) Failing() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	var out []string
+	for id, r := range h.renewers {
+		if r.failing(now) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Stop ends renewals: the instance is about to end, and others take over.
+func (h *Holder) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping = true
+}
+
+func (h *Holder) stopped() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stopping
+}
+
+// Run keeps rights until the context ends.
+func (h *Holder) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	defer h.jobs.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case u := <-h.updates:
+			h.fold(u)
+		case s := <-h.settled:
+			h.finished = append(h.finished, s)
+		case <-ticker.C:
+		}
+		if h.stopped() {
+			continue
+		}
+		now := time.Now()
+		h.renew(ctx, now)
+		h.lead(ctx, now)
+	}
+}
+
+// fold takes in news of the owners.
+func (h *Holder) fold(u follow.Update) {
+	if (u.Err == nil) != h.storeOK {
+		h.storeOK = u.Err == nil
+		if h.storeOK {
+			h.Events.Note(event.Belief, "owners-regained", "offset", u.End)
+		} else {
+			h.Events.Note(event.Belief, "owners-unread", "error", u.Err, "knowledge-age", time.Duration(h.know.age(h.Clock.Now())))
+		}
+	}
+	if u.Err != nil {
+		return
+	}
+	before := h.know.get()
+	changed, faults := h.know.fold(u)
+	for _, err := range faults {
+		h.Events.Note(event.Belief, "owners-malformed", "error", err)
+	}
+	if !changed {
+		return
+	}
+	after := h.know.get()
+	h.Changed()
+	h.confirm(before, after)
+}
+
+// confirm ends the orders that the new record contradicts, and then lets the heartbeat say so.
+func (h *Holder) confirm(before, after *Owners) {
+	var stale []*renewer
+	h.mu.Lock()
+	for id, r := range h.renewers {
+		if !slices.EqualFunc(ranges(before, r.server), ranges(after, r.server), sameRight) {
+			stale = append(stale, h.renewers[id])
+		}
+	}
+	h.mu.Unlock()
+	h.jobs.Add(1)
+	go func() {
+		defer h.jobs.Done()
+		for _, r := range stale {
+			r.stop()
+		}
+		h.mu.Lock()
+		h.confirmed = max(h.confirmed, after.End)
+		h.mu.Unlock()
+		h.Announce()
+	}()
+}
+
+// sameRight reports whether two ranges are the same right.
+func sameRight(a, b shard.Range) bool {
+	return a.From == b.From && a.To == b.To && a.Fence == b.Fence && len(a.Before) == len(b.Before)
+}
+
+func ranges(o *Owners, s rules.Server) []shard.Range {
+	if m := o.Maps[s.Service]; m != nil {
+		return m.Of(s.ID)
+	}
+	return nil
+}
+
+// renew starts the renewals that are due and fall to this instance.
+func (h *Holder) renew(ctx context.Context, now time.Time) {
+	servers := h.Servers()
+	for service, m := range h.know.get().Maps {
+		for _, id := range owners(m) {
+			s, found := servers[id]
+			if !found || s.Service != service {
+				continue
+			}
+			if h.charged(s, now) {
+				h.renewer(s).start(ctx, now)
+			}
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, r := range h.renewers {
+		if _, there := servers[id]; !there && r.idle() {
+			delete(h.renewers, id)
+		}
+	}
+}
+
+// owners returns the servers of a map.
+func owners(m *shard.Map) []string {
+	var out []string
+	for _, r := range m.Ranges {
+		if !slices.Contains(out, r.Server) {
+			out = append(out, r.Server)
+		}
+	}
+	return out
+}
+
+// charged reports whether this instance renews the rights of a server: the first in rank does,
+// and each further one if all before it do not reach the server.
+func (h *Holder) charged(s rules.Server, now time.Time) bool {
+	for i, p := range h.Roster.Rank(s.ID, s.Domain, now) {
+		if p.Name == h.Name {
+			return true
+		}
+		if !slices.Contains(p.Beat.Failing, s.ID) || i+1 >= witnesses+1 {
+			return false
+		}
+	}
+	return false
+}
+
+func (h *Holder) renewer(s rules.Server) *renewer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.renewers[s.ID]
+	if r == nil || r.server.Address != s.Address {
+		r = &renewer{holder: h, server: s, renewedAt: time.Now()}
+		h.renewers[s.ID] = r
+	}
+	return r
+}
+
+// start begins a round if one is due.
+func (r *renewer) start(ctx context.Context, now time.Time) {
+	if !r.due(now) {
+		return
+	}
+	r.holder.jobs.Add(1)
+	go func() {
+		defer r.holder.jobs.Done()
+		r.round(ctx)
+	}()
+}
--- /dev/null
+++ b/internal/inlet/conn.go
@@ -0,0 +1,379 @@
+package inlet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The sizes of a connection.
+const (
+	// pipelineMost is the number of requests of one connection that run at the same time. What
+	// else the caller sends waits in the connection.
+	pipelineMost = 16
+	readSize     = 4 << 10
+	writeSize    = 8 << 10
+	// bodyPause is how long the body of a request may make no progress.
+	bodyPause = 10 * time.Second
+	// writeTimeout is how long a caller may take for one write of an answer.
+	writeTimeout = 10 * time.Second
+	// lingerTime is how long a closed connection is read, so that unread bytes do not reset it
+	// before the caller has the last answer.
+	lingerTime = 300 * time.Millisecond
+)
+
+// slot is the place of a request in the order of answers.
+type slot struct {
+	request *http.Request
+	reply   chan *Reply
+}
+
+// conn is a connection of a caller.
+type conn struct {
+	server *Server
+	raw    net.Conn
+	in     *bufio.Reader
+	out    *bufio.Writer
+	head   *headLimit
+	slots  chan slot
+	ctx    context.Context
+	leave  context.CancelFunc
+
+	mu sync.Mutex
+	// pending is the number of requests that were read and not answered. Closing says that no
+	// more are taken.
+	pending int
+	closing bool
+}
+
+// headLimit bounds the bytes of a head.
+type headLimit struct {
+	net.Conn
+	left int
+}
+
+var errHeadTooLarge = errors.New("inlet: head too large")
+
+// Read implements io.Reader.
+func (h *headLimit) Read(p []byte) (int, error) {
+	if h.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.Conn.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+func newConn(s *Server, raw net.Conn) *conn {
+	c := &conn{server: s, raw: raw, slots: make(chan slot, pipelineMost), head: &headLimit{Conn: raw}}
+	c.in = bufio.NewReaderSize(c.head, readSize)
+	c.out = bufio.NewWriterSize(raw, writeSize)
+	c.ctx, c.leave = context.WithCancel(context.Background())
+	return c
+}
+
+// run serves the connection to its end.
+func (c *conn) run() {
+	defer c.raw.Close()
+	defer c.leave()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.write()
+	}()
+	c.read()
+	close(c.slots)
+	<-written
+}
+
+// read reads requests and starts their handling, until the caller leaves or the connection
+// closes.
+func (c *conn) read() {
+	for {
+		l := c.server.limits()
+		c.head.left = 1 << 30
+		if !c.await(l.IdleTimeout) {
+			return
+		}
+		c.head.left = l.HeaderBytes + readSize
+		_ = c.raw.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
+		r, err := http.ReadRequest(c.in)
+		if err == nil && headSize(r) > l.HeaderBytes {
+			err = errHeadTooLarge
+		}
+		if err != nil {
+			c.reject(err)
+			return
+		}
+		if status := c.body(r, l); status != 0 {
+			c.enqueueRefusal(status)
+			return
+		}
+		if !c.start(r) {
+			return
+		}
+	}
+}
+
+// headSize returns about how large the head of a request is.
+func headSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// await waits for the first byte of a request. While requests are in progress it waits as long
+// as they take: its end then says that the caller left.
+func (c *conn) await(idle time.Duration) bool {
+	for {
+		_ = c.raw.SetReadDeadline(time.Now().Add(idle))
+		_, err := c.in.Peek(1)
+		switch {
+		case err == nil:
+			return true
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.busy():
+			continue
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return false
+		default:
+			c.mu.Lock()
+			closing := c.closing
+			c.mu.Unlock()
+			if !closing {
+				c.leave()
+			}
+			return false
+		}
+	}
+}
+
+func (c *conn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending > 0
+}
+
+// reject answers a request that cannot be read.
+func (c *conn) reject(err error) {
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		c.enqueueRefusal(http.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.enqueueRefusal(http.StatusRequestTimeout)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		c.leave()
+	default:
+		c.enqueueRefusal(http.StatusBadRequest)
+	}
+}
+
+// body reads the body of a request into memory. It returns the status of a refusal, zero for
+// none.
+func (c *conn) body(r *http.Request, l Limits) int {
+	c.head.left = 1 << 30
+	if r.ContentLength == 0 {
+		r.Body = http.NoBody
+		return 0
+	}
+	if r.ContentLength > l.BodyBytes {
+		return http.StatusRequestEntityTooLarge
+	}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		r.Header.Del("Expect")
+		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if c.busy() {
+			return http.StatusExpectationFailed
+		}
+		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return http.StatusBadRequest
+		}
+	}
+	var whole bytes.Buffer
+	if r.ContentLength > 0 {
+		whole.Grow(int(min(r.ContentLength, writeSize)))
+	}
+	chunk := make([]byte, min(readSize, max(r.ContentLength, 512)))
+	for {
+		_ = c.raw.SetReadDeadline(time.Now().Add(bodyPause))
+		n, err := r.Body.Read(chunk)
+		whole.Write(chunk[:n])
+		if int64(whole.Len()) > l.BodyBytes {
+			return http.StatusRequestEntityTooLarge
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return http.StatusRequestTimeout
+		}
+		if err != nil {
+			return http.StatusBadRequest
+		}
+	}
+	data := whole.Bytes()
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	r.ContentLength = int64(len(data))
+	r.TransferEncoding = nil
+	r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(data)), nil }
+	return 0
+}
+
+// start begins the handling of a request. It returns false if the connection takes no more.
+func (c *conn) start(r *http.Request) bool {
+	c.mu.Lock()
+	if c.closing {
+		c.mu.Unlock()
+		return false
+	}
+	c.pending++
+	last := r.Close
+	if last {
+		c.closing = true
+	}
+	c.mu.Unlock()
+	s := slot{request: r, reply: make(chan *Reply, 1)}
+	c.server.open.Add(1)
+	go func() {
+		defer c.server.open.Add(-1)
+		s.reply <- c.server.handler(c.ctx, r)
+	}()
+	c.slots <- s
+	if last {
+		c.watch()
+	}
+	return !last
+}
+
+// watch reads on behind the last request only to see whether the caller leaves.
+func (c *conn) watch() {
+	for c.busy() {
+		_ = c.raw.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := c.in.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.busy() {
+				c.leave()
+			}
+			return
+		} else if err == nil {
+			return
+		}
+	}
+}
+
+func (c *conn) enqueueRefusal(status int) {
+	c.mu.Lock()
+	c.pending++
+	c.closing = true
+	c.mu.Unlock()
+	s := slot{reply: make(chan *Reply, 1)}
+	s.reply <- &Reply{Status: status, Header: http.Header{}}
+	c.slots <- s
+}
+
+// closeIdle closes the connection if no request is in progress.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 {
+		c.closing = true
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// write writes the answers in the order of their requests.
+func (c *conn) write() {
+	broken := false
+	for s := range c.slots {
+		reply := <-s.reply
+		if broken {
+			c.done()
+			continue
+		}
+		last := c.last()
+		if reply == nil || reply.Abort {
+			broken = true
+		} else if err := c.send(s.request, reply, last); err != nil {
+			broken = true
+		}
+		c.done()
+		if broken || last {
+			c.shut(broken)
+			broken = true
+		}
+	}
+}
+
+func (c *conn) done() {
+	c.mu.Lock()
+	c.pending--
+	c.mu.Unlock()
+}
+
+// last reports whether the next answer is the last one of the connection. While the server
+// drains, that is the first behind which no other request waits.
+func (c *conn) last() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 1 && c.server.draining.Load() {
+		c.closing = true
+	}
+	return c.closing && c.pending == 1
+}
+
+// shut ends the connection: at once if an answer was cut, else so that the caller gets the
+// last answer whole.
+func (c *conn) shut(broken bool) {
+	if tcp, ok := c.raw.(*net.TCPConn); ok && !broken {
+		_ = tcp.CloseWrite()
+		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+		return
+	}
+	c.leave()
+	_ = c.raw.Close()
+}
+
+// send writes one answer.
+func (c *conn) send(r *http.Request, a *Reply, last bool) error {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w := c.out
+	_, _ = w.WriteString("HTTP/1.1 ")
+	_, _ = w.WriteString(strconv.Itoa(a.Status))
+	_ = w.WriteByte(' ')
+	_, _ = w.WriteString(http.StatusText(a.Status))
+	_, _ = w.WriteString("\r\n")
+	if err := a.Header.Write(w); err != nil {
+		return err
+	}
+	if bodied(a.Status) {
+		_, _ = w.WriteString("Content-Length: ")
+		_, _ = w.WriteString(strconv.Itoa(len(a.Body)))
+		_, _ = w.WriteString("\r\n")
+	}
+	if last {
+		_, _ = w.WriteString("Connection: close\r\n")
+	}
+	_, _ = w.WriteString("\r\n")
+	if r == nil || r.Method != http.MethodHead {
+		if _, err := w.Write(a.Body); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// bodied reports whether answers with a status have a body.
+func bodied(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/node/duties.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/gram"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
+)
+
+// update takes in news from the store.
+func (n *Node) update(ctx context.Context) error {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case u := <-n.updates:
+			n.take(ctx, u)
+		case <-ticker.C:
+			if n.world.expire() {
+				n.serversChanged()
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) take(ctx context.Context, u follow.Update) {
+	switch u.Topic {
+	case n.around.Config:
+		n.takeConfig(u)
+	case n.around.Servers:
+		if n.world.putServers(u, n.around.DecodeServer) {
+			n.serversChanged()
+		}
+	case n.around.Instances:
+		if u.Err == nil {
+			n.takeInstances(u)
+		}
+	case n.around.Owners:
+		select {
+		case n.holder.Updates() <- u:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (n *Node) takeConfig(u follow.Update) {
+	if u.Err != nil {
+		n.events.Note(event.Belief, "configuration-unread", "error", u.Err)
+		return
+	}
+	for _, r := range u.Records {
+		if r.Key != n.around.ConfigKey || len(r.Value) == 0 {
+			continue
+		}
+		c, err := n.around.DecodeConfig(r.Value)
+		if err != nil {
+			n.events.Note(event.Belief, "configuration-malformed", "offset", r.Offset, "error", err)
+			continue
+		}
+		n.world.putConfig(c)
+	}
+}
+
+// takeInstances takes in records of the register.
+func (n *Node) takeInstances(u follow.Update) {
+	seen := map[string]bool{}
+	for _, r := range u.Records {
+		if len(r.Value) == 0 {
+			n.roster.Remove(r.Key, time.Now())
+			continue
+		}
+		e, err := roster.Decode(r.Value)
+		if err != nil {
+			n.events.Note(event.Belief, "instance-malformed", "instance", r.Key, "error", err)
+			continue
+		}
+		seen[r.Key] = true
+		n.roster.Put(r.Key, e)
+	}
+	if u.Whole {
+		for _, name := range n.roster.Names() {
+			if !seen[name] {
+				n.roster.Remove(name, time.Now())
+			}
+		}
+	}
+}
+
+// registerAll takes in the whole register.
+func (n *Node) registerAll(records []follow.Record) error {
+	n.takeInstances(follow.Update{Batch: follow.Batch{Records: records}, Whole: true})
+	return nil
+}
+
+func (n *Node) serversChanged() {
+	servers := n.world.servers()
+	n.permits.setServers(servers)
+	n.edge.Pool.Keep(func(id string) bool { _, there := servers[id]; return there })
+}
+
+func (n *Node) ownersChanged() { n.world.ownersChanged() }
+
+// beat sends heartbeats.
+func (n *Node) beat(ctx context.Context) error {
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-n.beatNow:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		b := n.heartbeat()
+		n.roster.Heard(b, time.Now())
+		for _, p := range n.roster.Others() {
+			if to, ok := address(p); ok {
+				n.port.Send(to, gram.Heartbeat{Beat: b})
+			}
+		}
+	}
+}
+
+func (n *Node) heartbeat() roster.Beat {
+	version := uint64(0)
+	if c := n.world.config.Load(); c != nil {
+		version = c.Version
+	}
+	n.world.mu.Lock()
+	up := !n.world.storeDown
+	n.world.mu.Unlock()
+	return roster.Beat{
+		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.holder.Confirmed(), StoreOK: up,
+		Stopping: n.stopped(), Config: version, Failing: n.holder.Failing(),
+	}
+}
+
+// receive takes messages of other instances.
+func (n *Node) receive(ctx context.Context) error {
+	for {
+		select {
+		case m := <-n.port.In():
+			n.handle(m)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) handle(r gram.Received) {
+	switch m := r.Message.(type) {
+	case gram.Heartbeat:
+		n.roster.Heard(m.Beat, time.Now())
+	case gram.Ask:
+		n.permits.asked(r.From, m)
+	case gram.Verdict:
+		n.permits.told(m)
+	case gram.Done:
+		n.permits.returned(r.From, m)
+	case gram.Withdraw:
+		n.permits.withdrawn(r.From, m)
+	case gram.Loads:
+		n.loads.take(m, time.Now())
+	case gram.Crash:
+	}
+}
+
+// Config implements edge.World.
+func (n *Node) Config() *rules.Config { return n.world.config.Load() }
+
+// Server implements edge.World.
+func (n *Node) Server(id string) (rules.Server, bool) {
+	s, found := n.world.servers()[id]
+	return s, found
+}
+
+// Owner implements edge.World.
+func (n *Node) Owner(service string, key uint16) (shard.Range, bool, <-chan struct{}) {
+	changed := n.world.change()
+	m := n.holder.Owners().Maps[service]
+	if m == nil {
+		return shard.Range{}, false, changed
+	}
+	i := m.Find(key)
+	if i < 0 {
+		return shard.Range{}, false, changed
+	}
+	return m.Ranges[i], true, changed
+}
+
+// Count implements edge.World.
+func (n *Node) Count(service string, key uint16) { n.loads.count(service, key) }
+
+// Suspicious implements edge.World.
+func (n *Node) Suspicious(uint64) bool { return false }
+
+// Crashed implements edge.World.
+func (n *Node) Crashed(uint64, rules.Server) {}
+
+// Cleared implements edge.World.
+func (n *Node) Cleared(uint64) {}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,280 @@
+// Package node runs an instance on the users' platform: it starts the duties and joins them.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/duty"
+	"example.org/mustardring/internal/edge"
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/gram"
+	"example.org/mustardring/internal/holder"
+	"example.org/mustardring/internal/inlet"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/rules"
+)
+
+// Surroundings is what the adapter brings.
+type Surroundings struct {
+	Store  follow.Store
+	Orders holder.Orders
+	Wire   edge.Wire
+	// Topics are the names of the topics of the store, ConfigKey the key of the configuration.
+	Config    string
+	ConfigKey string
+	Servers   string
+	Owners    string
+	Instances string
+	// ReadyPath is the path that the balancer asks.
+	ReadyPath    string
+	DecodeConfig func(data []byte) (*rules.Config, error)
+	DecodeServer func(id string, data []byte, readAt time.Time) (rules.Server, error)
+}
+
+// The pace of what a node does.
+const (
+	beatEvery = 250 * time.Millisecond
+	// pollWait is how long a read of a topic waits for news. Keep-alive probes find a silent
+	// connection sooner.
+	pollWait = 20 * time.Second
+	// ownersWait bounds the age of what is known of the owners, well below the time for which
+	// they may be acted on.
+	ownersWait = 4 * time.Second
+	// serversSettle joins the changes of servers that come close together into one call; it is
+	// a small part of the two seconds in which a leaving server must be known.
+	serversSettle = 100 * time.Millisecond
+	settle        = 10 * time.Millisecond
+)
+
+// Node is an instance.
+type Node struct {
+	settings    config.Serve
+	around      Surroundings
+	events      *event.Log
+	world       *world
+	roster      *roster.Roster
+	port        *gram.Port
+	permits     *permits
+	loads       *loads
+	holder      *holder.Holder
+	edge        *edge.Edge
+	meters      *edge.Meters
+	inlet       *inlet.Server
+	incarnation uint64
+	updates     chan follow.Update
+	again       map[string]chan struct{}
+	beatNow     chan struct{}
+	registered  chan struct{}
+	stopping    chan struct{}
+}
+
+// New returns an instance that is not started.
+func New(settings config.Serve, around Surroundings, events *event.Log) (*Node, error) {
+	port, err := gram.Listen(net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPorts[0])))
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	n := &Node{
+		settings: settings, around: around, events: events, port: port,
+		world: newWorld(events), roster: roster.New(settings.Name, settings.Domain),
+		meters: edge.NewMeters(), incarnation: rand.Uint64() | 1,
+		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{},
+		beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
+	}
+	for _, topic := range []string{around.Config, around.Servers, around.Owners, around.Instances} {
+		n.again[topic] = make(chan struct{}, 1)
+	}
+	n.loads = newLoads()
+	n.permits = newPermits(n)
+	n.holder = holder.New(holder.Deps{
+		Name: settings.Name, Domain: settings.Domain, Orders: around.Orders, Store: around.Store,
+		Topic: around.Owners, Instances: around.Instances, Clock: clock.Boot{}, Roster: n.roster, Events: events,
+		Servers: n.world.servers, Services: n.world.divided, Load: n.loads.of,
+		Again:    func() { n.readAgain(around.Owners) },
+		Register: n.registerAll, Changed: n.ownersChanged, Announce: n.announce,
+	})
+	n.world.owners = n.holder.Owners
+	budget := edge.NewBudget(settings.Bounds.RetryRatio,
+		time.Duration(settings.Bounds.RetryWindowSeconds*float64(time.Second)),
+		func() float64 { return settings.Bounds.RetrySlack / float64(max(n.instances(), 1)) }, time.Now)
+	n.edge = edge.New(edge.Deps{
+		Wire: around.Wire, World: n, Permits: n.permits, Pool: edge.NewPool(n.connections), Budget: budget,
+		Events: events, Meters: n.meters,
+	})
+	n.inlet = inlet.New(n.edge.Handle, n.limits)
+	return n, nil
+}
+
+func (n *Node) instances() int { return len(n.roster.Names()) }
+
+// connectionShare is the part of a server's connections that all instances together use for
+// requests. The rest is for orders, and for instances that join.
+const connectionShare = 0.7
+
+// connections returns how many connections this instance may open to a server of a service.
+func (n *Node) connections(service string) int {
+	c := n.world.config.Load()
+	most := 100
+	if c != nil && c.Services[service].MaxConns > 0 {
+		most = c.Services[service].MaxConns
+	}
+	return max(int(float64(most)*connectionShare)/max(n.instances(), 1), 3)
+}
+
+func (n *Node) limits() inlet.Limits {
+	c := n.world.config.Load()
+	if c == nil {
+		return inlet.DefaultLimits
+	}
+	return inlet.Limits(c.Limits)
+}
+
+func (n *Node) readAgain(topic string) {
+	select {
+	case n.again[topic] <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) announce() {
+	select {
+	case n.beatNow <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until the context ends or a signal asks to stop.
+func (n *Node) Run(ctx context.Context) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	n.events.Note(event.Belief, "start", "instance", n.settings.Name, "domain", n.settings.Domain,
+		"incarnation", n.incarnation, "first-start", n.settings.FirstStart)
+	front, err := net.Listen("tcp4", n.settings.Front)
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	duties := duty.New(ctx, 24)
+	duties.Go("events", n.events.Run)
+	duties.Go("port", n.port.Run)
+	duties.Go("messages", n.receive)
+	duties.Go("register", n.register)
+	duties.Go("updates", n.update)
+	duties.Go("beats", n.beat)
+	duties.Go("holder", n.holder.Run)
+	duties.Go("permits", n.permits.run)
+	duties.Go("loads", n.report)
+	duties.Go("ready", n.serveReady)
+	duties.Go("metrics", n.serveMetrics)
+	duties.Go("front", func(ctx context.Context) error { return n.inlet.Serve(ctx, front) })
+	n.follow(duties)
+	taken := 0
+	for running := true; running; {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				n.reload()
+				continue
+			}
+			n.stop(ctx, front)
+			running = false
+		case end := <-duties.Ends():
+			taken++
+			if end.Err != nil {
+				n.events.Note(event.Belief, "duty-failed", "duty", end.Name, "error", end.Err)
+				err = errors.Join(err, fmt.Errorf("node: duty %s: %w", end.Name, end.Err))
+			}
+			running = false
+		}
+	}
+	return errors.Join(err, duties.Wait(taken))
+}
+
+// reload takes in that the settings may have changed. What can change while the process runs
+// is the configuration, which does not stand in the settings.
+func (n *Node) reload() {
+	n.events.Note(event.Belief, "reload", "instance", n.settings.Name)
+}
+
+func (n *Node) follow(duties *duty.Group) {
+	start := func(name, topic string, wait, settle time.Duration, after <-chan struct{}) {
+		t := &follow.Topic{
+			Store: n.around.Store, Name: topic, Clock: clock.Boot{}, Wait: wait, Settle: settle,
+			Out: n.updates, Again: n.again[topic],
+		}
+		duties.Go(name, func(ctx context.Context) error {
+			if after != nil {
+				select {
+				case <-after:
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+			return t.Run(ctx)
+		})
+	}
+	start("follow-config", n.around.Config, pollWait, settle, nil)
+	start("follow-servers", n.around.Servers, pollWait, serversSettle, nil)
+	start("follow-instances", n.around.Instances, pollWait, serversSettle, nil)
+	// Who moves keys must be able to see this instance before it learns who owns them.
+	start("follow-owners", n.around.Owners, ownersWait, settle, n.registered)
+}
+
+// register writes this instance into the register, and again should its record be removed.
+func (n *Node) register(ctx context.Context) error {
+	first := true
+	for ctx.Err() == nil {
+		if first || !n.stopped() && !n.roster.Has(n.settings.Name, n.incarnation) {
+			if err := n.putRecord(ctx, false); err != nil {
+				n.events.Note(event.Belief, "not-registered", "error", err)
+			} else {
+				n.roster.Put(n.settings.Name, n.entry(false))
+				if first {
+					close(n.registered)
+					first = false
+				}
+			}
+		}
+		timer := time.NewTimer(200 * time.Millisecond)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+func (n *Node) entry(ended bool) roster.Entry {
+	return roster.Entry{
+		Address: net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.PeerPorts[0])), Domain: n.settings.Domain,
+		Incarnation: n.incarnation, Share: n.settings.CPUShare, Ended: ended,
+	}
+}
+
+func (n *Node) putRecord(ctx context.Context, ended bool) error {
+	value, err := n.entry(ended).Encode()
+	if err != nil {
+		return err
+	}
+	_, err = n.around.Store.Append(ctx, n.around.Instances, n.settings.Name, value, -1)
+	return err
+}
+
+func address(p roster.Peer) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddrPort(p.Address)
+	return a, err == nil
+}
--- /dev/null
+++ b/internal/node/world.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/holder"
+	"example.org/mustardring/internal/rules"
+)
+
+// returnTime is how long after the store is back entries of servers that live may be missing:
+// they lapsed while the store was away, and are written again within this time.
+const returnTime = 2 * time.Second
+
+// world is what the instance knows of configuration and servers.
+type world struct {
+	events *event.Log
+	config atomic.Pointer[rules.Config]
+	// directory is never changed, only replaced.
+	directory atomic.Pointer[map[string]rules.Server]
+	owners    func() *holder.Owners
+
+	mu sync.Mutex
+	// changed is closed when owners change.
+	changed chan struct{}
+	// awayUntil is when missing entries are believed to be gone for good; missing holds since
+	// when they are missing.
+	storeDown bool
+	awayUntil time.Time
+	missing   map[string]time.Time
+}
+
+func newWorld(events *event.Log) *world {
+	w := &world{events: events, changed: make(chan struct{}), missing: map[string]time.Time{}}
+	w.directory.Store(&map[string]rules.Server{})
+	return w
+}
+
+func (w *world) servers() map[string]rules.Server { return *w.directory.Load() }
+
+// divided returns the services whose keys have owners.
+func (w *world) divided() []string {
+	c := w.config.Load()
+	if c == nil {
+		return nil
+	}
+	var out []string
+	for name, s := range c.Services {
+		if s.Divided {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// putConfig takes in a configuration, unless a newer one is in force.
+func (w *world) putConfig(c *rules.Config) {
+	if old := w.config.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	w.config.Store(c)
+	w.events.Note(event.Belief, "configuration", "version", c.Version, "hosts", len(c.Hosts), "services", len(c.Services))
+}
+
+// putServers takes in news of the directory. It reports whether anything changed.
+func (w *world) putServers(u follow.Update, decode func(id string, data []byte, readAt time.Time) (rules.Server, error)) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if u.Err != nil {
+		if !w.storeDown {
+			w.events.Note(event.Belief, "directory-unread", "error", u.Err)
+		}
+		w.storeDown = true
+		return false
+	}
+	if w.storeDown {
+		w.storeDown = false
+		w.awayUntil = now.Add(returnTime)
+		w.events.Note(event.Belief, "directory-regained", "offset", u.End)
+	}
+	next := maps.Clone(w.servers())
+	seen := map[string]bool{}
+	for _, r := range u.Records {
+		if len(r.Value) == 0 {
+			w.miss(r.Key, now)
+			continue
+		}
+		s, err := decode(r.Key, r.Value, now)
+		if err != nil {
+			w.events.Note(event.Belief, "entry-malformed", "server", r.Key, "offset", r.Offset, "error", err)
+			continue
+		}
+		seen[s.ID] = true
+		delete(w.missing, s.ID)
+		if old, known := next[s.ID]; !known || old.Draining != s.Draining {
+			w.events.Note(event.Belief, "server", "server", s.ID, "service", s.Service, "address", s.Address,
+				"domain", s.Domain, "draining", s.Draining, "warm-in", s.WarmAt.Sub(now), "offset", r.Offset)
+		}
+		next[s.ID] = s
+	}
+	if u.Whole {
+		for id := range next {
+			if !seen[id] {
+				w.miss(id, now)
+			}
+		}
+	}
+	w.forget(next, now)
+	w.directory.Store(&next)
+	return true
+}
+
+func (w *world) miss(id string, now time.Time) {
+	if _, known := w.missing[id]; !known {
+		w.missing[id] = now
+	}
+}
+
+// forget removes the missing servers, unless the store was away so lately that their entries
+// may come back.
+func (w *world) forget(next map[string]rules.Server, now time.Time) {
+	if now.Before(w.awayUntil) {
+		return
+	}
+	for id := range w.missing {
+		if s, known := next[id]; known {
+			w.events.Note(event.Belief, "server-gone", "server", id, "service", s.Service)
+			delete(next, id)
+		}
+		delete(w.missing, id)
+	}
+}
+
+// expire removes the servers whose entries did not come back. It reports whether there were
+// any.
+func (w *world) expire() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if len(w.missing) == 0 || w.storeDown || now.Before(w.awayUntil) {
+		return false
+	}
+	next := maps.Clone(w.servers())
+	w.forget(next, now)
+	w.directory.Store(&next)
+	return true
+}
+
+// ownersChanged wakes those who wait for owners.
+func (w *world) ownersChanged() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *world) change() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
--- /dev/null
+++ b/internal/permit/keeper.go
@@ -0,0 +1,344 @@
+package permit
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"example.org/mustardring/internal/rules"
+)
+
+// The constants of queueing and refusing.
+const (
+	// meanShare is the weight of the newest answer in the mean time of a route.
+	meanShare = 0.03
+	// firstMean is the part of the target that the work of a route is taken for before any was
+	// seen.
+	firstMean = 0.33
+	// targetShare is the part of the time to the target that a predicted finish may fill. The
+	// rest is for the spread of service times: with a spread of 0.3, a finish predicted at 0.9
+	// of the target makes it in more than half of the cases.
+	targetShare = 0.9
+	// limitShare is the same for the limit, where missing it loses the request.
+	limitShare = 0.8
+	// crossPerKB is for how long a request waits for a server of its own failure domain, for
+	// each kilobyte of the answer: bytes between domains are dear, and large answers make up
+	// nearly all of them.
+	crossPerKB = 2 * time.Millisecond
+	// crossMost bounds that wait as a part of the time to the target.
+	crossMost = 0.35
+	// retryLeast and retryShare bound the time after which a refused caller should return: no
+	// sooner than a fraction of a service time, no later than leaves it the time to be served.
+	retryLeast = 150 * time.Millisecond
+	retryShare = 0.3
+	// retrySpread keeps callers that were refused together from returning together.
+	retrySpread = 0.4
+)
+
+// route is what is learnt of a kind of work.
+type route struct {
+	mean  time.Duration
+	bytes float64
+	// heard is the number of answers.
+	heard int
+}
+
+// waiting is a request in the queue.
+type waiting struct {
+	Ask
+	askedAt time.Time
+	// crossAt is when servers of other domains may be used.
+	crossAt time.Time
+	expect  time.Duration
+}
+
+// Keeper gives the permits of one service.
+type Keeper struct {
+	service string
+	servers map[string]*server
+	// order holds the ids of the servers, so that equal choices fall the same way.
+	order  []string
+	routes map[string]*route
+	queue  []*waiting
+	random *rand.Rand
+}
+
+// New returns the keeper of a service.
+func New(service string, random *rand.Rand) *Keeper {
+	return &Keeper{service: service, servers: map[string]*server{}, routes: map[string]*route{}, random: random}
+}
+
+// SetServers takes the servers that may be used. Draining ones are left out by the caller.
+func (k *Keeper) SetServers(now time.Time, servers []rules.Server) []Verdict {
+	next := make(map[string]*server, len(servers))
+	for _, s := range servers {
+		known := k.servers[s.ID]
+		if known == nil {
+			known = newServer(s)
+		}
+		known.Server = s
+		next[s.ID] = known
+	}
+	k.servers = next
+	k.order = k.order[:0]
+	for id := range next {
+		k.order = append(k.order, id)
+	}
+	slices.Sort(k.order)
+	return k.Tick(now)
+}
+
+// Ask decides about a request.
+func (k *Keeper) Ask(now time.Time, a Ask) Verdict {
+	w := k.enter(now, a)
+	if a.Server != "" && k.servers[a.Server] == nil {
+		return Refused{Key: a.Key, Reason: Gone}
+	}
+	if len(k.servers) == 0 {
+		return Refused{Key: a.Key, Reason: NoServer, RetryIn: k.retryIn(now, a, 0)}
+	}
+	ahead, work := k.ahead(w)
+	if ahead == 0 {
+		if s := k.choose(now, w); s != nil {
+			return k.grant(now, s, w)
+		}
+	}
+	wait := k.predict(now, w, work)
+	if !k.fits(now, w, wait) {
+		return Refused{Key: a.Key, Reason: Overload, RetryIn: k.retryIn(now, a, wait), Wait: wait}
+	}
+	at, _ := slices.BinarySearchFunc(k.queue, w, func(x, y *waiting) int {
+		if c := rank(x, y); c != 0 {
+			return c
+		}
+		return -1
+	})
+	k.queue = slices.Insert(k.queue, at, w)
+	return Waiting{Key: a.Key}
+}
+
+// rank orders the queue: by priority, then those that return, as they would be lost if they
+// were refused again.
+func rank(a, b *waiting) int {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	switch {
+	case a.Returning == b.Returning:
+		return 0
+	case a.Returning:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (k *Keeper) enter(now time.Time, a Ask) *waiting {
+	r := k.route(a.Route, a.TargetAt.Sub(now))
+	w := &waiting{Ask: a, askedAt: now, expect: r.mean}
+	if s := k.servers[a.Server]; s != nil {
+		w.expect = s.expect(r)
+	}
+	patience := time.Duration(r.bytes / 1024 * float64(crossPerKB))
+	most := time.Duration(crossMost * float64(a.TargetAt.Sub(now)-w.expect))
+	w.crossAt = now.Add(max(min(patience, most), 0))
+	return w
+}
+
+func (k *Keeper) route(name string, target time.Duration) *route {
+	r := k.routes[name]
+	if r == nil {
+		r = &route{mean: max(time.Duration(firstMean*float64(target)), time.Millisecond)}
+		k.routes[name] = r
+	}
+	return r
+}
+
+func (s *server) expect(r *route) time.Duration { return time.Duration(float64(r.mean) * s.speed) }
+
+// ahead returns how many requests of the same or a better rank wait for the same servers, and
+// their work.
+func (k *Keeper) ahead(w *waiting) (count int, work time.Duration) {
+	for _, o := range k.queue {
+		if o.Server == w.Server && rank(o, w) <= 0 {
+			count++
+			work += o.expect
+		}
+	}
+	return count, work
+}
+
+// choose returns the best server that is free for a request, nil if there is none.
+func (k *Keeper) choose(now time.Time, w *waiting) *server {
+	if w.Server != "" {
+		s := k.servers[w.Server]
+		if s != nil && s.free(now) {
+			return s
+		}
+		return nil
+	}
+	asideLeft := int(asideShare * float64(len(k.servers)))
+	var best *server
+	var bestCost float64
+	for _, id := range k.order {
+		s := k.servers[id]
+		if !s.free(now) {
+			continue
+		}
+		cross := s.Domain != w.Domain
+		if cross && now.Before(w.crossAt) {
+			continue
+		}
+		cost := s.speed * (1 + float64(s.busy(now))/float64(s.Slots)/4)
+		if cross {
+			cost += 0.1
+		}
+		if now.Before(s.WarmAt) {
+			cost++
+		}
+		if s.ID == w.Avoid {
+			cost += 100
+		}
+		if s.aside(now) && asideLeft > 0 {
+			asideLeft--
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+func (k *Keeper) grant(now time.Time, s *server, w *waiting) Verdict {
+	s.uses[w.Key] = use{since: now, expect: s.expect(k.route(w.Route, 0)), expireAt: w.LimitAt.Add(overdue)}
+	return Granted{Key: w.Key, Server: s.ID}
+}
+
+// predict returns how long a request would wait behind the given work.
+func (k *Keeper) predict(now time.Time, w *waiting, work time.Duration) time.Duration {
+	if w.Server != "" {
+		s := k.servers[w.Server]
+		_, next := s.left(now)
+		return next + work/time.Duration(s.Slots)
+	}
+	next, power := time.Duration(-1), 0.0
+	for _, s := range k.servers {
+		_, n := s.left(now)
+		if next < 0 || n < next {
+			next = n
+		}
+		power += float64(s.Slots) / s.speed
+	}
+	wait := next + time.Duration(float64(work)/max(power, 0.1))
+	if cross := w.crossAt.Sub(now); wait < cross {
+		return cross
+	}
+	return wait
+}
+
+// fits reports whether a request that waits for the given time is served in time: a new one
+// within its target, one that returns, or that has no time left to its target, within its
+// limit.
+func (k *Keeper) fits(now time.Time, w *waiting, wait time.Duration) bool {
+	finish := wait + w.expect
+	if finish <= time.Duration(targetShare*float64(w.TargetAt.Sub(now))) {
+		return true
+	}
+	late := w.Returning || w.TargetAt.Sub(now) < w.expect
+	return late && finish <= time.Duration(limitShare*float64(w.LimitAt.Sub(now)))
+}
+
+// retryIn returns when a refused caller should come back: when the wait that was predicted is
+// over, but early enough to be served.
+func (k *Keeper) retryIn(now time.Time, a Ask, wait time.Duration) time.Duration {
+	most := time.Duration(retryShare * float64(a.LimitAt.Sub(now)))
+	in := max(min(wait, most), retryLeast)
+	return time.Duration(float64(in) * (1 + retrySpread*(k.random.Float64()-0.5)))
+}
+
+// Withdraw removes a request that no longer waits, or gives its permit back.
+func (k *Keeper) Withdraw(now time.Time, key Key) []Verdict {
+	k.queue = slices.DeleteFunc(k.queue, func(w *waiting) bool { return w.Key == key })
+	for _, s := range k.servers {
+		delete(s.uses, key)
+	}
+	return k.Tick(now)
+}
+
+// Done takes a permit back and learns from how the sending ended.
+func (k *Keeper) Done(now time.Time, d Done) []Verdict {
+	if s := k.servers[d.Server]; s != nil {
+		delete(s.uses, d.Key)
+		r := k.route(d.Route, 0)
+		s.learn(d, r.mean, now)
+		if d.Outcome == Answered {
+			mean := float64(d.Took) / s.speed
+			r.mean += time.Duration((mean - float64(r.mean)) * meanShare)
+			r.bytes += (float64(d.Bytes) - r.bytes) * meanShare
+			r.heard++
+		}
+	}
+	return k.Tick(now)
+}
+
+// Tick gives the permits that have become free, and refuses what can no longer be served.
+func (k *Keeper) Tick(now time.Time) []Verdict {
+	for _, s := range k.servers {
+		for key, u := range s.uses {
+			if now.After(u.expireAt) {
+				delete(s.uses, key)
+			}
+		}
+	}
+	var out []Verdict
+	k.queue = slices.DeleteFunc(k.queue, func(w *waiting) bool {
+		if w.Server != "" && k.servers[w.Server] == nil {
+			out = append(out, Refused{Key: w.Key, Reason: Gone})
+			return true
+		}
+		if s := k.choose(now, w); s != nil {
+			out = append(out, k.grant(now, s, w))
+			return true
+		}
+		if now.Add(w.expect / 2).After(w.LimitAt) {
+			out = append(out, Refused{Key: w.Key, Reason: Overload, RetryIn: k.retryIn(now, w.Ask, 0)})
+			return true
+		}
+		return false
+	})
+	return out
+}
+
+// Idle reports whether nothing waits, so that no tick is needed.
+func (k *Keeper) Idle() bool { return len(k.queue) == 0 }
+
+// Powers returns, for each server with answers, how many requests it can run in a second.
+func (k *Keeper) Powers() map[string]float64 {
+	mean := k.main()
+	if mean <= 0 {
+		return nil
+	}
+	out := make(map[string]float64, len(k.servers))
+	for id, s := range k.servers {
+		if s.heard > 0 {
+			out[id] = float64(s.Slots) / (s.speed * mean.Seconds())
+		}
+	}
+	return out
+}
+
+// main returns the mean time of the route that is used most.
+func (k *Keeper) main() time.Duration {
+	var most *route
+	for _, r := range k.routes {
+		if r.heard > 0 && (most == nil || r.heard > most.heard) {
+			most = r
+		}
+	}
+	if most == nil {
+		return 0
+	}
+	return most.mean
+}
--- /dev/null
+++ b/internal/permit/permit.go
@@ -0,0 +1,123 @@
+// Package permit decides which request may go to which backend server, and when: whether it
+// goes at once, waits, or is refused. It has no input or output.
+//
+// Servers run a few requests at a time and reset connections when a short queue behind them
+// is full, which loses requests that must not be repeated. Instances that each count only
+// their own requests cannot know how full a server is. So one instance, the keeper, gives the
+// permits for a server, and the others ask it with one small message a request.
+//
+// The package answers these loads: servers that are full for a moment (a request waits in
+// order of rank as long as it still makes its target), more than the servers can do for long
+// (what cannot make its target is refused at once and told when to come back), servers that
+// are slow (their measured speed counts), that fail (set aside for a time, a few at most), or
+// that others use as well (the load that they report counts).
+package permit
+
+import (
+	"time"
+)
+
+// Key identifies one asking: the instance that asked, and its serial number there.
+type Key struct {
+	From   string
+	Serial uint64
+}
+
+// Ask asks for a server to send a request to.
+type Ask struct {
+	Key
+	Service string
+	// Server is the owner of the request's key, empty if any server of the service will do.
+	Server string
+	// Domain is the failure domain of the instance that will send.
+	Domain string
+	// Route names the kind of work, whose time is learnt.
+	Route    string
+	Priority int
+	// Returning says that the caller was refused before and came back.
+	Returning bool
+	// TargetAt is when the answer should be there, LimitAt when it must.
+	TargetAt time.Time
+	LimitAt  time.Time
+	// Avoid is a server that failed this request before.
+	Avoid string
+}
+
+// Outcome says how a sending ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered Outcome = iota
+	// Failed is an answer that reports a failure, Lost none at all.
+	Failed
+	Lost
+	// Full says that the server had no room; NotHere that it does not hold the key.
+	Full
+	NotHere
+	// Unsent says that nothing was sent, Cancelled that the caller left.
+	Unsent
+	Cancelled
+)
+
+// Load is what a server reports of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Known   bool
+}
+
+// Done gives a permit back.
+type Done struct {
+	Key
+	Service string
+	Server  string
+	Route   string
+	Outcome Outcome
+	// Took is the time from sending to the whole answer, Bytes the size of the answer.
+	Took  time.Duration
+	Bytes int
+	Load  Load
+}
+
+// Verdict is the answer to an Ask.
+type Verdict interface{ verdict() Key }
+
+// Granted permits a sending to a server.
+type Granted struct {
+	Key
+	Server string
+}
+
+// Waiting says that the request is in the queue.
+type Waiting struct{ Key }
+
+// Refused says that the request will get no permit.
+type Refused struct {
+	Key
+	Reason Reason
+	// RetryIn is when the caller should come back.
+	RetryIn time.Duration
+	// Wait is the wait that was predicted.
+	Wait time.Duration
+}
+
+func (v Granted) verdict() Key { return v.Key }
+func (v Waiting) verdict() Key { return v.Key }
+func (v Refused) verdict() Key { return v.Key }
+
+// KeyOf returns what a verdict is about.
+func KeyOf(v Verdict) Key { return v.verdict() }
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	// Overload says that the request would miss its target or its limit.
+	Overload Reason = "overload"
+	// NoServer says that the service has no server that can be used.
+	NoServer Reason = "no-server"
+	// Gone says that the owner of the key is no longer there.
+	Gone Reason = "owner-gone"
+)
--- /dev/null
+++ b/internal/permit/server.go
@@ -0,0 +1,136 @@
+package permit
+
+import (
+	"time"
+
+	"example.org/mustardring/internal/rules"
+)
+
+// The constants of what is learnt of a server.
+const (
+	// speedShare is the weight of the newest answer in a server's speed: some ten answers show
+	// that a server has turned slow.
+	speedShare = 0.15
+	// speedLeast and speedMost bound the factor by which a server is slower than the mean.
+	speedLeast = 0.2
+	speedMost  = 20
+	// failShare is the weight of the newest outcome in the share of failures.
+	failShare = 0.2
+	// failMost is the share of failures from which on a server is set aside: three failures in
+	// a row reach it, one in four over time does not.
+	failMost = 0.45
+	// asideLeast and asideMost bound the time for which a failing server is set aside; it
+	// doubles with each time.
+	asideLeast = 500 * time.Millisecond
+	asideMost  = 4 * time.Second
+	// asideShare is the part of a service's servers that may be set aside at one time: more of
+	// them would leave too little room for the load.
+	asideShare = 0.34
+	// fullPause keeps requests from a server that has just said it is full.
+	fullPause = 60 * time.Millisecond
+	// foreignTime is how long a reported load counts that this keeper does not know of.
+	foreignTime = 100 * time.Millisecond
+	// overdue is how long after its limit a permit is taken back that nobody gave back, as
+	// when the instance that had it was killed.
+	overdue = 300 * time.Millisecond
+)
+
+// use is one permit in use.
+type use struct {
+	since    time.Time
+	expect   time.Duration
+	expireAt time.Time
+}
+
+// server is a backend server with its permits.
+type server struct {
+	rules.Server
+	uses map[Key]use
+	// speed is the factor by which answers take longer than the mean of their route.
+	speed      float64
+	failures   float64
+	asideUntil time.Time
+	asideNext  time.Duration
+	fullUntil  time.Time
+	// foreign is the number of requests of others at the server, as of its last report.
+	foreign      int
+	foreignUntil time.Time
+	// heard is the number of answers that the speed was learnt from.
+	heard int
+}
+
+func newServer(s rules.Server) *server {
+	return &server{Server: s, uses: map[Key]use{}, speed: 1, asideNext: asideLeast}
+}
+
+// busy returns how many requests are at the server.
+func (s *server) busy(now time.Time) int {
+	n := len(s.uses)
+	if now.Before(s.foreignUntil) {
+		n += s.foreign
+	}
+	return n
+}
+
+// free reports whether a request may be sent now.
+func (s *server) free(now time.Time) bool {
+	return s.busy(now) < s.Slots && !now.Before(s.fullUntil)
+}
+
+// aside reports whether the server is set aside for its failures.
+func (s *server) aside(now time.Time) bool { return now.Before(s.asideUntil) }
+
+// left returns the work that is in progress, and the time until the next slot is free.
+func (s *server) left(now time.Time) (work, next time.Duration) {
+	first := true
+	for _, u := range s.uses {
+		// What takes longer than expected is expected to take a quarter more.
+		left := max(u.expect-now.Sub(u.since), u.expect/4)
+		work += left
+		if first || left < next {
+			next, first = left, false
+		}
+	}
+	if len(s.uses) < s.Slots {
+		next = 0
+	}
+	if wait := s.fullUntil.Sub(now); wait > next {
+		next = wait
+	}
+	return work, next
+}
+
+// learn takes in how a sending ended.
+func (s *server) learn(d Done, mean time.Duration, now time.Time) {
+	switch d.Outcome {
+	case Answered:
+		factor := min(max(float64(d.Took)/float64(max(mean, time.Millisecond)), speedLeast), speedMost)
+		s.speed += (factor - s.speed) * speedShare
+		s.failures -= s.failures * failShare
+		s.heard++
+		if s.failures < failShare {
+			s.asideNext = asideLeast
+		}
+	case Failed, Lost:
+		s.fail(now)
+	case Full:
+		s.fullUntil = now.Add(fullPause)
+	case NotHere, Unsent, Cancelled:
+	}
+	if d.Load.Known {
+		s.foreign = d.Load.Running + d.Load.Waiting - len(s.uses) - 1
+		s.foreignUntil = now.Add(foreignTime)
+		if s.foreign <= 0 {
+			s.foreign = 0
+		}
+	}
+}
+
+// fail counts a failure, and sets the server aside when there are many.
+func (s *server) fail(now time.Time) {
+	s.failures += (1 - s.failures) * failShare
+	if s.failures > failMost && !s.aside(now) {
+		s.asideUntil = now.Add(s.asideNext)
+		s.asideNext = min(2*s.asideNext, asideMost)
+	}
+}
--- /dev/null
+++ b/internal/shard/map.go
@@ -0,0 +1,126 @@
+// Package shard decides which server owns which keys of a divided service. It has no input
+// or output.
+//
+// The owners of a service are one record of the shared store, written only if nothing was
+// written since it was read. Two writers cannot both win, so the order of the records is the
+// order of owners, and fences, which come from the record, only rise.
+package shard
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+)
+
+// Keys is the number of keys of a divided service.
+const Keys = 1 << 16
+
+// Range is a run of keys with one owner.
+type Range struct {
+	// From and To are the first and the last key.
+	From uint16 `json:"from"`
+	To   uint16 `json:"to"`
+	// Server is the life of the server that owns the keys. Fence is higher than that of every
+	// earlier owner of any of the keys.
+	Server string `json:"server"`
+	Fence  uint64 `json:"fence"`
+	// Before holds the owners whose rights must have ended before Server gets the keys; it is
+	// empty when they have.
+	Before []Holder `json:"before,omitempty"`
+}
+
+// Holder is an owner of old.
+type Holder struct {
+	Server  string `json:"server"`
+	Address string `json:"address"`
+}
+
+// Len returns the number of keys.
+func (r Range) Len() int { return int(r.To) - int(r.From) + 1 }
+
+// Map is the owners of all keys of a service. Its ranges are sorted and cover all keys; an
+// empty map has none.
+type Map struct {
+	// Fence is the highest fence ever used.
+	Fence  uint64  `json:"fence"`
+	Ranges []Range `json:"ranges"`
+}
+
+// Find returns the index of the range of a key, -1 if there is none.
+func (m *Map) Find(key uint16) int {
+	i := sort.Search(len(m.Ranges), func(i int) bool { return m.Ranges[i].To >= key })
+	if i == len(m.Ranges) || m.Ranges[i].From > key {
+		return -1
+	}
+	return i
+}
+
+// Clone returns a copy that shares nothing that changes.
+func (m *Map) Clone() *Map { return &Map{Fence: m.Fence, Ranges: slices.Clone(m.Ranges)} }
+
+// Of returns the ranges of a server.
+func (m *Map) Of(server string) []Range {
+	var out []Range
+	for _, r := range m.Ranges {
+		if r.Server == server {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Encode returns the record of the map.
+func (m *Map) Encode() ([]byte, error) { return json.Marshal(m) }
+
+// Decode reads the record of a map.
+func Decode(data []byte) (*Map, error) {
+	var m Map
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("shard: record of owners: %w", err)
+	}
+	next := 0
+	for _, r := range m.Ranges {
+		if int(r.From) != next || r.To < r.From || r.Fence > m.Fence {
+			return nil, fmt.Errorf("shard: record of owners: bad range %d to %d", r.From, r.To)
+		}
+		next = int(r.To) + 1
+	}
+	if next != 0 && next != Keys {
+		return nil, fmt.Errorf("shard: record of owners: ends at key %d", next)
+	}
+	return &m, nil
+}
+
+// Move gives the keys of a range to another server. Before holds the owners of old that may
+// still act.
+func (m *Map) Move(i int, to string, before []Holder) {
+	m.Fence++
+	m.Ranges[i].Server, m.Ranges[i].Fence, m.Ranges[i].Before = to, m.Fence, before
+}
+
+// Split cuts a range in two: the second begins with key.
+func (m *Map) Split(i int, key uint16) {
+	r := m.Ranges[i]
+	if key <= r.From || key > r.To {
+		return
+	}
+	second := r
+	second.From = key
+	m.Ranges[i].To = key - 1
+	m.Ranges = slices.Insert(m.Ranges, i+1, second)
+}
+
+// Join makes one range of neighbours with the same owner and fence.
+func (m *Map) Join() {
+	out := m.Ranges[:0]
+	for _, r := range m.Ranges {
+		if n := len(out); n > 0 && out[n-1].Server == r.Server && out[n-1].Fence == r.Fence &&
+			len(out[n-1].Before) == 0 && len(r.Before) == 0 {
+			out[n-1].To = r.To
+			continue
+		}
+		out = append(out, r)
+	}
+	m.Ranges = out
+}
--- /dev/null
+++ b/internal/shard/plan.go
@@ -0,0 +1,283 @@
+package shard
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Bucket is the number of keys whose load is counted together, as a shift. The busiest keys
+// lie close to one another, so that the load of a busy run is seen in pieces of 32 keys.
+const (
+	bucketShift = 5
+	Buckets     = Keys >> bucketShift
+)
+
+// BucketOf returns the bucket of a key.
+func BucketOf(key uint16) int { return int(key) >> bucketShift }
+
+// Member is a server as the planner sees it.
+type Member struct {
+	ID      string
+	Address string
+	// Power is how many requests the server can run in a second.
+	Power float64
+	// Usable says that the server may get keys; Lost that it must give up those it has.
+	Usable bool
+	Lost   bool
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Map     *Map
+	Members []Member
+	// Load is the number of requests in a second for the keys of each bucket.
+	Load []float64
+	// Addresses holds the address of each server that owns keys, also of those that left.
+	Addresses map[string]string
+	// Ended says of a server that it cannot run anything any more.
+	Ended func(server string) bool
+}
+
+// The thresholds of a plan.
+const (
+	// piecesPerServer is the number of ranges a server begins with. Several short ones spread a
+	// busy run of keys over servers before any load is known; each costs one renewal more.
+	piecesPerServer = 4
+	// movesMost bounds the moves of one plan: each leaves its keys without an owner for as long
+	// as the old owner needs to end the work in progress, some 0.2 to 0.5 s.
+	movesMost = 4
+	// busyLeast is the utilisation above which load is moved away: below it two slots queue
+	// for less than a third of a service time.
+	busyLeast = 0.55
+	// gainLeast is the least difference in utilisation for which keys are moved.
+	gainLeast = 0.2
+	// baseLoad is the load that is assumed of all keys together, as a share of all power, so
+	// that keys are spread also where none is asked for.
+	baseLoad = 0.02
+)
+
+// planner holds the working state of one plan.
+type planner struct {
+	in    Input
+	out   *Map
+	load  []float64 // by bucket, with the base load
+	use   map[string]float64
+	power map[string]float64
+	moves int
+}
+
+// Plan returns the map that should follow, nil if the present one stays.
+func Plan(in Input) *Map {
+	p := &planner{in: in, out: in.Map.Clone(), use: map[string]float64{}, power: map[string]float64{}}
+	total := 0.0
+	for _, m := range in.Members {
+		if m.Usable && !m.Lost {
+			p.power[m.ID] = max(m.Power, 0.01)
+			total += p.power[m.ID]
+		}
+	}
+	if len(p.power) == 0 {
+		return nil
+	}
+	p.load = slices.Clone(in.Load)
+	if len(p.load) != Buckets {
+		p.load = make([]float64, Buckets)
+	}
+	for i := range p.load {
+		p.load[i] += total * baseLoad / Buckets
+	}
+	if len(p.out.Ranges) == 0 {
+		p.begin()
+		return p.out
+	}
+	for _, r := range p.out.Ranges {
+		p.use[r.Server] += p.loadOf(r)
+	}
+	changed := p.replaceLost()
+	for p.moves < movesMost && p.balance() {
+		changed = true
+	}
+	if !changed {
+		return nil
+	}
+	p.out.Join()
+	return p.out
+}
+
+// loadOf returns the load of a range; of a bucket that it shares with others it counts a part.
+func (p *planner) loadOf(r Range) float64 {
+	sum := 0.0
+	for b := BucketOf(r.From); b <= BucketOf(r.To); b++ {
+		first, last := b<<bucketShift, (b+1)<<bucketShift-1
+		part := min(last, int(r.To)) - max(first, int(r.From)) + 1
+		sum += p.load[b] * float64(part) / float64(1<<bucketShift)
+	}
+	return sum
+}
+
+// begin divides all keys for the first time, in proportion to the servers' power.
+func (p *planner) begin() {
+	ids := p.ids()
+	pieces := len(ids) * piecesPerServer
+	total := 0.0
+	for _, id := range ids {
+		total += p.power[id]
+	}
+	from, share := 0, 0.0
+	for i := range pieces {
+		id := ids[i%len(ids)]
+		share += p.power[id] / total / piecesPerServer
+		end := int(math.Round(share * Keys))
+		if i == pieces-1 {
+			end = Keys
+		}
+		if end <= from {
+			continue
+		}
+		p.out.Fence++
+		p.out.Ranges = append(p.out.Ranges, Range{From: uint16(from), To: uint16(end - 1), Server: id, Fence: p.out.Fence})
+		from = end
+	}
+}
+
+func (p *planner) ids() []string {
+	ids := make([]string, 0, len(p.power))
+	for id := range p.power {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// least returns the server that is used least after taking a load.
+func (p *planner) least(load float64) string {
+	ids := p.ids()
+	return slices.MinFunc(ids, func(a, b string) int {
+		return cmp.Compare((p.use[a]+load)/p.power[a], (p.use[b]+load)/p.power[b])
+	})
+}
+
+// replaceLost gives the keys of servers that are gone to others.
+func (p *planner) replaceLost() bool {
+	lost := map[string]bool{}
+	for _, m := range p.in.Members {
+		if m.Lost {
+			lost[m.ID] = true
+		}
+	}
+	known := map[string]bool{}
+	for _, m := range p.in.Members {
+		known[m.ID] = true
+	}
+	changed := false
+	for i := 0; i < len(p.out.Ranges); i++ {
+		r := p.out.Ranges[i]
+		if known[r.Server] && !lost[r.Server] {
+			continue
+		}
+		p.cutToFit(i)
+		r = p.out.Ranges[i]
+		load := p.loadOf(r)
+		to := p.least(load)
+		p.give(i, to, load)
+		changed = true
+	}
+	return changed
+}
+
+// cutToFit splits a range whose load is more than a quarter of what one server can do.
+func (p *planner) cutToFit(i int) {
+	r := p.out.Ranges[i]
+	mean := 0.0
+	for _, power := range p.power {
+		mean += power / float64(len(p.power))
+	}
+	if p.loadOf(r) <= mean/4 || r.Len() <= 1<<bucketShift {
+		return
+	}
+	if at, ok := p.cutAt(r, mean/4); ok {
+		p.out.Split(i, at)
+	}
+}
+
+// cutAt returns the first key behind the part of a range that holds at most the given load, at
+// a border of buckets.
+func (p *planner) cutAt(r Range, load float64) (uint16, bool) {
+	sum := 0.0
+	for b := BucketOf(r.From); b <= BucketOf(r.To); b++ {
+		sum += p.load[b]
+		next := (b + 1) << bucketShift
+		if sum >= load && next > int(r.From) && next <= int(r.To) {
+			return uint16(next), true
+		}
+	}
+	return 0, false
+}
+
+// give moves a range, with what it does to the load of both servers.
+func (p *planner) give(i int, to string, load float64) {
+	r := p.out.Ranges[i]
+	p.use[r.Server] -= load
+	p.use[to] += load
+	var before []Holder
+	for _, h := range append(slices.Clone(r.Before), Holder{Server: r.Server, Address: p.in.Addresses[r.Server]}) {
+		if !p.in.Ended(h.Server) {
+			before = append(before, h)
+		}
+	}
+	p.out.Move(i, to, before)
+}
+
+// balance moves one range, or a part of it, from the server that is used most to the one that
+// is used least. It returns false when no move pays.
+func (p *planner) balance() bool {
+	ids := p.ids()
+	byUse := func(a, b string) int { return cmp.Compare(p.use[a]/p.power[a], p.use[b]/p.power[b]) }
+	low := slices.MinFunc(ids, byUse)
+	high := slices.MaxFunc(ids, byUse)
+	highUse, lowUse := p.use[high]/p.power[high], p.use[low]/p.power[low]
+	if highUse < busyLeast && lowUse > 0 || highUse-lowUse < gainLeast {
+		return false
+	}
+	// Moving this load makes both equally used.
+	want := (p.use[high]*p.power[low] - p.use[low]*p.power[high]) / (p.power[high] + p.power[low])
+	i := p.pick(high, want)
+	if i < 0 {
+		return false
+	}
+	load := p.loadOf(p.out.Ranges[i])
+	if load <= 0 || load > 1.5*want {
+		return false
+	}
+	p.give(i, low, load)
+	p.moves++
+	return true
+}
+
+// pick returns the range of a server that should leave it, cut to the load that should go.
+func (p *planner) pick(server string, want float64) int {
+	best, bestLoad := -1, 0.0
+	for i, r := range p.out.Ranges {
+		if r.Server != server || len(r.Before) > 0 {
+			continue
+		}
+		load := p.loadOf(r)
+		if best < 0 || math.Abs(load-want) < math.Abs(bestLoad-want) {
+			best, bestLoad = i, load
+		}
+	}
+	if best < 0 || bestLoad <= 1.25*want {
+		return best
+	}
+	r := p.out.Ranges[best]
+	if at, ok := p.cutAt(r, want); ok {
+		p.out.Split(best, at)
+		return best
+	}
+	// The load lies in one bucket at the end: what lies before it may go.
+	if start := BucketOf(r.To) << bucketShift; start > int(r.From) {
+		p.out.Split(best, uint16(start))
+	}
+	return best
+}
--- a/internal/upstr/conn.go
+++ b/internal/upstr/conn.go
@@ -154,6 +154,11 @@
 // that is left out, to hear whether the server was only slow.
 func (c *conn) withdraw(s *sending) {
 	c.settle()
+	if c.server.settings.Abrupt {
+		c.end()
+		s.done(true)
+		return
+	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && !s.silent {
 		_ = half.CloseWrite()
 	}
--- a/internal/upstr/server.go
+++ b/internal/upstr/server.go
@@ -64,6 +64,18 @@
 	// Patience is the least time for which a connection may be silent before it is doubted;
 	// zero means DefaultPatience.
 	Patience time.Duration
+	// Idle is how long a connection may be idle before it is used again; zero means
+	// idleTimeout.
+	Idle time.Duration
+	// Unwatched leaves out the connection by which the end of the server is seen: Died may not
+	// be asked then.
+	Unwatched bool
+	// Abrupt says that the server takes only the end of the whole connection as a cancellation,
+	// not that of its sending side.
+	Abrupt bool
+	// Unacknowledged is how long sent bytes may stay unacknowledged before the connection is
+	// lost; zero means userTimeoutMillis.
+	Unacknowledged time.Duration
 }
 
 // DefaultPatience is long beside the answers of today's services.
@@ -93,6 +105,12 @@
 	if s.Patience == 0 {
 		s.Patience = DefaultPatience
 	}
+	if s.Idle == 0 {
+		s.Idle = idleTimeout
+	}
+	if s.Unacknowledged == 0 {
+		s.Unacknowledged = userTimeoutMillis * time.Millisecond
+	}
 	return s
 }
 
@@ -104,7 +122,7 @@
 	s := &Server{
 		settings: settings,
 		budget:   max(settings.Connections/budgetDivisor, settings.Slots+1),
-		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: userTimeout},
+		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: userTimeout(settings.Unacknowledged)},
 		open:     make(map[*conn]struct{}),
 	}
 	s.slowest.Store(int64(settings.Patience) / patienceTimes)
@@ -143,7 +161,9 @@
 // context cancels it at any time. Its answer's body must be closed. Errors wrap ErrNotSent or
 // ErrInDoubt.
 func (s *Server) Send(r *http.Request, o Order) (*http.Response, error) {
-	s.watch.start(r.Context())
+	if !s.settings.Unwatched {
+		s.watch.start(r.Context())
+	}
 	c, err := s.get(r.Context(), o)
 	if err != nil {
 		o.Done(false)
@@ -239,7 +259,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) < idleTimeout && c.peeker.quiet() {
+		if time.Since(c.idleSince) < s.settings.Idle && c.peeker.quiet() {
 			c.reused = true
 			return c, nil
 		}
@@ -305,7 +325,7 @@
 	}
 	s.idle = append(s.idle, c)
 	if s.reaper == nil {
-		s.reaper = time.AfterFunc(idleTimeout, s.reap)
+		s.reaper = time.AfterFunc(s.settings.Idle, s.reap)
 	}
 	s.mu.Unlock()
 }
@@ -313,7 +333,7 @@
 // reap closes the connections that have been idle for too long.
 func (s *Server) reap() {
 	s.mu.Lock()
-	limit := time.Now().Add(-idleTimeout)
+	limit := time.Now().Add(-s.settings.Idle)
 	fresh := slices.IndexFunc(s.idle, func(c *conn) bool { return c.idleSince.After(limit) })
 	if fresh < 0 {
 		fresh = len(s.idle)
@@ -322,7 +342,7 @@
 	s.idle = slices.Delete(s.idle, 0, fresh)
 	s.reaper = nil
 	if len(s.idle) > 0 {
-		s.reaper = time.AfterFunc(time.Until(s.idle[0].idleSince.Add(idleTimeout)), s.reap)
+		s.reaper = time.AfterFunc(time.Until(s.idle[0].idleSince.Add(s.settings.Idle)), s.reap)
 	}
 	s.mu.Unlock()
 	for _, c := range old {
--- a/internal/upstr/timeout_linux.go
+++ b/internal/upstr/timeout_linux.go
@@ -1,6 +1,9 @@
 package upstr
 
-import "syscall"
+import (
+	"syscall"
+	"time"
+)
 
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT (RFC 5482), which package syscall does
 // not name. It ends a connection whose sent bytes stay unacknowledged, where keep-alive
@@ -10,14 +13,16 @@
 // userTimeoutMillis agrees with keepAlive.
 const userTimeoutMillis = 5000
 
-// userTimeout sets the option on a new connection.
-func userTimeout(_, _ string, raw syscall.RawConn) error {
-	var failure error
-	err := raw.Control(func(fd uintptr) {
-		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, userTimeoutMillis)
-	})
-	if err != nil {
-		return err
+// userTimeout returns what sets the option on a new connection.
+func userTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(fd uintptr) {
+			failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failure
 	}
-	return failure
 }
--- a/internal/upstr/timeout_other.go
+++ b/internal/upstr/timeout_other.go
@@ -2,7 +2,12 @@
 
 package upstr
 
-import "syscall"
+import (
+	"syscall"
+	"time"
+)
 
 // userTimeout does nothing where the option is not known.
-func userTimeout(_, _ string, _ syscall.RawConn) error { return nil }
+func userTimeout(time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, _ syscall.RawConn) error { return nil }
+}
