--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -73,6 +73,9 @@
 	witnesses = 2
 	// balanceEvery is the least time between two plans that only even out the load.
 	balanceEvery = 1500 * time.Millisecond
+	// gatherTime is how long no new server may come before keys are divided for the first time.
+	// Servers that start together write their entries within a heartbeat of 0.9 seconds.
+	gatherTime = time.Second
 	// registerSilence is how long an instance may be silent before its record is removed.
 	registerSilence = 6 * time.Second
 )
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -63,6 +63,9 @@
 	}
 	next := h.settle(service, current)
 	in := h.input(service, current, now)
+	if len(current.Ranges) == 0 && !h.gathered(service, len(in.Members), now) {
+		return
+	}
 	urgent := len(current.Ranges) == 0 || slices.ContainsFunc(in.Members, func(m shard.Member) bool {
 		return m.Lost && len(current.Of(m.ID)) > 0
 	}) || h.orphans(in, current)
@@ -82,6 +85,24 @@
 	}
 }
 
+// gathered reports whether the servers of a new service have stopped coming, so that its keys
+// are divided among all of them at once. The first to come would get every key, and giving
+// them away one range after the other takes tens of seconds.
+func (h *Holder) gathered(service string, members int, now time.Time) bool {
+	g := h.gathering[service]
+	if g.members != members {
+		g = gathering{members: members, since: now}
+		h.gathering[service] = g
+	}
+	return members > 0 && now.Sub(g.since) >= gatherTime
+}
+
+// gathering is the number of servers of a service that has no owners yet.
+type gathering struct {
+	members int
+	since   time.Time
+}
+
 // orphans reports whether keys belong to servers that are not there.
 func (h *Holder) orphans(in shard.Input, m *shard.Map) bool {
 	known := make(map[string]bool, len(in.Members))
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -32,6 +32,7 @@
 	plannedAt time.Time
 	leads     bool
 	storeOK   bool
+	gathering map[string]gathering
 	// pauseUntil keeps a failed write from being repeated at once.
 	pauseUntil time.Time
 	// addresses remembers those of servers that left.
@@ -45,7 +46,7 @@
 	return &Holder{
 		Deps: d, know: newKnowledge(), updates: make(chan follow.Update, 16),
 		settled: make(chan settlement, 256), renewers: map[string]*renewer{},
-		moves: map[moveKey]*move{}, ended: map[string]bool{},
+		moves: map[moveKey]*move{}, ended: map[string]bool{}, gathering: map[string]gathering{},
 	}
 }
 
