--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -76,6 +76,7 @@
 	predicted time.Duration
 	waited    time.Duration
 	why       why
+	err       error
 	// sent says that a server may have run the request.
 	sent bool
 	// avoid is a server that failed the request.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -87,7 +87,7 @@
 			return nil, rules.Server{}, reply
 		}
 		owner, found := q.edge.World.Server(r.Server)
-		if !found {
+		if !found || owner.Closed(true, time.Now()) {
 			q.why = whyNoOwner
 			return nil, rules.Server{}, refusal(http.StatusServiceUnavailable, ownerRetry)
 		}
@@ -98,7 +98,7 @@
 		return nil, rules.Server{}, q.refuse(ctx, refused)
 	}
 	s, found := q.edge.World.Server(p.Server())
-	if !found || s.Draining && !q.divided {
+	if !found || s.Closed(q.divided, time.Now()) {
 		p.Done(permit.Done{Outcome: permit.Unsent})
 		return nil, rules.Server{}, nil
 	}
@@ -209,6 +209,7 @@
 // unanswered decides about a sending that led to no whole answer.
 func (q *request) unanswered(ctx context.Context, done *permit.Done, s rules.Server, err error) (*inlet.Reply, bool) {
 	unsent := errors.Is(err, upstr.ErrNotSent)
+	q.err = err
 	done.Outcome = permit.Lost
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 	}
 	n := &Node{
 		settings: settings, around: around, events: events, port: port,
-		world: newWorld(events), roster: roster.New(settings.Name, settings.Domain),
+		world: newWorld(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))), roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), incarnation: rand.Uint64() | 1,
 		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{},
 		beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
--- a/internal/node/world.go
+++ b/internal/node/world.go
@@ -19,7 +19,9 @@
 // world is what the instance knows of configuration and servers.
 type world struct {
 	events *event.Log
-	config atomic.Pointer[rules.Config]
+	// drainTime is how long after its drain was read a server may get requests.
+	drainTime time.Duration
+	config    atomic.Pointer[rules.Config]
 	// directory is never changed, only replaced.
 	directory atomic.Pointer[map[string]rules.Server]
 	owners    func() *holder.Owners
@@ -45,8 +47,12 @@
 // settledMost bounds the memory of settled ranges.
 const settledMost = 4096
 
-func newWorld(events *event.Log) *world {
-	w := &world{events: events, changed: make(chan struct{}), missing: map[string]time.Time{}, settled: map[settledKey]uint64{}}
+// drainReserve is kept of the time in which a leaving server must get its last request: an
+// entry is read up to 0.3 seconds after it was written, and a request takes a moment to arrive.
+const drainReserve = 450 * time.Millisecond
+
+func newWorld(events *event.Log, drain time.Duration) *world {
+	w := &world{events: events, drainTime: max(drain-drainReserve, 0), changed: make(chan struct{}), missing: map[string]time.Time{}, settled: map[settledKey]uint64{}}
 	w.directory.Store(&map[string]rules.Server{})
 	return w
 }
@@ -133,6 +139,10 @@
 			w.events.Note(event.Belief, "server", "server", s.ID, "service", s.Service, "address", s.Address,
 				"domain", s.Domain, "draining", s.Draining, "warm-in", s.WarmAt.Sub(now), "offset", r.Offset)
 		}
+		s.LeaveBy = now.Add(w.drainTime)
+		if old, known := next[s.ID]; known && old.Draining {
+			s.LeaveBy = old.LeaveBy
+		}
 		next[s.ID] = s
 	}
 	if u.Whole {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -131,6 +131,12 @@
 // Seed sets the first turn, so that instances do not all begin with the same part.
 func (r *Route) Seed(turn uint64) { r.turn.Store(turn) }
 
+// Closed reports whether the server must get no more requests. One that drains still serves its
+// keys until they have moved, but no longer than its time to leave.
+func (s Server) Closed(divided bool, now time.Time) bool {
+	return s.Draining && (!divided || now.After(s.LeaveBy))
+}
+
 // Server is a backend server as the directory states it.
 type Server struct {
 	// ID is one life of the server: after a restart it has another.
@@ -143,6 +149,9 @@
 	Slots   int
 	// Draining says that the server is about to leave.
 	Draining bool
+	// LeaveBy is when a draining server must get no more requests, as far as this instance
+	// knows.
+	LeaveBy time.Time
 	// WarmAt is when the server is no longer slow after its start.
 	WarmAt time.Time
 }
