Hear from heartbeats that the store has news

Cause: the answer to a read that waits for news may be lost while the connection stays open; the instance then waits its 20 s. Ruled out: offsets (the read asked from the right one), keep-alive (the store's kernel answers). Heartbeats name the version and the end of the directory that an instance knows; one that is behind for 0.15 s reads again over a new connection. The leader waits 1.2 s only.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -68,8 +68,9 @@
 	Store Store
 	Name  string
 	Clock clock.Clock
-	// Wait is how long a read waits for news. It bounds the age of knowledge in calm times.
-	Wait time.Duration
+	// Wait returns how long a read waits for news. A read whose answer is lost shows only when
+	// that time is over: the store goes on holding its connection.
+	Wait func() time.Duration
 	// Every returns, if it is not nil, the pause between two reads; they do not wait for news
 	// then. That costs fewer calls where news comes another way.
 	Every func() time.Duration
@@ -137,9 +138,9 @@
 		u.Batch, u.Err = t.Store.Newest(ctx, t.Name)
 		return u
 	}
-	wait := t.Wait
-	if t.Every != nil {
-		wait = 0
+	wait := time.Duration(0)
+	if t.Every == nil {
+		wait = t.Wait()
 	}
 	u.Batch, u.Err = t.Store.Read(ctx, t.Name, next, wait)
 	if u.Err == nil {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -128,6 +128,8 @@
 	Target func(service string) time.Duration
 	// Load returns the requests in a second by bucket, and what servers can do in a second.
 	Load func(service string) ([]float64, map[string]float64)
+	// Leading is called when this instance begins to decide about owners.
+	Leading func()
 	// Tell tells the other instances of a record that was written, Settled of a range that has
 	// come to its new owner.
 	Tell    func(service string, offset int64, fence uint64, changes []shard.Range)
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -21,6 +21,9 @@
 	if leads != h.leads {
 		h.leads = leads
 		h.leading.Store(leads)
+		if leads {
+			h.Leading()
+		}
 		h.Events.Note(event.Belief, "leading", "leads", leads, "offset", h.know.get().End)
 	}
 	if !leads {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -126,17 +126,14 @@
 }
 
 func (n *Node) heartbeat() roster.Beat {
-	version := uint64(0)
-	if c := n.world.config.Load(); c != nil {
-		version = c.Version
-	}
+	version, end := n.known()
 	n.world.mu.Lock()
 	up := !n.world.storeDown && n.holder.StoreOK()
 	n.world.mu.Unlock()
 	return roster.Beat{
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.holder.Confirmed(),
 		Known: n.holder.Owners().End, StoreOK: up,
-		Stopping: n.stopped(), Config: version, Failing: n.holder.Failing(),
+		Stopping: n.stopped(), Config: version, Servers: end, Failing: n.holder.Failing(),
 	}
 }
 
@@ -155,10 +152,7 @@
 func (n *Node) handle(r gram.Received) {
 	switch m := r.Message.(type) {
 	case gram.Heartbeat:
-		n.roster.Heard(m.Beat, time.Now())
-		if m.Known > n.holder.Owners().End {
-			n.readAgain(n.around.Owners)
-		}
+		n.hearBeat(m.Beat)
 	case gram.Ask:
 		n.permits.asked(r.From, m)
 	case gram.Verdict:
@@ -177,6 +171,51 @@
 	}
 }
 
+// hearBeat takes in the heartbeat of another instance, and reads again what that one knows more
+// of.
+func (n *Node) hearBeat(b roster.Beat) {
+	now := time.Now()
+	n.roster.Heard(b, now)
+	if b.Known > n.holder.Owners().End {
+		n.readAgain(n.around.Owners)
+	}
+	version, end := n.known()
+	n.lag(n.around.Config, b.Config > version, now)
+	n.lag(n.around.Servers, b.Servers > end, now)
+}
+
+// known returns the version in force and the end of what is known of the directory.
+func (n *Node) known() (version uint64, end int64) {
+	if c := n.world.config.Load(); c != nil {
+		version = c.Version
+	}
+	return version, n.world.end.Load()
+}
+
+// lag reads a topic again if it has been behind that of another instance for some time. A read
+// that waits for news may have lost its answer, and would hide the news until it ends.
+func (n *Node) lag(topic string, behind bool, now time.Time) {
+	since, known := n.behind[topic]
+	switch {
+	case !behind:
+		if known && now.Sub(since) > behindTime {
+			delete(n.behind, topic)
+		}
+	case !known:
+		n.behind[topic] = now
+	case now.Sub(since) > behindTime:
+		delete(n.behind, topic)
+		n.events.Note(event.Belief, "behind", "topic", topic, "since", now.Sub(since))
+		n.readAgain(topic)
+	}
+}
+
+// leading shortens the reads that wait, as the others now rely on this instance.
+func (n *Node) leading() {
+	n.readAgain(n.around.Config)
+	n.readAgain(n.around.Servers)
+}
+
 // hearOwners takes in a record of owners that another instance wrote.
 func (n *Node) hearOwners(m gram.Owners) {
 	select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,9 +47,15 @@
 // The pace of what a node does.
 const (
 	beatEvery = 250 * time.Millisecond
-	// pollWait is how long a read of a topic waits for news. Keep-alive probes find a silent
-	// connection sooner.
-	pollWait = 20 * time.Second
+	// pollWait is how long a read of a topic waits for news. The answer to a waiting read may be
+	// lost without a sign, so the leader waits for a short time only, and the others hear from
+	// its heartbeats that there is news. An instance that hears nobody looks by itself.
+	pollWait       = 20 * time.Second
+	pollWaitLeader = 1200 * time.Millisecond
+	pollWaitAlone  = 3 * time.Second
+	// behindTime is how long an instance may know less than another one before it reads again:
+	// usually its own read is about to be answered.
+	behindTime = 150 * time.Millisecond
 	// ownersEvery is how often the owners are read: news comes by message, so this bounds only
 	// the age of what is known, well below the time for which it may be acted on. The leader
 	// reads more often, to see soon that it has lost the store.
@@ -79,6 +85,7 @@
 	updates     chan follow.Update
 	again       map[string]chan struct{}
 	beatNow     chan struct{}
+	behind      map[string]time.Time
 	registered  chan struct{}
 	stopping    chan struct{}
 }
@@ -94,7 +101,7 @@
 		world: newWorld(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))), roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), incarnation: rand.Uint64() | 1,
 		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{},
-		beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
+		behind: map[string]time.Time{}, beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
 	for _, topic := range []string{around.Config, around.Servers, around.Owners, around.Instances} {
 		n.again[topic] = make(chan struct{}, 1)
@@ -105,8 +112,8 @@
 		Name: settings.Name, Domain: settings.Domain, Orders: around.Orders, Store: around.Store,
 		Topic: around.Owners, Instances: around.Instances, Clock: clock.Boot{}, Roster: n.roster, Events: events,
 		Servers: n.world.servers, Services: n.world.divided, Target: n.world.target, Load: n.loads.of,
-		Again: func() { n.readAgain(around.Owners) },
-		Tell:  n.tellOwners, Settled: n.settledHere,
+		Again:   func() { n.readAgain(around.Owners) },
+		Leading: n.leading, Tell: n.tellOwners, Settled: n.settledHere,
 		Register: n.registerAll, Changed: n.ownersChanged, Announce: n.announce,
 	})
 	n.world.owners = n.holder.Owners
@@ -215,7 +222,7 @@
 func (n *Node) follow(duties *duty.Group) {
 	start := func(name, topic string, settle time.Duration, every func() time.Duration, after <-chan struct{}) {
 		t := &follow.Topic{
-			Store: n.around.Store, Name: topic, Clock: clock.Boot{}, Wait: pollWait, Settle: settle, Every: every,
+			Store: n.around.Store, Name: topic, Clock: clock.Boot{}, Wait: n.pollWait, Settle: settle, Every: every,
 			Out: n.updates, Again: n.again[topic],
 		}
 		duties.Go(name, func(ctx context.Context) error {
@@ -236,6 +243,17 @@
 	start("follow-owners", n.around.Owners, settle, n.ownersEvery, n.registered)
 }
 
+func (n *Node) pollWait() time.Duration {
+	switch {
+	case n.holder.Leads():
+		return pollWaitLeader
+	case len(n.roster.Alive(time.Now())) < 2:
+		return pollWaitAlone
+	default:
+		return pollWait
+	}
+}
+
 func (n *Node) ownersEvery() time.Duration {
 	if n.holder.Leads() {
 		return ownersEveryLeader
--- a/internal/node/world.go
+++ b/internal/node/world.go
@@ -25,6 +25,8 @@
 	// directory is never changed, only replaced.
 	directory atomic.Pointer[map[string]rules.Server]
 	owners    func() *holder.Owners
+	// end is the offset behind the newest entry that was read.
+	end atomic.Int64
 
 	mu sync.Mutex
 	// changed is closed when owners change.
@@ -121,6 +123,7 @@
 		w.awayUntil = now.Add(returnTime)
 		w.events.Note(event.Belief, "directory-regained", "offset", u.End)
 	}
+	w.end.Store(max(w.end.Load(), u.End))
 	next := maps.Clone(w.servers())
 	seen := map[string]bool{}
 	for _, r := range u.Records {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -48,7 +48,9 @@
 	// StoreOK says that the shared store answers the instance.
 	StoreOK  bool
 	Stopping bool
-	Config   uint64
+	// Config is the version in force, Servers the end of what is known of the directory.
+	Config  uint64
+	Servers int64
 	// Failing lists the servers that do not answer the instance's renewals.
 	Failing []string
 }
