--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -265,7 +265,7 @@
 	if finish <= time.Duration(targetShare*float64(w.TargetAt.Sub(now))) {
 		return true
 	}
-	late := w.Returning || w.TargetAt.Sub(now) < w.expect
+	late := w.TargetAt.Sub(now) < w.expect
 	return late && finish <= time.Duration(limitShare*float64(w.LimitAt.Sub(now)))
 }
 
--- a/internal/shard/improve.go
+++ b/internal/shard/improve.go
@@ -84,7 +84,8 @@
 	slices.SortStableFunc(ids, func(a, b string) int {
 		return cmp.Compare(p.lost(p.use[b], b), p.lost(p.use[a], a))
 	})
-	return ids[:min(len(ids), sources)]
+	most := max(sources, int(sourcesShare*float64(len(ids))))
+	return ids[:min(len(ids), most)]
 }
 
 // pieces returns what may be moved from a server: whole ranges, their busiest bucket, and the
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -48,16 +48,21 @@
 	// piecesPerServer is the number of ranges a server begins with. Several short ones spread a
 	// busy run of keys over servers before any load is known; each costs one renewal more.
 	piecesPerServer = 4
-	// movesMost bounds the moves of one plan: each leaves its keys without an owner for as long
-	// as the old owner needs to end the work in progress, some 0.2 to 0.5 s.
-	movesMost = 6
+	// movesLeast and movesShare, of the servers, bound the moves of one plan: each leaves its
+	// keys without an owner for as long as the old owner needs to end the work in progress, some
+	// 0.2 to 0.5 s.
+	movesLeast = 6
+	movesShare = 0.12
 	// sources is the number of servers, those that lose most, whose keys are considered.
 	sources = 4
-	// horizon is for how long a gain is counted, in seconds: busy keys stay busy for some 5.
-	horizon = 5
-	// gap is how long the keys of a move have no owner, in seconds: the time of the work in
-	// progress.
-	gap = 0.3
+	// sourcesShare is the same as a share of all servers, where there are many.
+	sourcesShare = 0.06
+	// horizon is for how long a gain is counted, in seconds. Single keys stay busy for some 5;
+	// differences in speed, and most of the load, stay for minutes.
+	horizon = 15
+	// gap is what a move costs, in seconds of the load that moves: its requests wait for as
+	// long as the work in progress takes, and about half of them are late for it.
+	gap = 0.15
 	// churnCost is what it costs to move all keys of a service once, in requests. Operators
 	// weigh churn; at this weight a move of a sixtieth of the keys must gain a quarter of a
 	// request.
@@ -119,7 +124,8 @@
 		return p.out
 	}
 	changed := p.replaceLost()
-	for p.moves < movesMost && p.improve() {
+	most := max(movesLeast, int(movesShare*float64(len(p.power))))
+	for p.moves < most && p.improve() {
 		changed = true
 	}
 	if !changed {
