Tell a lost message from a silent keeper

Cause: on the grown sites each twentieth asking ended with 'keeper-silent': an instance with a sixth of a core stands still for up to 0.1 s and finds its timer before the answer, and messages are lost where links are full. A permit whose return was lost kept a slot for seconds (442 in 8 s).

--- a/internal/gram/gram.go
+++ b/internal/gram/gram.go
@@ -176,7 +176,7 @@
 const (
 	largest  = 60 << 10
 	inbound  = 1024
-	readSize = 64 << 10
+	readSize = 1 << 20
 )
 
 // Port sends and receives messages.
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/gram"
 	"example.org/mustardring/internal/shard"
 )
@@ -134,6 +135,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if lost, failed := n.port.Lost.Swap(0), n.port.Failed.Swap(0); lost+failed > 0 {
+			n.events.Note(event.Belief, "messages-lost", "lost", lost, "failed", failed)
+		}
 		reports := n.loads.flush(n.settings.Name)
 		for _, service := range n.world.divided() {
 			m := reports[service]
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -18,9 +18,19 @@
 
 // The times of asking for permits.
 const (
-	// askTimeout is how long a keeper may take for its first word. A message takes 3
-	// milliseconds at most there and back; the rest is for a keeper whose processor is busy.
-	askTimeout = 60 * time.Millisecond
+	// askTimeout is how long a keeper may take for its first word, besides the time for which an
+	// instance may stand still. A message takes 3 milliseconds there and back; the rest is for
+	// a keeper whose processor is busy.
+	askTimeout = 50 * time.Millisecond
+	// askAgain is when the same asking is sent once more, in case the first message was lost.
+	askAgain = 40 * time.Millisecond
+	// quotaPeriod is how long an instance may stand still at most: its part of a core is a
+	// quota of each tenth of a second. An asker with a sixth of a core finds the answer that
+	// came meanwhile only after its timer; with 60 ms each twentieth asking ended so.
+	quotaPeriod = 100 * time.Millisecond
+	// doneAgain is when a permit is given back once more: the first message may be lost, and
+	// the server would look busy until the request's limit.
+	doneAgain = 40 * time.Millisecond
 	// renewAsk is how long a request waits before it asks whether the keeper still knows it.
 	renewAsk = 300 * time.Millisecond
 	// asksMost is the number of keepers that are tried before the instance decides by itself.
@@ -64,10 +74,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for _, k := range p.keepers {
+	for service, k := range p.keepers {
 		if !k.Idle() {
 			p.deliver(k.Tick(now))
 		}
+		if n := k.Expired(); n > 0 {
+			p.node.events.Note(event.Belief, "permits-expired", "service", service, "count", n)
+		}
 	}
 }
 
@@ -215,11 +228,14 @@
 		h.permits.deliver(h.permits.keeper(h.service).Done(time.Now(), d))
 		return
 	}
-	h.permits.node.port.Send(h.keeper, gram.Done{
+	m := gram.Done{
 		Serial: h.serial, Service: h.service, Server: h.server, Route: h.route, Outcome: d.Outcome,
 		TookUs: int(d.Took.Microseconds()), Bytes: d.Bytes,
 		Running: d.Load.Running, Waiting: d.Load.Waiting, Loaded: d.Load.Known,
-	})
+	}
+	h.permits.node.port.Send(h.keeper, m)
+	m.Loaded = false
+	time.AfterFunc(doneAgain, func() { h.permits.node.port.Send(h.keeper, m) })
 }
 
 // Acquire implements edge.Permits.
@@ -274,14 +290,19 @@
 // askOther asks another instance, and waits as long as that instance says that the request
 // waits. The second result is false if it does not answer.
 func (p *permits) askOther(ctx context.Context, a permit.Ask, keeper roster.Peer, to netip.AddrPort, verdicts <-chan gram.Verdict) (gram.Verdict, bool) {
-	timeout := askTimeout
+	first := askTimeout + time.Duration((1-min(p.node.settings.CPUShare, 1))*float64(quotaPeriod))
+	timeout := first
 	for {
 		p.node.port.Send(to, askOf(a))
 		if timeout == renewAsk {
 			// The keeper has answered before: it is asked whether it still is there.
-			timeout = askTimeout
+			timeout = first
+		}
+		m, heard := p.hear(ctx, verdicts, min(timeout, askAgain))
+		if !heard && ctx.Err() == nil {
+			p.node.port.Send(to, askOf(a))
+			m, heard = p.hear(ctx, verdicts, timeout-askAgain)
 		}
-		m, heard := p.hear(ctx, verdicts, timeout)
 		for heard && !final(m) {
 			m, heard = p.hear(ctx, verdicts, renewAsk)
 			timeout = renewAsk
@@ -292,7 +313,7 @@
 		case ctx.Err() != nil:
 			p.node.port.Send(to, gram.Withdraw{Serial: a.Serial, Service: a.Service})
 			return gram.Verdict{}, false
-		case timeout == askTimeout:
+		case timeout == first:
 			p.node.roster.Silent(keeper.Name, time.Now())
 			p.silent(keeper.Name)
 			p.node.port.Send(to, gram.Withdraw{Serial: a.Serial, Service: a.Service})
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -62,6 +62,8 @@
 	routes map[string]*route
 	queue  []*waiting
 	random *rand.Rand
+	// expired is the number of permits that were taken back since Expired was last asked.
+	expired int
 }
 
 // New returns the keeper of a service.
@@ -288,7 +290,12 @@
 
 // Done takes a permit back and learns from how the sending ended.
 func (k *Keeper) Done(now time.Time, d Done) []Verdict {
-	if s := k.servers[d.Server]; s != nil {
+	s := k.servers[d.Server]
+	if s == nil {
+		return k.Tick(now)
+	}
+	// A permit that is given back twice counts once.
+	if _, used := s.uses[d.Key]; used {
 		delete(s.uses, d.Key)
 		r := k.route(d.Route, 0)
 		s.learn(d, r.mean, now)
@@ -308,6 +315,7 @@
 		for key, u := range s.uses {
 			if now.After(u.expireAt) {
 				delete(s.uses, key)
+				k.expired++
 			}
 		}
 	}
@@ -330,6 +338,14 @@
 	return out
 }
 
+// Expired returns how many permits were taken back since the last call because nobody gave them
+// back.
+func (k *Keeper) Expired() int {
+	n := k.expired
+	k.expired = 0
+	return n
+}
+
 // Idle reports whether nothing waits, so that no tick is needed.
 func (k *Keeper) Idle() bool { return len(k.queue) == 0 }
 
