--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -11,8 +11,10 @@
 //     after that.
 //   - An instance renews only what its newest record says, only while that record is known to
 //     be the newest as of at most knowledgeTime ago, and checks both at the last moment.
-//   - An instance is registered before it reads the owners for the first time, and who moves
-//     keys reads the register after the move is written.
+//   - The register of instances stands in the same log. Who writes a move has read of every
+//     instance that is registered before it, and who reads its own registration reads every
+//     move before it. An instance that is silent is marked as removed first, and its record is
+//     deleted only when what it knew is too old to act on.
 //
 // Renewals change no owner, so any instance may send them. Who leads is a matter of cost.
 package holder
@@ -36,6 +38,8 @@
 	ErrFenced = errors.New("holder: higher fence seen")
 	// ErrSilent says that no answer came: the order may be carried out, also later.
 	ErrSilent = errors.New("holder: no answer")
+	// ErrEnded says that another server, or another life of it, has the address.
+	ErrEnded = errors.New("holder: the server has ended")
 	// ErrRefused says that the server refused the order for another reason.
 	ErrRefused = errors.New("holder: refused")
 )
@@ -101,16 +105,19 @@
 
 // Orders sends orders to servers.
 type Orders interface {
-	Grant(ctx context.Context, address string, g Grant) error
+	// Both name the life of the server that is meant: a server that started anew has forgotten
+	// the fences that it saw, and would take an old grant that comes late.
+	Grant(ctx context.Context, to shard.Holder, g Grant) error
 	// Release ends a right. It returns, when the work in progress has ended, the handover for
 	// the next owner.
-	Release(ctx context.Context, address string, g Grant) (string, error)
+	Release(ctx context.Context, to shard.Holder, g Grant) (string, error)
 }
 
 // Owners is what the holder knows of the owners of all services.
 type Owners struct {
-	// Maps holds the owners by service.
-	Maps map[string]*shard.Map
+	// Maps holds the owners by service, Instances the register.
+	Maps      map[string]*shard.Map
+	Instances map[string]roster.Entry
 	// End is the offset behind the newest record.
 	End int64
 }
@@ -121,12 +128,12 @@
 	Domain string
 	Orders Orders
 	Store  follow.Store
-	// Topic is the topic of owners, Instances that of the register.
-	Topic     string
-	Instances string
-	Clock     clock.Clock
-	Roster    *roster.Roster
-	Events    *event.Log
+	// Topic is the topic of owners, and of the register of instances.
+	Topic       string
+	Incarnation uint64
+	Clock       clock.Clock
+	Roster      *roster.Roster
+	Events      *event.Log
 	// Servers returns the servers of the directory, by id; Services the divided services.
 	Servers  func() map[string]rules.Server
 	Services func() []string
@@ -142,8 +149,6 @@
 	Settled func(service string, from uint16, fence uint64)
 	// Again asks for a new read of the topic of owners.
 	Again func()
-	// Register takes in the records of the register of instances.
-	Register func(records []follow.Record) error
 	// Changed is called when the owners have changed, Announce when peers should hear of what
 	// this instance confirms.
 	Changed  func()
--- a/internal/holder/know.go
+++ b/internal/holder/know.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"strings"
 	"sync"
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/shard"
 )
 
@@ -20,7 +22,7 @@
 }
 
 func newKnowledge() *knowledge {
-	return &knowledge{owners: &Owners{Maps: map[string]*shard.Map{}}}
+	return &knowledge{owners: &Owners{Maps: map[string]*shard.Map{}, Instances: map[string]roster.Entry{}}}
 }
 
 // get returns the owners. They are never changed, only replaced.
@@ -44,24 +46,33 @@
 	return now - k.asOf
 }
 
-// fold takes in an update of the topic. It returns the records that are new, and errors of
-// those that cannot be read.
+// The keys of records: the owners of a service, or the registration of an instance.
+const (
+	keyService  = "service/"
+	keyInstance = "instance/"
+)
+
+// InstanceKey returns the key of the record of an instance.
+func InstanceKey(name string) string { return keyInstance + name }
+
+// fold takes in an update of the topic. It reports whether anything is new, and the errors of
+// records that cannot be read.
 func (k *knowledge) fold(u follow.Update) (changed bool, faults []error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	next := &Owners{Maps: maps.Clone(k.owners.Maps), End: k.owners.End}
+	next := &Owners{Maps: maps.Clone(k.owners.Maps), Instances: maps.Clone(k.owners.Instances), End: k.owners.End}
 	for _, r := range u.Records {
 		if r.Offset < k.owners.End {
 			continue
 		}
-		m, err := shard.Decode(r.Value)
-		if err != nil {
+		if err := next.put(r); err != nil {
 			faults = append(faults, err)
-			continue
 		}
-		next.Maps[r.Key] = m
 		changed = true
 	}
+	if u.End >= next.End && u.Whole {
+		next.drop(u.Records)
+	}
 	if u.End > next.End {
 		next.End = u.End
 		changed = true
@@ -74,6 +85,43 @@
 	return changed, faults
 }
 
+// put takes in a record.
+func (o *Owners) put(r follow.Record) error {
+	if name, found := strings.CutPrefix(r.Key, keyInstance); found {
+		if len(r.Value) == 0 {
+			delete(o.Instances, name)
+			return nil
+		}
+		e, err := roster.Decode(r.Value)
+		if err != nil {
+			return err
+		}
+		o.Instances[name] = e
+		return nil
+	}
+	m, err := shard.Decode(r.Value)
+	if err != nil {
+		return err
+	}
+	o.Maps[strings.TrimPrefix(r.Key, keyService)] = m
+	return nil
+}
+
+// drop removes the instances that are not among all records there are.
+func (o *Owners) drop(all []follow.Record) {
+	there := make(map[string]bool, len(all))
+	for _, r := range all {
+		there[r.Key] = len(r.Value) > 0
+	}
+	maps.DeleteFunc(o.Instances, func(name string, _ roster.Entry) bool { return !there[InstanceKey(name)] })
+}
+
+// registered reports whether a life of an instance is registered.
+func (o *Owners) registered(name string, incarnation uint64) bool {
+	e, found := o.Instances[name]
+	return found && e.Incarnation == incarnation && !e.Removed && !e.Ended
+}
+
 // extend takes in a record that another instance wrote, ahead of the next read. It returns
 // false unless the record follows what is known. The record is in the store, so acting by it
 // is right; that nothing follows it is known only from a read.
@@ -91,8 +139,8 @@
 	if err != nil {
 		return false
 	}
-	maps := maps.Clone(k.owners.Maps)
-	maps[service] = next
-	k.owners = &Owners{Maps: maps, End: offset + 1}
+	all := maps.Clone(k.owners.Maps)
+	all[service] = next
+	k.owners = &Owners{Maps: all, Instances: k.owners.Instances, End: offset + 1}
 	return true
 }
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -17,7 +17,7 @@
 // lead decides about owners, if this instance is the one to do so.
 func (h *Holder) lead(ctx context.Context, now time.Time) {
 	leader, found := h.Roster.Leader(now)
-	leads := found && leader.Name == h.Name && h.reached.Load() && h.know.fresh(h.Clock.Now())
+	leads := found && leader.Name == h.Name && h.reached.Load() && h.entitled()
 	if leads != h.leads {
 		h.leads = leads
 		h.leading.Store(leads)
@@ -30,7 +30,7 @@
 		h.dropMoves()
 		return
 	}
-	h.clear(now)
+	h.clear(ctx, now)
 	if now.Before(h.pauseUntil) {
 		return
 	}
@@ -40,25 +40,60 @@
 	h.move(ctx)
 }
 
-// clear removes the records of instances that have been silent for long.
-func (h *Holder) clear(now time.Time) {
+// clear marks the instances that have been silent for long as removed, and deletes the records
+// of those that were marked for so long that nothing they know is fresh.
+func (h *Holder) clear(ctx context.Context, now time.Time) {
+	if now.Sub(h.clearedAt) < clearEvery {
+		return
+	}
+	h.clearedAt = now
 	for _, p := range h.Roster.Others() {
-		if p.HeardAt.IsZero() || now.Sub(p.HeardAt) < registerSilence {
+		if p.Silent(now) < registerSilence {
 			continue
 		}
-		h.Events.Note(event.Belief, "instance-removed", "instance", p.Name, "silent-for", now.Sub(p.HeardAt))
-		h.Roster.Remove(p.Name, now)
-		name := p.Name
-		h.jobs.Add(1)
-		go func() {
-			defer h.jobs.Done()
-			if _, err := h.Store.Append(context.Background(), h.Instances, name, nil, -1); err != nil {
-				h.Events.Note(event.Belief, "instance-not-removed", "instance", name, "error", err)
-			}
-		}()
+		h.Events.Note(event.Belief, "instance-removed", "instance", p.Name, "silent-for", p.Silent(now))
+		e := p.Entry
+		e.Removed = true
+		if value, err := e.Encode(); err == nil {
+			h.append(ctx, InstanceKey(p.Name), value)
+		}
+		return
+	}
+	for _, name := range h.Roster.Removed(now.Add(-knowledgeTime - leaseTime)) {
+		h.append(ctx, InstanceKey(name), nil)
+		return
 	}
 }
 
+// clearEvery is how often the leader looks for instances that are gone. Each finding is one
+// call to the store.
+const clearEvery = 500 * time.Millisecond
+
+// append writes a record behind what is known, and takes it in.
+func (h *Holder) append(ctx context.Context, key string, value []byte) bool {
+	end := h.know.get().End
+	if !h.guards.condition {
+		end = -1
+	}
+	begun := h.Clock.Now()
+	offset, err := h.Store.Append(ctx, h.Topic, key, value, end)
+	if err != nil {
+		h.Events.Note(event.Belief, "owners-not-written", "key", key, "as-of", end, "error", err)
+		h.pauseUntil = time.Now().Add(writePause)
+		if !errors.Is(err, follow.ErrConflict) {
+			h.reached.Store(false)
+			h.Announce()
+		}
+		h.Again()
+		return false
+	}
+	h.fold(follow.Update{
+		Topic: h.Topic, BegunAt: begun,
+		Batch: follow.Batch{End: offset + 1, Records: []follow.Record{{Key: key, Value: value, Offset: offset}}},
+	})
+	return true
+}
+
 // decide writes the next owners of a service, if they should change.
 func (h *Holder) decide(ctx context.Context, service string, now time.Time) {
 	known := h.know.get()
@@ -149,7 +184,7 @@
 func (h *Holder) input(service string, m *shard.Map, now time.Time) shard.Input {
 	servers := h.Servers()
 	load, powers := h.Load(service)
-	in := shard.Input{Map: m, Load: load, Target: h.Target(service).Seconds(), Addresses: map[string]string{}, Ended: func(id string) bool { return h.ended[id] }}
+	in := shard.Input{Map: m, Load: load, Target: h.Target(service).Seconds(), Addresses: map[string]string{}}
 	usual, n := 0.0, 0
 	for _, p := range powers {
 		usual, n = usual+p, n+1
@@ -158,13 +193,10 @@
 		usual /= float64(n)
 	}
 	failing := h.failing(now)
-	reborn := make(map[string]string, len(servers))
 	for id, s := range servers {
 		if s.Service != service {
-			reborn[s.Address] = id
 			continue
 		}
-		reborn[s.Address] = id
 		power := powers[id]
 		if power == 0 {
 			power = max(usual, float64(s.Slots))
@@ -179,13 +211,12 @@
 		})
 		in.Addresses[id] = s.Address
 	}
-	h.remember(servers, reborn, in.Addresses)
+	h.remember(servers, in.Addresses)
 	return in
 }
 
-// remember keeps the addresses of servers that left, and notes those whose address another
-// life has: they have ended.
-func (h *Holder) remember(servers map[string]rules.Server, reborn, addresses map[string]string) {
+// remember keeps the addresses of servers that left.
+func (h *Holder) remember(servers map[string]rules.Server, addresses map[string]string) {
 	if h.addresses == nil {
 		h.addresses = map[string]string{}
 	}
@@ -193,12 +224,8 @@
 		h.addresses[id] = s.Address
 	}
 	for id, address := range h.addresses {
-		if _, there := servers[id]; there {
-			continue
-		}
-		addresses[id] = address
-		if other := reborn[address]; other != "" && other != id {
-			h.ended[id] = true
+		if _, there := servers[id]; !there {
+			addresses[id] = address
 		}
 	}
 }
@@ -227,31 +254,15 @@
 		h.Events.Note(event.Belief, "owners-not-written", "service", service, "error", err)
 		return
 	}
-	end := h.know.get().End
-	begun := h.Clock.Now()
-	offset, err := h.Store.Append(ctx, h.Topic, service, value, end)
-	if err != nil {
-		h.Events.Note(event.Belief, "owners-not-written", "service", service, "as-of", end, "error", err)
-		if errors.Is(err, follow.ErrConflict) {
-			h.Again()
-		}
-		h.plannedAt = time.Now()
-		h.pauseUntil = time.Now().Add(writePause)
-		if !errors.Is(err, follow.ErrConflict) {
-			h.reached.Store(false)
-			h.Again()
-			h.Announce()
-		}
+	h.plannedAt = time.Now()
+	if !h.append(ctx, keyService+service, value) {
 		return
 	}
+	offset := h.know.get().End - 1
 	h.Tell(service, offset, to.Fence, to.Changes(from))
 	h.Events.Note(event.Belief, "owners-written", "service", service, "offset", offset, "fence", to.Fence,
 		"ranges", len(to.Ranges), "changes", describe(from, to))
 	h.finished = slices.DeleteFunc(h.finished, func(s settlement) bool { return s.service == service })
-	h.fold(follow.Update{
-		Topic: h.Topic, BegunAt: begun,
-		Batch: follow.Batch{End: offset + 1, Records: []follow.Record{{Key: service, Value: value, Offset: offset}}},
-	})
 }
 
 // writePause is the time between attempts to write the owners: some fifty answers of the store.
--- a/internal/holder/move.go
+++ b/internal/holder/move.go
@@ -81,6 +81,9 @@
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	for _, b := range r.Before {
+		if !h.guards.ending {
+			continue
+		}
 		all.Add(1)
 		go func() {
 			defer all.Done()
@@ -105,7 +108,6 @@
 const (
 	endReleased  = "released"
 	endLapsed    = "lapsed"
-	endReborn    = "server-ended"
 	endAbandoned = "move-overtaken"
 )
 
@@ -143,9 +145,9 @@
 func (h *Holder) release(ctx context.Context, b shard.Holder, r shard.Range, released chan<- string) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, releaseTimeout)
-		handover, err := h.Orders.Release(call, b.Address, Grant{From: r.From, To: r.To, Fence: r.Fence})
+		handover, err := h.Orders.Release(call, b, Grant{From: r.From, To: r.To, Fence: r.Fence})
 		cancel()
-		if err == nil {
+		if err == nil || errors.Is(err, ErrEnded) {
 			released <- handover
 			return
 		}
@@ -159,22 +161,18 @@
 func (h *Holder) awaitLapse(ctx context.Context, offset int64) bool {
 	writtenAt := h.Clock.Now()
 	wallAt := time.Now()
-	// Instances that registered before the record was written, and may have read the owners
-	// before, are in the register now.
-	for h.register(ctx) != nil {
-		if !pause(ctx, writePause) {
-			return false
-		}
-	}
 	for {
 		waiting := h.Roster.Unconfirmed(offset, wallAt.Add(-knowledgeTime))
-		if len(waiting) == 0 || h.Clock.Now().Sub(writtenAt) > knowledgeTime {
+		if !h.guards.confirming || len(waiting) == 0 || h.Clock.Now().Sub(writtenAt) > knowledgeTime {
 			break
 		}
 		if !pause(ctx, tickEvery) {
 			return false
 		}
 	}
+	if !h.guards.lapsing {
+		return true
+	}
 	last := h.Clock.Now()
 	until := last.Add(time.Duration(float64(leaseTime)*drift) + flightTime)
 	return h.sleepUntil(ctx, until)
@@ -193,15 +191,6 @@
 	}
 }
 
-// register reads the register of instances.
-func (h *Holder) register(ctx context.Context) error {
-	batch, err := h.Store.Newest(ctx, h.Instances)
-	if err != nil {
-		return err
-	}
-	return h.Register(batch.Records)
-}
-
 // grantFirst grants a range to its new owner until the owner answers, and from then on renews
 // the grant until the record says that the move is complete: before that nobody else does.
 func (h *Holder) grantFirst(ctx context.Context, service string, r shard.Range, handover string, begun time.Time) {
--- a/internal/holder/renew.go
+++ b/internal/holder/renew.go
@@ -16,8 +16,8 @@
 	holder *Holder
 	server rules.Server
 
-	// sending is held while an order is on its way.
-	sending sync.Mutex
+	// sending holds one element while an order is on its way.
+	sending chan struct{}
 
 	mu       sync.Mutex
 	cancel   context.CancelFunc
@@ -41,11 +41,7 @@
 	r.mu.Lock()
 	busy := r.busy
 	r.mu.Unlock()
-	if busy || !r.sending.TryLock() {
-		return false
-	}
-	r.sending.Unlock()
-	return true
+	return !busy && len(r.sending) == 0
 }
 
 // due reports whether the server's grants are to be renewed, and if so marks it as busy.
@@ -110,8 +106,8 @@
 
 // send sends a grant, if it still stands at the last moment before.
 func (r *renewer) send(ctx context.Context, g Grant, stands func() bool) error {
-	r.sending.Lock()
-	defer r.sending.Unlock()
+	r.sending <- struct{}{}
+	defer func() { <-r.sending }()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	r.mu.Lock()
@@ -120,10 +116,19 @@
 	if !stands() {
 		return context.Canceled
 	}
-	if !r.holder.know.fresh(r.holder.Clock.Now()) {
+	if !r.holder.entitled() {
 		return errStale
 	}
-	return r.holder.Orders.Grant(ctx, r.server.Address, g)
+	return r.holder.Orders.Grant(ctx, shard.Holder{Server: r.server.ID, Address: r.server.Address}, g)
+}
+
+// entitled reports whether the instance may act on what it knows of the owners: it is
+// registered, and the knowledge is fresh.
+func (h *Holder) entitled() bool {
+	if h.guards.registering && !h.know.get().registered(h.Name, h.Incarnation) {
+		return false
+	}
+	return !h.guards.knowing || h.know.fresh(h.Clock.Now())
 }
 
 // stands reports whether a range is still a part of the owners.
@@ -145,8 +150,8 @@
 	if cancel != nil {
 		cancel()
 	}
-	r.sending.Lock()
-	defer r.sending.Unlock()
+	r.sending <- struct{}{}
+	<-r.sending
 }
 
 // note takes in how a renewal ended, and reports whether the round goes on.
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -16,6 +16,7 @@
 // Holder is the duty that keeps rights.
 type Holder struct {
 	Deps
+	guards  guards
 	know    *knowledge
 	updates chan follow.Update
 	written chan Written
@@ -36,6 +37,7 @@
 	finished  []settlement
 	settleAt  time.Time
 	startedAt time.Time
+	clearedAt time.Time
 	plannedAt time.Time
 	leads     bool
 	gathering map[string]gathering
@@ -47,16 +49,14 @@
 	pauseUntil time.Time
 	// addresses remembers those of servers that left.
 	addresses map[string]string
-	// ended remembers the servers that were proved to have ended.
-	ended map[string]bool
 }
 
 // New returns a holder.
 func New(d Deps) *Holder {
 	return &Holder{
-		Deps: d, know: newKnowledge(), updates: make(chan follow.Update, 16),
+		Deps: d, guards: allGuards, know: newKnowledge(), updates: make(chan follow.Update, 16),
 		written: make(chan Written, 64), settled: make(chan settlement, 256), renewers: map[string]*renewer{},
-		moves: map[moveKey]*move{}, ended: map[string]bool{}, gathering: map[string]gathering{},
+		moves: map[moveKey]*move{}, gathering: map[string]gathering{},
 	}
 }
 
@@ -192,10 +192,30 @@
 		return
 	}
 	after := h.know.get()
+	h.enlist(before, after)
 	h.Changed()
 	h.confirm(before, after)
 }
 
+// enlist brings the roster up to the register.
+func (h *Holder) enlist(before, after *Owners) {
+	now := time.Now()
+	for name, e := range after.Instances {
+		if old, known := before.Instances[name]; !known || old != e {
+			h.Roster.Put(name, e, now)
+		}
+	}
+	for name := range before.Instances {
+		if _, there := after.Instances[name]; !there {
+			h.Roster.Remove(name)
+		}
+	}
+}
+
+// Registered reports whether this life of the instance stands in the register, as far as is
+// known.
+func (h *Holder) Registered() bool { return h.know.get().registered(h.Name, h.Incarnation) }
+
 // confirm ends the orders that the new record contradicts, and then lets the heartbeat say so.
 func (h *Holder) confirm(before, after *Owners) {
 	var stale []*renewer
@@ -210,7 +230,9 @@
 	go func() {
 		defer h.jobs.Done()
 		for _, r := range stale {
-			r.stop()
+			if h.guards.stopping {
+				r.stop()
+			}
 		}
 		h.mu.Lock()
 		h.confirmed = max(h.confirmed, after.End)
@@ -293,7 +315,7 @@
 	defer h.mu.Unlock()
 	r := h.renewers[s.ID]
 	if r == nil || r.server.Address != s.Address {
-		r = &renewer{holder: h, server: s, renewedAt: time.Now()}
+		r = &renewer{holder: h, server: s, sending: make(chan struct{}, 1), renewedAt: time.Now()}
 		h.renewers[s.ID] = r
 	}
 	return r
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -39,10 +39,6 @@
 		if n.world.putServers(u, n.around.DecodeServer) {
 			n.serversChanged()
 		}
-	case n.around.Instances:
-		if u.Err == nil {
-			n.takeInstances(u)
-		}
 	case n.around.Owners:
 		select {
 		case n.holder.Updates() <- u:
@@ -69,37 +65,6 @@
 	}
 }
 
-// takeInstances takes in records of the register.
-func (n *Node) takeInstances(u follow.Update) {
-	seen := map[string]bool{}
-	for _, r := range u.Records {
-		if len(r.Value) == 0 {
-			n.roster.Remove(r.Key, time.Now())
-			continue
-		}
-		e, err := roster.Decode(r.Value)
-		if err != nil {
-			n.events.Note(event.Belief, "instance-malformed", "instance", r.Key, "error", err)
-			continue
-		}
-		seen[r.Key] = true
-		n.roster.Put(r.Key, e)
-	}
-	if u.Whole {
-		for _, name := range n.roster.Names() {
-			if !seen[name] {
-				n.roster.Remove(name, time.Now())
-			}
-		}
-	}
-}
-
-// registerAll takes in the whole register.
-func (n *Node) registerAll(records []follow.Record) error {
-	n.takeInstances(follow.Update{Batch: follow.Batch{Records: records}, Whole: true})
-	return nil
-}
-
 func (n *Node) serversChanged() {
 	servers := n.world.servers()
 	n.permits.setServers(servers)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,12 +32,12 @@
 	Store  follow.Store
 	Orders holder.Orders
 	Wire   edge.Wire
-	// Topics are the names of the topics of the store, ConfigKey the key of the configuration.
+	// Config, Servers and Owners are topics of the store, ConfigKey is the key of the
+	// configuration.
 	Config    string
 	ConfigKey string
 	Servers   string
 	Owners    string
-	Instances string
 	// ReadyPath is the path that the balancer asks.
 	ReadyPath    string
 	DecodeConfig func(data []byte) (*rules.Config, error)
@@ -69,6 +69,9 @@
 	configPause = 10 * time.Millisecond
 )
 
+// registerEvery is how often an instance looks whether it still is registered.
+const registerEvery = 400 * time.Millisecond
+
 // Node is an instance.
 type Node struct {
 	settings    config.Serve
@@ -108,18 +111,18 @@
 	n.world = newWorld(events, func() time.Duration {
 		return time.Duration(settings.Bounds.DrainSeconds*float64(time.Second)) - n.settle() - drainReserve
 	})
-	for _, topic := range []string{around.Config, around.Servers, around.Owners, around.Instances} {
+	for _, topic := range []string{around.Config, around.Servers, around.Owners} {
 		n.again[topic] = make(chan struct{}, 1)
 	}
 	n.loads = newLoads()
 	n.permits = newPermits(n)
 	n.holder = holder.New(holder.Deps{
 		Name: settings.Name, Domain: settings.Domain, Orders: around.Orders, Store: around.Store,
-		Topic: around.Owners, Instances: around.Instances, Clock: clock.Boot{}, Roster: n.roster, Events: events,
+		Topic: around.Owners, Incarnation: n.incarnation, Clock: clock.Boot{}, Roster: n.roster, Events: events,
 		Servers: n.world.servers, Services: n.world.divided, Target: n.world.target, Load: n.loads.of,
 		Again:   func() { n.readAgain(around.Owners) },
 		Leading: n.leading, Tell: n.tellOwners, Settled: n.settledHere,
-		Register: n.registerAll, Changed: n.ownersChanged, Announce: n.announce,
+		Changed: n.ownersChanged, Announce: n.announce,
 	})
 	n.world.owners = n.holder.Owners
 	budget := edge.NewBudget(settings.Bounds.RetryRatio,
@@ -244,8 +247,7 @@
 	calm := func() time.Duration { return configPause }
 	start("follow-config", n.around.Config, calm, nil, nil)
 	start("follow-servers", n.around.Servers, n.settle, nil, nil)
-	start("follow-instances", n.around.Instances, n.settle, nil, nil)
-	// Who moves keys must be able to see this instance before it learns who owns them.
+	// What is read of the owners counts from the instance's own registration on.
 	start("follow-owners", n.around.Owners, calm, n.ownersEvery, n.registered)
 }
 
@@ -275,18 +277,18 @@
 func (n *Node) register(ctx context.Context) error {
 	first := true
 	for ctx.Err() == nil {
-		if first || !n.stopped() && !n.roster.Has(n.settings.Name, n.incarnation) {
+		if first || !n.stopped() && n.removed() {
 			if err := n.putRecord(ctx, false); err != nil {
 				n.events.Note(event.Belief, "not-registered", "error", err)
 			} else {
-				n.roster.Put(n.settings.Name, n.entry(false))
+				n.readAgain(n.around.Owners)
 				if first {
 					close(n.registered)
 					first = false
 				}
 			}
 		}
-		timer := time.NewTimer(200 * time.Millisecond)
+		timer := time.NewTimer(registerEvery)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -296,6 +298,11 @@
 	return ctx.Err()
 }
 
+// removed reports whether the register does not hold this instance any more.
+func (n *Node) removed() bool {
+	return n.holder.Owners().End > 0 && !n.holder.Registered()
+}
+
 func (n *Node) entry(ended bool) roster.Entry {
 	return roster.Entry{
 		Address: net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.PeerPorts[0])), Domain: n.settings.Domain,
@@ -308,7 +315,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = n.around.Store.Append(ctx, n.around.Instances, n.settings.Name, value, -1)
+	_, err = n.around.Store.Append(ctx, n.around.Owners, holder.InstanceKey(n.settings.Name), value, -1)
 	return err
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -23,6 +23,9 @@
 	Share       float64 `json:"cpu-share"`
 	// Ended says that the process stopped in order, and does nothing any more.
 	Ended bool `json:"ended,omitempty"`
+	// Removed says that the others take the instance for lost. It may still act on what it knew
+	// before, until that is too old.
+	Removed bool `json:"removed,omitempty"`
 }
 
 // Decode reads the record of an instance.
@@ -59,7 +62,9 @@
 // Peer is an instance.
 type Peer struct {
 	Entry
-	Name    string
+	Name string
+	// KnownAt is when the registration was read, HeardAt when the last heartbeat came.
+	KnownAt time.Time
 	HeardAt time.Time
 	Beat    Beat
 
@@ -86,14 +91,16 @@
 	mu     sync.Mutex
 	peers  map[string]*Peer
 	sorted []*Peer
+	// linger holds the instances that were removed and may still act.
 	linger map[string]lingering
 	quiet  time.Duration
 }
 
-// lingering is an instance that was removed from the store's records while it may still act.
+// lingering is an instance that was removed while it may still act.
 type lingering struct {
-	Peer
-	removedAt time.Time
+	entry Entry
+	// since is when this instance heard of the removal.
+	since time.Time
 }
 
 // New returns the roster of an instance.
@@ -125,33 +132,47 @@
 	r.quiet = silence(len(r.peers))
 }
 
-// Put takes in the record of an instance.
-func (r *Roster) Put(name string, e Entry) {
+// Put takes in the record of an instance at a time.
+func (r *Roster) Put(name string, e Entry, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.arrange()
 	known := r.peers[name]
-	if e.Ended {
+	if e.Ended || e.Removed {
 		delete(r.peers, name)
+		if _, there := r.linger[name]; !there && e.Removed {
+			r.linger[name] = lingering{entry: e, since: now}
+		}
 		return
 	}
+	delete(r.linger, name)
 	if known == nil || known.Incarnation != e.Incarnation {
-		known = &Peer{Name: name, hash: xxhash.Sum64String(name)}
+		known = &Peer{Name: name, KnownAt: now, hash: xxhash.Sum64String(name)}
 		r.peers[name] = known
 	}
 	known.Entry = e
 }
 
-// Remove takes in that the record of an instance is gone. It may still act on what it read
-// before.
-func (r *Roster) Remove(name string, now time.Time) {
+// Remove takes in that the record of an instance was deleted: it cannot act any more.
+func (r *Roster) Remove(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p := r.peers[name]; p != nil {
-		r.linger[name] = lingering{Peer: *p, removedAt: now}
-		delete(r.peers, name)
-		r.arrange()
+	delete(r.peers, name)
+	delete(r.linger, name)
+	r.arrange()
+}
+
+// Removed returns the instances that have been known to be removed since before a time.
+func (r *Roster) Removed(before time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for name, l := range r.linger {
+		if l.since.Before(before) {
+			out = append(out, name)
+		}
 	}
+	return out
 }
 
 // Names returns the registered instances.
@@ -276,6 +297,14 @@
 	return a.weigh(thing) < b.weigh(thing)
 }
 
+// Silent returns for how long nothing was heard of the instance.
+func (p *Peer) Silent(now time.Time) time.Duration {
+	if p.HeardAt.After(p.KnownAt) {
+		return now.Sub(p.HeardAt)
+	}
+	return now.Sub(p.KnownAt)
+}
+
 // weigh returns a number that is smallest at the instance in charge: an exponential variate
 // whose rate is the instance's processor time, so that each gets things in proportion to it.
 func (p *Peer) weigh(thing uint64) float64 {
@@ -312,23 +341,19 @@
 }
 
 // Unconfirmed returns the instances that may still act on records before an offset: the
-// registered ones that have not confirmed it, and those that were removed after the given
-// time.
+// registered ones that have not confirmed it, and those that were removed, as far as this
+// instance knows, after the given time.
 func (r *Roster) Unconfirmed(offset int64, removedAfter time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
-	for _, p := range r.peers {
+	for _, p := range r.sorted {
 		if p.Beat.Confirmed <= offset {
 			out = append(out, p.Name)
 		}
 	}
-	for name, p := range r.linger {
-		if p.removedAt.Before(removedAfter) {
-			delete(r.linger, name)
-			continue
-		}
-		if q := r.peers[name]; q == nil || q.Incarnation == p.Incarnation {
+	for name, l := range r.linger {
+		if l.since.After(removedAfter) {
 			out = append(out, name)
 		}
 	}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -39,8 +39,6 @@
 	Target float64
 	// Addresses holds the address of each server that owns keys, also of those that left.
 	Addresses map[string]string
-	// Ended says of a server that it cannot run anything any more.
-	Ended func(server string) bool
 }
 
 // The thresholds of a plan.
@@ -266,11 +264,6 @@
 	r := p.out.Ranges[i]
 	p.use[r.Server] -= load
 	p.use[to] += load
-	var before []Holder
-	for _, h := range append(slices.Clone(r.Before), Holder{Server: r.Server, Address: p.in.Addresses[r.Server]}) {
-		if !p.in.Ended(h.Server) {
-			before = append(before, h)
-		}
-	}
+	before := append(slices.Clone(r.Before), Holder{Server: r.Server, Address: p.in.Addresses[r.Server]})
 	p.out.Move(i, to, before)
 }
