--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -51,7 +51,10 @@
 	Batch
 	// Whole says that the records are all there are: other keys are gone.
 	Whole bool
-	// BegunAt is when the read began. Nothing that was acknowledged before is missing.
+	// From is the offset that was read from.
+	From int64
+	// BegunAt is when the read began: nothing that was acknowledged before is missing. It is
+	// zero for what came from another instance.
 	BegunAt clock.Instant
 	// Err is why the topic could not be read, nil if it was.
 	Err error
@@ -63,11 +66,22 @@
 	retryMost  = time.Second
 )
 
-// Topic follows one topic.
+// News is a part of a topic that another instance read.
+type News struct {
+	// From is the offset that the other instance read from.
+	From int64
+	Batch
+}
+
+// Topic follows one topic. Calls to the store are dear where there are many instances, so that
+// most of them do not read: they take the news that others have read, and read for themselves
+// when a part is missing or a peer knows more.
 type Topic struct {
 	Store Store
 	Name  string
 	Clock clock.Clock
+	// Direct reports whether this instance reads the store by itself.
+	Direct func() bool
 	// Wait returns how long a read waits for news. A read whose answer is lost shows only when
 	// that time is over: the store goes on holding its connection.
 	Wait func() time.Duration
@@ -81,27 +95,36 @@
 	Out chan<- Update
 	// Again asks for a new read at once: a peer knows more.
 	Again <-chan struct{}
+	// News takes what other instances read; it may be nil.
+	News <-chan News
+
+	// next is the offset to read from, negative if everything is to be read.
+	next int64
 }
 
+// directEvery is how often an instance that does not read looks whether it should.
+const directEvery = 200 * time.Millisecond
+
 // Run follows the topic until the context ends.
 func (t *Topic) Run(ctx context.Context) error {
-	next := int64(-1)
+	t.next = -1
 	pause := retryLeast
 	for ctx.Err() == nil {
-		u := t.read(ctx, next)
-		if ctx.Err() != nil {
-			break
-		}
-		if errors.Is(u.Err, ErrExpired) || errors.Is(u.Err, context.Canceled) {
-			if errors.Is(u.Err, ErrExpired) {
-				next = -1
-			}
+		if t.next >= 0 && !t.Direct() && !t.idle(ctx) {
 			continue
 		}
-		select {
-		case t.Out <- u:
-		case <-ctx.Done():
+		u := t.read(ctx)
+		switch {
+		case ctx.Err() != nil:
 			return ctx.Err()
+		case errors.Is(u.Err, ErrExpired):
+			t.next = -1
+			continue
+		case errors.Is(u.Err, context.Canceled):
+			continue
+		}
+		if !t.emit(ctx, u) {
+			break
 		}
 		if u.Err != nil {
 			t.sleep(ctx, pause/2+rand.N(pause))
@@ -109,7 +132,7 @@
 			continue
 		}
 		pause = retryLeast
-		next = u.End
+		t.next = u.End
 		if len(u.Records) > 0 {
 			t.sleep(ctx, t.Settle())
 		}
@@ -120,8 +143,52 @@
 	return ctx.Err()
 }
 
+func (t *Topic) emit(ctx context.Context, u Update) bool {
+	select {
+	case t.Out <- u:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// idle waits without reading. It returns true when a read is needed.
+func (t *Topic) idle(ctx context.Context) bool {
+	timer := time.NewTimer(directEvery)
+	defer timer.Stop()
+	select {
+	case n := <-t.News:
+		return !t.take(ctx, n)
+	case <-t.Again:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// take takes in what another instance read. It returns false if a part before it is missing.
+func (t *Topic) take(ctx context.Context, n News) bool {
+	if n.End <= t.next {
+		return true
+	}
+	if n.From > t.next {
+		return false
+	}
+	u := Update{Topic: t.Name, Batch: Batch{End: n.End}}
+	for _, r := range n.Records {
+		if r.Offset >= t.next {
+			u.Records = append(u.Records, r)
+		}
+	}
+	if t.emit(ctx, u) {
+		t.next = n.End
+	}
+	return true
+}
+
 // read reads once: everything if next is negative, else what is new.
-func (t *Topic) read(ctx context.Context, next int64) Update {
+func (t *Topic) read(ctx context.Context) Update {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan struct{})
@@ -133,18 +200,18 @@
 		case <-ended:
 		}
 	}()
-	u := Update{Topic: t.Name, BegunAt: t.Clock.Now(), Whole: next < 0}
+	u := Update{Topic: t.Name, BegunAt: t.Clock.Now(), From: t.next, Whole: t.next < 0}
 	if u.Whole {
 		u.Batch, u.Err = t.Store.Newest(ctx, t.Name)
 		return u
 	}
 	wait := time.Duration(0)
-	if t.Every == nil {
+	if t.waits() {
 		wait = t.Wait()
 	}
-	u.Batch, u.Err = t.Store.Read(ctx, t.Name, next, wait)
+	u.Batch, u.Err = t.Store.Read(ctx, t.Name, t.next, wait)
 	if u.Err == nil {
-		u.End = max(u.End, next)
+		u.End = max(u.End, t.next)
 		if n := len(u.Records); n > 0 {
 			// The answer may be cut short of the end: the next read goes on behind it.
 			u.End = u.Records[n-1].Offset + 1
@@ -153,10 +220,13 @@
 	return u
 }
 
+// waits reports whether reads wait for news.
+func (t *Topic) waits() bool { return t.Every == nil && t.Direct() }
+
 // again returns the channel that ends a read which waits for news. A read that does not wait
 // runs to its end.
 func (t *Topic) again() <-chan struct{} {
-	if t.Every != nil {
+	if !t.waits() {
 		return nil
 	}
 	return t.Again
--- a/internal/gram/gram.go
+++ b/internal/gram/gram.go
@@ -13,6 +13,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/permit"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/shard"
@@ -85,6 +86,11 @@
 		Fence   uint64
 		Changes []shard.Range
 	}
+	// News is what an instance read of a topic of the store.
+	News struct {
+		Topic string
+		follow.News
+	}
 	// Settled says that a range has come to its new owner, ahead of the record that says so.
 	Settled struct {
 		Service string
@@ -109,6 +115,7 @@
 func (Crash) kind() byte     { return 7 }
 func (Owners) kind() byte    { return 8 }
 func (Settled) kind() byte   { return 9 }
+func (News) kind() byte      { return 10 }
 
 // Received is a message with its sender's address.
 type Received struct {
@@ -159,6 +166,8 @@
 		return decode[Owners](data[1:])
 	case 9:
 		return decode[Settled](data[1:])
+	case 10:
+		return decode[News](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/holder/know.go
+++ b/internal/holder/know.go
@@ -4,6 +4,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"time"
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/follow"
@@ -39,6 +40,17 @@
 	return k.read && now.Sub(k.asOf) < knowledgeTime
 }
 
+// refresh takes in the word of another instance: at a time that is not before echo, its
+// knowledge that nothing follows a record was of the given age.
+func (k *knowledge) refresh(known int64, echo clock.Instant, age time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	asOf := echo.Add(-time.Duration(float64(age) * drift))
+	if k.read && known == k.owners.End && asOf > k.asOf {
+		k.asOf = asOf
+	}
+}
+
 // age returns how old the knowledge is.
 func (k *knowledge) age(now clock.Instant) clock.Instant {
 	k.mu.Lock()
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -7,8 +7,10 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
 )
@@ -212,6 +214,16 @@
 	}
 }
 
+// Hear takes in the word of another instance that nothing follows the newest record it knows.
+func (h *Holder) Hear(b roster.Beat) {
+	if b.KnownAge >= 0 && b.EchoAt > 0 {
+		h.know.refresh(b.Known, clock.Instant(b.EchoAt), time.Duration(b.KnownAge)*time.Millisecond)
+	}
+}
+
+// Age returns how old the knowledge is that no owner has changed.
+func (h *Holder) Age() time.Duration { return time.Duration(h.know.age(h.Clock.Now())) }
+
 // Registered reports whether this life of the instance stands in the register, as far as is
 // known.
 func (h *Holder) Registered() bool { return h.know.get().registered(h.Name, h.Incarnation) }
--- a/internal/holder/world_test.go
+++ b/internal/holder/world_test.go
@@ -407,7 +407,8 @@
 	}
 	topic := follow.Topic{
 		Store: client, Name: ownersTopic, Clock: fakeClock{n.world.start}, Out: n.holder.Updates(), Again: n.again,
-		Every: func() time.Duration { return time.Second }, Settle: func() time.Duration { return 0 },
+		Direct: func() bool { return n.holder.Leads() || n.holder.Age() > 5*time.Second },
+		Every:  func() time.Duration { return time.Second }, Settle: func() time.Duration { return 0 },
 	}
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context) error{n.holder.Events.Run, n.holder.Run, topic.Run, n.beat(entry.Incarnation), enroll} {
@@ -423,11 +424,18 @@
 			b := roster.Beat{
 				Name: n.name, Incarnation: incarnation, Confirmed: n.holder.Confirmed(), Known: n.holder.Owners().End,
 				StoreOK: n.holder.StoreOK(), Failing: n.holder.Failing(),
+				SentAt: int64(n.holder.Clock.Now()), KnownAge: n.holder.Age().Milliseconds() + 1,
 			}
 			n.roster.Heard(b, time.Now())
+			echoes := map[string]int64{}
+			for _, p := range n.roster.Others() {
+				echoes[p.Name] = p.Beat.SentAt
+			}
 			for _, o := range n.world.others(n.name) {
 				if !n.world.isCut(n.name, o.name) && !n.world.chance(n.world.lostPeers) {
+					b.EchoAt = echoes[o.name]
 					o.roster.Heard(b, time.Now())
+					o.holder.Hear(b)
 				}
 			}
 		}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/gram"
@@ -32,6 +33,7 @@
 }
 
 func (n *Node) take(ctx context.Context, u follow.Update) {
+	n.relay(u)
 	switch u.Topic {
 	case n.around.Config:
 		n.takeConfig(u)
@@ -47,6 +49,31 @@
 	}
 }
 
+// largestNews is the largest message with news. What is larger the others read from the store.
+const largestNews = 24 << 10
+
+// relay tells the others what this instance has read.
+func (n *Node) relay(u follow.Update) {
+	if u.Err != nil || u.BegunAt == 0 || u.Whole || len(u.Records) == 0 || u.Topic == n.around.Owners || !n.reads() {
+		return
+	}
+	size := 0
+	for _, r := range u.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	if size <= largestNews {
+		n.tellAll(gram.News{Topic: u.Topic, News: follow.News{From: u.From, Batch: u.Batch}})
+	}
+}
+
+// hearNews takes in what another instance has read.
+func (n *Node) hearNews(m gram.News) {
+	select {
+	case n.news[m.Topic] <- m.News:
+	default:
+	}
+}
+
 func (n *Node) takeConfig(u follow.Update) {
 	if u.Err != nil {
 		n.events.Note(event.Belief, "configuration-unread", "error", u.Err)
@@ -91,23 +118,39 @@
 		b := n.heartbeat()
 		n.roster.Heard(b, time.Now())
 		if all {
-			n.tellAll(gram.Heartbeat{Beat: b})
+			for _, p := range n.roster.Others() {
+				n.beatTo(p, b)
+			}
 			continue
 		}
 		if leader, found := n.roster.Leader(time.Now()); found && leader.Name != n.settings.Name {
-			if to, ok := address(leader); ok {
-				n.port.Send(to, gram.Heartbeat{Beat: b})
-			}
+			n.beatTo(leader, b)
 		}
 	}
 }
 
+// beatTo sends a heartbeat to one instance, with the echo of its last one.
+func (n *Node) beatTo(p roster.Peer, b roster.Beat) {
+	if to, ok := address(p); ok {
+		b.EchoAt = p.Beat.SentAt
+		n.port.Send(to, gram.Heartbeat{Beat: b})
+	}
+}
+
+// knownAgeMost is the age from which on knowledge of the owners is of no use to others.
+const knownAgeMost = 30 * time.Second
+
 func (n *Node) heartbeat() roster.Beat {
 	version, end := n.known()
 	n.world.mu.Lock()
 	up := !n.world.storeDown && n.holder.StoreOK()
 	n.world.mu.Unlock()
+	age := int64(-1)
+	if a := n.holder.Age(); a < knownAgeMost {
+		age = a.Milliseconds() + 1
+	}
 	return roster.Beat{
+		SentAt: int64(clock.Boot{}.Now()), KnownAge: age,
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.holder.Confirmed(),
 		Known: n.holder.Owners().End, StoreOK: up,
 		Stopping: n.stopped(), Config: version, Servers: end, Failing: n.holder.Failing(),
@@ -142,6 +185,8 @@
 		n.loads.take(m, time.Now())
 	case gram.Owners:
 		n.hearOwners(m)
+	case gram.News:
+		n.hearNews(m)
 	case gram.Settled:
 		n.world.settle(m.Service, m.From, m.Fence)
 	case gram.Crash:
@@ -153,6 +198,7 @@
 func (n *Node) hearBeat(b roster.Beat) {
 	now := time.Now()
 	n.roster.Heard(b, now)
+	n.holder.Hear(b)
 	n.lag(n.around.Owners, b.Known > n.holder.Owners().End, now)
 	version, end := n.known()
 	n.lag(n.around.Config, b.Config > version, now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,16 +50,17 @@
 	// lost without a sign, so the leader waits for a short time only, and the others hear from
 	// its heartbeats that there is news. An instance that hears nobody looks by itself.
 	pollWait       = 20 * time.Second
-	pollWaitLeader = 1200 * time.Millisecond
+	pollWaitLeader = 700 * time.Millisecond
 	pollWaitAlone  = 3 * time.Second
 	// behindTime is how long an instance may know less than another one before it reads again:
 	// usually its own read is about to be answered.
 	behindTime = 150 * time.Millisecond
-	// ownersEvery is how often the owners are read: news comes by message, so this bounds only
-	// the age of what is known, well below the time for which it may be acted on. The leader
-	// reads more often, to see soon that it has lost the store.
-	ownersEvery       = 4 * time.Second
+	// ownersEvery is how often the owners are read. The leader reads often, to see soon that it
+	// has lost the store, and its heartbeats keep the others' knowledge fresh. Who has not heard
+	// for ownersAge reads as well, well before its knowledge is too old to act on.
+	ownersEvery       = 3 * time.Second
 	ownersEveryLeader = time.Second
+	ownersAge         = 6 * time.Second
 	// settleLeast, and settleEach for each instance, join the changes of servers that come close
 	// together into one call, as when 300 start one after the other within 8 seconds. It is a
 	// part of the two seconds and more in which a leaving server must be known.
@@ -69,6 +70,10 @@
 	configPause = 10 * time.Millisecond
 )
 
+// newsMost is the number of messages with news that may wait. What does not fit is read from
+// the store.
+const newsMost = 32
+
 // registerEvery is how often an instance looks whether it still is registered.
 const registerEvery = 400 * time.Millisecond
 
@@ -89,6 +94,7 @@
 	incarnation uint64
 	updates     chan follow.Update
 	again       map[string]chan struct{}
+	news        map[string]chan follow.News
 	beatNow     chan struct{}
 	behind      map[string]time.Time
 	registered  chan struct{}
@@ -105,7 +111,7 @@
 		settings: settings, around: around, events: events, port: port,
 		roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), incarnation: rand.Uint64() | 1,
-		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{},
+		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
 		behind: map[string]time.Time{}, beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
 	n.world = newWorld(events, func() time.Duration {
@@ -113,6 +119,7 @@
 	})
 	for _, topic := range []string{around.Config, around.Servers, around.Owners} {
 		n.again[topic] = make(chan struct{}, 1)
+		n.news[topic] = make(chan follow.News, newsMost)
 	}
 	n.loads = newLoads()
 	n.permits = newPermits(n)
@@ -228,29 +235,57 @@
 }
 
 func (n *Node) follow(duties *duty.Group) {
-	start := func(name, topic string, settle, every func() time.Duration, after <-chan struct{}) {
-		t := &follow.Topic{
-			Store: n.around.Store, Name: topic, Clock: clock.Boot{}, Wait: n.pollWait, Settle: settle, Every: every,
-			Out: n.updates, Again: n.again[topic],
-		}
-		duties.Go(name, func(ctx context.Context) error {
-			if after != nil {
-				select {
-				case <-after:
-				case <-ctx.Done():
-					return ctx.Err()
-				}
+	calm := func() time.Duration { return configPause }
+	topics := map[string]*follow.Topic{
+		n.around.Config:  {Direct: n.reads, Wait: n.pollWait, Settle: calm},
+		n.around.Servers: {Direct: n.reads, Wait: n.pollWait, Settle: n.settle},
+		n.around.Owners:  {Direct: n.readsOwners, Every: n.ownersEvery, Settle: calm},
+	}
+	for name, t := range topics {
+		t.Store, t.Name, t.Clock, t.Out = n.around.Store, name, clock.Boot{}, n.updates
+		t.Again, t.News = n.again[name], n.news[name]
+		duties.Go("follow-"+name, func(ctx context.Context) error {
+			if name == n.around.Owners && !n.awaitRegistration(ctx) {
+				return ctx.Err()
 			}
 			return t.Run(ctx)
 		})
 	}
-	calm := func() time.Duration { return configPause }
-	start("follow-config", n.around.Config, calm, nil, nil)
-	start("follow-servers", n.around.Servers, n.settle, nil, nil)
-	// What is read of the owners counts from the instance's own registration on.
-	start("follow-owners", n.around.Owners, calm, n.ownersEvery, n.registered)
 }
 
+// awaitRegistration waits until the instance is registered: what is read of the owners counts
+// from then on.
+func (n *Node) awaitRegistration(ctx context.Context) bool {
+	select {
+	case <-n.registered:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// readers is the name of the thing that the instances are ranked for to read the store.
+const readers = "readers"
+
+// reads reports whether this instance reads configuration and directory from the store: the
+// leader does, and some others in case it loses the store, and who hears of no other.
+func (n *Node) reads() bool {
+	now := time.Now()
+	if n.holder.Leads() || len(n.roster.Alive(now)) < 2 {
+		return true
+	}
+	for _, p := range n.roster.Rank(readers, "", now) {
+		if p.Name == n.settings.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// readsOwners reports whether this instance reads the owners from the store: the leader does,
+// and who has not heard from others for some time that nothing has changed.
+func (n *Node) readsOwners() bool { return n.holder.Leads() || n.holder.Age() > ownersAge }
+
 func (n *Node) settle() time.Duration {
 	return min(max(settleLeast, time.Duration(n.instances())*settleEach), settleMost)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -52,6 +52,14 @@
 	// StoreOK says that the shared store answers the instance.
 	StoreOK  bool
 	Stopping bool
+	// SentAt is when the heartbeat was sent, by the lease clock of its sender. EchoAt is that of
+	// the last heartbeat that the sender had from the receiver: what the sender knew when it
+	// sent this one, it knew after the receiver's EchoAt.
+	SentAt int64
+	EchoAt int64
+	// KnownAge is how old the knowledge is that nothing follows Known, in milliseconds; negative
+	// for none.
+	KnownAge int64
 	// Config is the version in force, Servers the end of what is known of the directory.
 	Config  uint64
 	Servers int64
