Stay behind until the instance itself knows more

Ruled out: the store (both readers had the version 1 s after its acknowledgement). The notice is now kept until the instance's own knowledge moves; a configuration that was read whole is passed on as well.

--- /dev/null
+++ b/internal/node/behind.go
@@ -0,0 +1,34 @@
+package node
+
+import "time"
+
+// behindTime is how long an instance may know less than another one before it reads again:
+// usually news is on its way to it.
+const behindTime = 150 * time.Millisecond
+
+// behind notices that this instance knows less of a topic than others, although news of it
+// should have come: a read that waits for news may have lost its answer, or a message was lost.
+type behind struct {
+	mine  int64
+	since time.Time
+}
+
+// hear takes in what another instance knows, and what this one knows. It returns true when this
+// instance should read the topic again.
+//
+// Only the instance's own progress starts the time anew. Word of others that know no more must
+// not: most do not while news is missing, and their heartbeats come between.
+func (b *behind) hear(theirs, mine int64, now time.Time) bool {
+	if theirs <= mine {
+		return false
+	}
+	if b.since.IsZero() || b.mine != mine {
+		b.mine, b.since = mine, now
+		return false
+	}
+	if now.Sub(b.since) < behindTime {
+		return false
+	}
+	b.since = now
+	return true
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -54,9 +54,16 @@
 
 // relay tells the others what this instance has read.
 func (n *Node) relay(u follow.Update) {
-	if u.Err != nil || u.BegunAt == 0 || u.Whole || len(u.Records) == 0 || u.Topic == n.around.Owners || !n.reads() {
+	if u.Err != nil || u.BegunAt == 0 || len(u.Records) == 0 || u.Topic == n.around.Owners || !n.reads() {
 		return
 	}
+	if u.Whole && u.Topic != n.around.Config {
+		return
+	}
+	if u.Topic == n.around.Config {
+		// Only the newest configuration counts, whatever came before it.
+		u.From = 0
+	}
 	size := 0
 	for _, r := range u.Records {
 		size += len(r.Key) + len(r.Value)
@@ -199,10 +206,10 @@
 	now := time.Now()
 	n.roster.Heard(b, now)
 	n.holder.Hear(b)
-	n.lag(n.around.Owners, b.Known > n.holder.Owners().End, now)
 	version, end := n.known()
-	n.lag(n.around.Config, b.Config > version, now)
-	n.lag(n.around.Servers, b.Servers > end, now)
+	n.compare(n.around.Owners, b.Known, n.holder.Owners().End, now)
+	n.compare(n.around.Config, int64(b.Config), int64(version), now)
+	n.compare(n.around.Servers, b.Servers, end, now)
 }
 
 // known returns the version in force and the end of what is known of the directory.
@@ -213,20 +220,10 @@
 	return version, n.world.end.Load()
 }
 
-// lag reads a topic again if it has been behind that of another instance for some time: a read
-// that waits for news may have lost its answer, or a message about owners was lost.
-func (n *Node) lag(topic string, behind bool, now time.Time) {
-	since, known := n.behind[topic]
-	switch {
-	case !behind:
-		if known && now.Sub(since) > behindTime {
-			delete(n.behind, topic)
-		}
-	case !known:
-		n.behind[topic] = now
-	case now.Sub(since) > behindTime:
-		delete(n.behind, topic)
-		n.events.Note(event.Belief, "behind", "topic", topic, "since", now.Sub(since))
+// compare reads a topic again if this instance is behind another one for too long.
+func (n *Node) compare(topic string, theirs, mine int64, now time.Time) {
+	if n.behind[topic].hear(theirs, mine, now) {
+		n.events.Note(event.Belief, "behind", "topic", topic, "known", mine, "known-elsewhere", theirs)
 		n.readAgain(topic)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,9 +52,6 @@
 	pollWait       = 20 * time.Second
 	pollWaitLeader = 700 * time.Millisecond
 	pollWaitAlone  = 3 * time.Second
-	// behindTime is how long an instance may know less than another one before it reads again:
-	// usually its own read is about to be answered.
-	behindTime = 150 * time.Millisecond
 	// ownersEvery is how often the owners are read. The leader reads often, to see soon that it
 	// has lost the store, and its heartbeats keep the others' knowledge fresh. Who has not heard
 	// for ownersAge reads as well, well before its knowledge is too old to act on.
@@ -96,7 +93,7 @@
 	again       map[string]chan struct{}
 	news        map[string]chan follow.News
 	beatNow     chan struct{}
-	behind      map[string]time.Time
+	behind      map[string]*behind
 	registered  chan struct{}
 	stopping    chan struct{}
 }
@@ -112,13 +109,14 @@
 		roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), incarnation: rand.Uint64() | 1,
 		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
-		behind: map[string]time.Time{}, beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
+		behind: map[string]*behind{}, beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
 	n.world = newWorld(events, func() time.Duration {
 		return time.Duration(settings.Bounds.DrainSeconds*float64(time.Second)) - n.settle() - drainReserve
 	})
 	for _, topic := range []string{around.Config, around.Servers, around.Owners} {
 		n.again[topic] = make(chan struct{}, 1)
+		n.behind[topic] = &behind{}
 		n.news[topic] = make(chan follow.News, newsMost)
 	}
 	n.loads = newLoads()
