--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -59,7 +59,7 @@
 	// knowledgeTime is how old the knowledge may be that an owner still is the owner. It
 	// bridges that long an outage of the store. Takeovers from a server that is silent wait as
 	// long for instances that are silent as well.
-	knowledgeTime = 15 * time.Second
+	knowledgeTime = 12 * time.Second
 	// orderTimeout bounds a grant, releaseTimeout a release, which is answered when the work
 	// in progress has ended.
 	orderTimeout   = 350 * time.Millisecond
--- a/internal/holder/move.go
+++ b/internal/holder/move.go
@@ -59,9 +59,10 @@
 			inner, cancel := context.WithCancel(ctx)
 			h.moves[key] = &move{cancel: cancel}
 			h.jobs.Add(1)
+			c := change{service: service, Range: r, offset: owners.End - 1, seen: h.seen[key]}
 			go func() {
 				defer h.jobs.Done()
-				h.carryOut(inner, service, r, owners.End-1)
+				h.carryOut(inner, c)
 			}()
 		}
 	}
@@ -73,9 +74,18 @@
 	}
 }
 
-// carryOut ends the rights of the owners of old and grants the keys to the new one. The record
-// of the move is at the given offset or before it.
-func (h *Holder) carryOut(ctx context.Context, service string, r shard.Range, offset int64) {
+// change is a move as a record asks for it.
+type change struct {
+	service string
+	shard.Range
+	// offset is that of the record or of a later one, seen the time since when it is known.
+	offset int64
+	seen   clock.Instant
+}
+
+// carryOut ends the rights of the owners of old and grants the keys to the new one.
+func (h *Holder) carryOut(ctx context.Context, c change) {
+	service, r := c.service, c.Range
 	begun := time.Now()
 	handover := ""
 	var mu sync.Mutex
@@ -87,7 +97,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			got, how := h.end(ctx, b, r, offset)
+			got, how := h.end(ctx, b, c)
 			mu.Lock()
 			defer mu.Unlock()
 			if got != "" {
@@ -112,14 +122,14 @@
 )
 
 // end returns when an owner of old can have no right to a range any more.
-func (h *Holder) end(ctx context.Context, b shard.Holder, r shard.Range, offset int64) (handover, how string) {
+func (h *Holder) end(ctx context.Context, b shard.Holder, c change) (handover, how string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	lapsed := make(chan struct{})
 	h.jobs.Add(1)
 	go func() {
 		defer h.jobs.Done()
-		if h.awaitLapse(ctx, offset) {
+		if h.awaitLapse(ctx, c) {
 			close(lapsed)
 		}
 	}()
@@ -128,7 +138,7 @@
 		h.jobs.Add(1)
 		go func() {
 			defer h.jobs.Done()
-			h.release(ctx, b, r, released)
+			h.release(ctx, b, c.Range, released)
 		}()
 	}
 	select {
@@ -158,12 +168,13 @@
 // awaitLapse returns true when every grant that an older record gave rise to has run out: once
 // all instances have confirmed the record, or may not act on older ones any more, the lease
 // that the last of them may have granted.
-func (h *Holder) awaitLapse(ctx context.Context, offset int64) bool {
-	writtenAt := h.Clock.Now()
-	wallAt := time.Now()
-	for {
-		waiting := h.Roster.Unconfirmed(offset, wallAt.Add(-knowledgeTime))
-		if !h.guards.confirming || len(waiting) == 0 || h.Clock.Now().Sub(writtenAt) > knowledgeTime {
+func (h *Holder) awaitLapse(ctx context.Context, c change) bool {
+	stale := c.seen.Add(knowledgeTime)
+	last := stale
+	for h.Clock.Now().Before(stale) {
+		removedAfter := time.Now().Add(-knowledgeTime)
+		if !h.guards.confirming || len(h.Roster.Unconfirmed(c.offset, removedAfter)) == 0 {
+			last = h.Clock.Now()
 			break
 		}
 		if !pause(ctx, tickEvery) {
@@ -173,9 +184,7 @@
 	if !h.guards.lapsing {
 		return true
 	}
-	last := h.Clock.Now()
-	until := last.Add(time.Duration(float64(leaseTime)*drift) + flightTime)
-	return h.sleepUntil(ctx, until)
+	return h.sleepUntil(ctx, last.Add(time.Duration(float64(leaseTime)*drift)+flightTime))
 }
 
 // sleepUntil waits for an instant of the lease clock.
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -35,8 +35,10 @@
 	stopping  bool
 
 	// The rest belongs to the goroutine of Run.
-	moves     map[moveKey]*move
-	finished  []settlement
+	moves    map[moveKey]*move
+	finished []settlement
+	// seen holds since when the moves in progress are known.
+	seen      map[moveKey]clock.Instant
 	settleAt  time.Time
 	startedAt time.Time
 	clearedAt time.Time
@@ -159,10 +161,32 @@
 		h.Again()
 		return
 	}
+	h.see(h.know.get())
 	h.Changed()
 	h.confirm(before, h.know.get())
 }
 
+// see notes since when each move is known. Its record was in the store by then, so that the
+// time after which nobody can act on an older one counts from there, whoever leads meanwhile.
+func (h *Holder) see(known *Owners) {
+	now := h.Clock.Now()
+	seen := make(map[moveKey]clock.Instant)
+	for service, m := range known.Maps {
+		for _, r := range m.Ranges {
+			if len(r.Before) == 0 {
+				continue
+			}
+			key := moveKey{service, r.From, r.Fence}
+			since, before := h.seen[key]
+			if !before {
+				since = now
+			}
+			seen[key] = since
+		}
+	}
+	h.seen = seen
+}
+
 // finish takes in that a move is complete.
 func (h *Holder) finish(s settlement) {
 	if len(h.finished) == 0 {
@@ -194,6 +218,7 @@
 		return
 	}
 	after := h.know.get()
+	h.see(after)
 	h.enlist(before, after)
 	h.Changed()
 	h.confirm(before, after)
--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -246,10 +246,7 @@
 	c.mu.Unlock()
 	s := slot{request: r, reply: make(chan *Reply, 1)}
 	c.server.open.Add(1)
-	go func() {
-		defer c.server.open.Add(-1)
-		s.reply <- c.server.handler(c.ctx, r)
-	}()
+	go func() { s.reply <- c.server.handler(c.ctx, r) }()
 	c.slots <- s
 	if last {
 		c.watch()
@@ -277,6 +274,7 @@
 	c.pending++
 	c.closing = true
 	c.mu.Unlock()
+	c.server.open.Add(1)
 	s := slot{reply: make(chan *Reply, 1)}
 	s.reply <- &Reply{Status: status, Header: http.Header{}}
 	c.slots <- s
@@ -315,10 +313,13 @@
 	}
 }
 
+// done counts a request as answered. Only then it is no longer in progress: a process that
+// ended between the handler and the last byte would cut the answer.
 func (c *conn) done() {
 	c.mu.Lock()
 	c.pending--
 	c.mu.Unlock()
+	c.server.open.Add(-1)
 }
 
 // last reports whether the next answer is the last one of the connection. While the server
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -110,6 +110,13 @@
 // Busy returns the number of requests in progress.
 func (s *Server) Busy() int64 { return s.open.Load() }
 
+// Conns returns the number of connections.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Close ends all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -48,7 +48,8 @@
 	}
 	_ = front.Close()
 	n.inlet.CloseIdle()
-	for n.inlet.Busy() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+	// A connection lasts until the caller has taken the last answer from it.
+	for n.inlet.Conns() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		time.Sleep(stopPoll)
 		n.inlet.CloseIdle()
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -76,6 +76,8 @@
 	HeardAt time.Time
 	Beat    Beat
 
+	// doubted says that the instance did not answer a question since its last heartbeat.
+	doubted bool
 	// hash is that of the name.
 	hash uint64
 }
@@ -219,7 +221,7 @@
 		return false
 	}
 	news := now.Sub(p.HeardAt) > r.quiet || b.Confirmed != p.Beat.Confirmed || len(b.Failing) != len(p.Beat.Failing)
-	p.HeardAt, p.Beat = now, b
+	p.HeardAt, p.Beat, p.doubted = now, b, false
 	return news
 }
 
@@ -229,13 +231,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.peers[name]; p != nil && name != r.self && now.Sub(p.HeardAt) > r.quiet/2 {
-		p.HeardAt = time.Time{}
+		p.doubted = true
 	}
 }
 
 // alive reports whether an instance can be given work.
 func (r *Roster) alive(p *Peer, now time.Time) bool {
-	return p.Name == r.self || now.Sub(p.HeardAt) <= r.quiet
+	return p.Name == r.self || now.Sub(p.HeardAt) <= r.quiet && !p.doubted
 }
 
 // Others returns the registered instances but this one.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -106,3 +106,20 @@
 	fill(r, 80)
 	is.True(80/r.Every().Seconds() < 100) // messages a second
 }
+
+// Keys of a crashed server were dark for 15 seconds. An instance had not answered one question
+// in time; that wiped out when it was last heard, so it was taken for lost since its start and
+// removed from the register, and the takeover waited for it as for one that may still act.
+func TestDoubtIsNotSilence(t *testing.T) {
+	is := is.New(t)
+	r := roster.New("i0", "d0")
+	fill(r, 2)
+	later := start.Add(20 * time.Second)
+	r.Heard(roster.Beat{Name: "i1", Incarnation: 1}, later)
+	r.Silent("i1", later.Add(time.Second/2))
+	is.Equal(len(r.Alive(later.Add(time.Second/2))), 1) // others do its work
+	p := r.Others()[0]
+	is.Equal(p.Silent(later.Add(time.Second)), time.Second) // but it was heard a second ago
+	r.Heard(roster.Beat{Name: "i1", Incarnation: 1}, later.Add(time.Second))
+	is.Equal(len(r.Alive(later.Add(time.Second))), 2)
+}
