Answer a head that came too slowly with 408

Cause: the parser reports a head that was cut by the timeout as malformed, so the caller got 400, which no client repeats. TestLimits/head_too_slow failed with 400 in the commit before and passes now.

--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -105,8 +105,13 @@
 			return
 		}
 		c.head.left = l.HeaderBytes + readSize
-		_ = c.raw.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
+		deadline := time.Now().Add(l.HeaderTimeout)
+		_ = c.raw.SetReadDeadline(deadline)
 		r, err := http.ReadRequest(c.in)
+		if err != nil && !time.Now().Before(deadline) {
+			// What came of a head that is not complete reads like a malformed one.
+			err = os.ErrDeadlineExceeded
+		}
 		if err == nil && headSize(r) > l.HeaderBytes {
 			err = errHeadTooLarge
 		}
