--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -157,9 +157,8 @@
 
 // patience learns how long the callers of each route wait on their first try.
 type patience struct {
-	mu    sync.Mutex
-	most  map[string]time.Duration
-	since time.Time
+	mu   sync.Mutex
+	most map[string]time.Duration
 }
 
 // patienceRoutes bounds the memory of patience.
--- a/internal/inlet/inlet_test.go
+++ b/internal/inlet/inlet_test.go
@@ -50,18 +50,19 @@
 	return c, bufio.NewReader(c)
 }
 
-func read(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+// read reads an answer. It returns the body, and whether it is the last of the connection.
+func read(t *testing.T, r *bufio.Reader) (body string, last bool) {
 	t.Helper()
 	response, err := http.ReadResponse(r, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return response, string(body)
+	return string(data), response.Close
 }
 
 func ok(body string) *inlet.Reply {
@@ -88,7 +89,7 @@
 	}
 	close(first)
 	for i := 1; i <= 3; i++ {
-		_, body := read(t, in)
+		body, _ := read(t, in)
 		is.Equal(body, fmt.Sprintf("/%d", i))
 	}
 }
@@ -131,7 +132,7 @@
 	s.Drain()
 	s.CloseIdle()
 	is.Equal(s.Busy(), int64(1))
-	_, body := read(t, in)
+	body, _ := read(t, in)
 	is.Equal(len(body), len(volume))
 }
 
@@ -152,10 +153,10 @@
 	<-running
 	s.Drain()
 	close(release)
-	one, _ := read(t, in)
-	two, _ := read(t, in)
-	is.True(!one.Close)
-	is.True(two.Close)
+	_, last := read(t, in)
+	is.True(!last)
+	_, last = read(t, in)
+	is.True(last)
 	_, err := in.ReadByte()
 	is.Equal(err, io.EOF)
 }
@@ -188,6 +189,7 @@
 			_, _ = io.WriteString(c, test.send)
 			response, err := http.ReadResponse(in, nil)
 			is.NoErr(err)
+			defer response.Body.Close()
 			is.Equal(response.StatusCode, test.want)
 		})
 	}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"example.org/mustardring/internal/clock"
@@ -197,6 +198,7 @@
 	case gram.Settled:
 		n.world.settle(m.Service, m.From, m.Fence)
 	case gram.Crash:
+		n.hearCrash(m)
 	}
 }
 
@@ -292,10 +294,38 @@
 func (n *Node) Count(service string, key uint16) { n.loads.count(service, key) }
 
 // Suspicious implements edge.World.
-func (n *Node) Suspicious(uint64) bool { return false }
+func (n *Node) Suspicious(print uint64) bool { return n.suspects.Blocked(print, time.Now()) }
 
-// Crashed implements edge.World.
-func (n *Node) Crashed(uint64, rules.Server) {}
+// crashProbe bounds the look whether a server whose connection was lost still takes new ones.
+const crashProbe = 300 * time.Millisecond
+
+// Crashed implements edge.World. Servers also break off single answers, so a lost connection
+// counts as a crash only if the server refuses a new one.
+func (n *Node) Crashed(print uint64, s rules.Server) {
+	go func() {
+		c, err := net.DialTimeout("tcp4", s.Address, crashProbe)
+		if err == nil {
+			_ = c.Close()
+			return
+		}
+		n.events.Note(event.Belief, "server-lost-in-request", "print", print, "server", s.ID, "error", err)
+		n.suspects.Lost(print, s.ID, time.Now())
+		n.tellAll(gram.Crash{Print: print, Server: s.ID})
+	}()
+}
 
 // Cleared implements edge.World.
-func (n *Node) Cleared(uint64) {}
+func (n *Node) Cleared(print uint64) {
+	if n.suspects.Clear(print) {
+		n.tellAll(gram.Crash{Print: print, Cleared: true})
+	}
+}
+
+// hearCrash takes in what another instance has seen of a request.
+func (n *Node) hearCrash(m gram.Crash) {
+	if m.Cleared {
+		n.suspects.Clear(m.Print)
+		return
+	}
+	n.suspects.Lost(m.Print, m.Server, time.Now())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,7 @@
 	loads       *loads
 	holder      *holder.Holder
 	edge        *edge.Edge
+	suspects    *edge.Suspects
 	meters      *edge.Meters
 	inlet       *inlet.Server
 	incarnation uint64
@@ -107,7 +108,7 @@
 	n := &Node{
 		settings: settings, around: around, events: events, port: port,
 		roster: roster.New(settings.Name, settings.Domain),
-		meters: edge.NewMeters(), incarnation: rand.Uint64() | 1,
+		meters: edge.NewMeters(), suspects: edge.NewSuspects(), incarnation: rand.Uint64() | 1,
 		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
 		behind: map[string]*behind{}, beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
--- a/internal/shard/improve.go
+++ b/internal/shard/improve.go
@@ -98,7 +98,8 @@
 			continue
 		}
 		add := func(from, to int) {
-			if from <= to && !(from == int(r.From) && to == int(r.To)) {
+			whole := from == int(r.From) && to == int(r.To)
+			if from <= to && !whole {
 				out = append(out, piece{i, from, to, p.loadOf(Range{From: uint16(from), To: uint16(to)})})
 			}
 		}
