--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -26,8 +26,8 @@
 		}
 		h.Events.Note(event.Belief, "leading", "leads", leads, "offset", h.know.get().End)
 	}
+	h.prune(h.know.get())
 	if !leads {
-		h.dropMoves()
 		return
 	}
 	h.clear(ctx, now)
--- a/internal/holder/move.go
+++ b/internal/holder/move.go
@@ -33,47 +33,50 @@
 // grantRetry is the pause between attempts to grant keys to their new owner.
 const grantRetry = 150 * time.Millisecond
 
-// dropMoves ends the moves in progress: another instance leads and carries them on.
-func (h *Holder) dropMoves() {
-	for key, m := range h.moves {
-		m.cancel()
-		delete(h.moves, key)
-	}
-	h.finished = nil
-}
-
-// move starts the moves that the records ask for, and ends those that are overtaken.
-func (h *Holder) move(ctx context.Context) {
-	owners := h.know.get()
-	wanted := map[moveKey]bool{}
-	for service, m := range owners.Maps {
+// wanted returns the moves that the records ask for.
+func wanted(known *Owners) map[moveKey]change {
+	out := map[moveKey]change{}
+	for service, m := range known.Maps {
 		for _, r := range m.Ranges {
-			if len(r.Before) == 0 {
-				continue
+			if len(r.Before) > 0 {
+				out[moveKey{service, r.From, r.Fence}] = change{service: service, Range: r, offset: known.End - 1}
 			}
-			key := moveKey{service, r.From, r.Fence}
-			wanted[key] = true
-			if h.moves[key] != nil {
-				continue
-			}
-			inner, cancel := context.WithCancel(ctx)
-			h.moves[key] = &move{cancel: cancel}
-			h.jobs.Add(1)
-			c := change{service: service, Range: r, offset: owners.End - 1, seen: h.seen[key]}
-			go func() {
-				defer h.jobs.Done()
-				h.carryOut(inner, c)
-			}()
 		}
 	}
+	return out
+}
+
+// prune ends the moves that are overtaken or complete. An instance that leads no longer goes on
+// with the others: they are right as long as their record stands, and while the store is down
+// nobody else can take them over. Keys that had come to their new owner would lose it after a
+// lease, since only who moved them knows that they did.
+func (h *Holder) prune(known *Owners) {
+	asked := wanted(known)
 	for key, m := range h.moves {
-		if !wanted[key] {
+		if _, found := asked[key]; !found {
 			m.cancel()
 			delete(h.moves, key)
 		}
 	}
 }
 
+// move starts the moves that the records ask for.
+func (h *Holder) move(ctx context.Context) {
+	for key, c := range wanted(h.know.get()) {
+		if h.moves[key] != nil {
+			continue
+		}
+		inner, cancel := context.WithCancel(ctx)
+		h.moves[key] = &move{cancel: cancel}
+		c.seen = h.seen[key]
+		h.jobs.Add(1)
+		go func() {
+			defer h.jobs.Done()
+			h.carryOut(inner, c)
+		}()
+	}
+}
+
 // change is a move as a record asks for it.
 type change struct {
 	service string
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -78,10 +78,14 @@
 
 // serveMetrics serves counters and latencies, as text and as JSON.
 func (n *Node) serveMetrics(ctx context.Context) error {
-	expvar.Publish("mustardring-requests", n.meters.Var())
-	expvar.Publish("mustardring-events", n.events.Counts())
+	vars := new(expvar.Map).Init()
+	vars.Set("mustardring-requests", n.meters.Var())
+	vars.Set("mustardring-events", n.events.Counts())
 	mux := http.NewServeMux()
-	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte(vars.String()))
+	})
 	mux.HandleFunc("/metrics", n.metrics)
 	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort))
 	return serveHTTP(ctx, address, mux)
