Tell the story of one request from the logs: mustardring explain

An on-call engineer has the id of a request and the logs of the instances. The command prints the request's lines, what was believed of its server, and whether lines were dropped, in the order of time.

--- a/cmd/mustardring/main.go
+++ b/cmd/mustardring/main.go
@@ -21,6 +21,7 @@
 
 	Run         cmds.RunCmd         `cmd:"" help:"Run an entry instance."`
 	Serve       cmds.ServeCmd       `cmd:"" help:"Run an instance on the users' platform."`
+	Explain     cmds.ExplainCmd     `cmd:"" help:"Tell the story of one request from the logs of instances."`
 	StandIn     cmds.StandInCmd     `cmd:"" name:"stand-in" help:"Run stand-ins of the platform and of backend servers."`
 	Load        cmds.LoadCmd        `cmd:"" help:"Send load to instances on this machine and check the answers."`
 	Ask         cmds.AskCmd         `cmd:"" help:"Send one request and show what became of it."`
--- /dev/null
+++ b/internal/cmds/explain.go
@@ -0,0 +1,124 @@
+package cmds
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+)
+
+// ExplainCmd tells the story of one request from the logs of instances.
+type ExplainCmd struct {
+	ID    string   `arg:"" help:"Id of the request."`
+	Files []string `arg:"" help:"Logs of instances." type:"existingfile"`
+}
+
+// dependedOn are the events that say what was believed of a server, by event name.
+var dependedOn = []string{
+	"server", "server-gone", "server-regained", "renewal-failed", "renewal-withheld", "right-ended", "moved",
+	"first-grant-failed", "server-lost-in-request",
+}
+
+// lineMost is the longest line of a log.
+const lineMost = 1 << 20
+
+// logLine is a line of a log with what it says.
+type logLine struct {
+	text   string
+	fields map[string]string
+}
+
+// Run prints the lines of the request in the order of time, and those about the server it went
+// to.
+func (c *ExplainCmd) Run() error {
+	var lines []logLine
+	for _, name := range c.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return badInput("logs: %w", err)
+		}
+		read, err := readLog(f)
+		f.Close()
+		if err != nil {
+			return badInput("logs: %s: %w", name, err)
+		}
+		lines = append(lines, read...)
+	}
+	story := explain(lines, c.ID)
+	if len(story) == 0 {
+		return badInput("request %s is in none of the logs; it may have been thinned out: see lines-dropped", c.ID)
+	}
+	for _, l := range story {
+		fmt.Println(l)
+	}
+	return nil
+}
+
+// readLog reads the lines that an instance has written.
+func readLog(r io.Reader) ([]logLine, error) {
+	var out []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, lineMost)
+	for s.Scan() {
+		if at := strings.Index(s.Text(), "time="); at >= 0 {
+			text := s.Text()[at:]
+			out = append(out, logLine{text, fieldsOf(text)})
+		}
+	}
+	return out, s.Err()
+}
+
+// fieldsOf splits a line of key=value pairs. Values with spaces stand in quotes.
+func fieldsOf(text string) map[string]string {
+	out := map[string]string{}
+	for text != "" {
+		key, rest, found := strings.Cut(text, "=")
+		if !found {
+			break
+		}
+		var value string
+		if strings.HasPrefix(rest, `"`) {
+			end := 1
+			for end < len(rest) && (rest[end] != '"' || rest[end-1] == '\\') {
+				end++
+			}
+			value, rest = rest[1:min(end, len(rest))], rest[min(end+1, len(rest)):]
+		} else {
+			value, rest, _ = strings.Cut(rest, " ")
+			rest = " " + rest
+		}
+		out[strings.TrimSpace(key)] = value
+		text = strings.TrimLeft(rest, " ")
+	}
+	return out
+}
+
+// explain returns the lines of a request, those about its server, and those that say that lines
+// are missing, in the order of time.
+func explain(lines []logLine, id string) []string {
+	servers := map[string]bool{}
+	found := false
+	for _, l := range lines {
+		if l.fields["id"] == id {
+			found = true
+			servers[l.fields["server"]] = true
+		}
+	}
+	if !found {
+		return nil
+	}
+	delete(servers, "")
+	var out []string
+	for _, l := range lines {
+		switch about := servers[l.fields["server"]] && slices.Contains(dependedOn, l.fields["msg"]); {
+		case l.fields["id"] == id, about, l.fields["msg"] == "lines-dropped":
+			out = append(out, l.text)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b string) int {
+		return strings.Compare(fieldsOf(a)["time"], fieldsOf(b)["time"])
+	})
+	return out
+}
--- /dev/null
+++ b/internal/cmds/explain_test.go
@@ -0,0 +1,26 @@
+package cmds
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const logs = `time=2026-01-01T00:00:03.000Z level=warn msg=request id=abc status=503 why=no-owner server=s1 key=7
+time=2026-01-01T00:00:01.000Z level=info msg=renewal-failed server=s1 failures=2 error="no answer: \"x\" id=abc"
+time=2026-01-01T00:00:02.000Z level=info msg=renewal-failed server=s2 failures=2
+time=2026-01-01T00:00:00.000Z level=info msg=request id=other status=200 server=s1
+something else
+`
+
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	lines, err := readLog(strings.NewReader(logs))
+	is.NoErr(err)
+	story := explain(lines, "abc")
+	is.Equal(len(story), 2) // the request, and what was believed of its server before
+	is.True(strings.Contains(story[0], "renewal-failed"))
+	is.True(strings.Contains(story[1], "why=no-owner"))
+	is.Equal(len(explain(lines, "missing")), 0)
+}
