--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"example.org/mustardring/internal/duty"
+
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/permit"
 	"example.org/mustardring/internal/rules"
@@ -109,7 +111,7 @@
 func (q *request) refuse(ctx context.Context, refused *permit.Refused) *inlet.Reply {
 	switch {
 	case refused.Reason == permit.Gone:
-		if !pause(ctx, movedPause) {
+		if !duty.Pause(ctx, movedPause) {
 			q.why = whyNoOwner
 			return refusal(http.StatusServiceUnavailable, ownerRetry)
 		}
@@ -189,7 +191,7 @@
 	case a.NotRun && a.Moved:
 		done.Outcome = permit.NotHere
 		q.why = whyNoOwner
-		pause(ctx, movedPause)
+		duty.Pause(ctx, movedPause)
 		return refusal(http.StatusServiceUnavailable, ownerRetry), true
 	case a.NotRun:
 		done.Outcome = permit.Full
@@ -235,15 +237,3 @@
 	}
 	return refusal(http.StatusBadGateway, 0), q.route.Kind.Idempotent()
 }
-
-// pause waits and returns false if the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/holder/move.go
+++ b/internal/holder/move.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/duty"
+
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/shard"
@@ -164,7 +166,7 @@
 			released <- handover
 			return
 		}
-		pause(ctx, grantRetry)
+		duty.Pause(ctx, grantRetry)
 	}
 }
 
@@ -180,7 +182,7 @@
 			last = h.Clock.Now()
 			break
 		}
-		if !pause(ctx, tickEvery) {
+		if !duty.Pause(ctx, tickEvery) {
 			return false
 		}
 	}
@@ -197,7 +199,7 @@
 		if left <= 0 {
 			return true
 		}
-		if !pause(ctx, left) {
+		if !duty.Pause(ctx, left) {
 			return false
 		}
 	}
@@ -212,7 +214,7 @@
 	for ctx.Err() == nil {
 		s, found := h.Servers()[r.Server]
 		if !found {
-			if !pause(ctx, grantRetry) {
+			if !duty.Pause(ctx, grantRetry) {
 				return
 			}
 			continue
@@ -230,7 +232,7 @@
 		if errors.Is(err, ErrFenced) {
 			return
 		}
-		pause(ctx, wait)
+		duty.Pause(ctx, wait)
 	}
 }
 
@@ -243,15 +245,3 @@
 	i := m.Find(r.From)
 	return i >= 0 && m.Ranges[i].Fence == r.Fence && m.Ranges[i].Server == r.Server
 }
-
-// pause waits and returns false if the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/upstr/server.go
+++ b/internal/upstr/server.go
@@ -122,7 +122,7 @@
 	s := &Server{
 		settings: settings,
 		budget:   max(settings.Connections/budgetDivisor, settings.Slots+1),
-		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: userTimeout(settings.Unacknowledged)},
+		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: UserTimeout(settings.Unacknowledged)},
 		open:     make(map[*conn]struct{}),
 	}
 	s.slowest.Store(int64(settings.Patience) / patienceTimes)
--- a/internal/upstr/timeout_linux.go
+++ b/internal/upstr/timeout_linux.go
@@ -10,11 +10,11 @@
 // probes are not sent.
 const tcpUserTimeout = 18
 
-// userTimeoutMillis agrees with keepAlive.
+// UserTimeoutMillis agrees with keepAlive.
 const userTimeoutMillis = 5000
 
-// userTimeout returns what sets the option on a new connection.
-func userTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+// UserTimeout returns what sets the option on a new connection.
+func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var failure error
 		err := raw.Control(func(fd uintptr) {
--- a/internal/upstr/timeout_other.go
+++ b/internal/upstr/timeout_other.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// userTimeout does nothing where the option is not known.
-func userTimeout(time.Duration) func(network, address string, raw syscall.RawConn) error {
+// UserTimeout does nothing where the option is not known.
+func UserTimeout(time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, _ syscall.RawConn) error { return nil }
 }
