Drop settings and fields that nothing reads; test the settings of serve

Cause: the longest lease, the number of descriptors and the signature were decoded and used nowhere.

--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -17,10 +17,9 @@
 	Store string `json:"store"`
 	// CPUShare is the part of a core that the instance has, LinkMbps the speed of its link,
 	// MemoryMB its memory.
-	CPUShare       float64 `json:"cpu-share"`
-	LinkMbps       float64 `json:"link-mbps"`
-	MemoryMB       int     `json:"memory-mb"`
-	MaxDescriptors int     `json:"max-descriptors"`
+	CPUShare float64 `json:"cpu-share"`
+	LinkMbps float64 `json:"link-mbps"`
+	MemoryMB int     `json:"memory-mb"`
 	// FirstStart says that the whole system starts for the first time.
 	FirstStart bool   `json:"first-start"`
 	Bounds     Bounds `json:"bounds"`
@@ -32,8 +31,6 @@
 	DrainSeconds float64 `json:"drain-seconds"`
 	// StopSeconds is how long an instance may take to stop.
 	StopSeconds float64 `json:"stop-seconds"`
-	// LeaseMostSeconds is the longest lease that servers take.
-	LeaseMostSeconds float64 `json:"lease-most-seconds"`
 	// All instances together may send RetryRatio of the requests in RetryWindowSeconds a second
 	// time, and RetrySlack more.
 	RetryRatio         float64 `json:"retry-ratio"`
--- /dev/null
+++ b/internal/config/serve_test.go
@@ -0,0 +1,49 @@
+package config_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/config"
+)
+
+const serveSettings = `{
+  "name": "i0", "domain": "north", "ip": "127.0.0.1", "front": "127.0.0.1:1", "ready": "127.0.0.1:2",
+  "peer-ports": [7200, 7215], "metrics-port": 9464, "store": "127.0.0.1:3", "cpu-share": 0.5, "link-mbps": 100,
+  "memory-mb": 200, "first-start": true,
+  "bounds": {"drain-seconds": 2, "stop-seconds": 6, "retry-ratio": 0.2, "retry-window-seconds": 10, "retry-slack": 50}
+}`
+
+func TestServe(t *testing.T) {
+	tests := map[string]struct{ from, to, field string }{
+		"as the platform writes them": {"", "", ""},
+		"no name":                     {`"name": "i0"`, `"name": null`, "name"},
+		"no address":                  {`"store": "127.0.0.1:3"`, `"store": ""`, "store"},
+		"no ports":                    {`[7200, 7215]`, `[]`, "peer-ports"},
+		"ports in the wrong order":    {`[7200, 7215]`, `[7215, 7200]`, "peer-ports"},
+		"no processor":                {`"cpu-share": 0.5`, `"cpu-share": 0`, "cpu-share"},
+		"unknown field":               {`"name"`, `"colour": 1, "name"`, "colour"},
+		"wrong type":                  {`"memory-mb": 200`, `"memory-mb": "much"`, "memory-mb"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(t.TempDir(), "settings.json")
+			is.NoErr(os.WriteFile(file, []byte(strings.Replace(serveSettings, test.from, test.to, 1)), 0o600))
+			_, err := config.Load[config.Serve](file)
+			if test.field == "" {
+				is.NoErr(err)
+				return
+			}
+			var fault *config.Error
+			is.True(errors.As(err, &fault))
+			is.Equal(fault.Field, test.field)
+			is.Equal(fault.File, file)
+		})
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,8 +39,6 @@
 	// was meant, or does not hold the key.
 	NotRun bool
 	Moved  bool
-	// Signed says that the answer carries the server's signature.
-	Signed bool
 	Load   permit.Load
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -187,17 +187,6 @@
 	return out
 }
 
-// Names returns the registered instances.
-func (r *Roster) Names() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	names := make([]string, len(r.sorted))
-	for i, p := range r.sorted {
-		names[i] = p.Name
-	}
-	return names
-}
-
 // Len returns the number of registered instances.
 func (r *Roster) Len() int {
 	r.mu.Lock()
@@ -205,14 +194,6 @@
 	return len(r.peers)
 }
 
-// Has reports whether this life of an instance is registered.
-func (r *Roster) Has(name string, incarnation uint64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p := r.peers[name]
-	return p != nil && p.Incarnation == incarnation
-}
-
 // Heard takes in a heartbeat. It reports whether it is news: the instance was silent before,
 // or confirms more than before.
 func (r *Roster) Heard(b Beat, now time.Time) bool {
