--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -184,6 +184,7 @@
 			out = append(out, name)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
@@ -357,5 +358,6 @@
 			out = append(out, name)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
