--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -231,7 +231,7 @@
 
 func (e *Entry) balancerLag(ctx context.Context) {
 	e.front.Refuse()
-	pause(ctx, balancerTime)
+	duty.Pause(ctx, balancerTime)
 }
 
 func (e *Entry) start(group *duty.Group, l *listeners) {
--- a/internal/entry/lister.go
+++ b/internal/entry/lister.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"example.org/mustardring/internal/duty"
+
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/listcl"
@@ -26,7 +28,7 @@
 			e.listing.registered = e.register(ctx)
 		}
 		e.readList(ctx)
-		pause(ctx, listPeriod)
+		duty.Pause(ctx, listPeriod)
 	}
 	return ctx.Err()
 }
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/duty"
+
 	"example.org/mustardring/internal/leader"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/route"
@@ -126,7 +128,7 @@
 // runLoads reports loads to the leader of the domain.
 func (e *Entry) runLoads(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, loadPeriod)
+		duty.Pause(ctx, loadPeriod)
 		report := e.loads.take(e.deps.Settings.Name, time.Now())
 		leads, client := e.leaderClient()
 		switch {
--- a/internal/entry/logduty.go
+++ b/internal/entry/logduty.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"example.org/mustardring/internal/duty"
+
 	"example.org/mustardring/internal/fold"
 	"example.org/mustardring/internal/homes"
 	"example.org/mustardring/internal/leader"
@@ -122,7 +124,7 @@
 }
 
 func (d *logDuty) fetch(ctx context.Context, f logcl.Fetch) {
-	pause(ctx, time.Duration(f.At-d.entry.now()))
+	duty.Pause(ctx, time.Duration(f.At-d.entry.now()))
 	result := logcl.Fetched{Fetch: f, AskedAt: d.entry.now()}
 	bounded, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
@@ -134,18 +136,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // read hands the answer of a read to the reader, carries out what it decides and reads on.
 func (d *logDuty) read(ctx context.Context, f logcl.Fetched) {
 	d.oldest = f.Batch.Oldest
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"example.org/mustardring/internal/duty"
+
 	"github.com/google/uuid"
 )
 
@@ -28,7 +30,7 @@
 	if len(p.Servers) == 0 {
 		return report, nil
 	}
-	pause(ctx, settle)
+	duty.Pause(ctx, settle)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	runs, complete, err := fetchRuns(ctx, client, p.Servers)
 	if err != nil {
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/duty"
+
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"example.org/mustardring/internal/stand"
@@ -64,21 +66,12 @@
 		if r.result == ResultRan || attempt > s.profile.Resend.Tries || p.direct || ctx.Err() != nil {
 			return to
 		}
-		pause(ctx, time.Duration(s.profile.Resend.WaitMillis)*time.Millisecond)
+		duty.Pause(ctx, time.Duration(s.profile.Resend.WaitMillis)*time.Millisecond)
 		p.target = (p.target + 1) % len(s.profile.Entries)
 		start = time.Since(s.started)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // once sends one request and fills in its result.
 func (s *sender) once(ctx context.Context, r *record) {
 	deadline := s.started.Add(r.start + time.Duration(s.profile.DeadlineMillis)*time.Millisecond)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -323,12 +323,7 @@
 				}
 			}
 		}
-		timer := time.NewTimer(registerEvery)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		duty.Pause(ctx, registerEvery)
 	}
 	return ctx.Err()
 }
