Read when the word that nothing is missing is overdue

Ruled out: a lost message (nobody had read the record by then); the pause that joins changes (200 ms).

Change, one mechanism: knowledge of configuration and directory has an age, which heartbeats carry on; an instance that hears of no fresher proof reads for itself (spread over 300 ms, announced to all). The time to leave counts from the earliest moment at which the entry can have been written. Readers are of several domains, and instances that had an answer of the store lately lead first. The leader's heartbeats go out each 500 ms at most.

Tests: TestReadsWhenWordIsOverdue, TestSince, TestOverdueReadsFail, TestDrainHeardLate, TestProvenLeadsFirst, TestReadersOfSeveralDomains.

Open: one run of internal/holder's tests took 510 s (14 s and 8 s in others); being traced.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"example.org/mustardring/internal/clock"
@@ -56,6 +58,11 @@
 	// BegunAt is when the read began: nothing that was acknowledged before is missing. It is
 	// zero for what came from another instance.
 	BegunAt clock.Instant
+	// Since is the time after which the records were written; zero if that is not known.
+	Since clock.Instant
+	// Overdue says that this instance read because no word came that nothing is missing: the
+	// others may not have heard either.
+	Overdue bool
 	// Err is why the topic could not be read, nil if it was.
 	Err error
 }
@@ -73,6 +80,8 @@
 type News struct {
 	// From is the offset that the other instance read from.
 	From int64
+	// Age is how long ago the oldest of the records can have been written, in milliseconds.
+	Age int64
 	Batch
 }
 
@@ -103,20 +112,69 @@
 	Again <-chan struct{}
 	// News takes what other instances read; it may be nil.
 	News <-chan News
+	// Overdue returns the age of the knowledge that nothing is missing from which on this
+	// instance reads, whoever else should; it may be nil. Retry is the pause after such a read
+	// has failed.
+	//
+	// It guards against the loss of all readers at one time: the directory stayed as it was for
+	// 2.1 seconds while four of eleven instances were cut off from the store, the leader and
+	// every reader among them, and requests went to servers that had left.
+	Overdue func() time.Duration
+	Retry   time.Duration
 
+	// complete is the instant up to which nothing is missing, zero if never.
+	complete atomic.Int64
+	// retryAt is when an overdue read may be tried again.
+	retryAt time.Time
 	// next is the offset to read from, negative if everything is to be read.
 	next int64
 }
 
 // directEvery is how often an instance that does not read looks whether it should.
-const directEvery = 200 * time.Millisecond
+const directEvery = 100 * time.Millisecond
+
+// The times of answers of the store.
+const (
+	// answerTime is how long an answer is on its way while the store is calm: it takes 4 ms.
+	answerTime = 50 * time.Millisecond
+	// waitedTime is the time from which on an answer with records was waited for, so that the
+	// first of them was written just before.
+	waitedTime = 2 * answerTime
+)
+
+// Age returns how old the knowledge is that nothing is missing.
+func (t *Topic) Age() time.Duration {
+	complete := clock.Instant(t.complete.Load())
+	if complete == 0 {
+		return math.MaxInt64
+	}
+	return t.Clock.Now().Sub(complete)
+}
+
+// Refresh takes in that another instance, which knows no more, has missed nothing until the given
+// time ago.
+func (t *Topic) Refresh(age time.Duration) { t.completeAt(t.Clock.Now().Add(-age)) }
+
+func (t *Topic) completeAt(at clock.Instant) {
+	for {
+		old := t.complete.Load()
+		if int64(at) <= old || t.complete.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// overdue reports whether this instance should read although others do.
+func (t *Topic) overdue() bool {
+	return t.Overdue != nil && t.Age() > t.Overdue() && !time.Now().Before(t.retryAt)
+}
 
 // Run follows the topic until the context ends.
 func (t *Topic) Run(ctx context.Context) error {
 	t.next = -1
 	pause := retryLeast
 	for ctx.Err() == nil {
-		if t.next >= 0 && !t.Direct() {
+		if t.next >= 0 && !t.Direct() && !t.overdue() {
 			if !t.idle(ctx) {
 				continue
 			}
@@ -138,6 +196,7 @@
 			break
 		}
 		if u.Err != nil {
+			t.retryAt = time.Now().Add(t.Retry)
 			t.sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, retryMost)
 			continue
@@ -186,7 +245,8 @@
 	if n.From > t.next {
 		return false
 	}
-	u := Update{Topic: t.Name, Batch: Batch{End: n.End}}
+	now := t.Clock.Now()
+	u := Update{Topic: t.Name, Batch: Batch{End: n.End}, Since: now.Add(-time.Duration(n.Age) * time.Millisecond)}
 	for _, r := range n.Records {
 		if r.Offset >= t.next {
 			u.Records = append(u.Records, r)
@@ -194,6 +254,7 @@
 	}
 	if t.emit(ctx, u) {
 		t.next = n.End
+		t.completeAt(now.Add(-answerTime))
 	}
 	return true
 }
@@ -202,16 +263,15 @@
 func (t *Topic) read(ctx context.Context) Update {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		select {
-		case <-t.again():
-			cancel()
-		case <-ended:
-		}
-	}()
-	u := Update{Topic: t.Name, BegunAt: t.Clock.Now(), From: t.next, Whole: t.next < 0}
+	u := Update{Topic: t.Name, BegunAt: t.Clock.Now(), From: t.next, Whole: t.next < 0, Overdue: t.overdue()}
+	if t.waits() && !u.Overdue {
+		watching := make(chan struct{})
+		defer func() { cancel(); <-watching }()
+		go func() {
+			defer close(watching)
+			t.watch(ctx, cancel)
+		}()
+	}
 	if t.Every != nil {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, pollTimeout)
@@ -219,35 +279,64 @@
 	}
 	if u.Whole {
 		u.Batch, u.Err = t.Store.Newest(ctx, t.Name)
+		t.reckon(&u, u.Err == nil)
 		return u
 	}
 	wait := time.Duration(0)
-	if t.waits() {
+	if t.waits() && !u.Overdue {
 		wait = t.Wait()
 	}
 	u.Batch, u.Err = t.Store.Read(ctx, t.Name, t.next, wait)
 	if u.Err == nil {
-		u.End = max(u.End, t.next)
+		end := max(u.End, t.next)
+		u.End = end
 		if n := len(u.Records); n > 0 {
 			// The answer may be cut short of the end: the next read goes on behind it.
 			u.End = u.Records[n-1].Offset + 1
 		}
+		t.reckon(&u, u.End >= end)
 	}
 	return u
 }
 
-// waits reports whether reads wait for news.
-func (t *Topic) waits() bool { return t.Every == nil && t.Direct() }
+// reckon notes since when the records of an update may have been there, and, if the update
+// reaches the end of the topic, up to when nothing is missing.
+func (t *Topic) reckon(u *Update, reachesEnd bool) {
+	now := t.Clock.Now()
+	took := now.Sub(u.BegunAt)
+	u.Since = clock.Instant(t.complete.Load())
+	if !u.Whole && took >= waitedTime {
+		u.Since = now.Add(-waitedTime)
+	}
+	if reachesEnd {
+		t.completeAt(now.Add(-min(took, answerTime)))
+	}
+}
 
-// again returns the channel that ends a read which waits for news. A read that does not wait
-// runs to its end.
-func (t *Topic) again() <-chan struct{} {
-	if !t.waits() {
-		return nil
+// watch ends a read that waits for news when a peer knows more, or when the word that nothing
+// is missing is overdue: the answer to the read may be lost.
+func (t *Topic) watch(ctx context.Context, end context.CancelFunc) {
+	ticker := time.NewTicker(directEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.Again:
+			end()
+			return
+		case <-ticker.C:
+			if t.overdue() {
+				end()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
 	}
-	return t.Again
 }
 
+// waits reports whether reads wait for news.
+func (t *Topic) waits() bool { return t.Every == nil && t.Direct() }
+
 // sleep waits, unless a new read is asked for.
 func (t *Topic) sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -62,15 +62,18 @@
 func (s *store) Read(ctx context.Context, _ string, from int64, wait time.Duration) (follow.Batch, error) {
 	deadline := time.Now().Add(wait)
 	s.set(func() { s.reads++ })
+	hung := false
 	for {
 		s.mu.Lock()
 		b := follow.Batch{End: int64(len(s.records)), Records: s.records[min(from, int64(len(s.records))):]}
-		hang, expired := s.hang, s.expired
+		// An answer that was lost does not come later.
+		hung = hung || s.hang
+		expired := s.expired
 		s.mu.Unlock()
 		if expired {
 			return follow.Batch{}, follow.ErrExpired
 		}
-		if !hang && (len(b.Records) > 0 || !time.Now().Before(deadline)) {
+		if !hung && (len(b.Records) > 0 || !time.Now().Before(deadline)) {
 			return b, nil
 		}
 		select {
@@ -81,6 +84,11 @@
 	}
 }
 
+// running is a clock that goes on with the time of the test.
+type running struct{}
+
+func (running) Now() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
+
 type still struct{}
 
 func (still) Now() clock.Instant { return 1 }
@@ -88,7 +96,10 @@
 // watch runs a topic and returns what it says, in order.
 func watch(t *testing.T, topic *follow.Topic) <-chan follow.Update {
 	out := make(chan follow.Update, 64)
-	topic.Name, topic.Clock, topic.Out = "topic", still{}, out
+	topic.Name, topic.Out = "topic", out
+	if topic.Clock == nil {
+		topic.Clock = still{}
+	}
 	topic.Settle = func() time.Duration { return 0 }
 	if topic.Wait == nil {
 		topic.Wait = func() time.Duration { return 20 * time.Second }
@@ -190,3 +201,91 @@
 		is.Equal(s.reads, 0)
 	})
 }
+
+// Four of eleven instances were cut off from the store, the leader and all that read for the
+// others among them. The others went on with what they knew for 2.1 seconds: they wait for news,
+// and took the silence for calm.
+func TestReadsWhenWordIsOverdue(t *testing.T) {
+	overdue := func() time.Duration { return 1200 * time.Millisecond }
+	tests := map[string]struct {
+		direct func() bool
+		// refreshed says that heartbeats go on saying that nothing is missing.
+		refreshed bool
+		within    time.Duration
+	}{
+		"others read, and fall silent": {never, false, 1400 * time.Millisecond},
+		"its own read hangs":           {always, false, 1400 * time.Millisecond},
+		"others say that all is well":  {never, true, time.Hour},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store{}
+				s.put("a", "1")
+				topic := &follow.Topic{Store: s, Direct: test.direct, Clock: running{}, Overdue: overdue, Retry: time.Second}
+				out := watch(t, topic)
+				<-out
+				began := time.Now()
+				s.set(func() { s.hang = true })
+				time.Sleep(20 * time.Millisecond)
+				s.put("a", "2")
+				time.AfterFunc(500*time.Millisecond, func() { s.set(func() { s.hang = false }) })
+				for len(out) == 0 && time.Since(began) < 10*time.Second {
+					if test.refreshed {
+						topic.Refresh(100 * time.Millisecond)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				if test.refreshed {
+					is.Equal(s.reads, 0)
+					return
+				}
+				u := <-out
+				is.True(u.Overdue)
+				is.True(time.Since(began) <= test.within)
+				is.True(u.BegunAt.Sub(u.Since) >= time.Second) // it may have been written that long ago
+			})
+		})
+	}
+}
+
+// The store is down for all. Each instance asks again at intervals, not at once.
+func TestOverdueReadsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put("a", "1")
+		out := watch(t, &follow.Topic{
+			Store: &failing{store: s}, Direct: never, Clock: running{}, Retry: time.Second,
+			Overdue: func() time.Duration { return time.Second },
+		})
+		<-out
+		time.Sleep(11 * time.Second)
+		is.True(len(out) >= 7 && len(out) <= 10)
+	})
+}
+
+// failing is a store that can be read as a whole only.
+type failing struct{ *store }
+
+func (*failing) Read(context.Context, string, int64, time.Duration) (follow.Batch, error) {
+	return follow.Batch{}, follow.ErrNotDone
+}
+
+// A record that a read waited for was written just before its answer; one that was there when
+// the read began may be as old as the last read.
+func TestSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put("a", "1")
+		out := watch(t, &follow.Topic{Store: s, Direct: always, Clock: running{}})
+		<-out
+		time.Sleep(5 * time.Second)
+		s.put("a", "2")
+		u := <-out
+		is.True(running{}.Now().Sub(u.Since) <= 150*time.Millisecond)
+		is.True(!u.Overdue)
+	})
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -34,12 +34,15 @@
 }
 
 func (n *Node) take(ctx context.Context, u follow.Update) {
+	if u.Err == nil && u.BegunAt != 0 {
+		n.provenAt.Store(int64(clock.Boot{}.Now()))
+	}
 	n.relay(u)
 	switch u.Topic {
 	case n.around.Config:
 		n.takeConfig(u)
 	case n.around.Servers:
-		if n.world.putServers(u, n.around.DecodeServer) {
+		if n.world.putServers(u, n.ageOf(u), n.around.DecodeServer) {
 			n.serversChanged()
 		}
 	case n.around.Owners:
@@ -67,7 +70,14 @@
 
 // relay tells the others what this instance has read.
 func (n *Node) relay(u follow.Update) {
-	if u.Err != nil || u.BegunAt == 0 || len(u.Records) == 0 || u.Topic == n.around.Owners || !n.reads() {
+	if u.Err != nil || u.BegunAt == 0 || u.Topic == n.around.Owners || !u.Overdue && !n.reads() {
+		return
+	}
+	if u.Overdue {
+		// The others wait for the same word.
+		n.announceToAll()
+	}
+	if len(u.Records) == 0 {
 		return
 	}
 	if u.Whole && u.Topic != n.around.Config {
@@ -82,8 +92,17 @@
 		size += len(r.Key) + len(r.Value)
 	}
 	if n.affordable(size) {
-		n.tellAll(gram.News{Topic: u.Topic, News: follow.News{From: u.From, Batch: u.Batch}})
+		n.tellAll(gram.News{Topic: u.Topic, News: follow.News{From: u.From, Age: n.ageOf(u).Milliseconds(), Batch: u.Batch}})
+	}
+}
+
+// ageOf returns how long ago the oldest record of an update can have been written, zero if that
+// is not known.
+func (n *Node) ageOf(u follow.Update) time.Duration {
+	if u.Since == 0 {
+		return 0
 	}
+	return max(clock.Boot{}.Now().Sub(u.Since), 0)
 }
 
 // hearNews takes in what another instance has read.
@@ -130,7 +149,9 @@
 		select {
 		case <-timer.C:
 			all = true
-			timer.Reset(n.roster.Every())
+			timer.Reset(n.beatPause())
+		case <-n.beatAll:
+			all = true
 		case <-n.beatNow:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -149,6 +170,14 @@
 	}
 }
 
+// beatPause returns the time to the next heartbeat to all.
+func (n *Node) beatPause() time.Duration {
+	if n.holder.Leads() {
+		return n.roster.LeaderEvery()
+	}
+	return n.roster.Every()
+}
+
 // beatTo sends a heartbeat to one instance, with the echo of its last one.
 func (n *Node) beatTo(p roster.Peer, b roster.Beat) {
 	if to, ok := address(p); ok {
@@ -169,14 +198,42 @@
 	if a := n.holder.Age(); a < knownAgeMost {
 		age = a.Milliseconds() + 1
 	}
+	proven := clock.Instant(n.provenAt.Load())
 	return roster.Beat{
-		SentAt: int64(clock.Boot{}.Now()), KnownAge: age,
+		Proven:   proven != 0 && clock.Boot{}.Now().Sub(proven) < provenTime,
+		Complete: n.completeAge(),
+		SentAt:   int64(clock.Boot{}.Now()), KnownAge: age,
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.holder.Confirmed(),
 		Known: n.holder.Owners().End, StoreOK: up,
 		Stopping: n.stopped(), Config: version, Servers: end, Failing: n.holder.Failing(),
 	}
 }
 
+// completeAge returns how old the knowledge is that this instance misses nothing of the
+// configuration and the directory, in milliseconds, negative if it is of no use to others.
+func (n *Node) completeAge() int64 {
+	age := max(n.topics[n.around.Config].Age(), n.topics[n.around.Servers].Age())
+	if age > knownAgeMost {
+		return -1
+	}
+	return age.Milliseconds() + 1
+}
+
+// hearComplete takes in that another instance misses nothing. Who knows less than that one must
+// read instead.
+func (n *Node) hearComplete(b roster.Beat, version uint64, end int64) {
+	if b.Complete < 0 {
+		return
+	}
+	age := time.Duration(b.Complete) * time.Millisecond
+	if b.Config <= version {
+		n.topics[n.around.Config].Refresh(age)
+	}
+	if b.Servers <= end {
+		n.topics[n.around.Servers].Refresh(age)
+	}
+}
+
 // receive takes messages of other instances.
 func (n *Node) receive(ctx context.Context) error {
 	for {
@@ -224,6 +281,7 @@
 	n.compare(n.around.Owners, b.Known, n.holder.Owners().End, now)
 	n.compare(n.around.Config, int64(b.Config), int64(version), now)
 	n.compare(n.around.Servers, b.Servers, end, now)
+	n.hearComplete(b, version, end)
 }
 
 // known returns the version in force and the end of what is known of the directory.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,9 +11,12 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/duty"
@@ -94,9 +97,13 @@
 	again       map[string]chan struct{}
 	news        map[string]chan follow.News
 	beatNow     chan struct{}
-	behind      map[string]*behind
-	registered  chan struct{}
-	stopping    chan struct{}
+	beatAll     chan struct{}
+	topics      map[string]*follow.Topic
+	// provenAt is when the store last answered this instance.
+	provenAt   atomic.Int64
+	behind     map[string]*behind
+	registered chan struct{}
+	stopping   chan struct{}
 }
 
 // New returns an instance that is not started.
@@ -110,10 +117,10 @@
 		roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), suspects: edge.NewSuspects(), incarnation: rand.Uint64() | 1,
 		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
-		behind: map[string]*behind{}, beatNow: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
+		behind: map[string]*behind{}, beatNow: make(chan struct{}, 1), beatAll: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
 	n.world = newWorld(events, func() time.Duration {
-		return time.Duration(settings.Bounds.DrainSeconds*float64(time.Second)) - n.settle() - drainReserve
+		return time.Duration(settings.Bounds.DrainSeconds*float64(time.Second)) - drainReserve
 	})
 	for _, topic := range []string{around.Config, around.Servers, around.Owners} {
 		n.again[topic] = make(chan struct{}, 1)
@@ -131,6 +138,7 @@
 		Changed: n.ownersChanged, Announce: n.announce,
 	})
 	n.world.owners = n.holder.Owners
+	n.topics = n.newTopics()
 	budget := edge.NewBudget(settings.Bounds.RetryRatio,
 		time.Duration(settings.Bounds.RetryWindowSeconds*float64(time.Second)),
 		func() float64 { return settings.Bounds.RetrySlack / float64(max(n.instances(), 1)) }, time.Now)
@@ -180,6 +188,13 @@
 	}
 }
 
+func (n *Node) announceToAll() {
+	select {
+	case n.beatAll <- struct{}{}:
+	default:
+	}
+}
+
 // Run serves until the context ends or a signal asks to stop.
 func (n *Node) Run(ctx context.Context) error {
 	signals := make(chan os.Signal, 4)
@@ -233,16 +248,23 @@
 	n.events.Note(event.Belief, "reload", "instance", n.settings.Name)
 }
 
-func (n *Node) follow(duties *duty.Group) {
+// newTopics returns what follows the topics of the store.
+func (n *Node) newTopics() map[string]*follow.Topic {
 	calm := func() time.Duration { return configPause }
-	topics := map[string]*follow.Topic{
-		n.around.Config:  {Direct: n.reads, Wait: n.pollWait, Settle: calm, Latest: true},
-		n.around.Servers: {Direct: n.reads, Wait: n.pollWait, Settle: n.settle},
+	out := map[string]*follow.Topic{
+		n.around.Config:  {Direct: n.reads, Wait: n.pollWait, Settle: calm, Latest: true, Overdue: n.overdue},
+		n.around.Servers: {Direct: n.reads, Wait: n.pollWait, Settle: n.settle, Overdue: n.overdue},
 		n.around.Owners:  {Direct: n.readsOwners, Every: n.ownersEvery, Settle: calm},
 	}
-	for name, t := range topics {
+	for name, t := range out {
 		t.Store, t.Name, t.Clock, t.Out = n.around.Store, name, clock.Boot{}, n.updates
-		t.Again, t.News = n.again[name], n.news[name]
+		t.Again, t.News, t.Retry = n.again[name], n.news[name], overdueRetry
+	}
+	return out
+}
+
+func (n *Node) follow(duties *duty.Group) {
+	for name, t := range n.topics {
 		duties.Go("follow-"+name, func(ctx context.Context) error {
 			if name == n.around.Owners && !n.awaitRegistration(ctx) {
 				return ctx.Err()
@@ -263,10 +285,35 @@
 	}
 }
 
-// readers is the number of instances that read configuration and directory besides the leader:
-// two of them may lose the store with it.
+// readers is the number of instances that read configuration and directory besides the leader,
+// each in another failure domain where there are as many.
 const readers = 3
 
+// The times of reading although others should.
+const (
+	// overdueSlack is how late the word of the leader may come that nothing is missing: it reads
+	// for pollWaitLeader at most and tells all others at once.
+	overdueSlack = 250 * time.Millisecond
+	// overdueSpread, overdueEach for each instance, keeps instances from reading at the same
+	// moment: the first that reads tells the others within some 15 milliseconds.
+	overdueSpread = 300 * time.Millisecond
+	overdueEach   = 25 * time.Millisecond
+	// overdueRetry is the pause after such a read has failed. Eleven instances make 20 calls a
+	// second for as long as the store is down for all of them.
+	overdueRetry = time.Second
+	// provenTime is how long the store counts as proven to answer an instance: the leader, which
+	// is to stay what it is, has an answer in each pollWaitLeader.
+	provenTime = 1200 * time.Millisecond
+)
+
+// overdue returns the age of the knowledge that nothing is missing from which on this instance
+// reads for itself.
+func (n *Node) overdue() time.Duration {
+	spread := min(overdueSpread, time.Duration(n.instances())*overdueEach)
+	part := float64(xxhash.Sum64String(n.settings.Name)>>11) / (1 << 53)
+	return pollWaitLeader + n.roster.LeaderEvery() + overdueSlack + time.Duration(part*float64(spread))
+}
+
 // reads reports whether this instance reads configuration and directory from the store: the
 // leader does, and some others in case it loses the store, and who hears of no other.
 func (n *Node) reads() bool {
@@ -274,7 +321,7 @@
 	if n.holder.Leads() || len(n.roster.Alive(now)) < 2 {
 		return true
 	}
-	for _, p := range n.roster.Strongest(readers, now) {
+	for _, p := range n.roster.Readers(readers, now) {
 		if p.Name == n.settings.Name {
 			return true
 		}
--- a/internal/node/world.go
+++ b/internal/node/world.go
@@ -19,7 +19,7 @@
 // world is what the instance knows of configuration and servers.
 type world struct {
 	events *event.Log
-	// drainTime is how long after its drain was read a server may get requests.
+	// drainTime is how long after it has said that it leaves a server may get requests.
 	drainTime func() time.Duration
 	config    atomic.Pointer[rules.Config]
 	// directory is never changed, only replaced.
@@ -49,8 +49,8 @@
 // settledMost bounds the memory of settled ranges.
 const settledMost = 4096
 
-// drainReserve is kept of the time in which a leaving server must get its last request, besides
-// the pause between two reads of the directory: a read and a request take a moment.
+// drainReserve is kept of the time in which a leaving server must get its last request: its way
+// and a busy processor take a moment.
 const drainReserve = 250 * time.Millisecond
 
 func newWorld(events *event.Log, drain func() time.Duration) *world {
@@ -106,8 +106,9 @@
 	w.events.Note(event.Belief, "configuration", "version", c.Version, "hosts", len(c.Hosts), "services", len(c.Services))
 }
 
-// putServers takes in news of the directory. It reports whether anything changed.
-func (w *world) putServers(u follow.Update, decode func(id string, data []byte, readAt time.Time) (rules.Server, error)) bool {
+// putServers takes in news of the directory, the oldest of which can have been written the given
+// time ago. It reports whether anything changed.
+func (w *world) putServers(u follow.Update, age time.Duration, decode func(id string, data []byte, readAt time.Time) (rules.Server, error)) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -125,6 +126,7 @@
 	}
 	w.end.Store(max(w.end.Load(), u.End))
 	next := maps.Clone(w.servers())
+	leaveBy := now.Add(w.drainTime() - age)
 	seen := map[string]bool{}
 	for _, r := range u.Records {
 		if len(r.Value) == 0 {
@@ -143,7 +145,7 @@
 				"domain", s.Domain, "draining", s.Draining, "warm-in", s.WarmAt.Sub(now), "offset", r.Offset)
 		}
 		if s.Draining {
-			s.LeaveBy = now.Add(w.drainTime())
+			s.LeaveBy = leaveBy
 			if old, known := next[s.ID]; known && old.Draining {
 				s.LeaveBy = old.LeaveBy
 			}
@@ -162,7 +164,7 @@
 		// The entry may come back, but if the server has left it must not get requests for
 		// longer than one that drains.
 		if s, known := next[id]; known && s.LeaveBy.IsZero() {
-			s.LeaveBy = now.Add(w.drainTime())
+			s.LeaveBy = leaveBy
 			next[id] = s
 		}
 	}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -32,7 +32,7 @@
 	for i := 0; i+1 < len(pairs); i += 2 {
 		u.Records = append(u.Records, follow.Record{Key: pairs[i], Value: []byte(pairs[i+1])})
 	}
-	w.putServers(u, decodeServer)
+	w.putServers(u, 0, decodeServer)
 }
 
 func (w *world) has(id string) bool {
@@ -61,7 +61,7 @@
 		is := is.New(t)
 		w := newTestWorld()
 		w.tell(true, "a", "ready", "b", "ready")
-		w.putServers(follow.Update{Err: errors.New("down")}, decodeServer)
+		w.putServers(follow.Update{Err: errors.New("down")}, 0, decodeServer)
 		w.tell(true)
 		is.True(w.has("a") && w.has("b"))
 		time.Sleep(time.Second)
@@ -79,7 +79,7 @@
 		is := is.New(t)
 		w := newTestWorld()
 		w.tell(true, "a", "ready")
-		w.putServers(follow.Update{Err: errors.New("timeout")}, decodeServer)
+		w.putServers(follow.Update{Err: errors.New("timeout")}, 0, decodeServer)
 		w.tell(false, "a", "")
 		is.True(!w.servers()["a"].Closed(false, time.Now())) // it may come back
 		time.Sleep(1600 * time.Millisecond)
@@ -103,6 +103,27 @@
 	})
 }
 
+// Four of eleven instances were cut off, the leader and all that read the directory among them.
+// The others heard 2.1 seconds late that a server leaves, counted its time from then, and sent it
+// requests beyond the bound. What was missed for some time counts from its earliest moment.
+func TestDrainHeardLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newTestWorld()
+		w.tell(true, "a", "ready", "b", "ready")
+		u := follow.Update{Batch: follow.Batch{Records: []follow.Record{{Key: "a", Value: []byte("draining")}, {Key: "b"}}}}
+		w.putServers(follow.Update{Err: errors.New("timeout")}, 0, decodeServer)
+		w.putServers(u, 1200*time.Millisecond, decodeServer)
+		for _, id := range []string{"a", "b"} {
+			is.True(!w.servers()[id].Closed(true, time.Now()))
+		}
+		time.Sleep(301 * time.Millisecond)
+		for _, id := range []string{"a", "b"} {
+			is.True(w.servers()[id].Closed(true, time.Now()))
+		}
+	})
+}
+
 func TestConfigNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	w := newTestWorld()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -51,8 +51,10 @@
 	Confirmed int64
 	// Known is the offset behind the newest record of owners that the instance knows.
 	Known int64
-	// StoreOK says that the shared store answers the instance.
+	// StoreOK says that the shared store did not fail the instance at its last call, Proven that
+	// it answered a call of the instance lately.
 	StoreOK  bool
+	Proven   bool
 	Stopping bool
 	// SentAt is when the heartbeat was sent, by the lease clock of its sender. EchoAt is that of
 	// the last heartbeat that the sender had from the receiver: what the sender knew when it
@@ -62,6 +64,9 @@
 	// KnownAge is how old the knowledge is that nothing follows Known, in milliseconds; negative
 	// for none.
 	KnownAge int64
+	// Complete is how old the knowledge is that nothing of configuration and directory is missing,
+	// in milliseconds; negative for none.
+	Complete int64
 	// Config is the version in force, Servers the end of what is known of the directory.
 	Config  uint64
 	Servers int64
@@ -93,6 +98,9 @@
 	// silentBeats is the number of heartbeats that may be missing before others do the work of
 	// an instance: two in a row may be lost, and the third may be late.
 	silentBeats = 3.2
+	// leaderBeatMost bounds the time between two heartbeats of the leader: at 80 instances it
+	// sends 160 a second, some 1% of a core.
+	leaderBeatMost = 500 * time.Millisecond
 )
 
 // Roster is the instances. Its methods may be called from any goroutine.
@@ -130,6 +138,10 @@
 	return pace(len(r.peers))
 }
 
+// LeaderEvery returns the time between two heartbeats of the leader: they carry the word that
+// nothing has changed, which the others must not miss for long.
+func (r *Roster) LeaderEvery() time.Duration { return min(r.Every(), leaderBeatMost) }
+
 func pace(peers int) time.Duration { return max(beatLeast, time.Duration(peers)*beatEach) }
 
 func silence(peers int) time.Duration { return time.Duration(silentBeats * float64(pace(peers))) }
@@ -283,13 +295,30 @@
 	return out
 }
 
-// Strongest returns the instances that can do most for others, the given number at most.
-func (r *Roster) Strongest(n int, now time.Time) []Peer {
+// Readers returns the instances that read for the others, the given number at most: the strong
+// ones first, each of another failure domain as long as there are any. A domain that is cut off
+// takes all of its instances from the store.
+func (r *Roster) Readers(n int, now time.Time) []Peer {
 	out := r.Alive(now)
 	slices.SortStableFunc(out, func(a, b Peer) int { return cmp.Compare(b.Share, a.Share) })
+	// rank is the instance's place within its domain; weak ones stand behind all strong ones.
+	rank := make(map[string]int, len(out))
+	taken := map[string]int{}
+	for _, p := range out {
+		rank[p.Name] = taken[p.Domain]
+		taken[p.Domain]++
+		if p.Share < strongShare*out[0].Share {
+			rank[p.Name] += len(out)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Peer) int { return cmp.Compare(rank[a.Name], rank[b.Name]) })
 	return out[:min(n, len(out))]
 }
 
+// strongShare is the part of the strongest instance's share from which on an instance reads for
+// others: with a link of 10 Mbit/s, where others had 200, one was cut off by telling 80 others.
+const strongShare = 0.5
+
 // before reports whether one instance is in charge before another.
 func before(a, b *Peer, thing uint64, domain string) bool {
 	if near := a.Domain == domain; near != (b.Domain == domain) {
@@ -321,7 +350,9 @@
 }
 
 // Leader returns the instance that decides about owners: of those that reach the store, the
-// one with the most processor time. Who it is matters for cost only, as the store's order
+// one with the most processor time. Those that have had an answer of the store lately go first:
+// with the leader three others lost the store, which none of them knew, and each of them led in
+// vain for 0.8 seconds. Who it is matters for cost only, as the store's order
 // decides between two that both think they lead.
 func (r *Roster) Leader(now time.Time) (Peer, bool) {
 	r.mu.Lock()
@@ -331,7 +362,7 @@
 		if !r.alive(p, now) || p.Beat.Stopping || !p.Beat.StoreOK {
 			continue
 		}
-		if best == nil || p.Share > best.Share {
+		if best == nil || p.Beat.Proven && !best.Beat.Proven || p.Beat.Proven == best.Beat.Proven && p.Share > best.Share {
 			best = p
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -97,6 +97,40 @@
 	is.Equal(p.Name, "i1")
 }
 
+// With the leader three others were cut off from the store, and had not noticed: they had not
+// asked it for anything. Each led for 0.8 seconds in vain while keys of leaving servers waited.
+// Those that have had an answer lately lead first.
+func TestProvenLeadsFirst(t *testing.T) {
+	is := is.New(t)
+	r := roster.New("i0", "d0")
+	fill(r, 5)
+	r.Heard(roster.Beat{Name: "i0", Incarnation: 1}, start)
+	r.Heard(roster.Beat{Name: "i4", Incarnation: 1, StoreOK: true, Proven: true}, start)
+	p, _ := r.Leader(start)
+	is.Equal(p.Name, "i4")
+	r.Heard(roster.Beat{Name: "i4", Incarnation: 1, Proven: true}, start) // its last call failed
+	p, _ = r.Leader(start)
+	is.Equal(p.Name, "i1")
+}
+
+// A failure domain was cut off, and the leader and all three that read for the others with it:
+// the others learnt of nothing for two seconds.
+func TestReadersOfSeveralDomains(t *testing.T) {
+	is := is.New(t)
+	r := roster.New("i0", "d0")
+	fill(r, 8)
+	r.Put("strong", roster.Entry{Incarnation: 1, Share: 4, Domain: "d1"}, start)
+	r.Heard(roster.Beat{Name: "strong", Incarnation: 1, StoreOK: true}, start)
+	domains := map[string]int{}
+	readers := r.Readers(3, start)
+	for _, p := range readers {
+		domains[p.Domain]++
+	}
+	is.Equal(readers[0].Name, "strong")
+	is.True(domains["d0"] > 0 && domains["d1"] > 0)
+	is.Equal(len(r.Readers(20, start)), 9)
+}
+
 // On 72 instances four heartbeats a second to all took a tenth of a small instance's time.
 func TestPaceFallsWithNumber(t *testing.T) {
 	is := is.New(t)
@@ -134,7 +168,7 @@
 	r.Heard(roster.Beat{Name: "strong", Incarnation: 1}, start)
 	r.Put("weak", roster.Entry{Incarnation: 1, Share: 0.1, Domain: "d0"}, start)
 	r.Heard(roster.Beat{Name: "weak", Incarnation: 1}, start)
-	is.Equal(r.Strongest(1, start)[0].Name, "strong")
-	is.Equal(len(r.Strongest(9, start)), 6)
-	is.Equal(r.Strongest(9, start)[5].Name, "weak")
+	is.Equal(r.Readers(1, start)[0].Name, "strong")
+	is.Equal(len(r.Readers(9, start)), 6)
+	is.Equal(r.Readers(9, start)[5].Name, "weak")
 }
