Learn the band of what first requests state

Cause: a request counted as returning when it stated less than 93% of the longest patience seen on its route.

Ruled out: full queues (a queue stood at one server in ten while a quarter was refused).

Change: each instance learns, in times with few refusals, what first requests of a route state at least.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,9 +23,6 @@
 	// startRetry is when a caller should come back while the instance knows no configuration:
 	// it takes some 20 milliseconds to read one.
 	startRetry = 300 * time.Millisecond
-	// returnShare is the part of a route's usual patience below which a request is one that
-	// was tried before. Requests on their first try state the same patience to a few percent.
-	returnShare = 0.93
 	// answerTime is kept of the caller's time for the way of the answer.
 	answerTime = 15 * time.Millisecond
 )
@@ -137,16 +133,14 @@
 	if q.call.Patient {
 		patient = q.call.Patience
 	}
-	usual := p.usual(q.route.Name, patient)
-	q.returning = float64(patient) < returnShare*float64(usual)
+	var before time.Duration
+	q.returning, before = p.returning(q.route.Name, patient, q.arrivedAt)
 	// A request that was tried before has used a part of the time to its target.
 	target := q.route.Target
 	if target == 0 {
 		target = patient / 2
 	}
-	if q.returning {
-		target -= usual - patient
-	}
+	target -= before
 	q.targetAt = q.arrivedAt.Add(target - answerTime)
 	limit := patient - answerTime
 	if q.route.Timeout > 0 {
@@ -155,28 +149,6 @@
 	q.limitAt = q.arrivedAt.Add(limit)
 }
 
-// patience learns how long the callers of each route wait on their first try.
-type patience struct {
-	mu   sync.Mutex
-	most map[string]time.Duration
-}
-
-// patienceRoutes bounds the memory of patience.
-const patienceRoutes = 4096
-
-// usual returns the longest patience that was seen on a route.
-func (p *patience) usual(route string, now time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.most == nil || len(p.most) > patienceRoutes {
-		p.most = map[string]time.Duration{}
-	}
-	if now > p.most[route] {
-		p.most[route] = now
-	}
-	return p.most[route]
-}
-
 // printOf identifies a request by what it asks for, so that it is known when it comes again
 // under another id.
 func printOf(r *http.Request, body []byte) uint64 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -122,6 +122,7 @@
 	}
 	if status < 200 || status > 299 {
 		class = event.Failure
+		e.patience.refuse(q.route.Name, time.Now())
 	}
 	took := time.Since(q.arrivedAt)
 	e.Meters.Request(q.route.Name, q.why, took)
