Weigh what instances say of a server's power by the answers they saw

Cause: the last word about a server's power counted, whoever said it.

Ruled out: a busy key (218 buckets, the busiest 10 of 543 requests); an error of the load by bucket.

Tests: TestPowerOfManyAnswers, TestPowerIsForgotten.

--- a/internal/gram/gram.go
+++ b/internal/gram/gram.go
@@ -71,7 +71,8 @@
 	// Withdraw.
 	Check struct{ Serial uint64 }
 	// Loads tells the leader how many requests an instance had since the last such message, by
-	// service and bucket of keys, and what servers can do in a second.
+	// service and bucket of keys, and what servers can do in a second, with the number of answers
+	// that each figure rests on.
 	Loads struct {
 		Name    string
 		Service string
@@ -80,6 +81,7 @@
 		Counts  []uint16
 		Servers []string
 		Powers  []float64
+		Answers []uint16
 	}
 	// Owners tells of a record of owners that was written: what it changes against the record
 	// before it.
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -17,8 +17,12 @@
 	// loadHalf is the time after which an old load counts half. Busy keys change within
 	// seconds, and one instance sees few requests a second for each.
 	loadHalf = 3 * time.Second
-	// powerTime is how long the word of an instance about a server's power counts.
-	powerTime = 10 * time.Second
+	// powerHalf is the time after which an answer counts half for the power of a server, and
+	// powerLeast the number of answers, so counted, from which on a power is believed.
+	powerHalf  = 3 * time.Second
+	powerLeast = 3
+	// wordForgotten ends the memory of a word, some 20 seconds after its last answers.
+	wordForgotten = 0.1
 )
 
 // loads counts the requests for keys, and at the leader adds up what all instances counted.
@@ -34,12 +38,54 @@
 	// rates are requests in a second by bucket, as of at.
 	rates []float64
 	at    time.Time
-	power map[string]powerOf
+	power map[string]power
 }
 
-type powerOf struct {
-	value float64
-	at    time.Time
+// power is what the instances say of a server: the last word of each, weighed by the answers that
+// it has seen of late.
+//
+// With the last word of all counting, an instance that had seen a single answer outdid the one in
+// charge of the server: the server seemed three times as powerful to each second plan, which moved
+// half a dozen ranges there and the next one away again, and it refused 460 of 543 requests in seven
+// seconds.
+type power map[string]*word
+
+// word is what one instance says of a server.
+type word struct {
+	rate    float64
+	answers float64
+	at      time.Time
+}
+
+func (w *word) decay(now time.Time) {
+	w.answers *= math.Exp2(-now.Sub(w.at).Seconds() / powerHalf.Seconds())
+	w.at = now
+}
+
+// add takes in the word of an instance.
+func (p power) add(name string, rate float64, answers int, now time.Time) {
+	w := p[name]
+	if w == nil {
+		w = &word{at: now}
+		p[name] = w
+	}
+	w.decay(now)
+	w.rate = rate
+	w.answers += float64(answers)
+}
+
+// rate returns the requests that the server can run in a second, and whether that is known.
+func (p power) rate(now time.Time) (float64, bool) {
+	sum, answers := 0.0, 0.0
+	for name, w := range p {
+		if w.decay(now); w.answers < wordForgotten {
+			delete(p, name)
+			continue
+		}
+		sum += w.rate * w.answers
+		answers += w.answers
+	}
+	return sum / max(answers, powerLeast), answers >= powerLeast
 }
 
 func newLoads() *loads {
@@ -78,7 +124,7 @@
 	defer l.mu.Unlock()
 	s := l.sums[m.Service]
 	if s == nil {
-		s = &sum{rates: make([]float64, shard.Buckets), at: now, power: map[string]powerOf{}}
+		s = &sum{rates: make([]float64, shard.Buckets), at: now, power: map[string]power{}}
 		l.sums[m.Service] = s
 	}
 	s.decay(now)
@@ -90,9 +136,13 @@
 		}
 	}
 	for i, id := range m.Servers {
-		if i < len(m.Powers) {
-			s.power[id] = powerOf{m.Powers[i], now}
+		if i >= len(m.Powers) || i >= len(m.Answers) || m.Answers[i] == 0 {
+			continue
+		}
+		if s.power[id] == nil {
+			s.power[id] = power{}
 		}
+		s.power[id].add(m.Name, m.Powers[i], int(m.Answers[i]), now)
 	}
 }
 
@@ -116,11 +166,11 @@
 	s.decay(now)
 	powers := make(map[string]float64, len(s.power))
 	for id, p := range s.power {
-		if now.Sub(p.at) > powerTime {
+		if rate, known := p.rate(now); known {
+			powers[id] = rate
+		} else if len(p) == 0 {
 			delete(s.power, id)
-			continue
 		}
-		powers[id] = p.value
 	}
 	return append([]float64(nil), s.rates...), powers
 }
@@ -142,9 +192,10 @@
 		for _, service := range n.world.divided() {
 			m := reports[service]
 			m.Name, m.Service = n.settings.Name, service
-			for id, power := range n.permits.powers(service) {
+			for id, power := range n.permits.report(service) {
 				m.Servers = append(m.Servers, id)
-				m.Powers = append(m.Powers, power)
+				m.Powers = append(m.Powers, power.Rate)
+				m.Answers = append(m.Answers, uint16(min(power.Answers, math.MaxUint16)))
 			}
 			n.sendLoads(m)
 		}
--- /dev/null
+++ b/internal/node/loads_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/gram"
+)
+
+// Two instances spoke of the same server: the one in charge of it had seen sixty answers, the other
+// a single quick one from a time when it had not heard of the first. Each second plan believed the
+// other, moved half a dozen ranges to the server, and the next plan moved them away.
+func TestPowerOfManyAnswers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	l := newLoads()
+	for range 20 {
+		now = now.Add(reportEvery)
+		l.take(gram.Loads{Name: "a", Service: "books", Servers: []string{"s"}, Powers: []float64{12}, Answers: []uint16{6}}, now)
+		l.take(gram.Loads{Name: "b", Service: "books", Servers: []string{"s"}, Powers: []float64{40}, Answers: []uint16{1}}, now)
+	}
+	rate, _ := l.sums["books"].power["s"].rate(now)
+	is.True(rate > 11 && rate < 17)
+	// The server turns five times slower: that shows at once.
+	now = now.Add(reportEvery)
+	l.take(gram.Loads{Name: "a", Service: "books", Servers: []string{"s"}, Powers: []float64{2.4}, Answers: []uint16{2}}, now)
+	rate, _ = l.sums["books"].power["s"].rate(now)
+	is.True(rate < 9)
+}
+
+// A server that nobody hears of any more is not believed to be what it was.
+func TestPowerIsForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	p := power{}
+	p.add("a", 10, 4, now)
+	rate, known := p.rate(now)
+	is.True(known)
+	is.Equal(rate, 10.0)
+	_, known = p.rate(now.Add(6 * time.Second))
+	is.True(!known)
+	_, _ = p.rate(now.Add(time.Minute))
+	is.Equal(len(p), 0)
+}
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -103,14 +103,15 @@
 	}
 }
 
-func (p *permits) powers(service string) map[string]float64 {
+// report returns what this instance has learnt of the servers of a service since the last call.
+func (p *permits) report(service string) map[string]permit.Power {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k := p.keepers[service]
 	if k == nil {
 		return nil
 	}
-	return k.Powers()
+	return k.Report()
 }
 
 // deliver tells verdicts to those who asked; the lock is held.
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -390,16 +390,24 @@
 // Idle reports whether nothing waits, so that no tick is needed.
 func (k *Keeper) Idle() bool { return len(k.queue) == 0 }
 
-// Powers returns, for each server with answers, how many requests it can run in a second.
-func (k *Keeper) Powers() map[string]float64 {
+// Power is how many requests a server can run in a second, and the number of answers since the
+// last report that say so.
+type Power struct {
+	Rate    float64
+	Answers int
+}
+
+// Report returns the power of each server with answers since the last report.
+func (k *Keeper) Report() map[string]Power {
 	mean := k.main()
 	if mean <= 0 {
 		return nil
 	}
-	out := make(map[string]float64, len(k.servers))
+	out := make(map[string]Power, len(k.servers))
 	for id, s := range k.servers {
-		if s.heard > 0 {
-			out[id] = float64(s.Slots) / (s.speed * mean.Seconds())
+		if s.heard > s.told && s.heard >= heardLeast {
+			out[id] = Power{Rate: float64(s.Slots) / (s.speed * mean.Seconds()), Answers: s.heard - s.told}
+			s.told = s.heard
 		}
 	}
 	return out
--- a/internal/permit/server.go
+++ b/internal/permit/server.go
@@ -30,6 +30,9 @@
 	fullPause = 60 * time.Millisecond
 	// foreignTime is how long a reported load counts that this keeper does not know of.
 	foreignTime = 100 * time.Millisecond
+	// heardLeast is the number of answers from which on a server's speed is told to others: as
+	// many as make two thirds of it.
+	heardLeast = 10
 	// doubtShare and doubtLeast, in multiples of the expected time and besides it, are when a
 	// permit is doubted, doubtEvery how often from then on.
 	doubtShare = 1.5
@@ -62,8 +65,9 @@
 	// foreign is the number of requests of others at the server, as of its last report.
 	foreign      int
 	foreignUntil time.Time
-	// heard is the number of answers that the speed was learnt from.
+	// heard is the number of answers that the speed was learnt from, told that of the last report.
 	heard int
+	told  int
 }
 
 func newServer(s rules.Server) *server {
