Let only the leader read for the others, and join records of moves

Change: since each instance reads when word is overdue, the other readers are gone, with their ranking and its tests (what they told of, a thin link that reads for all, is a test of the leader now); the leader's poll lasts as long as the users' bounds allow (0.75 s at 2 s, 1 s at 2.5 s), it reads the owners each 1.5 s, and the record that moves are complete waits 2 s for a plan to go with.

--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -29,6 +29,9 @@
 type Bounds struct {
 	// DrainSeconds is how long after its leaving is known a server may still get requests.
 	DrainSeconds float64 `json:"drain-seconds"`
+	// ConfigSeconds is how long after its acknowledgement a configuration must be in force
+	// everywhere; zero means as long as DrainSeconds.
+	ConfigSeconds float64 `json:"config-seconds"`
 	// StopSeconds is how long an instance may take to stop.
 	StopSeconds float64 `json:"stop-seconds"`
 	// All instances together may send RetryRatio of the requests in RetryWindowSeconds a second
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -83,9 +83,11 @@
 	witnesses = 2
 	// balanceEvery is the least time between two plans that only even out the load.
 	balanceEvery = 700 * time.Millisecond
-	// settleTime is how long the record that moves are complete may wait for others: the
-	// instances know it by message, and the leader renews until it stands in the store.
-	settleTime = 700 * time.Millisecond
+	// settleTime is how long the record that moves are complete may wait for others, or for a
+	// plan that goes into the same record: the instances know it by message, and the leader
+	// renews until it stands in the store. Should the leader be lost, the next one ends and
+	// grants these moves again.
+	settleTime = 2 * time.Second
 	// gatherTime is how long no new server may come before keys are divided for the first time.
 	// Servers that start together write their entries within a heartbeat of 0.9 seconds.
 	gatherTime = time.Second
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -200,7 +200,7 @@
 	}
 	proven := clock.Instant(n.provenAt.Load())
 	return roster.Beat{
-		Proven:   proven != 0 && clock.Boot{}.Now().Sub(proven) < provenTime,
+		Proven:   proven != 0 && clock.Boot{}.Now().Sub(proven) < n.pollLeader()+provenSlack,
 		Complete: n.completeAge(),
 		SentAt:   int64(clock.Boot{}.Now()), KnownAge: age,
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.holder.Confirmed(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,17 +50,16 @@
 
 // The pace of what a node does.
 const (
-	// pollWait is how long a read of a topic waits for news. The answer to a waiting read may be
-	// lost without a sign, so the leader waits for a short time only, and the others hear from
-	// its heartbeats that there is news. An instance that hears nobody looks by itself.
-	pollWait       = 20 * time.Second
-	pollWaitLeader = 700 * time.Millisecond
-	pollWaitAlone  = 3 * time.Second
-	// ownersEvery is how often the owners are read. The leader reads often, to see soon that it
-	// has lost the store, and its heartbeats keep the others' knowledge fresh. Who has not heard
-	// for ownersAge reads as well, well before its knowledge is too old to act on.
+	// pollWait is how long a read of a topic waits for news where others rely on nobody's reads,
+	// pollLeast and pollMost bound that time for the leader.
+	pollWait  = 20 * time.Second
+	pollLeast = 400 * time.Millisecond
+	pollMost  = 1500 * time.Millisecond
+	// ownersEvery is how often the owners are read. The leader reads often: its heartbeats keep
+	// the others' knowledge fresh, which bridges outages of the store. Who has not heard for
+	// ownersAge reads as well, well before its knowledge is too old to act on.
 	ownersEvery       = 3 * time.Second
-	ownersEveryLeader = time.Second
+	ownersEveryLeader = 1500 * time.Millisecond
 	ownersAge         = 6 * time.Second
 	// settleLeast, and settleEach for each instance, join the changes of servers that come close
 	// together into one call, as when 300 start one after the other within 8 seconds. It is a
@@ -290,15 +289,13 @@
 	}
 }
 
-// readers is the number of instances that read configuration and directory besides the leader,
-// each in another failure domain where there are as many.
-const readers = 3
-
 // The times of reading although others should.
 const (
-	// overdueSlack is how late the word of the leader may come that nothing is missing: it reads
-	// for pollWaitLeader at most and tells all others at once.
+	// overdueSlack is how late the word of the leader may come that nothing is missing.
 	overdueSlack = 250 * time.Millisecond
+	// overdueReserve is kept of the time in which news must be known everywhere: the slack and the
+	// spread, the pause between two looks at the age, a read, and what follows from it.
+	overdueReserve = time.Second
 	// overdueSpread, overdueEach for each instance, keeps instances from reading at the same
 	// moment: the first that reads tells the others within some 15 milliseconds.
 	overdueSpread = 300 * time.Millisecond
@@ -306,9 +303,9 @@
 	// overdueRetry is the pause after such a read has failed. Eleven instances make 20 calls a
 	// second for as long as the store is down for all of them.
 	overdueRetry = time.Second
-	// provenTime is how long the store counts as proven to answer an instance: the leader, which
-	// is to stay what it is, has an answer in each pollWaitLeader.
-	provenTime = 1200 * time.Millisecond
+	// provenSlack is how much longer than the leader waits for an answer the store counts as
+	// proven to answer an instance: the leader is to stay what it is.
+	provenSlack = 500 * time.Millisecond
 )
 
 // overdue returns the age of the knowledge that nothing is missing from which on this instance
@@ -316,23 +313,13 @@
 func (n *Node) overdue() time.Duration {
 	spread := min(overdueSpread, time.Duration(n.instances())*overdueEach)
 	part := float64(xxhash.Sum64String(n.settings.Name)>>11) / (1 << 53)
-	return pollWaitLeader + n.roster.LeaderEvery() + overdueSlack + time.Duration(part*float64(spread))
+	return n.pollLeader() + n.roster.LeaderEvery() + overdueSlack + time.Duration(part*float64(spread))
 }
 
 // reads reports whether this instance reads configuration and directory from the store: the
-// leader does, and some others in case it loses the store, and who hears of no other.
-func (n *Node) reads() bool {
-	now := time.Now()
-	if n.holder.Leads() || len(n.roster.Alive(now)) < 2 {
-		return true
-	}
-	for _, p := range n.roster.Readers(readers, now) {
-		if p.Name == n.settings.Name {
-			return true
-		}
-	}
-	return false
-}
+// leader does, and tells the others. Three more that read as well cost a third of all calls and
+// were of no more use than the others are, each of which reads when word is overdue.
+func (n *Node) reads() bool { return n.holder.Leads() }
 
 // readsOwners reports whether this instance reads the owners from the store: the leader does,
 // and who has not heard from others for some time that nothing has changed.
@@ -343,14 +330,22 @@
 }
 
 func (n *Node) pollWait() time.Duration {
-	switch {
-	case n.holder.Leads():
-		return pollWaitLeader
-	case len(n.roster.Alive(time.Now())) < 2:
-		return pollWaitAlone
-	default:
-		return pollWait
+	if n.holder.Leads() {
+		return n.pollLeader()
+	}
+	return pollWait
+}
+
+// pollLeader returns how long a read of the leader waits for news. Should the leader be lost, the
+// others read for themselves after that time and the pause between two heartbeats, and must still
+// know within the bounds of the users.
+func (n *Node) pollLeader() time.Duration {
+	bound := n.settings.Bounds.DrainSeconds
+	if c := n.settings.Bounds.ConfigSeconds; c > 0 {
+		bound = min(bound, c)
 	}
+	wait := time.Duration(bound*float64(time.Second)) - overdueReserve - n.roster.LeaderEvery()
+	return min(max(wait, pollLeast), pollMost)
 }
 
 func (n *Node) ownersEvery() time.Duration {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -295,30 +295,6 @@
 	return out
 }
 
-// Readers returns the instances that read for the others, the given number at most: the strong
-// ones first, each of another failure domain as long as there are any. A domain that is cut off
-// takes all of its instances from the store.
-func (r *Roster) Readers(n int, now time.Time) []Peer {
-	out := r.Alive(now)
-	slices.SortStableFunc(out, func(a, b Peer) int { return cmp.Compare(b.Share, a.Share) })
-	// rank is the instance's place within its domain; weak ones stand behind all strong ones.
-	rank := make(map[string]int, len(out))
-	taken := map[string]int{}
-	for _, p := range out {
-		rank[p.Name] = taken[p.Domain]
-		taken[p.Domain]++
-		if p.Share < strongShare*out[0].Share {
-			rank[p.Name] += len(out)
-		}
-	}
-	slices.SortStableFunc(out, func(a, b Peer) int { return cmp.Compare(rank[a.Name], rank[b.Name]) })
-	return out[:min(n, len(out))]
-}
-
-// strongShare is the part of the strongest instance's share from which on an instance reads for
-// others: with a link of 10 Mbit/s, where others had 200, one was cut off by telling 80 others.
-const strongShare = 0.5
-
 // before reports whether one instance is in charge before another.
 func before(a, b *Peer, thing uint64, domain string) bool {
 	if near := a.Domain == domain; near != (b.Domain == domain) {
