Let a failure domain that is cut off keep its keys for some seconds

Cause: in each zone cut of five to six seconds the servers behind it counted as lost; a quarter to a third of all keys was given to servers elsewhere, came there when the cut ended (nothing else ends a right sooner), and went back piece by piece. When the cut ended, the instances behind it still took the other side's servers for silent and were believed by two.

Change: servers that seem lost keep their keys while all instances of their domain are silent too, for 7.5 s, and for 2.5 s after the domain is heard again, until its entries are back; a server counts as failing only if the first two in charge of it do not reach it.

--- /dev/null
+++ b/internal/holder/hold_test.go
@@ -0,0 +1,106 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newWorld starts two failure domains with two instances and three servers each, without faults.
+func newWorld(ctx context.Context) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(1, 1)), ctx: ctx, start: time.Now(), store: newStore(),
+		backends: map[string]*backend{}, nodes: map[string]*instance{}, cuts: map[string]bool{}, guards: allGuards,
+	}
+	for i := range 6 {
+		w.addBackend(fmt.Sprintf("s%d", i), fmt.Sprintf("server-%d", i), fmt.Sprintf("d%d", i%2))
+	}
+	for i := range 4 {
+		w.startInstance(fmt.Sprintf("i%d", i), fmt.Sprintf("d%d", i%2))
+	}
+	return w
+}
+
+// cutDomain cuts failure domain d1 off from the other one and from the store.
+func (w *world) cutDomain(d time.Duration) {
+	for i := range 4 {
+		if i%2 == 0 {
+			for j := range 6 {
+				if j%2 == 1 {
+					w.cut(fmt.Sprintf("i%d", i), fmt.Sprintf("server-%d", j), d)
+				}
+			}
+			continue
+		}
+		w.cut(fmt.Sprintf("i%d", i), "store", d)
+		for j := range 6 {
+			if j%2 == 0 {
+				w.cut(fmt.Sprintf("i%d", i), fmt.Sprintf("server-%d", j), d)
+			}
+		}
+		for j := range 4 {
+			if j%2 == 0 {
+				w.cut(fmt.Sprintf("i%d", i), fmt.Sprintf("i%d", j), d)
+				w.cut(fmt.Sprintf("i%d", j), fmt.Sprintf("i%d", i), d)
+			}
+		}
+	}
+}
+
+// ownedBy counts the ranges that belong to a failure domain, as an instance knows it.
+func (w *world) ownedBy(instance, domain string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, r := range w.nodes[instance].holder.Owners().Maps[service].Ranges {
+		if w.backends[r.Server].Domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
+// A failure domain was cut off for six seconds. Its keys were given to servers elsewhere, and came
+// there when the cut ended: for five seconds two in three requests were refused at these servers,
+// while those of the domain had nothing to do. A domain that stays away does lose its keys.
+func TestCutOffDomainKeepsItsKeys(t *testing.T) {
+	tests := map[string]struct {
+		cut   time.Duration
+		after time.Duration
+		keeps bool
+	}{
+		"for six seconds": {6 * time.Second, 8 * time.Second, true},
+		"for good":        {time.Hour, 26 * time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				w := newWorld(ctx)
+				time.Sleep(5 * time.Second)
+				before := w.ownedBy("i0", "d1")
+				is.True(before > 0)
+				w.cutDomain(test.cut)
+				time.Sleep(test.after)
+				if test.keeps {
+					is.Equal(w.ownedBy("i0", "d1"), before)
+				} else {
+					is.Equal(w.ownedBy("i0", "d1"), 0)
+				}
+				is.Equal(w.served(), 256)
+				cancel()
+				for _, n := range w.others("") {
+					<-n.ended
+				}
+				w.pending.Wait()
+				is.Equal(len(w.faults), 0)
+			})
+		})
+	}
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -91,8 +91,19 @@
 	// gatherTime is how long no new server may come before keys are divided for the first time.
 	// Servers that start together write their entries within a heartbeat of 0.9 seconds.
 	gatherTime = time.Second
-	// registerSilence is how long an instance may be silent before its record is removed.
-	registerSilence = 6 * time.Second
+	// holdTime is how long servers keep their keys that seem lost while all instances of their
+	// failure domain are silent as well: the domain is cut off rather than dead. Its servers go
+	// on serving callers of their own domain, and a move could not be completed before the cut
+	// ends or knowledgeTime is over. Without it each cut of six seconds moved a quarter of all keys
+	// when it ended, and for five seconds two in three requests were refused at the other domains'
+	// servers while those of the domain had nothing to do. A domain that is lost for good costs
+	// as much longer until its keys are served elsewhere.
+	holdTime = 7500 * time.Millisecond
+	// registerSilence is how long an instance may be silent before its record is removed: longer
+	// than holdTime, which looks at registered instances.
+	registerSilence = 8 * time.Second
+	// leftMost bounds the memory of servers that left.
+	leftMost = 4096
 )
 
 // Grant is an order about keys. Lease and Handover do not matter in a release.
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -10,6 +10,7 @@
 
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
 )
@@ -192,7 +193,7 @@
 	if n > 0 {
 		usual /= float64(n)
 	}
-	failing := h.failing(now)
+	failing := h.failing(servers, now)
 	for id, s := range servers {
 		if s.Service != service {
 			continue
@@ -204,44 +205,56 @@
 				power = usual
 			}
 		}
-		lost := s.Draining || failing[id] >= witnesses
+		lost := s.Draining || failing[id] && !h.Roster.CutOff(s.Domain, holdTime, now)
 		warm := !now.Before(s.WarmAt)
 		in.Members = append(in.Members, shard.Member{
 			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost && (warm || len(m.Ranges) == 0), Lost: lost,
 		})
 		in.Addresses[id] = s.Address
 	}
-	h.remember(servers, in.Addresses)
+	h.remember(servers)
+	for id, s := range h.left {
+		in.Addresses[id] = s.Address
+		if s.Service == service && h.Roster.CutOff(s.Domain, holdTime, now) {
+			// It may only seem to have left: it keeps its keys for now.
+			in.Members = append(in.Members, shard.Member{ID: id, Address: s.Address, Slots: s.Slots})
+		}
+	}
 	return in
 }
 
-// remember keeps the addresses of servers that left.
-func (h *Holder) remember(servers map[string]rules.Server, addresses map[string]string) {
-	if h.addresses == nil {
-		h.addresses = map[string]string{}
-	}
-	for id, s := range servers {
-		h.addresses[id] = s.Address
-	}
-	for id, address := range h.addresses {
+// remember keeps what is known of servers that left.
+func (h *Holder) remember(servers map[string]rules.Server) {
+	for id, s := range h.present {
 		if _, there := servers[id]; !there {
-			addresses[id] = address
+			h.left[id] = s
 		}
 	}
+	for id := range servers {
+		delete(h.left, id)
+	}
+	h.present = servers
+	if len(h.left) > leftMost {
+		clear(h.left)
+	}
 }
 
-// failing counts for each server the instances that do not reach it.
-func (h *Holder) failing(now time.Time) map[string]int {
-	out := map[string]int{}
-	alive := h.Roster.Alive(now)
-	for _, p := range alive {
-		for _, id := range p.Beat.Failing {
-			out[id]++
-		}
-	}
-	if len(alive) < witnesses {
-		for id := range out {
-			out[id] = witnesses
+// failing returns the servers that those in charge of them do not reach. Others may have lost their
+// own way to a server: when a cut between two failure domains ended, the instances of one still
+// took the servers of the other for silent, though these had been renewed all the while.
+func (h *Holder) failing(servers map[string]rules.Server, now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for _, reporter := range h.Roster.Alive(now) {
+		for _, id := range reporter.Beat.Failing {
+			s, there := servers[id]
+			if !there || out[id] {
+				continue
+			}
+			charged := h.Roster.Rank(id, s.Domain, now)
+			charged = charged[:min(witnesses, len(charged))]
+			out[id] = !slices.ContainsFunc(charged, func(p roster.Peer) bool {
+				return !slices.Contains(p.Beat.Failing, id)
+			})
 		}
 	}
 	return out
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -51,8 +51,9 @@
 	chargedAt  time.Time
 	// pauseUntil keeps a failed write from being repeated at once.
 	pauseUntil time.Time
-	// addresses remembers those of servers that left.
-	addresses map[string]string
+	// present holds the servers as of the last decision, left those that were there before.
+	present map[string]rules.Server
+	left    map[string]rules.Server
 }
 
 // New returns a holder.
@@ -60,7 +61,7 @@
 	return &Holder{
 		Deps: d, guards: allGuards, know: newKnowledge(), updates: make(chan follow.Update, 16),
 		written: make(chan Written, 64), settled: make(chan settlement, 256), renewers: map[string]*renewer{},
-		moves: map[moveKey]*move{}, gathering: map[string]gathering{},
+		moves: map[moveKey]*move{}, gathering: map[string]gathering{}, left: map[string]rules.Server{},
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -81,7 +81,9 @@
 	// KnownAt is when the registration was read, HeardAt when the last heartbeat came.
 	KnownAt time.Time
 	HeardAt time.Time
-	Beat    Beat
+	// BackAt is when the instance was heard again after a silence.
+	BackAt time.Time
+	Beat   Beat
 
 	// doubted says that the instance did not answer a question since its last heartbeat.
 	doubted bool
@@ -217,6 +219,9 @@
 		return false
 	}
 	news := now.Sub(p.HeardAt) > r.quiet || b.Confirmed != p.Beat.Confirmed || len(b.Failing) != len(p.Beat.Failing)
+	if !p.HeardAt.IsZero() && now.Sub(p.HeardAt) > r.quiet {
+		p.BackAt = now
+	}
 	p.HeardAt, p.Beat, p.doubted = now, b, false
 	return news
 }
@@ -311,6 +316,34 @@
 	return now.Sub(p.KnownAt)
 }
 
+// CutOff reports whether a failure domain seems to be cut off: all of its instances fell silent,
+// the last of them no longer ago than the given time. It still does for backTime after they were
+// heard again.
+func (r *Roster) CutOff(domain string, most time.Duration, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	least := time.Duration(-1)
+	for _, p := range r.sorted {
+		if p.Domain != domain || p.Beat.Stopping {
+			continue
+		}
+		silent := p.Silent(now)
+		if r.alive(p, now) {
+			if now.Sub(p.BackAt) > backTime {
+				return false
+			}
+			silent = 0
+		}
+		if least < 0 || silent < least {
+			least = silent
+		}
+	}
+	return least >= 0 && least <= most
+}
+
+// backTime is how long after the end of a cut the entries of servers behind it may be missing.
+const backTime = 2500 * time.Millisecond
+
 // weigh returns a number that is smallest at the instance in charge: an exponential variate
 // whose rate is the instance's processor time, so that each gets things in proportion to it.
 func (p *Peer) weigh(thing uint64) float64 {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -154,3 +154,42 @@
 	p, _ := r.Leader(start)
 	is.Equal(p.Name, "strong")
 }
+
+func TestCutOff(t *testing.T) {
+	const long = time.Minute
+	tests := map[string]struct {
+		// one and three are for how long i1 and i3, the instances of d1, have been silent, or, if
+		// negative, there again after a silence.
+		one, three time.Duration
+		want       bool
+	}{
+		"all there":              {-long, -long, false},
+		"one is silent":          {5 * time.Second, -long, false},
+		"both are silent":        {5 * time.Second, 6 * time.Second, true},
+		"for too long":           {9 * time.Second, 10 * time.Second, false},
+		"the one for long":       {5 * time.Second, long, true},
+		"both are just back":     {-time.Second, -time.Second, true},
+		"one is back":            {-time.Second, 6 * time.Second, true},
+		"back for some time":     {-3 * time.Second, -time.Second, false},
+		"one was there all time": {-long, -time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New("i0", "d0")
+			fill(r, 4)
+			now := start.Add(time.Hour)
+			for name, silent := range map[string]time.Duration{"i0": -long, "i2": -long, "i1": test.one, "i3": test.three} {
+				from, to := now.Add(-silent-10*time.Second), now.Add(-silent)
+				if silent < 0 {
+					from, to = now.Add(silent), now
+				}
+				for at := from; !at.After(to); at = at.Add(200 * time.Millisecond) {
+					r.Heard(roster.Beat{Name: name, Incarnation: 1}, at)
+				}
+			}
+			is.Equal(r.CutOff("d1", 8*time.Second, now), test.want)
+			is.True(!r.CutOff("elsewhere", 8*time.Second, now))
+		})
+	}
+}
