Wake up and call the system less often

A profile of six instances against the stand-ins: system calls and the scheduler 40%, no function of ours above 5%.

Change: log lines are gathered for 40 ms and written together; keepers without waiting requests look at their permits each 50 ms, not each 10; accepted connections have no keep-alive probes (four calls each); grants are renewed three times in a lease, not four.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -4,6 +4,7 @@
 package event
 
 import (
+	"bufio"
 	"context"
 	"expvar"
 	"io"
@@ -12,6 +13,8 @@
 
 	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
+
+	"example.org/mustardring/internal/duty"
 )
 
 // Class orders events by how much they are missed when dropped.
@@ -35,8 +38,13 @@
 	failureRate  = 200
 	successRate  = 100
 	burstSeconds = 5
-	// reportEvery is how often dropped lines are reported, in seconds.
+	// reportEvery is how often dropped lines are reported.
 	reportEvery = 5 * time.Second
+	// gatherTime is how long lines are gathered before they are written together. Written one by
+	// one, each line costs a wake-up and a system call, which an instance with a sixth of a core
+	// feels at 60 requests a second.
+	gatherTime = 40 * time.Millisecond
+	writeSize  = 32 << 10
 )
 
 type line struct {
@@ -49,6 +57,7 @@
 // Log takes events.
 type Log struct {
 	ring    chan line
+	out     *bufio.Writer
 	logger  *log.Logger
 	limits  [3]*rate.Limiter
 	dropped [3]atomic.Int64
@@ -57,9 +66,11 @@
 
 // New returns a log that writes to w. Run writes what it takes.
 func New(w io.Writer, level log.Level) *Log {
+	out := bufio.NewWriterSize(w, writeSize)
 	l := &Log{
 		ring: make(chan line, ringSize),
-		logger: log.NewWithOptions(w, log.Options{
+		out:  out,
+		logger: log.NewWithOptions(out, log.Options{
 			Level: level, Formatter: log.LogfmtFormatter, ReportTimestamp: true,
 			TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 		}),
@@ -96,19 +107,39 @@
 func (l *Log) Run(ctx context.Context) error {
 	report := time.NewTicker(reportEvery)
 	defer report.Stop()
+	defer func() {
+		l.drain()
+		l.report()
+		l.flush()
+	}()
 	for {
 		select {
 		case n := <-l.ring:
-			l.write(n)
+			if l.write(n); !duty.Pause(ctx, gatherTime) {
+				return ctx.Err()
+			}
+			l.drain()
 		case <-report.C:
 			l.report()
 		case <-ctx.Done():
-			for len(l.ring) > 0 {
-				l.write(<-l.ring)
-			}
-			l.report()
 			return ctx.Err()
 		}
+		l.flush()
+	}
+}
+
+// drain writes what waits in the ring.
+func (l *Log) drain() {
+	for len(l.ring) > 0 {
+		l.write(<-l.ring)
+	}
+}
+
+// flush hands the lines to the system. What cannot be written is counted: there is no other place
+// to tell it.
+func (l *Log) flush() {
+	if err := l.out.Flush(); err != nil {
+		l.count.Add("write-failed", 1)
 	}
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -47,10 +47,11 @@
 // The times of rights.
 const (
 	// leaseTime is how long a grant is good for, from its arrival. A server that goes silent
-	// leaves its keys without an owner for as long; a renewal may fail three times in it.
+	// leaves its keys without an owner for as long; a renewal may fail twice in it.
 	leaseTime = 2200 * time.Millisecond
-	// renewEvery is how often a grant is renewed.
-	renewEvery = 550 * time.Millisecond
+	// renewEvery is how often a grant is renewed: three times in a lease, and again at once if one
+	// fails. With a thousand ranges renewals are half of all calls to servers.
+	renewEvery = 700 * time.Millisecond
 	// drift is the factor by which the clock of a server may be slow.
 	drift = 1.02
 	// flightTime is how long an order that was sent before it was given up may still take to
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,7 +206,10 @@
 	defer signal.Stop(signals)
 	n.events.Note(event.Belief, "start", "instance", n.settings.Name, "domain", n.settings.Domain,
 		"incarnation", n.incarnation, "first-start", n.settings.FirstStart)
-	front, err := net.Listen("tcp4", n.settings.Front)
+	// Callers that vanish are noticed by the limits on their time. Keep-alive probes would cost four
+	// system calls for each connection.
+	listener := net.ListenConfig{KeepAlive: -1}
+	front, err := listener.Listen(ctx, "tcp4", n.settings.Front)
 	if err != nil {
 		return fmt.Errorf("node: %w", err)
 	}
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -14,8 +14,12 @@
 	"example.org/mustardring/internal/rules"
 )
 
-// tickEvery is the pace at which keepers look at their queues.
-const tickEvery = 10 * time.Millisecond
+// The pace at which keepers look at their queues, and at the permits in use while nothing waits:
+// a hundred wake-ups a second were a tenth of an idle instance's processor time.
+const (
+	tickEvery = 10 * time.Millisecond
+	idleEvery = 50 * time.Millisecond
+)
 
 // permits gets permits for the requests of this instance, and keeps those of the services and
 // servers that it is in charge of.
@@ -25,36 +29,53 @@
 
 	mu      sync.Mutex
 	keepers map[string]*permit.Keeper
+	// waits says that a request begins to wait while none did.
+	waits chan struct{}
 }
 
 func newPermits(n *Node) *permits {
 	return &permits{
-		node: n, keepers: map[string]*permit.Keeper{},
+		node: n, keepers: map[string]*permit.Keeper{}, waits: make(chan struct{}, 1),
 		asker: newAsker(n.port.Send, n.keeperSilent, n.settings.CPUShare, n.settings.LinkMbps),
 	}
 }
 
 // run lets time pass for the keepers.
 func (p *permits) run(ctx context.Context) error {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(idleEvery)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
-			p.tick()
+		case <-timer.C:
+		case <-p.waits:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if p.tick() {
+			timer.Reset(tickEvery)
+		} else {
+			timer.Reset(idleEvery)
+		}
 	}
 }
 
-func (p *permits) tick() {
+// wake quickens the pace, as a request waits.
+func (p *permits) wake() {
+	select {
+	case p.waits <- struct{}{}:
+	default:
+	}
+}
+
+// tick reports whether requests wait.
+func (p *permits) tick() (waiting bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	for service, k := range p.keepers {
 		if !k.Idle() {
 			p.deliver(k.Tick(now))
+			waiting = true
 		}
 		for _, key := range k.Doubtful(now) {
 			if to, err := netip.ParseAddrPort(key.From); err == nil {
@@ -65,6 +86,7 @@
 			p.node.events.Note(event.Belief, "permits-expired", "service", service, "count", n)
 		}
 	}
+	return waiting
 }
 
 // keeper returns the keeper of a service; the lock is held.
@@ -153,7 +175,12 @@
 		TargetAt: now.Add(time.Duration(m.TargetIn) * time.Millisecond),
 		LimitAt:  now.Add(time.Duration(m.LimitIn) * time.Millisecond),
 	}
-	p.deliver([]permit.Verdict{p.keeper(m.Service).Ask(now, a)})
+	k := p.keeper(m.Service)
+	idle := k.Idle()
+	p.deliver([]permit.Verdict{k.Ask(now, a)})
+	if idle && !k.Idle() {
+		p.wake()
+	}
 }
 
 func (p *permits) returned(from netip.AddrPort, m gram.Done) {
@@ -255,6 +282,9 @@
 	p.mu.Lock()
 	m := message(p.keeper(a.Service).Ask(time.Now(), a))
 	p.mu.Unlock()
+	if !final(m) {
+		p.wake()
+	}
 	for !final(m) {
 		select {
 		case m = <-verdicts:
