Prefer servers to which the instance has a connection

Change: a server without a connection from the asking instance costs 0.3 of a mean time more.

Test TestConnectionsAreUsedAgain: 3,848 and 142 new connections for 8,400 requests.

--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -32,6 +32,10 @@
 	// each kilobyte of the answer: bytes between domains are dear, and large answers make up
 	// nearly all of them.
 	crossPerKB = 2 * time.Millisecond
+	// openCost is what a new connection costs, in units of a server's mean time: it takes a slot for
+	// a millisecond, and operators weigh them. Of 8,400 requests that 40 instances send to 60 servers
+	// 3,848 need a new one without it, 142 with it (TestConnectionsAreUsedAgain).
+	openCost = 0.3
 	// crossMost bounds that wait as a part of the time to the target.
 	crossMost = 0.35
 	// retryLeast and retryShare bound the time after which a refused caller should return: no
@@ -243,6 +247,9 @@
 		if now.Before(s.WarmAt) {
 			cost++
 		}
+		if !s.open(w.From, now) {
+			cost += openCost
+		}
 		if s.ID == w.Avoid {
 			cost += 100
 		}
@@ -259,6 +266,7 @@
 
 func (k *Keeper) grant(now time.Time, s *server, w *waiting) Verdict {
 	expect := s.expect(k.route(w.Route, 0))
+	s.sentAt[w.From] = now
 	s.uses[w.Key] = use{
 		since: now, expect: expect, expireAt: w.LimitAt.Add(overdue),
 		doubtAt: now.Add(time.Duration(doubtShare*float64(expect)) + doubtLeast),
--- a/internal/permit/load_test.go
+++ b/internal/permit/load_test.go
@@ -312,3 +312,51 @@
 	is.Equal(k.Ask(start, w), permit.Waiting{Key: w.Key})
 	is.Equal(k.SetServers(start, nil), []permit.Verdict{permit.Refused{Key: w.Key, Reason: permit.Gone}})
 }
+
+// Forty instances send requests to sixty servers that will all do, each seven in a second. Nearly
+// each request went over a new connection, as each server was asked by an instance only every now and
+// then and closes idle connections after ten seconds. Of 8,400 requests 3,848 needed a new one when
+// servers were chosen without regard to it, 142 with it.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	is := is.New(t)
+	var servers []rules.Server
+	for i := range 60 {
+		servers = append(servers, server(fmt.Sprintf("s%02d", i), "north", 4))
+	}
+	k := newKeeper(servers...)
+	now := start
+	random := rand.New(rand.NewPCG(1, 2))
+	type pair struct{ from, server string }
+	usedAt := map[pair]time.Time{}
+	opened, sent := 0, 0
+	type running struct {
+		key    permit.Key
+		server string
+		until  time.Time
+	}
+	var all []running
+	for i := range uint64(8400) {
+		now = now.Add(time.Second / 280)
+		for len(all) > 0 && now.After(all[0].until) {
+			k.Done(now, permit.Done{Key: all[0].key, Server: all[0].server, Route: "read", Took: 500 * time.Millisecond})
+			all = all[1:]
+		}
+		a := ask(i, now)
+		a.From = fmt.Sprintf("i%d", random.IntN(40))
+		a.TargetAt, a.LimitAt = now.Add(1500*time.Millisecond), now.Add(3*time.Second)
+		g, granted := k.Ask(now, a).(permit.Granted)
+		if !granted {
+			continue
+		}
+		sent++
+		p := pair{a.From, g.Server}
+		if at, known := usedAt[p]; !known || now.Sub(at) > 8*time.Second {
+			opened++
+		}
+		usedAt[p] = now
+		all = append(all, running{a.Key, g.Server, now.Add(500 * time.Millisecond)})
+	}
+	t.Logf("%d new connections for %d requests", opened, sent)
+	is.True(sent > 8000)
+	is.True(opened < sent/4)
+}
--- a/internal/permit/server.go
+++ b/internal/permit/server.go
@@ -33,6 +33,9 @@
 	// heardLeast is the number of answers from which on a server's speed is told to others: as
 	// many as make two thirds of it.
 	heardLeast = 10
+	// openTime is how long an instance's connection to a server is open after its last request:
+	// below the 8 seconds for which instances keep idle ones.
+	openTime = 6 * time.Second
 	// doubtShare and doubtLeast, in multiples of the expected time and besides it, are when a
 	// permit is doubted, doubtEvery how often from then on.
 	doubtShare = 1.5
@@ -65,13 +68,15 @@
 	// foreign is the number of requests of others at the server, as of its last report.
 	foreign      int
 	foreignUntil time.Time
+	// sentAt is when each instance last got a permit for this server.
+	sentAt map[string]time.Time
 	// heard is the number of answers that the speed was learnt from, told that of the last report.
 	heard int
 	told  int
 }
 
 func newServer(s rules.Server) *server {
-	return &server{Server: s, uses: map[Key]use{}, speed: 1, asideNext: asideLeast}
+	return &server{Server: s, uses: map[Key]use{}, sentAt: map[string]time.Time{}, speed: 1, asideNext: asideLeast}
 }
 
 // busy returns how many requests are at the server.
@@ -83,6 +88,12 @@
 	return n
 }
 
+// open reports whether an instance is likely to have a connection to the server.
+func (s *server) open(from string, now time.Time) bool {
+	at, known := s.sentAt[from]
+	return known && now.Sub(at) < openTime
+}
+
 // free reports whether a request may be sent now.
 func (s *server) free(now time.Time) bool {
 	return s.busy(now) < s.Slots && !now.Before(s.fullUntil)
