--- /dev/null
+++ b/internal/node/read.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/duty"
+	"example.org/mustardring/internal/follow"
+)
+
+// The pace of what a node does.
+const (
+	// pollWait is how long a read of a topic waits for news where others rely on nobody's reads,
+	// pollLeast and pollMost bound that time for the leader.
+	pollWait  = 20 * time.Second
+	pollLeast = 400 * time.Millisecond
+	pollMost  = 1500 * time.Millisecond
+	// ownersEvery is how often the owners are read. The leader reads often: its heartbeats keep
+	// the others' knowledge fresh, which bridges outages of the store. Who has not heard for
+	// ownersAge reads as well, well before its knowledge is too old to act on.
+	ownersEvery       = 3 * time.Second
+	ownersEveryLeader = 1500 * time.Millisecond
+	ownersAge         = 6 * time.Second
+	// settleLeast, and settleEach for each instance, join the changes of servers that come close
+	// together into one call, as when 300 start one after the other within 8 seconds. It is a
+	// part of the two seconds and more in which a leaving server must be known.
+	settleLeast = 200 * time.Millisecond
+	settleEach  = 9 * time.Millisecond
+	settleMost  = 800 * time.Millisecond
+	configPause = 10 * time.Millisecond
+)
+
+// newTopics returns what follows the topics of the store.
+func (n *Node) newTopics() map[string]*follow.Topic {
+	calm := func() time.Duration { return configPause }
+	out := map[string]*follow.Topic{
+		n.around.Config:  {Direct: n.reads, Wait: n.pollWait, Settle: calm, Latest: true, Overdue: n.overdue},
+		n.around.Servers: {Direct: n.reads, Wait: n.pollWait, Settle: n.settle, Overdue: n.overdue},
+		n.around.Owners:  {Direct: n.readsOwners, Every: n.ownersEvery, Settle: calm},
+	}
+	for name, t := range out {
+		t.Store, t.Name, t.Clock, t.Out = n.around.Store, name, clock.Boot{}, n.updates
+		t.Again, t.News, t.Retry = n.again[name], n.news[name], overdueRetry
+	}
+	return out
+}
+
+func (n *Node) follow(duties *duty.Group) {
+	for name, t := range n.topics {
+		duties.Go("follow-"+name, func(ctx context.Context) error {
+			if name == n.around.Owners && !n.awaitRegistration(ctx) {
+				return ctx.Err()
+			}
+			return t.Run(ctx)
+		})
+	}
+}
+
+// awaitRegistration waits until the instance is registered: what is read of the owners counts
+// from then on.
+func (n *Node) awaitRegistration(ctx context.Context) bool {
+	select {
+	case <-n.registered:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// The times of reading although others should.
+const (
+	// overdueSlack is how late the word of the leader may come that nothing is missing.
+	overdueSlack = 250 * time.Millisecond
+	// overdueReserve is kept of the time in which news must be known everywhere: the slack and the
+	// spread, the pause between two looks at the age, a read, and what follows from it.
+	overdueReserve = time.Second
+	// overdueSpread, overdueEach for each instance, keeps instances from reading at the same
+	// moment: the first that reads tells the others within some 15 milliseconds.
+	overdueSpread = 300 * time.Millisecond
+	overdueEach   = 25 * time.Millisecond
+	// overdueRetry is the pause after such a read has failed. Eleven instances make 20 calls a
+	// second for as long as the store is down for all of them.
+	overdueRetry = time.Second
+	// provenSlack is how much longer than the leader waits for an answer the store counts as
+	// proven to answer an instance: the leader is to stay what it is.
+	provenSlack = 500 * time.Millisecond
+)
+
+// overdue returns the age of the knowledge that nothing is missing from which on this instance
+// reads for itself.
+func (n *Node) overdue() time.Duration {
+	spread := min(overdueSpread, time.Duration(n.instances())*overdueEach)
+	part := float64(xxhash.Sum64String(n.settings.Name)>>11) / (1 << 53)
+	return n.pollLeader() + n.roster.LeaderEvery() + overdueSlack + time.Duration(part*float64(spread))
+}
+
+// reads reports whether this instance reads configuration and directory from the store: the
+// leader does, and tells the others. Three more that read as well cost a third of all calls and
+// were of no more use than the others are, each of which reads when word is overdue.
+func (n *Node) reads() bool { return n.holder.Leads() }
+
+// readsOwners reports whether this instance reads the owners from the store: the leader does,
+// and who has not heard from others for some time that nothing has changed.
+func (n *Node) readsOwners() bool { return n.holder.Leads() || n.holder.Age() > ownersAge }
+
+func (n *Node) settle() time.Duration {
+	return min(max(settleLeast, time.Duration(n.instances())*settleEach), settleMost)
+}
+
+func (n *Node) pollWait() time.Duration {
+	if n.holder.Leads() {
+		return n.pollLeader()
+	}
+	return pollWait
+}
+
+// pollLeader returns how long a read of the leader waits for news. Should the leader be lost, the
+// others read for themselves after that time and the pause between two heartbeats, and must still
+// know within the bounds of the users.
+func (n *Node) pollLeader() time.Duration {
+	bound := n.settings.Bounds.DrainSeconds
+	if c := n.settings.Bounds.ConfigSeconds; c > 0 {
+		bound = min(bound, c)
+	}
+	wait := time.Duration(bound*float64(time.Second)) - overdueReserve - n.roster.LeaderEvery()
+	return min(max(wait, pollLeast), pollMost)
+}
+
+func (n *Node) ownersEvery() time.Duration {
+	if n.holder.Leads() {
+		return ownersEveryLeader
+	}
+	return ownersEvery
+}
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -207,18 +207,6 @@
 
 func (s *server) expect(r *route) time.Duration { return time.Duration(float64(r.mean) * s.speed) }
 
-// ahead returns how many requests of the same or a better rank wait for the same servers, and
-// their work.
-func (k *Keeper) ahead(w *waiting) (count int, work time.Duration) {
-	for _, o := range k.queue {
-		if o.Server == w.Server && rank(o, w) <= 0 {
-			count++
-			work += o.expect
-		}
-	}
-	return count, work
-}
-
 // choose returns the best server that is free for a request, nil if there is none.
 func (k *Keeper) choose(now time.Time, w *waiting) *server {
 	if w.Server != "" {
@@ -274,46 +262,6 @@
 	return Granted{Key: w.Key, Server: s.ID}
 }
 
-// predict returns how long a request would wait behind the given work.
-func (k *Keeper) predict(now time.Time, w *waiting, work time.Duration) time.Duration {
-	if w.Server != "" {
-		s := k.servers[w.Server]
-		_, next := s.left(now)
-		return time.Duration(float64(next+work/time.Duration(s.Slots)) / k.leftOver(now, w.Priority))
-	}
-	next, power := time.Duration(-1), 0.0
-	for _, s := range k.servers {
-		_, n := s.left(now)
-		if next < 0 || n < next {
-			next = n
-		}
-		power += float64(s.Slots) / s.speed
-	}
-	wait := time.Duration((float64(next) + float64(work)/max(power, 0.1)) / k.leftOver(now, w.Priority))
-	if cross := w.crossAt.Sub(now); wait < cross {
-		return cross
-	}
-	return wait
-}
-
-// fits reports whether a request that waits for the given time is served in time: within its
-// target, or, where that is out of reach, within its limit and in room that is left over.
-func (k *Keeper) fits(now time.Time, w *waiting, wait time.Duration) bool {
-	finish := wait + w.expect
-	if finish <= time.Duration(targetShare*float64(w.TargetAt.Sub(now))) {
-		return true
-	}
-	return w.late && wait <= lateShare*w.expect && finish <= time.Duration(limitShare*float64(w.LimitAt.Sub(now)))
-}
-
-// retryIn returns when a refused caller should come back: when the wait that was predicted is
-// over, but early enough to be served.
-func (k *Keeper) retryIn(now time.Time, a Ask, wait time.Duration) time.Duration {
-	most := time.Duration(retryShare * float64(a.LimitAt.Sub(now)))
-	in := max(min(wait, most), retryLeast)
-	return time.Duration(float64(in) * (1 + retrySpread*(k.random.Float64()-0.5)))
-}
-
 // Withdraw removes a request that no longer waits, or gives its permit back.
 func (k *Keeper) Withdraw(now time.Time, key Key) []Verdict {
 	k.queue = slices.DeleteFunc(k.queue, func(w *waiting) bool { return w.Key == key })
