Presume that registered instances are there until their first heartbeat is due

Heartbeats had not come yet, so each instance took itself for the only one, renewed all grants of 234 servers and kept the permits of all by itself.

Change: a registered instance that was never heard counts as alive for the time of one pause between heartbeats and 0.3 s. Who leads still needs a heartbeat. Test: TestInstancesThatStartTogether (before it each of 100 servers was in charge of all 20 instances).

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -225,11 +225,26 @@
 	return news
 }
 
-// alive reports whether an instance can be given work.
+// alive reports whether an instance can be given work. One that was never heard is given the time
+// for a first heartbeat: when 81 instances started together, each took itself for the only one and
+// renewed the grants of all 234 servers, which took small ones five seconds.
 func (r *Roster) alive(p *Peer, now time.Time) bool {
-	return p.Name == r.self || now.Sub(p.HeardAt) <= r.quiet && !p.doubted
+	switch {
+	case p.Name == r.self:
+		return true
+	case p.doubted:
+		return false
+	case p.HeardAt.IsZero():
+		return now.Sub(p.KnownAt) <= pace(len(r.peers))+firstBeat
+	default:
+		return now.Sub(p.HeardAt) <= r.quiet
+	}
 }
 
+// firstBeat is what an instance needs to start and to read the register, besides the pause between
+// two heartbeats: some 0.15 seconds, twice that on a sixth of a core.
+const firstBeat = 300 * time.Millisecond
+
 // Others returns the registered instances but this one.
 func (r *Roster) Others() []Peer {
 	r.mu.Lock()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -193,3 +193,30 @@
 		})
 	}
 }
+
+// After a loss of power all instances started at the same time, with the register of before in the
+// store. None had heard of another yet, so that each renewed all grants and kept the permits of all
+// servers by itself. The service was back after five seconds.
+func TestInstancesThatStartTogether(t *testing.T) {
+	is := is.New(t)
+	charges := map[string]int{}
+	for i := range 20 {
+		self := fmt.Sprintf("i%d", i)
+		r := roster.New(self, "d0")
+		for j := range 20 {
+			r.Put(fmt.Sprintf("i%d", j), roster.Entry{Incarnation: 1, Share: 1, Domain: "d0"}, start)
+		}
+		for j := range 100 {
+			if thing := fmt.Sprintf("server-%d", j); r.Rank(thing, "d0", start.Add(100*time.Millisecond))[0].Name == self {
+				charges[thing]++
+			}
+		}
+		is.Equal(len(r.Alive(start.Add(2*time.Second))), 1) // those that stay silent are not there
+		_, found := r.Leader(start)
+		is.True(!found) // nobody leads whom nobody has heard
+	}
+	is.Equal(len(charges), 100)
+	for _, n := range charges {
+		is.Equal(n, 1)
+	}
+}
