Give keys to servers that have just started, by half of their power

Cause: a server got no keys for the three seconds for which it is slow after its start. Where servers are replaced (release, 18 of 45 in 17 s) the keys of those that leave went to busy ones and three seconds later on to the new ones, which stood idle until then.

Test: TestKeysGoToTheNewServerAtOnce (without it the new server has none of the keys).

--- a/internal/holder/hold_test.go
+++ b/internal/holder/hold_test.go
@@ -104,3 +104,36 @@
 		})
 	}
 }
+
+// Servers are replaced one after the other: the new one starts, then the old one says that it
+// leaves. Keys of the old one went to others that were busy, and three seconds later, when the new
+// one was warm, on to that one: each key moved twice, and the new server stood idle meanwhile.
+func TestKeysGoToTheNewServerAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(ctx)
+		time.Sleep(5 * time.Second)
+		w.addBackend("new", "server-new", "d0")
+		w.mu.Lock()
+		w.backends["new"].WarmAt = time.Now().Add(3 * time.Second)
+		w.backends["s0"].Draining = true
+		w.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		owners := map[string]int{}
+		w.mu.Lock()
+		for _, r := range w.nodes["i0"].holder.Owners().Maps[service].Ranges {
+			owners[r.Server] += r.Len()
+		}
+		w.mu.Unlock()
+		is.Equal(owners["s0"], 0)
+		// It can do half of what the others can while it is cold, and gets half of what s0 had.
+		is.True(owners["new"] >= (1<<16)/6*9/10/2)
+		cancel()
+		for _, n := range w.others("") {
+			<-n.ended
+		}
+		w.pending.Wait()
+		is.Equal(len(w.faults), 0)
+	})
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -100,6 +100,10 @@
 	// servers while those of the domain had nothing to do. A domain that is lost for good costs
 	// as much longer until its keys are served elsewhere.
 	holdTime = 7500 * time.Millisecond
+	// coldPower is what a server that has just started can do, as a part of what it will: it takes
+	// twice as long for some seconds. Where servers are replaced, the keys of those that leave go
+	// to the new ones at once, not first to others that are busy and then on.
+	coldPower = 0.5
 	// registerSilence is how long an instance may be silent before its record is removed: longer
 	// than holdTime, which looks at registered instances.
 	registerSilence = 8 * time.Second
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -206,9 +206,11 @@
 			}
 		}
 		lost := s.Draining || failing[id] && !h.Roster.CutOff(s.Domain, holdTime, now)
-		warm := !now.Before(s.WarmAt)
+		if now.Before(s.WarmAt) {
+			power *= coldPower
+		}
 		in.Members = append(in.Members, shard.Member{
-			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost && (warm || len(m.Ranges) == 0), Lost: lost,
+			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost, Lost: lost,
 		})
 		in.Addresses[id] = s.Address
 	}
