Tell the others at once of news that is too large to pass on

Change: the reader sends word of the end without the records, and the others read. Test: TestNewsWithoutRecords.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -183,6 +183,29 @@
 	})
 }
 
+// A configuration with 1,400 routes was too large to be passed on in a message. The others learnt
+// of it from the second heartbeat that named it, half a second later. Word without the records
+// makes them read at once.
+func TestNewsWithoutRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put("config", "1")
+		news := make(chan follow.News, 4)
+		out := watch(t, &follow.Topic{Store: s, Direct: never, Latest: true, News: news})
+		<-out
+		s.put("config", "2")
+		began := time.Now()
+		news <- follow.News{From: 2, Batch: follow.Batch{End: 2}}
+		u := <-out
+		is.Equal(string(u.Records[0].Value), "2")
+		is.True(time.Since(began) < 50*time.Millisecond)
+		news <- follow.News{From: 2, Batch: follow.Batch{End: 2}} // known by now
+		time.Sleep(time.Second)
+		is.Equal(len(out), 0)
+	})
+}
+
 // An instance on a thin link read twenty versions of a large configuration to come to the last
 // one, ran out of time, and began anew, for five seconds.
 func TestLatest(t *testing.T) {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -90,9 +90,13 @@
 	for _, r := range u.Records {
 		size += len(r.Key) + len(r.Value)
 	}
-	if n.affordable(size) {
-		n.tellAll(gram.News{Topic: u.Topic, News: follow.News{From: u.From, Age: n.ageOf(u).Milliseconds(), Batch: u.Batch}})
+	news := follow.News{From: u.From, Age: n.ageOf(u).Milliseconds(), Batch: u.Batch}
+	if !n.affordable(size) {
+		// Too large to pass on: the others hear that there is news, and read it themselves. From
+		// heartbeats alone they would know half a second later.
+		news.From, news.Records = u.End, nil
 	}
+	n.tellAll(gram.News{Topic: u.Topic, News: news})
 }
 
 // ageOf returns how long ago the oldest record of an update can have been written, zero if that
