Date records by a wait only where a read waited

Cause, found by reading: a read that did not wait for news but took 0.1 s, as while the store is slow, dated its records as just written, so that a leaving server could get requests up to a second longer.

Change: only a read that was to wait is dated by its answer. Names: estimate and date for reckon. Tests pass as before.

--- a/internal/edge/patience.go
+++ b/internal/edge/patience.go
@@ -23,9 +23,9 @@
 	bandStep = 0.02
 	// bandHalf is the time after which a request counts half.
 	bandHalf = 15 * time.Second
-	// bandEvery is how often the band is reckoned anew.
+	// bandEvery is how often the band is estimated.
 	bandEvery = 500 * time.Millisecond
-	// bandLeast is the number of requests from which on a band is reckoned.
+	// bandLeast is the number of requests from which on a band is estimated.
 	bandLeast = 30
 	// topShare is the share of requests that may state more than the band's top: a few callers
 	// wait several times as long as the rest.
@@ -54,12 +54,12 @@
 	total   float64
 	refused float64
 	at      time.Time
-	// reckonedAt is when floor and first were reckoned. Floor is what a first request states at
+	// estimatedAt is when floor and first were estimated. Floor is what a first request states at
 	// least, as a part of top; first is what one states on average.
-	reckonedAt time.Time
-	top        time.Duration
-	floor      float64
-	first      time.Duration
+	estimatedAt time.Time
+	top         time.Duration
+	floor       float64
+	first       time.Duration
 }
 
 func (p *patience) band(route string, now time.Time) *band {
@@ -82,9 +82,9 @@
 	b := p.band(route, now)
 	b.classes[classOf(stated)]++
 	b.total++
-	if now.Sub(b.reckonedAt) >= bandEvery {
+	if now.Sub(b.estimatedAt) >= bandEvery {
 		b.decay(now)
-		b.reckon(now)
+		b.estimate(now)
 	}
 	if float64(stated) >= b.floor*float64(b.top) {
 		return false, 0
@@ -117,9 +117,9 @@
 	}
 }
 
-// reckon finds the band.
-func (b *band) reckon(now time.Time) {
-	b.reckonedAt = now
+// estimate finds the band.
+func (b *band) estimate(now time.Time) {
+	b.estimatedAt = now
 	classes := make([]int, 0, len(b.classes))
 	for class := range b.classes {
 		classes = append(classes, class)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -279,7 +279,7 @@
 	}
 	if u.Whole {
 		u.Batch, u.Err = t.Store.Newest(ctx, t.Name)
-		t.reckon(&u, u.Err == nil)
+		t.date(&u, false, u.Err == nil)
 		return u
 	}
 	wait := time.Duration(0)
@@ -294,18 +294,18 @@
 			// The answer may be cut short of the end: the next read goes on behind it.
 			u.End = u.Records[n-1].Offset + 1
 		}
-		t.reckon(&u, u.End >= end)
+		t.date(&u, wait > 0, u.End >= end)
 	}
 	return u
 }
 
-// reckon notes since when the records of an update may have been there, and, if the update
-// reaches the end of the topic, up to when nothing is missing.
-func (t *Topic) reckon(u *Update, reachesEnd bool) {
+// date notes since when the records of an update may have been there, and, if the update reaches the
+// end of the topic, up to when nothing is missing. Waits says that the read waited for news.
+func (t *Topic) date(u *Update, waits, reachesEnd bool) {
 	now := t.Clock.Now()
 	took := now.Sub(u.BegunAt)
 	u.Since = clock.Instant(t.complete.Load())
-	if !u.Whole && took >= waitedTime {
+	if waits && took >= waitedTime {
 		u.Since = now.Add(-waitedTime)
 	}
 	if reachesEnd {
