Tell an instance that the store refuses all that others know of the owners

One instance that the store refused was behind (`behind` 24 to 42 times in two seconds from 10 to 18 s): a record of the register had been written, of which no message tells, so the records after it did not follow what it knew. It confirmed nothing, and moves from a silent server waited twelve seconds for it: `no-owner` for 86 to 276 of 390 requests in two seconds from 12 to 22 s, a busy key among them.

Ruled out: a lost instance (all were heard), the store for all (others wrote).

Change: an instance that is behind and has no answer of the store asks the one that knows more, which sends all it knows. The freshness of the knowledge is proven by heartbeats as before; the random schedules play it too.

Test: TestRefusedInstanceIsTold (fails without help).

--- a/internal/gram/gram.go
+++ b/internal/gram/gram.go
@@ -91,6 +91,15 @@
 		Fence   uint64
 		Changes []shard.Range
 	}
+	// Behind says that an instance knows of the owners up to an offset only, and that the store
+	// refuses it. All is the answer of one that knows more: the records of maps by service and
+	// those of instances by name.
+	Behind struct{ End int64 }
+	All    struct {
+		End       int64
+		Maps      map[string][]byte
+		Instances map[string][]byte
+	}
 	// News is what an instance read of a topic of the store.
 	News struct {
 		Topic string
@@ -122,6 +131,8 @@
 func (Settled) kind() byte   { return 9 }
 func (News) kind() byte      { return 10 }
 func (Check) kind() byte     { return 11 }
+func (Behind) kind() byte    { return 12 }
+func (All) kind() byte       { return 13 }
 
 // Received is a message with its sender's address.
 type Received struct {
@@ -176,6 +187,10 @@
 		return decode[News](data[1:])
 	case 11:
 		return decode[Check](data[1:])
+	case 12:
+		return decode[Behind](data[1:])
+	case 13:
+		return decode[All](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/holder/hold_test.go
+++ b/internal/holder/hold_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/roster"
 )
 
 // newWorld starts two failure domains with two instances and three servers each, without faults.
@@ -137,3 +139,36 @@
 		is.Equal(len(w.faults), 0)
 	})
 }
+
+// The store refused one of four instances, which went on hearing the others. A record was written
+// that no message tells of; from then on it could not follow, did not confirm what came later, and a
+// server that fell silent kept its keys without service for fourteen seconds. It is told all by one
+// that knows more.
+func TestRefusedInstanceIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(ctx)
+		w.helps = 1
+		time.Sleep(5 * time.Second)
+		w.cut("i3", "store", time.Hour)
+		time.Sleep(2 * time.Second)
+		value, err := roster.Entry{Address: "x", Domain: "d0", Incarnation: 1, Share: 0.1, Ended: true}.Encode()
+		is.NoErr(err)
+		_, err = w.store.append(ownersTopic, InstanceKey("x"), value, -1)
+		is.NoErr(err)
+		time.Sleep(3 * time.Second)
+		for i := range 4 {
+			w.cut(fmt.Sprintf("i%d", i), "server-0", time.Hour)
+		}
+		time.Sleep(7 * time.Second)
+		is.Equal(w.nodes["i3"].holder.Owners().End, w.nodes["i0"].holder.Owners().End)
+		is.Equal(w.served(), 256)
+		cancel()
+		for _, n := range w.others("") {
+			<-n.ended
+		}
+		w.pending.Wait()
+		is.Equal(len(w.faults), 0)
+	})
+}
--- a/internal/holder/know.go
+++ b/internal/holder/know.go
@@ -156,3 +156,15 @@
 	k.owners = &Owners{Maps: all, Instances: k.owners.Instances, End: offset + 1}
 	return true
 }
+
+// adopt takes in all that another instance knows, if that is more. It is what the store held up to
+// an offset, so acting by it is right; that nothing follows it is known only from a read.
+func (k *knowledge) adopt(o *Owners) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if o.End <= k.owners.End {
+		return false
+	}
+	k.owners = o
+	return true
+}
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -22,6 +22,7 @@
 	know    *knowledge
 	updates chan follow.Update
 	written chan Written
+	adopted chan *Owners
 	// settled takes moves that are complete.
 	settled chan settlement
 	jobs    sync.WaitGroup
@@ -60,7 +61,7 @@
 func New(d Deps) *Holder {
 	return &Holder{
 		Deps: d, guards: allGuards, know: newKnowledge(), updates: make(chan follow.Update, 16),
-		written: make(chan Written, 64), settled: make(chan settlement, 256), renewers: map[string]*renewer{},
+		written: make(chan Written, 64), adopted: make(chan *Owners, 4), settled: make(chan settlement, 256), renewers: map[string]*renewer{},
 		moves: map[moveKey]*move{}, gathering: map[string]gathering{}, left: map[string]rules.Server{},
 	}
 }
@@ -126,6 +127,8 @@
 			h.fold(u)
 		case e := <-h.written:
 			h.extend(e)
+		case o := <-h.adopted:
+			h.adopt(o)
 		case s := <-h.settled:
 			h.finish(s)
 		case <-ticker.C:
@@ -167,6 +170,27 @@
 	h.confirm(before, h.know.get())
 }
 
+// Adopted takes all that another instance knows of the owners.
+//
+// An instance that the store refuses hears of owners by message only. Once a message was missing, or
+// a record was written that no message tells of, it stayed behind until the store let it in again:
+// requests for moved keys failed there, and each move from a silent server waited twelve seconds for
+// it. So it asks one that knows more.
+func (h *Holder) Adopted() chan<- *Owners { return h.adopted }
+
+// adopt takes in all that another instance knows.
+func (h *Holder) adopt(o *Owners) {
+	before := h.know.get()
+	if !h.know.adopt(o) {
+		return
+	}
+	h.Events.Note(event.Belief, "owners-adopted", "offset", o.End, "known-before", before.End)
+	h.see(o)
+	h.enlist(before, o)
+	h.Changed()
+	h.confirm(before, o)
+}
+
 // see notes since when each move is known. Its record was in the store by then, so that the
 // time after which nobody can act on an older one counts from there, whoever leads meanwhile.
 func (h *Holder) see(known *Owners) {
--- a/internal/holder/world_test.go
+++ b/internal/holder/world_test.go
@@ -129,9 +129,11 @@
 	lateOrders  float64
 	lostAppends float64
 	lostPeers   float64
-	faults      []string
-	moved       int
-	guards      guards
+	// helps is the chance that an instance which is behind is told all by one that is not.
+	helps  float64
+	faults []string
+	moved  int
+	guards guards
 }
 
 // trace returns where the instances log to: MUSTARDRING_TRACE asks for the lines of a schedule.
@@ -280,6 +282,12 @@
 					b.EchoAt = echoes[o.name]
 					o.roster.Heard(b, time.Now())
 					o.holder.Hear(b)
+					if known := n.holder.Owners(); known.End > o.holder.Owners().End && n.world.chance(n.world.helps) {
+						select {
+						case o.holder.Adopted() <- known:
+						default:
+						}
+					}
 				}
 			}
 		}
--- a/internal/node/beats.go
+++ b/internal/node/beats.go
@@ -112,7 +112,9 @@
 	n.roster.Heard(b, now)
 	n.holder.Hear(b)
 	version, end := n.known()
-	n.compare(n.around.Owners, b.Known, n.holder.Owners().End, now)
+	if n.compare(n.around.Owners, b.Known, n.holder.Owners().End, now) {
+		n.askForOwners(b.Name)
+	}
 	n.compare(n.around.Config, int64(b.Config), int64(version), now)
 	n.compare(n.around.Servers, b.Servers, end, now)
 	n.hearComplete(b, version, end)
@@ -126,10 +128,12 @@
 	return version, n.world.end.Load()
 }
 
-// compare reads a topic again if this instance is behind another one for too long.
-func (n *Node) compare(topic string, theirs, mine int64, now time.Time) {
-	if n.behind[topic].hear(theirs, mine, now) {
-		n.events.Note(event.Belief, "behind", "topic", topic, "known", mine, "known-elsewhere", theirs)
-		n.readAgain(topic)
+// compare reads a topic again, and reports so, if this instance is behind another one for too long.
+func (n *Node) compare(topic string, theirs, mine int64, now time.Time) bool {
+	if !n.behind[topic].hear(theirs, mine, now) {
+		return false
 	}
+	n.events.Note(event.Belief, "behind", "topic", topic, "known", mine, "known-elsewhere", theirs)
+	n.readAgain(topic)
+	return true
 }
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -172,6 +172,10 @@
 		n.loads.take(m, time.Now())
 	case gram.Owners:
 		n.hearOwners(m)
+	case gram.Behind:
+		n.help(r.From, m)
+	case gram.All:
+		n.hearAll(m)
 	case gram.News:
 		n.hearNews(m)
 	case gram.Settled:
