--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -57,7 +57,7 @@
 		is.True(w.calls <= 3)
 		l.Note(Belief, "stop")
 		cancel()
-		<-ended
+		is.True(errors.Is(<-ended, context.Canceled))
 		is.Equal(w.lines(), 51) // the last line is written at the end
 	})
 }
@@ -82,7 +82,7 @@
 		go func() { ended <- l.Run(ctx) }()
 		time.Sleep(time.Second)
 		cancel()
-		<-ended
+		is.True(errors.Is(<-ended, context.Canceled))
 		is.True(l.Counts().Get("write-failed") != nil)
 	})
 }
--- a/internal/gram/gram.go
+++ b/internal/gram/gram.go
@@ -92,10 +92,10 @@
 		Changes []shard.Range
 	}
 	// Behind says that an instance knows of the owners up to an offset only, and that the store
-	// refuses it. All is the answer of one that knows more: the records of maps by service and
+	// refuses it. Known is the answer of one that knows more: the records of maps by service and
 	// those of instances by name.
 	Behind struct{ End int64 }
-	All    struct {
+	Known  struct {
 		End       int64
 		Maps      map[string][]byte
 		Instances map[string][]byte
@@ -132,7 +132,7 @@
 func (News) kind() byte      { return 10 }
 func (Check) kind() byte     { return 11 }
 func (Behind) kind() byte    { return 12 }
-func (All) kind() byte       { return 13 }
+func (Known) kind() byte     { return 13 }
 
 // Received is a message with its sender's address.
 type Received struct {
@@ -190,7 +190,7 @@
 	case 12:
 		return decode[Behind](data[1:])
 	case 13:
-		return decode[All](data[1:])
+		return decode[Known](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/node/adopt.go
+++ b/internal/node/adopt.go
@@ -28,7 +28,7 @@
 	if known.End <= m.End {
 		return
 	}
-	all := gram.All{End: known.End, Maps: map[string][]byte{}, Instances: map[string][]byte{}}
+	all := gram.Known{End: known.End, Maps: map[string][]byte{}, Instances: map[string][]byte{}}
 	for service, ranges := range known.Maps {
 		data, err := ranges.Encode()
 		if err != nil {
@@ -48,8 +48,8 @@
 	n.port.Send(from, all)
 }
 
-// hearAll takes in what another instance knows of the owners.
-func (n *Node) hearAll(m gram.All) {
+// hearKnown takes in what another instance knows of the owners.
+func (n *Node) hearKnown(m gram.Known) {
 	known := &holder.Owners{End: m.End, Maps: map[string]*shard.Map{}, Instances: map[string]roster.Entry{}}
 	for service, data := range m.Maps {
 		ranges, err := shard.Decode(data)
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -174,8 +174,8 @@
 		n.hearOwners(m)
 	case gram.Behind:
 		n.help(r.From, m)
-	case gram.All:
-		n.hearAll(m)
+	case gram.Known:
+		n.hearKnown(m)
 	case gram.News:
 		n.hearNews(m)
 	case gram.Settled:
