--- a/internal/gram/gram.go
+++ b/internal/gram/gram.go
@@ -92,10 +92,11 @@
 		Changes []shard.Range
 	}
 	// Behind says that an instance knows of the owners up to an offset only, and that the store
-	// refuses it. Known is the answer of one that knows more: the records of maps by service and
-	// those of instances by name.
+	// refuses it.
 	Behind struct{ End int64 }
-	Known  struct {
+	// Known answers Behind with all that another instance knows: the records of maps by service
+	// and those of instances by name.
+	Known struct {
 		End       int64
 		Maps      map[string][]byte
 		Instances map[string][]byte
