--- a/internal/holder/hold_test.go
+++ b/internal/holder/hold_test.go
@@ -96,11 +96,7 @@
 					is.Equal(w.ownedBy("i0", "d1"), 0)
 				}
 				is.Equal(w.served(), 256)
-				cancel()
-				for _, n := range w.others("") {
-					<-n.ended
-				}
-				w.pending.Wait()
+				w.end(cancel)
 				is.Equal(len(w.faults), 0)
 			})
 		})
@@ -131,11 +127,7 @@
 		is.Equal(owners["s0"], 0)
 		// It can do half of what the others can while it is cold, and gets half of what s0 had.
 		is.True(owners["new"] >= (1<<16)/6*9/10/2)
-		cancel()
-		for _, n := range w.others("") {
-			<-n.ended
-		}
-		w.pending.Wait()
+		w.end(cancel)
 		is.Equal(len(w.faults), 0)
 	})
 }
@@ -164,11 +156,7 @@
 		time.Sleep(7 * time.Second)
 		is.Equal(w.nodes["i3"].holder.Owners().End, w.nodes["i0"].holder.Owners().End)
 		is.Equal(w.served(), 256)
-		cancel()
-		for _, n := range w.others("") {
-			<-n.ended
-		}
-		w.pending.Wait()
+		w.end(cancel)
 		is.Equal(len(w.faults), 0)
 	})
 }
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -165,9 +165,16 @@
 		h.Again()
 		return
 	}
-	h.see(h.know.get())
+	h.follow(before)
+}
+
+// follow does what follows from knowing more than before.
+func (h *Holder) follow(before *Owners) {
+	after := h.know.get()
+	h.see(after)
+	h.enlist(before, after)
 	h.Changed()
-	h.confirm(before, h.know.get())
+	h.confirm(before, after)
 }
 
 // Adopted takes all that another instance knows of the owners.
@@ -185,10 +192,7 @@
 		return
 	}
 	h.Events.Note(event.Belief, "owners-adopted", "offset", o.End, "known-before", before.End)
-	h.see(o)
-	h.enlist(before, o)
-	h.Changed()
-	h.confirm(before, o)
+	h.follow(before)
 }
 
 // see notes since when each move is known. Its record was in the store by then, so that the
@@ -242,11 +246,7 @@
 	if !changed {
 		return
 	}
-	after := h.know.get()
-	h.see(after)
-	h.enlist(before, after)
-	h.Changed()
-	h.confirm(before, after)
+	h.follow(before)
 }
 
 // enlist brings the roster up to the register.
--- a/internal/holder/schedule_test.go
+++ b/internal/holder/schedule_test.go
@@ -50,11 +50,7 @@
 		w.calm()
 		time.Sleep(45 * time.Second)
 		served = w.served()
-		cancel()
-		for _, n := range w.others("") {
-			<-n.ended
-		}
-		w.pending.Wait()
+		w.end(cancel)
 		faults, moved = w.faults, w.moved
 	})
 	return faults, moved, served
--- a/internal/holder/world_test.go
+++ b/internal/holder/world_test.go
@@ -330,3 +330,12 @@
 		<-n.ended
 	}
 }
+
+// end ends all instances, and what is still to come.
+func (w *world) end(cancel context.CancelFunc) {
+	cancel()
+	for _, n := range w.others("") {
+		<-n.ended
+	}
+	w.pending.Wait()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,9 +99,7 @@
 		updates:  make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
 		behind: map[string]*behind{}, beatNow: make(chan struct{}, 1), beatAll: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
-	n.world = newWorld(events, func() time.Duration {
-		return time.Duration(settings.Bounds.DrainSeconds*float64(time.Second)) - drainReserve
-	})
+	n.world = newWorld(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))-drainReserve)
 	for _, topic := range []string{around.Config, around.Servers, around.Owners} {
 		n.again[topic] = make(chan struct{}, 1)
 		n.behind[topic] = &behind{}
@@ -154,26 +152,19 @@
 	return inlet.Limits(c.Limits)
 }
 
-func (n *Node) readAgain(topic string) {
+// notify wakes the reader of a channel that holds one element, unless it is to wake already.
+func notify(c chan<- struct{}) {
 	select {
-	case n.again[topic] <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-func (n *Node) announce() {
-	select {
-	case n.beatNow <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) readAgain(topic string) { notify(n.again[topic]) }
 
-func (n *Node) announceToAll() {
-	select {
-	case n.beatAll <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) announce() { notify(n.beatNow) }
+
+func (n *Node) announceToAll() { notify(n.beatAll) }
 
 // Run serves until the context ends or a signal asks to stop.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -60,12 +60,7 @@
 }
 
 // wake quickens the pace, as a request waits.
-func (p *permits) wake() {
-	select {
-	case p.waits <- struct{}{}:
-	default:
-	}
-}
+func (p *permits) wake() { notify(p.waits) }
 
 // tick reports whether requests wait.
 func (p *permits) tick() (waiting bool) {
--- a/internal/node/world.go
+++ b/internal/node/world.go
@@ -20,7 +20,7 @@
 type world struct {
 	events *event.Log
 	// drainTime is how long after it has said that it leaves a server may get requests.
-	drainTime func() time.Duration
+	drainTime time.Duration
 	config    atomic.Pointer[rules.Config]
 	// directory is never changed, only replaced.
 	directory atomic.Pointer[map[string]rules.Server]
@@ -53,7 +53,7 @@
 // and a busy processor take a moment.
 const drainReserve = 250 * time.Millisecond
 
-func newWorld(events *event.Log, drain func() time.Duration) *world {
+func newWorld(events *event.Log, drain time.Duration) *world {
 	w := &world{events: events, drainTime: drain, changed: make(chan struct{}), missing: map[string]time.Time{}, settled: map[settledKey]uint64{}}
 	w.directory.Store(&map[string]rules.Server{})
 	return w
@@ -126,7 +126,7 @@
 	}
 	w.end.Store(max(w.end.Load(), u.End))
 	next := maps.Clone(w.servers())
-	leaveBy := now.Add(w.drainTime() - age)
+	leaveBy := now.Add(w.drainTime - age)
 	seen := map[string]bool{}
 	for _, r := range u.Records {
 		if len(r.Value) == 0 {
