Check stated lengths before a message or a record is decoded

Cause: the decoder of MessagePack takes memory for as many elements as a list states before it looks at the first. A datagram of 17 bytes, or a record of owners of 26, ended the process with "out of memory". Ruled out: a limit of the decoder itself (it has none for lists of structs). Change: package pack checks that no list, map or text states more than the bytes hold, then decodes; gram and shard use it.

--- a/internal/gram/gram.go
+++ b/internal/gram/gram.go
@@ -11,9 +11,8 @@
 	"net/netip"
 	"sync/atomic"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/pack"
 	"example.org/mustardring/internal/permit"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/shard"
@@ -148,13 +147,7 @@
 func Encode(m Message) ([]byte, error) {
 	var out bytes.Buffer
 	out.WriteByte(m.kind())
-	encoder := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(encoder)
-	encoder.Reset(&out)
-	// Without field names a message is a third of the size, and bytes between domains are dear.
-	encoder.UseArrayEncodedStructs(true)
-	encoder.UseCompactInts(true)
-	if err := encoder.Encode(m); err != nil {
+	if err := pack.Encode(&out, m); err != nil {
 		return nil, err
 	}
 	return out.Bytes(), nil
@@ -198,8 +191,8 @@
 }
 
 func decode[M Message](body []byte) (Message, error) {
-	var m M
-	if err := msgpack.Unmarshal(body, &m); err != nil {
+	m, err := pack.Decode[M](body)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMessage, err)
 	}
 	return m, nil
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"example.org/mustardring/internal/pack"
 )
 
 // ErrRecord says that a record does not hold the owners of all keys.
@@ -41,10 +41,7 @@
 		r.Ranges = append(r.Ranges, recordRange{From: g.From, Server: i, Fence: g.Fence, Before: g.Before})
 	}
 	var out bytes.Buffer
-	e := msgpack.NewEncoder(&out)
-	e.UseArrayEncodedStructs(true)
-	e.UseCompactInts(true)
-	if err := e.Encode(r); err != nil {
+	if err := pack.Encode(&out, r); err != nil {
 		return nil, err
 	}
 	return out.Bytes(), nil
@@ -52,8 +49,8 @@
 
 // Decode reads the record of a map.
 func Decode(data []byte) (*Map, error) {
-	var r record
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	r, err := pack.Decode[record](data)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrRecord, err)
 	}
 	m := &Map{Fence: r.Fence}
