Count one crash of a server once, however many orders of one content ran there

Two of them ran at a server as another order crashed it; each saw the loss, a few milliseconds apart, and that counted as two crashes. All orders of that content were then refused as blocked, and as none ran, no answer cleared them. Ruled out: a second crash (the servers crashed twice in all, the two losses are of one), bystanders of different content. Change: the loss of a connection is dated when it was seen, not when it was found out, and losses at one server within 0.2 s are one crash; so are those still being found out.

--- a/internal/front/fault.go
+++ b/internal/front/fault.go
@@ -81,7 +81,7 @@
 	}
 	lostAt := time.Now()
 	print, server := j.policy.Print, j.service.connections(t.Server)
-	j.service.hold(print)
+	heldAt := j.service.hold(print, slot.Server)
 	settle := func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 		defer cancel()
@@ -90,7 +90,7 @@
 			j.front.meters.lost.Add(1)
 			j.front.deps.Log.Warn("server-lost", "service", j.service.name, "server", slot.Server, "request", j.id, "print", print)
 		}
-		j.service.settle(print, slot.Server, died)
+		j.service.settle(heldAt, print, slot.Server, died)
 	}
 	if j.idempotent {
 		settle()
@@ -173,16 +173,19 @@
 	s.core.Busy(s.front.now(), slot, until)
 }
 
-func (s *service) hold(p policy.Print) {
+// hold returns the time for settle.
+func (s *service) hold(p policy.Print, server string) policy.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.Hold(p)
+	now := s.front.now()
+	s.core.Hold(now, p, server)
+	return now
 }
 
-func (s *service) settle(p policy.Print, server string, died bool) {
+func (s *service) settle(heldAt policy.Time, p policy.Print, server string, died bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.Settle(s.front.now(), p, server, died)
+	s.core.Settle(s.front.now(), heldAt, p, server, died)
 }
 
 func (s *service) answered(r *policy.Request, status int, k *policy.Kept) {
--- a/internal/policy/share.go
+++ b/internal/policy/share.go
@@ -5,17 +5,15 @@
 	"example.org/mustardring/pkg/keys"
 )
 
-// Hold says that the connection was lost while the request ran, before Failed.
-func (c *Core) Hold(p Print) { c.suspects.Hold(p) }
-
-// Settle says whether a connection's loss was that of the server.
-func (c *Core) Settle(now Time, p Print, server string, died bool) {
-	if !died {
-		c.suspects.Settle(p, nil, 0)
-		return
-	}
+// Hold says that the connection was lost at a time while the request ran, before Failed.
+func (c *Core) Hold(lostAt Time, p Print, server string) {
+	c.suspects.Hold(p, Loss{Server: server, AtNanos: c.nanos(lostAt)})
+}
+
+// Settle says whether the loss of a connection that was held was that of the server.
+func (c *Core) Settle(now, lostAt Time, p Print, server string, died bool) {
 	until := c.millis(now) + c.blockTime().Milliseconds()
-	c.suspects.Settle(p, &Loss{Server: server, AtNanos: c.nanos(now)}, until)
+	c.suspects.Settle(p, Loss{Server: server, AtNanos: c.nanos(lostAt)}, died, until)
 }
 
 // Earn counts a request that goes on to another instance.
--- a/internal/policy/suspect.go
+++ b/internal/policy/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // The bounds of what is kept of the suspects of one service. The oldest suspects give way, and
@@ -12,6 +13,12 @@
 	maxLosses   = 16
 )
 
+// crashWindow is how far apart the ends of two connections may be seen if one crash of a server
+// ended both: orders with the same content run beside one another, and one that crashes the server
+// took the others, which had lost it as often as they were running, for known causes. The ends are seen
+// within 0.1 seconds, and a server needs longer to start again.
+const crashWindow = 200 * time.Millisecond
+
 // Loss is the loss of a server while a request ran there.
 type Loss struct {
 	Server string `json:"server"`
@@ -69,13 +76,14 @@
 	service string
 	blocks  map[Print]*Block
 	lifted  map[Print]struct{}
-	held    map[Print]int
+	// held holds the ends of connections that are being found out about.
+	held map[Print][]Loss
 }
 
 // NewSuspects returns the suspects of a service.
 func NewSuspects(service string) *Suspects {
 	return &Suspects{
-		service: service, blocks: make(map[Print]*Block), lifted: make(map[Print]struct{}), held: make(map[Print]int),
+		service: service, blocks: make(map[Print]*Block), lifted: make(map[Print]struct{}), held: make(map[Print][]Loss),
 	}
 }
 
@@ -87,19 +95,22 @@
 	s.take(Block{Service: s.service, Print: p, Losses: []Loss{l}, UntilMillis: untilMillis})
 }
 
-// Hold says that a connection was lost while the request ran, and that it is being found out
-// whether the server was. Until Settle it counts as a loss.
-func (s *Suspects) Hold(p Print) {
-	s.held[p]++
+// Hold says that a connection to a server was lost while the request ran, and that it is being
+// found out whether the server was. Until Settle it counts as a loss of the server.
+func (s *Suspects) Hold(p Print, l Loss) {
+	s.held[p] = append(s.held[p], l)
 }
 
-// Settle ends a Hold. The loss is nil if the server lives, and only closed a connection.
-func (s *Suspects) Settle(p Print, l *Loss, untilMillis int64) {
-	if s.held[p]--; s.held[p] <= 0 {
+// Settle ends a Hold. Died says that the server was lost, not only a connection.
+func (s *Suspects) Settle(p Print, l Loss, died bool, untilMillis int64) {
+	if i := slices.Index(s.held[p], l); i >= 0 {
+		s.held[p] = slices.Delete(s.held[p], i, i+1)
+	}
+	if len(s.held[p]) == 0 {
 		delete(s.held, p)
 	}
-	if l != nil {
-		s.Lost(p, *l, untilMillis)
+	if died {
+		s.Lost(p, l, untilMillis)
 	}
 }
 
@@ -117,13 +128,13 @@
 	if _, lifted := s.lifted[p]; lifted {
 		return Unsuspected
 	}
-	count := 0
-	if b := s.blocks[p]; b != nil && b.UntilMillis > nowMillis {
-		count = len(b.Losses)
-	}
 	// A loss that is still being found out counts, lest a caller who resends quickly walks
 	// through more servers meanwhile.
-	count += s.held[p]
+	known := slices.Clone(s.held[p])
+	if b := s.blocks[p]; b != nil && b.UntilMillis > nowMillis {
+		known = append(known, b.Losses...)
+	}
+	count := crashes(known)
 	switch {
 	case count >= losses:
 		return Blocked
@@ -134,6 +145,19 @@
 	}
 }
 
+// crashes returns how many crashes of servers the losses tell of.
+func crashes(losses []Loss) int {
+	slices.SortFunc(losses, func(x, y Loss) int { return cmp.Compare(x.AtNanos, y.AtNanos) })
+	count := 0
+	for i, l := range losses {
+		same := func(o Loss) bool { return o.Server == l.Server && l.AtNanos-o.AtNanos <= crashWindow.Nanoseconds() }
+		if !slices.ContainsFunc(losses[:i], same) {
+			count++
+		}
+	}
+	return count
+}
+
 // Lift replaces the set of requests that operators let pass.
 func (s *Suspects) Lift(prints []Print) {
 	clear(s.lifted)
