Take no more requests from pipelines once the balancer has left an instance out

A connection on which the caller always has two requests in progress has no last answer while the instance drains, so it went on. Ruled out: the listener (closed at 2.3 s), idle connections (closed every 20 ms). Change: when the balancer has left the instance out, connections take no more requests; those that were read are answered, the last answer says so (inlet.Finish, in place of CloseIdle).

--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -285,12 +285,12 @@
 	c.slots <- s
 }
 
-// closeIdle closes the connection if no request is in progress.
-func (c *conn) closeIdle() {
+// finish takes no more requests, and closes the connection if none is in progress.
+func (c *conn) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closing = true
 	if c.pending == 0 {
-		c.closing = true
 		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -98,12 +98,17 @@
 // Drain makes each answer the last of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections on which no request is in progress.
-func (s *Server) CloseIdle() {
+// Finish takes no more requests: connections on which none is in progress are closed, the others
+// after the answers to those that were read.
+//
+// A caller that always sends its next request before it has the answer to the one before has no last
+// answer while the server only drains: its requests were taken four seconds after the signal to stop,
+// and cut by the end of the process.
+func (s *Server) Finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeIdle()
+		c.finish()
 	}
 }
 
--- a/internal/inlet/inlet_test.go
+++ b/internal/inlet/inlet_test.go
@@ -130,7 +130,7 @@
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-returned
 	s.Drain()
-	s.CloseIdle()
+	s.Finish()
 	is.Equal(s.Busy(), int64(1))
 	body, _ := read(t, in)
 	is.Equal(len(body), len(volume))
@@ -161,6 +161,36 @@
 	is.Equal(err, io.EOF)
 }
 
+// A caller sent each request before it had the answer to the one before, so that no answer was the
+// last while the instance stopped. Its requests were taken until the process ended, and the last of
+// them lost at the server that was at work on it.
+func TestFinishTakesNoMore(t *testing.T) {
+	is := is.New(t)
+	running := make(chan chan struct{}, 8)
+	s := inlet.New(func(_ context.Context, r *http.Request) *inlet.Reply {
+		release := make(chan struct{})
+		running <- release
+		<-release
+		return ok(r.URL.Path)
+	}, defaults)
+	c, in := dial(t, serve(t, s))
+	_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	first, second := <-running, <-running
+	s.Drain()
+	s.Finish()
+	_, _ = io.WriteString(c, "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	close(first)
+	close(second)
+	_, last := read(t, in)
+	is.True(!last)
+	_, last = read(t, in)
+	is.True(last) // the third was not taken, and the caller is told so
+	_, err := in.ReadByte()
+	is.True(err != nil)
+	is.Equal(len(running), 0)
+}
+
 func TestLimits(t *testing.T) {
 	tight := func() inlet.Limits {
 		return inlet.Limits{HeaderBytes: 200, BodyBytes: 10, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: time.Second}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -47,11 +47,11 @@
 		time.Sleep(stopPoll)
 	}
 	_ = front.Close()
-	n.inlet.CloseIdle()
+	n.inlet.Finish()
 	// A connection lasts until the caller has taken the last answer from it.
 	for n.inlet.Conns() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		time.Sleep(stopPoll)
-		n.inlet.CloseIdle()
+		n.inlet.Finish()
 	}
 	if err := n.putRecord(ctx, true); err != nil {
 		n.events.Note(event.Belief, "end-not-recorded", "error", err)
