Let requests that would miss their target by little wait behind the others

Change: a request that does not fit its target is asked about once more as one that is late: behind those in time, for one service time at most. TestWaitsBehindThoseInTime fails before.

--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -128,6 +128,16 @@
 		}
 	}
 	wait := k.predict(now, w, work)
+	if !w.late && !k.fits(now, w, wait) {
+		// It would miss its target by little. Refused, it would come back with less time left: of 916
+		// callers that did on a day, 182 were served. So it may wait behind those that are in time,
+		// as one that is late: 0.003 of the worth of a day (0.8035 to 0.8063, 0.8047 to 0.8067; the
+		// mean of 15 days each).
+		w.late = true
+		w.giveUpAt = earlier(w.giveUpAt, now.Add(lateWait*w.expect))
+		_, work = k.ahead(w)
+		wait = k.predict(now, w, work)
+	}
 	if !k.fits(now, w, wait) {
 		return Refused{Key: a.Key, Reason: Overload, RetryIn: k.retryIn(now, a, wait), Wait: wait}
 	}
@@ -187,8 +197,8 @@
 	}
 	w.late = a.TargetAt.Sub(now) < w.expect
 	w.giveUpAt = a.LimitAt.Add(-w.expect / 2)
-	if most := now.Add(lateWait * w.expect); w.late && most.Before(w.giveUpAt) {
-		w.giveUpAt = most
+	if w.late {
+		w.giveUpAt = earlier(w.giveUpAt, now.Add(lateWait*w.expect))
 	}
 	patience := time.Duration(r.bytes / 1024 * float64(crossPerKB))
 	most := time.Duration(crossMost * float64(a.TargetAt.Sub(now)-w.expect))
@@ -196,6 +206,13 @@
 	return w
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (k *Keeper) route(name string, target time.Duration) *route {
 	r := k.routes[name]
 	if r == nil {
--- a/internal/permit/keeper_test.go
+++ b/internal/permit/keeper_test.go
@@ -48,3 +48,27 @@
 	verdicts = k.Done(later, permit.Done{Key: second.Key, Server: "s", Route: "read", Took: 300 * time.Millisecond})
 	is.Equal(len(verdicts), 0) // no second copy was in the queue
 }
+
+// All slots of a slow server were taken, the next one free in 0.2 seconds. A request that needs 0.3
+// had 0.6 to its target, which it would miss by little, and two seconds to its limit. It was refused,
+// came back as told, and was refused again, as it then had even less time.
+func TestWaitsBehindThoseInTime(t *testing.T) {
+	is := is.New(t)
+	k := newKeeper(rules.Server{ID: "s", Service: "books", Slots: 1})
+	ask := func(now time.Time, serial uint64, target time.Duration) permit.Verdict {
+		return k.Ask(now, permit.Ask{
+			Key: permit.Key{From: "i", Serial: serial}, Service: "books", Server: "s", Route: "r",
+			TargetAt: now.Add(target), LimitAt: now.Add(2 * time.Second),
+		})
+	}
+	_, granted := ask(start, 1, 900*time.Millisecond).(permit.Granted) // a third of that is taken for its time
+	is.True(granted)
+	now := start.Add(100 * time.Millisecond)
+	_, waits := ask(now, 2, 600*time.Millisecond).(permit.Waiting)
+	is.True(waits)
+	_, refused := ask(now, 3, 600*time.Millisecond).(permit.Refused) // behind that one it would be held for nothing
+	is.True(refused)
+	now = start.Add(300 * time.Millisecond)
+	verdicts := k.Done(now, permit.Done{Key: permit.Key{From: "i", Serial: 1}, Service: "books", Server: "s", Route: "r", Took: 300 * time.Millisecond})
+	is.Equal(verdicts, []permit.Verdict{permit.Granted{Key: permit.Key{From: "i", Serial: 2}, Server: "s"}})
+}
