Take back permits of instances that are not heard

From second 32 to 34, as a failure domain was cut off, 164 keyed requests were refused for overload at servers on this side: its instances held 21 permits for them that they could not give back, each for up to 1.5 s of a slot. Ruled out: load (arrivals were fewer than before), servers that were slow (their answers were not). Change: a permit in doubt whose holder is not heard is taken back at once; others are asked about as before.

--- a/internal/holder/schedule_test.go
+++ b/internal/holder/schedule_test.go
@@ -247,33 +247,21 @@
 // A key had two owners, and a claim was taken twice: instances were cut off from the store,
 // from servers and from each other, orders were carried out seconds late, answers of the store
 // were lost, and servers and instances were restarted, all at once.
-func TestSchedules(t *testing.T) {
-	is := is.New(t)
-	total := 0
-	first, _ := strconv.ParseUint(os.Getenv("MUSTARDRING_SEED"), 10, 64)
-	for seed := first; seed < first+scheduleCount(); seed++ {
-		faults, moved, served := play(t, seed, func(*guards) {})
-		if len(faults) > 0 {
-			t.Fatalf("seed %d: %d faults, first: %s", seed, len(faults), faults[0])
-		}
-		if served != 256 {
-			t.Fatalf("seed %d: %d of 256 keys have an owner after 45 s of calm", seed, served)
-		}
-		total += moved
-	}
-	is.True(total > 0) // keys moved
-}
+func TestSchedules(t *testing.T) { checkSchedules(t, false) }
 
 // Servers crashed and came back in a moment under their names, as when they are restarted in place,
 // while orders were late, the store was away and keys moved. An instance that had missed a move
 // renewed the grant of before at the new life, which had forgotten that it had given the keys away:
 // two servers had them.
-func TestSchedulesOfServersThatStartAgain(t *testing.T) {
+func TestSchedulesOfServersThatStartAgain(t *testing.T) { checkSchedules(t, true) }
+
+// checkSchedules plays schedules, and expects no fault, and an owner of each key in the end.
+func checkSchedules(t *testing.T, stated bool) {
 	is := is.New(t)
 	total := 0
 	first, _ := strconv.ParseUint(os.Getenv("MUSTARDRING_SEED"), 10, 64)
 	for seed := first; seed < first+scheduleCount(); seed++ {
-		faults, moved, served := playWorld(t, seed, func(*guards) {}, true)
+		faults, moved, served := playWorld(t, seed, func(*guards) {}, stated)
 		if len(faults) > 0 {
 			t.Fatalf("seed %d: %d faults, first: %s", seed, len(faults), faults[0])
 		}
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -73,9 +73,7 @@
 			waiting = true
 		}
 		for _, key := range k.Doubtful(now) {
-			if to, err := netip.ParseAddrPort(key.From); err == nil {
-				p.node.port.Send(to, gram.Check{Serial: key.Serial})
-			}
+			p.doubt(k, key, now)
 		}
 		if n := k.Expired(); n > 0 {
 			p.node.events.Note(event.Belief, "permits-expired", "service", service, "count", n)
@@ -84,6 +82,23 @@
 	return waiting
 }
 
+// doubt asks the holder of a permit whether it still has it, or takes it back if the holder is not
+// heard any more; the lock is held.
+//
+// When a failure domain was cut off, its instances kept permits that they could not give back. 21 of
+// them, for up to 1.5 seconds each, held slots of servers that were free, and 164 requests were refused
+// in two seconds at servers on this side.
+func (p *permits) doubt(k *permit.Keeper, key permit.Key, now time.Time) {
+	if !p.node.roster.Reached(key.From, now) {
+		p.node.events.Note(event.Belief, "permit-taken-back", "from", key.From, "serial", key.Serial, "reason", "instance-silent")
+		p.deliver(k.Withdraw(now, key))
+		return
+	}
+	if to, err := netip.ParseAddrPort(key.From); err == nil {
+		p.node.port.Send(to, gram.Check{Serial: key.Serial})
+	}
+}
+
 // keeper returns the keeper of a service; the lock is held.
 func (p *permits) keeper(service string) *permit.Keeper {
 	k := p.keepers[service]
--- a/internal/roster/charge.go
+++ b/internal/roster/charge.go
@@ -132,6 +132,19 @@
 	return *best, true
 }
 
+// Reached reports whether the instance at an address is heard, as far as is known: one that is not
+// registered may have just started.
+func (r *Roster) Reached(address string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.sorted {
+		if p.Address == address {
+			return r.alive(p, now)
+		}
+	}
+	return true
+}
+
 // Unconfirmed returns the instances that may still act on records before an offset: the
 // registered ones that have not confirmed it, and those that were removed, as far as this
 // instance knows, after the given time.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -220,3 +220,18 @@
 		is.Equal(n, 1)
 	}
 }
+
+// Instances that were cut off kept permits that they could not give back. Whoever gives permits must
+// know that they are not heard, and must not take one that has just started for silent.
+func TestReached(t *testing.T) {
+	is := is.New(t)
+	r := roster.New("i0", "d0")
+	now := start
+	r.Put("i0", roster.Entry{Address: "a0", Domain: "d0", Incarnation: 1}, now)
+	r.Put("i1", roster.Entry{Address: "a1", Domain: "d1", Incarnation: 1}, now)
+	r.Heard(roster.Beat{Name: "i1", Incarnation: 1, Stopping: true}, now)
+	is.True(r.Reached("a1", now.Add(500*time.Millisecond))) // it stops, and has its permits still
+	is.True(!r.Reached("a1", now.Add(2*time.Second)))
+	is.True(r.Reached("a0", now.Add(time.Hour)))
+	is.True(r.Reached("a7", now))
+}
