--- a/internal/roster/quorum.go
+++ b/internal/roster/quorum.go
@@ -8,21 +8,22 @@
 // How old knowledge may be acted on depends on whom an instance hears. One that hears neither a
 // majority of its failure domain nor one of all may act on what it knows for a short time only, any
 // other for longer: whoever knows more would be among those it hears, and say so. In return a decision
-// that both majorities confirm needs to wait that short time for the rest, not the longer one. A
-// domain that is cut off as a whole keeps the longer time, and the decision waits for it.
+// that half of all and half of each domain have confirmed waits that short time for the rest, not the
+// longer one. A domain that is cut off as a whole keeps the longer time, and the decision waits for it.
 //
-// Two such sets have an instance in common: the rest, of which one acts, is not in the second, and is
-// more than half of the first only with one of the second. The register changes, so Confirmed counts
-// those only that were in it all the time, out of all that were in it at any time.
+// Why that is safe: an instance that acts after the short time has heard a majority, itself among them,
+// since before the decision was confirmed, and none of these knew of it then. It has not confirmed the
+// decision itself. Half of a set, without that instance, and a majority of the set, less that instance,
+// have a member in common, which would have known. The register changes, so Confirmed counts those
+// only that were in it all the time, out of all that were in it at any time.
 
 // contactLeast and contactBeats, in heartbeats, bound the time for which an instance that hears no
 // majority may act on what it knows. One heartbeat brings its word to the others, the next theirs
 // back, and one of the two may be lost.
 //
 // A server that was lost within a second of an instance, which nobody could tell from one that is cut
-// off with it, was without an owner for 16.2 seconds without this, now for 6.4
-// (TestServerAndInstanceLost). The price: a failure domain that is cut off keeps its own keys for this
-// time and a lease, where it kept them for knowledgeTime and a lease.
+// off with it, was without an owner for 16.2 seconds without this, now for 6.3
+// (TestServerAndInstanceLost).
 const (
 	contactLeast = 2 * time.Second
 	contactBeats = 3
