Count contact as lost after three seconds, more than a lease

One log shows renewals withheld with knowledge 3.0 s old: instances that had stood still together had heard nobody for two seconds, the time after which an instance without a majority stops, and a lease is 2.2 s. Another shows a process that stood still for 4.9 s, beyond any lease. Change: the time is three seconds, a lease and three heartbeats: who has stood still for so long has lost its leases anyway. A server and an instance lost together: 7.3 s until all keys are served, 6.3 s before, 16.2 s without the rule.

--- a/internal/roster/quorum.go
+++ b/internal/roster/quorum.go
@@ -19,13 +19,15 @@
 
 // contactLeast and contactBeats, in heartbeats, bound the time for which an instance that hears no
 // majority may act on what it knows. One heartbeat brings its word to the others, the next theirs
-// back, and one of the two may be lost.
+// back, and one of the two may be lost. The least is above a lease of 2.2 seconds and three heartbeats:
+// an instance that stood still for so long that it has lost contact has lost its leases anyway. With two
+// seconds instances that stood still together withheld renewals of leases that had not run out.
 //
 // A server that was lost within a second of an instance, which nobody could tell from one that is cut
-// off with it, was without an owner for 16.2 seconds without this, now for 6.3
+// off with it, was without an owner for 16.2 seconds without this, now for 7.3
 // (TestServerAndInstanceLost).
 const (
-	contactLeast = 2 * time.Second
+	contactLeast = 3 * time.Second
 	contactBeats = 3
 )
 
