Log how old the word of a leaving server is, and when requests to it left

Cause: the logs of the incident cannot tell a word dated too late from a request that left too late or a word that never came. No logic changed. Tests of internal/edge, node and cmds pass.

--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -71,8 +71,12 @@
 	// predicted is the wait that led to a refusal.
 	predicted time.Duration
 	waited    time.Duration
-	why       why
-	err       error
+	// dispatched is the time from the permit to the first byte to a server, at the last attempt, and
+	// leaving what the server then had left in which it takes requests, zero if it does not leave.
+	dispatched time.Duration
+	leaving    time.Duration
+	why        why
+	err        error
 	// sent says that a server may have run the request.
 	sent bool
 	// avoid is a server that failed the request.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -40,7 +40,19 @@
 	}
 	q.edge.Wire.Address(out.Header, s.ID, time.Until(q.limitAt))
 	pool := q.edge.Pool.server(s)
-	return pool.Send(out, upstr.Order{Deadline: q.limitAt, InMemory: true, Done: func(bool) {}})
+	began := time.Now()
+	return pool.Send(out, upstr.Order{
+		Deadline: q.limitAt, InMemory: true, Done: func(bool) {},
+		Permit: func() error { q.observe(s, began); return nil },
+	})
+}
+
+// observe notes when the first byte leaves.
+func (q *request) observe(s rules.Server, began time.Time) {
+	q.dispatched, q.leaving = time.Since(began), 0
+	if !s.LeaveBy.IsZero() {
+		q.leaving = time.Until(s.LeaveBy)
+	}
 }
 
 // copyHeader copies the headers that concern more than one connection.
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -41,6 +41,7 @@
 	case n.around.Config:
 		n.takeConfig(u)
 	case n.around.Servers:
+		n.noteNews(u)
 		if n.world.putServers(u, n.ageOf(u), n.around.DecodeServer) {
 			n.serversChanged()
 		}
@@ -52,6 +53,19 @@
 	}
 }
 
+// noteNews logs how news of the directory came and how old it is taken to be.
+func (n *Node) noteNews(u follow.Update) {
+	if u.Err != nil || len(u.Records) == 0 {
+		return
+	}
+	from, took := "instance", time.Duration(0)
+	if u.BegunAt != 0 {
+		from, took = "store", clock.Boot{}.Now().Sub(u.BegunAt)
+	}
+	n.events.Note(event.Belief, "directory-news", "from", from, "records", len(u.Records), "whole", u.Whole, "overdue", u.Overdue,
+		"took", took, "age", n.ageOf(u), "end", u.End)
+}
+
 const (
 	// largestNews is the largest message with news. What is larger the others read from the
 	// store.
