Tell by its process who answers what it remembers, and count all that anybody knows of

Cause: a recall counted the losses that had been heard of. The answers of two processes that had just taken the place of killed ones, and the silence of one that an instance itself new had never heard of, passed for complete memory; a resend then ran twice. Change: an answer names its process and the processes of the domain of which it knows that they may remember what matters; more than one that has neither answered nor handed over is too many. One that anybody knows to have handed over counts as such, so planned stops cost nothing.

--- a/internal/entry/losses.go
+++ b/internal/entry/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -26,42 +27,72 @@
 	Marks []policy.Mark `json:"marks"`
 }
 
-// losses counts the processes of this domain that ended without handing over what they
-// remembered. A new process under the name of one that was killed answers, but remembers
-// nothing: it must not pass for one that has nothing to tell.
-type losses struct {
-	mu    sync.Mutex
-	known map[string]process
-	lost  []time.Time
+// Process is one life of an instance.
+type Process struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
 }
 
-// process is the newest known process of an instance.
-type process struct {
-	incarnation uint64
-	stopping    bool
+// Remembering is a process of the domain that may remember requests which matter, living or not.
+// HandedOver says that it told others what it remembered before it ended.
+type Remembering struct {
+	Process
+	HandedOver bool `json:"handed-over,omitempty"`
+}
+
+// losses keeps the processes of this domain that others took the place of. A new process under the name of
+// one that was killed answers, but remembers nothing: it must not pass for one that has nothing to tell.
+type losses struct {
+	mu     sync.Mutex
+	newest map[string]Remembering
+	// ended holds when the place of a process was first seen taken.
+	ended map[Remembering]time.Time
 }
 
 func newLosses() *losses {
-	return &losses{known: make(map[string]process)}
+	return &losses{newest: make(map[string]Remembering), ended: make(map[Remembering]time.Time)}
 }
 
 // heard notes what an instance of the domain says of itself.
 func (l *losses) heard(h Heartbeat, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, known := l.known[h.Name]
-	if known && before.incarnation != h.Incarnation && !before.stopping {
-		l.lost = append(l.lost, now)
+	before, known := l.newest[h.Name]
+	if known && before.Incarnation != h.Incarnation {
+		l.ended[before] = now
 	}
-	l.known[h.Name] = process{incarnation: h.Incarnation, stopping: h.Stopping}
+	l.newest[h.Name] = Remembering{Process: Process{h.Name, h.Incarnation}, HandedOver: h.Stopping}
 }
 
-// count returns the number of losses whose memory may still matter.
-func (l *losses) count(now time.Time) int {
+// list returns the processes that ended while what they remembered may still matter.
+func (l *losses) list(now time.Time) []Remembering {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lost = slices.DeleteFunc(l.lost, func(at time.Time) bool { return now.After(at.Add(policy.MemoryTime)) })
-	return len(l.lost)
+	maps.DeleteFunc(l.ended, func(_ Remembering, at time.Time) bool { return now.After(at.Add(policy.MemoryTime)) })
+	return slices.Collect(maps.Keys(l.ended))
+}
+
+// missing counts the processes that may remember what matters, as anybody knows of them, and have neither
+// answered nor handed over what they remembered.
+//
+// Who answers is told by its process, not by its name or by what was heard of it: two instances that were
+// killed and started again answered, before anybody had heard that they were new, with nothing, and
+// requests ran twice. What the others know counts as well: an instance that has just started knows of nobody
+// who is down.
+func missing(known []Remembering, answered []Process) int {
+	gone := make(map[Process]bool)
+	for _, r := range known {
+		gone[r.Process] = true
+	}
+	for _, r := range known {
+		if r.HandedOver {
+			delete(gone, r.Process)
+		}
+	}
+	for _, p := range answered {
+		delete(gone, p)
+	}
+	return len(gone)
 }
 
 // handOver tells other instances of the domain what this one remembers, before it stops.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -160,6 +160,21 @@
 	return clients
 }
 
+// heardInDomain returns the processes of the other instances of this domain that were heard within the time
+// for which what they remember may matter.
+func (p *peers) heardInDomain(now time.Time) []Remembering {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var processes []Remembering
+	for _, r := range p.known {
+		if r.Domain == p.self.Domain && !r.heardAt.IsZero() && now.Before(r.heardAt.Add(recallAfter)) {
+			h := r.heartbeat
+			processes = append(processes, Remembering{Process: Process{h.Name, h.Incarnation}, HandedOver: h.Stopping})
+		}
+	}
+	return processes
+}
+
 // leader returns the client of the instance that leads this domain, or nil.
 func (p *peers) leader() *peer.Client {
 	p.mu.Lock()
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -28,6 +28,9 @@
 	markSenders = 8
 	// recallAfter is for how long after its last answer an instance is asked what it remembers.
 	recallAfter = 10 * time.Minute
+	// lossesBorne is the number of processes whose memory may be missing: each request is remembered by
+	// two.
+	lossesBorne = 1
 )
 
 // Errors of the witness.
@@ -52,13 +55,13 @@
 // knows: from one that is current it follows that the instance is the gate of no server which
 // the table gives to another.
 type RecallResult struct {
-	Instance    string        `json:"instance"`
+	Process
 	Marks       []policy.Mark `json:"marks"`
 	TableTerm   grant.Term    `json:"table-term"`
 	TableSerial uint64        `json:"table-serial"`
-	// Lost is the number of processes of the domain that the instance has seen to end without
-	// handing over what they remembered.
-	Lost int `json:"lost"`
+	// Known are the processes of the domain of which the instance knows that they may remember
+	// requests which matter.
+	Known []Remembering `json:"known"`
 }
 
 // witness implements front.Witness by calls to the other instances of the domain.
@@ -160,30 +163,36 @@
 	}
 	var marks []policy.Mark
 	var told []string
-	failed := 0
-	lost := w.losses.count(time.Now())
+	known := w.remembering(time.Now())
+	present := []Process{{w.peers.own.Name, w.peers.own.Incarnation}}
 	table := w.state.table()
 	for range clients {
 		a := <-answers
 		if a.err != nil {
-			failed++
 			continue
 		}
 		marks = append(marks, a.result.Marks...)
-		lost = max(lost, a.result.Lost)
+		known = append(known, a.result.Known...)
+		present = append(present, a.result.Process)
 		if table != nil && !table.Newer(&route.Table{Term: a.result.TableTerm, Serial: a.result.TableSerial}) {
-			told = append(told, a.result.Instance)
+			told = append(told, a.result.Name)
 		}
 	}
 	if n := w.gained.open(service, told, time.Now()); n > 0 {
 		return marks, fmt.Errorf("%w: of %d servers", errFormer, n)
 	}
-	if failed+lost > 1 {
-		return marks, fmt.Errorf("%w: %d of %d, and %d were lost", errRecall, failed, len(clients), lost)
+	if n := missing(known, present); n > lossesBorne {
+		return marks, fmt.Errorf("%w: %d processes of %d", errRecall, n, len(known))
 	}
 	return marks, nil
 }
 
+// remembering returns the processes of the domain of which this instance knows that they may remember
+// requests which matter.
+func (w *witness) remembering(now time.Time) []Remembering {
+	return append(w.peers.heardInDomain(now), w.losses.list(now)...)
+}
+
 func (e *Entry) handleMark(_ context.Context, c MarkCall) (Done, error) {
 	if !e.front.Witnessed(c.Mark) {
 		return Done{}, errNoRoom
@@ -192,7 +201,9 @@
 }
 
 func (e *Entry) handleRecall(_ context.Context, c RecallCall) (RecallResult, error) {
-	result := RecallResult{Instance: e.deps.Settings.Name, Lost: e.losses.count(time.Now())}
+	result := RecallResult{
+		Process: Process{e.deps.Settings.Name, e.deps.Incarnation}, Known: e.witness.remembering(time.Now()),
+	}
 	if t := e.state.table(); t != nil {
 		result.TableTerm, result.TableSerial = t.Term, t.Serial
 	}
