--- a/internal/holder/schedule_test.go
+++ b/internal/holder/schedule_test.go
@@ -276,8 +276,8 @@
 
 // searched is how many schedules are looked at for one that needs a guard. The order of goroutines that are
 // due at the same instant is not fixed, so that the first such schedule differs by run: for the names of
-// lives, about one in a hundred (2, 35, 42, 61, 83, 276, 331, and once none in 400). With 4,000 the verdict
-// is by chance once in 10^17 runs, and as fast: the search ends with the first.
+// lives, about one in 170 (2, 35, 42, 61, 83, 143, 208, 276, 313, 331, 356, and twice none in 400). With
+// 4,000 the verdict is by chance once in 10^10 runs, and as fast: the search ends with the first.
 const searched = 4000
 
 // checkNeeded expects a double owner in one of the schedules that are played without a guard.
