--- a/internal/node/beats.go
+++ b/internal/node/beats.go
@@ -94,7 +94,11 @@
 const knownAgeMost = 30 * time.Second
 
 func (n *Node) heartbeat() roster.Beat {
-	complete, config, servers := n.complete()
+	// The time of sending is taken first: an age that is told with a later one would make what is known
+	// seem younger by what passed between, up to 84 ms with 0.16 of a core as a quota of each tenth of a
+	// second (worked out).
+	sentAt := clock.Boot{}.Now()
+	complete, config, servers := n.complete(sentAt)
 	n.world.mu.Lock()
 	up := !n.world.storeDown && n.holder.StoreOK()
 	n.world.mu.Unlock()
@@ -106,7 +110,7 @@
 	return roster.Beat{
 		Proven:   proven != 0 && clock.Boot{}.Now().Sub(proven) < n.pollLeader()+provenSlack,
 		Complete: complete,
-		SentAt:   int64(clock.Boot{}.Now()), KnownAge: age,
+		SentAt:   int64(sentAt), KnownAge: age,
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.holder.Confirmed(),
 		Known: n.holder.Owners().End, StoreOK: up,
 		Stopping: n.stopped(), Config: config, Servers: servers, Failing: n.holder.Failing(),
@@ -114,21 +118,21 @@
 }
 
 // complete returns the ends of the configuration and the directory that this instance acts by, and how
-// old the knowledge is that nothing is missing before them, in milliseconds, negative if it is of no use
-// to others.
-func (n *Node) complete() (age, config, servers int64) {
+// old the knowledge is at an instant that nothing is missing before them, in milliseconds, negative if
+// it is of no use to others.
+func (n *Node) complete(at clock.Instant) (age, config, servers int64) {
 	config, configUntil := n.topics[n.around.Config].Known()
 	servers, serversUntil := n.topics[n.around.Servers].Known()
-	return millis(clock.Boot{}.Now(), min(configUntil, serversUntil)), config, servers
+	return millis(at, min(configUntil, serversUntil)), config, servers
 }
 
-// millis returns the age of knowledge up to an instant, negative if it is of no use to others.
-func millis(now, until clock.Instant) int64 {
-	age := now.Sub(until)
+// millis returns the age at an instant of knowledge up to another, negative if it is of no use to others.
+func millis(at, until clock.Instant) int64 {
+	age := at.Sub(until)
 	if until == 0 || age > knownAgeMost {
 		return -1
 	}
-	return age.Milliseconds() + 1
+	return max(age.Milliseconds()+1, 0)
 }
 
 // hearComplete takes in that another instance misses nothing before the ends it knows. Who knows less
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -106,14 +106,14 @@
 	for _, r := range u.Records {
 		size += len(r.Key) + len(r.Value)
 	}
-	now := clock.Boot{}.Now()
-	news := follow.News{From: u.From, Age: n.ageOf(u).Milliseconds() + 1, Complete: millis(now, u.Complete), Batch: u.Batch}
+	sentAt := clock.Boot{}.Now()
+	news := follow.News{From: u.From, Age: n.ageOf(u).Milliseconds() + 1, Complete: millis(sentAt, u.Complete), Batch: u.Batch}
 	if !n.affordable(size) {
 		// Too large to pass on: the others hear that there is news, and read it themselves. From
 		// heartbeats alone they would know half a second later.
 		news.From, news.Records = u.End, nil
 	}
-	n.tellAll(gram.News{Topic: u.Topic, Sender: n.settings.Name, SentAt: int64(now), News: news})
+	n.tellAll(gram.News{Topic: u.Topic, Sender: n.settings.Name, SentAt: int64(sentAt), News: news})
 }
 
 // unknownAge stands for the age of records of which nothing is known: older than any time that counts.
