Use the process of membership in what is told of memories

Cause: the mend of recalls had written member.Process anew, and made one from a heartbeat in two places. Tests of internal/entry pass.

--- a/internal/entry/losses.go
+++ b/internal/entry/losses.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/member"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/pkg/keys"
@@ -27,19 +28,18 @@
 	Marks []policy.Mark `json:"marks"`
 }
 
-// Process is one life of an instance.
-type Process struct {
-	Name        string `json:"name"`
-	Incarnation uint64 `json:"incarnation"`
-}
-
 // Remembering is a process of the domain that may remember requests which matter, living or not.
 // HandedOver says that it told others what it remembered before it ended.
 type Remembering struct {
-	Process
+	member.Process
 	HandedOver bool `json:"handed-over,omitempty"`
 }
 
+// remembering returns the process that says something of itself as one that may remember requests.
+func (h Heartbeat) remembering() Remembering {
+	return Remembering{Process: h.instance().Process, HandedOver: h.Stopping}
+}
+
 // losses keeps the processes of this domain that others took the place of. A new process under the name of
 // one that was killed answers, but remembers nothing: it must not pass for one that has nothing to tell.
 type losses struct {
@@ -61,7 +61,7 @@
 	if known && before.Incarnation != h.Incarnation {
 		l.ended[before] = now
 	}
-	l.newest[h.Name] = Remembering{Process: Process{h.Name, h.Incarnation}, HandedOver: h.Stopping}
+	l.newest[h.Name] = h.remembering()
 }
 
 // list returns the processes that ended while what they remembered may still matter.
@@ -79,8 +79,8 @@
 // killed and started again answered, before anybody had heard that they were new, with nothing, and
 // requests ran twice. What the others know counts as well: an instance that has just started knows of nobody
 // who is down.
-func missing(known []Remembering, answered []Process) int {
-	gone := make(map[Process]bool)
+func missing(known []Remembering, answered []member.Process) int {
+	gone := make(map[member.Process]bool)
 	for _, r := range known {
 		gone[r.Process] = true
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -168,8 +168,7 @@
 	var processes []Remembering
 	for _, r := range p.known {
 		if r.Domain == p.self.Domain && !r.heardAt.IsZero() && now.Before(r.heardAt.Add(recallAfter)) {
-			h := r.heartbeat
-			processes = append(processes, Remembering{Process: Process{h.Name, h.Incarnation}, HandedOver: h.Stopping})
+			processes = append(processes, r.heartbeat.remembering())
 		}
 	}
 	return processes
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"time"
 
+	"example.org/mustardring/internal/member"
 	"example.org/mustardring/internal/peer"
 	"example.org/mustardring/internal/policy"
 	"example.org/mustardring/internal/route"
@@ -55,7 +56,7 @@
 // knows: from one that is current it follows that the instance is the gate of no server which
 // the table gives to another.
 type RecallResult struct {
-	Process
+	member.Process
 	Marks       []policy.Mark `json:"marks"`
 	TableTerm   grant.Term    `json:"table-term"`
 	TableSerial uint64        `json:"table-serial"`
@@ -164,7 +165,7 @@
 	var marks []policy.Mark
 	var told []string
 	known := w.remembering(time.Now())
-	present := []Process{{w.peers.own.Name, w.peers.own.Incarnation}}
+	present := []member.Process{w.peers.own}
 	table := w.state.table()
 	for range clients {
 		a := <-answers
@@ -201,9 +202,7 @@
 }
 
 func (e *Entry) handleRecall(_ context.Context, c RecallCall) (RecallResult, error) {
-	result := RecallResult{
-		Process: Process{e.deps.Settings.Name, e.deps.Incarnation}, Known: e.witness.remembering(time.Now()),
-	}
+	result := RecallResult{Process: e.peers.own, Known: e.witness.remembering(time.Now())}
 	if t := e.state.table(); t != nil {
 		result.TableTerm, result.TableSerial = t.Term, t.Serial
 	}
