Log when reads of the store began and who is taken for the leader

The lines did not tell the hypotheses apart: a read was logged at its end, without its beginning, and no line said that nobody led.

Change: store-read names how long the read took, how long the store was to hold it, and the age of what is known. The lines leader and store-reached name whom an instance takes for the leader and which topics it reaches, at each change. Counters of reads without an answer, and a histogram of the times of calls, on the metrics address. No decision depends on any of it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -78,6 +78,10 @@
 	// BegunAt is when the read began: nothing that was acknowledged before is missing. It is
 	// zero for what came from another instance.
 	BegunAt clock.Instant
+	// HeldUntil is when the store was to answer at the latest, with or without news, and EndedAt when the
+	// read ended. Both are zero for what came from another instance.
+	HeldUntil clock.Instant
+	EndedAt   clock.Instant
 	// Since is the time after which the records were written; zero if that is not known.
 	Since clock.Instant
 	// Complete is a time up to which nothing is missing before End; zero if that is not known.
@@ -334,10 +338,11 @@
 }
 
 // read reads once: everything if next is negative, else what is new.
-func (t *Topic) read(ctx context.Context) Update {
+func (t *Topic) read(ctx context.Context) (u Update) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	u := Update{Topic: t.Name, Reason: t.reason, BegunAt: t.Clock.Now(), From: t.next, Whole: t.next < 0, Overdue: t.overdue()}
+	defer func() { u.EndedAt = t.Clock.Now() }()
+	u = Update{Topic: t.Name, Reason: t.reason, BegunAt: t.Clock.Now(), From: t.next, Whole: t.next < 0, Overdue: t.overdue()}
 	if t.waits() && !u.Overdue {
 		watching := make(chan struct{})
 		defer func() { cancel(); <-watching }()
@@ -352,6 +357,7 @@
 		defer stop()
 	}
 	if u.Whole {
+		u.HeldUntil = u.BegunAt
 		u.Batch, u.Err = t.Store.Newest(ctx, t.Name)
 		t.date(&u, 0, u.Err == nil)
 		return u
@@ -360,6 +366,7 @@
 	if t.waits() && !u.Overdue {
 		wait = t.Wait()
 	}
+	u.HeldUntil = u.BegunAt.Add(wait)
 	u.Batch, u.Err = t.Store.Read(ctx, t.Name, t.next, wait)
 	if u.Err == nil {
 		end := max(u.End, t.next)
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -19,6 +19,7 @@
 // lead decides about owners, if this instance is the one to do so.
 func (h *Holder) lead(ctx context.Context, now time.Time) {
 	leader, found := h.Roster.Leader(now)
+	h.noteLeader(leader.Name)
 	leads := found && leader.Name == h.Name && h.reached.Load() && h.entitled()
 	if leads != h.leads {
 		h.leads = leads
@@ -41,6 +42,17 @@
 	h.move(ctx)
 }
 
+// noteLeader logs whom this instance takes for the leader, when that changes, and what it lacks to lead
+// itself. The name is empty if no instance says that it reaches the store.
+func (h *Holder) noteLeader(name string) {
+	if name == h.leader {
+		return
+	}
+	h.leader = name
+	h.Events.Note(event.Belief, "leader", "instance", name, "store-reached", h.reached.Load(), "entitled", h.entitled(),
+		"knowledge-age", time.Duration(h.know.age(h.Clock.Now())))
+}
+
 // clear marks the instances that have been silent for long as removed, and deletes the records
 // of those that were marked for so long that nothing they know is fresh.
 func (h *Holder) clear(ctx context.Context, now time.Time) {
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -47,6 +47,8 @@
 	clearedAt time.Time
 	plannedAt time.Time
 	leads     bool
+	// leader is the instance that was last taken for the leader, empty for none.
+	leader    string
 	gathering map[string]gathering
 	// charges are the servers that fall to this instance, as of chargedAt and chargedFor.
 	charges    []*renewer
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -26,6 +26,7 @@
 			if n.world.expire() {
 				n.serversChanged()
 			}
+			n.noteReach()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -62,8 +63,34 @@
 		return
 	}
 	n.calls.Add("read "+u.Topic+" "+string(u.Reason), 1)
+	if u.Err != nil {
+		n.calls.Add("read-failed "+u.Topic, 1)
+	}
+	age := n.topics[u.Topic].Age()
+	if u.Topic == n.around.Owners {
+		age = n.holder.Age()
+	}
 	n.events.Note(event.Belief, "store-read", "topic", u.Topic, "reason", u.Reason, "from", u.From, "end", u.End,
-		"records", len(u.Records), "error", u.Err)
+		"records", len(u.Records), "wait", u.HeldUntil.Sub(u.BegunAt), "took", u.EndedAt.Sub(u.BegunAt),
+		"knowledge-age", age, "error", u.Err)
+}
+
+// reaches reports whether the store answered the last calls about owners and about the directory. Who leads
+// needs both.
+func (n *Node) reaches() (owners, directory bool) {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	return n.holder.StoreOK(), !n.world.storeDown
+}
+
+// noteReach logs which of the store's topics this instance takes for reachable, when that changes.
+func (n *Node) noteReach() {
+	var now reach
+	now.owners, now.directory = n.reaches()
+	if now != n.reachNoted {
+		n.reachNoted = now
+		n.events.Note(event.Belief, "store-reached", "owners", now.owners, "directory", now.directory)
+	}
 }
 
 // noteNews logs how news of the directory came and how old it is taken to be.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,7 +70,9 @@
 	meters   *edge.Meters
 	inlet    *inlet.Server
 	// calls counts the calls to the store by reason.
-	calls       *expvar.Map
+	calls *expvar.Map
+	// times holds how long calls to the store took that do not wait for news.
+	times       *storeTimes
 	incarnation uint64
 	updates     chan follow.Update
 	again       map[string]chan struct{}
@@ -88,6 +90,14 @@
 	behind     map[string]*behind
 	registered chan struct{}
 	stopping   chan struct{}
+	// reachNoted is what was logged last; it belongs to the goroutine of updates.
+	reachNoted reach
+}
+
+// reach is which topics of the store an instance takes for reachable.
+type reach struct {
+	owners    bool
+	directory bool
 }
 
 // New returns an instance that is not started.
@@ -100,11 +110,11 @@
 		settings: settings, around: around, events: events, port: port,
 		roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), suspects: edge.NewSuspects(), incarnation: rand.Uint64() | 1,
-		silentAt: map[string]time.Time{}, calls: new(expvar.Map).Init(),
+		silentAt: map[string]time.Time{}, calls: new(expvar.Map).Init(), times: newStoreTimes(),
 		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
 		behind: map[string]*behind{}, settled: make(chan gram.SettledRange, settledMost), beatNow: make(chan struct{}, 1), beatAll: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
-	n.around.Store = &countedStore{Store: around.Store, calls: n.calls, events: events}
+	n.around.Store = &countedStore{Store: around.Store, calls: n.calls, times: n.times, events: events}
 	n.world = newWorld(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))-drainReserve)
 	for _, topic := range []string{around.Config, around.Servers, around.Owners} {
 		n.again[topic] = make(chan struct{}, 1)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -111,6 +111,7 @@
 	n.calls.Do(func(v expvar.KeyValue) {
 		lines = append(lines, fmt.Sprintf("store_calls{what=%q} %s\n", v.Key, v.Value))
 	})
+	lines = append(lines, n.times.lines()...)
 	sort.Strings(lines)
 	for _, l := range lines {
 		_, _ = w.Write([]byte(l))
