Test that a change is in force in time after an outage of the store, failing

Each waited for the answer to a read that it had begun in the outage, for 3 s, and then paused for 1 s and more.

TestChangeAfterAnOutage: outages of 0.5 to 9 s, a change at their end, in force within 2 s. Fails for an instance alone and for one of eleven.

Nothing behaves otherwise.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -65,6 +65,10 @@
 	Gap   Reason = "news-missing"
 )
 
+// SilenceMost is how long a call may go without an answer, beyond the time for which a read waits for news, before
+// a Store takes it for lost.
+const SilenceMost = 3 * time.Second
+
 // Update is news of a topic.
 type Update struct {
 	Topic string
--- /dev/null
+++ b/internal/node/outage_test.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/duty"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/holder"
+	"example.org/mustardring/internal/roster"
+)
+
+// silentStore is a store that takes calls during an outage and never answers these.
+type silentStore struct {
+	mu      sync.Mutex
+	silent  bool
+	records []follow.Record
+	calls   int
+}
+
+func (s *silentStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *silentStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, follow.Record{Key: key, Value: []byte(value), Offset: int64(len(s.records))})
+}
+
+func (s *silentStore) Append(context.Context, string, string, []byte, int64) (int64, error) {
+	return 0, follow.ErrNotDone
+}
+
+func (s *silentStore) Newest(ctx context.Context, topic string) (follow.Batch, error) {
+	return s.Read(ctx, topic, 0, 0)
+}
+
+func (s *silentStore) Read(ctx context.Context, _ string, from int64, _ time.Duration) (follow.Batch, error) {
+	s.mu.Lock()
+	s.calls++
+	silent := s.silent
+	all := follow.Batch{Records: s.records[min(from, int64(len(s.records))):], End: int64(len(s.records))}
+	s.mu.Unlock()
+	if !silent {
+		return all, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, follow.SilenceMost)
+	defer cancel()
+	<-ctx.Done()
+	return follow.Batch{}, ctx.Err()
+}
+
+// running is a lease clock that goes on with the time of the test.
+type running struct{}
+
+func (running) Now() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
+
+// newFollower returns an instance among others that follows the topics of a store.
+func newFollower(s follow.Store, others int) *Node {
+	n := &Node{
+		settings: config.Serve{Name: "i0", Domain: "a", Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
+		around:   Surroundings{Store: s, Config: "config", ConfigKey: "config", Servers: "servers", Owners: "owners"},
+		roster:   roster.New("i0", "a"), updates: make(chan follow.Update, 64),
+		again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
+	}
+	for _, topic := range []string{"config", "servers", "owners"} {
+		n.again[topic] = make(chan struct{}, 1)
+		n.news[topic] = make(chan follow.News, newsMost)
+	}
+	n.holder = holder.New(holder.Deps{Clock: running{}, Roster: n.roster})
+	for i := range others + 1 {
+		name := fmt.Sprintf("i%d", i)
+		n.roster.Put(name, roster.Entry{Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: "a", Incarnation: 1, Share: 1}, time.Now())
+	}
+	n.topics = n.newTopics()
+	for _, topic := range n.topics {
+		topic.Clock = running{}
+	}
+	return n
+}
+
+// hearOthers lets an instance hear all others, which know no more than it does, until the context ends.
+func (n *Node) hearOthers(ctx context.Context) error {
+	for duty.Pause(ctx, 200*time.Millisecond) {
+		for _, p := range n.roster.Others() {
+			n.roster.Heard(roster.Beat{Name: p.Name, Incarnation: 1}, time.Now())
+		}
+	}
+	return ctx.Err()
+}
+
+// Guards against a change that is not in force in time since a read outlives the outage in which it began.
+func TestChangeAfterAnOutage(t *testing.T) {
+	const bound = 2 * time.Second
+	tests := map[string]int{"alone": 0, "one of eleven": 10}
+	for name, others := range tests {
+		t.Run(name, func(t *testing.T) {
+			for outage := 500 * time.Millisecond; outage <= 9*time.Second; outage += 100 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					s := &silentStore{}
+					s.put("config", "1")
+					n := newFollower(s, others)
+					ctx, cancel := context.WithCancel(t.Context())
+					ended := make(chan error, 2)
+					topic := n.topics["config"]
+					go func() { ended <- topic.Run(ctx) }()
+					go func() { ended <- n.hearOthers(ctx) }()
+					defer func() { cancel(); <-ended; <-ended }()
+					topic.Applied(<-n.updates)
+					time.Sleep(5 * time.Second)
+					s.setSilent(true)
+					time.Sleep(outage)
+					s.setSilent(false)
+					s.put("config", "2")
+					changedAt := time.Now()
+					for u := range n.updates {
+						topic.Applied(u)
+						if u.End == 2 {
+							break
+						}
+					}
+					is.True(time.Since(changedAt) < bound)
+				})
+			}
+		})
+	}
+}
