Give up a call to the store by its silence, not by how long a transfer may take

Cause: the one timeout of a read, 3 s, was chosen for the transfer of a large configuration on a full link. It also bounded the wait for an answer that never comes, though the promise that rests on the answer is 2 s. A read that began 1.1 s before the end of the outage was waited for 1.9 s after it.

Ruled out: that the store was slow (calls that began after the outage took 6 to 10 ms), that news was lost.

Change: a call is given up when no byte has come for 0.7 s, beyond the time for which a read waits for news; each part of an answer starts that time anew.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -65,9 +65,10 @@
 	Gap   Reason = "news-missing"
 )
 
-// SilenceMost is how long a call may go without an answer, beyond the time for which a read waits for news, before
-// a Store takes it for lost.
-const SilenceMost = 3 * time.Second
+// SilenceMost is how long a Store waits for each part of an answer, beyond the time for which a read waits for news,
+// before it takes the call for lost. A fault that ends while a call waits costs what is left of it, and the
+// pause after it: both together are well below the time in which news must be in force.
+const SilenceMost = 700 * time.Millisecond
 
 // Update is news of a topic.
 type Update struct {
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -106,7 +106,7 @@
 	tests := map[string]int{"alone": 0, "one of eleven": 10}
 	for name, others := range tests {
 		t.Run(name, func(t *testing.T) {
-			for outage := 500 * time.Millisecond; outage <= 9*time.Second; outage += 100 * time.Millisecond {
+			for outage := 500 * time.Millisecond; outage <= 9*time.Second; outage += 20 * time.Millisecond {
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					s := &silentStore{}
