Take in news while the store is silent, and pause by the number of instances that are heard

TestChangeAfterAnOutage fails in two of three runs, by up to 0.3 s.

Cause: the goroutine that follows a topic did one thing at a time. After a read that failed it slept for up to 1.5 s, at the end of a long outage, and an overdue read might not follow for 1 s. While it read or slept it did not take what other instances told, so that one that was answered could not help those that were not: three tests fail on the logic before, each always.

Change: a read is carried out beside the loop that takes news; a pause is a time until which nothing is read, not a sleep. What news brought meanwhile is left out of the answer, else an older one could remove a server that is back. The mean pause after a failed read is 0.25 s, or 40 ms for each instance that is heard, at most 10 s, and varies by a half. So those that hear one another call a store that is down as often together, whatever their number, and one that hears nobody, whom nobody can tell, calls most often. Before, the calls grew with the instances (2 a second each). A limit of 0.7 s for whole reads of owners is gone: the time of silence does the same.

That a leader is found rests on luck still: the two topics it needs must both be tried.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,7 +6,7 @@
 	"context"
 	"errors"
 	"math"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,15 +98,6 @@
 	Err error
 }
 
-// The pauses between attempts to read, and between a change and the next read.
-const (
-	retryLeast = 100 * time.Millisecond
-	retryMost  = time.Second
-	// pollTimeout bounds a read of a topic that is read at intervals. It is short, so that an
-	// instance that has lost the store says so soon and another one decides.
-	pollTimeout = 700 * time.Millisecond
-)
-
 // News is a part of a topic that another instance read.
 type News struct {
 	// From is the offset that the other instance read from.
@@ -149,22 +140,27 @@
 	Again <-chan struct{}
 	// News takes what other instances read; it may be nil.
 	News <-chan News
+	// Retry returns the pause after a read that failed.
+	Retry func() time.Duration
 	// Overdue returns the age of the knowledge that nothing is missing from which on this
-	// instance reads, whoever else should; it may be nil. Retry is the pause after such a read
-	// has failed.
+	// instance reads, whoever else should; it may be nil.
 	//
 	// It guards against the loss of all readers at one time, as when they are cut off from the store: the
 	// directory would stay as it was, and requests go to servers that have left.
 	Overdue func() time.Duration
-	Retry   time.Duration
 
 	// readUntil is the time up to which nothing is missing of what was read, zero if never.
 	readUntil atomic.Int64
-	// retryAt is when an overdue read may be tried again.
-	retryAt time.Time
-	// next is the offset to read from, negative if everything is to be read.
-	next int64
-	// reason is why the next read happens.
+	// failed says that the last read had no answer.
+	failed atomic.Bool
+
+	// The next five belong to the goroutine of Run. Next is the offset behind what is known, missing an end that
+	// another instance knows of. Until pauseUntil this instance reads only if it is asked.
+	next       int64
+	missing    int64
+	pauseUntil time.Time
+	// whole says that everything is to be read, reason why.
+	whole  bool
 	reason Reason
 
 	// mu guards what follows: the end of what the owner of Out acts by, and the time up to which
@@ -233,56 +229,65 @@
 	return max(complete, clock.Instant(t.readUntil.Load()))
 }
 
+// Unanswered reports whether the last read had no answer.
+func (t *Topic) Unanswered() bool { return t.failed.Load() }
+
 // overdue reports whether this instance should read although others do.
-func (t *Topic) overdue() bool {
-	return t.Overdue != nil && t.age(t.until()) > t.Overdue() && !time.Now().Before(t.retryAt)
-}
+func (t *Topic) overdue() bool { return t.Overdue != nil && t.age(t.until()) > t.Overdue() }
 
 // Run follows the topic until the context ends.
 func (t *Topic) Run(ctx context.Context) error {
-	t.next, t.reason = -1, Started
-	pause := retryLeast
-	for ctx.Err() == nil {
-		switch {
-		case t.next < 0:
-		case t.Direct():
-			t.reason = Charged
-		case t.overdue():
-			t.reason = Late
-		case !t.idle(ctx):
-			continue
-		case t.Latest:
-			t.next = -1
-		}
-		u := t.read(ctx)
+	t.whole = true
+	for reason := Started; ; {
+		u, ended := t.readOnce(ctx, reason)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
+		case !ended:
 		case errors.Is(u.Err, ErrExpired):
-			t.next, t.reason = -1, Gone
-			continue
-		case errors.Is(u.Err, context.Canceled):
+			t.whole, reason = true, Gone
 			continue
+		default:
+			t.finish(ctx, u)
 		}
-		if !t.emit(ctx, u) {
-			break
-		}
-		if u.Err != nil {
-			t.retryAt = time.Now().Add(t.Retry)
-			t.sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, retryMost)
-			continue
-		}
-		pause = retryLeast
-		t.next = u.End
-		if len(u.Records) > 0 {
-			t.sleep(ctx, t.Settle())
-		}
-		if t.Every != nil {
-			t.sleep(ctx, t.Every())
+		if reason = t.await(ctx); ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
-	return ctx.Err()
+}
+
+// finish passes on how a read ended, and sets the pause before the next one.
+func (t *Topic) finish(ctx context.Context, u Update) {
+	t.failed.Store(u.Err != nil)
+	if u.Err != nil {
+		t.emit(ctx, u)
+		t.pause(t.Retry())
+		return
+	}
+	u = t.rebase(u)
+	t.emit(ctx, u)
+	t.next, t.whole = u.End, false
+	pause := time.Duration(0)
+	if len(u.Records) > 0 {
+		pause += t.Settle()
+	}
+	if t.Every != nil {
+		pause += t.Every()
+	}
+	t.pause(pause)
+}
+
+func (t *Topic) pause(d time.Duration) { t.pauseUntil = time.Now().Add(d) }
+
+// rebase leaves out of a read what news brought in while the read was in progress.
+func (t *Topic) rebase(u Update) Update {
+	if u.Whole && u.End >= t.next {
+		return u
+	}
+	u.Whole = false
+	u.Records = slices.DeleteFunc(u.Records, func(r Record) bool { return r.Offset < t.next })
+	u.End = max(u.End, t.next)
+	return u
 }
 
 func (t *Topic) emit(ctx context.Context, u Update) bool {
@@ -294,34 +299,65 @@
 	}
 }
 
-// idle waits without reading. It returns true when a read is needed.
-func (t *Topic) idle(ctx context.Context) bool {
-	timer := time.NewTimer(directEvery)
-	defer timer.Stop()
-	select {
-	case n := <-t.News:
-		t.reason = Gap
-		return !t.take(ctx, n)
-	case <-t.Again:
-		t.reason = Asked
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
+// await takes in news until a read is due, and returns why it is.
+func (t *Topic) await(ctx context.Context) Reason {
+	for ctx.Err() == nil {
+		if reason, due := t.due(); due {
+			return reason
+		}
+		timer := time.NewTimer(directEvery)
+		select {
+		case n := <-t.News:
+			t.take(ctx, n)
+		case <-t.Again:
+			timer.Stop()
+			return t.ask(Asked)
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return ""
+}
+
+// due reports whether and why this instance should read without being asked.
+func (t *Topic) due() (Reason, bool) {
+	switch {
+	case time.Now().Before(t.pauseUntil):
+		return "", false
+	case t.whole:
+		return t.reason, true
+	case t.Direct():
+		return Charged, true
+	case t.missing > t.next:
+		return t.ask(Gap), true
+	case t.overdue():
+		return Late, true
 	}
-	return false
+	return "", false
 }
 
-// take takes in what another instance read. It returns false if a part before it is missing.
+// ask returns the reason of a read that another instance gives rise to.
+func (t *Topic) ask(reason Reason) Reason {
+	if t.Direct() {
+		return Charged
+	}
+	t.whole = t.whole || t.Latest
+	return reason
+}
+
+// take takes in what another instance read, or notes that a part before it is missing.
 //
 // Its receipt proves nothing: what was written while it was on its way is not in it. Dated by receipt,
 // it would make instances tell one another that nothing is missing while it is, and the words of servers
 // that leave, read later, seem younger than they are.
-func (t *Topic) take(ctx context.Context, n News) bool {
+func (t *Topic) take(ctx context.Context, n News) {
 	if n.End <= t.next {
-		return true
+		return
 	}
 	if n.From > t.next {
-		return false
+		t.missing = max(t.missing, n.End)
+		return
 	}
 	u := Update{Topic: t.Name, Batch: Batch{End: n.End}, Since: t.until()}
 	if n.SentAt != 0 {
@@ -339,49 +375,69 @@
 		t.next = n.End
 		t.readUntil.Store(max(t.readUntil.Load(), int64(u.Complete)))
 	}
-	return true
 }
 
-// read reads once: everything if next is negative, else what is new.
-func (t *Topic) read(ctx context.Context) (u Update) {
+// readOnce reads once, and takes in news meanwhile: while the store does not answer, another instance may have
+// what is missing. It returns false if it ended the read, for another one.
+//
+// A read that waits for news ends when a peer knows more, or when the word that nothing is missing is overdue: its
+// answer may be lost.
+func (t *Topic) readOnce(ctx context.Context, reason Reason) (Update, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer func() { u.EndedAt = t.Clock.Now() }()
-	u = Update{Topic: t.Name, Reason: t.reason, BegunAt: t.Clock.Now(), From: t.next, Whole: t.next < 0, Overdue: t.overdue()}
-	if t.waits() && !u.Overdue {
-		watching := make(chan struct{})
-		defer func() { cancel(); <-watching }()
-		go func() {
-			defer close(watching)
-			t.watch(ctx, cancel)
-		}()
+	t.reason = reason
+	u := Update{Topic: t.Name, Reason: reason, BegunAt: t.Clock.Now(), From: t.next, Whole: t.whole, Overdue: t.overdue()}
+	wait, again := time.Duration(0), (<-chan struct{})(nil)
+	waits := t.Every == nil && t.Direct() && !u.Whole && !u.Overdue
+	if waits {
+		wait, again = t.Wait(), t.Again
 	}
-	if t.Every != nil {
-		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, pollTimeout)
-		defer stop()
+	u.HeldUntil = u.BegunAt.Add(wait)
+	ended := make(chan Update, 1)
+	go func() { ended <- t.read(ctx, u, wait) }()
+	ticker := time.NewTicker(directEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case u := <-ended:
+			return u, true
+		case n := <-t.News:
+			t.take(ctx, n)
+			continue
+		case <-again:
+		case <-ticker.C:
+			if !waits || !t.overdue() {
+				continue
+			}
+		}
+		cancel()
+		<-ended
+		return Update{}, false
 	}
+}
+
+// read carries out a read, and dates what it brings.
+func (t *Topic) read(ctx context.Context, u Update, wait time.Duration) Update {
 	if u.Whole {
-		u.HeldUntil = u.BegunAt
 		u.Batch, u.Err = t.Store.Newest(ctx, t.Name)
-		t.date(&u, 0, u.Err == nil)
-		return u
+	} else {
+		u.Batch, u.Err = t.Store.Read(ctx, t.Name, u.From, wait)
 	}
-	wait := time.Duration(0)
-	if t.waits() && !u.Overdue {
-		wait = t.Wait()
+	u.EndedAt = t.Clock.Now()
+	if u.Err != nil {
+		return u
 	}
-	u.HeldUntil = u.BegunAt.Add(wait)
-	u.Batch, u.Err = t.Store.Read(ctx, t.Name, t.next, wait)
-	if u.Err == nil {
-		end := max(u.End, t.next)
+	reachesEnd := true
+	if n := len(u.Records); !u.Whole {
+		end := max(u.End, u.From)
 		u.End = end
-		if n := len(u.Records); n > 0 {
+		if n > 0 {
 			// The answer may be cut short of the end: the next read goes on behind it.
 			u.End = u.Records[n-1].Offset + 1
 		}
-		t.date(&u, wait, u.End >= end)
+		reachesEnd = u.End >= end
 	}
+	t.date(&u, wait, reachesEnd)
 	return u
 }
 
@@ -391,7 +447,7 @@
 // An answer says what was there when it was made. It may have been made as soon as the read began,
 // unless it took so long that the store must have held it.
 func (t *Topic) date(u *Update, wait time.Duration, reachesEnd bool) {
-	now := t.Clock.Now()
+	now := u.EndedAt
 	took := now.Sub(u.BegunAt)
 	u.Since = t.until()
 	madeAt := u.BegunAt
@@ -408,38 +464,3 @@
 		t.readUntil.Store(max(t.readUntil.Load(), int64(madeAt)))
 	}
 }
-
-// watch ends a read that waits for news when a peer knows more, or when the word that nothing
-// is missing is overdue: the answer to the read may be lost.
-func (t *Topic) watch(ctx context.Context, end context.CancelFunc) {
-	ticker := time.NewTicker(directEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-t.Again:
-			end()
-			return
-		case <-ticker.C:
-			if t.overdue() {
-				end()
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// waits reports whether reads wait for news.
-func (t *Topic) waits() bool { return t.Every == nil && t.Direct() }
-
-// sleep waits, unless a new read is asked for.
-func (t *Topic) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-t.Again:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -101,6 +101,7 @@
 		topic.Clock = still{}
 	}
 	topic.Settle = func() time.Duration { return 0 }
+	topic.Retry = func() time.Duration { return time.Second }
 	if topic.Wait == nil {
 		topic.Wait = func() time.Duration { return 20 * time.Second }
 	}
@@ -258,7 +259,7 @@
 				is := is.New(t)
 				s := &store{}
 				s.put("a", "1")
-				topic := &follow.Topic{Store: s, Direct: test.direct, Clock: running{}, Overdue: overdue, Retry: time.Second}
+				topic := &follow.Topic{Store: s, Direct: test.direct, Clock: running{}, Overdue: overdue}
 				out := watch(t, topic)
 				<-out
 				began := time.Now()
@@ -292,7 +293,7 @@
 		s := &store{}
 		s.put("a", "1")
 		out := watch(t, &follow.Topic{
-			Store: &failing{store: s}, Direct: never, Clock: running{}, Retry: time.Second,
+			Store: &failing{store: s}, Direct: never, Clock: running{},
 			Overdue: func() time.Duration { return time.Second },
 		})
 		<-out
@@ -427,3 +428,101 @@
 	is.Equal(end, int64(6))
 	is.Equal(until, clock.Instant(150)) // the word of who knew less counts on
 }
+
+// Guards against news that waits until a read ends to which the store does not answer.
+func TestNewsIsTakenWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put("a", "1")
+		news := make(chan follow.News, 1)
+		topic := &follow.Topic{Store: s, Direct: never, Clock: running{}, News: news, Overdue: func() time.Duration { return time.Second }}
+		out := watch(t, topic)
+		<-out
+		s.set(func() { s.hang = true })
+		time.Sleep(2 * time.Second)
+		s.set(func() { is.Equal(s.reads, 1) }) // overdue, and without an answer
+		news <- follow.News{From: 1, Batch: follow.Batch{Records: []follow.Record{{Key: "a", Value: []byte("2"), Offset: 1}}, End: 2}}
+		synctest.Wait()
+		is.Equal(len(out), 1)
+		is.Equal((<-out).End, int64(2))
+	})
+}
+
+// Guards against news that waits until the pause after a failed read is over.
+func TestNewsIsTakenInThePauseAfterAFailedRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put("a", "1")
+		news := make(chan follow.News, 1)
+		topic := &follow.Topic{
+			Store: &failing{store: s}, Direct: always, Clock: running{}, News: news,
+		}
+		out := watch(t, topic)
+		<-out
+		for range 5 {
+			is.True((<-out).Err != nil)
+		}
+		news <- follow.News{From: 1, Batch: follow.Batch{Records: []follow.Record{{Key: "a", Value: []byte("2"), Offset: 1}}, End: 2}}
+		synctest.Wait()
+		is.Equal(len(out), 1)
+		is.Equal((<-out).End, int64(2))
+	})
+}
+
+// Guards against an answer of the store that undoes what news told while it was on its way.
+func TestReadOvertakenByNews(t *testing.T) {
+	removed := follow.Record{Key: "a", Offset: 1}
+	again := follow.Record{Key: "a", Value: []byte("2"), Offset: 2}
+	tests := map[string]bool{"records": false, "everything": true}
+	for name, whole := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store{}
+				s.put("a", "1")
+				held := &late{store: s}
+				news, asked := make(chan follow.News, 1), make(chan struct{}, 1)
+				out := watch(t, &follow.Topic{Store: held, Direct: never, Latest: whole, Clock: running{}, News: news, Again: asked})
+				<-out
+				s.set(func() {
+					s.records = append(s.records, removed)
+					held.delay = time.Second
+				})
+				asked <- struct{}{}
+				time.Sleep(500 * time.Millisecond) // the answer is made, and on its way
+				news <- follow.News{From: 1, Batch: follow.Batch{Records: []follow.Record{removed, again}, End: 3}}
+				is.Equal((<-out).End, int64(3))
+				u := <-out
+				is.Equal(len(u.Records), 0)
+				is.Equal(u.End, int64(3))
+				is.True(!u.Whole)
+			})
+		})
+	}
+}
+
+// late is a store whose answers are on their way for some time.
+type late struct {
+	*store
+	delay time.Duration
+}
+
+func (s *late) Read(ctx context.Context, topic string, from int64, wait time.Duration) (follow.Batch, error) {
+	batch, err := s.store.Read(ctx, topic, from, wait)
+	s.hold()
+	return batch, err
+}
+
+func (s *late) Newest(ctx context.Context, topic string) (follow.Batch, error) {
+	batch, err := s.store.Newest(ctx, topic)
+	s.hold()
+	return batch, err
+}
+
+func (s *late) hold() {
+	var delay time.Duration
+	s.set(func() { delay = s.delay })
+	time.Sleep(delay)
+}
--- a/internal/holder/world_test.go
+++ b/internal/holder/world_test.go
@@ -269,7 +269,7 @@
 	topic := follow.Topic{
 		Store: client, Name: ownersTopic, Clock: fakeClock{n.world.start}, Out: n.holder.Updates(), Again: n.again,
 		Direct: func() bool { return n.holder.Leads() || n.holder.Age() > 5*time.Second },
-		Every:  func() time.Duration { return time.Second }, Settle: func() time.Duration { return 0 },
+		Every:  func() time.Duration { return time.Second }, Settle: func() time.Duration { return 0 }, Retry: func() time.Duration { return 300 * time.Millisecond },
 	}
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context) error{n.holder.Events.Run, n.holder.Run, topic.Run, n.beat(entry.Incarnation), enroll} {
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -117,7 +117,11 @@
 					topic := n.topics["config"]
 					go func() { ended <- topic.Run(ctx) }()
 					go func() { ended <- n.hearOthers(ctx) }()
-					defer func() { cancel(); <-ended; <-ended }()
+					defer func() {
+						cancel()
+						is.True(<-ended != nil)
+						is.True(<-ended != nil)
+					}()
 					topic.Applied(<-n.updates)
 					time.Sleep(5 * time.Second)
 					s.setSilent(true)
@@ -137,3 +141,21 @@
 		})
 	}
 }
+
+// Guards against calls to a store that is down that grow with the number of instances.
+func TestRetriesDoNotGrowWithInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const others, draws = 299, 1000
+		n := newFollower(&silentStore{}, others)
+		for _, p := range n.roster.Others() {
+			n.roster.Heard(roster.Beat{Name: p.Name, Incarnation: 1}, time.Now())
+		}
+		sum := time.Duration(0)
+		for range draws {
+			sum += n.retryPause()
+		}
+		perSecond := float64(others+1) / (sum / draws).Seconds()
+		is.True(perSecond < 50)
+	})
+}
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,7 +44,7 @@
 	}
 	for name, t := range out {
 		t.Store, t.Name, t.Clock, t.Out = n.around.Store, name, clock.Boot{}, n.updates
-		t.Again, t.News, t.Retry = n.again[name], n.news[name], overdueRetry
+		t.Again, t.News, t.Retry = n.again[name], n.news[name], n.retryPause
 	}
 	return out
 }
@@ -81,9 +82,12 @@
 	// moment: the first that reads tells the others, which takes a read and a message.
 	overdueSpread = 300 * time.Millisecond
 	overdueEach   = 25 * time.Millisecond
-	// overdueRetry is the pause after such a read has failed. Eleven instances make 22 calls a
-	// second (worked out) for as long as the store is down for all of them.
-	overdueRetry = time.Second
+	// retryLeast, or retryEach for each instance that is heard, is the mean pause after a read that failed,
+	// retryMost the longest. So all instances that hear one another together call as often whatever their number:
+	// the first that is answered tells the others.
+	retryLeast = 250 * time.Millisecond
+	retryEach  = 40 * time.Millisecond
+	retryMost  = 10 * time.Second
 	// provenSlack is how much longer than the leader waits for an answer the store counts as
 	// proven to answer an instance: the leader is to stay what it is.
 	provenSlack = 500 * time.Millisecond
@@ -97,6 +101,14 @@
 	return n.pollLeader() + n.roster.LeaderEvery() + overdueSlack + time.Duration(part*float64(spread))
 }
 
+// retryPause returns the pause after a read that failed. It varies by a half each way, so that instances that lost the
+// store together do not go on calling it together.
+func (n *Node) retryPause() time.Duration {
+	heard := len(n.roster.Alive(time.Now()))
+	mean := min(max(retryLeast, time.Duration(heard)*retryEach), retryMost)
+	return mean/2 + rand.N(mean)
+}
+
 // reads reports whether this instance reads configuration and directory from the store: the
 // leader does, and tells the others. Three more that read as well cost a seventh of all calls (66 of
 // 458) and were of no more use than the others are, each of which reads when word is overdue.
