Read all topics again when one of them is answered after an outage

Keys of a server that was lost or left stayed without an owner that long, beyond the users' 3 s.

Cause: an instance may lead if the owners and the directory both answered it at their last call. Each topic keeps its own pause after a failed read, owners are read each 3 s, and the directory is not read at all once another instance tells of it. So some instances reached the one, others the other, and each said of itself that it did not reach the store.

Ruled out: that the store refused one of the topics (all calls after its return were answered), that heartbeats were lost.

Change: an answer to one read asks for the topics whose last read had none.

While only a part of the store answers nobody leads still, as before.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -38,6 +38,7 @@
 	if u.Err == nil && u.BegunAt != 0 {
 		n.provenAt.Store(int64(clock.Boot{}.Now()))
 	}
+	n.resume(u)
 	n.relay(ctx, u)
 	switch u.Topic {
 	case n.around.Config:
@@ -57,6 +58,19 @@
 	}
 }
 
+// resume asks for the topics whose last read had no answer when another one has got its own: each is in a pause of
+// its own, and an instance may lead only if all are read.
+func (n *Node) resume(u follow.Update) {
+	if u.Err != nil || u.BegunAt == 0 {
+		return
+	}
+	for name, t := range n.topics {
+		if name != u.Topic && t.Unanswered() {
+			n.readAgain(name)
+		}
+	}
+}
+
 // noteRead counts a read of the store by its reason.
 func (n *Node) noteRead(u follow.Update) {
 	if u.Reason == "" {
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -159,3 +159,46 @@
 		is.True(perSecond < 50)
 	})
 }
+
+// Guards against an instance that reaches the store for one topic and does not try the others, so that nobody leads.
+func TestAnswerEndsThePausesOfOtherTopics(t *testing.T) {
+	for outage := 10 * time.Second; outage <= 14*time.Second; outage += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &silentStore{}
+			s.put("key", "1")
+			n := newFollower(s, 99)
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, len(n.topics)+1)
+			go func() { ended <- n.hearOthers(ctx) }()
+			for _, topic := range n.topics {
+				go func() { ended <- topic.Run(ctx) }()
+			}
+			defer func() {
+				cancel()
+				for range cap(ended) {
+					is.True(<-ended != nil)
+				}
+			}()
+			for range n.topics {
+				<-n.updates
+			}
+			s.setSilent(true)
+			backAt := time.Now().Add(outage)
+			time.AfterFunc(outage, func() { s.setSilent(false) })
+			var answeredAt time.Time
+			for regained := map[string]bool{}; len(regained) < len(n.topics); {
+				u := <-n.updates
+				if u.Err != nil || time.Now().Before(backAt) {
+					continue
+				}
+				if answeredAt.IsZero() {
+					answeredAt = time.Now()
+				}
+				regained[u.Topic] = true
+				n.resume(u)
+			}
+			is.True(time.Since(answeredAt) <= follow.SilenceMost)
+		})
+	}
+}
