Renew leases in a duty of their own

What callers would see: keys of servers that the leader renews have no owner for up to a second when the store falls silent.

Cause: the goroutine that decides about owners writes its decisions down, and started the renewals as well.

Ruled out: that the schedules of ownership would show it. Their store answers at once that it is down.

Change: a goroutine of the holder starts renewals, with the state that only it needs. Orders are sent and proved as before.

Two changes at a time still wait for one another: news of owners is taken in after the write.

--- a/internal/holder/hold_test.go
+++ b/internal/holder/hold_test.go
@@ -12,6 +12,7 @@
 
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
 )
 
 // newWorld starts two failure domains with two instances and three servers each, without faults.
@@ -203,3 +204,21 @@
 		w.mu.Unlock()
 	})
 }
+
+// Guards against leases that run out since the instance that renews them waits for the store.
+func TestRenewalsDoNotWaitForTheStore(t *testing.T) {
+	inWorld(t, func(is *is.I, w *world) {
+		const keys = shard.Keys / spacing
+		time.Sleep(8 * time.Second)
+		is.Equal(w.served(), keys)
+		w.silence = 3 * time.Second
+		w.outage(6 * time.Second)
+		w.mu.Lock()
+		w.backends["s0"].Draining = true // a change to write down
+		w.mu.Unlock()
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(w.served(), keys)
+		}
+	})
+}
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/duty"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/roster"
@@ -50,10 +51,6 @@
 	// leader is the instance that was last taken for the leader, empty for none.
 	leader    string
 	gathering map[string]gathering
-	// charges are the servers that fall to this instance, as of chargedAt and chargedFor.
-	charges    []*renewer
-	chargedFor basis
-	chargedAt  time.Time
 	// pauseUntil keeps a failed write from being repeated at once.
 	pauseUntil time.Time
 	// present holds the servers as of the last decision, left those that were there before.
@@ -121,7 +118,10 @@
 func (h *Holder) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	renewals := make(chan error, 1)
+	go func() { renewals <- h.keepRenewing(ctx) }()
 	defer h.jobs.Wait()
+	defer func() { <-renewals }()
 	h.startedAt = time.Now()
 	for {
 		select {
@@ -143,7 +143,6 @@
 			continue
 		}
 		now := time.Now()
-		h.renew(ctx, now)
 		if up := now.Sub(h.startedAt); up >= listenMost || up >= listenTime && h.Roster.HeardHalf() {
 			h.lead(ctx, now)
 		}
@@ -324,14 +323,32 @@
 	return nil
 }
 
+// charges are the servers that fall to this instance, as of a time and of what decides it.
+type charges struct {
+	renewers []*renewer
+	rest     basis
+	at       time.Time
+}
+
+// keepRenewing starts renewals until the context ends. It is a duty of its own: a decision about owners waits for the
+// store to write it down, and leases would run out meanwhile.
+func (h *Holder) keepRenewing(ctx context.Context) error {
+	var c charges
+	for duty.Pause(ctx, tickEvery) {
+		if !h.stopped() {
+			h.renew(ctx, &c, time.Now())
+		}
+	}
+	return ctx.Err()
+}
+
 // renew starts the renewals that are due and fall to this instance.
-func (h *Holder) renew(ctx context.Context, now time.Time) {
+func (h *Holder) renew(ctx context.Context, c *charges, now time.Time) {
 	owners := h.know.get()
-	if known := h.chargesRestOn(owners, now); known != h.chargedFor && (owners != h.chargedFor.owners || now.Sub(h.chargedAt) >= chargeEvery) {
-		h.charges = h.charge(owners, now)
-		h.chargedFor, h.chargedAt = known, now
+	if rest := h.chargesRestOn(owners, now); rest != c.rest && (owners != c.rest.owners || now.Sub(c.at) >= chargeEvery) {
+		*c = charges{renewers: h.charge(owners, now), rest: rest, at: now}
 	}
-	for _, r := range h.charges {
+	for _, r := range c.renewers {
 		r.start(ctx, now)
 	}
 }
--- a/internal/holder/world_test.go
+++ b/internal/holder/world_test.go
@@ -71,9 +71,10 @@
 	return s.down
 }
 
-func (c *storeClient) Append(_ context.Context, topic, key string, value []byte, asOf int64) (int64, error) {
+func (c *storeClient) Append(ctx context.Context, topic, key string, value []byte, asOf int64) (int64, error) {
 	c.world.delay()
 	if c.cut() {
+		duty.Pause(ctx, c.world.silence)
 		return 0, follow.ErrNotDone
 	}
 	if topic == ownersTopic && c.world.chance(c.world.lostAppends) {
@@ -129,6 +130,8 @@
 	lateOrders  float64
 	lostAppends float64
 	lostPeers   float64
+	// silence is how long the store, while it is down, lets a call to append wait.
+	silence time.Duration
 	// helps is the chance that an instance which is behind is told all by one that is not.
 	helps float64
 	// stated says that servers state when they started, and keep their names when they start again.
