Act by news before telling it, and tell each topic in a duty of its own

What callers would see: 404 or the service of before on a route that a new configuration added, at the instance that leads and at all that it tells, while the directory is large and the links are thin.

Cause: the goroutine that takes in what was read also told the others of it, before it acted by it itself, and waited between the parts of a large directory: twice the time that the link needs for each, up to 0.2 s, of up to twelve. What was read meanwhile waited behind it, for up to 2.2 s; the bound of a configuration is 2 s.

Ruled out: that only the leader is late. News of the configuration goes out after the same wait.

Change: an instance acts by an update first. Then a duty for each of the two topics tells it; what does not fit into its ring of 16 is logged, and the others hear from heartbeats that they are behind. TestPartsArePaced stands.

Conclusion: mended.

--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -121,7 +121,7 @@
 	renewals := make(chan error, 1)
 	go func() { renewals <- h.keepRenewing(ctx) }()
 	defer h.jobs.Wait()
-	defer func() { <-renewals }()
+	defer func() { _ = <-renewals }()
 	h.startedAt = time.Now()
 	for {
 		select {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -39,7 +39,7 @@
 		n.provenAt.Store(int64(clock.Boot{}.Now()))
 	}
 	n.resume(u)
-	n.relay(ctx, u)
+	defer n.tellLater(u)
 	switch u.Topic {
 	case n.around.Config:
 		n.takeConfig(u)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,9 @@
 	updates     chan follow.Update
 	again       map[string]chan struct{}
 	news        map[string]chan follow.News
-	silentMu    sync.Mutex
+	// told holds what was read of the configuration and the directory and is to be told to the others.
+	told     map[string]chan follow.Update
+	silentMu sync.Mutex
 	// silentAt is when a keeper's silence was last logged.
 	silentAt map[string]time.Time
 	// settled holds ranges that have come to their new owners and that the others are to be told of.
@@ -111,7 +113,7 @@
 		roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), suspects: edge.NewSuspects(), incarnation: rand.Uint64() | 1,
 		silentAt: map[string]time.Time{}, calls: new(expvar.Map).Init(), times: newStoreTimes(),
-		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
+		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{}, told: map[string]chan follow.Update{},
 		behind: map[string]*behind{}, settled: make(chan gram.SettledRange, settledMost), beatNow: make(chan struct{}, 1), beatAll: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
 	n.around.Store = &countedStore{Store: around.Store, calls: n.calls, times: n.times, events: events}
@@ -121,6 +123,9 @@
 		n.behind[topic] = &behind{}
 		n.news[topic] = make(chan follow.News, newsMost)
 	}
+	for _, topic := range []string{around.Config, around.Servers} {
+		n.told[topic] = make(chan follow.Update, toldMost)
+	}
 	n.loads = newLoads()
 	n.permits = newPermits(n)
 	n.holder = holder.New(holder.Deps{
@@ -219,6 +224,9 @@
 	duties.Go("messages", n.receive)
 	duties.Go("register", n.register)
 	duties.Go("updates", n.update)
+	for topic := range n.told {
+		duties.Go("tell-"+topic, n.tellUpdates(topic))
+	}
 	duties.Go("beats", n.beat)
 	duties.Go("settled", n.tellSettled)
 	duties.Go("holder", n.holder.Run)
--- a/internal/node/tell.go
+++ b/internal/node/tell.go
@@ -78,9 +78,41 @@
 	return size <= largestNews && n.sendTime(size) <= newsTime
 }
 
+// toldMost is the number of updates of a topic that may wait to be told.
+const toldMost = 16
+
+// tellLater passes an update to the duty that tells the others of its topic.
+func (n *Node) tellLater(u follow.Update) {
+	told, has := n.told[u.Topic]
+	if !has {
+		return
+	}
+	select {
+	case told <- u:
+	default:
+		// The others learn from heartbeats that they are behind.
+		n.events.Note(event.Belief, "news-not-told", "topic", u.Topic, "end", u.End)
+	}
+}
+
+// tellUpdates returns a duty that tells the others of a topic. Each topic has its own: the parts of a large directory
+// are paced, and a configuration must not wait for them.
+func (n *Node) tellUpdates(topic string) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			select {
+			case u := <-n.told[topic]:
+				n.relay(ctx, u)
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+}
+
 // relay tells the others what this instance has read.
 func (n *Node) relay(ctx context.Context, u follow.Update) {
-	if u.Err != nil || u.BegunAt == 0 || u.Topic == n.around.Owners || !u.Overdue && !n.reads() {
+	if u.Err != nil || u.BegunAt == 0 || !u.Overdue && !n.reads() {
 		return
 	}
 	if u.Overdue {
--- a/internal/node/tell_test.go
+++ b/internal/node/tell_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/duty"
+	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/gram"
 	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/rules"
 )
 
 // entries returns news of as many servers.
@@ -68,3 +73,35 @@
 		is.True(time.Since(begun) >= n.sendTime(largest(parts[:1])))
 	})
 }
+
+// Guards against a configuration that comes into force late since the directory is being told in parts.
+func TestConfigurationDoesNotWaitForTheDirectory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		settings := config.Serve{Name: "i0", Domain: "d0", IP: "127.0.0.1", PeerPorts: []int{0}, LinkMbps: 20}
+		n, err := New(settings, Surroundings{
+			Config: "config", ConfigKey: "config", Servers: "servers", Owners: "owners", DecodeServer: decodeServer,
+			DecodeConfig: func([]byte) (*rules.Config, error) { return &rules.Config{Version: 1}, nil },
+		}, event.New(io.Discard, log.InfoLevel))
+		is.NoErr(err)
+		for i := range 5 {
+			n.roster.Put(fmt.Sprintf("i%d", i), roster.Entry{Address: n.port.Address(), Domain: "d0", Incarnation: 1}, time.Now())
+		}
+		duties := duty.New(t.Context(), 4)
+		duties.Go("updates", n.update)
+		directory := entries(900)
+		is.True(len(partsOf(directory)) > 8)
+		begun := time.Now()
+		n.updates <- directory
+		n.updates <- follow.Update{
+			Topic: "config", BegunAt: 1, Overdue: true,
+			Batch: follow.Batch{End: 1, Records: []follow.Record{{Key: "config", Value: []byte("1")}}},
+		}
+		for n.world.config.Load() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(begun) < 100*time.Millisecond)
+		duties.Stop()
+		is.NoErr(duties.Wait(0))
+	})
+}
