Bound the last record of a stop by the time that the stop has

Callers see nothing of it: the process is killed before it has written that it stopped.

Cause: a stop keeps 0.5 s of its time for the record that the instance has ended; the write could take 1.5 s, and 0.7 s since silent calls are given up. While the store is silent the platform's kill comes first.

Change: the write ends with half of that reserve left. TestStopDoesNotWaitForTheStore fails without the bound (0.7 s), passes with it. The renewals of a holder are a duty whose end Run returns.

--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -115,13 +116,13 @@
 }
 
 // Run keeps rights until the context ends.
-func (h *Holder) Run(ctx context.Context) error {
+func (h *Holder) Run(ctx context.Context) (err error) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	renewals := make(chan error, 1)
-	go func() { renewals <- h.keepRenewing(ctx) }()
+	renewals := duty.New(ctx, 1)
+	renewals.Go("renewals", h.keepRenewing)
 	defer h.jobs.Wait()
-	defer func() { _ = <-renewals }()
+	defer func() { err = errors.Join(err, renewals.Wait(0)) }()
 	h.startedAt = time.Now()
 	for {
 		select {
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/duty"
+	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/holder"
 	"example.org/mustardring/internal/roster"
@@ -38,8 +41,16 @@
 	s.records = append(s.records, follow.Record{Key: key, Value: []byte(value), Offset: int64(len(s.records))})
 }
 
-func (s *silentStore) Append(context.Context, string, string, []byte, int64) (int64, error) {
-	return 0, follow.ErrNotDone
+func (s *silentStore) Append(ctx context.Context, _, _ string, _ []byte, _ int64) (int64, error) {
+	return 0, awaitSilence(ctx)
+}
+
+// awaitSilence waits as long as a call that is not answered.
+func awaitSilence(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, follow.SilenceMost)
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (s *silentStore) Newest(ctx context.Context, topic string) (follow.Batch, error) {
@@ -55,10 +66,7 @@
 	if !silent {
 		return all, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, follow.SilenceMost)
-	defer cancel()
-	<-ctx.Done()
-	return follow.Batch{}, ctx.Err()
+	return follow.Batch{}, awaitSilence(ctx)
 }
 
 // running is a lease clock that goes on with the time of the test.
@@ -69,7 +77,7 @@
 // newFollower returns an instance among others that follows the topics of a store.
 func newFollower(s follow.Store, others int) *Node {
 	n := &Node{
-		settings: config.Serve{Name: "i0", Domain: "a", Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
+		settings: config.Serve{Name: "i0", Domain: "a", IP: "127.0.0.1", PeerPorts: []int{1000}, Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
 		around:   Surroundings{Store: s, Config: "config", ConfigKey: "config", Servers: "servers", Owners: "owners"},
 		roster:   roster.New("i0", "a"), updates: make(chan follow.Update, 64),
 		again: map[string]chan struct{}{}, news: map[string]chan follow.News{},
@@ -202,3 +210,15 @@
 		})
 	}
 }
+
+// Guards against a stop that outlasts its time since the store does not answer.
+func TestStopDoesNotWaitForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newFollower(&silentStore{}, 0)
+		n.events = event.New(io.Discard, log.InfoLevel)
+		begun := time.Now()
+		n.recordEnd(t.Context(), begun.Add(stopReserve/2))
+		is.True(time.Since(begun) < stopReserve)
+	})
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -54,10 +54,18 @@
 		time.Sleep(stopPoll)
 		n.inlet.Finish()
 	}
+	n.recordEnd(ctx, deadline.Add(stopReserve/2))
+	n.events.Note(event.Belief, "stopped", "instance", n.settings.Name, "busy", n.inlet.Busy(), "took", time.Since(began))
+}
+
+// recordEnd writes down that this instance ends, unless the store takes longer than until a time: the process is killed
+// soon after it.
+func (n *Node) recordEnd(ctx context.Context, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	if err := n.putRecord(ctx, true); err != nil {
 		n.events.Note(event.Belief, "end-not-recorded", "error", err)
 	}
-	n.events.Note(event.Belief, "stopped", "instance", n.settings.Name, "busy", n.inlet.Busy(), "took", time.Since(began))
 }
 
 // ready reports whether callers should come to this instance: it knows a configuration and
