End a round of decisions with the first write that has no answer

What callers would see: keys that go to other servers are refused for longer, while news of owners waits at the leader.

Cause: the pause after a failed write was looked at once a round.

Change: the round ends with the first such write. TestOneWriteWithoutAnswerEndsTheRound: two writes before, one after.

--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -37,6 +37,9 @@
 		return
 	}
 	for _, service := range h.Services() {
+		if time.Now().Before(h.pauseUntil) {
+			break
+		}
 		h.decide(ctx, service, now)
 	}
 	h.move(ctx)
--- /dev/null
+++ b/internal/holder/lead_test.go
@@ -0,0 +1,61 @@
+package holder
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/rules"
+)
+
+// silentStore answers no append.
+type silentStore struct {
+	follow.Store
+	appends int
+}
+
+func (s *silentStore) Append(context.Context, string, string, []byte, int64) (int64, error) {
+	s.appends++
+	time.Sleep(follow.SilenceMost)
+	return 0, follow.ErrUnknown
+}
+
+// Guards against decisions that wait for a silent store once for each service, while news of owners waits for them.
+func TestOneWriteWithoutAnswerEndsTheRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start, s := time.Now(), &silentStore{}
+		servers := map[string]rules.Server{
+			"s1": {ID: "s1", Service: "books", Address: "127.0.0.1:1", Domain: "d0", Slots: 2},
+			"s2": {ID: "s2", Service: "stock", Address: "127.0.0.1:2", Domain: "d0", Slots: 2},
+		}
+		h := New(Deps{
+			Name: "i0", Domain: "d0", Store: s, Clock: fakeClock{start}, Roster: roster.New("i0", "d0"), Incarnation: 1,
+			Events:   event.New(io.Discard, log.InfoLevel),
+			Servers:  func() map[string]rules.Server { return servers },
+			Services: func() []string { return []string{"books", "stock"} },
+			Target:   func(string) time.Duration { return time.Second },
+			Load:     func(string) []float64 { return nil }, Powers: func(string) map[string]float64 { return nil },
+			Leading: func(bool) {}, Announce: func() {}, Again: func() {}, Changed: func() {},
+		})
+		entry, err := roster.Entry{Address: "127.0.0.1:3", Domain: "d0", Incarnation: 1, Share: 1}.Encode()
+		is.NoErr(err)
+		h.fold(follow.Update{
+			BegunAt: h.Clock.Now(), Batch: follow.Batch{Records: []follow.Record{{Key: InstanceKey("i0"), Value: entry}}, End: 1},
+		})
+		h.Roster.Heard(roster.Beat{Name: "i0", Incarnation: 1, StoreOK: true}, time.Now())
+		h.lead(t.Context(), time.Now()) // servers of new services are awaited
+		time.Sleep(gatherTime)
+		h.Roster.Heard(roster.Beat{Name: "i0", Incarnation: 1, StoreOK: true}, time.Now())
+		h.lead(t.Context(), time.Now())
+		is.Equal(s.appends, 1)
+	})
+}
