Read the register before a record is written into it again

Cause: an instance counts as registered when the append of its record is answered, and followed the owners only then. Eleven records wait for one another for 3.2 s, each is given up after 1.5 s and written again, so that the queue never gets shorter: 38 appends without an answer. All were carried out.

Ruled out: the time of the answer alone. A limit of 0.7 s gives the same with 106 appends.

Change: the owners are followed as soon as a record may be in the register; an append without an answer is followed by reads, and by another record only after 2.5 s, beyond the 2 s for which the store lets appends wait. Safety rests on what it rested on: an instance acts only if its own record is among the owners that it knows, so that whoever wrote a move before it had read it or it has read the move.

TestRegistrationIsReadBeforeItIsRepeated is new.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,9 +51,6 @@
 // the store.
 const newsMost = 32
 
-// registerEvery is how often an instance looks whether it still is registered.
-const registerEvery = 400 * time.Millisecond
-
 // Node is an instance.
 type Node struct {
 	settings config.Serve
@@ -264,31 +261,6 @@
 	n.events.Note(event.Belief, "reload", "instance", n.settings.Name)
 }
 
-// register writes this instance into the register, and again should its record be removed.
-func (n *Node) register(ctx context.Context) error {
-	first := true
-	for ctx.Err() == nil {
-		if first || !n.stopped() && n.removed() {
-			if err := n.putRecord(ctx, false); err != nil {
-				n.events.Note(event.Belief, "not-registered", "error", err)
-			} else {
-				n.readAgain(n.around.Owners)
-				if first {
-					close(n.registered)
-					first = false
-				}
-			}
-		}
-		duty.Pause(ctx, registerEvery)
-	}
-	return ctx.Err()
-}
-
-// removed reports whether the register does not hold this instance any more.
-func (n *Node) removed() bool {
-	return n.holder.Owners().End > 0 && !n.holder.Registered()
-}
-
 func (n *Node) entry(ended bool) roster.Entry {
 	return roster.Entry{
 		Address: net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.PeerPorts[0])), Domain: n.settings.Domain,
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// awaitRegistration waits until the instance is registered: what is read of the owners counts
-// from then on.
+// awaitRegistration waits until a record of this instance may be in the register: what is read of the owners counts
+// from there on.
 func (n *Node) awaitRegistration(ctx context.Context) bool {
 	select {
 	case <-n.registered:
--- /dev/null
+++ b/internal/node/register_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/follow"
+)
+
+// Guards against instances that write themselves down again and again since each answer comes too late.
+func TestRegistrationIsReadBeforeItIsRepeated(t *testing.T) {
+	tests := map[string]struct {
+		err     error
+		maybe   bool
+		repeats time.Duration
+	}{
+		"answered":  {nil, true, recordTime},
+		"no answer": {fmt.Errorf("%w: silent", follow.ErrUnknown), true, recordTime},
+		"refused":   {fmt.Errorf("%w: status 503", follow.ErrNotDone), false, registerEvery},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r registration
+			now := time.Now()
+			is.True(r.due(false, now))
+			is.Equal(r.sent(test.err, now), test.maybe)
+			is.True(!r.due(false, now.Add(test.repeats-time.Millisecond)))
+			is.True(r.due(false, now.Add(test.repeats)))
+			is.True(!r.due(true, now.Add(time.Hour)))
+			is.True(!r.unknown)
+		})
+	}
+}
