Take an answer that was cut short for no proof that nothing follows it

What callers could see: a key with two owners for up to some seconds, or requests refused by the owner of before. Answers of the store end after 1 MB.

Cause: owners are known as of the time at which a read began. A read that was cut short of the end brings records, but says nothing of what follows them. Its instance took its knowledge for new, may renew by it for 3 to 12 s, and read on only after an interval of 3 s. Configuration and directory were dated right: they go by the time up to which an update is complete.

Change: the owners are dated by that time too; the read after an answer that was cut short follows at once.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -268,10 +268,11 @@
 	t.emit(ctx, u)
 	t.next, t.whole = u.End, false
 	pause := time.Duration(0)
-	if len(u.Records) > 0 {
+	cutShort := u.Complete == 0
+	if len(u.Records) > 0 && !cutShort {
 		pause += t.Settle()
 	}
-	if t.Every != nil {
+	if t.Every != nil && !cutShort {
 		pause += t.Every()
 	}
 	t.pause(pause)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -526,3 +526,33 @@
 	s.set(func() { delay = s.delay })
 	time.Sleep(delay)
 }
+
+// Guards against records that are read an interval late since the answer before was cut short.
+func TestAnswerCutShortIsReadOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put("a", "1")
+		asked := make(chan struct{}, 1)
+		out := watch(t, &follow.Topic{
+			Store: &brief{store: s}, Direct: always, Clock: running{}, Again: asked, Every: func() time.Duration { return time.Minute },
+		})
+		<-out
+		s.put("a", "2")
+		s.put("a", "3")
+		asked <- struct{}{}
+		is.Equal((<-out).Complete, clock.Instant(0)) // more was there
+		began := time.Now()
+		is.True((<-out).Complete != 0)
+		is.True(time.Since(began) < time.Second)
+	})
+}
+
+// brief is a store that answers with one record at most.
+type brief struct{ *store }
+
+func (s *brief) Read(ctx context.Context, topic string, from int64, wait time.Duration) (follow.Batch, error) {
+	batch, err := s.store.Read(ctx, topic, from, wait)
+	batch.Records = batch.Records[:min(len(batch.Records), 1)]
+	return batch, err
+}
--- a/internal/holder/enrol_test.go
+++ b/internal/holder/enrol_test.go
@@ -20,7 +20,7 @@
 // follower returns the knowledge of an instance that has read the store up to an offset.
 func follower(end int64) *knowledge {
 	k := newKnowledge()
-	k.fold(follow.Update{BegunAt: clock.Instant(time.Second), Batch: follow.Batch{End: end}, Whole: true})
+	k.fold(follow.Update{BegunAt: clock.Instant(time.Second), Complete: clock.Instant(time.Second), Batch: follow.Batch{End: end}, Whole: true})
 	return k
 }
 
@@ -144,3 +144,14 @@
 		})
 	}
 }
+
+// Guards against two owners of a key: the answer to a read was cut short, and passed for all that there was.
+func TestAnswerCutShortProvesNothing(t *testing.T) {
+	is := is.New(t)
+	const before, later = clock.Instant(time.Second), clock.Instant(5 * time.Second)
+	k := follower(5)
+	k.fold(follow.Update{BegunAt: later, Batch: follow.Batch{Records: register(5, "i1 7"), End: 6}})
+	is.Equal(k.get().End, int64(6))
+	is.True(k.provenSince(before))
+	is.True(!k.provenSince(later))
+}
--- a/internal/holder/know.go
+++ b/internal/holder/know.go
@@ -92,9 +92,10 @@
 		changed = true
 	}
 	k.owners = next
-	// An update that ends before what is known is an old one, which proves nothing.
-	if u.End >= next.End && u.BegunAt > k.asOf {
-		k.asOf, k.read = u.BegunAt, true
+	// An update that ends before what is known is an old one, and one that was cut short has no time up to which it is
+	// complete: neither proves anything.
+	if u.End >= next.End && u.Complete > k.asOf {
+		k.asOf, k.read = u.Complete, true
 	}
 	return changed, faults
 }
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -104,7 +104,7 @@
 		return false
 	}
 	h.fold(follow.Update{
-		Topic: h.Topic, BegunAt: begun,
+		Topic: h.Topic, BegunAt: begun, Complete: begun,
 		Batch: follow.Batch{End: offset + 1, Records: []follow.Record{{Key: key, Value: value, Offset: offset}}},
 	})
 	return true
--- a/internal/holder/lead_test.go
+++ b/internal/holder/lead_test.go
@@ -49,7 +49,7 @@
 		entry, err := roster.Entry{Address: "127.0.0.1:3", Domain: "d0", Incarnation: 1, Share: 1}.Encode()
 		is.NoErr(err)
 		h.fold(follow.Update{
-			BegunAt: h.Clock.Now(), Batch: follow.Batch{Records: []follow.Record{{Key: InstanceKey("i0"), Value: entry}}, End: 1},
+			Complete: h.Clock.Now(), Batch: follow.Batch{Records: []follow.Record{{Key: InstanceKey("i0"), Value: entry}}, End: 1},
 		})
 		h.Roster.Heard(roster.Beat{Name: "i0", Incarnation: 1, StoreOK: true}, time.Now())
 		h.lead(t.Context(), time.Now()) // servers of new services are awaited
