--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -239,11 +239,11 @@
 func (t *Topic) Run(ctx context.Context) error {
 	t.whole = true
 	for reason := Started; ; {
-		u, ended := t.readOnce(ctx, reason)
+		u, done := t.readOnce(ctx, reason)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case !ended:
+		case !done:
 		case errors.Is(u.Err, ErrExpired):
 			t.whole, reason = true, Gone
 			continue
@@ -267,15 +267,23 @@
 	u = t.rebase(u)
 	t.emit(ctx, u)
 	t.next, t.whole = u.End, false
+	t.pause(t.pauseAfter(u))
+}
+
+// pauseAfter returns the pause after a read that was answered.
+func (t *Topic) pauseAfter(u Update) time.Duration {
 	pause := time.Duration(0)
-	cutShort := u.Complete == 0
-	if len(u.Records) > 0 && !cutShort {
+	if u.Complete == 0 {
+		// The answer was cut short.
+		return pause
+	}
+	if len(u.Records) > 0 {
 		pause += t.Settle()
 	}
-	if t.Every != nil && !cutShort {
+	if t.Every != nil {
 		pause += t.Every()
 	}
-	t.pause(pause)
+	return pause
 }
 
 func (t *Topic) pause(d time.Duration) { t.pauseUntil = time.Now().Add(d) }
@@ -306,7 +314,7 @@
 		if reason, due := t.due(); due {
 			return reason
 		}
-		timer := time.NewTimer(directEvery)
+		timer := time.NewTimer(t.untilDue())
 		select {
 		case n := <-t.News:
 			t.take(ctx, n)
@@ -321,6 +329,14 @@
 	return ""
 }
 
+// untilDue returns the time to the next look whether a read is due.
+func (t *Topic) untilDue() time.Duration {
+	if left := time.Until(t.pauseUntil); left > 0 && left < directEvery {
+		return left
+	}
+	return directEvery
+}
+
 // due reports whether and why this instance should read without being asked.
 func (t *Topic) due() (Reason, bool) {
 	switch {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -100,7 +100,9 @@
 	if topic.Clock == nil {
 		topic.Clock = still{}
 	}
-	topic.Settle = func() time.Duration { return 0 }
+	if topic.Settle == nil {
+		topic.Settle = func() time.Duration { return 0 }
+	}
 	topic.Retry = func() time.Duration { return time.Second }
 	if topic.Wait == nil {
 		topic.Wait = func() time.Duration { return 20 * time.Second }
@@ -556,3 +558,19 @@
 	batch.Records = batch.Records[:min(len(batch.Records), 1)]
 	return batch, err
 }
+
+// Guards against a leader that reads late since it looks only now and then whether its pause is over.
+func TestPauseEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const pause = 30 * time.Millisecond
+		s := &store{}
+		s.put("a", "1")
+		out := watch(t, &follow.Topic{Store: s, Direct: always, Clock: running{}, Settle: func() time.Duration { return pause }})
+		<-out
+		s.put("a", "2")
+		began := time.Now()
+		is.Equal((<-out).End, int64(2))
+		is.True(time.Since(began) <= pause+10*time.Millisecond)
+	})
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -39,7 +39,6 @@
 		n.provenAt.Store(int64(clock.Boot{}.Now()))
 	}
 	n.resume(u)
-	defer n.tellLater(u)
 	switch u.Topic {
 	case n.around.Config:
 		n.takeConfig(u)
@@ -56,6 +55,7 @@
 		case <-ctx.Done():
 		}
 	}
+	n.tellLater(u)
 }
 
 // resume asks for the topics whose last read had no answer when another one has got its own: each is in a pause of
