Use one piece of code for the times of requests and of calls to the store

Cause, found by reading the whole change again: the histogram of the times of calls to the store, its range, its figures and its quantiles stood in internal/node as they stood in edge.Meters. And what an instance reaches of the store was returned as two values, to be put into a type of two fields at once.

Change: edge.Times is what both use; Node.reaches returns its type. The lines on the metrics address and the JSON keep their names and values; no test changed.

--- a/internal/edge/meters.go
+++ b/internal/edge/meters.go
@@ -17,16 +17,50 @@
 	labelsMost = 256
 )
 
+// Times holds how long things took, by what they were.
+type Times struct {
+	mu sync.Mutex
+	by map[string]*hdrhistogram.Histogram
+}
+
+// NewTimes returns times of nothing yet.
+func NewTimes() *Times { return &Times{by: map[string]*hdrhistogram.Histogram{}} }
+
+// Record takes in how long something took.
+func (t *Times) Record(what string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.by[what]
+	if h == nil {
+		h = hdrhistogram.New(latencyLeast, latencyMost, latencyFigures)
+		t.by[what] = h
+	}
+	_ = h.RecordValue(min(max(took.Microseconds(), latencyLeast), latencyMost))
+}
+
+// Snapshot returns the quantiles.
+func (t *Times) Snapshot() map[string]Latencies {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]Latencies, len(t.by))
+	for what, h := range t.by {
+		out[what] = Latencies{
+			Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99), Most: h.Max(),
+		}
+	}
+	return out
+}
+
 // Meters counts requests and their latencies.
 type Meters struct {
 	mu      sync.Mutex
 	counts  map[string]map[why]int64
-	latency map[why]*hdrhistogram.Histogram
+	latency *Times
 }
 
 // NewMeters returns meters.
 func NewMeters() *Meters {
-	return &Meters{counts: map[string]map[why]int64{}, latency: map[why]*hdrhistogram.Histogram{}}
+	return &Meters{counts: map[string]map[why]int64{}, latency: NewTimes()}
 }
 
 // Request takes in how a request ended.
@@ -42,12 +76,7 @@
 		}
 	}
 	m.counts[route][reason]++
-	h := m.latency[reason]
-	if h == nil {
-		h = hdrhistogram.New(latencyLeast, latencyMost, latencyFigures)
-		m.latency[reason] = h
-	}
-	_ = h.RecordValue(min(max(took.Microseconds(), latencyLeast), latencyMost))
+	m.latency.Record(string(reason), took)
 }
 
 // Latencies are quantiles in microseconds.
@@ -61,25 +90,20 @@
 // Snapshot is the state of the meters.
 type Snapshot struct {
 	Requests map[string]map[why]int64 `json:"requests"`
-	Latency  map[why]Latencies        `json:"latency"`
+	Latency  map[string]Latencies     `json:"latency"`
 }
 
 // Snapshot returns the state of the meters.
 func (m *Meters) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Requests: map[string]map[why]int64{}, Latency: map[why]Latencies{}}
+	s := Snapshot{Requests: map[string]map[why]int64{}, Latency: m.latency.Snapshot()}
 	for route, counts := range m.counts {
 		s.Requests[route] = map[why]int64{}
 		for reason, n := range counts {
 			s.Requests[route][reason] = n
 		}
 	}
-	for reason, h := range m.latency {
-		s.Latency[reason] = Latencies{
-			Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99), Most: h.Max(),
-		}
-	}
 	return s
 }
 
--- a/internal/node/beats.go
+++ b/internal/node/beats.go
@@ -122,7 +122,7 @@
 	// seem younger by what passed between, a good part of a tenth of a second where a part of a core is a quota.
 	sentAt := clock.Boot{}.Now()
 	complete, config, servers := n.complete(sentAt)
-	owners, directory := n.reaches()
+	reached := n.reaches()
 	age := int64(-1)
 	if a := n.holder.Age(); a < knownAgeMost {
 		age = a.Milliseconds() + 1
@@ -133,7 +133,7 @@
 		Complete: complete,
 		SentAt:   int64(sentAt), KnownAge: age,
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.holder.Confirmed(),
-		Known: n.holder.Owners().End, StoreOK: owners && directory,
+		Known: n.holder.Owners().End, StoreOK: reached.owners && reached.directory,
 		Stopping: n.stopped(), Leads: n.holder.Leads(), Config: config, Servers: servers, Failing: n.holder.Failing(),
 	}
 }
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -91,16 +91,15 @@
 
 // reaches reports whether the store answered the last calls about owners and about the directory. Who leads
 // needs both.
-func (n *Node) reaches() (owners, directory bool) {
+func (n *Node) reaches() reach {
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
-	return n.holder.StoreOK(), !n.world.storeDown
+	return reach{owners: n.holder.StoreOK(), directory: !n.world.storeDown}
 }
 
 // noteReach logs which of the store's topics this instance takes for reachable, when that changes.
 func (n *Node) noteReach() {
-	var now reach
-	now.owners, now.directory = n.reaches()
+	now := n.reaches()
 	if now != n.reachNoted {
 		n.reachNoted = now
 		n.events.Note(event.Belief, "store-reached", "owners", now.owners, "directory", now.directory)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,7 +69,7 @@
 	// calls counts the calls to the store by reason.
 	calls *expvar.Map
 	// times holds how long calls to the store took that do not wait for news.
-	times       *storeTimes
+	times       *edge.Times
 	incarnation uint64
 	updates     chan follow.Update
 	again       map[string]chan struct{}
@@ -109,7 +109,7 @@
 		settings: settings, around: around, events: events, port: port,
 		roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), suspects: edge.NewSuspects(), incarnation: rand.Uint64() | 1,
-		silentAt: map[string]time.Time{}, calls: new(expvar.Map).Init(), times: newStoreTimes(),
+		silentAt: map[string]time.Time{}, calls: new(expvar.Map).Init(), times: edge.NewTimes(),
 		updates: make(chan follow.Update, 64), again: map[string]chan struct{}{}, news: map[string]chan follow.News{}, told: map[string]chan follow.Update{},
 		behind: map[string]*behind{}, settled: make(chan gram.SettledRange, settledMost), beatNow: make(chan struct{}, 1), beatAll: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -119,7 +119,11 @@
 	n.calls.Do(func(v expvar.KeyValue) {
 		lines = append(lines, fmt.Sprintf("store_calls{what=%q} %s\n", v.Key, v.Value))
 	})
-	lines = append(lines, n.times.lines()...)
+	for call, l := range n.times.Snapshot() {
+		lines = append(lines, fmt.Sprintf("store_time_us{call=%q,quantile=\"0.5\"} %d\n", call, l.P50),
+			fmt.Sprintf("store_time_us{call=%q,quantile=\"0.99\"} %d\n", call, l.P99),
+			fmt.Sprintf("store_time_us{call=%q,quantile=\"1\"} %d\n", call, l.Most))
+	}
 	sort.Strings(lines)
 	for _, l := range lines {
 		_, _ = w.Write([]byte(l))
