Read the load of servers that state a fourth figure

Seen: on the shifted deployment servers state four figures in the header of their load: running, waiting, slots, and how long work takes on their machine now, where 100 is usual. The adapter took a header of exactly three, so the load of every server there was unknown, without a word: the counts of foreign load and the look whether a full server is really full had nothing to go by.

Looked for elsewhere: the configuration and the entries of servers are JSON, whose unknown fields are passed over; a kind of route that is not named is taken as one that must not be repeated; a state of a server that is not named here is refused, as the platform's page asks; settings come from a template of ours. No other decoder drops what a newer platform adds.

Change: three figures are owed, a fourth is the slowdown of the server's machine, what follows is passed over. A load that cannot be read gets one line for each server. The fourth figure goes to the keeper with the permit that is given back; no decision uses it yet.

Test: TestLoadOfAServer, which failed for four figures before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,6 +40,8 @@
 	NotRun bool
 	Moved  bool
 	Load   permit.Load
+	// LoadErr says that the server stated a load that cannot be read.
+	LoadErr error
 }
 
 // Wire translates between the headers of requests and what they mean.
@@ -93,6 +95,8 @@
 type Edge struct {
 	Deps
 	patience patience
+	// oddLoads holds the servers whose load could not be read, as far as a line was written.
+	oddLoads oddLoads
 }
 
 // New returns an edge.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -180,6 +180,9 @@
 	}
 	answer := q.edge.Wire.Answer(response)
 	done.Load = answer.Load
+	if answer.LoadErr != nil {
+		q.edge.noteOddLoad(s.ID, answer.LoadErr)
+	}
 	reply, err := whole(response)
 	if err == nil && answer.ID != q.call.ID && answer.ID != "" {
 		err = errOtherAnswer
--- a/internal/gram/gram.go
+++ b/internal/gram/gram.go
@@ -62,6 +62,8 @@
 		Running int
 		Waiting int
 		Loaded  bool
+		// Slowdown is permit.Load.Slowdown in hundredths.
+		Slowdown int
 	}
 	// Withdraw takes an Ask back. Pool is empty if the sender does not know it any more.
 	Withdraw struct {
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -20,6 +20,9 @@
 	idleEvery = 50 * time.Millisecond
 )
 
+// slowdownUnits is the number of units of gram.Done.Slowdown that stand for the usual pace.
+const slowdownUnits = 100
+
 // permits gets permits for the requests of this instance, and keeps those of the services and
 // servers that it is in charge of.
 type permits struct {
@@ -184,7 +187,9 @@
 	p.deliver(p.keeper(m.Pool).Done(time.Now(), permit.Done{
 		Key: permit.Key{From: from.String(), Serial: m.Serial}, Server: m.Server, Route: m.Route,
 		Outcome: m.Outcome, Took: time.Duration(m.TookUs) * time.Microsecond, Bytes: m.Bytes,
-		Load: permit.Load{Running: m.Running, Waiting: m.Waiting, Known: m.Loaded},
+		Load: permit.Load{
+			Running: m.Running, Waiting: m.Waiting, Known: m.Loaded, Slowdown: float64(m.Slowdown) / slowdownUnits,
+		},
 	}))
 }
 
@@ -227,6 +232,7 @@
 		Serial: h.serial, Pool: h.pool, Server: h.server, Route: h.route, Outcome: d.Outcome,
 		TookUs: int(d.Took.Microseconds()), Bytes: d.Bytes,
 		Running: d.Load.Running, Waiting: d.Load.Waiting, Loaded: d.Load.Known,
+		Slowdown: int(d.Load.Slowdown * slowdownUnits),
 	}
 	h.permits.node.port.Send(h.keeper, m)
 	m.Loaded = false
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -70,6 +70,9 @@
 	Running int
 	Waiting int
 	Known   bool
+	// Slowdown is the factor by which work takes longer on the server's machine at this moment than usual, zero if
+	// it is not stated. Servers share their machines with others, so it changes several times a second.
+	Slowdown float64
 }
 
 // Done gives a permit back.
