Send a cold server no more requests in a second than it bears

Cause: nothing counted. A keeper gives permits by slots, and a fast server of two slots ends 27 requests a second even at half its speed. Ruled out: two keepers at one time (the lines of the instances name one), connections that open late (arrivals lie within a few milliseconds of permits).

Change: the configuration says how many requests a cold server bears, and the keeper counts what it permits in a sliding second, up to that rate, pooled and keyed; the wait that is predicted and the power of a pool know of it, and the time that an answer of a cold server takes does not count as its lasting speed. What is allowed above the rate is left for a change of keeper. An instance that hears no majority, or asks itself as a last resort, may not be the only one that counts: it sends cold servers nothing. A permit for a cold server that waited 0.3 s for its connection goes back. Plans give a cold server keys for four fifths of the rate, and one that started again gets back only what it bears.

--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -17,8 +17,8 @@
 var (
 	// errOtherAnswer says that a server sent the answer to another request.
 	errOtherAnswer = errors.New("edge: answer to another request")
-	// errClosed says that the server takes no more requests.
-	errClosed = errors.New("edge: the server is leaving")
+	// errClosed says that the server takes no more requests, or not this one now.
+	errClosed = errors.New("edge: the server takes the request no more")
 )
 
 // hopHeaders concern one connection only.
@@ -59,12 +59,16 @@
 	now := time.Now()
 	s, found := q.edge.World.Server(server)
 	q.dispatched, q.leaving = took, s.LeavesIn(now)
-	if !found || s.Closed(q.divided, now) {
+	if !found || s.Closed(q.divided, now) || s.Cold(now) && took > coldSendMost {
 		return errClosed
 	}
 	return nil
 }
 
+// coldSendMost is how long after its permit a request may be sent to a cold server: one that waited longer for its
+// connection would arrive among those of another span.
+const coldSendMost = 300 * time.Millisecond
+
 // copyHeader copies the headers that concern more than one connection.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -114,6 +114,9 @@
 	// twice as long for some seconds. Where servers are replaced, the keys of those that leave go
 	// to the new ones at once, not first to others that are busy and then on.
 	coldPower = 0.5
+	// coldShare is the part of the requests a second that a cold server bears for which it gets keys: requests come
+	// unevenly.
+	coldShare = 0.8
 	// registerSilence is how long an instance may be silent before its record is removed: longer
 	// than holdTime, which looks at registered instances.
 	registerSilence = 8 * time.Second
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -238,12 +238,16 @@
 				power = usual
 			}
 		}
-		lost := s.Draining || failing[id] && !h.Roster.CutOff(s.Domain, holdTime, now)
+		lost := s.Leaving() || failing[id] && !h.Roster.CutOff(s.Domain, holdTime, now)
+		capped := false
 		if now.Before(s.WarmAt) {
 			power *= coldPower
+			if s.ColdRate > 0 {
+				power, capped = min(power, coldShare*s.ColdRate), true
+			}
 		}
 		in.Members = append(in.Members, shard.Member{
-			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost, Lost: lost,
+			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost, Lost: lost, Capped: capped,
 		})
 		in.Addresses[id] = s.Address
 	}
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -35,6 +35,8 @@
 	pools   *pools
 	// waits says that a request begins to wait while none did.
 	waits chan struct{}
+	// apart says that this instance hears too few others to be sure that it alone gives the permits that it gives.
+	apart bool
 }
 
 func newPermits(n *Node) *permits {
@@ -71,6 +73,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.apart = !p.node.roster.Most(now)
 	for pool, k := range p.keepers {
 		if !k.Idle() {
 			p.deliver(k.Tick(now))
@@ -173,6 +176,7 @@
 		TargetAt: now.Add(time.Duration(m.TargetIn) * time.Millisecond),
 		LimitAt:  now.Add(time.Duration(m.LimitIn) * time.Millisecond),
 	}
+	a.Apart = p.apart
 	k := p.keeper(m.Pool)
 	idle := k.Idle()
 	p.deliver([]permit.Verdict{k.Ask(now, a)})
@@ -276,7 +280,11 @@
 // askKeepers asks those in charge of a pool or a server in turn, and decides itself if they are silent.
 func (p *permits) askKeepers(ctx context.Context, a permit.Ask, thing, domain string) (edge.Permit, *permit.Refused) {
 	for i, keeper := range p.node.roster.Rank(thing, domain, time.Now()) {
-		if i == asksMost || keeper.Name == p.node.settings.Name {
+		if i == asksMost {
+			a.Apart = true
+			break
+		}
+		if keeper.Name == p.node.settings.Name {
 			break
 		}
 		if to, ok := address(keeper); ok {
@@ -310,6 +318,7 @@
 	serial, verdicts := p.asker.open()
 	a.Key = permit.Key{Serial: serial}
 	p.mu.Lock()
+	a.Apart = a.Apart || p.apart
 	m := message(p.keeper(a.Pool).Ask(time.Now(), a))
 	p.mu.Unlock()
 	if !final(m) {
--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -53,16 +53,21 @@
 	}
 }
 
-// best returns the server that costs least, without one that is to be avoided if there is another.
-func (f *freeServers) best(avoid string) *server {
+// best returns the server that costs least of those that take a request, without one that is to be avoided if there is
+// another.
+func (f *freeServers) best(now time.Time, w *waiting) *server {
 	for _, p := range f.places {
-		if p.server.ID != avoid || len(f.places) == 1 {
+		if p.server.takes(now, w) && (p.server.ID != w.Avoid || len(f.places) == 1) {
 			return p.server
 		}
 	}
 	return nil
 }
 
+// takes reports whether a request may be sent to the server at all: not to a cold one by an instance that other keepers
+// of it may not know of.
+func (s *server) takes(now time.Time, w *waiting) bool { return !w.Apart || !s.Cold(now) }
+
 // domain returns the free servers of a domain.
 func (k *Keeper) domain(name string) *freeServers {
 	at, found := slices.BinarySearchFunc(k.free, name, func(f *freeServers, name string) int { return cmp.Compare(f.domain, name) })
@@ -79,9 +84,14 @@
 		k.domain(s.listedDomain).remove(s.place)
 		s.listed = false
 	}
+	k.power -= s.counted
+	s.counted = 0
 	if k.servers[s.ID] != s {
 		return
 	}
+	s.counted = k.powerOf(now, s)
+	k.power += s.counted
+	s.coldUntil = s.coldTurn(now, 0)
 	if s.setAside && !s.aside(now) {
 		s.setAside = false
 		k.aside--
@@ -96,6 +106,15 @@
 	}
 }
 
+// powerOf returns what a server can do now, in slots of mean speed.
+func (k *Keeper) powerOf(now time.Time, s *server) float64 {
+	power := s.slotPower() / s.factor(now)
+	if s.Cold(now) {
+		power = min(power, s.ColdRate*k.main().Seconds())
+	}
+	return power
+}
+
 // cost returns what a server costs whoever asks.
 func (s *server) cost(now time.Time) float64 {
 	cost := s.speed * (1 + busyCost*float64(s.busy(now))/float64(max(s.Slots, 1)))
@@ -107,7 +126,7 @@
 
 // changesAt returns when a server may next become free, or warm, without anything being told of it.
 func (s *server) changesAt(now time.Time) (at time.Time, changes bool) {
-	for _, t := range []time.Time{s.fullUntil, s.foreignUntil, s.asideUntil, s.WarmAt} {
+	for _, t := range []time.Time{s.fullUntil, s.foreignUntil, s.asideUntil, s.coldUntil, s.WarmAt} {
 		if t.After(now) && (!changes || t.Before(at)) {
 			at, changes = t, true
 		}
@@ -119,7 +138,7 @@
 // of its domain and of each other, or one to which its instance has a connection.
 func (k *Keeper) choose(now time.Time, w *waiting) *server {
 	if w.Server != "" {
-		if s := k.servers[w.Server]; s != nil && s.free(now) {
+		if s := k.servers[w.Server]; s != nil && s.free(now) && s.takes(now, w) {
 			return s
 		}
 		return nil
@@ -145,7 +164,7 @@
 	}
 	crosses := !now.Before(w.crossAt)
 	for _, r := range recent {
-		if s := k.servers[r.server]; s != nil && s.listed && (crosses || s.Domain == w.Domain) {
+		if s := k.servers[r.server]; s != nil && s.listed && s.takes(now, w) && (crosses || s.Domain == w.Domain) {
 			consider(s, true)
 		}
 	}
@@ -153,7 +172,7 @@
 		if !crosses && f.domain != w.Domain {
 			continue
 		}
-		if s := f.best(w.Avoid); s != nil {
+		if s := f.best(now, w); s != nil {
 			consider(s, false)
 		}
 	}
--- /dev/null
+++ b/internal/permit/cold.go
@@ -0,0 +1,53 @@
+package permit
+
+import (
+	"slices"
+	"time"
+)
+
+// A server that is cold takes few requests in a second, whoever sends them, and crashes well above that. Its slots do
+// not bound that: a fast one runs several times as many. So its keeper counts them.
+//
+// The keeper stays at the rate that the server states. What is allowed above it is for what a keeper cannot know: one
+// that has just taken over from another, requests that arrive together although they were sent one after the other.
+
+const (
+	// coldWindow is the least span over which the requests to a cold server are counted.
+	coldWindow = time.Second
+	// coldSlowdown is the factor by which work takes longer on a cold server.
+	coldSlowdown = 2
+)
+
+// coldLimit returns how many requests a cold server may get in a span.
+func (s *server) coldLimit() (most int, window time.Duration) {
+	most = max(int(s.ColdRate), 1)
+	return most, max(time.Duration(float64(most)/s.ColdRate*float64(time.Second)), coldWindow)
+}
+
+// coldTurn returns when a request may be sent that has a number of others ahead of it: now, unless the server is cold.
+func (s *server) coldTurn(now time.Time, ahead int) time.Time {
+	if !s.Cold(now) {
+		return now
+	}
+	most, window := s.coldLimit()
+	turn := now
+	switch before := len(s.coldSent) + ahead - most; {
+	case before < 0:
+		return now
+	case before < len(s.coldSent):
+		turn = s.coldSent[before].Add(window)
+	default:
+		turn = s.coldTurn(now, before-len(s.coldSent)).Add(window)
+	}
+	if turn.After(s.WarmAt) {
+		return s.WarmAt
+	}
+	return turn
+}
+
+// noteCold takes in that a request is sent to a cold server.
+func (s *server) noteCold(now time.Time) {
+	_, window := s.coldLimit()
+	s.coldSent = slices.DeleteFunc(s.coldSent, func(at time.Time) bool { return now.Sub(at) >= window })
+	s.coldSent = append(s.coldSent, now)
+}
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -115,6 +115,19 @@
 	for _, s := range servers {
 		out = append(out, k.serve(now, k.servers[s.ID])...)
 	}
+	if len(servers) == 0 {
+		out = append(out, k.sendAway()...)
+	}
+	return out
+}
+
+// sendAway refuses all that wait, as the last server is gone: they are to look for one elsewhere at once.
+func (k *Keeper) sendAway() []Verdict {
+	var out []Verdict
+	for _, w := range k.queued {
+		k.dequeue(w)
+		out = append(out, Refused{Key: w.Key, Reason: Gone})
+	}
 	return out
 }
 
@@ -126,11 +139,9 @@
 		k.servers[s.ID] = known
 	} else {
 		k.slots -= known.Slots
-		k.power -= known.slotPower()
 	}
 	known.Server = s
 	k.slots += known.Slots
-	k.power += known.slotPower()
 	k.arrange(now, known)
 }
 
@@ -139,7 +150,6 @@
 	delete(k.servers, s.ID)
 	delete(k.heard, s.ID)
 	k.slots -= s.Slots
-	k.power -= s.slotPower()
 	if s.setAside {
 		k.aside--
 	}
@@ -170,6 +180,9 @@
 	if len(k.servers) == 0 {
 		return k.refuse(now, a, NoServer, 0)
 	}
+	if warmIn, barred := k.barred(now, a); barred {
+		return k.refuse(now, a, Overload, warmIn)
+	}
 	if s := k.choose(now, w); s != nil {
 		if next := k.next(s); next == nil || w.before(next) {
 			k.note(now, w)
@@ -186,6 +199,26 @@
 	return Waiting{Key: a.Key}
 }
 
+// barred reports whether a request can be sent to none of the servers that there are for it since all are cold, and how
+// long that lasts.
+func (k *Keeper) barred(now time.Time, a Ask) (warmIn time.Duration, barred bool) {
+	if !a.Apart {
+		return 0, false
+	}
+	for _, s := range k.servers {
+		if a.Server != "" && s.ID != a.Server {
+			continue
+		}
+		if !s.Cold(now) {
+			return 0, false
+		}
+		if left := s.WarmAt.Sub(now); !barred || left < warmIn {
+			warmIn, barred = left, true
+		}
+	}
+	return warmIn, barred
+}
+
 // refuse returns the refusal of a request that would wait for a time. One that can ask another pool is sent
 // there, whatever the reason.
 func (k *Keeper) refuse(now time.Time, a Ask, reason Reason, wait time.Duration) Verdict {
@@ -207,8 +240,11 @@
 }
 
 func (k *Keeper) grant(now time.Time, s *server, w *waiting) Verdict {
-	expect := s.expect(k.route(w.Route, 0))
-	s.use(w.Key, use{since: now, expect: expect})
+	expect := s.expect(k.route(w.Route, 0), now)
+	s.use(w.Key, use{since: now, expect: expect, factor: s.factor(now)})
+	if s.Cold(now) {
+		s.noteCold(now)
+	}
 	k.granted[w.Key] = s
 	k.noteUse(w.From, s.ID, now)
 	held := permitEnds{w.Key, s}
@@ -251,11 +287,12 @@
 	if s == nil || s.ID != d.Server {
 		return k.Tick(now)
 	}
+	u := s.uses[d.Key]
 	k.takeBack(now, d.Key)
 	r := k.route(d.Route, 0)
-	k.learn(now, s, d, r.mean)
+	k.learn(now, s, d, u, r.mean)
 	if d.Outcome == Answered {
-		mean := float64(d.Took) / s.speed
+		mean := float64(d.Took) / s.speed / u.factor
 		r.mean += time.Duration((mean - float64(r.mean)) * meanShare)
 		r.bytes += (float64(d.Bytes) - r.bytes) * meanShare
 		r.heard++
@@ -264,10 +301,8 @@
 }
 
 // learn takes in what an ended sending says of a server.
-func (k *Keeper) learn(now time.Time, s *server, d Done, mean time.Duration) {
-	k.power -= s.slotPower()
-	s.learn(d, mean, now)
-	k.power += s.slotPower()
+func (k *Keeper) learn(now time.Time, s *server, d Done, u use, mean time.Duration) {
+	s.learn(d, u, mean, now)
 	if d.Outcome == Answered {
 		k.heard[s.ID] = s
 	}
--- a/internal/permit/line.go
+++ b/internal/permit/line.go
@@ -127,14 +127,14 @@
 	return nil
 }
 
-// ahead returns the work of the requests of the same or a better rank.
-func (q *queue) ahead(r rank) time.Duration {
-	work := time.Duration(0)
+// ahead returns the work of the requests of the same or a better rank, and their number.
+func (q *queue) ahead(r rank) (work time.Duration, count int) {
 	for _, l := range q.lines {
 		if l.rank.compare(r) > 0 {
 			break
 		}
 		work += l.work
+		count += len(l.members)
 	}
-	return work
+	return work, count
 }
--- a/internal/permit/load_test.go
+++ b/internal/permit/load_test.go
@@ -57,6 +57,8 @@
 	open    map[permit.Key]*attempt
 	serial  uint64
 	domain  func() string
+	// sent holds when each server was sent to, nil if that is not asked for.
+	sent map[string][]time.Time
 	// pools holds the keepers by pool, and pickers those of instances by domain, if there are several.
 	pools   map[string]*permit.Keeper
 	pickers map[string]*permit.Picker
@@ -149,6 +151,9 @@
 }
 
 func (p *player) run(now time.Time, a *attempt, server string) {
+	if p.sent != nil {
+		p.sent[server] = append(p.sent[server], now)
+	}
 	took := time.Duration(float64(p.work[server]) * math.Exp(0.3*p.random.NormFloat64()))
 	p.at(now.Add(took), func(now time.Time) {
 		t := p.tallies[a.kind.name]
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -46,6 +46,9 @@
 	Avoid string
 	// Elsewhere says that the request can ask another pool, and should be told if there is no room soon.
 	Elsewhere bool
+	// Apart says that other instances may give permits for the same servers meanwhile: the keeper is cut off, or not
+	// the one in charge. Cold servers, whose requests must be counted in one place, get none then.
+	Apart bool
 }
 
 // Outcome says how a sending ended.
--- a/internal/permit/predict.go
+++ b/internal/permit/predict.go
@@ -4,26 +4,25 @@
 	"time"
 )
 
-// ahead returns the work of the requests of the same or a better rank that wait for the same servers.
-func (k *Keeper) ahead(w *waiting) time.Duration {
-	if w.Server != "" {
-		return k.servers[w.Server].queue.ahead(w.rank())
-	}
-	work := k.anywhere.ahead(w.rank())
+// ahead returns the work of the requests of the same or a better rank that wait for any server.
+func (k *Keeper) ahead(r rank) time.Duration {
+	work, _ := k.anywhere.ahead(r)
 	for _, q := range k.near {
-		work += q.ahead(w.rank())
+		near, _ := q.ahead(r)
+		work += near
 	}
 	return work
 }
 
 // predict returns how long a request would wait behind those that go before it.
 func (k *Keeper) predict(now time.Time, w *waiting) time.Duration {
-	work := k.ahead(w)
 	if w.Server != "" {
 		s := k.servers[w.Server]
-		return time.Duration(float64(s.next(now)+work/time.Duration(max(s.Slots, 1))) / k.leftOver(now, w.Priority))
+		work, count := s.queue.ahead(w.rank())
+		wait := time.Duration(float64(s.next(now)+work/time.Duration(max(s.Slots, 1))) / k.leftOver(now, w.Priority))
+		return max(wait, s.coldTurn(now, count).Sub(now))
 	}
-	wait := time.Duration((float64(k.nextFree(now)) + float64(work)/max(k.power, 0.1)) / k.leftOver(now, w.Priority))
+	wait := time.Duration((float64(k.nextFree(now)) + float64(k.ahead(w.rank()))/max(k.power, 0.1)) / k.leftOver(now, w.Priority))
 	return max(wait, w.crossAt.Sub(now))
 }
 
--- a/internal/permit/server.go
+++ b/internal/permit/server.go
@@ -52,6 +52,8 @@
 type use struct {
 	since  time.Time
 	expect time.Duration
+	// factor is that by which the server was expected to take longer than the mean, besides its speed.
+	factor float64
 }
 
 // left returns for how long the permit is likely to be in use. What takes longer than expected is expected
@@ -74,6 +76,12 @@
 	// foreign is the number of requests of others at the server, as of its last report.
 	foreign      int
 	foreignUntil time.Time
+	// coldSent is when requests were sent to the server while it was cold, the earliest first, and coldUntil when the
+	// next one may be.
+	coldSent  []time.Time
+	coldUntil time.Time
+	// counted is what of the server's power is counted in that of all.
+	counted float64
 	// heard is the number of answers that the speed was learnt from, told that of the last report.
 	heard int
 	told  int
@@ -98,9 +106,17 @@
 	s.uses[key] = u
 }
 
-// slotPower is what the server can do, in slots of mean speed.
+// slotPower is what the server can do when it is not cold, in slots of mean speed.
 func (s *server) slotPower() float64 { return float64(s.Slots) / s.speed }
 
+// factor is that by which work takes longer at the server now than its speed says.
+func (s *server) factor(now time.Time) float64 {
+	if s.Cold(now) {
+		return coldSlowdown
+	}
+	return 1
+}
+
 // busy returns how many requests are at the server.
 func (s *server) busy(now time.Time) int {
 	n := len(s.uses)
@@ -112,7 +128,7 @@
 
 // free reports whether a request may be sent now.
 func (s *server) free(now time.Time) bool {
-	return s.busy(now) < s.Slots && !now.Before(s.fullUntil)
+	return s.busy(now) < s.Slots && !now.Before(s.fullUntil) && !now.Before(s.coldUntil)
 }
 
 // aside reports whether the server is set aside for its failures.
@@ -128,14 +144,14 @@
 			}
 		}
 	}
-	return max(least, s.fullUntil.Sub(now))
+	return max(least, s.fullUntil.Sub(now), s.coldUntil.Sub(now))
 }
 
-// learn takes in how a sending ended.
-func (s *server) learn(d Done, mean time.Duration, now time.Time) {
+// learn takes in how a sending ended, that a use of the server was for.
+func (s *server) learn(d Done, u use, mean time.Duration, now time.Time) {
 	switch d.Outcome {
 	case Answered:
-		factor := min(max(float64(d.Took)/float64(max(mean, time.Millisecond)), speedLeast), speedMost)
+		factor := min(max(float64(d.Took)/u.factor/float64(max(mean, time.Millisecond)), speedLeast), speedMost)
 		s.speed += (factor - s.speed) * speedShare
 		s.failures -= s.failures * failShare
 		s.heard++
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -11,7 +11,7 @@
 	k.turns++
 	w := &waiting{Ask: a, turn: k.turns, expect: r.mean}
 	if s := k.servers[a.Server]; s != nil {
-		w.expect = s.expect(r)
+		w.expect = s.expect(r, now)
 	}
 	w.giveUpAt = a.LimitAt.Add(-w.expect / 2)
 	if a.TargetAt.Sub(now) < w.expect {
@@ -38,7 +38,9 @@
 	return r
 }
 
-func (s *server) expect(r *route) time.Duration { return time.Duration(float64(r.mean) * s.speed) }
+func (s *server) expect(r *route, now time.Time) time.Duration {
+	return time.Duration(float64(r.mean) * s.speed * s.factor(now))
+}
 
 // queueOf returns where a request waits.
 func (k *Keeper) queueOf(now time.Time, w *waiting) *queue {
@@ -95,7 +97,7 @@
 	var out []Verdict
 	for k.servers[s.ID] == s && s.free(now) {
 		w := k.next(s)
-		if w == nil {
+		if w == nil || !s.takes(now, w) {
 			break
 		}
 		k.dequeue(w)
--- a/internal/roster/charge.go
+++ b/internal/roster/charge.go
@@ -116,6 +116,26 @@
 	return p == nil || r.alive(p, now)
 }
 
+// Most reports whether this instance hears more than half of all instances, or of those of its failure domain.
+func (r *Roster) Most(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	alive, aliveNear, near := 0, 0, 0
+	for _, p := range r.sorted {
+		if p.Domain == r.domain {
+			near++
+		}
+		if !r.alive(p, now) {
+			continue
+		}
+		alive++
+		if p.Domain == r.domain {
+			aliveNear++
+		}
+	}
+	return 2*alive > len(r.sorted) || 2*aliveNear > near
+}
+
 // Unconfirmed returns the instances that may still act on records before an offset: the
 // registered ones that have not confirmed it, and those that were removed, as far as this
 // instance knows, after the given time.
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -72,6 +72,10 @@
 	Divided bool
 	// Warm is how long a server is slow with keys that it got without their state.
 	Warm time.Duration
+	// ColdTime is how long a server is cold: slow, and at risk beyond ColdRate requests a second from all instances
+	// together. Zero if its servers are never cold, or bear any rate.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Config is one version of the routing configuration.
@@ -131,15 +135,21 @@
 // Seed sets the first turn, so that instances do not all begin with the same part.
 func (r *Route) Seed(turn uint64) { r.turn.Store(turn) }
 
-// Closed reports whether the server must get no more requests. One that drains still serves its
+// Leaving reports whether the server is to give up what it has.
+func (s Server) Leaving() bool { return s.Draining || s.Evacuated }
+
+// Closed reports whether the server must get no more requests. One that leaves still serves its
 // keys until they have moved, but no longer than its time to leave.
 func (s Server) Closed(divided bool, now time.Time) bool {
-	if s.Draining && !divided {
+	if s.Leaving() && !divided {
 		return true
 	}
 	return !s.LeaveBy.IsZero() && now.After(s.LeaveBy)
 }
 
+// Cold reports whether the server may get only ColdRate requests a second.
+func (s Server) Cold(now time.Time) bool { return s.ColdRate > 0 && now.Before(s.WarmAt) }
+
 // LeavesIn returns how long the server may still get requests, zero if there is no end to it.
 func (s Server) LeavesIn(now time.Time) time.Duration {
 	if s.LeaveBy.IsZero() {
@@ -162,11 +172,16 @@
 	Domain  string
 	Version string
 	Slots   int
-	// Draining says that the server is about to leave.
-	Draining bool
-	// LeaveBy is when a server that drains, or whose entry is missing, must get no more requests;
-	// zero for any other.
+	// Draining says that the server is about to leave, Evacuated that its failure domain is to get nothing more until
+	// it is taken back.
+	Draining  bool
+	Evacuated bool
+	// LeaveBy is when a server that drains, is evacuated, or whose entry is missing, must get no more requests; zero for
+	// any other.
 	LeaveBy time.Time
-	// WarmAt is when the server is no longer slow after its start.
+	// WarmAt is when the server is no longer cold.
 	WarmAt time.Time
+	// ColdRate is how many requests a second the server may get from all instances together until then, zero for no
+	// bound. It comes from the configuration of its service.
+	ColdRate float64
 }
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -10,6 +10,8 @@
 	// Usable says that the server may get keys; Lost that it must give up those it has.
 	Usable bool
 	Lost   bool
+	// Capped says that requests beyond Power do not wait but are refused, so that the server gets no key beyond it.
+	Capped bool
 }
 
 // Input is what a plan is made from.
--- a/internal/shard/planner.go
+++ b/internal/shard/planner.go
@@ -162,7 +162,7 @@
 		from := p.servers[id]
 		to, reborn := p.servers[p.in.Reborn[id]]
 		for len(from.owned) > 0 {
-			if reborn && to.mayGet() {
+			if reborn && to.mayGet() && (!to.Capped || to.use+p.loadOf(from.owned[0]) <= to.power) {
 				p.give(from, 0, to)
 				continue
 			}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -326,3 +326,31 @@
 	in.Target = 1
 	return in
 }
+
+// Guards against a server that started again and gets all keys back, more than a cold one bears.
+func TestColdServerGetsBackWhatItBears(t *testing.T) {
+	is := is.New(t)
+	load := make([]float64, shard.Keys)
+	for key := range load {
+		load[key] = 40.0 / shard.Keys
+	}
+	m := &shard.Map{Fence: 2, Ranges: []shard.Range{
+		{From: 0, To: 1<<14 - 1, Server: "a~1", Fence: 1}, {From: 1 << 14, To: 1<<15 - 1, Server: "a~1", Fence: 1},
+		{From: 1 << 15, To: 1<<16 - 1, Server: "b", Fence: 2},
+	}}
+	next := shard.Plan(shard.Input{
+		Map: m, Load: load, Target: 0.6, Reborn: map[string]string{"a~1": "a~2"},
+		Members: []shard.Member{
+			{ID: "a~2", Power: 6, Slots: 2, Usable: true, Capped: true}, {ID: "b", Power: 40, Slots: 2, Usable: true},
+			{ID: "c", Power: 40, Slots: 2, Usable: true},
+		},
+	})
+	is.True(next != nil)
+	got := 0
+	for _, r := range next.Ranges {
+		if r.Server == "a~2" {
+			got += r.Len()
+		}
+	}
+	is.True(float64(got)/shard.Keys*40 <= 6)
+}
