Evacuate failure domains as operators ask

Change: the adapter decodes the key of the record; the world of an instance keeps which domains are evacuated, and shows their servers to all decisions as leaving: pools leave them out at once, keys go to others as from a server that drains, what still waits for its first byte there is sent elsewhere, and with no server left a request is refused at once. From half of the users' time on, less how old the news can be, nothing is sent to them, keys or not. When a domain is taken back its servers are taken for cold for the time that the configuration states, whatever their entries say. News of a configuration goes with all evacuations in force, since whoever takes it skips what came before.

An instance that starts reads the record with the configuration, and closes such a domain at once, since it does not know how old the word is. Records that are written again give no more time.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -97,6 +97,7 @@
 	patience patience
 	// oddLoads holds the servers whose load could not be read, as far as a line was written.
 	oddLoads oddLoads
+	running  running
 }
 
 // New returns an edge.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -168,6 +168,8 @@
 func (q *request) attempt(ctx context.Context, p Permit, s rules.Server) (*inlet.Reply, bool) {
 	q.attempts++
 	q.server = s.ID
+	q.edge.running.add(s.Domain, 1)
+	defer q.edge.running.add(s.Domain, -1)
 	began := time.Now()
 	response, err := q.send(ctx, s)
 	done := permit.Done{}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -108,6 +108,8 @@
 	Age      int64
 	Complete int64
 	Batch
+	// Whole says that the records are all there are before End: other keys are gone.
+	Whole bool
 	// SentAt is the earliest time at which it can have been sent, by the receiver's clock; zero if that
 	// is not known. The receiver sets it.
 	SentAt clock.Instant `msgpack:"-"`
@@ -377,7 +379,7 @@
 		t.missing, t.pauseUntil = max(t.missing, n.End), time.Time{}
 		return
 	}
-	u := Update{Topic: t.Name, Batch: Batch{End: n.End}, Since: t.until()}
+	u := Update{Topic: t.Name, Batch: Batch{End: n.End}, Since: t.until(), Whole: n.Whole}
 	if n.SentAt != 0 {
 		u.Since = max(u.Since, n.SentAt.Add(-time.Duration(n.Age)*time.Millisecond))
 	}
@@ -385,7 +387,7 @@
 		u.Complete = n.SentAt.Add(-time.Duration(n.Complete) * time.Millisecond)
 	}
 	for _, r := range n.Records {
-		if r.Offset >= t.next {
+		if r.Offset >= t.next || n.Whole {
 			u.Records = append(u.Records, r)
 		}
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -200,6 +200,26 @@
 	})
 }
 
+// Guards against news of all there is that leaves out what was known before: it would seem to be gone.
+func TestNewsOfAllKeepsWhatIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put("a", "0")
+		news := make(chan follow.News, 4)
+		out := watch(t, &follow.Topic{Store: s, Direct: never, News: news})
+		<-out
+		all := []follow.Record{{Key: "a", Value: []byte("0"), Offset: 0}, {Key: "b", Value: []byte("1"), Offset: 2}}
+		news <- follow.News{From: 0, Whole: true, Batch: follow.Batch{Records: all, End: 3}}
+		u := <-out
+		is.True(u.Whole)
+		is.Equal(len(u.Records), 2)
+		news <- follow.News{From: 0, Whole: true, Batch: follow.Batch{Records: all[:1], End: 2}} // older
+		time.Sleep(time.Second)
+		is.Equal(len(out), 0)
+	})
+}
+
 // A configuration with 1,400 routes was too large to be passed on in a message. The others learnt
 // of it from the second heartbeat that named it, half a second later. Word without the records
 // makes them read at once.
--- a/internal/holder/hold_test.go
+++ b/internal/holder/hold_test.go
@@ -222,3 +222,52 @@
 		}
 	})
 }
+
+// evacuate changes whether the servers of a failure domain are evacuated.
+func (w *world) evacuate(domain string, evacuated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.backends {
+		if domain == "" || b.Domain == domain {
+			b.Evacuated = evacuated
+		}
+	}
+}
+
+// Guards against keys that stay in a failure domain that is evacuated, also if the leader is lost meanwhile, and against
+// keys that are lost to all when there is nowhere else for them.
+func TestEvacuatedDomainGivesUpItsKeys(t *testing.T) {
+	tests := map[string]struct {
+		domain string
+		lost   string // the instance that is lost as the evacuation begins
+		left   bool   // whether the domain keeps its keys
+	}{
+		"calm":            {"d0", "", false},
+		"leader lost":     {"d0", "i0", false},
+		"all of them":     {"", "", true},
+		"another domain":  {"d1", "", false},
+		"another is lost": {"d1", "i1", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(is *is.I, w *world) {
+				time.Sleep(8 * time.Second)
+				is.Equal(w.served(), 256)
+				if test.lost != "" {
+					w.stopInstance(test.lost)
+				}
+				w.evacuate(test.domain, true)
+				time.Sleep(6 * time.Second)
+				domain := test.domain
+				if domain == "" {
+					domain = "d0"
+				}
+				is.Equal(w.ownedBy("i3", domain) > 0, test.left)
+				is.Equal(w.served(), 256)
+				w.evacuate(test.domain, false)
+				time.Sleep(6 * time.Second)
+				is.Equal(w.served(), 256)
+			})
+		})
+	}
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -16,7 +16,7 @@
 
 // update takes in news from the store.
 func (n *Node) update(ctx context.Context) error {
-	ticker := time.NewTicker(100 * time.Millisecond)
+	ticker := time.NewTicker(evacuationLook)
 	defer ticker.Stop()
 	for {
 		select {
@@ -27,6 +27,7 @@
 				n.serversChanged()
 			}
 			n.noteReach()
+			n.noteEmptied()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -43,6 +44,7 @@
 	case n.around.Config:
 		n.takeConfig(u)
 		n.topics[u.Topic].Applied(u)
+		u = n.withEvacuations(u)
 	case n.around.Servers:
 		n.noteNews(u)
 		if n.world.putServers(u, n.ageOf(u), n.around.DecodeServer) {
@@ -150,6 +152,9 @@
 		n.events.Note(event.Belief, "configuration-unread", "error", u.Err)
 		return
 	}
+	if n.world.takeEvacuations(u, n.ageOf(u), n.around.DecodeEvacuation) {
+		n.permits.setServers()
+	}
 	for _, r := range u.Records {
 		if r.Key != n.around.ConfigKey || len(r.Value) == 0 {
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,10 @@
 	// ReadyPath is the path that the balancer asks.
 	ReadyPath    string
 	DecodeConfig func(data []byte) (*rules.Config, error)
-	DecodeServer func(id string, data []byte, readAt time.Time) (rules.Server, error)
+	// DecodeEvacuation returns the failure domain that a record of the topic of the configuration asks to evacuate, by
+	// its key, false if it is about something else.
+	DecodeEvacuation func(key string) (domain string, is bool)
+	DecodeServer     func(id string, data []byte, readAt time.Time) (rules.Server, error)
 }
 
 // newsMost is the number of messages with news that may wait. What does not fit is read from
@@ -114,7 +117,8 @@
 		behind: map[string]*behind{}, settled: make(chan gram.SettledRange, settledMost), beatNow: make(chan struct{}, 1), beatAll: make(chan struct{}, 1), registered: make(chan struct{}), stopping: make(chan struct{}),
 	}
 	n.around.Store = &countedStore{Store: around.Store, calls: n.calls, times: n.times, events: events}
-	n.world = newWorld(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))-drainReserve)
+	n.world = newWorld(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))-drainReserve,
+		evacuateTime(settings.Bounds))
 	for _, topic := range []string{around.Config, around.Servers, around.Owners} {
 		n.again[topic] = make(chan struct{}, 1)
 		n.behind[topic] = &behind{}
@@ -163,6 +167,20 @@
 	return min(time.Duration(interval*entrySlack*float64(time.Second)), entryMost)
 }
 
+// evacuateShare is the part of the time in which evacuated servers must get their last request that this instance uses:
+// the rest is for what it cannot know, as how long the news of it took while the store was away.
+const evacuateShare = 0.5
+
+// evacuateTime returns how long after its evacuation is known a server may get requests. Without a bound of its own an
+// evacuation is as urgent as a leaving server.
+func evacuateTime(b config.Bounds) time.Duration {
+	seconds := b.EvacuateSeconds * evacuateShare
+	if seconds == 0 {
+		seconds = b.DrainSeconds
+	}
+	return time.Duration(seconds*float64(time.Second)) - drainReserve
+}
+
 func (n *Node) instances() int { return n.roster.Len() }
 
 // connectionShare is the part of a server's connections that all instances together use for
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -37,13 +37,13 @@
 	return permit.NewPicker(p.name, p.domain, all, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
 
-// arrange takes in the servers and the configuration. Servers that drain get no more requests, but have
+// arrange takes in the servers and the configuration. Servers that leave get no more requests, but have
 // their keys until these are moved.
 func (p *pools) arrange(servers map[string]rules.Server, c *rules.Config) {
 	divided := func(service string) bool { return c != nil && c.Services[service].Divided }
 	services := map[string][]rules.Server{}
 	for _, s := range servers {
-		if divided(s.Service) || !s.Draining {
+		if divided(s.Service) || !s.Leaving() {
 			services[s.Service] = append(services[s.Service], s)
 		}
 	}
--- a/internal/node/settle_test.go
+++ b/internal/node/settle_test.go
@@ -27,7 +27,7 @@
 	go func() { ended <- other.Run(ctx) }()
 	events := event.New(io.Discard, log.ErrorLevel)
 	n := &Node{
-		port: port, roster: roster.New("i0", "d0"), world: newWorld(events, time.Second), events: events,
+		port: port, roster: roster.New("i0", "d0"), world: newWorld(events, time.Second, time.Second), events: events,
 		settled: make(chan gram.SettledRange, settledMost),
 	}
 	n.roster.Put("i1", roster.Entry{Address: other.Address(), Domain: "d0", Incarnation: 1}, time.Now())
--- a/internal/node/tell.go
+++ b/internal/node/tell.go
@@ -122,20 +122,20 @@
 	if len(u.Records) == 0 || u.Whole && u.Topic != n.around.Config {
 		return
 	}
-	if u.Topic == n.around.Config {
-		// Only the newest configuration counts, whatever came before it.
+	if u.Whole {
+		// What came before it does not count.
 		u.From = 0
 	}
 	parts := partsOf(u)
-	if len(parts) > partsMost || !n.affordable(largest(parts)) {
+	if len(parts) > partsMost || u.Whole && len(parts) > 1 || !n.affordable(largest(parts)) {
 		// Too large to pass on: the others hear that there is news, and read it themselves. From
 		// heartbeats alone they would know half a second later.
 		parts = []follow.Batch{{End: u.End}}
-		u.From = u.End
+		u.From, u.Whole = u.End, false
 	}
 	sentAt := clock.Boot{}.Now()
 	for i, part := range parts {
-		news := follow.News{From: u.From, Age: n.ageOf(u).Milliseconds() + 1, Complete: -1, Batch: part}
+		news := follow.News{From: u.From, Age: n.ageOf(u).Milliseconds() + 1, Complete: -1, Batch: part, Whole: u.Whole}
 		if i == len(parts)-1 {
 			news.Complete = millis(sentAt, u.Complete)
 		}
--- a/internal/node/tell_test.go
+++ b/internal/node/tell_test.go
@@ -81,7 +81,8 @@
 		settings := config.Serve{Name: "i0", Domain: "d0", IP: "127.0.0.1", PeerPorts: []int{0}, LinkMbps: 20}
 		n, err := New(settings, Surroundings{
 			Config: "config", ConfigKey: "config", Servers: "servers", Owners: "owners", DecodeServer: decodeServer,
-			DecodeConfig: func([]byte) (*rules.Config, error) { return &rules.Config{Version: 1}, nil },
+			DecodeConfig:     func([]byte) (*rules.Config, error) { return &rules.Config{Version: 1}, nil },
+			DecodeEvacuation: func(string) (string, bool) { return "", false },
 		}, event.New(io.Discard, log.InfoLevel))
 		is.NoErr(err)
 		for i := range 5 {
--- a/internal/node/world.go
+++ b/internal/node/world.go
@@ -21,7 +21,9 @@
 	events *event.Log
 	// drainTime is how long after it has said that it leaves a server may get requests.
 	drainTime time.Duration
-	config    atomic.Pointer[rules.Config]
+	// evacuateTime is the same for the servers of a failure domain that is evacuated.
+	evacuateTime time.Duration
+	config       atomic.Pointer[rules.Config]
 	// directory is never changed, only replaced.
 	directory atomic.Pointer[map[string]rules.Server]
 	// published counts how often it was replaced.
@@ -30,8 +32,9 @@
 
 	mu sync.Mutex
 	// changed is closed when owners change.
-	changed chan struct{}
-	listed  *directory
+	changed   chan struct{}
+	listed    *directory
+	evacuated *evacuations
 	// awayUntil is when missing entries are believed to be gone for good.
 	storeDown bool
 	awayUntil time.Time
@@ -52,8 +55,11 @@
 // first byte to the server: a thin link that is full holds packets for each large answer.
 const drainReserve = 250 * time.Millisecond
 
-func newWorld(events *event.Log, drain time.Duration) *world {
-	w := &world{events: events, drainTime: drain, changed: make(chan struct{}), listed: newDirectory(events), settled: map[settledKey]uint64{}}
+func newWorld(events *event.Log, drain, evacuate time.Duration) *world {
+	w := &world{
+		events: events, drainTime: drain, evacuateTime: evacuate, changed: make(chan struct{}),
+		listed: newDirectory(events), evacuated: newEvacuations(events), settled: map[settledKey]uint64{},
+	}
 	w.directory.Store(&map[string]rules.Server{})
 	return w
 }
@@ -103,6 +109,9 @@
 	}
 	w.config.Store(c)
 	w.events.Note(event.Belief, "configuration", "version", c.Version, "hosts", len(c.Hosts), "services", len(c.Services))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.publish()
 }
 
 // putServers takes in news of the directory, the oldest of which can have been written the given
@@ -133,9 +142,17 @@
 	return true
 }
 
-// publish lets the others see the directory; the lock is held.
+// publish lets the others see the directory, with what the operator says of services and failure domains; the lock is
+// held.
 func (w *world) publish() {
-	servers := w.listed.servers
+	services := map[string]rules.Service{}
+	if c := w.config.Load(); c != nil {
+		services = c.Services
+	}
+	servers := make(map[string]rules.Server, len(w.listed.servers))
+	for id, s := range w.listed.servers {
+		servers[id] = w.evacuated.apply(s, services[s.Service])
+	}
 	w.directory.Store(&servers)
 	w.published.Add(1)
 }
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -23,7 +23,7 @@
 }
 
 func newTestWorld() *world {
-	return newWorld(event.New(io.Discard, log.ErrorLevel), 1500*time.Millisecond)
+	return newWorld(event.New(io.Discard, log.ErrorLevel), 1500*time.Millisecond, 2500*time.Millisecond)
 }
 
 // tell gives a world one update of the directory, of keys and values in turn.
