Let a request wait at its server, so that a slot is not idle while it is filled

Callers were refused by a predicted wait of 0.2 to 0.4 s at servers that stood idle a quarter of the time.

Cause: the keeper gave a permit only for a free slot. Between the end of a request and the start of the next that waits for the slot lie the answer, the message that gives the permit back, the permit, and the request: some 30 ms where work takes 100.

Change: one request more than a server has slots may be sent, to wait there. A server with a free slot goes first; a request that can ask another pool, or waits for a server of its own domain, is not sent to wait. One that would miss its target is not either. What is learnt of a server's speed counts from when its slot became free.

--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -14,6 +14,8 @@
 	crossCost = 0.1
 	// coldCost is what a server costs more that has just started.
 	coldCost = 1
+	// fullCost is what a server costs more at which a request waits for a slot: any that has one goes first.
+	fullCost = 2
 	// openCost is what a new connection costs: it takes a slot for a millisecond, and operators weigh them
 	// (TestConnectionsAreUsedAgain).
 	openCost = 0.3
@@ -34,7 +36,7 @@
 	return cmp.Or(cmp.Compare(p.cost, o.cost), cmp.Compare(p.server.ID, o.server.ID))
 }
 
-// freeServers holds the servers of a domain that have a free slot, the one that costs least first. So a
+// freeServers holds the servers of a domain that are open, the one that costs least first. So a
 // choice looks at a few of them, however many there are.
 type freeServers struct {
 	domain string
@@ -85,18 +87,21 @@
 		s.listed = false
 	}
 	k.power -= s.counted
-	s.counted = 0
+	k.behind -= s.behind
+	s.counted, s.behind = 0, 0
 	if k.servers[s.ID] != s {
 		return
 	}
 	s.counted = k.powerOf(now, s)
 	k.power += s.counted
+	s.behind = s.waitsThere()
+	k.behind += s.behind
 	s.coldUntil = s.coldTurn(now, 0)
 	if s.setAside && !s.aside(now) {
 		s.setAside = false
 		k.aside--
 	}
-	if s.free(now) && !s.setAside {
+	if s.open(now) && !s.setAside {
 		s.place, s.listed, s.listedDomain = place{s.cost(now), s}, true, s.Domain
 		k.domain(s.Domain).add(s.place)
 	}
@@ -121,6 +126,9 @@
 	if now.Before(s.WarmAt) {
 		cost += coldCost
 	}
+	if !s.free(now) {
+		cost += s.speed + fullCost
+	}
 	return cost
 }
 
@@ -138,7 +146,7 @@
 // of its domain and of each other, or one to which its instance has a connection.
 func (k *Keeper) choose(now time.Time, w *waiting) *server {
 	if w.Server != "" {
-		if s := k.servers[w.Server]; s != nil && s.free(now) && s.takes(now, w) {
+		if s := k.servers[w.Server]; s != nil && s.open(now) && s.takes(now, w) {
 			return s
 		}
 		return nil
--- a/internal/permit/cold.go
+++ b/internal/permit/cold.go
@@ -12,8 +12,9 @@
 // that has just taken over from another, requests that arrive together although they were sent one after the other.
 
 const (
-	// coldWindow is the least span over which the requests to a cold server are counted.
-	coldWindow = time.Second
+	// coldWindow is the least span over which the requests to a cold server are counted: a second, and what
+	// they may come closer to one another on their way.
+	coldWindow = 1100 * time.Millisecond
 	// coldSlowdown is the factor by which work takes longer on a cold server.
 	coldSlowdown = 2
 )
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -67,6 +67,8 @@
 	slots int
 	power float64
 	aside int
+	// behind is the number of requests that wait at servers.
+	behind int
 	// demands holds the demand by priority.
 	demands map[int]*demand
 	// timers holds what is to be looked at, doubts the permits in use by when they are doubted, returns by
@@ -183,11 +185,10 @@
 	if warmIn, barred := k.barred(now, a); barred {
 		return k.refuse(now, a, Overload, warmIn)
 	}
-	if s := k.choose(now, w); s != nil {
-		if next := k.next(s); next == nil || w.before(next) {
-			k.note(now, w)
-			return k.grant(now, s, w)
-		}
+	s := k.choose(now, w)
+	if s != nil && s.free(now) && k.goesFirst(w, s) {
+		k.note(now, w)
+		return k.grant(now, s, w)
 	}
 	soon := w.crossAt.Sub(now)
 	wait, fits := k.room(now, w)
@@ -195,10 +196,19 @@
 		return k.refuse(now, a, Overload, wait)
 	}
 	k.note(now, w)
+	if s != nil && !a.Elsewhere && !now.Before(w.crossAt) && k.goesFirst(w, s) {
+		return k.grant(now, s, w)
+	}
 	k.enqueue(now, w)
 	return Waiting{Key: a.Key}
 }
 
+// goesFirst reports whether a request that has just come goes before all that wait for a server.
+func (k *Keeper) goesFirst(w *waiting, s *server) bool {
+	next := k.next(s)
+	return next == nil || w.before(next)
+}
+
 // barred reports whether a request can be sent to none of the servers that there are for it since all are cold, and how
 // long that lasts.
 func (k *Keeper) barred(now time.Time, a Ask) (warmIn time.Duration, barred bool) {
@@ -241,7 +251,13 @@
 
 func (k *Keeper) grant(now time.Time, s *server, w *waiting) Verdict {
 	expect := s.expect(k.route(w.Route, 0), now)
-	s.use(w.Key, use{since: now, expect: expect, factor: s.factor(now)})
+	u := use{since: now, expect: expect, factor: s.factor(now), startedAt: now}
+	if len(s.uses) >= s.Slots {
+		u.startedAt = time.Time{}
+		u.expect += s.next(now)
+	}
+	s.use(w.Key, u)
+	expect = u.expect
 	if s.Cold(now) {
 		s.noteCold(now)
 	}
@@ -263,7 +279,11 @@
 		return nil, false
 	}
 	delete(k.granted, key)
+	started := !s.uses[key].startedAt.IsZero()
 	delete(s.uses, key)
+	if started {
+		s.startNext(now)
+	}
 	k.arrange(now, s)
 	return s, true
 }
@@ -292,7 +312,7 @@
 	r := k.route(d.Route, 0)
 	k.learn(now, s, d, u, r.mean)
 	if d.Outcome == Answered {
-		mean := float64(d.Took) / s.speed / u.factor
+		mean := float64(u.work(d)) / s.speed / u.factor
 		r.mean += time.Duration((mean - float64(r.mean)) * meanShare)
 		r.bytes += (float64(d.Bytes) - r.bytes) * meanShare
 		r.heard++
--- a/internal/permit/predict.go
+++ b/internal/permit/predict.go
@@ -19,17 +19,19 @@
 	if w.Server != "" {
 		s := k.servers[w.Server]
 		work, count := s.queue.ahead(w.rank())
+		work += time.Duration(s.waitsThere()) * w.expect
 		wait := time.Duration(float64(s.next(now)+work/time.Duration(max(s.Slots, 1))) / k.leftOver(now, w.Priority))
 		return max(wait, s.coldTurn(now, count).Sub(now))
 	}
-	wait := time.Duration((float64(k.nextFree(now)) + float64(k.ahead(w.rank()))/max(k.power, 0.1)) / k.leftOver(now, w.Priority))
+	work := k.ahead(w.rank()) + time.Duration(k.behind)*w.expect
+	wait := time.Duration((float64(k.nextFree(now)) + float64(work)/max(k.power, 0.1)) / k.leftOver(now, w.Priority))
 	return max(wait, w.crossAt.Sub(now))
 }
 
 // nextFree returns the time until any server has a free slot.
 func (k *Keeper) nextFree(now time.Time) time.Duration {
 	for _, f := range k.free {
-		if len(f.places) > 0 {
+		if len(f.places) > 0 && f.places[0].server.free(now) {
 			return 0
 		}
 	}
--- a/internal/permit/server.go
+++ b/internal/permit/server.go
@@ -35,6 +35,10 @@
 	// heardLeast is the number of answers from which on a server's speed is told to others: as
 	// many as make two thirds of it.
 	heardLeast = 10
+	// waitThere is how many requests may wait at a server for a slot, besides those that it runs. Between the end of a
+	// request and the start of one that waited for it here lie three messages, a quarter of the time that a
+	// request takes on a busy instance; the server would stand idle for that long.
+	waitThere = 1
 	// openTime is how long an instance's connection to a server is open after its last request:
 	// below the 8 seconds for which instances keep idle ones.
 	openTime = 6 * time.Second
@@ -54,6 +58,16 @@
 	expect time.Duration
 	// factor is that by which the server was expected to take longer than the mean, besides its speed.
 	factor float64
+	// startedAt is when the server began with the request, as far as is known, zero while it waits there.
+	startedAt time.Time
+}
+
+// work returns how long the server worked on a request that has been answered.
+func (u use) work(d Done) time.Duration {
+	if u.startedAt.IsZero() {
+		return d.Took
+	}
+	return max(d.Took-u.startedAt.Sub(u.since), time.Millisecond)
 }
 
 // left returns for how long the permit is likely to be in use. What takes longer than expected is expected
@@ -80,8 +94,10 @@
 	// next one may be.
 	coldSent  []time.Time
 	coldUntil time.Time
-	// counted is what of the server's power is counted in that of all.
+	// counted is what of the server's power is counted in that of all, behind how many of its requests are counted
+	// among those that wait at their servers.
 	counted float64
+	behind  int
 	// heard is the number of answers that the speed was learnt from, told that of the last report.
 	heard int
 	told  int
@@ -126,9 +142,31 @@
 	return n
 }
 
-// free reports whether a request may be sent now.
-func (s *server) free(now time.Time) bool {
-	return s.busy(now) < s.Slots && !now.Before(s.fullUntil) && !now.Before(s.coldUntil)
+// free reports whether the server has a slot for a request now.
+func (s *server) free(now time.Time) bool { return s.busy(now) < s.Slots && s.open(now) }
+
+// open reports whether a request may be sent now, to a slot or to wait for one at the server.
+func (s *server) open(now time.Time) bool {
+	return s.busy(now) < s.Slots+waitThere && !now.Before(s.fullUntil) && !now.Before(s.coldUntil)
+}
+
+// waitsThere returns how many requests wait at the server for a slot.
+func (s *server) waitsThere() int { return max(len(s.uses)-s.Slots, 0) }
+
+// startNext takes in that a slot has become free: the first request that waits at the server has begun.
+func (s *server) startNext(now time.Time) {
+	var first Key
+	found := false
+	for key, u := range s.uses {
+		if u.startedAt.IsZero() && (!found || u.since.Before(s.uses[first].since)) {
+			first, found = key, true
+		}
+	}
+	if found {
+		u := s.uses[first]
+		u.startedAt = now
+		s.uses[first] = u
+	}
 }
 
 // aside reports whether the server is set aside for its failures.
@@ -151,7 +189,7 @@
 func (s *server) learn(d Done, u use, mean time.Duration, now time.Time) {
 	switch d.Outcome {
 	case Answered:
-		factor := min(max(float64(d.Took)/u.factor/float64(max(mean, time.Millisecond)), speedLeast), speedMost)
+		factor := min(max(float64(u.work(d))/u.factor/float64(max(mean, time.Millisecond)), speedLeast), speedMost)
 		s.speed += (factor - s.speed) * speedShare
 		s.failures -= s.failures * failShare
 		s.heard++
--- a/internal/permit/wait.go
+++ b/internal/permit/wait.go
@@ -17,6 +17,10 @@
 	if a.TargetAt.Sub(now) < w.expect {
 		w.setLate(now)
 	}
+	if a.Server != "" {
+		w.crossAt = now
+		return w
+	}
 	patience := time.Duration(r.bytes / 1024 * float64(crossPerKB))
 	most := time.Duration(crossMost * float64(a.TargetAt.Sub(now)-w.expect))
 	w.crossAt = now.Add(max(min(patience, most), 0))
@@ -95,9 +99,9 @@
 // serve gives the free slots of a server to requests that wait.
 func (k *Keeper) serve(now time.Time, s *server) []Verdict {
 	var out []Verdict
-	for k.servers[s.ID] == s && s.free(now) {
+	for k.servers[s.ID] == s && s.open(now) {
 		w := k.next(s)
-		if w == nil || !s.takes(now, w) {
+		if w == nil || !s.takes(now, w) || !s.free(now) && now.Before(w.crossAt) {
 			break
 		}
 		k.dequeue(w)
