Leave the servers of a failure domain that is cut off out of plans

Cause: servers behind a cut keep their keys, but plans that even out the load still took keys from them and gave keys to them. The record of such a move stands at once; the release and the grant cannot arrive until the cut ends. Meanwhile callers on both sides find no owner. Ruled out: the servers taken for lost (failing, but their domain is known to be cut off).

Change: the planner may neither take keys from nor give keys to servers of a domain that is cut off.

--- a/internal/holder/hold_test.go
+++ b/internal/holder/hold_test.go
@@ -271,3 +271,53 @@
 		})
 	}
 }
+
+// busyRun returns a load of which the keys of one server get most: plans take some of them from it.
+func (w *world) busyRun(server string) []float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	load := make([]float64, shard.Keys)
+	m := w.nodes["i0"].holder.Owners().Maps[service]
+	for _, r := range m.Of(server) {
+		for key := int(r.From); key <= int(r.To); key++ {
+			load[key] = 6 / float64(r.Len())
+		}
+	}
+	return load
+}
+
+// inMove returns how many keys of the servers of a failure domain are being moved, as an instance knows it.
+func (w *world) inMove(name, domain string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, r := range w.nodes[name].holder.Owners().Maps[service].Ranges {
+		for _, b := range r.Before {
+			if s := w.backends[b.Server]; s != nil && s.Domain == domain {
+				n += r.Len()
+			}
+		}
+	}
+	return n
+}
+
+// Guards against plans that take keys from servers behind a cut: nobody can, and until the cut ends callers on both sides
+// find no owner.
+func TestPlansLeaveACutOffDomainAlone(t *testing.T) {
+	inWorld(t, func(is *is.I, w *world) {
+		time.Sleep(8 * time.Second)
+		is.Equal(w.served(), 256)
+		w.cutDomain(6 * time.Second)
+		time.Sleep(2 * time.Second)
+		busy := w.busyRun("s1") // a server behind the cut
+		w.mu.Lock()
+		w.load = func(string) []float64 { return busy }
+		w.mu.Unlock()
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(w.inMove("i0", "d1"), 0)
+		}
+		time.Sleep(15 * time.Second)
+		is.Equal(w.served(), 256)
+	})
+}
--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -227,6 +227,7 @@
 		usual /= float64(n)
 	}
 	failing := h.failing(servers, now)
+	cutOff := h.cutOff(servers, now)
 	for id, s := range servers {
 		if s.Service != service {
 			continue
@@ -238,7 +239,7 @@
 				power = usual
 			}
 		}
-		lost := s.Leaving() || failing[id] && !h.Roster.CutOff(s.Domain, holdTime, now)
+		lost := s.Leaving() || failing[id] && !cutOff[s.Domain]
 		capped := false
 		if now.Before(s.WarmAt) {
 			power *= coldPower
@@ -247,7 +248,7 @@
 			}
 		}
 		in.Members = append(in.Members, shard.Member{
-			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost, Lost: lost, Capped: capped,
+			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost && !cutOff[s.Domain], Lost: lost, Capped: capped,
 		})
 		in.Addresses[id] = s.Address
 	}
@@ -265,6 +266,18 @@
 	return in
 }
 
+// cutOff returns the failure domains that are cut off. No key can be taken from their servers or given to them: planned
+// all the same, such a move leaves keys without an owner that are served behind the cut.
+func (h *Holder) cutOff(servers map[string]rules.Server, now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for _, s := range servers {
+		if _, known := out[s.Domain]; !known {
+			out[s.Domain] = h.Roster.CutOff(s.Domain, holdTime, now)
+		}
+	}
+	return out
+}
+
 // reborn returns the lives of today of the servers that own keys in the name of an earlier one.
 // An earlier life gets its orders at the address of the new one: nobody else can answer for it.
 func reborn(servers map[string]rules.Server, m *shard.Map) map[string]string {
--- a/internal/holder/world_test.go
+++ b/internal/holder/world_test.go
@@ -134,6 +134,8 @@
 	silence time.Duration
 	// helps is the chance that an instance which is behind is told all by one that is not.
 	helps float64
+	// load returns the requests in a second for each key as an instance knows them; it may be nil.
+	load func(name string) []float64
 	// stated says that servers state when they started, and keep their names when they start again.
 	// Entries holds what they stated last, by name.
 	stated  bool
@@ -155,6 +157,17 @@
 	return io.Discard
 }
 
+// loadAt returns the load as an instance knows it.
+func (w *world) loadAt(name string) []float64 {
+	w.mu.Lock()
+	load := w.load
+	w.mu.Unlock()
+	if load == nil {
+		return nil
+	}
+	return load(name)
+}
+
 func (w *world) chance(p float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -228,7 +241,7 @@
 		Clock: fakeClock{w.start}, Roster: n.roster, Events: event.New(w.trace(), log.InfoLevel),
 		Servers: w.servers, Directory: func() uint64 { return uint64(time.Since(w.start)) }, Services: func() []string { return []string{service} },
 		Target:       func(string) time.Duration { return time.Second },
-		Load:         func(string) []float64 { return nil },
+		Load:         func(string) []float64 { return w.loadAt(name) },
 		Powers:       func(string) map[string]float64 { return nil },
 		DirectoryAge: func() time.Duration { return 0 }, EntryTime: time.Second, ReadDirectory: func() {},
 		Leading: func(bool) {}, Changed: func() {}, Announce: func() {},
