--- a/internal/permit/server.go
+++ b/internal/permit/server.go
@@ -38,7 +38,7 @@
 	// waitThere is how many requests may wait at a server for a slot, besides those that it runs. Between the end of a
 	// request and the start of one that waited for it here lie three messages, a quarter of the time that a
 	// request takes on a busy instance; the server would stand idle for that long.
-	waitThere = 1
+	waitThere = 2
 	// openTime is how long an instance's connection to a server is open after its last request:
 	// below the 8 seconds for which instances keep idle ones.
 	openTime = 6 * time.Second
