Ask for a slot, not for a place at the server, in the tests of askers

TestGivingBackIsLost failed since requests may wait at a server: its probe was granted such a place while the only slot was in use. The probe asks for room now as a request does that can go elsewhere, which is granted a slot only. What the test asks is the same: no slot while the permit is held, a slot once it is given back.

--- a/internal/node/asker_test.go
+++ b/internal/node/asker_test.go
@@ -76,6 +76,7 @@
 	a := permit.Ask{
 		Key: permit.Key{From: "probe", Serial: serial}, Service: "books", Server: "s", Route: "read",
 		TargetAt: now.Add(10 * time.Second), LimitAt: now.Add(20 * time.Second),
+		Elsewhere: true, // not to wait at the server
 	}
 	_, granted := o.keeper.Ask(now, a).(permit.Granted)
 	o.keeper.Withdraw(now, a.Key)
