--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -124,6 +124,12 @@
 			fmt.Sprintf("store_time_us{call=%q,quantile=\"0.99\"} %d\n", call, l.P99),
 			fmt.Sprintf("store_time_us{call=%q,quantile=\"1\"} %d\n", call, l.Most))
 	}
+	for domain, since := range n.world.evacuatedDomains() {
+		l := n.leftAt(domain)
+		lines = append(lines, fmt.Sprintf("evacuated_seconds{domain=%q} %.1f\n", domain, since.Seconds()),
+			fmt.Sprintf("evacuated_requests{domain=%q} %d\n", domain, l.requests),
+			fmt.Sprintf("evacuated_keys{domain=%q} %d\n", domain, l.keys))
+	}
 	sort.Strings(lines)
 	for _, l := range lines {
 		_, _ = w.Write([]byte(l))
