Count the requests to a cold server by one keeper at a time

Found by a schedule on virtual time, before it showed elsewhere: 200 instances, 35 of them cut off alone, a failure domain cut off and 40 killed within 1.1 s, while all ask for one cold server. Of 80 schedules 9 sent it more than its 19 requests in a second, 27 at most.

And each keeper to which callers turn began with the whole rate.

A keeper that has not sent a cold server anything of late begins with three tenths of the rate for the first span.

--- a/internal/permit/cold.go
+++ b/internal/permit/cold.go
@@ -15,14 +15,21 @@
 	// coldWindow is the least span over which the requests to a cold server are counted: a second, and what
 	// they may come closer to one another on their way.
 	coldWindow = 1100 * time.Millisecond
+	// coldFirstShare is the part of that for a keeper that has not sent the server anything of late: another one may have.
+	// Where instances are lost and cut off together, callers turn to several keepers within a second.
+	coldFirstShare = 0.3
 	// coldSlowdown is the factor by which work takes longer on a cold server.
 	coldSlowdown = 2
 )
 
 // coldLimit returns how many requests a cold server may get in a span.
-func (s *server) coldLimit() (most int, window time.Duration) {
+func (s *server) coldLimit(now time.Time) (most int, window time.Duration) {
 	most = max(int(s.ColdRate), 1)
-	return most, max(time.Duration(float64(most)/s.ColdRate*float64(time.Second)), coldWindow)
+	window = max(time.Duration(float64(most)/s.ColdRate*float64(time.Second)), coldWindow)
+	if now.Sub(s.coldFrom) < window {
+		most = max(int(coldFirstShare*float64(most)), 1)
+	}
+	return most, window
 }
 
 // coldTurn returns when a request may be sent that has a number of others ahead of it: now, unless the server is cold.
@@ -30,7 +37,7 @@
 	if !s.Cold(now) {
 		return now
 	}
-	most, window := s.coldLimit()
+	most, window := s.coldLimit(now)
 	turn := now
 	switch before := len(s.coldSent) + ahead - most; {
 	case before < 0:
@@ -48,7 +55,10 @@
 
 // noteCold takes in that a request is sent to a cold server.
 func (s *server) noteCold(now time.Time) {
-	_, window := s.coldLimit()
+	_, window := s.coldLimit(now)
+	if last := len(s.coldSent) - 1; last < 0 || now.Sub(s.coldSent[last]) >= 2*window {
+		s.coldFrom = now
+	}
 	s.coldSent = slices.DeleteFunc(s.coldSent, func(at time.Time) bool { return now.Sub(at) >= window })
 	s.coldSent = append(s.coldSent, now)
 }
--- a/internal/permit/server.go
+++ b/internal/permit/server.go
@@ -90,9 +90,10 @@
 	// foreign is the number of requests of others at the server, as of its last report.
 	foreign      int
 	foreignUntil time.Time
-	// coldSent is when requests were sent to the server while it was cold, the earliest first, and coldUntil when the
-	// next one may be.
+	// coldSent is when requests were sent to the server while it was cold, the earliest first, coldFrom since when they
+	// have followed one another, and coldUntil when the next one may be sent.
 	coldSent  []time.Time
+	coldFrom  time.Time
 	coldUntil time.Time
 	// counted is what of the server's power is counted in that of all, behind how many of its requests are counted
 	// among those that wait at their servers.
