--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -14,7 +14,7 @@
 	crossCost = 0.1
 	// coldCost is what a server costs more that has just started.
 	coldCost = 1
-	// fullCost is what a server costs more at which a request waits for a slot: any that has one goes first.
+	// fullCost is what a server costs more at which a request would wait for a slot: any that has one goes first.
 	fullCost = 2
 	// openCost is what a new connection costs: it takes a slot for a millisecond, and operators weigh them
 	// (TestConnectionsAreUsedAgain).
--- a/internal/permit/server.go
+++ b/internal/permit/server.go
@@ -35,9 +35,8 @@
 	// heardLeast is the number of answers from which on a server's speed is told to others: as
 	// many as make two thirds of it.
 	heardLeast = 10
-	// waitThere is how many requests may wait at a server for a slot, besides those that it runs. Between the end of a
-	// request and the start of one that waited for it here lie three messages, a quarter of the time that a
-	// request takes on a busy instance; the server would stand idle for that long.
+	// waitThere is how many requests may wait at a server for a slot, besides those that it runs: between the end of a
+	// request and the start of one that waits here lie several messages, and the slot would be idle meanwhile.
 	waitThere = 2
 	// openTime is how long an instance's connection to a server is open after its last request:
 	// below the 8 seconds for which instances keep idle ones.
