Let plans use the servers of the own failure domain after a pause

Cause: an instance that stood still for a second has not heard itself either, and takes its own domain for cut off for 2.5 s. A leader after a pause would plan without the servers next to it, and one that is alone would plan nothing.

Change: the own domain is never left out. That its servers count as lost is decided as before.

Test: TestOneWriteWithoutAnswerEndsTheRound, unchanged.

--- a/internal/holder/lead.go
+++ b/internal/holder/lead.go
@@ -248,7 +248,7 @@
 			}
 		}
 		in.Members = append(in.Members, shard.Member{
-			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost && !cutOff[s.Domain], Lost: lost, Capped: capped,
+			ID: id, Address: s.Address, Power: power, Slots: s.Slots, Usable: !lost && (s.Domain == h.Domain || !cutOff[s.Domain]), Lost: lost, Capped: capped,
 		})
 		in.Addresses[id] = s.Address
 	}
@@ -266,8 +266,10 @@
 	return in
 }
 
-// cutOff returns the failure domains that are cut off. No key can be taken from their servers or given to them: planned
-// all the same, such a move leaves keys without an owner that are served behind the cut.
+// cutOff returns the failure domains that are cut off. No key can be taken from the servers of others than the own one, or
+// given to them: planned all the same, such a move leaves keys without an owner that are served behind the cut.
+//
+// The own domain seems cut off, too, while this instance has just stood still.
 func (h *Holder) cutOff(servers map[string]rules.Server, now time.Time) map[string]bool {
 	out := map[string]bool{}
 	for _, s := range servers {
