Take servers for open that are not cold, also a moment before they were looked at

Of one service nothing was served at all until the second configuration came at 2.2 s, although its 25 servers were idle.

Cause, by the state of a keeper that refused with no permit in use: 29 requests waited, and all servers were free. A pool's keeper is made as its first request comes, a moment after the time of that request was taken. A server that is not cold was noted as closed until the moment at which it was looked at, so the first request found none open and was let wait; all later ones waited behind it, and with no permit in use nothing ever gave the queue a server. Ruled out: cold servers (the configuration states no rate there), two requests that wait at a server (one gives the same), the planner, lost messages.

Change: a server is closed for its cold rate only if that is later than the look.

Test: TestFirstRequestOfAKeeper, warm and cold; fails before.

--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -96,7 +96,10 @@
 	k.power += s.counted
 	s.behind = s.waitsThere()
 	k.behind += s.behind
-	s.coldUntil = s.coldTurn(now, 0)
+	s.coldUntil = time.Time{}
+	if turn := s.coldTurn(now, 0); turn.After(now) {
+		s.coldUntil = turn
+	}
 	if s.setAside && !s.aside(now) {
 		s.setAside = false
 		k.aside--
--- a/internal/permit/keeper_test.go
+++ b/internal/permit/keeper_test.go
@@ -97,3 +97,20 @@
 	verdicts := k.Done(now, permit.Done{Key: permit.Key{From: "i", Serial: 1}, Server: "s", Route: "r", Took: 300 * time.Millisecond})
 	is.Equal(len(verdicts), 0)
 }
+
+// Guards against a first request that waits for servers which are free, and all others behind it: the keeper was made for
+// it, a moment after its time was taken.
+func TestFirstRequestOfAKeeper(t *testing.T) {
+	for name, servers := range map[string][]rules.Server{
+		"warm": {server("s", "north", 2)}, "cold": {coldServer("s")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k := newKeeper(servers...)
+			a := ask(1, start)
+			a.Elsewhere = true // as the first pool that a request asks
+			_, granted := k.Ask(start.Add(-time.Microsecond), a).(permit.Granted)
+			is.True(granted)
+		})
+	}
+}
