Count majorities of instances in one place, and rebuild pools once for an update

- Roster.Most counted instances beside Contact in a loop of the same shape, though votes was there: both go through one count, and Confirmed adds up by the same method.
The two questions stay two: whom an instance hears now, and who has said that nothing is new.
- An update with a configuration and an evacuation rebuilt all pools twice: once now, after both.
- The pause of looks in the duty of updates bore the name of one of the things looked at: lookEvery, beside that duty.
- grant kept two variables for one time.
The setting of evacuations is named evacuation-seconds, like what it is about.

Looked for and left: that each update copies the directory twice (take, publish), since the second copy differs from the first; that evacuations are added to news at instances that tell nobody, since they must be those of that moment.

--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -34,9 +34,9 @@
 	// ConfigSeconds is how long after its acknowledgement a configuration must be in force
 	// everywhere; zero means as long as DrainSeconds.
 	ConfigSeconds float64 `json:"config-seconds"`
-	// EvacuateSeconds is how long after the evacuation of their failure domain is known servers may still get requests;
+	// EvacuationSeconds is how long after the evacuation of their failure domain is known servers may still get requests;
 	// zero means as long as DrainSeconds.
-	EvacuateSeconds float64 `json:"evacuate-seconds"`
+	EvacuationSeconds float64 `json:"evacuation-seconds"`
 	// StopSeconds is how long an instance may take to stop.
 	StopSeconds float64 `json:"stop-seconds"`
 	// All instances together may send RetryRatio of the requests in RetryWindowSeconds a second
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -14,9 +14,13 @@
 	"example.org/mustardring/internal/shard"
 )
 
+// lookEvery is the pause between two looks at what changes by itself: servers whose entries stay away, the reach of the
+// store, evacuated failure domains.
+const lookEvery = 100 * time.Millisecond
+
 // update takes in news from the store.
 func (n *Node) update(ctx context.Context) error {
-	ticker := time.NewTicker(evacuationLook)
+	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -152,9 +156,7 @@
 		n.events.Note(event.Belief, "configuration-unread", "error", u.Err)
 		return
 	}
-	if n.world.takeEvacuations(u, n.ageOf(u), n.around.DecodeEvacuation) {
-		n.permits.setServers()
-	}
+	changed := n.world.takeEvacuations(u, n.ageOf(u), n.around.DecodeEvacuation)
 	for _, r := range u.Records {
 		if r.Key != n.around.ConfigKey || len(r.Value) == 0 {
 			continue
@@ -165,6 +167,9 @@
 			continue
 		}
 		n.world.putConfig(c)
+		changed = true
+	}
+	if changed {
 		n.permits.setServers()
 	}
 }
--- a/internal/node/evacuate.go
+++ b/internal/node/evacuate.go
@@ -155,7 +155,7 @@
 		l := leftAt(domain)
 		if v.emptied = l == (left{}); v.emptied {
 			w.events.Note(event.Belief, "domain-empty", "domain", domain, "took", now.Sub(v.knownAt))
-		} else if now.After(v.closeAt) && now.Sub(v.closeAt) < evacuationLook {
+		} else if now.After(v.closeAt) && now.Sub(v.closeAt) < lookEvery {
 			w.events.Note(event.Belief, "domain-not-empty", "domain", domain, "requests", l.requests, "keys", l.keys)
 		}
 		w.evacuated.active[domain] = v
@@ -190,9 +190,6 @@
 	return u
 }
 
-// evacuationLook is the pause between two looks whether evacuated domains are empty.
-const evacuationLook = 100 * time.Millisecond
-
 // noteEmptied logs which evacuated domains may be worked on.
 func (n *Node) noteEmptied() { n.world.noteEmptied(n.leftAt) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,14 +167,14 @@
 	return min(time.Duration(interval*entrySlack*float64(time.Second)), entryMost)
 }
 
-// evacuateShare is the part of the time in which evacuated servers must get their last request that this instance uses:
+// evacuationShare is the part of the time in which evacuated servers must get their last request that this instance uses:
 // the rest is for what it cannot know, as how long the news of it took while the store was away.
-const evacuateShare = 0.5
+const evacuationShare = 0.5
 
 // evacuateTime returns how long after its evacuation is known a server may get requests. Without a bound of its own an
 // evacuation is as urgent as a leaving server.
 func evacuateTime(b config.Bounds) time.Duration {
-	seconds := b.EvacuateSeconds * evacuateShare
+	seconds := b.EvacuationSeconds * evacuationShare
 	if seconds == 0 {
 		seconds = b.DrainSeconds
 	}
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -250,14 +250,12 @@
 }
 
 func (k *Keeper) grant(now time.Time, s *server, w *waiting) Verdict {
-	expect := s.expect(k.route(w.Route, 0), now)
-	u := use{since: now, expect: expect, factor: s.factor(now), startedAt: now}
+	u := use{since: now, expect: s.expect(k.route(w.Route, 0), now), factor: s.factor(now), startedAt: now}
 	if len(s.uses) >= s.Slots {
 		u.startedAt = time.Time{}
 		u.expect += s.next(now)
 	}
 	s.use(w.Key, u)
-	expect = u.expect
 	if s.Cold(now) {
 		s.noteCold(now)
 	}
@@ -265,9 +263,9 @@
 	k.noteUse(w.From, s.ID, now)
 	held := permitEnds{w.Key, s}
 	k.timers.set(w.LimitAt.Add(overdue), held)
-	k.doubts.set(now.Add(time.Duration(doubtShare*float64(expect))+doubtLeast), permitDoubted(held))
+	k.doubts.set(now.Add(time.Duration(doubtShare*float64(u.expect))+doubtLeast), permitDoubted(held))
 	k.firstBack() // forgets those that are back
-	k.returns.set(now.Add(expect), permitReturns(held))
+	k.returns.set(now.Add(u.expect), permitReturns(held))
 	k.arrange(now, s)
 	return Granted{Key: w.Key, Server: s.ID}
 }
--- a/internal/roster/charge.go
+++ b/internal/roster/charge.go
@@ -116,34 +116,6 @@
 	return p == nil || r.alive(p, now)
 }
 
-// Most reports whether this instance hears more than half of the instances of its failure domain, or, where the domain has
-// too few to tell, of all. Those of other domains send too seldom for their silence to show in time.
-func (r *Roster) Most(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	alive, aliveNear, near := 0, 0, 0
-	for _, p := range r.sorted {
-		isNear := p.Domain == r.domain
-		if isNear {
-			near++
-		}
-		if !r.alive(p, now) {
-			continue
-		}
-		alive++
-		if isNear {
-			aliveNear++
-		}
-	}
-	if near < majorityLeast {
-		return 2*alive > len(r.sorted)
-	}
-	return 2*aliveNear > near
-}
-
-// majorityLeast is the number of instances of a failure domain from which on a majority of them can be told.
-const majorityLeast = 3
-
 // Unconfirmed returns the instances that may still act on records before an offset: the
 // registered ones that have not confirmed it, and those that were removed, as far as this
 // instance knows, after the given time.
--- a/internal/roster/quorum.go
+++ b/internal/roster/quorum.go
@@ -55,21 +55,40 @@
 func (r *Roster) Contact(since, end int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	heard, inDomain, domain := 0, 0, 0
+	all, near := r.count(func(p *Peer) bool {
+		return p.Name == r.self || p.Beat.EchoAt >= since && p.Beat.Known <= end
+	})
+	return all.majority() || near.majority()
+}
+
+// Most reports whether this instance hears more than half of the instances of its failure domain, or, where the domain has
+// too few to tell, of all. Those of other domains send too seldom for their silence to show in time.
+func (r *Roster) Most(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all, near := r.count(func(p *Peer) bool { return r.alive(p, now) })
+	if near.all < majorityLeast {
+		return all.majority()
+	}
+	return near.majority()
+}
+
+// majorityLeast is the number of instances of a failure domain from which on a majority of them can be told.
+const majorityLeast = 3
+
+// count returns how many instances there are that count, of all and of those of the own failure domain; the lock is held.
+func (r *Roster) count(counts func(p *Peer) bool) (all, near votes) {
 	for _, p := range r.peers {
-		near := p.Domain == r.domain
-		if near {
-			domain++
-		}
-		if p.Name != r.self && (p.Beat.EchoAt < since || p.Beat.Known > end) {
-			continue
+		v := votes{all: 1}
+		if counts(p) {
+			v.confirmed = 1
 		}
-		heard++
-		if near {
-			inDomain++
+		all = all.plus(v)
+		if p.Domain == r.domain {
+			near = near.plus(v)
 		}
 	}
-	return 2*heard > len(r.peers) || 2*inDomain > domain
+	return all, near
 }
 
 // HeardHalf reports whether half or more of the other instances of the own failure domain have been heard.
@@ -103,6 +122,10 @@
 
 func (v votes) enough() bool { return 2*v.confirmed >= v.all }
 
+func (v votes) majority() bool { return 2*v.confirmed > v.all }
+
+func (v votes) plus(o votes) votes { return votes{v.all + o.all, v.confirmed + o.confirmed} }
+
 // Confirmed reports whether, of those that were registered at some time since the given one, half or
 // more have been so all the time and act by the records up to an offset, in all and in each failure
 // domain.
@@ -111,8 +134,8 @@
 	defer r.mu.Unlock()
 	total, domains := votes{}, map[string]votes{}
 	count := func(domain string, confirmed int) {
-		total = votes{total.all + 1, total.confirmed + confirmed}
-		domains[domain] = votes{domains[domain].all + 1, domains[domain].confirmed + confirmed}
+		v := votes{1, confirmed}
+		total, domains[domain] = total.plus(v), domains[domain].plus(v)
 	}
 	for _, p := range r.peers {
 		confirmed := 0
