Give keys only to servers that accept connections

Cause: a server that crashed stays in the directory until its entry expires (three intervals). It counts as failing for four seconds only, and a new leader does not know it as failing at all. A plan then gave it keys: these had no owner until the grants failed and the lease that the server might have had was over (TestEndToEnd, one run of some 60 beside load).

Change: a server without keys gets some only if it accepted a connection in the last two seconds; the connection is the one that its first grant uses, so it costs none more. Servers that were restarted or are cold have started lately and need no check.

--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -43,6 +43,7 @@
 		}
 		lm.decideOwners(ctx, service, now)
 	}
+	lm.startContactChecks(ctx, now)
 	lm.startMoves(ctx)
 }
 
@@ -229,6 +230,7 @@
 	}
 	failing := lm.failingServers(servers, now)
 	cutOff := lm.cutOffDomains(servers, now)
+	trusted := lm.trustedServers(m, in.Restarted)
 	for id, s := range servers {
 		if s.Service != service {
 			continue
@@ -248,8 +250,13 @@
 				capacity, capped = min(capacity, coldLoadFactor*s.ColdRate), true
 			}
 		}
+		usable := !lost && (s.Domain == lm.Domain || !cutOff[s.Domain])
+		// A cold server has started lately, and gets the keys of those that it replaces at once.
+		if _, trusts := trusted[id]; usable && len(m.Ranges) > 0 && !trusts && !now.Before(s.WarmAt) {
+			usable = lm.contacts.reachable(shard.Owner{Server: id, Address: s.Address}, now)
+		}
 		in.Servers = append(in.Servers, shard.ServerState{
-			ID: id, Address: s.Address, Capacity: capacity, Slots: s.Slots, Usable: !lost && (s.Domain == lm.Domain || !cutOff[s.Domain]), Lost: lost, Capped: capped,
+			ID: id, Address: s.Address, Capacity: capacity, Slots: s.Slots, Usable: usable, Lost: lost, Capped: capped,
 		})
 		in.Addresses[id] = s.Address
 	}
@@ -267,6 +274,16 @@
 	return in
 }
 
+// trustedServers returns the servers that may get keys without a check that they accept connections: those with keys,
+// whose renewals show whether they do, and those that have just been restarted.
+func (lm *Manager) trustedServers(m *shard.Map, restarted map[string]string) map[string]struct{} {
+	out := ownersOf(m)
+	for _, id := range restarted {
+		out[id] = struct{}{}
+	}
+	return out
+}
+
 // cutOffDomains reports which failure domains are cut off. Keys of servers in another domain that is cut off
 // cannot be moved, nor can its servers get keys: such a move would leave keys without an owner that are
 // served within the domain.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -150,6 +150,8 @@
 	// Release ends a lease. It returns the handover for the next owner once the work in progress
 	// has ended.
 	Release(ctx context.Context, to shard.Owner, g Grant) (string, error)
+	// Connect opens a connection to a server, which the next grant uses. It sends nothing.
+	Connect(ctx context.Context, to shard.Owner) error
 }
 
 // View is what an instance believes about the owners of all services and the registered instances.
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -65,6 +65,7 @@
 	// presentServers holds the servers of the directory at the last decision, leftServers those that have left it.
 	presentServers map[string]rules.Server
 	leftServers    map[string]rules.Server
+	contacts       *contacts
 }
 
 // New returns a Manager that is not running.
@@ -72,7 +73,7 @@
 	return &Manager{
 		Deps: d, guards: allGuards, view: newLocalView(), storeUpdates: make(chan follow.Update, 16),
 		ownerChanges: make(chan OwnerChange, 64), registerUpdates: make(chan []follow.Record, 64), peerViews: make(chan *View, 4), completions: make(chan completedMove, 256), renewers: map[string]*renewer{},
-		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, leftServers: map[string]rules.Server{},
+		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, leftServers: map[string]rules.Server{}, contacts: newContacts(),
 	}
 }
 
--- a/internal/lease/server_test.go
+++ b/internal/lease/server_test.go
@@ -105,6 +105,20 @@
 	return c, nil
 }
 
+func (lc *fakeLeaseClient) Connect(ctx context.Context, to shard.Owner) error {
+	lc.cluster.delay()
+	if lc.cluster.isCut(lc.name, to.Address) {
+		<-ctx.Done()
+		return errCut
+	}
+	lc.cluster.mu.Lock()
+	defer lc.cluster.mu.Unlock()
+	if lc.cluster.serverAt(to.Address) == nil {
+		return errCut
+	}
+	return nil
+}
+
 func (lc *fakeLeaseClient) Release(ctx context.Context, to shard.Owner, g Grant) (string, error) {
 	address := to.Address
 	lc.cluster.delay()
