--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -135,6 +135,25 @@
 	return out
 }
 
+// PutServer adds or updates one server, and returns the decisions that follow.
+func (c *Controller) PutServer(now time.Time, s rules.Server) []Decision {
+	c.putServer(now, s)
+	return append(c.Tick(now), c.dispatch(now, c.servers[s.ID])...)
+}
+
+// RemoveServer removes one server, and returns the decisions that follow.
+func (c *Controller) RemoveServer(now time.Time, id string) []Decision {
+	s := c.servers[id]
+	if s == nil {
+		return nil
+	}
+	out := append(c.removeServer(now, s), c.Tick(now)...)
+	if len(c.servers) == 0 {
+		out = append(out, c.rejectAll()...)
+	}
+	return out
+}
+
 // rejectAll rejects all waiting requests when the last server is gone, so that their senders look
 // for a server elsewhere at once.
 func (c *Controller) rejectAll() []Decision {
--- a/internal/lease/grant_test.go
+++ b/internal/lease/grant_test.go
@@ -45,7 +45,7 @@
 		s := rules.Server{ID: "s", Service: service, Address: "a"}
 		lm := New(Deps{
 			LeaseClient: &cancelFirstGrant{}, Clock: fakeClock{start}, Events: event.New(io.Discard, log.ErrorLevel),
-			Servers: func() map[string]rules.Server { return map[string]rules.Server{"s": s} },
+			Servers: func() *rules.ServerSet { return rules.NewServerSet(map[string]rules.Server{"s": s}) },
 		})
 		lm.guards = guards{}
 		r := shard.Range{From: 0, To: shard.NumKeys - 1, Server: "s", Fence: 1, FormerOwners: []shard.Owner{{Server: "o"}}}
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -234,7 +234,7 @@
 	failing := lm.failingServers(servers, now)
 	cutOff := lm.cutOffDomains(servers, now)
 	trusted := lm.trustedServers(m, in.Restarted)
-	for id, s := range servers {
+	for id, s := range servers.All() {
 		if s.Service != service {
 			continue
 		}
@@ -272,11 +272,17 @@
 		}
 	}
 	for old, id := range in.Restarted {
-		in.Addresses[old] = servers[id].Address
+		in.Addresses[old] = addressOf(servers, id)
 	}
 	return in
 }
 
+// addressOf returns the address of a server, empty if it is not listed.
+func addressOf(servers *rules.ServerSet, id string) string {
+	s, _ := servers.Get(id)
+	return s.Address
+}
+
 // trustedServers returns the servers that may get keys without a check that they accept connections: those with keys,
 // whose renewals show whether they do, and those that have just been restarted.
 func (lm *Manager) trustedServers(m *shard.Map, restarted map[string]string) map[string]struct{} {
@@ -292,9 +298,9 @@
 // served within the domain.
 //
 // The own domain may also be reported, for a while after this process was paused.
-func (lm *Manager) cutOffDomains(servers map[string]rules.Server, now time.Time) map[string]bool {
+func (lm *Manager) cutOffDomains(servers *rules.ServerSet, now time.Time) map[string]bool {
 	out := map[string]bool{}
-	for _, s := range servers {
+	for _, s := range servers.All() {
 		if _, known := out[s.Domain]; !known {
 			out[s.Domain] = lm.Roster.CutOff(s.Domain, cutOffHoldTime, now)
 		}
@@ -304,14 +310,14 @@
 
 // restarted maps the ended incarnations that still own keys to the current incarnation of the same server.
 // Requests to an ended incarnation go to the address of the current one, which alone can answer for it.
-func restarted(servers map[string]rules.Server, m *shard.Map) map[string]string {
+func restarted(servers *rules.ServerSet, m *shard.Map) map[string]string {
 	ended := ownersOf(m)
-	maps.DeleteFunc(ended, func(id string, _ struct{}) bool { _, found := servers[id]; return found })
+	maps.DeleteFunc(ended, func(id string, _ struct{}) bool { return servers.Has(id) })
 	if len(ended) == 0 {
 		return nil
 	}
-	incarnations := make(map[string]string, len(servers))
-	for id := range servers {
+	incarnations := make(map[string]string, servers.Len())
+	for id := range servers.All() {
 		incarnations[rules.NameOf(id)] = id
 	}
 	out := map[string]string{}
@@ -324,14 +330,19 @@
 }
 
 // rememberServers keeps the entries of servers that left the directory.
-func (lm *Manager) rememberServers(servers map[string]rules.Server) {
-	for id, s := range lm.presentServers {
-		if _, found := servers[id]; !found {
+func (lm *Manager) rememberServers(servers *rules.ServerSet) {
+	if servers == lm.presentServers {
+		return
+	}
+	for id, s := range lm.presentServers.All() {
+		if !servers.Has(id) {
 			lm.leftServers[id] = s
 		}
 	}
-	for id := range servers {
-		delete(lm.leftServers, id)
+	for id := range lm.leftServers {
+		if servers.Has(id) {
+			delete(lm.leftServers, id)
+		}
 	}
 	lm.presentServers = servers
 	if len(lm.leftServers) > maxLeftServers {
@@ -343,11 +354,11 @@
 // instances responsible for them. Reports of other instances do not count, as they may have lost their own
 // connection: when a cut between two failure domains ended, the instances of one still reported the
 // servers of the other as failing, though these had been renewed all the time.
-func (lm *Manager) failingServers(servers map[string]rules.Server, now time.Time) map[string]bool {
+func (lm *Manager) failingServers(servers *rules.ServerSet, now time.Time) map[string]bool {
 	out := map[string]bool{}
 	for _, reporter := range lm.Roster.Alive(now) {
 		for _, id := range reporter.Heartbeat.Failing {
-			s, found := servers[id]
+			s, found := servers.Get(id)
 			if !found || out[id] {
 				continue
 			}
--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -40,7 +40,7 @@
 		lm := New(Deps{
 			Name: "i0", Domain: "d0", Store: s, Clock: fakeClock{start}, Roster: roster.New("i0", "d0"), Incarnation: 1,
 			Events:        event.New(io.Discard, log.InfoLevel),
-			Servers:       func() map[string]rules.Server { return servers },
+			Servers:       func() *rules.ServerSet { return rules.NewServerSet(servers) },
 			Services:      func() []string { return []string{"books", "stock"} },
 			TargetLatency: func(string) time.Duration { return time.Second },
 			Load:          func(string) []float64 { return nil }, Capacities: func(string) map[string]float64 { return nil },
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -177,9 +177,9 @@
 	Clock       clock.Clock
 	Roster      *roster.Roster
 	Events      *event.Log
-	// Servers returns the servers of the directory by id. DirectoryVersion returns a number that changes
+	// Servers returns the servers of the directory. DirectoryVersion returns a number that changes
 	// whenever they do. Services returns the services whose keys are divided among servers.
-	Servers          func() map[string]rules.Server
+	Servers          func() *rules.ServerSet
 	DirectoryVersion func() uint64
 	Services         func() []string
 	// TargetLatency returns the time within which requests of a service should be answered.
--- a/internal/lease/move.go
+++ b/internal/lease/move.go
@@ -233,7 +233,7 @@
 // addressReassigned reports whether another server has the address of a former owner. A server that holds
 // keys never refuses a release, and an address is reassigned only after its server has ended.
 func (lm *Manager) addressReassigned(former shard.Owner) bool {
-	for id, s := range lm.Servers() {
+	for id, s := range lm.Servers().All() {
 		if s.Address == former.Address && rules.NameOf(id) != rules.NameOf(former.Server) {
 			return true
 		}
@@ -288,7 +288,7 @@
 	granted := false
 	delay := orderRetryDelay
 	for ctx.Err() == nil {
-		s, found := lm.Servers()[r.Server]
+		s, found := lm.Servers().Get(r.Server)
 		if !found {
 			if !worker.Sleep(ctx, orderRetryDelay) {
 				return
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -63,7 +63,7 @@
 	// nextWriteAt delays the next write after a failed one.
 	nextWriteAt time.Time
 	// presentServers holds the servers of the directory at the last decision, leftServers those that have left it.
-	presentServers map[string]rules.Server
+	presentServers *rules.ServerSet
 	leftServers    map[string]rules.Server
 	contacts       *contacts
 }
@@ -73,7 +73,7 @@
 	return &Manager{
 		Deps: d, guards: allGuards, view: newLocalView(), storeUpdates: make(chan follow.Update, 16),
 		ownerChanges: make(chan OwnerChange, 64), registerUpdates: make(chan []follow.Record, 64), peerViews: make(chan *View, 4), completions: make(chan completedMove, 256), renewers: map[string]*renewer{},
-		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, leftServers: map[string]rules.Server{}, contacts: newContacts(),
+		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{}, contacts: newContacts(),
 	}
 }
 
@@ -387,7 +387,7 @@
 	var out []*renewer
 	for service, m := range view.Maps {
 		for id := range ownersOf(m) {
-			s, found := servers[id]
+			s, found := servers.Get(id)
 			if found && s.Service == service && lm.Roster.Responsible(s.ID, s.Domain, now) {
 				out = append(out, lm.renewer(s))
 			}
@@ -396,7 +396,7 @@
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
 	for id, r := range lm.renewers {
-		if _, listed := servers[id]; !listed && r.idle() {
+		if !servers.Has(id) && r.idle() {
 			delete(lm.renewers, id)
 		}
 	}
--- a/internal/lease/verify.go
+++ b/internal/lease/verify.go
@@ -44,7 +44,7 @@
 			return ErrUnverified
 		}
 	}
-	if _, found := lm.Servers()[server]; !found {
+	if !lm.Servers().Has(server) {
 		return ErrServerGone
 	}
 	return nil
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -113,7 +113,7 @@
 	if c == nil {
 		c = admit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		ad.controllers[pool] = c
-		ad.deliver(c.SetServers(time.Now(), ad.pools.serversOf(pool)))
+		ad.deliver(c.SetServers(time.Now(), ad.pools.serversOf(pool, ad.node.cluster.servers(), ad.node.cluster.config.Load())))
 	}
 	return c
 }
@@ -122,9 +122,44 @@
 func (ad *admissions) setServers() {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.pools.rebuild(ad.node.cluster.servers(), ad.node.cluster.config.Load())
+	servers, config := ad.node.cluster.servers(), ad.node.cluster.config.Load()
+	ad.pools.rebuild(servers, config)
 	for pool, c := range ad.controllers {
-		ad.deliver(c.SetServers(time.Now(), ad.pools.serversOf(pool)))
+		ad.deliver(c.SetServers(time.Now(), ad.pools.serversOf(pool, servers, config)))
+	}
+}
+
+// updateServers updates pools and controllers after a change of some servers. The servers of a service that is divided by
+// key are updated one by one; the pools of any other service are made anew.
+func (ad *admissions) updateServers(changed map[string]struct{}) {
+	if len(changed) == 0 {
+		return
+	}
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	servers, config, now := ad.node.cluster.servers(), ad.node.cluster.config.Load(), time.Now()
+	services := map[string]bool{}
+	for id := range changed {
+		s, found := servers.Get(id)
+		if !found {
+			s.Service = ad.pools.services[id]
+		}
+		ad.pools.note(id, s, found)
+		if !isDivided(config, s.Service) {
+			services[s.Service] = true
+		} else if c := ad.controllers[s.Service]; c != nil && found {
+			ad.deliver(c.PutServer(now, s))
+		} else if c != nil {
+			ad.deliver(c.RemoveServer(now, id))
+		}
+	}
+	for service := range services {
+		ad.pools.rebuildService(service, servers)
+	}
+	for pool, c := range ad.controllers {
+		if service := serviceOf(pool); services[service] {
+			ad.deliver(c.SetServers(now, ad.pools.serversOf(pool, servers, config)))
+		}
 	}
 }
 
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -24,8 +24,8 @@
 	// evacuationTime is the same for the servers of a failure domain that is evacuated.
 	evacuationTime time.Duration
 	config         atomic.Pointer[rules.Config]
-	// snapshot holds the servers by id as requests see them. The map is replaced, never changed.
-	snapshot atomic.Pointer[map[string]rules.Server]
+	// snapshot holds the servers as requests see them.
+	snapshot atomic.Pointer[rules.ServerSet]
 	// snapshotVersion counts how often snapshot was replaced.
 	snapshotVersion atomic.Uint64
 	owners          func() *lease.View
@@ -35,6 +35,8 @@
 	changed     chan struct{}
 	directory   *directory
 	evacuations *evacuations
+	// unseen holds the ids of the servers that have changed in snapshot since the last call of takeUnseen.
+	unseen map[string]struct{}
 	// storeDown says that the last read of the directory failed. Until missingUntil, missing entries do not mean that
 	// servers are gone.
 	storeDown    bool
@@ -60,14 +62,14 @@
 func newClusterState(events *event.Log, drainTime, evacuationTime time.Duration) *clusterState {
 	c := &clusterState{
 		events: events, drainTime: drainTime, evacuationTime: evacuationTime, changed: make(chan struct{}),
-		directory: newDirectory(events), evacuations: newEvacuations(events), completedMoves: map[moveKey]uint64{},
+		directory: newDirectory(events), unseen: map[string]struct{}{}, evacuations: newEvacuations(events), completedMoves: map[moveKey]uint64{},
 	}
-	c.snapshot.Store(&map[string]rules.Server{})
+	c.snapshot.Store(&rules.ServerSet{})
 	return c
 }
 
-// servers returns the servers by id. Callers must not change the map.
-func (c *clusterState) servers() map[string]rules.Server { return *c.snapshot.Load() }
+// servers returns the servers as requests see them.
+func (c *clusterState) servers() *rules.ServerSet { return c.snapshot.Load() }
 
 // dividedServices returns the services that are divided by key, whose keys have owners.
 func (c *clusterState) dividedServices() []string {
@@ -141,25 +143,47 @@
 		c.directory.removeMissing()
 	}
 	c.directory.close(leaveBy)
-	c.publish()
+	c.publishChanged()
 	return true
 }
 
 // publish replaces the snapshot by the servers of the directory, with the effects of the configuration and of
-// evacuations. The lock is held.
+// evacuations, which may concern all of them. The lock is held.
 func (c *clusterState) publish() {
+	for id := range c.directory.servers {
+		c.directory.changed[id] = struct{}{}
+	}
+	c.publishChanged()
+}
+
+// publishChanged updates the snapshot by the servers that have changed in the directory. The lock is held.
+func (c *clusterState) publishChanged() {
 	services := map[string]rules.Service{}
 	if cfg := c.config.Load(); cfg != nil {
 		services = cfg.Services
 	}
-	servers := make(map[string]rules.Server, len(c.directory.servers))
-	for id, s := range c.directory.servers {
-		servers[id] = c.evacuations.apply(s, services[s.Service])
+	put, removed := map[string]rules.Server{}, []string(nil)
+	for id := range c.directory.takeChanged() {
+		c.unseen[id] = struct{}{}
+		if s, found := c.directory.servers[id]; found {
+			put[id] = c.evacuations.apply(s, services[s.Service])
+		} else {
+			removed = append(removed, id)
+		}
 	}
-	c.snapshot.Store(&servers)
+	c.snapshot.Store(c.snapshot.Load().With(put, removed))
 	c.snapshotVersion.Add(1)
 }
 
+// takeUnseen returns the ids of the servers that have changed in the snapshot since the last call.
+func (c *clusterState) takeUnseen() map[string]struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.unseen
+	c.unseen = map[string]struct{}{}
+	return out
+}
+
 // removeMissing removes the servers whose entries did not reappear in time. It reports whether there were any.
 func (c *clusterState) removeMissing() bool {
 	c.mu.Lock()
@@ -167,7 +191,7 @@
 	if c.storeDown || time.Now().Before(c.missingUntil) || !c.directory.removeMissing() {
 		return false
 	}
-	c.publish()
+	c.publishChanged()
 	return true
 }
 
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -36,8 +36,12 @@
 }
 
 func (c *clusterState) has(id string) bool {
-	_, found := c.servers()[id]
-	return found
+	return c.servers().Has(id)
+}
+
+func (c *clusterState) server(id string) rules.Server {
+	s, _ := c.servers().Get(id)
+	return s
 }
 
 func TestDirectoryUpdates(t *testing.T) {
@@ -81,11 +85,11 @@
 		c.applyDirectory(true, "a", "ready")
 		c.applyServers(follow.Update{Err: errors.New("timeout")}, 0, decodeServer)
 		c.applyDirectory(false, "a", "")
-		is.True(!c.servers()["a"].Closed(false, time.Now())) // it may come back
+		is.True(!c.server("a").Closed(false, time.Now())) // it may come back
 		time.Sleep(1600 * time.Millisecond)
-		is.True(c.servers()["a"].Closed(false, time.Now()))
+		is.True(c.server("a").Closed(false, time.Now()))
 		c.applyDirectory(false, "a", "ready")
-		is.True(!c.servers()["a"].Closed(false, time.Now()))
+		is.True(!c.server("a").Closed(false, time.Now()))
 	})
 }
 
@@ -97,9 +101,9 @@
 		c.applyDirectory(true, "a", "draining")
 		time.Sleep(time.Second)
 		c.applyDirectory(false, "a", "draining")
-		is.True(!c.servers()["a"].Closed(true, time.Now()))
+		is.True(!c.server("a").Closed(true, time.Now()))
 		time.Sleep(600 * time.Millisecond)
-		is.True(c.servers()["a"].Closed(true, time.Now()))
+		is.True(c.server("a").Closed(true, time.Now()))
 	})
 }
 
@@ -116,11 +120,11 @@
 		c.applyServers(follow.Update{Err: errors.New("timeout")}, 0, decodeServer)
 		c.applyServers(u, 1200*time.Millisecond, decodeServer)
 		for _, id := range []string{"a", "b"} {
-			is.True(!c.servers()[id].Closed(true, time.Now()))
+			is.True(!c.server(id).Closed(true, time.Now()))
 		}
 		time.Sleep(301 * time.Millisecond)
 		for _, id := range []string{"a", "b"} {
-			is.True(c.servers()[id].Closed(true, time.Now()))
+			is.True(c.server(id).Closed(true, time.Now()))
 		}
 	})
 }
@@ -144,7 +148,7 @@
 			{Key: "a", Value: []byte("draining")}, {Key: "b", Value: []byte("ready")},
 		}}}
 		c.applyServers(u, n.updateAge(u), decodeServer)
-		is.True(c.servers()["a"].Closed(true, time.Now()))
-		is.True(!c.servers()["b"].Closed(true, time.Now()))
+		is.True(c.server("a").Closed(true, time.Now()))
+		is.True(!c.server("b").Closed(true, time.Now()))
 	})
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -15,9 +15,11 @@
 // counts. It does no I/O but for log lines; the lock of clusterState guards it.
 type directory struct {
 	events *event.Log
-	// servers holds the servers by the id of their incarnation. apply and removeMissing replace the map instead of
-	// changing that of an earlier update.
-	servers map[string]rules.Server
+	// servers holds the servers by the id of their incarnation, withStart is the number of those that state their start.
+	servers   map[string]rules.Server
+	withStart int
+	// changed holds the ids of the servers that were added, changed or removed since the last call of takeChanged.
+	changed map[string]struct{}
 	// newest holds the newest incarnation by name, also of servers whose entry is gone.
 	newest map[string]rules.Server
 	// missing holds the names whose entry is gone although the server may still be there.
@@ -30,7 +32,7 @@
 
 func newDirectory(events *event.Log) *directory {
 	return &directory{
-		events: events, servers: map[string]rules.Server{}, newest: map[string]rules.Server{}, missing: map[string]struct{}{},
+		events: events, servers: map[string]rules.Server{}, changed: map[string]struct{}{}, newest: map[string]rules.Server{}, missing: map[string]struct{}{},
 	}
 }
 
@@ -40,7 +42,6 @@
 // apply applies an update of the directory. Servers that this update says are draining may get requests until
 // leaveBy.
 func (d *directory) apply(u follow.Update, now, leaveBy time.Time, decode decodeEntry) {
-	d.servers = maps.Clone(d.servers)
 	grouped := len(u.Records) >= minGroupedEntries
 	var joined []rules.Server
 	listed := make(map[string]bool, len(u.Records))
@@ -78,21 +79,44 @@
 // dropWithoutStart drops the servers without a start time if most servers state theirs: such an entry is from another
 // writer, or of an older incarnation that would pass for a server of its own.
 func (d *directory) dropWithoutStart() {
-	withStart := 0
-	for _, s := range d.servers {
-		if s.StartedAt != 0 {
-			withStart++
-		}
-	}
-	if 2*withStart <= len(d.servers) {
+	if d.withStart == len(d.servers) || 2*d.withStart <= len(d.servers) {
 		return
 	}
-	maps.DeleteFunc(d.servers, func(id string, s rules.Server) bool {
+	for id, s := range d.servers {
 		if s.StartedAt == 0 {
 			d.events.Record(event.StateChange, "entry-malformed", "server", id, "error", "no start, though most servers state theirs")
+			d.remove(id)
 		}
-		return s.StartedAt == 0
-	})
+	}
+}
+
+// set adds or replaces a server.
+func (d *directory) set(s rules.Server) {
+	d.remove(s.ID)
+	d.servers[s.ID] = s
+	if s.StartedAt != 0 {
+		d.withStart++
+	}
+}
+
+// remove removes a server if it is there.
+func (d *directory) remove(id string) {
+	d.changed[id] = struct{}{}
+	s, found := d.servers[id]
+	if !found {
+		return
+	}
+	if s.StartedAt != 0 {
+		d.withStart--
+	}
+	delete(d.servers, id)
+}
+
+// takeChanged returns the ids of the servers that have changed since the last call.
+func (d *directory) takeChanged() map[string]struct{} {
+	out := d.changed
+	d.changed = map[string]struct{}{}
+	return out
 }
 
 // minGroupedEntries is the number of entries in an update from which on servers that join are logged together.
@@ -129,7 +153,7 @@
 		if _, found := d.servers[old.ID]; found {
 			d.events.Record(event.StateChange, "server-started-again", "server", s.ID, "before", old.ID, "offset", r.Offset)
 		}
-		delete(d.servers, old.ID)
+		d.remove(old.ID)
 	}
 	delete(d.missing, r.Key)
 	old, known = d.servers[s.ID]
@@ -144,7 +168,7 @@
 			"domain", s.Domain, "draining", s.Draining, "leave-in", s.LeavesIn(now), "warm-in", s.WarmAt.Sub(now),
 			"offset", r.Offset)
 	}
-	d.servers[s.ID] = s
+	d.set(s)
 	d.setNewest(r.Key, s)
 	return !known && !s.Draining
 }
@@ -176,7 +200,7 @@
 		s, known := d.servers[d.newest[name].ID]
 		if known && s.LeaveBy.IsZero() {
 			s.LeaveBy = leaveBy
-			d.servers[s.ID] = s
+			d.set(s)
 		}
 	}
 }
@@ -186,12 +210,11 @@
 	if len(d.missing) == 0 {
 		return false
 	}
-	d.servers = maps.Clone(d.servers)
 	for name := range d.missing {
 		id := d.newest[name].ID
 		if s, known := d.servers[id]; known {
 			d.events.Record(event.StateChange, "server-gone", "server", id, "service", s.Service)
-			delete(d.servers, id)
+			d.remove(id)
 		}
 		delete(d.missing, name)
 	}
--- a/internal/node/evacuate.go
+++ b/internal/node/evacuate.go
@@ -200,7 +200,7 @@
 	servers := n.cluster.servers()
 	for service, m := range n.leases.View().Maps {
 		for _, r := range m.Ranges {
-			if s, found := servers[r.Server]; found && s.Service == service && s.Domain == domain {
+			if s, found := servers.Get(r.Server); found && s.Service == service && s.Domain == domain {
 				rest.keys += r.Len()
 			}
 		}
--- a/internal/node/evacuate_test.go
+++ b/internal/node/evacuate_test.go
@@ -74,7 +74,7 @@
 			}
 			var got []string
 			for _, id := range []string{"north", "south"} {
-				s := c.servers()[id]
+				s := c.server(id)
 				is.Equal(s.Closed(false, time.Now()), s.Evacuated) // without keys it closes at once
 				if s.Evacuated {
 					got = append(got, id)
@@ -94,10 +94,10 @@
 		c.applyOperatorRecords(false, time.Second, "evacuate/north", "{}")
 		time.Sleep(time.Second)
 		c.applyOperatorRecords(false, 0, "evacuate/north", "{}")
-		is.True(!c.servers()["north"].Closed(true, time.Now()))
+		is.True(!c.server("north").Closed(true, time.Now()))
 		time.Sleep(600 * time.Millisecond)
-		is.True(c.servers()["north"].Closed(true, time.Now()))
-		is.True(!c.servers()["south"].Closed(true, time.Now()))
+		is.True(c.server("north").Closed(true, time.Now()))
+		is.True(!c.server("south").Closed(true, time.Now()))
 	})
 }
 
@@ -110,12 +110,12 @@
 		c.applyOperatorRecords(false, 0, "evacuate/north", "{}")
 		time.Sleep(8 * time.Second)
 		is.True(c.applyOperatorRecords(false, 0, "evacuate/north", ""))
-		s := c.servers()["north"]
+		s := c.server("north")
 		is.True(!s.Closed(true, time.Now()) && s.LeavesIn(time.Now()) == 0)
 		is.True(s.Cold(time.Now()))
-		is.True(!c.servers()["south"].Cold(time.Now()))
+		is.True(!c.server("south").Cold(time.Now()))
 		time.Sleep(3 * time.Second)
-		is.True(!c.servers()["north"].Cold(time.Now()))
+		is.True(!c.server("north").Cold(time.Now()))
 	})
 }
 
@@ -129,7 +129,7 @@
 	other := newTwoDomainState()
 	other.applyOperatorRecords(false, 0, "evacuate/south", "{}")
 	other.applyEvacuations(update, 0, evacuationOf)
-	is.True(other.servers()["north"].Evacuated && !other.servers()["south"].Evacuated)
+	is.True(other.server("north").Evacuated && !other.server("south").Evacuated)
 	is.Equal(update.Records[len(update.Records)-1].Key, "config")
 	alone := follow.Update{Batch: follow.Batch{End: 10, Records: []follow.Record{{Key: "evacuate/north", Offset: 9}}}}
 	is.True(!leader.withEvacuations(alone).Snapshot) // does not replace earlier records
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -177,6 +177,7 @@
 		changed = true
 	}
 	if changed {
+		n.cluster.takeUnseen()
 		n.admissions.setServers()
 	}
 }
@@ -184,9 +185,8 @@
 // serversChanged updates what depends on the servers: admission controllers and pools, and connections, which are
 // closed for servers that are gone.
 func (n *Node) serversChanged() {
-	servers := n.cluster.servers()
-	n.admissions.setServers()
-	n.edge.ConnPool.Retain(func(id string) bool { _, there := servers[id]; return there })
+	n.admissions.updateServers(n.cluster.takeUnseen())
+	n.edge.ConnPool.Retain(n.cluster.servers().Has)
 }
 
 // ownersChanged wakes the requests that wait for a change of owners.
@@ -271,8 +271,7 @@
 
 // Server implements edge.Cluster.
 func (n *Node) Server(id string) (rules.Server, bool) {
-	s, found := n.cluster.servers()[id]
-	return s, found
+	return n.cluster.servers().Get(id)
 }
 
 // Owner implements edge.Cluster. The former owners of a range are left out if its move is known to be complete,
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 
 	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/rules"
@@ -11,18 +12,53 @@
 type pools struct {
 	name   string
 	domain string
-	// servers holds the servers by pool, or by service for services that are divided by key.
-	servers map[string][]rules.Server
+	// servers holds the servers by pool, but for services that are divided by key. services holds the services by server.
+	servers  map[string][]rules.Server
+	services map[string]string
 	// pickers holds, by service, what chooses the pools that a request asks.
 	pickers map[string]*admit.Picker
 }
 
 func newPools(name, domain string) *pools {
-	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, pickers: map[string]*admit.Picker{}}
+	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, pickers: map[string]*admit.Picker{}}
+}
+
+// isDivided reports whether a service is divided by key.
+func isDivided(c *rules.Config, service string) bool { return c != nil && c.Services[service].Divided }
+
+// serviceOf returns the service of a pool, given its name.
+func serviceOf(pool string) string {
+	service, _, _ := strings.Cut(pool, "/")
+	return service
 }
 
 // serversOf returns the servers of a pool, or of a service that is divided by key.
-func (p *pools) serversOf(pool string) []rules.Server { return p.servers[pool] }
+func (p *pools) serversOf(pool string, servers *rules.ServerSet, c *rules.Config) []rules.Server {
+	if isDivided(c, pool) {
+		return membersOf(pool, servers, true)
+	}
+	return p.servers[pool]
+}
+
+// membersOf returns the servers of a service, with or without those that are leaving.
+func membersOf(service string, servers *rules.ServerSet, leaving bool) []rules.Server {
+	var out []rules.Server
+	for _, s := range servers.All() {
+		if s.Service == service && (leaving || !s.Leaving()) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// note records the service of a server, or forgets a server that is gone.
+func (p *pools) note(id string, s rules.Server, found bool) {
+	if found {
+		p.services[id] = s.Service
+		return
+	}
+	delete(p.services, id)
+}
 
 // picker returns the picker of a service. A service without servers has one empty pool.
 func (p *pools) picker(service string) *admit.Picker {
@@ -39,25 +75,33 @@
 	return admit.NewPicker(p.name, p.domain, all, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
 
-// rebuild replaces the pools after a change of servers or configuration. Servers that leave get no new requests,
-// except for keys that they still own.
-func (p *pools) rebuild(servers map[string]rules.Server, c *rules.Config) {
-	divided := func(service string) bool { return c != nil && c.Services[service].Divided }
-	services := map[string][]rules.Server{}
-	for _, s := range servers {
-		if divided(s.Service) || !s.Leaving() {
-			services[s.Service] = append(services[s.Service], s)
-		}
+// rebuild replaces all pools after a change of the configuration.
+func (p *pools) rebuild(servers *rules.ServerSet, c *rules.Config) {
+	p.servers, p.pickers, p.services = map[string][]rules.Server{}, map[string]*admit.Picker{}, map[string]string{}
+	for id, s := range servers.All() {
+		p.services[id] = s.Service
+	}
+	services := map[string]struct{}{}
+	for _, service := range p.services {
+		services[service] = struct{}{}
 	}
-	p.servers, p.pickers = map[string][]rules.Server{}, map[string]*admit.Picker{}
-	for service, members := range services {
-		all := []admit.Pool{{Name: service, Service: service, Servers: members}}
-		if !divided(service) {
-			all = admit.SplitIntoPools(service, members)
+	for service := range services {
+		if !isDivided(c, service) {
+			p.rebuildService(service, servers)
 		}
-		for _, pool := range all {
-			p.servers[pool.Name] = pool.Servers
+	}
+}
+
+// rebuildService replaces the pools of a service that is not divided by key. Servers that leave get no new requests.
+func (p *pools) rebuildService(service string, servers *rules.ServerSet) {
+	for pool := range p.servers {
+		if serviceOf(pool) == service {
+			delete(p.servers, pool)
 		}
-		p.pickers[service] = p.newPicker(all)
 	}
+	all := admit.SplitIntoPools(service, membersOf(service, servers, false))
+	for _, pool := range all {
+		p.servers[pool.Name] = pool.Servers
+	}
+	p.pickers[service] = p.newPicker(all)
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -72,7 +72,7 @@
 // ready reports whether callers should be sent to this instance: it knows a configuration and servers, and is not
 // stopping.
 func (n *Node) ready() bool {
-	return !n.isStopping() && n.cluster.config.Load() != nil && len(n.cluster.servers()) > 0
+	return !n.isStopping() && n.cluster.config.Load() != nil && n.cluster.servers().Len() > 0
 }
 
 // serveReady answers the readiness checks of the load balancer.
