Spread first heartbeats, and date answers that were held

Cause: instances that start together each sent their first heartbeat to all others at once, 970,000 messages; an answer that a peer held until it had the topic was dated by the request and seemed old at once (858 needless reads in the first second of the fleet). Change: the first heartbeat to all comes at a random time within its interval; a peer states how long it held a request.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -122,8 +122,11 @@
 // minGroupedEntries is the number of entries in an update from which on servers that join are logged together.
 const minGroupedEntries = 16
 
-// logJoined logs servers that joined together, in one line per service and failure domain: one line per server would
-// be most of what an instance logs at its start with a thousand servers.
+// maxLoggedServers is the number of servers that a line names.
+const maxLoggedServers = 20
+
+// logJoined logs servers that joined together, in one line per service and failure domain that names some of them: all
+// servers would be most of what an instance logs at its start with a thousand servers.
 func (d *directory) logJoined(servers []rules.Server, offset int64) {
 	type place struct{ service, domain string }
 	ids := map[place][]string{}
@@ -134,7 +137,7 @@
 	for at, members := range ids {
 		slices.Sort(members)
 		d.events.Record(event.StateChange, "servers", "service", at.service, "domain", at.domain, "count", len(members),
-			"servers", strings.Join(members, ","), "offset", offset)
+			"servers", strings.Join(members[:min(len(members), maxLoggedServers)], ","), "offset", offset)
 	}
 }
 
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"example.org/mustardring/internal/clock"
@@ -27,6 +28,7 @@
 	defer timer.Stop()
 	var echo echoRequest
 	var allAt time.Time
+	spread := false
 	for {
 		to := toLeader
 		select {
@@ -40,6 +42,11 @@
 			return ctx.Err()
 		}
 		now := time.Now()
+		if !spread && n.roster.Len() > 1 {
+			// Instances that start together would otherwise fill all links with their first heartbeats. Until then
+			// each takes the others to be alive.
+			spread, allAt = true, now.Add(rand.N(n.roster.HeartbeatInterval()))
+		}
 		if to == toDomain && !now.Before(allAt) {
 			to = toAll
 		}
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -110,6 +110,16 @@
 	}
 }
 
+// joinedParents returns the instances that a seed has named, none before it has answered.
+func (n *Node) joinedParents() []string {
+	select {
+	case <-n.joined:
+		return n.joinReply.Parents
+	default:
+		return nil
+	}
+}
+
 // registerStartersLoop writes the registrations of the instances that have asked this seed, many in one call.
 func (n *Node) registerStartersLoop(ctx context.Context) error {
 	for worker.Sleep(ctx, registerBatchInterval) {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -28,8 +28,9 @@
 	headerFrom     = "Mustardring-From"
 	headerEnd      = "Mustardring-End"
 	headerSnapshot = "Mustardring-Snapshot"
-	// headerStaleness is follow.PeerUpdate.Staleness.
+	// headerStaleness is follow.PeerUpdate.Staleness, headerHeld how long the peer had the request when it answered.
 	headerStaleness = "Mustardring-Staleness-Ms"
+	headerHeld      = "Mustardring-Held-Ms"
 )
 
 // The timeouts of calls between instances.
@@ -56,8 +57,8 @@
 // errNoPeer means that no other instance is known that may have a topic.
 var errNoPeer = errors.New("node: no instance to ask")
 
-// ownersAgeFactor makes up for the drift between the clocks of instances.
-const ownersAgeFactor = 1.02
+// clockDriftFactor makes up for the drift between the clocks of instances.
+const clockDriftFactor = 1.02
 
 // newPeerClient returns a client for calls to other instances.
 func newPeerClient() *http.Client {
@@ -115,12 +116,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	arrivedAt := clock.Boot{}.Now()
 	if !n.awaitTopic(request.Context(), r, wait) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	// The age is taken before the content: content that is newer is at most as old.
-	staleness := n.topicStaleness(r.Topic)
+	held, staleness := clock.Boot{}.Now().Sub(arrivedAt), n.topicStaleness(r.Topic)
 	topic, err := n.encodeTopic(r.Topic, r.From)
 	if err != nil {
 		n.events.Record(event.StateChange, "topic-not-sent", "topic", r.Topic, "error", err)
@@ -133,6 +135,7 @@
 	h.Set(headerEnd, strconv.FormatInt(topic.end, 10))
 	h.Set(headerSnapshot, strconv.FormatBool(topic.snapshot))
 	h.Set(headerStaleness, strconv.FormatInt(staleness, 10))
+	h.Set(headerHeld, strconv.FormatInt(held.Milliseconds(), 10))
 	h.Set("Content-Length", strconv.Itoa(len(topic.body)))
 	_, _ = w.Write(topic.body)
 }
@@ -175,7 +178,7 @@
 		if age > maxKnowledgeAge {
 			return -1
 		}
-		return int64(float64(age.Milliseconds()+1)*ownersAgeFactor) + 1
+		return int64(float64(age.Milliseconds()+1)*clockDriftFactor) + 1
 	}
 	_, asOf := n.watches[topic].Known()
 	return ageMillis(clock.Boot{}.Now(), asOf)
@@ -198,7 +201,7 @@
 // at the start those that a seed has named.
 func (n *Node) Fetch(ctx context.Context, r follow.PeerRequest) (follow.PeerUpdate, error) {
 	wait, addresses := newsWait, n.newsSources()
-	if r.From < 0 && len(addresses) == 0 {
+	if r.From < 0 && !n.leases.Registered() {
 		wait, addresses = startWait, n.joinSources(ctx)
 	}
 	err := errNoPeer
@@ -217,11 +220,12 @@
 
 // newsSources returns the addresses of the instances to ask for news, the preferred one first.
 func (n *Node) newsSources() []string {
-	if !n.leases.Registered() {
-		return nil
-	}
-	if parent := n.place().Parent; parent != nil {
+	parent := n.place().Parent
+	switch {
+	case parent != nil && n.leases.Registered():
 		return []string{parent.Address}
+	case !n.leases.Registered() && len(n.joinedParents()) > 0:
+		return n.joinedParents()[:1]
 	}
 	return nil
 }
@@ -271,15 +275,18 @@
 	end, errEnd := strconv.ParseInt(h.Get(headerEnd), 10, 64)
 	snapshot, errSnapshot := strconv.ParseBool(h.Get(headerSnapshot))
 	staleness, errStaleness := strconv.ParseInt(h.Get(headerStaleness), 10, 64)
-	if err := errors.Join(errFrom, errEnd, errSnapshot, errStaleness); err != nil || h.Get(headerFormat) != formatTopics {
+	held, errHeld := strconv.ParseInt(h.Get(headerHeld), 10, 64)
+	if err := errors.Join(errFrom, errEnd, errSnapshot, errStaleness, errHeld); err != nil || h.Get(headerFormat) != formatTopics {
 		return follow.PeerUpdate{}, errors.Join(errTopicFormat, err)
 	}
 	records, err := decodeRecords(response.Body)
 	if err != nil {
 		return follow.PeerUpdate{}, err
 	}
+	// The peer answered when it had held the request for that long, by its own clock.
+	answeredAt := sentAt.Add(time.Duration(float64(held)/clockDriftFactor) * time.Millisecond)
 	return follow.PeerUpdate{
-		From: from, RecordAge: maxRecordAge.Milliseconds(), Staleness: staleness, Snapshot: snapshot, SentAt: sentAt,
+		From: from, RecordAge: maxRecordAge.Milliseconds(), Staleness: staleness, Snapshot: snapshot, SentAt: answeredAt,
 		Batch: follow.Batch{Records: records, End: end},
 	}, nil
 }
