Exchange digests in large failure domains

Cause: heartbeats between all pairs; at 986 instances 153 a second sent and received by each. Change: in domains of more than 64 instances they go to three hubs, which send digests to the domain and through one instance to each other domain. A report is dated by the heartbeat that it is about, so majorities count on it as on the heartbeat. Smaller domains work as before. A peer that needs newer knowledge makes its parent read as well (Require), so that after the loss of the leader only the strongest instance of each domain reads the store.

--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -126,6 +126,11 @@
 	// CompletedMoves announces ranges whose move to a new owner is complete, before a record in the store
 	// says so.
 	CompletedMoves struct{ Ranges []MovedRange }
+	// Digest is the heartbeat of a hub of a failure domain together with packed roster.Reports.
+	Digest struct {
+		roster.Heartbeat
+		Reports []byte
+	}
 	// CrashReport announces that a server was lost while it ran the request with a fingerprint, or, if
 	// Cleared is set, that such a request had an answer.
 	CrashReport struct {
@@ -157,6 +162,7 @@
 func (ViewSnapshot) kind() byte      { return 13 }
 func (RegisterUpdate) kind() byte    { return 14 }
 func (Relay) kind() byte             { return 15 }
+func (Digest) kind() byte            { return 17 } // 16 is kindDeflated
 
 // Received is a message and the address of its sender.
 type Received struct {
@@ -220,6 +226,8 @@
 		return decode[RegisterUpdate](data[1:])
 	case 15:
 		return decode[Relay](data[1:])
+	case 17:
+		return decode[Digest](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -189,6 +189,8 @@
 	readCurrentAsOf atomic.Int64
 	// lastReadFailed reports whether the last read failed.
 	lastReadFailed atomic.Bool
+	// requiredAsOf is the argument of Require, zero before the first call.
+	requiredAsOf atomic.Int64
 
 	// The next five fields are used by the goroutine of Run only. nextOffset is the offset after the last known
 	// record, peerEnd the end of the topic known to another instance. Until pauseUntil this instance reads only
@@ -274,13 +276,19 @@
 
 // isOverdue reports whether this instance must read because its copy is older than MaxStaleness.
 func (w *Watch) isOverdue() bool {
-	if w.MaxStaleness == nil {
-		return false
-	}
+	age := w.staleness(w.currentAsOf())
 	if w.Staleness != nil {
-		return w.Staleness() > w.MaxStaleness()
+		age = w.Staleness()
+	}
+	if required := w.requiredAsOf.Load(); required != 0 && age > w.staleness(clock.Instant(required)) {
+		return true
 	}
-	return w.staleness(w.currentAsOf()) > w.MaxStaleness()
+	return w.MaxStaleness != nil && age > w.MaxStaleness()
+}
+
+// Require makes a read due unless the copy is known to be complete up to an instant: another instance needs it.
+func (w *Watch) Require(asOf clock.Instant) {
+	w.requiredAsOf.Store(max(w.requiredAsOf.Load(), int64(asOf)))
 }
 
 // Run keeps the topic up to date until ctx is done.
--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -49,7 +49,7 @@
 		entry, err := roster.Entry{Address: "127.0.0.1:3", Domain: "d0", Incarnation: 1, Share: 1}.Encode()
 		is.NoErr(err)
 		lm.applyUpdate(follow.Update{
-			CurrentAsOf: lm.Clock.Now(), Batch: follow.Batch{Records: []follow.Record{{Key: InstanceKey("i0"), Value: entry}}, End: 1},
+			StartedAt: lm.Clock.Now(), CurrentAsOf: lm.Clock.Now(), Batch: follow.Batch{Records: []follow.Record{{Key: InstanceKey("i0"), Value: entry}}, End: 1},
 		})
 		lm.Roster.RecordHeartbeat(roster.Heartbeat{Name: "i0", Incarnation: 1, StoreOK: true}, time.Now())
 		lm.lead(t.Context(), time.Now()) // waits for more servers of the new services
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -211,6 +211,8 @@
 		n.forward(r.From, m)
 	case dgram.Heartbeat:
 		n.handleHeartbeat(m.Heartbeat)
+	case dgram.Digest:
+		n.handleDigest(m)
 	case dgram.AdmissionRequest:
 		n.admissions.handleRequest(r.From, m)
 	case dgram.AdmissionDecision:
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -75,7 +75,9 @@
 	return interval - n.domainHeartbeatInterval()/2
 }
 
-// sendHeartbeats sends a heartbeat to the leader and to the instances in a scope.
+// sendHeartbeats sends a heartbeat to the leader and to the instances in a scope, except that the
+// instances of large failure domains hear of each other by digests. Only the leader and an instance that stops send
+// heartbeats to all of them.
 //
 // The peers, whose last heartbeats are echoed, are read before the heartbeat is made. If a heartbeat that arrived in
 // between were echoed, its sender would take the content of this one for newer than it is.
@@ -87,8 +89,14 @@
 	if found && leader.Name != n.settings.Name {
 		n.sendHeartbeat(leader, h, echo.due(leader.Name, now))
 	}
+	digests := n.roster.LargeDomain(n.settings.Domain) && !(to == toAll && (n.leases.Leads() || n.isStopping()))
+	large := map[string]bool{}
 	for _, p := range others {
-		if p.Name != leader.Name && (to == toAll || to == toDomain && p.Domain == n.settings.Domain) {
+		if _, known := large[p.Domain]; !known {
+			large[p.Domain] = n.roster.LargeDomain(p.Domain)
+		}
+		inScope := to == toAll || to == toDomain && p.Domain == n.settings.Domain
+		if p.Name != leader.Name && inScope && !(digests && large[p.Domain]) {
 			n.sendHeartbeat(p, h, false)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,6 +287,7 @@
 		group.Go("tell-"+topic, n.broadcastLoop(topic))
 	}
 	group.Go("beats", n.heartbeatLoop)
+	group.Go("digests", n.digestLoop)
 	group.Go("settled", n.broadcastMovesLoop)
 	group.Go("holder", n.leases.Run)
 	group.Go("permits", n.admissions.run)
--- /dev/null
+++ b/internal/node/start_test.go
@@ -0,0 +1,283 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/join"
+	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/worker"
+)
+
+// The limits of limitedStore.
+const (
+	storeBytesPerSecond = 80e6
+	storeAppendTime     = 4 * time.Millisecond
+	storeMaxQueue       = 2 * time.Second
+	storeAnswerTime     = 4 * time.Millisecond
+)
+
+// limitedStore is a store whose readers share a bandwidth, which carries out appends one after the other, and which
+// refuses calls that would wait for too long. It works off what it has accepted also if the caller has given up.
+type limitedStore struct {
+	mu      sync.Mutex
+	topics  map[string][]follow.Record
+	refuses bool
+	// readsUntil and appendsUntil are when the accepted calls will have been carried out.
+	readsUntil   time.Time
+	appendsUntil time.Time
+	reads        int
+	appends      int
+	bytes        int
+}
+
+// accept queues a call that takes some time, and returns how long the caller waits for the answer.
+func (s *limitedStore) accept(until *time.Time, took time.Duration) (time.Duration, bool) {
+	now := time.Now()
+	if until.Before(now) {
+		*until = now
+	}
+	if s.refuses || until.Sub(now) > storeMaxQueue {
+		return storeAnswerTime, false
+	}
+	*until = until.Add(took)
+	return until.Sub(now) + storeAnswerTime, true
+}
+
+func (s *limitedStore) Append(ctx context.Context, topic string, records []follow.Record, _ int64) (int64, error) {
+	s.mu.Lock()
+	s.appends++
+	wait, accepted := s.accept(&s.appendsUntil, storeAppendTime)
+	offset := int64(len(s.topics[topic]))
+	if accepted {
+		for i, r := range records {
+			r.Offset = offset + int64(i)
+			s.topics[topic] = append(s.topics[topic], r)
+		}
+	}
+	s.mu.Unlock()
+	switch answered := worker.Sleep(ctx, min(wait, follow.AnswerTimeout)); {
+	case !accepted:
+		return 0, follow.ErrNotDone
+	case !answered || wait > follow.AnswerTimeout:
+		return 0, follow.ErrUnknown
+	}
+	return offset, nil
+}
+
+// read returns the records of a topic from an offset on. It fails if the answer takes too long.
+func (s *limitedStore) read(ctx context.Context, topic string, from int64) (follow.Batch, error) {
+	s.mu.Lock()
+	s.reads++
+	all := s.topics[topic]
+	batch := follow.Batch{End: int64(len(all)), Records: all[min(from, int64(len(all))):]}
+	size := 0
+	for _, r := range batch.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	wait, accepted := s.accept(&s.readsUntil, time.Duration(float64(size)/storeBytesPerSecond*float64(time.Second)))
+	if accepted {
+		s.bytes += size
+	}
+	s.mu.Unlock()
+	if !worker.Sleep(ctx, min(wait, follow.AnswerTimeout)) || !accepted || wait > follow.AnswerTimeout {
+		return follow.Batch{}, follow.ErrNotDone
+	}
+	return batch, nil
+}
+
+func (s *limitedStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (follow.Batch, error) {
+	batch, err := s.read(ctx, topic, from)
+	if err == nil && len(batch.Records) == 0 {
+		worker.Sleep(ctx, wait)
+		return s.read(ctx, topic, from)
+	}
+	return batch, err
+}
+
+func (s *limitedStore) Newest(ctx context.Context, topic string) (follow.Batch, error) {
+	return s.read(ctx, topic, 0)
+}
+
+// startCluster is a set of instances that start together. It carries the calls between them.
+type startCluster struct {
+	store *limitedStore
+	mu    sync.Mutex
+	nodes map[string]*Node
+}
+
+// RoundTrip implements http.RoundTripper by the handlers of the addressed instance.
+func (sc *startCluster) RoundTrip(r *http.Request) (*http.Response, error) {
+	time.Sleep(3 * time.Millisecond)
+	sc.mu.Lock()
+	n := sc.nodes[r.URL.Host]
+	sc.mu.Unlock()
+	if n == nil {
+		return nil, fmt.Errorf("connection refused: %s", r.URL.Host)
+	}
+	w := httptest.NewRecorder()
+	if r.URL.Path == pathJoin {
+		n.handleJoin(w, r)
+	} else {
+		n.handleTopic(w, r)
+	}
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+// newStarter returns an instance that has not started. The first ones are seeds.
+func (sc *startCluster) newStarter(i, seeds int) *Node {
+	address := func(i int) string { return fmt.Sprintf("10.0.%d.%d:1000", i/250, i%250) }
+	name, domain := fmt.Sprintf("i%04d", i), fmt.Sprintf("d%d", i%6)
+	n := &Node{
+		settings: config.Serve{Name: name, Domain: domain, IP: fmt.Sprintf("10.0.%d.%d", i/250, i%250), PeerPorts: []int{1000}, CPUShare: 1, LinkMbps: 100, Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
+		platform: Platform{Store: sc.store, ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"},
+		roster:   roster.New(name, domain), updates: make(chan follow.Update, 64), events: event.New(io.Discard, log.FatalLevel),
+		readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, joined: make(chan struct{}), stopping: make(chan struct{}),
+		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: &http.Client{Transport: sc},
+		storeCalls: new(expvar.Map).Init(), incarnation: uint64(i + 1),
+	}
+	for s := range seeds {
+		n.settings.Seeds = append(n.settings.Seeds, address(s))
+	}
+	n.settings.ControlAddress = address(i)
+	n.joinBook = join.NewBook(address(i))
+	for _, topic := range []string{"config", "servers", "owners"} {
+		n.readRequests[topic] = make(chan struct{}, 1)
+		n.peerUpdates[topic] = make(chan follow.PeerUpdate, maxQueuedPeerUpdates)
+		if topic != "owners" {
+			n.topics[topic] = newTopicCopy()
+		}
+	}
+	n.leases = lease.New(lease.Deps{
+		Name: name, Domain: domain, Clock: testClock{}, Roster: n.roster, Incarnation: n.incarnation, Topic: "owners", Events: n.events, Store: sc.store,
+		Servers: func() *rules.ServerSet { return &rules.ServerSet{} }, DirectoryVersion: func() uint64 { return 0 }, Services: func() []string { return nil },
+		LeadershipChanged: func(bool) {}, SendHeartbeat: func() {}, RereadOwners: func() {}, OwnersChanged: func() {}, BroadcastRegister: func([]follow.Record) {},
+	})
+	n.watches = n.newWatches()
+	for _, watch := range n.watches {
+		watch.Clock = testClock{}
+	}
+	sc.mu.Lock()
+	sc.nodes[address(i)] = n
+	sc.mu.Unlock()
+	return n
+}
+
+// applyUpdates applies updates as updateLoop does, without what follows from them.
+func (n *Node) applyUpdates(ctx context.Context) error {
+	for {
+		select {
+		case u := <-n.updates:
+			if u.Reason != "" {
+				n.storeCalls.Add(u.Topic+" "+string(u.Reason), 1)
+			}
+			if topic := n.topics[u.Topic]; topic != nil {
+				topic.apply(u)
+				n.watches[u.Topic].MarkApplied(u)
+				continue
+			}
+			select {
+			case n.leases.StoreUpdates() <- u:
+			case <-ctx.Done():
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// started reports whether the instance has all that it needs.
+func (n *Node) started() bool {
+	_, config := n.topics["config"].known()
+	_, servers := n.topics["servers"].known()
+	return config && servers && n.leases.Registered()
+}
+
+// Guards against an overload of the store that outlasts its cause. When 986 instances started together, each read
+// 10,000 entries and the register; what the store answered came too late, and each read and wrote again.
+func TestManyInstancesStartTogether(t *testing.T) {
+	tests := map[string]struct {
+		instances, servers int
+		refuseFrom         time.Duration
+		within             time.Duration
+	}{
+		"few":                             {8, 35, time.Hour, 10 * time.Second},
+		"many":                            {1000, 10000, time.Hour, 10 * time.Second},
+		"many, and the store refuses":     {1000, 10000, 100 * time.Millisecond, 20 * time.Second},
+		"many, the store refuses at once": {1000, 10000, 0, 20 * time.Second},
+	}
+	const refusing = 5 * time.Second
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}}, nodes: map[string]*Node{}}
+				for i := range test.servers {
+					sc.store.topics["servers"] = append(sc.store.topics["servers"], follow.Record{Key: fmt.Sprintf("s%05d", i), Value: make([]byte, 300), Offset: int64(i)})
+				}
+				sc.store.topics["config"] = []follow.Record{{Key: "config", Value: make([]byte, 100e3)}}
+				ctx, cancel := context.WithCancel(t.Context())
+				group := worker.New(ctx, 12*test.instances)
+				refuse := func(refuses bool) func() {
+					return func() {
+						sc.store.mu.Lock()
+						sc.store.refuses = refuses
+						sc.store.mu.Unlock()
+					}
+				}
+				time.AfterFunc(test.refuseFrom, refuse(true))
+				time.AfterFunc(test.refuseFrom+refusing, refuse(false))
+				for i := range test.instances {
+					n := sc.newStarter(i, 3)
+					for name, run := range map[string]func(context.Context) error{
+						"join": n.joinLoop, "register": n.registerLoop, "starters": n.registerStartersLoop, "updates": n.applyUpdates, "leases": n.leases.Run,
+						"config": n.watches["config"].Run, "servers": n.watches["servers"].Run, "owners": n.watches["owners"].Run, "events": n.events.Run,
+					} {
+						group.Go(name, run)
+					}
+				}
+				begun, calls := time.Now(), map[string]int{}
+				waiting := test.instances
+				for waiting > 0 && time.Since(begun) < test.within {
+					time.Sleep(100 * time.Millisecond)
+					waiting = 0
+					for _, n := range sc.nodes {
+						if !n.started() {
+							waiting++
+						}
+					}
+				}
+				t.Logf("all started after %v: %d reads of %d bytes, %d appends", time.Since(begun), sc.store.reads, sc.store.bytes, sc.store.appends)
+				cancel()
+				_ = group.Wait(0)
+				for _, n := range sc.nodes {
+					n.storeCalls.Do(func(kv expvar.KeyValue) { calls[kv.Key]++ })
+				}
+				t.Log(calls)
+				is.Equal(waiting, 0)
+				is.True(sc.store.reads+sc.store.appends <= 2*test.instances+100)
+				is.True(sc.store.bytes <= 50e6)
+				is.True(len(sc.store.topics["owners"]) <= test.instances+test.instances/10)
+			})
+		})
+	}
+}
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -116,13 +116,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	arrivedAt := clock.Boot{}.Now()
+	arrivedAt := n.leases.Clock.Now()
 	if !n.awaitTopic(request.Context(), r, wait) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	// The age is taken before the content: content that is newer is at most as old.
-	held, staleness := clock.Boot{}.Now().Sub(arrivedAt), n.topicStaleness(r.Topic)
+	held, staleness := n.leases.Clock.Now().Sub(arrivedAt), n.topicStaleness(r.Topic)
 	topic, err := n.encodeTopic(r.Topic, r.From)
 	if err != nil {
 		n.events.Record(event.StateChange, "topic-not-sent", "topic", r.Topic, "error", err)
@@ -154,6 +154,9 @@
 		}
 		if now := time.Now(); loaded && now.Sub(readAt) >= topicReadInterval {
 			readAt = now
+			if !current {
+				n.watches[r.Topic].Require(n.leases.Clock.Now().Add(-r.MaxStaleness))
+			}
 			n.requestRead(r.Topic)
 		}
 		if time.Now().After(deadline) || !worker.Sleep(ctx, topicPollInterval) {
@@ -181,7 +184,7 @@
 		return int64(float64(age.Milliseconds()+1)*clockDriftFactor) + 1
 	}
 	_, asOf := n.watches[topic].Known()
-	return ageMillis(clock.Boot{}.Now(), asOf)
+	return ageMillis(n.leases.Clock.Now(), asOf)
 }
 
 // encodeTopic returns what this instance knows of a topic from an offset on.
@@ -249,7 +252,7 @@
 func (n *Node) fetchFrom(ctx context.Context, address string, r follow.PeerRequest, wait time.Duration) (follow.PeerUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerTransferTime)
 	defer cancel()
-	sentAt := clock.Boot{}.Now()
+	sentAt := n.leases.Clock.Now()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathTopics+"?"+topicQuery(r, wait).Encode(), nil)
 	if err != nil {
 		return follow.PeerUpdate{}, err
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -100,6 +100,9 @@
 	// Heartbeat is the last heartbeat received.
 	Heartbeat Heartbeat
 
+	// direct is the last heartbeat that came from the instance itself, and directAt when that was.
+	direct   Heartbeat
+	directAt time.Time
 	// clockOffset converts times of the instance's lease clock to those of the local one.
 	clockOffset clockOffset
 	// suspected says that the instance has not answered a request since its last heartbeat.
@@ -270,6 +273,7 @@
 		r.ranking.version++
 	}
 	p.HeartbeatAt, p.Heartbeat, p.suspected = now, h, false
+	p.directAt, p.direct = now, h
 	r.refreshPeer(p, now)
 	return changed
 }
--- a/internal/rules/servers.go
+++ b/internal/rules/servers.go
@@ -8,7 +8,7 @@
 )
 
 // serverShards is the number of maps that a ServerSet consists of.
-const serverShards = 512
+const serverShards = 64
 
 // ServerSet is an immutable set of servers by id. A copy with a few changes costs about as much as the changes, whatever
 // the size of the set. The zero value is empty.
