--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -38,6 +38,8 @@
 	// isolated says that this instance gets heartbeats from too few others to be sure that only it admits requests to
 	// its servers.
 	isolated bool
+	// refreshedAt is when refreshControlled last made pools anew.
+	refreshedAt time.Time
 }
 
 func newAdmissions(n *Node) *admissions {
@@ -76,6 +78,7 @@
 	defer ad.mu.Unlock()
 	now := time.Now()
 	ad.isolated = !ad.node.roster.MajorityAlive(now)
+	ad.refreshControlled(now)
 	for pool, c := range ad.controllers {
 		if !c.Idle() {
 			ad.deliver(c.Tick(now))
@@ -109,6 +112,7 @@
 
 // controller returns the controller of a pool, or of a service that is divided by key. The lock is held.
 func (ad *admissions) controller(pool string) *admit.Controller {
+	ad.refreshPools(serviceOf(pool))
 	c := ad.controllers[pool]
 	if c == nil {
 		c = admit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -129,8 +133,8 @@
 	}
 }
 
-// updateServers updates pools and controllers after a change of some servers. The servers of a service that is divided by
-// key are updated one by one; the pools of any other service are made anew.
+// updateServers updates controllers after a change of some servers. The servers of a service that is divided by key are
+// updated one by one; the pools of any other service are made anew when they are next used.
 func (ad *admissions) updateServers(changed map[string]struct{}) {
 	if len(changed) == 0 {
 		return
@@ -138,7 +142,6 @@
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	servers, config, now := ad.node.cluster.servers(), ad.node.cluster.config.Load(), time.Now()
-	services := map[string]bool{}
 	for id := range changed {
 		s, found := servers.Get(id)
 		if !found {
@@ -146,23 +149,43 @@
 		}
 		ad.pools.note(id, s, found)
 		if !isDivided(config, s.Service) {
-			services[s.Service] = true
+			ad.pools.outdated[s.Service] = struct{}{}
 		} else if c := ad.controllers[s.Service]; c != nil && found {
 			ad.deliver(c.PutServer(now, s))
 		} else if c != nil {
 			ad.deliver(c.RemoveServer(now, id))
 		}
 	}
-	for service := range services {
-		ad.pools.rebuildService(service, servers)
+}
+
+// refreshPools makes the pools of a service anew if its servers have changed. The lock is held.
+func (ad *admissions) refreshPools(service string) {
+	if _, outdated := ad.pools.outdated[service]; !outdated {
+		return
 	}
+	servers, config := ad.node.cluster.servers(), ad.node.cluster.config.Load()
+	ad.pools.rebuildService(service, servers)
 	for pool, c := range ad.controllers {
-		if service := serviceOf(pool); services[service] {
-			ad.deliver(c.SetServers(now, ad.pools.serversOf(pool, servers, config)))
+		if serviceOf(pool) == service {
+			ad.deliver(c.SetServers(time.Now(), ad.pools.serversOf(pool, servers, config)))
 		}
 	}
 }
 
+// maxPoolAge is for how long the controllers of a service may work with servers that have changed.
+const maxPoolAge = 200 * time.Millisecond
+
+// refreshControlled makes the pools anew for which this instance has a controller. The lock is held.
+func (ad *admissions) refreshControlled(now time.Time) {
+	if len(ad.pools.outdated) == 0 || now.Sub(ad.refreshedAt) < maxPoolAge {
+		return
+	}
+	ad.refreshedAt = now
+	for pool := range ad.controllers {
+		ad.refreshPools(serviceOf(pool))
+	}
+}
+
 // capacityReport returns what the controller of a service has measured of its servers since the last call.
 func (ad *admissions) capacityReport(service string) map[string]admit.Capacity {
 	ad.mu.Lock()
@@ -310,6 +333,7 @@
 func (ad *admissions) candidates(service string) []admit.Pool {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
+	ad.refreshPools(service)
 	return ad.pools.picker(service).Candidates(time.Now())
 }
 
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -15,12 +15,14 @@
 	// servers holds the servers by pool, but for services that are divided by key. services holds the services by server.
 	servers  map[string][]rules.Server
 	services map[string]string
+	// outdated holds the services whose servers have changed since their pools were made.
+	outdated map[string]struct{}
 	// pickers holds, by service, what chooses the pools that a request asks.
 	pickers map[string]*admit.Picker
 }
 
 func newPools(name, domain string) *pools {
-	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, pickers: map[string]*admit.Picker{}}
+	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, outdated: map[string]struct{}{}, pickers: map[string]*admit.Picker{}}
 }
 
 // isDivided reports whether a service is divided by key.
@@ -78,6 +80,7 @@
 // rebuild replaces all pools after a change of the configuration.
 func (p *pools) rebuild(servers *rules.ServerSet, c *rules.Config) {
 	p.servers, p.pickers, p.services = map[string][]rules.Server{}, map[string]*admit.Picker{}, map[string]string{}
+	clear(p.outdated)
 	for id, s := range servers.All() {
 		p.services[id] = s.Service
 	}
@@ -94,6 +97,7 @@
 
 // rebuildService replaces the pools of a service that is not divided by key. Servers that leave get no new requests.
 func (p *pools) rebuildService(service string, servers *rules.ServerSet) {
+	delete(p.outdated, service)
 	for pool := range p.servers {
 		if serviceOf(pool) == service {
 			delete(p.servers, pool)
