Store the owners of a service in parts

Cause: one record holds all owners of a service; 6,107 servers with four ranges each need more than the 262,144 bytes that the store takes, and then no server that is lost loses its keys any more. Change: beyond 160 KB the owners are stored in 16 parts by key, of which a change writes those that differ, in one append; the key space bounds their size at any number of servers.

--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -92,13 +92,14 @@
 		Capacities []float64
 		Answers    []uint16
 	}
-	// OwnerChange announces a record of owners that was written to the store, as the difference to the
-	// record before it.
+	// OwnerChange announces records of owners that were written to the store, as the difference to the
+	// owners before them. Offset is that of the first one; Records is their number, zero for one.
 	OwnerChange struct {
 		Service string
 		Offset  int64
 		Fence   uint64
 		Changes []shard.Range
+		Records int
 	}
 	// RegisterUpdate announces consecutive records of the register of instances.
 	RegisterUpdate struct{ Records []follow.Record }
--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -18,7 +18,6 @@
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
-	"example.org/mustardring/internal/shard"
 )
 
 // The cluster of the random schedules: real managers, watches of the store and rosters, with a simple fake store
@@ -341,10 +340,10 @@
 	}
 }
 
-func (n *instance) broadcastOwners(service string, offset int64, fence uint64, changes []shard.Range) {
+func (n *instance) broadcastOwners(c OwnerChange) {
 	n.toOthers(func(o *instance) {
 		select {
-		case o.manager.OwnerChanges() <- OwnerChange{Service: service, Offset: offset, Fence: fence, Changes: changes}:
+		case o.manager.OwnerChanges() <- c:
 		default:
 		}
 	})
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -37,16 +37,23 @@
 	if now.Before(lm.nextWriteAt) {
 		return
 	}
-	for _, service := range lm.Services() {
-		if time.Now().Before(lm.nextWriteAt) {
-			break
+	if !now.Before(lm.nextDecisionAt) {
+		for _, service := range lm.Services() {
+			if time.Now().Before(lm.nextWriteAt) {
+				break
+			}
+			lm.decideOwners(ctx, service, now)
 		}
-		lm.decideOwners(ctx, service, now)
+		lm.nextDecisionAt = now.Add(decisionPause * time.Since(now))
 	}
 	lm.startContactChecks(ctx, now)
 	lm.startMoves(ctx)
 }
 
+// decisionPause is the time between two decisions about owners, as a multiple of the time that the last one took: the time
+// grows with the number of servers, and the instance has other work.
+const decisionPause = 4
+
 // logLeader logs a change of the instance that this one takes for the leader, and the conditions for leading
 // itself. The name is empty if no instance reports that it reaches the store.
 func (lm *Manager) logLeader(name string) {
@@ -374,20 +381,20 @@
 
 // writeOwners appends the next owners of a service directly behind the view that they were decided from.
 func (lm *Manager) writeOwners(ctx context.Context, service string, from, to *shard.Map) {
-	value, err := to.Encode()
-	if err != nil {
+	records, to, err := ownersRecords(service, from, to)
+	if err != nil || len(records) == 0 {
 		lm.Events.Record(event.StateChange, "owners-not-written", "service", service, "error", err)
 		return
 	}
 	lm.plannedAt = time.Now()
-	if !lm.append(ctx, follow.Record{Key: keyService + service, Value: value}) {
+	if !lm.append(ctx, records...) {
 		return
 	}
 	lm.recordDecided(service, from, to)
-	offset := lm.view.get().End - 1
-	lm.BroadcastOwners(service, offset, to.Fence, to.Changes(from))
+	offset := lm.view.get().End - int64(len(records))
+	lm.BroadcastOwners(OwnerChange{Service: service, Offset: offset, Records: len(records), Fence: to.Fence, Changes: to.Changes(from)})
 	lm.Events.Record(event.StateChange, "owners-written", "service", service, "offset", offset, "fence", to.Fence,
-		"ranges", len(to.Ranges), "changes", describeChanges(from, to))
+		"records", len(records), "ranges", len(to.Ranges), "changes", describeChanges(from, to))
 	lm.completedMoves = slices.DeleteFunc(lm.completedMoves, func(c completedMove) bool { return c.service == service })
 }
 
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -162,6 +162,8 @@
 	Instances map[string]roster.Entry
 	// End is the offset after the newest record.
 	End int64
+	// parts holds the parts that are known of the owners of services of which not all are.
+	parts map[string][]*shard.Map
 }
 
 // Deps holds the settings and dependencies of a Manager.
@@ -195,11 +197,11 @@
 	Capacities func(service string) map[string]float64
 	// LeadershipChanged is called when this instance starts or stops deciding about owners.
 	LeadershipChanged func(leads bool)
-	// BroadcastRegister sends records of the register to the other instances, BroadcastOwners a record of
+	// BroadcastRegister sends records of the register to the other instances, BroadcastOwners a change of
 	// owners that was appended. MoveCompleted is called when the new owner of a range, which starts
 	// at key from, has its first grant.
 	BroadcastRegister func([]follow.Record)
-	BroadcastOwners   func(service string, offset int64, fence uint64, changes []shard.Range)
+	BroadcastOwners   func(OwnerChange)
 	MoveCompleted     func(service string, from uint16, fence uint64)
 	// RereadOwners asks for a read of Topic.
 	RereadOwners func()
--- a/internal/lease/register_test.go
+++ b/internal/lease/register_test.go
@@ -55,7 +55,7 @@
 	is.True(follows)
 	is.Equal(v.get().End, int64(8))
 	is.Equal(len(v.get().Instances), 1)
-	is.True(v.applyOwnerChange("books", 8, 1, []shard.Range{{From: 0, To: shard.NumKeys - 1, Server: "s", Fence: 1}}))
+	is.True(v.applyOwnerChange(OwnerChange{Service: "books", Offset: 8, Fence: 1, Changes: []shard.Range{{From: 0, To: shard.NumKeys - 1, Server: "s", Fence: 1}}}))
 	is.True(!v.get().registered("i1", 7))
 	is.True(v.get().registered("i2", 8))
 }
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -60,6 +60,8 @@
 	// knownLeader is the last known leader, empty for none.
 	knownLeader  string
 	serverCounts map[string]serverCount
+	// nextDecisionAt is when owners are next decided about.
+	nextDecisionAt time.Time
 	// nextWriteAt delays the next write after a failed one.
 	nextWriteAt time.Time
 	// presentServers holds the servers of the directory at the last decision, leftServers those that have left it.
@@ -163,10 +165,12 @@
 	}
 }
 
-// OwnerChange is a record of owners that another instance appended, as the changes against the previous one.
+// OwnerChange is a change of owners that another instance appended. Offset is that of its first record, Records the
+// number of its records; zero means one.
 type OwnerChange struct {
 	Service string
 	Offset  int64
+	Records int
 	Fence   uint64
 	Changes []shard.Range
 }
@@ -180,7 +184,7 @@
 	if c.Offset < before.End {
 		return
 	}
-	if !lm.view.applyOwnerChange(c.Service, c.Offset, c.Fence, c.Changes) {
+	if !lm.view.applyOwnerChange(c) {
 		lm.RereadOwners()
 		return
 	}
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -1,7 +1,10 @@
 package lease
 
 import (
+	"cmp"
 	"maps"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -75,8 +78,14 @@
 func (v *localView) applyUpdate(u follow.Update) (changed bool, faults []error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	next := &View{Maps: maps.Clone(v.current.Maps), Instances: maps.Clone(v.current.Instances), End: v.current.End}
-	for _, r := range u.Records {
+	next := &View{Maps: maps.Clone(v.current.Maps), Instances: maps.Clone(v.current.Instances), parts: maps.Clone(v.current.parts), End: v.current.End}
+	records := u.Records
+	if u.Snapshot {
+		// Of a record of all owners and those of parts, the later ones count.
+		records = slices.Clone(records)
+		slices.SortStableFunc(records, func(a, b follow.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	}
+	for _, r := range records {
 		if r.Offset < v.current.End {
 			continue
 		}
@@ -136,14 +145,102 @@
 		v.Instances[name] = e
 		return nil
 	}
-	m, err := shard.Decode(r.Value)
+	return v.putOwners(r)
+}
+
+// putOwners applies the record of the owners of a service, or of a part of them.
+func (v *View) putOwners(r follow.Record) error {
+	service, index, isPart := parsePartKey(strings.TrimPrefix(r.Key, keyService))
+	if !isPart {
+		m, err := shard.Decode(r.Value)
+		if err != nil {
+			return err
+		}
+		v.Maps[service] = m
+		delete(v.parts, service)
+		return nil
+	}
+	part, err := shard.DecodePart(r.Value, index)
+	if err != nil {
+		return err
+	}
+	if m := v.Maps[service]; m != nil && len(m.Ranges) > 0 {
+		next, err := m.WithPart(index, part)
+		if err != nil {
+			return err
+		}
+		v.Maps[service] = next
+		return nil
+	}
+	parts := make([]*shard.Map, shard.NumParts)
+	copy(parts, v.parts[service])
+	parts[index] = part
+	v.parts = maps.Clone(v.parts)
+	if v.parts == nil {
+		v.parts = map[string][]*shard.Map{}
+	}
+	v.parts[service] = parts
+	if slices.Contains(parts, nil) {
+		return nil
+	}
+	m, err := shard.JoinParts(parts)
 	if err != nil {
 		return err
 	}
-	v.Maps[strings.TrimPrefix(r.Key, keyService)] = m
+	v.Maps[service] = m
+	delete(v.parts, service)
 	return nil
 }
 
+// partSeparator separates the name of a service from the index of a part in the key of a record.
+const partSeparator = "#part/"
+
+// partKey returns the key of the record of a part of the owners of a service.
+func partKey(service string, index int) string {
+	return keyService + service + partSeparator + strconv.Itoa(index)
+}
+
+// parsePartKey splits the key of a record of owners, without keyService. It reports whether the record is of a part.
+func parsePartKey(key string) (service string, index int, isPart bool) {
+	at := strings.LastIndex(key, partSeparator)
+	if at < 0 {
+		return key, 0, false
+	}
+	index, err := strconv.Atoi(key[at+len(partSeparator):])
+	if err != nil || index < 0 || index >= shard.NumParts {
+		return key, 0, false
+	}
+	return key[:at], index, true
+}
+
+// maxOwnersRecord is the size in bytes from which on owners are stored in parts. It leaves room below the 262,144 bytes
+// that the store takes.
+const maxOwnersRecord = 160 << 10
+
+// ownersRecords returns the records that change the owners of a service from one map to another: one for all of them,
+// or those of the parts that differ if that is too large. It also returns the new owners as they are stored.
+func ownersRecords(service string, from, to *shard.Map) (out []follow.Record, stored *shard.Map, err error) {
+	whole, err := to.Encode()
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(whole) <= maxOwnersRecord {
+		return []follow.Record{{Key: keyService + service, Value: whole}}, to, nil
+	}
+	to = to.SplitMovesAtParts()
+	for index := range shard.NumParts {
+		if len(from.Ranges) > 0 && from.SamePart(index, to) {
+			continue
+		}
+		data, err := to.Part(index).Encode()
+		if err != nil {
+			return nil, nil, err
+		}
+		out = append(out, follow.Record{Key: partKey(service, index), Value: data})
+	}
+	return out, to, nil
+}
+
 // removeMissingInstances removes the instances that have no record in snapshot, which holds the newest
 // record of every key.
 func (v *View) removeMissingInstances(snapshot []follow.Record) {
@@ -160,26 +257,26 @@
 	return found && e.Incarnation == incarnation && !e.Removed && !e.Ended
 }
 
-// applyOwnerChange applies a record of owners that another instance appended, ahead of the next read. It
-// returns false unless the record directly follows the view. The record is in the store, so it may be
-// acted on; only a read can tell whether anything follows it, so currentAsOf stays.
-func (v *localView) applyOwnerChange(service string, offset int64, fence uint64, changes []shard.Range) bool {
+// applyOwnerChange applies records of owners that another instance appended, ahead of the next read. It
+// returns false unless they directly follow the view. The records are in the store, so they may be
+// acted on; only a read can tell whether anything follows them, so currentAsOf stays.
+func (v *localView) applyOwnerChange(c OwnerChange) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.loaded || offset != v.current.End {
+	if !v.loaded || c.Offset != v.current.End {
 		return false
 	}
-	m := v.current.Maps[service]
+	m := v.current.Maps[c.Service]
 	if m == nil {
 		m = &shard.Map{}
 	}
-	next, err := m.WithChanges(fence, changes)
+	next, err := m.WithChanges(c.Fence, c.Changes)
 	if err != nil {
 		return false
 	}
 	all := maps.Clone(v.current.Maps)
-	all[service] = next
-	v.current = &View{Maps: all, Instances: v.current.Instances, End: offset + 1}
+	all[c.Service] = next
+	v.current = &View{Maps: all, Instances: v.current.Instances, parts: v.current.parts, End: c.Offset + int64(max(c.Records, 1))}
 	return true
 }
 
@@ -191,7 +288,7 @@
 	if !v.loaded {
 		return false, nil
 	}
-	next := &View{Maps: v.current.Maps, Instances: maps.Clone(v.current.Instances), End: v.current.End}
+	next := &View{Maps: v.current.Maps, Instances: maps.Clone(v.current.Instances), parts: v.current.parts, End: v.current.End}
 	for _, r := range records {
 		if r.Offset < next.End {
 			continue
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -257,15 +257,15 @@
 // is read from the store instead.
 func (n *Node) handleOwnerChange(m dgram.OwnerChange) {
 	select {
-	case n.leases.OwnerChanges() <- lease.OwnerChange{Service: m.Service, Offset: m.Offset, Fence: m.Fence, Changes: m.Changes}:
+	case n.leases.OwnerChanges() <- lease.OwnerChange{Service: m.Service, Offset: m.Offset, Records: m.Records, Fence: m.Fence, Changes: m.Changes}:
 	default:
 		n.requestRead(n.platform.OwnersTopic)
 	}
 }
 
-// broadcastOwnerChange broadcasts a record of owners that this instance wrote.
-func (n *Node) broadcastOwnerChange(service string, offset int64, fence uint64, changes []shard.Range) {
-	n.broadcast(dgram.OwnerChange{Service: service, Offset: offset, Fence: fence, Changes: changes})
+// broadcastOwnerChange broadcasts a change of owners that this instance wrote.
+func (n *Node) broadcastOwnerChange(c lease.OwnerChange) {
+	n.broadcast(dgram.OwnerChange{Service: c.Service, Offset: c.Offset, Fence: c.Fence, Changes: c.Changes, Records: c.Records})
 }
 
 // Config implements edge.Cluster. It returns nil before a configuration is known.
--- a/internal/rules/servers.go
+++ b/internal/rules/servers.go
@@ -2,19 +2,14 @@
 
 import (
 	"iter"
-	"maps"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/benbjohnson/immutable"
 )
 
-// serverShards is the number of maps that a ServerSet consists of.
-const serverShards = 64
-
 // ServerSet is an immutable set of servers by id. A copy with a few changes costs about as much as the changes, whatever
 // the size of the set. The zero value is empty.
 type ServerSet struct {
-	shards [serverShards]map[string]Server
-	size   int
+	servers *immutable.Map[string, Server]
 }
 
 // NewServerSet returns a set of the servers in a map.
@@ -22,12 +17,12 @@
 	return new(ServerSet).With(servers, nil)
 }
 
-func shardOf(id string) uint64 { return xxhash.Sum64String(id) % serverShards }
-
 // Get returns the server with an id, and whether there is one.
 func (s *ServerSet) Get(id string) (Server, bool) {
-	server, found := s.shards[shardOf(id)][id]
-	return server, found
+	if s.servers == nil {
+		return Server{}, false
+	}
+	return s.servers.Get(id)
 }
 
 // Has reports whether there is a server with an id.
@@ -37,16 +32,22 @@
 }
 
 // Len returns the number of servers.
-func (s *ServerSet) Len() int { return s.size }
+func (s *ServerSet) Len() int {
+	if s.servers == nil {
+		return 0
+	}
+	return s.servers.Len()
+}
 
 // All returns the servers by id, in no particular order.
 func (s *ServerSet) All() iter.Seq2[string, Server] {
 	return func(yield func(string, Server) bool) {
-		for _, shard := range s.shards {
-			for id, server := range shard {
-				if !yield(id, server) {
-					return
-				}
+		if s.servers == nil {
+			return
+		}
+		for i := s.servers.Iterator(); !i.Done(); {
+			if id, server, _ := i.Next(); !yield(id, server) {
+				return
 			}
 		}
 	}
@@ -54,33 +55,15 @@
 
 // With returns a copy of the set with servers put in and others removed.
 func (s *ServerSet) With(put map[string]Server, removed []string) *ServerSet {
-	out := &ServerSet{shards: s.shards, size: s.size}
-	var copied [serverShards]bool
-	shard := func(id string) map[string]Server {
-		at := shardOf(id)
-		if !copied[at] {
-			copied[at] = true
-			out.shards[at] = maps.Clone(out.shards[at])
-			if out.shards[at] == nil {
-				out.shards[at] = map[string]Server{}
-			}
-		}
-		return out.shards[at]
+	servers := s.servers
+	if servers == nil {
+		servers = immutable.NewMap[string, Server](nil)
 	}
 	for id, server := range put {
-		m := shard(id)
-		if _, found := m[id]; !found {
-			out.size++
-		}
-		m[id] = server
+		servers = servers.Set(id, server)
 	}
 	for _, id := range removed {
-		if m := shard(id); len(m) > 0 {
-			if _, found := m[id]; found {
-				out.size--
-			}
-			delete(m, id)
-		}
+		servers = servers.Delete(id)
 	}
-	return out
+	return &ServerSet{servers: servers}
 }
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -20,8 +20,8 @@
 	Ranges  []recordRange
 }
 
-// recordRange is the stored form of a Range. It ends before the first key of the next one. Server is an
-// index in record.Servers.
+// recordRange is the stored form of a Range. It ends before the first key of the next one, or before the end of the
+// record. Server is an index in record.Servers.
 type recordRange struct {
 	From         uint16
 	Server       int
@@ -49,15 +49,36 @@
 	return out.Bytes(), nil
 }
 
-// Decode decodes a record that Encode returned. It returns ErrMalformed for any other data.
+// Decode decodes a record that Encode returned for a whole map. It returns ErrMalformed for any other data.
 func Decode(data []byte) (*Map, error) {
+	m, err := decode(data, NumKeys)
+	if err != nil {
+		return nil, err
+	}
+	return m, m.validate()
+}
+
+// DecodePart decodes a record that Encode returned for the part of a map with an index.
+func DecodePart(data []byte, index int) (*Map, error) {
+	if index < 0 || index >= NumParts {
+		return nil, fmt.Errorf("%w: part %d", ErrMalformed, index)
+	}
+	m, err := decode(data, (index+1)*partKeys)
+	if err != nil {
+		return nil, err
+	}
+	return m, m.validateFrom(index*partKeys, (index+1)*partKeys)
+}
+
+// decode decodes a record whose last range ends before a key.
+func decode(data []byte, end int) (*Map, error) {
 	r, err := pack.Decode[record](data)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	m := &Map{Fence: r.Fence}
 	for i, g := range r.Ranges {
-		to := uint16(NumKeys - 1)
+		to := uint16(end - 1)
 		if i+1 < len(r.Ranges) {
 			to = r.Ranges[i+1].From - 1
 		}
@@ -66,20 +87,29 @@
 		}
 		m.Ranges = append(m.Ranges, Range{From: g.From, To: to, Server: r.Servers[g.Server], Fence: g.Fence, FormerOwners: g.FormerOwners})
 	}
-	return m, m.validate()
+	return m, nil
 }
 
 // validate returns an error unless the ranges cover all keys in order, or there are none, and no fencing
 // token exceeds that of the map.
 func (m *Map) validate() error {
-	next := 0
+	if len(m.Ranges) == 0 {
+		return nil
+	}
+	return m.validateFrom(0, NumKeys)
+}
+
+// validateFrom returns an error unless the ranges cover the keys from first to before end, in order, and no fencing token
+// exceeds that of the map.
+func (m *Map) validateFrom(first, end int) error {
+	next := first
 	for _, r := range m.Ranges {
 		if int(r.From) != next || r.To < r.From || r.Fence > m.Fence {
 			return fmt.Errorf("%w: range of keys %d to %d is out of order or its fence is too high", ErrMalformed, r.From, r.To)
 		}
 		next = int(r.To) + 1
 	}
-	if next != 0 && next != NumKeys {
+	if next != end {
 		return fmt.Errorf("%w: no owner from key %d on", ErrMalformed, next)
 	}
 	return nil
