--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -17,6 +17,9 @@
 const (
 	// fanout is the number of starting instances that get their state from one that starts as well.
 	fanout = 3
+	// directReaders is the number of instances of each failure domain that read the store as the seed does if they start
+	// together with it. In a small system that is all of them, and none waits for another.
+	directReaders = 2
 	// batchTime is how long an instance counts as starting.
 	batchTime = 10 * time.Second
 	// maxPending is the maximum number of registrations that wait to be written. An instance whose registration is
@@ -59,8 +62,8 @@
 func NewBook(self string) *Book { return &Book{self: self, domains: map[string][]starter{}} }
 
 // Add records a starting instance and returns the reply to it. Running holds the addresses of the instances of its
-// failure domain that are known to run.
-func (b *Book) Add(r Request, running []string, now time.Time) Reply {
+// failure domain that are known to run, loaded says whether the seed has the state.
+func (b *Book) Add(r Request, running []string, loaded bool, now time.Time) Reply {
 	domain := r.Entry.Domain
 	starters := slices.DeleteFunc(b.domains[domain], func(s starter) bool { return now.After(s.until) })
 	position := slices.IndexFunc(starters, func(s starter) bool { return s.name == r.Name })
@@ -70,8 +73,11 @@
 	}
 	starters[position].address, starters[position].until = r.Entry.Address, now.Add(batchTime)
 	b.domains[domain] = starters
-	reply := Reply{Registers: b.enqueue(r)}
+	reply := Reply{Registers: b.enqueue(r), Loaded: loaded}
 	running = slices.DeleteFunc(slices.Clone(running), func(a string) bool { return a == r.Entry.Address })
+	if !loaded && position < directReaders {
+		return reply
+	}
 	if position < len(running) {
 		reply.Parents = append(reply.Parents, pick(running, r.Name)...)
 	} else {
--- a/internal/join/join_test.go
+++ b/internal/join/join_test.go
@@ -24,7 +24,7 @@
 			deepest := 0
 			for i := range instances {
 				r := request(i, fmt.Sprintf("d%d", i%6))
-				parent := b.Add(r, nil, now).Parents[0]
+				parent := b.Add(r, nil, true, now).Parents[0]
 				children[parent]++
 				depth[r.Entry.Address] = depth[parent] + 1
 				deepest = max(deepest, depth[r.Entry.Address])
@@ -47,7 +47,7 @@
 	}
 	children := map[string]int{}
 	for i := range 50 {
-		reply := b.Add(request(i+1000, "d0"), running, now)
+		reply := b.Add(request(i+1000, "d0"), running, true, now)
 		is.Equal(len(reply.Parents), 3)
 		children[reply.Parents[0]]++
 	}
@@ -56,15 +56,31 @@
 	}
 }
 
+// Checks that few instances read the store beside the seed if all start together, and all of a small system.
+func TestFewReadTheStore(t *testing.T) {
+	for instances, most := range map[int]int{8: 8, 1000: 6 * directReaders, 2800: 6 * directReaders} {
+		is := is.New(t)
+		b, now := NewBook("seed"), time.Now()
+		readers := 0
+		for i := range instances {
+			if reply := b.Add(request(i, fmt.Sprintf("d%d", i%6)), nil, false, now); len(reply.Parents) == 0 {
+				readers++
+			}
+		}
+		is.True(readers <= most)
+		is.True(instances > 8 || readers == instances)
+	}
+}
+
 // Checks that a repeated request changes neither the place of an instance nor the number of registrations.
 func TestRepeatedRequest(t *testing.T) {
 	is := is.New(t)
 	b, now := NewBook("seed"), time.Now()
 	for i := range 9 {
-		b.Add(request(i, "d0"), nil, now)
+		b.Add(request(i, "d0"), nil, true, now)
 	}
-	first := b.Add(request(8, "d0"), nil, now)
-	is.Equal(b.Add(request(8, "d0"), nil, now.Add(time.Second)), first)
+	first := b.Add(request(8, "d0"), nil, true, now)
+	is.Equal(b.Add(request(8, "d0"), nil, true, now.Add(time.Second)), first)
 	batch := b.Take(5)
 	is.Equal(len(batch), 5)
 	b.Return(batch)
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	// joinTimeout is how long a starting instance asks seeds before it reads the store, earlierSeedTimeout the same
-	// for a seed that asks the seeds before it in the list.
-	joinTimeout        = 2500 * time.Millisecond
-	earlierSeedTimeout = 800 * time.Millisecond
-	joinCallTimeout    = 700 * time.Millisecond
-	joinRetryInterval  = 150 * time.Millisecond
+	// joinTimeout is how long a starting instance asks seeds before it reads the store. A seed asks the others only for
+	// seedCallTimeout.
+	joinTimeout       = 2500 * time.Millisecond
+	joinCallTimeout   = 700 * time.Millisecond
+	seedCallTimeout   = 150 * time.Millisecond
+	joinRetryInterval = 40 * time.Millisecond
 	// registerBatchInterval is the time between two appends of the registrations of starting instances, maxRegisterBatch
 	// the maximum number in one.
 	registerBatchInterval = 200 * time.Millisecond
@@ -40,34 +40,18 @@
 }
 
 // findParents asks the seeds in turn until one answers. The reply names no parents if none does in time, or if this
-// instance is to read the store for the others.
+// instance is to read the store.
 func (n *Node) findParents(ctx context.Context) join.Reply {
-	seeds := n.settings.Seeds
+	seeds := slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(s string) bool { return s == n.settings.ControlAddress })
 	if len(seeds) == 0 {
 		return join.Reply{}
 	}
-	at := slices.Index(seeds, n.settings.ControlAddress)
-	first, timeout := int(n.incarnation%uint64(len(seeds))), joinTimeout
-	if at >= 0 {
-		first, timeout = 0, earlierSeedTimeout
+	if len(seeds) < len(n.settings.Seeds) {
+		return n.findLoadedSeed(ctx, seeds)
 	}
-	deadline := time.Now().Add(timeout)
-	for i := first; time.Now().Before(deadline) && ctx.Err() == nil; i++ {
-		if at == 0 && i == len(seeds) {
-			break
-		}
-		seed := i % len(seeds)
-		if seed == at {
-			continue
-		}
-		reply, err := n.askSeed(ctx, seeds[seed])
-		switch {
-		case err != nil:
-			n.events.Record(event.StateChange, "seed-unreachable", "seed", seeds[seed], "error", err)
-		case at >= 0 && seed > at && !reply.Loaded:
-			// Of the seeds that start together, the first reads the store.
-		default:
-			n.events.Record(event.StateChange, "joined", "seed", seeds[seed], "parents", strings.Join(reply.Parents, ","), "registers", reply.Registers)
+	deadline := time.Now().Add(joinTimeout)
+	for i := n.incarnation; time.Now().Before(deadline) && ctx.Err() == nil; i++ {
+		if reply, answered := n.askSeed(ctx, seeds[i%uint64(len(seeds))], joinCallTimeout); answered {
 			return reply
 		}
 		worker.Sleep(ctx, joinRetryInterval)
@@ -75,9 +59,38 @@
 	return join.Reply{}
 }
 
-// askSeed sends a join.Request to a seed.
-func (n *Node) askSeed(ctx context.Context, seed string) (join.Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, joinCallTimeout)
+// findLoadedSeed asks the other seeds at the same time. A seed uses the reply of one that has the state; seeds that start
+// together read the store for all.
+func (n *Node) findLoadedSeed(ctx context.Context, seeds []string) join.Reply {
+	replies := make(chan join.Reply, len(seeds))
+	for _, seed := range seeds {
+		go func() {
+			reply, _ := n.askSeed(ctx, seed, seedCallTimeout)
+			replies <- reply
+		}()
+	}
+	for range seeds {
+		if reply := <-replies; reply.Loaded {
+			return reply
+		}
+	}
+	return join.Reply{}
+}
+
+// askSeed sends a join.Request to a seed and logs the result. It reports whether the seed has answered.
+func (n *Node) askSeed(ctx context.Context, seed string, timeout time.Duration) (join.Reply, bool) {
+	reply, err := n.callSeed(ctx, seed, timeout)
+	if err != nil {
+		n.events.Record(event.StateChange, "seed-unreachable", "seed", seed, "error", err)
+		return join.Reply{}, false
+	}
+	n.events.Record(event.StateChange, "joined", "seed", seed, "parents", strings.Join(reply.Parents, ","), "registers", reply.Registers, "loaded", reply.Loaded)
+	return reply, true
+}
+
+// callSeed sends a join.Request to a seed.
+func (n *Node) callSeed(ctx context.Context, seed string, timeout time.Duration) (join.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	body, err := json.Marshal(join.Request{Name: n.settings.Name, Entry: n.entry(false)})
 	if err != nil {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -312,10 +312,10 @@
 			running = append(running, p.Address)
 		}
 	}
+	_, loaded := n.topics[n.platform.ServersTopic].known()
 	n.joinMu.Lock()
-	reply := n.joinBook.Add(r, running, now)
+	reply := n.joinBook.Add(r, running, loaded, now)
 	n.joinMu.Unlock()
-	_, reply.Loaded = n.topics[n.platform.ServersTopic].known()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(reply)
 }
