--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -51,6 +51,10 @@
 	}
 	deadline := time.Now().Add(joinTimeout)
 	for i := n.incarnation; time.Now().Before(deadline) && ctx.Err() == nil; i++ {
+		if i == n.incarnation+uint64(len(seeds)) && n.directoryIsSmall(ctx) {
+			// The seeds may be starting as well, and need not be waited for.
+			return join.Reply{}
+		}
 		if reply, answered := n.askSeed(ctx, seeds[i%uint64(len(seeds))], joinCallTimeout); answered {
 			return reply
 		}
@@ -59,6 +63,22 @@
 	return join.Reply{}
 }
 
+const (
+	// smallDirectoryEnd is the number of records up to which the directory is small enough for every instance to read
+	// it from the store.
+	smallDirectoryEnd = 2000
+	// farOffset is an offset beyond the end of any topic: a read from there returns only the end.
+	farOffset = 1 << 40
+)
+
+// directoryIsSmall reports whether few records were ever written to the directory, so that the system is small.
+func (n *Node) directoryIsSmall(ctx context.Context) bool {
+	batch, err := n.platform.Store.Read(ctx, n.platform.ServersTopic, farOffset, 0)
+	n.events.Record(event.StateChange, "store-read", "topic", n.platform.ServersTopic, "reason", "size", "end", batch.End, "error", err)
+	n.storeCalls.Add("read "+n.platform.ServersTopic+" size", 1)
+	return err == nil && batch.End <= smallDirectoryEnd
+}
+
 // findLoadedSeed asks the other seeds at the same time. A seed uses the reply of one that has the state; seeds that start
 // together read the store for all.
 func (n *Node) findLoadedSeed(ctx context.Context, seeds []string) join.Reply {
