--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// joinTimeout is how long a starting instance asks seeds before it reads the store. A seed asks the others only for
-	// seedCallTimeout.
+	// joinTimeout is how long a starting instance asks seeds before it reads the store. The first call is short, as a
+	// small system need not wait for its seeds. A seed asks the others only for seedCallTimeout.
 	joinTimeout       = 2500 * time.Millisecond
+	firstCallTimeout  = 60 * time.Millisecond
 	joinCallTimeout   = 700 * time.Millisecond
 	seedCallTimeout   = 150 * time.Millisecond
 	joinRetryInterval = 40 * time.Millisecond
@@ -51,11 +52,17 @@
 	}
 	deadline := time.Now().Add(joinTimeout)
 	for i := n.incarnation; time.Now().Before(deadline) && ctx.Err() == nil; i++ {
-		if i == n.incarnation+uint64(len(seeds)) && n.directoryIsSmall(ctx) {
-			// The seeds may be starting as well, and need not be waited for.
-			return join.Reply{}
+		timeout := joinCallTimeout
+		switch i - n.incarnation {
+		case 0:
+			timeout = firstCallTimeout
+		case 1:
+			if n.directoryIsSmall(ctx) {
+				// The seeds may be starting as well, and need not be waited for.
+				return join.Reply{}
+			}
 		}
-		if reply, answered := n.askSeed(ctx, seeds[i%uint64(len(seeds))], joinCallTimeout); answered {
+		if reply, answered := n.askSeed(ctx, seeds[i%uint64(len(seeds))], timeout); answered {
 			return reply
 		}
 		worker.Sleep(ctx, joinRetryInterval)
