--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -18,10 +18,9 @@
 )
 
 const (
-	// joinTimeout is how long a starting instance asks seeds before it reads the store. The first call is short, as a
-	// small system need not wait for its seeds. A seed asks the others only for seedCallTimeout.
+	// joinTimeout is how long a starting instance asks seeds before it reads the store. A seed asks the others only for
+	// seedCallTimeout.
 	joinTimeout       = 2500 * time.Millisecond
-	firstCallTimeout  = 60 * time.Millisecond
 	joinCallTimeout   = 700 * time.Millisecond
 	seedCallTimeout   = 150 * time.Millisecond
 	joinRetryInterval = 40 * time.Millisecond
@@ -44,7 +43,8 @@
 // instance is to read the store.
 func (n *Node) findParents(ctx context.Context) join.Reply {
 	seeds := slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(s string) bool { return s == n.settings.ControlAddress })
-	if len(seeds) == 0 {
+	// When the system starts for the first time, the directory says nothing about its size yet.
+	if len(seeds) == 0 || !n.settings.FirstStart && n.directoryIsSmall(ctx) {
 		return join.Reply{}
 	}
 	if len(seeds) < len(n.settings.Seeds) {
@@ -52,17 +52,7 @@
 	}
 	deadline := time.Now().Add(joinTimeout)
 	for i := n.incarnation; time.Now().Before(deadline) && ctx.Err() == nil; i++ {
-		timeout := joinCallTimeout
-		switch i - n.incarnation {
-		case 0:
-			timeout = firstCallTimeout
-		case 1:
-			if n.directoryIsSmall(ctx) {
-				// The seeds may be starting as well, and need not be waited for.
-				return join.Reply{}
-			}
-		}
-		if reply, answered := n.askSeed(ctx, seeds[i%uint64(len(seeds))], timeout); answered {
+		if reply, answered := n.askSeed(ctx, seeds[i%uint64(len(seeds))], joinCallTimeout); answered {
 			return reply
 		}
 		worker.Sleep(ctx, joinRetryInterval)
@@ -72,7 +62,7 @@
 
 const (
 	// smallDirectoryEnd is the number of records up to which the directory is small enough for every instance to read
-	// it from the store.
+	// it from the store, which is faster than to wait for seeds that may be starting as well.
 	smallDirectoryEnd = 2000
 	// farOffset is an offset beyond the end of any topic: a read from there returns only the end.
 	farOffset = 1 << 40
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -148,7 +148,7 @@
 	address := func(i int) string { return fmt.Sprintf("10.0.%d.%d:1000", i/250, i%250) }
 	name, domain := fmt.Sprintf("i%04d", i), fmt.Sprintf("d%d", i%6)
 	n := &Node{
-		settings: config.Serve{Name: name, Domain: domain, IP: fmt.Sprintf("10.0.%d.%d", i/250, i%250), PeerPorts: []int{1000}, CPUShare: 1, LinkMbps: 100, Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
+		settings: config.Serve{Name: name, Domain: domain, IP: fmt.Sprintf("10.0.%d.%d", i/250, i%250), PeerPorts: []int{1000}, CPUShare: 1, LinkMbps: 100, FirstStart: true, Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
 		platform: Platform{Store: sc.store, ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"},
 		roster:   roster.New(name, domain), updates: make(chan follow.Update, 64), events: event.New(io.Discard, log.FatalLevel),
 		readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, joined: make(chan struct{}), stopping: make(chan struct{}),
