--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -89,14 +89,15 @@
 	if found && leader.Name != n.settings.Name {
 		n.sendHeartbeat(leader, h, echo.due(leader.Name, now))
 	}
-	digests := n.roster.LargeDomain(n.settings.Domain) && !(to == toAll && (n.leases.Leads() || n.isStopping()))
+	everyone := to == toAll && (n.leases.Leads() || n.isStopping())
+	digests := !everyone && n.roster.LargeDomain(n.settings.Domain)
 	large := map[string]bool{}
 	for _, p := range others {
 		if _, known := large[p.Domain]; !known {
 			large[p.Domain] = n.roster.LargeDomain(p.Domain)
 		}
 		inScope := to == toAll || to == toDomain && p.Domain == n.settings.Domain
-		if p.Name != leader.Name && inScope && !(digests && large[p.Domain]) {
+		if p.Name != leader.Name && inScope && (!digests || !large[p.Domain]) {
 			n.sendHeartbeat(p, h, false)
 		}
 	}
