Fetch owners along the tree instead of as one message

Cause: an instance that was behind and had not reached the store asked the peer that knew more for all owners in one message; while the fleet starts that is nearly every instance, and the few that are ahead encode the whole register for each. Change: such an instance fetches the topic like any other; the peer that is ahead is asked if the parent does not answer. Requests of the release before are still answered.

--- a/internal/node/catchup.go
+++ b/internal/node/catchup.go
@@ -12,18 +12,8 @@
 	"example.org/mustardring/internal/shard"
 )
 
-// requestView asks a peer for its view of the owners if this instance cannot read the store.
-func (n *Node) requestView(name string) {
-	if n.leases.StoreOK() {
-		return
-	}
-	p, known := n.roster.Peer(name)
-	if to, ok := peerAddress(p); known && ok {
-		n.port.Send(to, dgram.ViewRequest{End: n.leases.View().End})
-	}
-}
-
-// sendView answers a ViewRequest with the view of this instance if that is newer than the sender's.
+// sendView answers a ViewRequest, which only instances of an earlier release send, with the view of this instance if that
+// is newer than the sender's.
 func (n *Node) sendView(from netip.AddrPort, m dgram.ViewRequest) {
 	view := n.leases.View()
 	if view.End <= m.End {
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -197,13 +197,11 @@
 		n.replyWithHeartbeat(h.Name)
 	}
 	n.leases.HandleHeartbeat(h)
-	if n.checkLag(n.platform.OwnersTopic, h.Known, n.leases.View().End, now) {
-		n.requestView(h.Name)
-	}
+	n.checkLag(n.platform.OwnersTopic, h.Name, h.Known, n.leases.View().End, now)
 	configEnd, _ := n.watches[n.platform.ConfigTopic].Known()
 	serversEnd, _ := n.watches[n.platform.ServersTopic].Known()
-	n.checkLag(n.platform.ConfigTopic, h.ConfigEnd, configEnd, now)
-	n.checkLag(n.platform.ServersTopic, h.ServersEnd, serversEnd, now)
+	n.checkLag(n.platform.ConfigTopic, h.Name, h.ConfigEnd, configEnd, now)
+	n.checkLag(n.platform.ServersTopic, h.Name, h.ServersEnd, serversEnd, now)
 	n.confirmCurrent(h)
 }
 
@@ -214,13 +212,11 @@
 	}
 }
 
-// checkLag requests a read of a topic, and logs and reports it, if this instance has known less of the topic than a
-// peer for too long.
-func (n *Node) checkLag(topic string, peerEnd, ownEnd int64, now time.Time) bool {
-	if !n.lag[topic].observe(peerEnd, ownEnd, n.lagTimeout(), now) {
-		return false
+// checkLag requests a read of a topic, and logs it, if this instance has known less of the topic than a peer for too long.
+func (n *Node) checkLag(topic, peer string, peerEnd, ownEnd int64, now time.Time) {
+	if n.lag[topic].observe(peerEnd, ownEnd, n.lagTimeout(), now) {
+		n.events.Record(event.StateChange, "behind", "topic", topic, "known", ownEnd, "known-elsewhere", peerEnd)
+		n.peersAhead.Store(topic, peer)
+		n.requestRead(topic)
 	}
-	n.events.Record(event.StateChange, "behind", "topic", topic, "known", ownEnd, "known-elsewhere", peerEnd)
-	n.requestRead(topic)
-	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,6 +110,8 @@
 	ownersCopy ownersCopy
 	topicCalls chan struct{}
 	peerClient *http.Client
+	// peersAhead holds, by topic, the name of the last peer that knew more for too long.
+	peersAhead sync.Map
 	// joined is closed once joinReply is set.
 	joined    chan struct{}
 	joinReply join.Reply
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -203,7 +204,7 @@
 // Fetch implements follow.PeerSource. It asks the instances that the place of this one in its failure domain names, or
 // at the start those that a seed has named.
 func (n *Node) Fetch(ctx context.Context, r follow.PeerRequest) (follow.PeerUpdate, error) {
-	wait, addresses := newsWait, n.newsSources()
+	wait, addresses := newsWait, n.newsSources(r.Topic)
 	if r.From < 0 && !n.leases.Registered() {
 		wait, addresses = startWait, n.joinSources(ctx)
 	}
@@ -221,16 +222,23 @@
 	return follow.PeerUpdate{}, err
 }
 
-// newsSources returns the addresses of the instances to ask for news, the preferred one first.
-func (n *Node) newsSources() []string {
+// newsSources returns the addresses of the instances to ask for news of a topic: the parent, and then the peer that was
+// last seen to know more, since the parent may be lost.
+func (n *Node) newsSources(topic string) []string {
+	var out []string
 	parent := n.place().Parent
 	switch {
 	case parent != nil && n.leases.Registered():
-		return []string{parent.Address}
+		out = append(out, parent.Address)
 	case !n.leases.Registered() && len(n.joinedParents()) > 0:
-		return n.joinedParents()[:1]
+		out = append(out, n.joinedParents()[0])
 	}
-	return nil
+	if name, found := n.peersAhead.LoadAndDelete(topic); found {
+		if p, known := n.roster.Peer(name.(string)); known && !slices.Contains(out, p.Address) {
+			out = append(out, p.Address)
+		}
+	}
+	return out
 }
 
 // placeInterval is the time between two computations of the place of this instance, which looks at all instances.
