Ask the peer that is ahead for as much as it knows

Cause: who was behind asked its parent without saying how much it lacked, got an answer that was no newer, and asked again when it was found behind again. Change: the request states the end that another instance knows; in small domains that instance is asked first.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -189,8 +189,9 @@
 	readCurrentAsOf atomic.Int64
 	// lastReadFailed reports whether the last read failed.
 	lastReadFailed atomic.Bool
-	// requiredAsOf is the argument of Require, zero before the first call.
+	// requiredAsOf is the argument of Require, requiredEnd that of RequireEnd, zero before the first call.
 	requiredAsOf atomic.Int64
+	requiredEnd  atomic.Int64
 
 	// The next five fields are used by the goroutine of Run only. nextOffset is the offset after the last known
 	// record, peerEnd the end of the topic known to another instance. Until pauseUntil this instance reads only
@@ -291,6 +292,10 @@
 	w.requiredAsOf.Store(max(w.requiredAsOf.Load(), int64(asOf)))
 }
 
+// RequireEnd states that another instance knows the topic up to an offset: what other instances are asked for must reach
+// it. It makes no read due.
+func (w *Watch) RequireEnd(end int64) { w.requiredEnd.Store(max(w.requiredEnd.Load(), end)) }
+
 // Run keeps the topic up to date until ctx is done.
 func (w *Watch) Run(ctx context.Context) error {
 	w.needsSnapshot = true
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -217,6 +217,7 @@
 	if n.lag[topic].observe(peerEnd, ownEnd, n.lagTimeout(), now) {
 		n.events.Record(event.StateChange, "behind", "topic", topic, "known", ownEnd, "known-elsewhere", peerEnd)
 		n.peersAhead.Store(topic, peer)
+		n.watches[topic].RequireEnd(peerEnd)
 		n.requestRead(topic)
 	}
 }
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -222,8 +222,9 @@
 	return follow.PeerUpdate{}, err
 }
 
-// newsSources returns the addresses of the instances to ask for news of a topic: the parent, and then the peer that was
-// last seen to know more, since the parent may be lost.
+// newsSources returns the addresses of the instances to ask for news of a topic: the parent and the peer that was last
+// seen to know more. That peer comes first unless so many instances may ask it that the parent, which may have to ask as
+// well, is faster.
 func (n *Node) newsSources(topic string) []string {
 	var out []string
 	parent := n.place().Parent
@@ -236,6 +237,9 @@
 	if name, found := n.peersAhead.LoadAndDelete(topic); found {
 		if p, known := n.roster.Peer(name.(string)); known && !slices.Contains(out, p.Address) {
 			out = append(out, p.Address)
+			if !n.roster.LargeDomain(n.settings.Domain) {
+				slices.Reverse(out)
+			}
 		}
 	}
 	return out
