Look up the service of a pool instead of cutting its name

Change: the service of each pool is kept; a pool that is gone still has one, since its controller may outlive it. Checked: TestPoolsOfAnyServiceNameAreRefreshed (new), tests of internal/node.

--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -112,7 +112,7 @@
 
 // controller returns the controller of a pool, or of a service that is divided by key. The lock is held.
 func (ad *admissions) controller(pool string) *admit.Controller {
-	ad.refreshPools(serviceOf(pool))
+	ad.refreshPools(ad.pools.serviceOf(pool))
 	c := ad.controllers[pool]
 	if c == nil {
 		c = admit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -166,7 +166,7 @@
 	servers, config := ad.node.cluster.servers(), ad.node.cluster.config.Load()
 	ad.pools.rebuildService(service, servers)
 	for pool, c := range ad.controllers {
-		if serviceOf(pool) == service {
+		if ad.pools.serviceOf(pool) == service {
 			ad.deliver(c.SetServers(time.Now(), ad.pools.serversOf(pool, servers, config)))
 		}
 	}
@@ -182,7 +182,7 @@
 	}
 	ad.refreshedAt = now
 	for pool := range ad.controllers {
-		ad.refreshPools(serviceOf(pool))
+		ad.refreshPools(ad.pools.serviceOf(pool))
 	}
 }
 
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strings"
 
 	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/rules"
@@ -15,6 +14,8 @@
 	// servers holds the servers by pool, but for services that are divided by key. services holds the services by server.
 	servers  map[string][]rules.Server
 	services map[string]string
+	// byPool holds the service of each pool that there ever was: its controller may outlive it.
+	byPool map[string]string
 	// outdated holds the services whose servers have changed since their pools were made.
 	outdated map[string]struct{}
 	// pickers holds, by service, what chooses the pools that a request asks.
@@ -22,16 +23,18 @@
 }
 
 func newPools(name, domain string) *pools {
-	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, outdated: map[string]struct{}{}, pickers: map[string]*admit.Picker{}}
+	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, byPool: map[string]string{}, outdated: map[string]struct{}{}, pickers: map[string]*admit.Picker{}}
 }
 
 // isDivided reports whether a service is divided by key.
 func isDivided(c *rules.Config, service string) bool { return c != nil && c.Services[service].Divided }
 
-// serviceOf returns the service of a pool, given its name.
-func serviceOf(pool string) string {
-	service, _, _ := strings.Cut(pool, "/")
-	return service
+// serviceOf returns the service of a pool. A service that is divided by key is a pool of its own.
+func (p *pools) serviceOf(pool string) string {
+	if service, found := p.byPool[pool]; found {
+		return service
+	}
+	return pool
 }
 
 // serversOf returns the servers of a pool, or of a service that is divided by key.
@@ -99,13 +102,13 @@
 func (p *pools) rebuildService(service string, servers *rules.ServerSet) {
 	delete(p.outdated, service)
 	for pool := range p.servers {
-		if serviceOf(pool) == service {
+		if p.serviceOf(pool) == service {
 			delete(p.servers, pool)
 		}
 	}
 	all := admit.SplitIntoPools(service, membersOf(service, servers, false))
 	for _, pool := range all {
-		p.servers[pool.Name] = pool.Servers
+		p.servers[pool.Name], p.byPool[pool.Name] = pool.Servers, service
 	}
 	p.pickers[service] = p.newPicker(all)
 }
