--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -3,7 +3,7 @@
 //
 // An instance that starts asks a seed, whose address is in its settings. The seed names parents: instances of the same
 // failure domain that have the state or will have it soon. When all instances start at once, these parents form a tree
-// in each domain below the seed, so that only seeds read the store and no instance serves more than a few others.
+// in each domain below the seed, so that few instances read the store and none serves more than a few others.
 package join
 
 import (
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -75,9 +75,8 @@
 	return interval - n.domainHeartbeatInterval()/2
 }
 
-// sendHeartbeats sends a heartbeat to the leader and to the instances in a scope, except that the
-// instances of large failure domains hear of each other by digests. Only the leader and an instance that stops send
-// heartbeats to all of them.
+// sendHeartbeats sends a heartbeat to the leader and to the instances in a scope. The instances of large failure domains
+// hear of each other by digests instead, except of the leader and of an instance that stops.
 //
 // The peers, whose last heartbeats are echoed, are read before the heartbeat is made. If a heartbeat that arrived in
 // between were echoed, its sender would take the content of this one for newer than it is.
