--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/edge"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/join"
@@ -153,7 +154,7 @@
 		roster:   roster.New(name, domain), updates: make(chan follow.Update, 64), events: event.New(io.Discard, log.FatalLevel),
 		readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, joined: make(chan struct{}), stopping: make(chan struct{}),
 		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: &http.Client{Transport: sc},
-		storeCalls: new(expvar.Map).Init(), incarnation: uint64(i + 1),
+		storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(), incarnation: uint64(i + 1),
 	}
 	for s := range seeds {
 		n.settings.Seeds = append(n.settings.Seeds, address(s))
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"strings"
 	"time"
@@ -28,6 +29,10 @@
 	if wait == 0 {
 		s.times.Record("read "+topic, clock.Boot{}.Now().Sub(begun))
 	}
+	if errors.Is(err, follow.ErrExpired) {
+		s.calls.Add("read-expired "+topic, 1)
+		s.events.Record(event.StateChange, "store-records-expired", "topic", topic, "from", from)
+	}
 	return batch, err
 }
 
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -211,18 +211,30 @@
 	err := errNoPeer
 	for _, address := range addresses {
 		var p follow.PeerUpdate
-		if p, err = n.fetchFrom(ctx, address, r, wait); err == nil {
-			n.storeCalls.Add("peer "+r.Topic, 1)
-			n.events.Record(event.StateChange, "topic-fetched", "topic", r.Topic, "from", r.From, "peer", address, "end", p.End,
-				"records", len(p.Records), "whole", p.Snapshot, "age-ms", p.Staleness)
+		startedAt := n.leases.Clock.Now()
+		p, err = n.fetchFrom(ctx, address, r, wait)
+		n.recordFetch(r, address, p, n.leases.Clock.Now().Sub(startedAt), err)
+		if err == nil {
 			return p, nil
 		}
-		n.storeCalls.Add("peer-failed "+r.Topic, 1)
-		n.events.Record(event.StateChange, "topic-not-fetched", "topic", r.Topic, "from", r.From, "peer", address, "error", err)
 	}
 	return follow.PeerUpdate{}, err
 }
 
+// recordFetch counts and logs a request for a topic to another instance, which took some time.
+func (n *Node) recordFetch(r follow.PeerRequest, address string, p follow.PeerUpdate, took time.Duration, err error) {
+	n.storeTimes.Record("peer "+r.Topic, took)
+	if err != nil {
+		n.storeCalls.Add("peer-failed "+r.Topic, 1)
+		n.events.Record(event.StateChange, "topic-not-fetched", "topic", r.Topic, "from", r.From, "min-end", r.MinEnd, "max-age", r.MaxStaleness,
+			"peer", address, "took", took, "error", err)
+		return
+	}
+	n.storeCalls.Add("peer "+r.Topic, 1)
+	n.events.Record(event.StateChange, "topic-fetched", "topic", r.Topic, "from", r.From, "min-end", r.MinEnd, "max-age", r.MaxStaleness,
+		"peer", address, "took", took, "end", p.End, "records", len(p.Records), "whole", p.Snapshot, "age-ms", p.Staleness)
+}
+
 // newsSources returns the addresses of the instances to ask for news of a topic: the parent and the peer that was last
 // seen to know more. That peer comes first unless so many instances may ask it that the parent, which may have to ask as
 // well, is faster.
