--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -621,3 +622,46 @@
 		is.True(time.Since(startedAt) < time.Second)
 	})
 }
+
+// fixedPeer is an instance that answers each request with the same snapshot.
+type fixedPeer struct {
+	update   follow.PeerUpdate
+	requests int
+}
+
+func (p *fixedPeer) Fetch(_ context.Context, r follow.PeerRequest) (follow.PeerUpdate, error) {
+	p.requests++
+	if r.MinEnd > p.update.End {
+		return follow.PeerUpdate{}, errNotKnown
+	}
+	update := p.update
+	update.SentAt = testClock{}.Now()
+	return update, nil
+}
+
+var errNotKnown = errors.New("not known")
+
+// Guards against a snapshot of an instance that lacks the records that the store has dropped: each read after it found
+// them dropped again.
+func TestExpiredRecordsAreNotTakenFromAnInstanceBehind(t *testing.T) {
+	tests := map[string]func() bool{"reads the store regularly": always, "reads when overdue": never}
+	for name, readsStore := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &fakeStore{}
+				s.put("config", "1")
+				peer := &fixedPeer{update: follow.PeerUpdate{Snapshot: true, Batch: s.newest()}}
+				watch := &follow.Watch{Store: s, ReadsStore: readsStore, Clock: testClock{}, Peers: peer, MaxStaleness: func() time.Duration { return time.Second }}
+				out := runWatch(t, watch)
+				<-out
+				s.put("config", "2")
+				s.set(func() { s.expired = true })
+				time.Sleep(1500 * time.Millisecond)
+				is.Equal(len(out), 1)
+				is.Equal((<-out).End, int64(2))
+				is.True(s.reads <= 3)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/news_test.go
@@ -0,0 +1,358 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/worker"
+)
+
+// pollStore is a store with one topic. It holds reads that wait for records.
+type pollStore struct {
+	mu      sync.Mutex
+	records []follow.Record
+	calls   int
+}
+
+// pollAnswerTime is how long the store takes to answer.
+const pollAnswerTime = 20 * time.Millisecond
+
+func (s *pollStore) put(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, follow.Record{Key: "config", Value: []byte(value), Offset: int64(len(s.records))})
+}
+
+// from returns the records from an offset on.
+func (s *pollStore) from(offset int64) follow.Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := int64(len(s.records))
+	return follow.Batch{Records: s.records[min(offset, end):end:end], End: end}
+}
+
+func (s *pollStore) Append(context.Context, string, []follow.Record, int64) (int64, error) {
+	return 0, follow.ErrNotDone
+}
+
+func (s *pollStore) Newest(ctx context.Context, topic string) (follow.Batch, error) {
+	batch, err := s.Read(ctx, topic, 0, 0)
+	if n := len(batch.Records); n > 0 {
+		batch.Records = batch.Records[n-1:]
+	}
+	return batch, err
+}
+
+func (s *pollStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (follow.Batch, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	deadline := time.Now().Add(wait)
+	if !worker.Sleep(ctx, pollAnswerTime) {
+		return follow.Batch{}, ctx.Err()
+	}
+	for s.from(from).End <= from && time.Now().Before(deadline) {
+		if !worker.Sleep(ctx, 5*time.Millisecond) {
+			return follow.Batch{}, ctx.Err()
+		}
+	}
+	return s.from(from), nil
+}
+
+// peerFault is a fault of an instance that others ask for a topic.
+type peerFault int
+
+// The faults. A frozen instance accepts connections and does nothing, a silent one is behind a cut, a cut one answers
+// with a header and no more, a slow one sends its answer over slowTime, a thawing one is frozen for thawTime.
+const (
+	healthy peerFault = iota
+	frozen
+	silent
+	cutAfterHeader
+	slow
+	thawing
+)
+
+const (
+	slowTime = 3 * time.Second
+	thawTime = 400 * time.Millisecond
+)
+
+// newsCluster is a set of running instances. It carries the calls and heartbeats between them.
+type newsCluster struct {
+	store   *pollStore
+	nodes   []*Node
+	leader  *Node
+	address map[string]*Node
+	// lossy loses the leader's announcements.
+	lossy  bool
+	mu     sync.Mutex
+	faults map[*Node]peerFault
+	// thawedAt is when the thawing instances go on.
+	thawedAt time.Time
+	// knownAt is when each instance had the newest record.
+	knownAt map[*Node]time.Time
+}
+
+// setFault gives an instance a fault.
+func (c *newsCluster) setFault(n *Node, f peerFault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults[n] = f
+	c.thawedAt = time.Now().Add(thawTime)
+}
+
+// fault returns the fault of an instance, and how long it stands still.
+func (c *newsCluster) fault(n *Node) (f peerFault, stands time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch f = c.faults[n]; f {
+	case frozen, silent:
+		stands = time.Hour
+	case thawing:
+		stands = time.Until(c.thawedAt)
+	}
+	return f, stands
+}
+
+// errNoConnection stands for a connection that cannot be established.
+var errNoConnection = errors.New("dial: i/o timeout")
+
+// RoundTrip implements http.RoundTripper by the handlers of the addressed instance.
+func (c *newsCluster) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx, n := r.Context(), c.address[r.URL.Host]
+	f, stands := c.fault(n)
+	if f == silent {
+		worker.Sleep(ctx, peerDialTimeout)
+		return nil, errNoConnection
+	}
+	if !worker.Sleep(ctx, 3*time.Millisecond+max(stands, 0)) {
+		return nil, ctx.Err()
+	}
+	w := httptest.NewRecorder()
+	n.handleTopic(w, r)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	response := w.Result()
+	if response.StatusCode == http.StatusOK && f == cutAfterHeader {
+		response.Body = io.NopCloser(&slowReader{ctx: ctx, pause: time.Hour, Reader: response.Body})
+	}
+	if response.StatusCode == http.StatusOK && f == slow {
+		pause := slowTime / time.Duration(max(w.Body.Len(), 1))
+		response.Body = io.NopCloser(&slowReader{ctx: ctx, pause: pause, Reader: response.Body})
+	}
+	return response, nil
+}
+
+// slowReader reads one byte after each pause.
+type slowReader struct {
+	io.Reader
+	ctx   context.Context
+	pause time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if !worker.Sleep(r.ctx, r.pause) {
+		return 0, r.ctx.Err()
+	}
+	return r.Reader.Read(p[:min(len(p), 1)])
+}
+
+// newNewsCluster starts instances in six failure domains, which are registered and know one configuration.
+func newNewsCluster(instances, leader int, group *worker.Group) *newsCluster {
+	c := &newsCluster{store: &pollStore{}, address: map[string]*Node{}, faults: map[*Node]peerFault{}, knownAt: map[*Node]time.Time{}}
+	c.store.put("1")
+	sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}}, nodes: c.address}
+	var register []follow.Record
+	for i := range instances {
+		n := sc.newStarter(i, 0)
+		close(n.joined)
+		n.peerClient = &http.Client{Transport: c}
+		n.lag = map[string]*lagDetector{"config": {}}
+		entry, _ := n.entry(false).Encode()
+		register = append(register, follow.Record{Key: lease.InstanceKey(n.settings.Name), Value: entry, Offset: int64(i)})
+		c.nodes = append(c.nodes, n)
+	}
+	c.leader = c.nodes[leader]
+	for _, n := range c.nodes {
+		group.Go("leases", n.leases.Run)
+		n.leases.StoreUpdates() <- follow.Update{Topic: "owners", Snapshot: true, Batch: follow.Batch{Records: register, End: int64(instances)}}
+		synctest.Wait()
+		watch := n.watches["config"]
+		watch.Store, watch.ReadsStore = c.store, func() bool { return n == c.leader }
+		if n == c.leader {
+			watch.PollTimeout = n.leaderPollTimeout
+		}
+		group.Go("config", watch.Run)
+		group.Go("updates", func(ctx context.Context) error { return c.applyUpdates(ctx, n) })
+		group.Go("events", n.events.Run)
+	}
+	group.Go("heartbeats", c.sendHeartbeats)
+	return c
+}
+
+// applyUpdates applies the updates of an instance. The leader announces what it has read, without the records.
+func (c *newsCluster) applyUpdates(ctx context.Context, n *Node) error {
+	for {
+		select {
+		case u := <-n.updates:
+			n.topics["config"].apply(u)
+			n.watches["config"].MarkApplied(u)
+			if u.Err == nil && u.End == c.store.from(0).End {
+				c.mu.Lock()
+				if _, known := c.knownAt[n]; !known {
+					c.knownAt[n] = time.Now()
+				}
+				c.mu.Unlock()
+			}
+			if _, stands := c.fault(n); stands <= 0 && !c.lossy && u.Err == nil && u.StartedAt != 0 && len(u.Records) > 0 && (n == c.leader || u.Overdue) {
+				c.announce(n, u.End)
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// announce tells all instances the end of the topic.
+func (c *newsCluster) announce(sender *Node, end int64) {
+	for _, n := range c.nodes {
+		if _, stands := c.fault(n); n == sender || stands > 0 {
+			continue
+		}
+		select {
+		case n.peerUpdates["config"] <- follow.PeerUpdate{From: end, Staleness: -1, Batch: follow.Batch{End: end}}:
+		default:
+		}
+	}
+}
+
+// sendHeartbeats gives each instance the heartbeats of all others, those of the leader more often.
+func (c *newsCluster) sendHeartbeats(ctx context.Context) error {
+	nextAt := map[*Node]time.Time{}
+	for worker.Sleep(ctx, 50*time.Millisecond) {
+		now := time.Now()
+		for _, sender := range c.nodes {
+			if _, stands := c.fault(sender); stands > 0 || now.Before(nextAt[sender]) {
+				continue
+			}
+			nextAt[sender] = now.Add(sender.roster.HeartbeatInterval())
+			if sender == c.leader {
+				nextAt[sender] = now.Add(sender.roster.LeaderHeartbeatInterval())
+			}
+			end, asOf := sender.watches["config"].Known()
+			h := roster.Heartbeat{
+				Name: sender.settings.Name, Incarnation: sender.incarnation, ConfigEnd: end,
+				StoreOK: sender == c.leader, StoreAnswered: sender == c.leader, Leads: sender == c.leader,
+			}
+			for _, n := range c.nodes {
+				if _, stands := c.fault(n); stands > 0 || n == sender {
+					continue
+				}
+				n.roster.RecordHeartbeat(h, now)
+				known, _ := n.watches["config"].Known()
+				n.checkLag("config", h.Name, end, known, now)
+				n.watches["config"].ConfirmCurrent(end, asOf)
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// inDomain returns the instance of a failure domain at an index in its tree.
+func (c *newsCluster) inDomain(domain, index int) *Node { return c.nodes[domain+6*index] }
+
+// Guards against waits for other instances that outlast the promise that a configuration is in force at every instance
+// within two seconds.
+func TestNewsIsInForceInTime(t *testing.T) {
+	const bound = 2 * time.Second
+	tests := map[string]struct {
+		leader int
+		// faults holds the faults that begin shortly before the change, later those that begin after the leader has read it.
+		faults func(c *newsCluster) map[*Node]peerFault
+		later  func(c *newsCluster) map[*Node]peerFault
+		lossy  bool
+	}{
+		"no fault":             {},
+		"announcement lost":    {lossy: true},
+		"leader has a parent":  {leader: 6},
+		"leader frozen":        {faults: func(c *newsCluster) map[*Node]peerFault { return map[*Node]peerFault{c.leader: frozen} }},
+		"leader cut off":       {faults: func(c *newsCluster) map[*Node]peerFault { return map[*Node]peerFault{c.leader: silent} }},
+		"leader frozen, later": {later: func(c *newsCluster) map[*Node]peerFault { return map[*Node]peerFault{c.leader: frozen} }},
+		"leader thaws":         {later: func(c *newsCluster) map[*Node]peerFault { return map[*Node]peerFault{c.leader: thawing} }},
+		"leader and its domain frozen, later": {later: func(c *newsCluster) map[*Node]peerFault {
+			return map[*Node]peerFault{c.leader: frozen, c.inDomain(0, 1): frozen}
+		}},
+		"parent frozen":           {faults: func(c *newsCluster) map[*Node]peerFault { return map[*Node]peerFault{c.inDomain(1, 0): frozen} }},
+		"parent cut off":          {faults: func(c *newsCluster) map[*Node]peerFault { return map[*Node]peerFault{c.inDomain(1, 0): silent} }},
+		"parent cut after header": {faults: func(c *newsCluster) map[*Node]peerFault { return map[*Node]peerFault{c.inDomain(1, 0): cutAfterHeader} }},
+		"parent slow":             {faults: func(c *newsCluster) map[*Node]peerFault { return map[*Node]peerFault{c.inDomain(1, 0): slow} }},
+		"parents frozen": {faults: func(c *newsCluster) map[*Node]peerFault {
+			return map[*Node]peerFault{c.inDomain(1, 0): frozen, c.inDomain(2, 0): frozen, c.inDomain(0, 1): frozen}
+		}},
+		"leader and parent frozen, later": {later: func(c *newsCluster) map[*Node]peerFault {
+			return map[*Node]peerFault{c.leader: frozen, c.inDomain(1, 0): frozen}
+		}},
+		"leader and parent frozen": {faults: func(c *newsCluster) map[*Node]peerFault {
+			return map[*Node]peerFault{c.leader: frozen, c.inDomain(1, 0): frozen}
+		}},
+	}
+	for name, test := range tests {
+		for _, instances := range []int{12, 70} {
+			t.Run(fmt.Sprintf("%s, %d instances", name, instances), func(t *testing.T) {
+				for phase := time.Duration(0); phase < 900*time.Millisecond; phase += 300 * time.Millisecond {
+					synctest.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						ctx, cancel := context.WithCancel(t.Context())
+						group := worker.New(ctx, 8*instances)
+						c := newNewsCluster(instances, test.leader, group)
+						c.lossy = test.lossy
+						time.Sleep(3*time.Second + phase)
+						begin := func(faults func(c *newsCluster) map[*Node]peerFault) {
+							if faults != nil {
+								for n, f := range faults(c) {
+									c.setFault(n, f)
+								}
+							}
+						}
+						begin(test.faults)
+						clear(c.knownAt)
+						c.store.put("2")
+						changedAt := time.Now()
+						time.Sleep(pollAnswerTime + 2*time.Millisecond)
+						begin(test.later)
+						time.Sleep(8 * time.Second)
+						cancel()
+						_ = group.Wait(0)
+						latest := time.Duration(0)
+						for _, n := range c.nodes {
+							if c.faults[n] == frozen || c.faults[n] == silent {
+								continue
+							}
+							at, known := c.knownAt[n]
+							is.True(known)
+							latest = max(latest, at.Sub(changedAt))
+						}
+						if latest > bound {
+							t.Errorf("phase %v: in force everywhere after %v", phase, latest)
+						}
+					})
+				}
+			})
+		}
+	}
+}
