--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -193,12 +193,14 @@
 	requiredAsOf atomic.Int64
 	requiredEnd  atomic.Int64
 
-	// The next five fields are used by the goroutine of Run only. nextOffset is the offset after the last known
+	// The fields up to startFailures are used by the goroutine of Run only. nextOffset is the offset after the last known
 	// record, peerEnd the end of the topic known to another instance. Until pauseUntil this instance reads only
 	// when asked to.
 	nextOffset int64
 	peerEnd    int64
 	pauseUntil time.Time
+	// expiredEnd is the offset after the last record that the store is known to have dropped: an earlier snapshot lacks it.
+	expiredEnd int64
 	// needsSnapshot means that the next read is of a snapshot, lastReason is the reason of the last read. loaded means
 	// that the topic is known, startFailures is the number of reads that failed before.
 	needsSnapshot bool
@@ -306,7 +308,7 @@
 			return ctx.Err()
 		case !done:
 		case errors.Is(u.Err, ErrExpired):
-			w.needsSnapshot, reason = true, ReasonExpired
+			w.needsSnapshot, w.expiredEnd, reason = true, u.From+1, ReasonExpired
 			continue
 		default:
 			w.finishRead(ctx, u)
@@ -470,7 +472,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.lastReason = reason
-	if w.Peers != nil && reason != ReasonReader && w.fetchFromPeers(ctx) {
+	if w.Peers != nil && !w.ReadsStore() && w.fetchFromPeers(ctx) {
 		return Update{}, false
 	}
 	u := Update{Topic: w.Topic, Reason: reason, StartedAt: w.Clock.Now(), From: w.nextOffset, Snapshot: w.needsSnapshot, Overdue: w.isOverdue()}
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -16,7 +16,7 @@
 // fetchFromPeers asks other instances for what this one lacks. It reports whether that made a read of the store
 // needless. Meanwhile it applies updates of other instances.
 func (w *Watch) fetchFromPeers(ctx context.Context) bool {
-	r := PeerRequest{Topic: w.Topic, From: w.nextOffset, MinEnd: max(w.peerEnd, w.requiredEnd.Load())}
+	r := PeerRequest{Topic: w.Topic, From: w.nextOffset, MinEnd: max(w.peerEnd, w.requiredEnd.Load(), w.expiredEnd)}
 	neededAsOf := clock.Instant(0)
 	switch {
 	case w.needsSnapshot:
