Ask the next seed beside one that is silent

An instance that started beside a frozen seed was not ready for 0.75 s longer for each one, and 2.98 s after its start with all three frozen: it asked one after the other and waited 0.7 s for each. Now the next one is asked after 0.35 s while the first may still answer, and the store after 2 s, so that the configuration is known three seconds after the start.

--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -18,12 +18,14 @@
 )
 
 const (
-	// joinTimeout is how long a starting instance asks seeds before it reads the store. A seed asks the others only for
-	// seedCallTimeout.
-	joinTimeout       = 2500 * time.Millisecond
+	// joinTimeout is how long a starting instance asks seeds before it reads the store: it must know the configuration
+	// three seconds after its start. A seed asks the others only for seedCallTimeout.
+	joinTimeout       = 2 * time.Second
 	joinCallTimeout   = 700 * time.Millisecond
 	seedCallTimeout   = 150 * time.Millisecond
 	joinRetryInterval = 40 * time.Millisecond
+	// seedSilence is how long a seed may take to answer before the next one is asked as well.
+	seedSilence = 350 * time.Millisecond
 	// registerBatchInterval is the time between two appends of the registrations of starting instances, maxRegisterBatch
 	// the maximum number in one.
 	registerBatchInterval = 200 * time.Millisecond
@@ -39,7 +41,7 @@
 	return ctx.Err()
 }
 
-// findParents asks the seeds in turn until one answers. The reply names no parents if none does in time, or if this
+// findParents asks the seeds until one answers. The reply names no parents if none does in time, or if this
 // instance is to read the store.
 func (n *Node) findParents(ctx context.Context) join.Reply {
 	seeds := slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(s string) bool { return s == n.settings.ControlAddress })
@@ -50,9 +52,15 @@
 	if len(seeds) < len(n.settings.Seeds) {
 		return n.findLoadedSeed(ctx, seeds)
 	}
-	deadline := time.Now().Add(joinTimeout)
-	for i := n.incarnation; time.Now().Before(deadline) && ctx.Err() == nil; i++ {
-		if reply, answered := n.askSeed(ctx, seeds[i%uint64(len(seeds))], true, joinCallTimeout); answered {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	first := n.incarnation % uint64(len(seeds))
+	seeds = slices.Concat(seeds[first:], seeds[:first])
+	for ctx.Err() == nil {
+		reply, err := firstAnswer(ctx, seeds, seedSilence, func(ctx context.Context, seed string, _ func()) (join.Reply, error) {
+			return n.askSeed(ctx, seed, true, joinCallTimeout)
+		})
+		if err == nil {
 			return reply
 		}
 		worker.Sleep(ctx, joinRetryInterval)
@@ -82,7 +90,10 @@
 	replies := make(chan join.Reply, len(seeds))
 	for _, seed := range seeds {
 		go func() {
-			reply, _ := n.askSeed(ctx, seed, false, seedCallTimeout)
+			reply, err := n.askSeed(ctx, seed, false, seedCallTimeout)
+			if err != nil {
+				reply = join.Reply{}
+			}
 			replies <- reply
 		}()
 	}
@@ -94,15 +105,15 @@
 	return join.Reply{}
 }
 
-// askSeed sends a join.Request to a seed and logs the result. It reports whether the seed has answered.
-func (n *Node) askSeed(ctx context.Context, seed string, register bool, timeout time.Duration) (join.Reply, bool) {
+// askSeed sends a join.Request to a seed and logs the result.
+func (n *Node) askSeed(ctx context.Context, seed string, register bool, timeout time.Duration) (join.Reply, error) {
 	reply, err := n.callSeed(ctx, seed, register, timeout)
 	if err != nil {
 		n.events.Record(event.StateChange, "seed-unreachable", "seed", seed, "error", err)
-		return join.Reply{}, false
+		return join.Reply{}, err
 	}
 	n.events.Record(event.StateChange, "joined", "seed", seed, "parents", strings.Join(reply.Parents, ","), "registers", reply.Registers, "loaded", reply.Loaded)
-	return reply, true
+	return reply, nil
 }
 
 // callSeed sends a join.Request to a seed.
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -143,7 +143,11 @@
 		return nil, ctx.Err()
 	}
 	w := httptest.NewRecorder()
-	n.handleTopic(w, r)
+	if r.URL.Path == pathJoin {
+		n.handleJoin(w, r)
+	} else {
+		n.handleTopic(w, r)
+	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
@@ -183,6 +187,7 @@
 		close(n.joined)
 		n.peerClient = &http.Client{Transport: c}
 		n.lag = map[string]*lagDetector{"config": {}}
+		n.topics["servers"].apply(follow.Update{Snapshot: true, Batch: follow.Batch{End: 1}})
 		entry, _ := n.entry(false).Encode()
 		register = append(register, follow.Record{Key: lease.InstanceKey(n.settings.Name), Value: entry, Offset: int64(i)})
 		c.nodes = append(c.nodes, n)
@@ -355,3 +360,57 @@
 		}
 	}
 }
+
+// Guards against an instance that starts late because the instances that it asks stand still.
+func TestStartWithFrozenPeers(t *testing.T) {
+	const bound = 3 * time.Second
+	tests := map[string]struct {
+		frozen []int
+		within time.Duration
+	}{
+		"no fault":                    {nil, 100 * time.Millisecond},
+		"a seed frozen":               {[]int{0}, seedSilence + 100*time.Millisecond},
+		"two seeds frozen":            {[]int{0, 1}, 2*seedSilence + 100*time.Millisecond},
+		"all seeds frozen":            {[]int{0, 1, 2}, bound},
+		"first named instance frozen": {[]int{11}, startSilence + 100*time.Millisecond},
+		"named instances frozen":      {[]int{5, 11}, 2*startSilence + 100*time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				group := worker.New(ctx, 256)
+				c := newNewsCluster(12, 0, group)
+				time.Sleep(3 * time.Second)
+				for _, i := range test.frozen {
+					c.setFault(c.nodes[i], frozen)
+				}
+				starter := c.addStarter(17, group)
+				begun := time.Now()
+				for _, known := starter.topics["config"].known(); !known && time.Since(begun) < 20*time.Second; _, known = starter.topics["config"].known() {
+					time.Sleep(5 * time.Millisecond)
+				}
+				took := time.Since(begun)
+				cancel()
+				_ = group.Wait(0)
+				t.Logf("known after %v", took)
+				is.True(took <= test.within)
+			})
+		})
+	}
+}
+
+// addStarter starts another instance, whose seeds are the first three.
+func (c *newsCluster) addStarter(i int, group *worker.Group) *Node {
+	sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}}, nodes: c.address}
+	n := sc.newStarter(i, 3)
+	n.peerClient, n.incarnation = &http.Client{Transport: c}, 3 // asks the seeds in order
+	n.settings.FirstStart = true
+	n.watches["config"].Store = c.store
+	group.Go("join", n.joinLoop)
+	group.Go("config", n.watches["config"].Run)
+	group.Go("events", n.events.Run)
+	group.Go("updates", func(ctx context.Context) error { return c.applyUpdates(ctx, n) })
+	return n
+}
