Apply the updates of each topic by a worker of its own

A configuration waited in one queue behind the directory, whose entries take 0.1 s of a core to decode at 10,000 servers, and behind the owners, which wait for the lease manager, which waits up to 1.5 s for an append. It also waited for the lock that is held while entries are decoded.

Entries are decoded before the lock is taken, and the time of a leaving server counts from before that.

TestConfigurationDoesNotWaitForOtherTopics: with one worker for all topics (trial) the configuration was in force after 64 s behind 32 updates of the directory that take 2 s each, and not within 90 s behind the owners, which nobody took; it passes now.

--- a/internal/node/broadcast_test.go
+++ b/internal/node/broadcast_test.go
@@ -89,12 +89,14 @@
 			n.roster.Put(fmt.Sprintf("i%d", i), roster.Entry{Address: n.port.Address(), Domain: "d0", Incarnation: 1}, time.Now())
 		}
 		group := worker.New(t.Context(), 4)
-		group.Go("updates", n.updateLoop)
+		for topic := range n.updates {
+			group.Go("updates", n.updateLoop(topic))
+		}
 		directory := serverEntries(900)
 		is.True(len(splitUpdate(directory)) > 8)
 		begun := time.Now()
-		n.updates <- directory
-		n.updates <- follow.Update{
+		n.updates["servers"] <- directory
+		n.updates["config"] <- follow.Update{
 			Topic: "config", StartedAt: 1, Overdue: true,
 			Batch: follow.Batch{End: 1, Records: []follow.Record{{Key: "config", Value: []byte("1")}}},
 		}
@@ -106,3 +108,45 @@
 		is.NoErr(group.Wait(0))
 	})
 }
+
+// Guards against a configuration that comes into force late because an update of another topic is being applied.
+func TestConfigurationDoesNotWaitForOtherTopics(t *testing.T) {
+	tests := map[string]struct{ topic string }{"directory": {"servers"}, "owners": {"owners"}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n, err := New(config.Serve{Name: "i0", Domain: "d0", IP: "127.0.0.1", PeerPorts: []int{0}, LinkMbps: 20}, Platform{
+					ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners",
+					DecodeServer: func(id string, data []byte, readAt time.Time) (rules.Server, error) {
+						time.Sleep(20 * time.Millisecond)
+						return decodeServer(id, data, readAt)
+					},
+					DecodeConfig:     func([]byte) (*rules.Config, error) { return &rules.Config{Version: 1}, nil },
+					DecodeEvacuation: func(string) (string, bool) { return "", false },
+				}, event.New(io.Discard, log.InfoLevel))
+				is.NoErr(err)
+				group := worker.New(t.Context(), 4)
+				for topic := range n.updates {
+					group.Go("updates", n.updateLoop(topic))
+				}
+				begun := time.Now()
+				u := serverEntries(100) // two seconds to decode; nobody takes the updates of the owners
+				u.Topic = test.topic
+				for range 2 * maxQueuedUpdates {
+					select {
+					case n.updates[test.topic] <- u:
+					case <-time.After(time.Millisecond):
+					}
+				}
+				n.updates["config"] <- follow.Update{Topic: "config", Batch: follow.Batch{End: 1, Records: []follow.Record{{Key: "config", Value: []byte("1")}}}}
+				for n.cluster.config.Load() == nil {
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(time.Since(begun) < 2*time.Second)
+				group.Stop()
+				is.NoErr(group.Wait(0))
+			})
+		})
+	}
+}
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -122,6 +122,9 @@
 // applyServers applies an update of the directory, whose oldest record can have been written as long ago as age. It
 // reports whether the directory was updated, false after a failed read.
 func (c *clusterState) applyServers(u follow.Update, age time.Duration, decode decodeEntry) bool {
+	startedAt := time.Now()
+	// Decoding takes long where there are thousands of servers, and a configuration must not wait for the lock.
+	entries := decodeEntries(u, startedAt, decode)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -137,8 +140,8 @@
 		c.missingUntil = now.Add(entryReturnTime)
 		c.events.Record(event.StateChange, "directory-regained", "offset", u.End)
 	}
-	leaveBy := now.Add(c.drainTime - age)
-	c.directory.apply(u, now, leaveBy, decode)
+	leaveBy := startedAt.Add(c.drainTime - age)
+	c.directory.apply(u, entries, now, leaveBy)
 	if !now.Before(c.missingUntil) {
 		c.directory.removeMissing()
 	}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -39,19 +39,36 @@
 // decodeEntry decodes the entry of a server, given its name.
 type decodeEntry func(name string, data []byte, readAt time.Time) (rules.Server, error)
 
-// apply applies an update of the directory. Servers that this update says are draining may get requests until
-// leaveBy.
-func (d *directory) apply(u follow.Update, now, leaveBy time.Time, decode decodeEntry) {
+// decodedEntry is an entry of the directory: a server, or why the entry describes none.
+type decodedEntry struct {
+	server rules.Server
+	err    error
+}
+
+// decodeEntries decodes the entries in an update, by the index of their records.
+func decodeEntries(u follow.Update, now time.Time, decode decodeEntry) []decodedEntry {
+	entries := make([]decodedEntry, len(u.Records))
+	for i, r := range u.Records {
+		if len(r.Value) > 0 {
+			entries[i].server, entries[i].err = decode(r.Key, r.Value, now)
+		}
+	}
+	return entries
+}
+
+// apply applies an update of the directory, whose entries were decoded. Servers that this update says are draining may
+// get requests until leaveBy.
+func (d *directory) apply(u follow.Update, entries []decodedEntry, now, leaveBy time.Time) {
 	grouped := len(u.Records) >= minGroupedEntries
 	var joined []rules.Server
 	listed := make(map[string]bool, len(u.Records))
-	for _, r := range u.Records {
+	for i, r := range u.Records {
 		if len(r.Value) == 0 {
 			d.missing[r.Key] = struct{}{}
 			continue
 		}
 		listed[r.Key] = true
-		s, err := decode(r.Key, r.Value, now)
+		s, err := entries[i].server, entries[i].err
 		if err != nil {
 			// Another writer stored this entry. It describes no usable server, and does not mean that the server of that
 			// name is gone: the last valid entry holds until the server writes another one or its entry is removed.
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -58,7 +58,7 @@
 				for i := 0; i+1 < len(update); i += 2 {
 					u.Records = append(u.Records, follow.Record{Key: update[i], Value: []byte(update[i+1])})
 				}
-				d.apply(u, time.Now(), time.Now(), decodeIncarnation)
+				d.apply(u, decodeEntries(u, time.Now(), decodeIncarnation), time.Now(), time.Now())
 				d.removeMissing()
 			}
 			var got []string
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -12,28 +12,36 @@
 	"example.org/mustardring/internal/lease"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
+	"example.org/mustardring/internal/worker"
 )
 
 // checkInterval is the time between two checks for changes that no update announces: servers whose entries stay
 // missing, the reachability of the store, and evacuated failure domains that become empty.
 const checkInterval = 100 * time.Millisecond
 
-// updateLoop applies the updates of all watches until the context ends.
-func (n *Node) updateLoop(ctx context.Context) error {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case u := <-n.updates:
-			n.applyUpdate(ctx, u)
-		case <-ticker.C:
-			if n.cluster.removeMissing() {
-				n.serversChanged()
+// checkLoop checks for changes that no update announces until the context ends.
+func (n *Node) checkLoop(ctx context.Context) error {
+	for worker.Sleep(ctx, checkInterval) {
+		if n.cluster.removeMissing() {
+			n.serversChanged()
+		}
+		n.logReach()
+		n.logEmptied()
+	}
+	return ctx.Err()
+}
+
+// updateLoop returns the worker that applies the updates of a topic. Each topic has its own: the directory may take long
+// to decode and the owners wait for the lease manager, and a configuration must wait for neither.
+func (n *Node) updateLoop(topic string) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			select {
+			case u := <-n.updates[topic]:
+				n.applyUpdate(ctx, u)
+			case <-ctx.Done():
+				return ctx.Err()
 			}
-			n.logReach()
-			n.logEmptied()
-		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
 }
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -214,7 +214,7 @@
 func (c *newsCluster) applyUpdates(ctx context.Context, n *Node) error {
 	for {
 		select {
-		case u := <-n.updates:
+		case u := <-n.updates["config"]:
 			n.topics["config"].apply(u)
 			n.watches["config"].MarkApplied(u)
 			if u.Err == nil && u.End == c.store.from(0).End {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,9 @@
 	DecodeServer func(id string, data []byte, readAt time.Time) (rules.Server, error)
 }
 
+// maxQueuedUpdates is the number of updates of a topic that may be queued until they are applied.
+const maxQueuedUpdates = 16
+
 // maxQueuedPeerUpdates is the number of updates of peers that may be queued per topic. What does not fit is dropped
 // and read from the store later.
 const maxQueuedPeerUpdates = 32
@@ -81,9 +84,9 @@
 	storeTimes *edge.LatencyHistograms
 	// incarnation is drawn at random at each start of the process.
 	incarnation uint64
-	// updates takes the updates of all watches. readRequests, by topic, asks a watch for a read at once;
+	// updates takes, by topic, the updates of the watches. readRequests, by topic, asks a watch for a read at once;
 	// peerUpdates, by topic, passes it what peers have read.
-	updates      chan follow.Update
+	updates      map[string]chan follow.Update
 	readRequests map[string]chan struct{}
 	peerUpdates  map[string]chan follow.PeerUpdate
 	// broadcasts takes, by topic, the updates of the configuration and the directory that are to be broadcast.
@@ -122,7 +125,7 @@
 	placeMu      sync.Mutex
 	currentPlace join.Place
 	placedAt     time.Time
-	// loggedReach is what was logged last. Only updateLoop uses it.
+	// loggedReach is what was logged last. Only checkLoop uses it.
 	loggedReach storeReach
 }
 
@@ -143,7 +146,7 @@
 		roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), suspects: edge.NewCrashTracker(), incarnation: rand.Uint64() | 1,
 		unreachableLoggedAt: map[string]time.Time{}, storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(),
-		updates: make(chan follow.Update, 64), readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, broadcasts: map[string]chan follow.Update{},
+		updates: map[string]chan follow.Update{}, readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, broadcasts: map[string]chan follow.Update{},
 		lag: map[string]*lagDetector{}, completedMoves: make(chan dgram.MovedRange, maxCompletedMoves), heartbeatLeaderNow: make(chan struct{}, 1), heartbeatAllNow: make(chan struct{}, 1), stopping: make(chan struct{}),
 		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: newPeerClient(), joined: make(chan struct{}),
 	}
@@ -151,6 +154,7 @@
 	n.cluster = newClusterState(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))-drainReserve,
 		evacuationTime(settings.Bounds))
 	for _, topic := range []string{platform.ConfigTopic, platform.ServersTopic, platform.OwnersTopic} {
+		n.updates[topic] = make(chan follow.Update, maxQueuedUpdates)
 		n.readRequests[topic] = make(chan struct{}, 1)
 		n.lag[topic] = &lagDetector{}
 		n.peerUpdates[topic] = make(chan follow.PeerUpdate, maxQueuedPeerUpdates)
@@ -284,7 +288,10 @@
 	if n.settings.ControlAddress != "" {
 		group.Go("seed", n.servePeers(n.settings.ControlAddress))
 	}
-	group.Go("updates", n.updateLoop)
+	group.Go("checks", n.checkLoop)
+	for topic := range n.updates {
+		group.Go("apply-"+topic, n.updateLoop(topic))
+	}
 	for topic := range n.broadcasts {
 		group.Go("tell-"+topic, n.broadcastLoop(topic))
 	}
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -74,12 +74,18 @@
 
 func (testClock) Now() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
 
+// sharedUpdates returns one channel for the updates of all topics.
+func sharedUpdates() map[string]chan follow.Update {
+	updates := make(chan follow.Update, 64)
+	return map[string]chan follow.Update{"config": updates, "servers": updates, "owners": updates}
+}
+
 // newFollower returns an instance among others that watches the topics of a store. It does not lead.
 func newFollower(s follow.Store, others int) *Node {
 	n := &Node{
 		settings: config.Serve{Name: "i0", Domain: "a", IP: "127.0.0.1", PeerPorts: []int{1000}, Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
 		platform: Platform{Store: s, ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"},
-		roster:   roster.New("i0", "a"), updates: make(chan follow.Update, 64),
+		roster:   roster.New("i0", "a"), updates: sharedUpdates(),
 		readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, joined: make(chan struct{}),
 	}
 	close(n.joined)
@@ -132,14 +138,14 @@
 						is.True(<-ended != nil)
 						is.True(<-ended != nil)
 					}()
-					watch.MarkApplied(<-n.updates)
+					watch.MarkApplied(<-n.updates["config"])
 					time.Sleep(5 * time.Second)
 					s.setHanging(true)
 					time.Sleep(outage)
 					s.setHanging(false)
 					s.put("config", "2")
 					changedAt := time.Now()
-					for u := range n.updates {
+					for u := range n.updates["config"] {
 						watch.MarkApplied(u)
 						if u.End == 2 {
 							break
@@ -192,14 +198,14 @@
 				}
 			}()
 			for range n.watches {
-				<-n.updates
+				<-n.updates["config"]
 			}
 			s.setHanging(true)
 			backAt := time.Now().Add(outage)
 			time.AfterFunc(outage, func() { s.setHanging(false) })
 			var answeredAt time.Time
 			for regained := map[string]bool{}; len(regained) < len(n.watches); {
-				u := <-n.updates
+				u := <-n.updates["config"]
 				if u.Err != nil || time.Now().Before(backAt) {
 					continue
 				}
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -151,7 +151,7 @@
 	n := &Node{
 		settings: config.Serve{Name: name, Domain: domain, IP: fmt.Sprintf("10.0.%d.%d", i/250, i%250), PeerPorts: []int{1000}, CPUShare: 1, LinkMbps: 100, FirstStart: true, Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
 		platform: Platform{Store: sc.store, ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"},
-		roster:   roster.New(name, domain), updates: make(chan follow.Update, 64), events: event.New(io.Discard, log.FatalLevel),
+		roster:   roster.New(name, domain), updates: sharedUpdates(), events: event.New(io.Discard, log.FatalLevel),
 		readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, joined: make(chan struct{}), stopping: make(chan struct{}),
 		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: &http.Client{Transport: sc},
 		storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(), incarnation: uint64(i + 1),
@@ -187,7 +187,7 @@
 func (n *Node) applyUpdates(ctx context.Context) error {
 	for {
 		select {
-		case u := <-n.updates:
+		case u := <-n.updates["config"]:
 			if topic := n.topics[u.Topic]; topic != nil {
 				topic.apply(u)
 				n.watches[u.Topic].MarkApplied(u)
--- a/internal/node/watches.go
+++ b/internal/node/watches.go
@@ -40,7 +40,7 @@
 		n.platform.OwnersTopic:  {ReadsStore: n.readsOwners, ReadInterval: n.ownersReadInterval, BatchDelay: configDelay, MaxStaleness: n.maxOwnersStaleness, Staleness: n.leases.Age},
 	}
 	for topic, w := range watches {
-		w.Store, w.Topic, w.Clock, w.Out = n.platform.Store, topic, clock.Boot{}, n.updates
+		w.Store, w.Topic, w.Clock, w.Out = n.platform.Store, topic, clock.Boot{}, n.updates[topic]
 		w.ReadNow, w.PeerUpdates, w.RetryDelay = n.readRequests[topic], n.peerUpdates[topic], n.retryDelay
 		w.Peers, w.StoreDeadline = n, n.storeDeadline
 	}
