Log the limits that servers state

The adapter decodes Server-Limit, the controller of a server gets it with each completion, and each change is a line. Nothing acts by it yet.

A limit ends with a response without one to a request that was sent after the limit had been seen, or with the server's incarnation.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -103,6 +103,7 @@
 	Took  time.Duration
 	Bytes int
 	Load  Load
+	Limit StatedRate
 }
 
 // Decision is the answer to a Request: Admitted, Queued or Rejected.
--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -352,6 +352,15 @@
 	return append(c.Tick(now), c.dispatch(now, s)...)
 }
 
+// AdmittedAt returns when a request was admitted, and false if it is not admitted any more.
+func (c *Controller) AdmittedAt(id ID) (time.Time, bool) {
+	s := c.admitted[id]
+	if s == nil {
+		return time.Time{}, false
+	}
+	return s.admissions[id].admittedAt, true
+}
+
 // learn updates what is known of a server with the outcome of a request, and ejects the server if
 // it fails too often.
 func (c *Controller) learn(now time.Time, s *server, done Completion, a admission, mean time.Duration) {
--- /dev/null
+++ b/internal/admit/limits.go
@@ -0,0 +1,119 @@
+package admit
+
+import (
+	"sync"
+	"time"
+)
+
+// StatedRate is what a response of a server says about the requests per second that it takes from all instances
+// together.
+type StatedRate struct {
+	// Known reports whether there was a response with a valid statement, or with none.
+	Known bool
+	// Rate is in requests per second, zero if the server states no limit.
+	Rate float64
+}
+
+const (
+	// ownStatementTime is how long what this instance has seen in responses goes before what others tell.
+	ownStatementTime = 2 * time.Second
+	// toldTime is how long a limit counts that another instance has told and not repeated.
+	toldTime = 5 * time.Second
+	// maxLimits is the number of servers whose limits are remembered. Beyond it, new ones are ignored.
+	maxLimits = 1 << 14
+)
+
+// Limits holds the limits that servers state, by the ID of their incarnation. Its methods are safe for concurrent use.
+type Limits struct {
+	mu      sync.Mutex
+	servers map[string]limitEntry
+}
+
+// limitEntry is the limit of one server.
+type limitEntry struct {
+	rate float64
+	// seenAt is when a response last stated a limit, zero if this instance has only been told. toldUntil is until when the
+	// limit counts in that case.
+	seenAt    time.Time
+	toldUntil time.Time
+}
+
+// NewLimits returns an empty set of limits.
+func NewLimits() *Limits { return &Limits{servers: map[string]limitEntry{}} }
+
+// Observe takes in the response to a request that was sent to a server at sentAt. It reports whether the limit of the
+// server has changed.
+//
+// Responses arrive in any order. A response without a limit ends one only if its request was sent after the limit had
+// been seen, so that the server made the response later.
+func (l *Limits) Observe(server string, stated StatedRate, sentAt, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, found := l.servers[server]
+	switch {
+	case !stated.Known:
+		return false
+	case stated.Rate > 0:
+		if !found && len(l.servers) >= maxLimits {
+			return false
+		}
+		l.servers[server] = limitEntry{rate: stated.Rate, seenAt: now}
+		return known.rate != stated.Rate
+	case !found || !sentAt.After(known.seenAt):
+		return false
+	}
+	delete(l.servers, server)
+	return true
+}
+
+// Tell takes in the limit of a server that another instance has seen, zero if it has ended. It reports whether the limit
+// has changed.
+func (l *Limits) Tell(server string, rate float64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, found := l.servers[server]
+	switch {
+	case now.Sub(known.seenAt) < ownStatementTime || !found && (rate == 0 || len(l.servers) >= maxLimits):
+		return false
+	case rate == 0:
+		delete(l.servers, server)
+		return true
+	}
+	l.servers[server] = limitEntry{rate: rate, toldUntil: now.Add(toldTime)}
+	return known.rate != rate
+}
+
+// Rate returns the limit of a server in requests per second, zero if there is none.
+func (l *Limits) Rate(server string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.servers[server].rate
+}
+
+// Seen returns the limits that this instance has seen in responses within a time.
+func (l *Limits) Seen(within time.Duration, now time.Time) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]float64{}
+	for server, known := range l.servers {
+		if now.Sub(known.seenAt) < within {
+			out[server] = known.rate
+		}
+	}
+	return out
+}
+
+// Expire drops the limits that others have told and not repeated, and those of servers that do not exist any more. It
+// returns the servers that have lost their limit.
+func (l *Limits) Expire(exists func(server string) bool, now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for server, known := range l.servers {
+		if told := !known.toldUntil.IsZero() && now.After(known.toldUntil); told || !exists(server) {
+			delete(l.servers, server)
+			out = append(out, server)
+		}
+	}
+	return out
+}
--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -69,6 +69,9 @@
 		LoadKnown bool
 		// Slowdown is admit.Load.Slowdown in hundredths.
 		Slowdown int
+		// Limit is the rate that the server stated, valid if LimitKnown is set.
+		Limit      float64
+		LimitKnown bool
 	}
 	// Cancel cancels an AdmissionRequest or gives up the admission that followed. Pool is empty if the
 	// sender no longer knows it.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,6 +42,9 @@
 	Load        admit.Load
 	// LoadErr is set if the server stated a malformed load.
 	LoadErr error
+	// Limit is the request rate that the server states. LimitErr is set if a statement was malformed.
+	Limit    admit.StatedRate
+	LimitErr error
 }
 
 // HeaderCodec decodes and encodes the headers that callers, instances and servers exchange.
@@ -104,9 +107,10 @@
 type Edge struct {
 	Deps
 	returns returnDetector
-	// malformedLoads holds the servers whose malformed load has been logged.
-	malformedLoads malformedLoads
-	inFlight       inFlightCounter
+	// malformedLoads and malformedLimits hold the servers whose malformed load or limit has been logged.
+	malformedLoads  malformedSet
+	malformedLimits malformedSet
+	inFlight        inFlightCounter
 }
 
 // New returns an Edge with the given dependencies.
--- a/internal/edge/malformedload.go
+++ b/internal/edge/malformed.go
@@ -6,24 +6,24 @@
 	"example.org/mustardring/internal/event"
 )
 
-// maxMalformedLoads is the number of servers to remember; beyond it, all are forgotten.
-const maxMalformedLoads = 4096
+// maxMalformed is the number of servers to remember; beyond it, all are forgotten.
+const maxMalformed = 4096
 
-// malformedLoads is the set of servers whose malformed load has been logged. It keeps a server
+// malformedSet is the set of servers of which something malformed has been logged. It keeps a server
 // from being logged with every response.
-type malformedLoads struct {
+type malformedSet struct {
 	mu      sync.Mutex
 	servers map[string]struct{}
 }
 
 // add adds a server and reports whether it was new.
-func (m *malformedLoads) add(server string) bool {
+func (m *malformedSet) add(server string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, known := m.servers[server]; known {
 		return false
 	}
-	if m.servers == nil || len(m.servers) >= maxMalformedLoads {
+	if m.servers == nil || len(m.servers) >= maxMalformed {
 		m.servers = map[string]struct{}{}
 	}
 	m.servers[server] = struct{}{}
@@ -36,3 +36,10 @@
 		e.Events.Record(event.StateChange, "load-malformed", "server", server, "error", err)
 	}
 }
+
+// logMalformedLimit logs, once for each server, that the server stated a malformed limit.
+func (e *Edge) logMalformedLimit(server string, err error) {
+	if e.malformedLimits.add(server) {
+		e.Events.Record(event.StateChange, "limit-malformed", "server", server, "error", err)
+	}
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -193,6 +193,10 @@
 	if info.LoadErr != nil {
 		q.edge.logMalformedLoad(s.ID, info.LoadErr)
 	}
+	completion.Limit = info.Limit
+	if info.LimitErr != nil {
+		q.edge.logMalformedLimit(s.ID, info.LimitErr)
+	}
 	reply, err := readWhole(response)
 	if err == nil && info.ID != q.info.ID && info.ID != "" {
 		err = errMismatchedResponse
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -248,15 +248,26 @@
 
 // handleCompletion passes the completion of another instance's request to the controller.
 func (ad *admissions) handleCompletion(from netip.AddrPort, m dgram.Completion) {
-	ad.mu.Lock()
-	defer ad.mu.Unlock()
-	ad.deliver(ad.controller(m.Pool).Complete(time.Now(), admit.Completion{
+	ad.complete(m.Pool, admit.Completion{
 		ID: admit.ID{From: from.String(), Serial: m.Serial}, Server: m.Server, Route: m.Route,
 		Outcome: m.Outcome, Took: time.Duration(m.DurationUs) * time.Microsecond, Bytes: m.AnswerBytes,
 		Load: admit.Load{
 			Running: m.Running, Waiting: m.Waiting, Known: m.LoadKnown, Slowdown: float64(m.Slowdown) / slowdownScale,
 		},
-	}))
+		Limit: admit.StatedRate{Known: m.LimitKnown, Rate: m.Limit},
+	})
+}
+
+// complete passes a completion to the controller of this instance, and notes the limit that the server has stated.
+func (ad *admissions) complete(pool string, done admit.Completion) {
+	ad.mu.Lock()
+	c, now := ad.controller(pool), time.Now()
+	admittedAt, admitted := c.AdmittedAt(done.ID)
+	ad.deliver(c.Complete(now, done))
+	ad.mu.Unlock()
+	if admitted {
+		ad.node.observeLimit(done, admittedAt, now)
+	}
 }
 
 // handleCancel cancels an admission of another instance, in all pools if the message names none.
@@ -291,19 +302,20 @@
 	defer a.admissions.client.close(a.serial)
 	d.ID, d.Server, d.Route = admit.ID{Serial: a.serial}, a.server, a.route
 	if !a.controller.IsValid() {
-		a.admissions.mu.Lock()
-		defer a.admissions.mu.Unlock()
-		a.admissions.deliver(a.admissions.controller(a.pool).Complete(time.Now(), d))
+		a.admissions.complete(a.pool, d)
 		return
 	}
+	now := time.Now()
+	a.admissions.node.observeLimit(d, now.Add(-d.Took), now)
 	m := dgram.Completion{
 		Serial: a.serial, Pool: a.pool, Server: a.server, Route: a.route, Outcome: d.Outcome,
 		DurationUs: int(d.Took.Microseconds()), AnswerBytes: d.Bytes,
 		Running: d.Load.Running, Waiting: d.Load.Waiting, LoadKnown: d.Load.Known,
 		Slowdown: int(d.Load.Slowdown * slowdownScale),
+		Limit:    d.Limit.Rate, LimitKnown: d.Limit.Known,
 	}
 	a.admissions.node.port.Send(a.controller, m)
-	m.LoadKnown = false
+	m.LoadKnown, m.LimitKnown = false, false
 	time.AfterFunc(completionResendDelay, func() { a.admissions.node.port.Send(a.controller, m) })
 }
 
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
@@ -35,6 +36,8 @@
 	changed     chan struct{}
 	directory   *directory
 	evacuations *evacuations
+	// limits holds the request rates that servers state.
+	limits *admit.Limits
 	// unseen holds the ids of the servers that have changed in snapshot since the last call of takeUnseen.
 	unseen map[string]struct{}
 	// storeDown says that the last read of the directory failed. Until missingUntil, missing entries do not mean that
@@ -62,7 +65,7 @@
 func newClusterState(events *event.Log, drainTime, evacuationTime time.Duration) *clusterState {
 	c := &clusterState{
 		events: events, drainTime: drainTime, evacuationTime: evacuationTime, changed: make(chan struct{}),
-		directory: newDirectory(events), unseen: map[string]struct{}{}, evacuations: newEvacuations(events), completedMoves: map[moveKey]uint64{},
+		directory: newDirectory(events), limits: admit.NewLimits(), unseen: map[string]struct{}{}, evacuations: newEvacuations(events), completedMoves: map[moveKey]uint64{},
 	}
 	c.snapshot.Store(&rules.ServerSet{})
 	return c
@@ -159,6 +162,14 @@
 	c.publishChanged()
 }
 
+// republish updates one server in the snapshot.
+func (c *clusterState) republish(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.directory.changed[server] = struct{}{}
+	c.publishChanged()
+}
+
 // publishChanged updates the snapshot by the servers that have changed in the directory. The lock is held.
 func (c *clusterState) publishChanged() {
 	services := map[string]rules.Service{}
@@ -169,7 +180,9 @@
 	for id := range c.directory.takeChanged() {
 		c.unseen[id] = struct{}{}
 		if s, found := c.directory.servers[id]; found {
-			put[id] = c.evacuations.apply(s, services[s.Service])
+			s = c.evacuations.apply(s, services[s.Service])
+			s.RateLimit = c.limits.Rate(id)
+			put[id] = s
 		} else {
 			removed = append(removed, id)
 		}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -191,4 +191,7 @@
 	// instances together until WarmAt, zero for no limit. It comes from the configuration of the
 	// service.
 	ColdRate float64
+	// RateLimit is the number of requests per second that the server says it takes from all
+	// instances together, zero for no limit.
+	RateLimit float64
 }
