--- a/internal/admit/cluster_test.go
+++ b/internal/admit/cluster_test.go
@@ -90,57 +90,80 @@
 	return controller
 }
 
+// floodCluster sends requests for a server for seven seconds through instances that disagree on which of them is its
+// controller: some are isolated, a domain is cut off, and others are killed. It returns when requests were sent.
+func floodCluster(seed uint64, s rules.Server) []time.Time {
+	const size = 200
+	c := newCluster(seed, size, []rules.Server{s})
+	faults := map[int]func(){
+		1500: func() {
+			for range 35 {
+				c.isolated[c.random.IntN(size)] = true
+			}
+		},
+		2000: func() { c.cutOff = c.domain(c.random.IntN(size)) },
+		2600: func() {
+			for range 40 {
+				c.dead[c.random.IntN(size)] = true
+			}
+		},
+		4000: func() { clear(c.isolated) },
+		5000: func() { c.cutOff = "" },
+	}
+	var sent []time.Time
+	for ms := 0; ms < 7000; ms += 5 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if inject := faults[ms]; inject != nil {
+			inject()
+		}
+		if ms%500 == 0 {
+			c.sendHeartbeats(now)
+		}
+		i := c.random.IntN(size)
+		if c.dead[i] {
+			continue
+		}
+		req := newRequest(uint64(ms), now)
+		req.From, req.Server = c.name(i), s.ID
+		behindCut := c.cutOff != "" && (c.domain(i) == c.cutOff) != (s.Domain == c.cutOff)
+		if behindCut {
+			continue // no request from there reaches the server
+		}
+		if controller := c.request(i, req, now); controller >= 0 {
+			sent = append(sent, now)
+			c.controllers[controller].Complete(now, admit.Completion{ID: req.ID, Server: s.ID, Route: "read", Took: 20 * time.Millisecond})
+		}
+	}
+	return sent
+}
+
 // Guards against too many requests to a cold server when instances disagree on which of them is its
-// controller: within seconds, some are isolated, a domain is cut off, and others are killed.
+// controller.
 func TestColdServerWithManyControllers(t *testing.T) {
-	const size = 200
 	cold := rules.Server{ID: "s", Service: "books", Domain: "d0", Slots: 2, ColdRate: coldRate, WarmAt: start.Add(time.Hour)}
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
-			c := newCluster(seed, size, []rules.Server{cold})
-			faults := map[int]func(){
-				1500: func() {
-					for range 35 {
-						c.isolated[c.random.IntN(size)] = true
-					}
-				},
-				2000: func() { c.cutOff = c.domain(c.random.IntN(size)) },
-				2600: func() {
-					for range 40 {
-						c.dead[c.random.IntN(size)] = true
-					}
-				},
-				4000: func() { clear(c.isolated) },
-				5000: func() { c.cutOff = "" },
-			}
-			var sent []time.Time
-			for ms := 0; ms < 7000; ms += 5 {
-				now := start.Add(time.Duration(ms) * time.Millisecond)
-				if inject := faults[ms]; inject != nil {
-					inject()
-				}
-				if ms%500 == 0 {
-					c.sendHeartbeats(now)
-				}
-				i := c.random.IntN(size)
-				if c.dead[i] {
-					continue
-				}
-				req := newRequest(uint64(ms), now)
-				req.From, req.Server = c.name(i), "s"
-				behindCut := c.cutOff != "" && (c.domain(i) == c.cutOff) != (cold.Domain == c.cutOff)
-				if behindCut {
-					continue // no request from there reaches the server
-				}
-				if controller := c.request(i, req, now); controller >= 0 {
-					sent = append(sent, now)
-					c.controllers[controller].Complete(now, admit.Completion{ID: req.ID, Server: "s", Route: "read", Took: 20 * time.Millisecond})
-				}
-			}
+			sent := floodCluster(seed, cold)
 			t.Logf("%d sent, %d in a second", len(sent), maxInASecond(sent))
 			is.True(float64(maxInASecond(sent)) <= coldRate*coldRateFactor+coldBurst)
 			is.True(len(sent) > 20) // the server still gets requests
 		})
 	}
 }
+
+// Guards against too many requests to a server that has stated a limit when instances disagree on which of them is its
+// controller.
+func TestLimitedServerWithManyControllers(t *testing.T) {
+	for _, rate := range []float64{0.25, 1.7, 7, 40} {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprint(rate, seed), func(t *testing.T) {
+				is := is.New(t)
+				sent := floodCluster(seed, rules.Server{ID: "s", Service: "books", Domain: "d0", Slots: 2, RateLimit: rate})
+				t.Logf("%d sent, %d in %v", len(sent), maxInSpan(sent, limitWindow), limitWindow)
+				is.True(float64(maxInSpan(sent, limitWindow)) <= maxLimited(rate))
+				is.True(float64(len(sent)) > rate)
+			})
+		}
+	}
+}
--- a/internal/admit/cold_test.go
+++ b/internal/admit/cold_test.go
@@ -26,11 +26,11 @@
 	return rules.Server{ID: id, Service: "books", Domain: "north", Slots: 2, ColdRate: coldRate, WarmAt: start.Add(coldTime)}
 }
 
-// maxInASecond returns the largest number of times that lie within a second.
-func maxInASecond(times []time.Time) int {
+// maxInSpan returns the largest number of times that lie within a span.
+func maxInSpan(times []time.Time, span time.Duration) int {
 	maxCount, first := 0, 0
 	for i, at := range times {
-		for at.Sub(times[first]) >= time.Second {
+		for at.Sub(times[first]) >= span {
 			first++
 		}
 		maxCount = max(maxCount, i-first+1)
@@ -38,6 +38,9 @@
 	return maxCount
 }
 
+// maxInASecond returns the largest number of times that lie within a second.
+func maxInASecond(times []time.Time) int { return maxInSpan(times, time.Second) }
+
 // flood asks for admission every 5 ms, for requests that take 20 ms, and returns when requests were
 // sent to each server. controllerAt returns the controller to ask at a given time.
 func flood(lasts time.Duration, keyed bool, controllerAt func(now time.Time) *admit.Controller) map[string][]time.Time {
