Keep to the limits that servers state

Cause: nothing read the header. The controller of a server, which sees all requests to it, knew of slots and of the rate of cold servers only.

Change: the controller admits requests to a limited server an interval apart and counts each attempt that it admits. Unused time adds up to 0.25 s or one request; a first limit starts with nothing to spend. A controller beside the one in charge uses 0.4 of the limit, one that may not be alone none, as with cold servers. Pools choose other servers. What cannot be served in time is rejected at once, also what already waits when the limit is stated, with a Retry-After that spreads the callers of a server. A request that took over 0.3 s from its admission to its connection is not sent.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -59,6 +59,9 @@
 	// the same time, because the controller is cut off or is not the one in charge. Cold servers
 	// get no such requests, as the requests to a cold server must be counted in one place.
 	NonExclusive bool
+	// Standby reports whether another instance is in charge of the servers, and may be admitting
+	// requests to them at the same time for instances that reach it.
+	Standby bool
 }
 
 // Outcome is how an attempt ended.
--- a/internal/admit/choose.go
+++ b/internal/admit/choose.go
@@ -70,10 +70,10 @@
 	return nil
 }
 
-// accepts reports whether the request may be sent to the server at all. A cold server accepts no
-// non-exclusive request, as another controller may be admitting requests to it without counting
-// this one.
-func (s *server) accepts(now time.Time, w *waiter) bool { return !w.NonExclusive || !s.Cold(now) }
+// accepts reports whether the request may be sent to the server at all. A server that bears a
+// bounded rate accepts no non-exclusive request, as another controller may be admitting requests to
+// it without counting this one.
+func (s *server) accepts(now time.Time, w *waiter) bool { return !w.NonExclusive || !s.bounded(now) }
 
 // openIn returns the list of open servers of a domain.
 func (c *Controller) openIn(name string) *openServers {
@@ -96,15 +96,21 @@
 	c.waitingAtServers -= s.countedWaiting
 	s.countedCapacity, s.countedWaiting = 0, 0
 	if c.servers[s.ID] != s {
+		delete(c.awaitingRate, s)
 		return
 	}
 	s.countedCapacity = c.capacityOf(now, s)
 	c.capacity += s.countedCapacity
 	s.countedWaiting = s.waitingForSlot()
 	c.waitingAtServers += s.countedWaiting
-	s.coldNextAt = time.Time{}
-	if sendAt := s.coldSendTime(now, 0); sendAt.After(now) {
-		s.coldNextAt = sendAt
+	s.nextSendAt = time.Time{}
+	if sendAt := s.sendTime(now, 0); sendAt.After(now) {
+		s.nextSendAt = sendAt
+	}
+	if s.nextSendAt.IsZero() {
+		delete(c.awaitingRate, s)
+	} else {
+		c.awaitingRate[s] = struct{}{}
 	}
 	if s.ejected && !s.ejectionActive(now) {
 		s.ejected = false
@@ -126,6 +132,9 @@
 	if s.Cold(now) {
 		capacity = min(capacity, s.ColdRate*c.main().Seconds())
 	}
+	if s.RateLimit > 0 {
+		capacity = min(capacity, s.RateLimit*c.main().Seconds())
+	}
 	return capacity
 }
 
@@ -143,7 +152,7 @@
 
 // nextChange returns when a server may next become open or warm without any message about it.
 func (s *server) nextChange(now time.Time) (at time.Time, changes bool) {
-	for _, t := range []time.Time{s.fullUntil, s.untrackedUntil, s.ejectedUntil, s.coldNextAt, s.WarmAt} {
+	for _, t := range []time.Time{s.fullUntil, s.untrackedUntil, s.ejectedUntil, s.nextSendAt, s.WarmAt} {
 		if t.After(now) && (!changes || t.Before(at)) {
 			at, changes = t, true
 		}
--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -74,6 +74,8 @@
 	slots    int
 	capacity float64
 	ejected  int
+	// awaitingRate holds the servers whose next request may not be sent yet because their rate is bounded.
+	awaitingRate map[*server]struct{}
 	// waitingAtServers is the number of admitted requests that wait for a slot at their server.
 	waitingAtServers int
 	// demands holds the demand by priority.
@@ -104,7 +106,7 @@
 	return &Controller{
 		random: random, servers: map[string]*server{}, routes: map[string]*routeStats{},
 		admitted: map[ID]*server{}, queued: map[ID]*waiter{}, domainQueues: map[string]*queue{},
-		recent: map[string][]recentServer{}, demands: map[int]*demand{}, answered: map[string]*server{},
+		recent: map[string][]recentServer{}, demands: map[int]*demand{}, answered: map[string]*server{}, awaitingRate: map[*server]struct{}{},
 	}
 }
 
@@ -170,13 +172,23 @@
 	known := c.servers[s.ID]
 	if known == nil {
 		known = newServer(s)
+		known.RateLimit = 0
 		c.servers[s.ID] = known
 	} else {
 		c.slots -= known.Slots
 	}
+	rate := s.RateLimit
+	s.RateLimit = known.RateLimit
 	known.Server = s
 	c.slots += known.Slots
+	limited := rate > 0 && rate != known.RateLimit
+	if rate != known.RateLimit {
+		known.setLimit(rate, now)
+	}
 	c.refresh(now, known)
+	if limited {
+		c.undelivered = append(c.undelivered, c.rejectUnfit(now, known)...)
+	}
 }
 
 // removeServer removes a server and rejects the requests that wait for it.
@@ -214,8 +226,8 @@
 	if len(c.servers) == 0 {
 		return c.reject(now, req, NoServer, 0)
 	}
-	if warmIn, cold := c.allCold(now, req); cold {
-		return c.reject(now, req, Overload, warmIn)
+	if wait, bounded := c.allBounded(now, req); bounded {
+		return c.reject(now, req, Overload, wait)
 	}
 	s := c.chooseServer(now, w)
 	if s != nil && s.free(now) && c.precedesQueue(w, s) {
@@ -241,9 +253,9 @@
 	return next == nil || w.precedes(next)
 }
 
-// allCold reports whether a non-exclusive request finds cold servers only, none of which may get
-// it, and the time until the first of them is warm.
-func (c *Controller) allCold(now time.Time, req Request) (warmIn time.Duration, cold bool) {
+// allBounded reports whether a non-exclusive request finds only servers that bear a bounded rate,
+// none of which may get it, and after how long to try again.
+func (c *Controller) allBounded(now time.Time, req Request) (wait time.Duration, bounded bool) {
 	if !req.NonExclusive {
 		return 0, false
 	}
@@ -251,14 +263,15 @@
 		if req.Server != "" && s.ID != req.Server {
 			continue
 		}
-		if !s.Cold(now) {
+		until, counts := s.boundedUntil(now)
+		if !counts {
 			return 0, false
 		}
-		if left := s.WarmAt.Sub(now); !cold || left < warmIn {
-			warmIn, cold = left, true
+		if left := until.Sub(now); !bounded || left < wait {
+			wait, bounded = left, true
 		}
 	}
-	return warmIn, cold
+	return wait, bounded
 }
 
 // reject returns the rejection of a request with a predicted wait. A request that can ask another
@@ -293,6 +306,9 @@
 	if s.Cold(now) {
 		s.recordColdSend(now)
 	}
+	if s.RateLimit > 0 {
+		s.recordLimitedSend(now, w.Standby)
+	}
 	c.admitted[w.ID] = s
 	c.recordUse(w.From, s.ID, now)
 	expiry := admissionExpiry{w.ID, s}
--- a/internal/admit/predict.go
+++ b/internal/admit/predict.go
@@ -22,24 +22,31 @@
 		work, count := s.queue.ahead(w.rank())
 		work += time.Duration(s.waitingForSlot()) * w.expectedTime
 		wait := time.Duration(float64(s.timeToFreeSlot(now)+work/time.Duration(max(s.Slots, 1))) / c.leftoverShare(now, w.Priority))
-		return max(wait, s.coldSendTime(now, count).Sub(now))
+		return max(wait, s.sendTime(now, count).Sub(now))
 	}
 	work := c.workAhead(w.rank()) + time.Duration(c.waitingAtServers)*w.expectedTime
 	wait := time.Duration((float64(c.timeToFreeSlot(now)) + float64(work)/max(c.capacity, 0.1)) / c.leftoverShare(now, w.Priority))
 	return max(wait, w.crossDomainAt.Sub(now))
 }
 
-// timeToFreeSlot returns the time until any server has a free slot.
+// timeToFreeSlot returns the time until any server may get a request.
 func (c *Controller) timeToFreeSlot(now time.Time) time.Duration {
 	for _, o := range c.openByDomain {
 		if len(o.listings) > 0 && o.listings[0].server.free(now) {
 			return 0
 		}
 	}
-	if a, found := c.nextRelease(); found {
-		return a.remaining(now)
+	least, found := time.Duration(0), false
+	if a, running := c.nextRelease(); running {
+		least, found = a.remaining(now), true
 	}
-	return 0
+	for s := range c.awaitingRate {
+		c.inspected++
+		if left := s.nextSendAt.Sub(now); !found || left < least {
+			least, found = left, true
+		}
+	}
+	return max(least, 0)
 }
 
 // nextRelease returns the admission that is expected to end first. It drops the timers of
@@ -89,5 +96,8 @@
 func (c *Controller) retryDelay(now time.Time, req Request, wait time.Duration) time.Duration {
 	maxDelay := time.Duration(maxRetryDelayShare * float64(req.Deadline.Sub(now)))
 	delay := max(min(wait, maxDelay), minRetryDelay)
+	if s := c.servers[req.Server]; s != nil && s.RateLimit > 0 {
+		return s.spreadReturn(now, minRetryDelay, max(maxDelay, minRetryDelay))
+	}
 	return time.Duration(float64(delay) * (1 + retryJitter*(c.random.Float64()-0.5)))
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -130,6 +130,15 @@
 	return nil
 }
 
+// inOrder returns the waiting requests in the order in which they go.
+func (q *queue) inOrder() []*waiter {
+	var out []*waiter
+	for _, rq := range q.ranks {
+		out = append(out, slices.SortedFunc(slices.Values(rq.waiters), func(a, b *waiter) int { return cmp.Compare(a.sequence, b.sequence) })...)
+	}
+	return out
+}
+
 // ahead returns the expected service time of all requests of the same or a better rank, and their
 // number.
 func (q *queue) ahead(r rank) (work time.Duration, count int) {
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -104,11 +104,15 @@
 	untracked      int
 	untrackedUntil time.Time
 	// coldSendTimes holds when requests were sent to the server while it was cold, the earliest
-	// first. coldRunStart is since when they have followed one another without a pause, and
-	// coldNextAt is when the next one may be sent.
+	// first. coldRunStart is since when they have followed one another without a pause.
 	coldSendTimes []time.Time
 	coldRunStart  time.Time
-	coldNextAt    time.Time
+	// limitNextAt is when the allowance of the limit that the server states will have been used up to the last request,
+	// nextReturnAt when the next caller that is rejected because of it is asked to come back.
+	limitNextAt  time.Time
+	nextReturnAt time.Time
+	// nextSendAt is when the next request may be sent if the rate of requests is bounded, zero if at once.
+	nextSendAt time.Time
 	// countedCapacity and countedWaiting are the server's parts of Controller.capacity and
 	// Controller.waitingAtServers.
 	countedCapacity float64
@@ -164,7 +168,7 @@
 
 // open reports whether a request may be sent now, to run or to wait for a slot at the server.
 func (s *server) open(now time.Time) bool {
-	return s.occupancy(now) < s.Slots+maxWaitingAtServer && !now.Before(s.fullUntil) && !now.Before(s.coldNextAt)
+	return s.occupancy(now) < s.Slots+maxWaitingAtServer && !now.Before(s.fullUntil) && !now.Before(s.nextSendAt)
 }
 
 // waitingForSlot returns how many admitted requests wait for a slot at the server.
@@ -200,7 +204,7 @@
 			}
 		}
 	}
-	return max(least, s.fullUntil.Sub(now), s.coldNextAt.Sub(now))
+	return max(least, s.fullUntil.Sub(now), s.nextSendAt.Sub(now))
 }
 
 // learn updates what is known of the server with the outcome of a request.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -62,16 +62,17 @@
 	now := time.Now()
 	s, found := q.edge.Cluster.Server(server)
 	q.dispatchDelay, q.leavesIn = took, s.LeavesIn(now)
-	if !found || s.Closed(q.divided, now) || s.Cold(now) && took > maxColdDispatchDelay {
+	bounded := s.Cold(now) || s.RateLimit > 0
+	if !found || s.Closed(q.divided, now) || bounded && took > maxBoundedDispatchDelay {
 		return errServerClosed
 	}
 	return nil
 }
 
-// maxColdDispatchDelay is how long after its admission a request may be sent to a cold server. The
-// admission controller limits the requests to a cold server in each period of time. A request that
-// waits longer for its connection would arrive among the requests of a later period.
-const maxColdDispatchDelay = 300 * time.Millisecond
+// maxBoundedDispatchDelay is how long after its admission a request may be sent to a server that
+// bears a bounded rate. The admission controller limits the requests to it in each period of time. A
+// request that waits longer for its connection would arrive among the requests of a later period.
+const maxBoundedDispatchDelay = 300 * time.Millisecond
 
 // copyEndToEndHeaders copies all headers but the hop-by-hop ones.
 func copyEndToEndHeaders(to, from http.Header) {
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -238,6 +238,7 @@
 		Deadline: now.Add(time.Duration(m.DeadlineInMs) * time.Millisecond),
 	}
 	r.NonExclusive = ad.isolated
+	r.Standby = !ad.inCharge(r, now)
 	c := ad.controller(m.Pool)
 	idle := c.Idle()
 	ad.deliver([]admit.Decision{c.Decide(now, r)})
@@ -246,6 +247,18 @@
 	}
 }
 
+// inCharge reports whether this instance is the first that others ask for the servers that a request may use. The lock is
+// held.
+func (ad *admissions) inCharge(r admit.Request, now time.Time) bool {
+	name, domain := r.Pool, ad.pools.domains[r.Pool]
+	if r.Server != "" {
+		s, _ := ad.node.cluster.servers().Get(r.Server)
+		name, domain = r.Server, s.Domain
+	}
+	ranked := ad.node.roster.Rank(name, domain, now)
+	return len(ranked) == 0 || ranked[0].Name == ad.node.settings.Name
+}
+
 // handleCompletion passes the completion of another instance's request to the controller.
 func (ad *admissions) handleCompletion(from netip.AddrPort, m dgram.Completion) {
 	ad.complete(m.Pool, admit.Completion{
@@ -399,6 +412,7 @@
 	r.ID = admit.ID{Serial: serial}
 	ad.mu.Lock()
 	r.NonExclusive = r.NonExclusive || ad.isolated
+	r.Standby = !ad.inCharge(r, time.Now())
 	m := decisionMessage(ad.controller(r.Pool).Decide(time.Now(), r))
 	ad.mu.Unlock()
 	if !isFinal(m) {
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -16,6 +16,8 @@
 	services map[string]string
 	// byPool holds the service of each pool that there ever was: its controller may outlive it.
 	byPool map[string]string
+	// domains holds the failure domain of each pool whose servers are all in one.
+	domains map[string]string
 	// outdated holds the services whose servers have changed since their pools were made.
 	outdated map[string]struct{}
 	// pickers holds, by service, what chooses the pools that a request asks.
@@ -23,7 +25,7 @@
 }
 
 func newPools(name, domain string) *pools {
-	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, byPool: map[string]string{}, outdated: map[string]struct{}{}, pickers: map[string]*admit.Picker{}}
+	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, byPool: map[string]string{}, domains: map[string]string{}, outdated: map[string]struct{}{}, pickers: map[string]*admit.Picker{}}
 }
 
 // isDivided reports whether a service is divided by key.
@@ -108,7 +110,7 @@
 	}
 	all := admit.SplitIntoPools(service, membersOf(service, servers, false))
 	for _, pool := range all {
-		p.servers[pool.Name], p.byPool[pool.Name] = pool.Servers, service
+		p.servers[pool.Name], p.byPool[pool.Name], p.domains[pool.Name] = pool.Servers, service, pool.Domain
 	}
 	p.pickers[service] = p.newPicker(all)
 }
