Tell the limits of servers to the other controllers and the leader

A controller that takes over from another one did not know what the server had stated, and sent it as much as its slots take until the first answers were back. The instances that others ask first, second and third for a server now tell each other what they have seen in responses, at once and each 0.4 s, and the leader. Two or three messages for each limited server, whatever the number of instances. What is told ends if it is not repeated; the end of a limit is told as well, and does not yield to a late message of an instance that has not noticed.

TestLimitIsToldToOtherControllers, three instances over loopback: the beginning, another value and the end are known to all within 0.5 s.

--- a/internal/admit/limits.go
+++ b/internal/admit/limits.go
@@ -19,10 +19,18 @@
 	ownStatementTime = 2 * time.Second
 	// toldTime is how long a limit counts that another instance has told and not repeated.
 	toldTime = 5 * time.Second
+	// endedTime is for how long the end of a limit is remembered.
+	endedTime = 10 * time.Second
 	// maxLimits is the number of servers whose limits are remembered. Beyond it, new ones are ignored.
 	maxLimits = 1 << 14
 )
 
+// Valid reports whether the rate is one that an adapter states.
+func (r StatedRate) Valid() bool { return r.Rate >= 0 && r.Rate <= MaxStatedRate }
+
+// MaxStatedRate is the maximum of StatedRate.Rate.
+const MaxStatedRate = 1e6
+
 // Limits holds the limits that servers state, by the ID of their incarnation. Its methods are safe for concurrent use.
 type Limits struct {
 	mu      sync.Mutex
@@ -31,8 +39,9 @@
 
 // limitEntry is the limit of one server.
 type limitEntry struct {
+	// rate is zero if the limit has ended, which is kept for endedTime so that others learn of it.
 	rate float64
-	// seenAt is when a response last stated a limit, zero if this instance has only been told. toldUntil is until when the
+	// seenAt is when a response last stated the limit or ended it, zero if this instance has only been told. toldUntil is until when the
 	// limit counts in that case.
 	seenAt    time.Time
 	toldUntil time.Time
@@ -51,7 +60,7 @@
 	defer l.mu.Unlock()
 	known, found := l.servers[server]
 	switch {
-	case !stated.Known:
+	case !stated.Known || !stated.Valid():
 		return false
 	case stated.Rate > 0:
 		if !found && len(l.servers) >= maxLimits {
@@ -59,10 +68,10 @@
 		}
 		l.servers[server] = limitEntry{rate: stated.Rate, seenAt: now}
 		return known.rate != stated.Rate
-	case !found || !sentAt.After(known.seenAt):
+	case !found || known.rate == 0 || !sentAt.After(known.seenAt):
 		return false
 	}
-	delete(l.servers, server)
+	l.servers[server] = limitEntry{seenAt: now}
 	return true
 }
 
@@ -73,11 +82,11 @@
 	defer l.mu.Unlock()
 	known, found := l.servers[server]
 	switch {
-	case now.Sub(known.seenAt) < ownStatementTime || !found && (rate == 0 || len(l.servers) >= maxLimits):
+	case !(StatedRate{Rate: rate}).Valid(), now.Sub(known.seenAt) < ownStatementTime || !found && (rate == 0 || len(l.servers) >= maxLimits):
 		return false
 	case rate == 0:
 		delete(l.servers, server)
-		return true
+		return known.rate != 0
 	}
 	l.servers[server] = limitEntry{rate: rate, toldUntil: now.Add(toldTime)}
 	return known.rate != rate
@@ -90,7 +99,7 @@
 	return l.servers[server].rate
 }
 
-// Seen returns the limits that this instance has seen in responses within a time.
+// Seen returns the limits that this instance has seen in responses within a time, zero for those that have ended.
 func (l *Limits) Seen(within time.Duration, now time.Time) map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -110,9 +119,13 @@
 	defer l.mu.Unlock()
 	var out []string
 	for server, known := range l.servers {
-		if told := !known.toldUntil.IsZero() && now.After(known.toldUntil); told || !exists(server) {
+		forgotten := !known.toldUntil.IsZero() && now.After(known.toldUntil)
+		ended := known.rate == 0 && now.Sub(known.seenAt) > endedTime
+		if forgotten || ended || !exists(server) {
 			delete(l.servers, server)
-			out = append(out, server)
+			if known.rate != 0 {
+				out = append(out, server)
+			}
 		}
 	}
 	return out
--- a/internal/admit/limits_test.go
+++ b/internal/admit/limits_test.go
@@ -47,6 +47,11 @@
 			l.Observe("s", stated(2), at(0), at(100))
 			l.Expire(func(string) bool { return false }, at(200))
 		}, 0},
+		"told what has ended": {func(l *admit.Limits) {
+			l.Observe("s", stated(2), at(0), at(100))
+			l.Observe("s", stated(0), at(110), at(150))
+			l.Tell("s", 2, at(200))
+		}, 0},
 		"another server": {func(l *admit.Limits) { l.Observe("r", stated(2), at(0), at(100)) }, 0},
 	}
 	for name, test := range tests {
--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -135,6 +135,11 @@
 		roster.Heartbeat
 		Reports []byte
 	}
+	// ServerLimit states the requests per second that a server takes from all instances together, zero for no limit.
+	ServerLimit struct {
+		Server string
+		Rate   float64
+	}
 	// CrashReport announces that a server was lost while it ran the request with a fingerprint, or, if
 	// Cleared is set, that such a request had an answer.
 	CrashReport struct {
@@ -167,6 +172,7 @@
 func (RegisterUpdate) kind() byte    { return 14 }
 func (Relay) kind() byte             { return 15 }
 func (Digest) kind() byte            { return 17 } // 16 is kindDeflated
+func (ServerLimit) kind() byte       { return 18 }
 
 // Received is a message and the address of its sender.
 type Received struct {
@@ -232,6 +238,8 @@
 		return decode[Relay](data[1:])
 	case 17:
 		return decode[Digest](data[1:])
+	case 18:
+		return decode[ServerLimit](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -11,6 +11,7 @@
 	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/edge"
 	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/roster"
 )
 
 const (
@@ -250,15 +251,22 @@
 // inCharge reports whether this instance is the first that others ask for the servers that a request may use. The lock is
 // held.
 func (ad *admissions) inCharge(r admit.Request, now time.Time) bool {
-	name, domain := r.Pool, ad.pools.domains[r.Pool]
+	ranked := ad.node.roster.Rank(r.Pool, ad.pools.domains[r.Pool], now)
 	if r.Server != "" {
-		s, _ := ad.node.cluster.servers().Get(r.Server)
-		name, domain = r.Server, s.Domain
+		ranked = ad.controllersOf(r.Server, now)
 	}
-	ranked := ad.node.roster.Rank(name, domain, now)
 	return len(ranked) == 0 || ranked[0].Name == ad.node.settings.Name
 }
 
+// controllersOf returns the instances that others ask to admit requests to a server, in their order. The lock is held.
+func (ad *admissions) controllersOf(server string, now time.Time) []roster.Peer {
+	if pool, pooled := ad.pools.poolOf[server]; pooled {
+		return ad.node.roster.Rank(pool, ad.pools.domains[pool], now)
+	}
+	s, _ := ad.node.cluster.servers().Get(server)
+	return ad.node.roster.Rank(server, s.Domain, now)
+}
+
 // handleCompletion passes the completion of another instance's request to the controller.
 func (ad *admissions) handleCompletion(from netip.AddrPort, m dgram.Completion) {
 	ad.complete(m.Pool, admit.Completion{
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -247,6 +247,8 @@
 		n.cluster.markMovesComplete(m.Ranges)
 	case dgram.CrashReport:
 		n.handleCrashReport(m)
+	case dgram.ServerLimit:
+		n.handleLimit(m)
 	}
 }
 
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -1,10 +1,22 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"example.org/mustardring/internal/admit"
+	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/worker"
+)
+
+const (
+	// limitTellInterval is the time between two messages about a limit: one that is lost is made up for before the other
+	// controllers have to know.
+	limitTellInterval = 400 * time.Millisecond
+	// limitTellTime is for how long a limit is told after it was last seen in a response.
+	limitTellTime = 10 * time.Second
 )
 
 // observeLimit takes in the limit that a server has stated in the response to a request, or that it has stated none.
@@ -16,6 +28,14 @@
 	}
 	if n.cluster.limits.Observe(done.Server, stated, sentAt, now) {
 		n.limitChanged(done.Server, "response")
+		n.tellLimit(done.Server, n.cluster.limits.Rate(done.Server), now)
+	}
+}
+
+// handleLimit takes in the limit of a server that another instance has seen.
+func (n *Node) handleLimit(m dgram.ServerLimit) {
+	if _, found := n.cluster.servers().Get(m.Server); found && n.cluster.limits.Tell(m.Server, m.Rate, time.Now()) {
+		n.limitChanged(m.Server, "instance")
 	}
 }
 
@@ -25,3 +45,47 @@
 	n.cluster.republish(server)
 	n.serversChanged()
 }
+
+// limitLoop tells the limits that this instance has seen, and drops those that are outdated, until the context ends.
+func (n *Node) limitLoop(ctx context.Context) error {
+	for worker.Sleep(ctx, limitTellInterval) {
+		now := time.Now()
+		for _, server := range n.cluster.limits.Expire(n.cluster.servers().Has, now) {
+			n.limitChanged(server, "expired")
+		}
+		for server, rate := range n.cluster.limits.Seen(limitTellTime, now) {
+			n.tellLimit(server, rate, now)
+		}
+	}
+	return ctx.Err()
+}
+
+// tellLimit tells the limit of a server to those that may decide about its requests and keys: the other controllers, and
+// the leader. Only a controller tells, so that the number of messages does not depend on that of the instances.
+func (n *Node) tellLimit(server string, rate float64, now time.Time) {
+	n.admissions.mu.Lock()
+	receivers := n.admissions.controllersOf(server, now)
+	n.admissions.mu.Unlock()
+	isController := false
+	for _, p := range receivers {
+		isController = isController || p.Name == n.settings.Name
+	}
+	if !isController {
+		return
+	}
+	if leader, found := n.roster.Leader(now); found {
+		receivers = append(receivers, leader)
+	}
+	told := map[string]bool{n.settings.Name: true}
+	for _, p := range receivers {
+		n.tellLimitTo(p, told, dgram.ServerLimit{Server: server, Rate: rate})
+	}
+}
+
+// tellLimitTo sends a message to an instance unless that has been told.
+func (n *Node) tellLimitTo(p roster.Peer, told map[string]bool, m dgram.ServerLimit) {
+	if to, ok := peerAddress(p); ok && !told[p.Name] {
+		told[p.Name] = true
+		n.port.Send(to, m)
+	}
+}
--- /dev/null
+++ b/internal/node/limits_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/admit"
+	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/worker"
+)
+
+// newPeers returns instances that know each other and one server, and receive messages.
+func newPeers(t *testing.T, count int, server string) []*Node {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	group := worker.New(ctx, 4*count)
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait(0)
+	})
+	var nodes []*Node
+	for i := range count {
+		n, err := New(config.Serve{Name: fmt.Sprintf("i%d", i), Domain: "d0", IP: "127.0.0.1", PeerPorts: []int{0}, LinkMbps: 1000, CPUShare: 1},
+			Platform{ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"}, event.New(io.Discard, log.InfoLevel))
+		is.NoErr(err)
+		n.cluster.applyDirectory(true, server, "ready")
+		nodes = append(nodes, n)
+	}
+	for _, n := range nodes {
+		for _, o := range nodes {
+			n.roster.Put(o.settings.Name, roster.Entry{Address: o.port.Address(), Domain: "d0", Incarnation: 1, Share: 1}, time.Now())
+		}
+		group.Go("port", n.port.Run)
+		group.Go("messages", n.receiveLoop)
+		group.Go("limits", n.limitLoop)
+		group.Go("events", n.events.Run)
+	}
+	return nodes
+}
+
+// await waits until a condition holds, and fails the test if that takes longer than within.
+func await(t *testing.T, within time.Duration, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(within); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v", within)
+		}
+	}
+}
+
+// Guards against a controller that takes over from another one without the limit that the other one has seen.
+func TestLimitIsToldToOtherControllers(t *testing.T) {
+	const within = 500 * time.Millisecond
+	nodes := newPeers(t, 3, "s1")
+	first := nodes[1]
+	seen := func(rate float64) {
+		now := time.Now()
+		first.observeLimit(admit.Completion{Server: "s1", Outcome: admit.Answered, Limit: admit.StatedRate{Known: true, Rate: rate}}, now, now)
+	}
+	all := func(rate float64) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if n.cluster.server("s1").RateLimit != rate {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	seen(2)
+	await(t, within, all(2))
+	seen(3)
+	await(t, within, all(3))
+	time.Sleep(time.Millisecond)
+	seen(0)
+	await(t, within, all(0))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -301,6 +301,7 @@
 	group.Go("holder", n.leases.Run)
 	group.Go("permits", n.admissions.run)
 	group.Go("loads", n.reportLoop)
+	group.Go("limits", n.limitLoop)
 	group.Go("ready", n.serveReady)
 	group.Go("metrics", n.serveMetrics)
 	group.Go("front", func(ctx context.Context) error { return n.inlet.Serve(ctx, listener) })
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -16,6 +16,8 @@
 	services map[string]string
 	// byPool holds the service of each pool that there ever was: its controller may outlive it.
 	byPool map[string]string
+	// poolOf holds the pool of each server of the services that are not divided by key.
+	poolOf map[string]string
 	// domains holds the failure domain of each pool whose servers are all in one.
 	domains map[string]string
 	// outdated holds the services whose servers have changed since their pools were made.
@@ -25,7 +27,7 @@
 }
 
 func newPools(name, domain string) *pools {
-	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, byPool: map[string]string{}, domains: map[string]string{}, outdated: map[string]struct{}{}, pickers: map[string]*admit.Picker{}}
+	return &pools{name: name, domain: domain, servers: map[string][]rules.Server{}, services: map[string]string{}, byPool: map[string]string{}, domains: map[string]string{}, poolOf: map[string]string{}, outdated: map[string]struct{}{}, pickers: map[string]*admit.Picker{}}
 }
 
 // isDivided reports whether a service is divided by key.
@@ -65,6 +67,7 @@
 		return
 	}
 	delete(p.services, id)
+	delete(p.poolOf, id)
 }
 
 // picker returns the picker of a service. A service without servers has one empty pool.
@@ -111,6 +114,9 @@
 	all := admit.SplitIntoPools(service, membersOf(service, servers, false))
 	for _, pool := range all {
 		p.servers[pool.Name], p.byPool[pool.Name], p.domains[pool.Name] = pool.Servers, service, pool.Domain
+		for _, s := range pool.Servers {
+			p.poolOf[s.ID] = pool.Name
+		}
 	}
 	p.pickers[service] = p.newPicker(all)
 }
