Plan keys by the limits that servers state

A server that takes few requests kept its share of the keys, so their callers were rejected although other servers had room. The plan takes the limit as capacity, 0.8 of it since requests arrive unevenly, as it does with the rate of cold servers.

TestLimitCountsAsCapacity fails without the change.

--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -260,6 +260,9 @@
 				capacity, capped = min(capacity, coldLoadFactor*s.ColdRate), true
 			}
 		}
+		if s.RateLimit > 0 {
+			capacity, capped = min(capacity, limitLoadFactor*s.RateLimit), true
+		}
 		usable := !lost && (s.Domain == lm.Domain || !cutOff[s.Domain])
 		// A cold server has started lately, and gets the keys of those that it replaces at once.
 		if _, trusts := trusted[id]; usable && len(m.Ranges) > 0 && !trusts && !now.Before(s.WarmAt) {
--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
 )
 
 // silentStore does not answer appends.
@@ -59,3 +61,28 @@
 		is.Equal(s.appends, 1)
 	})
 }
+
+// Guards against keys that are left with, or given to, a server that has stated that it takes few requests.
+func TestLimitCountsAsCapacity(t *testing.T) {
+	is := is.New(t)
+	servers := map[string]rules.Server{}
+	for i, limit := range []float64{0, 0, 2} {
+		id := fmt.Sprintf("s%d", i)
+		servers[id] = rules.Server{ID: id, Service: "books", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: "d0", Slots: 2, RateLimit: limit}
+	}
+	lm := New(Deps{
+		Name: "i0", Domain: "d0", Clock: fakeClock{time.Now()}, Roster: roster.New("i0", "d0"), Incarnation: 1, Events: event.New(io.Discard, log.InfoLevel),
+		Servers:       func() *rules.ServerSet { return rules.NewServerSet(servers) },
+		TargetLatency: func(string) time.Duration { return time.Second },
+		Capacities:    func(string) map[string]float64 { return map[string]float64{"s0": 20, "s1": 20} },
+	})
+	in := lm.planInput("books", &shard.Map{}, time.Now())
+	for _, s := range in.Servers {
+		if s.ID == "s2" {
+			is.True(s.Capped)
+			is.Equal(s.Capacity, limitLoadFactor*2)
+			continue
+		}
+		is.Equal(s.Capacity, 20.0)
+	}
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -118,6 +118,8 @@
 	// coldLoadFactor is the fraction of the request rate that a cold server can take for which it gets keys:
 	// requests arrive unevenly.
 	coldLoadFactor = 0.8
+	// limitLoadFactor is the same for a server that has stated a limit.
+	limitLoadFactor = 0.8
 	// removalTimeout is how long an instance may be without heartbeats before it is marked as removed. It is
 	// longer than cutOffHoldTime, because cut-off domains are found by their registered instances.
 	removalTimeout = 8 * time.Second
