Keep to the delay after a failed read when other instances fail too

A request to other instances that failed during the delay after a failed read of the store made the store be read at once, so that a store that is down got up to two calls in place of one.

TestFailureOfPeersKeepsRetryDelay fails without the change.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -390,9 +390,9 @@
 			w.applyPeerUpdate(ctx, p)
 			w.stopFetchIfDone()
 		case f := <-w.fetchEnded():
-			if reason := w.lastReason; !w.finishFetch(ctx, f) {
+			if !w.finishFetch(ctx, f) && !time.Now().Before(w.pauseUntil) {
 				timer.Stop()
-				return reason
+				return w.lastReason
 			}
 		case <-readNow:
 			timer.Stop()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -719,3 +719,41 @@
 		is.Equal(s.reads, reads)
 	})
 }
+
+// Guards against a store that is called again before the delay after a failed read because other instances fail as well.
+func TestFailureOfPeersKeepsRetryDelay(t *testing.T) {
+	const storeTime, peerTime, delay = 100 * time.Millisecond, 300 * time.Millisecond, time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		out := runWatch(t, &follow.Watch{
+			Store: &deadStore{fakeStore: s}, ReadsStore: never, Clock: testClock{}, Peers: lateFailure(peerTime),
+			StoreDeadline: func(time.Duration, bool) time.Time { return time.Now().Add(storeTime) },
+			RetryDelay:    func(int) time.Duration { return delay },
+		})
+		time.Sleep(10 * delay)
+		is.True(len(out) >= 8 && len(out) <= 10) // one read each time
+	})
+}
+
+// lateFailure is an instance that fails after a time.
+type lateFailure time.Duration
+
+func (f lateFailure) Fetch(ctx context.Context, _ follow.PeerRequest) (follow.PeerUpdate, error) {
+	select {
+	case <-time.After(time.Duration(f)):
+	case <-ctx.Done():
+	}
+	return follow.PeerUpdate{}, errNotKnown
+}
+
+// deadStore is a store that refuses all reads.
+type deadStore struct{ *fakeStore }
+
+func (*deadStore) Read(context.Context, string, int64, time.Duration) (follow.Batch, error) {
+	return follow.Batch{}, follow.ErrNotDone
+}
+
+func (*deadStore) Newest(context.Context, string) (follow.Batch, error) {
+	return follow.Batch{}, follow.ErrNotDone
+}
