Spread the callers of a limited server over the time in which there is room

A caller that was rejected because of a limit was asked back after 0.15 s at first, whatever the predicted wait, and met the same limit. The first returns now follow the predicted wait, up to half of what leaves time to serve them, the others spread behind it. A metric states the limits in force; the state of a limit is set in one place.

--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -169,24 +169,21 @@
 
 // putServer adds a server, or updates one that is known.
 func (c *Controller) putServer(now time.Time, s rules.Server) {
-	known := c.servers[s.ID]
+	known, previousLimit := c.servers[s.ID], 0.0
 	if known == nil {
 		known = newServer(s)
-		known.RateLimit = 0
 		c.servers[s.ID] = known
 	} else {
+		previousLimit = known.RateLimit
 		c.slots -= known.Slots
 	}
-	rate := s.RateLimit
-	s.RateLimit = known.RateLimit
 	known.Server = s
 	c.slots += known.Slots
-	limited := rate > 0 && rate != known.RateLimit
-	if rate != known.RateLimit {
-		known.setLimit(rate, now)
+	if s.RateLimit != previousLimit {
+		known.limitChanged(previousLimit, now)
 	}
 	c.refresh(now, known)
-	if limited {
+	if s.RateLimit != previousLimit {
 		c.undelivered = append(c.undelivered, c.rejectUnfit(now, known)...)
 	}
 }
--- a/internal/admit/predict.go
+++ b/internal/admit/predict.go
@@ -97,7 +97,7 @@
 	maxDelay := time.Duration(maxRetryDelayShare * float64(req.Deadline.Sub(now)))
 	delay := max(min(wait, maxDelay), minRetryDelay)
 	if s := c.servers[req.Server]; s != nil && s.RateLimit > 0 {
-		return s.spreadReturn(now, minRetryDelay, max(maxDelay, minRetryDelay))
+		return s.spreadReturn(now, delay, max(maxDelay, minRetryDelay))
 	}
 	return time.Duration(float64(delay) * (1 + retryJitter*(c.random.Float64()-0.5)))
 }
--- a/internal/admit/ratelimit.go
+++ b/internal/admit/ratelimit.go
@@ -47,15 +47,13 @@
 	s.limitNextAt = later(s.limitNextAt, now).Add(interval)
 }
 
-// setLimit takes in that the server has stated a limit, or another one, zero for none. With the first limit nothing may be
-// sent for an interval.
-func (s *server) setLimit(rate float64, now time.Time) {
-	known := s.RateLimit
-	s.RateLimit = rate
+// limitChanged takes in that the server has stated a limit, another one or none any more. Previous is the limit before,
+// zero for none. With the first limit nothing may be sent for an interval.
+func (s *server) limitChanged(previous float64, now time.Time) {
 	switch {
-	case rate <= 0:
+	case s.RateLimit <= 0:
 		s.limitNextAt = time.Time{}
-	case known <= 0:
+	case previous <= 0:
 		s.limitNextAt = now.Add(s.limitBurst())
 	default:
 		s.limitNextAt = clock.Earlier(s.limitNextAt, now.Add(s.limitBurst()))
@@ -85,8 +83,11 @@
 	return bounded
 }
 
-// rejectUnfit rejects the requests that wait for one server and can no longer be served in time.
+// rejectUnfit rejects the requests that wait for one server and cannot be served in time under its limit.
 func (c *Controller) rejectUnfit(now time.Time, s *server) []Decision {
+	if s.RateLimit <= 0 {
+		return nil
+	}
 	var out []Decision
 	ahead := 0
 	for _, w := range s.queue.inOrder() {
@@ -101,9 +102,11 @@
 	return out
 }
 
-// spreadReturn returns the delay after which a caller should come back that was rejected because of a limit: the callers
-// of one server get times an interval apart, from the shortest to the longest delay and then from the shortest again.
-func (s *server) spreadReturn(now time.Time, shortest, longest time.Duration) time.Duration {
+// spreadReturn returns the delay after which a caller should come back that was rejected because of a limit, given the
+// delay until there is room and the longest one that leaves time to serve it. The callers of one server get different
+// times between the two, in turn.
+func (s *server) spreadReturn(now time.Time, untilRoom, longest time.Duration) time.Duration {
+	shortest := max(min(untilRoom, longest/2), minRetryDelay)
 	s.nextReturnAt = later(s.nextReturnAt, now.Add(shortest))
 	if s.nextReturnAt.Sub(now) > longest {
 		s.nextReturnAt = now.Add(shortest)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -132,6 +132,11 @@
 			fmt.Sprintf("evacuated_requests{domain=%q} %d\n", domain, l.requests),
 			fmt.Sprintf("evacuated_keys{domain=%q} %d\n", domain, l.keys))
 	}
+	for _, server := range n.cluster.servers().All() {
+		if server.RateLimit > 0 {
+			lines = append(lines, fmt.Sprintf("server_limit_per_second{server=%q} %g\n", server.ID, server.RateLimit))
+		}
+	}
 	sort.Strings(lines)
 	for _, l := range lines {
 		_, _ = w.Write([]byte(l))
