Let requested reads pass the delay after a failed read

Only a request to other instances beside which the store has been read in vain makes no other read due, and a read may be asked for once the store is due beside it. TestRequestedReadDoesNotWaitForRetryDelay failed before in each of its rows. Data races of three tests are gone (their counters and maps were read without the lock; the code was not concerned).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -324,6 +324,9 @@
 		if !w.loaded {
 			w.startFailures++
 		}
+		if w.fetch != nil {
+			w.fetch.storeFailed = true
+		}
 		w.emit(ctx, u)
 		w.pauseFor(w.RetryDelay(w.startFailures))
 		return
@@ -382,7 +385,8 @@
 		}
 		timer := time.NewTimer(w.timeToCheck())
 		readNow := w.ReadNow
-		if w.fetch != nil {
+		if w.fetch != nil && time.Now().Before(w.fetch.storeAt) {
+			// The request to other instances is answered or the store is read soon.
 			readNow = nil
 		}
 		select {
@@ -390,7 +394,8 @@
 			w.applyPeerUpdate(ctx, p)
 			w.stopFetchIfDone()
 		case f := <-w.fetchEnded():
-			if !w.finishFetch(ctx, f) && !time.Now().Before(w.pauseUntil) {
+			storeFailed := w.fetch.storeFailed
+			if !w.finishFetch(ctx, f) && !storeFailed {
 				timer.Stop()
 				return w.lastReason
 			}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,12 @@
 	do()
 }
 
+// readCount returns the number of reads so far.
+func (s *fakeStore) readCount() (n int) {
+	s.set(func() { n = s.reads })
+	return n
+}
+
 func (s *fakeStore) Append(context.Context, string, []follow.Record, int64) (int64, error) {
 	return 0, nil
 }
@@ -660,7 +667,7 @@
 				time.Sleep(1500 * time.Millisecond)
 				is.True(len(out) > 0)
 				is.Equal((<-out).End, int64(2))
-				is.True(s.reads <= 5) // the first, the one that expires, and the poll and the overdue read after it
+				is.True(s.readCount() <= 5) // the first, the one that expires, and the poll and the overdue read after it
 			})
 		})
 	}
@@ -711,12 +718,12 @@
 		out := runWatch(t, &follow.Watch{Store: s, ReadsStore: never, Clock: testClock{}, Peers: silentPeer{}, PeerUpdates: updates})
 		<-out
 		s.put("a", "2")
-		reads := s.reads
+		reads := s.readCount()
 		updates <- follow.PeerUpdate{From: 2, Batch: follow.Batch{End: 2}}
 		updates <- follow.PeerUpdate{From: 1, Batch: follow.Batch{Records: []follow.Record{{Key: "a", Value: []byte("2"), Offset: 1}}, End: 2}}
 		is.Equal((<-out).End, int64(2))
 		time.Sleep(10 * time.Second)
-		is.Equal(s.reads, reads)
+		is.Equal(s.readCount(), reads)
 	})
 }
 
@@ -757,3 +764,48 @@
 func (*deadStore) Newest(context.Context, string) (follow.Batch, error) {
 	return follow.Batch{}, follow.ErrNotDone
 }
+
+// Guards against a read that another instance or topic asks for and that waits for the delay after a failed read, since
+// other instances are asked first.
+func TestRequestedReadDoesNotWaitForRetryDelay(t *testing.T) {
+	const storeTime, delay = 150 * time.Millisecond, 10 * time.Second
+	for name, peers := range map[string]follow.PeerSource{"peers fail": lateFailure(0), "peers fail later": lateFailure(100 * time.Millisecond), "peers are silent": silentPeer{}} {
+		t.Run(name, func(t *testing.T) {
+			for wait := time.Duration(0); wait < 3*time.Second; wait += 100 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					s := &fakeStore{}
+					s.put("a", "1")
+					readNow := make(chan struct{}, 1)
+					outage := &outageStore{fakeStore: s}
+					outage.down.Store(true)
+					out := runWatch(t, &follow.Watch{
+						Store: outage, ReadsStore: never, Clock: testClock{}, Peers: peers, ReadNow: readNow,
+						StoreDeadline: func(time.Duration, bool) time.Time { return time.Now().Add(storeTime) },
+						RetryDelay:    func(int) time.Duration { return delay },
+					})
+					is.True((<-out).Err != nil)
+					time.Sleep(wait)
+					outage.down.Store(false)
+					readNow <- struct{}{}
+					begun := time.Now()
+					is.NoErr((<-out).Err)
+					is.True(time.Since(begun) <= storeTime)
+				})
+			}
+		})
+	}
+}
+
+// outageStore is a store that refuses all reads while it is down.
+type outageStore struct {
+	*fakeStore
+	down atomic.Bool
+}
+
+func (s *outageStore) Newest(ctx context.Context, topic string) (follow.Batch, error) {
+	if s.down.Load() {
+		return follow.Batch{}, follow.ErrNotDone
+	}
+	return s.fakeStore.Newest(ctx, topic)
+}
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -47,8 +47,10 @@
 	neededAsOf clock.Instant
 	// storeAt is when the store is read as well.
 	storeAt time.Time
-	cancel  context.CancelFunc
-	ended   chan fetchResult
+	// storeFailed means that the store was read meanwhile, in vain: the end of the request makes no other read due.
+	storeFailed bool
+	cancel      context.CancelFunc
+	ended       chan fetchResult
 }
 
 type fetchResult struct {
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -177,8 +177,8 @@
 }
 
 // newNewsCluster starts instances in six failure domains, which are registered and know one configuration.
-func newNewsCluster(instances, leader int, group *worker.Group) *newsCluster {
-	c := &newsCluster{store: &pollStore{}, address: map[string]*Node{}, faults: map[*Node]peerFault{}, knownAt: map[*Node]time.Time{}}
+func newNewsCluster(instances, leader int, lossy bool, group *worker.Group) *newsCluster {
+	c := &newsCluster{lossy: lossy, store: &pollStore{}, address: map[string]*Node{}, faults: map[*Node]peerFault{}, knownAt: map[*Node]time.Time{}}
 	c.store.put("1")
 	sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}}, nodes: c.address}
 	var register []follow.Record
@@ -324,8 +324,7 @@
 						is := is.New(t)
 						ctx, cancel := context.WithCancel(t.Context())
 						group := worker.New(ctx, 8*instances)
-						c := newNewsCluster(instances, test.leader, group)
-						c.lossy = test.lossy
+						c := newNewsCluster(instances, test.leader, test.lossy, group)
 						time.Sleep(3*time.Second + phase)
 						begin := func(faults func(c *newsCluster) map[*Node]peerFault) {
 							if faults != nil {
@@ -335,7 +334,9 @@
 							}
 						}
 						begin(test.faults)
+						c.mu.Lock()
 						clear(c.knownAt)
+						c.mu.Unlock()
 						c.store.put("2")
 						changedAt := time.Now()
 						time.Sleep(pollAnswerTime + 2*time.Millisecond)
@@ -381,7 +382,7 @@
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				group := worker.New(ctx, 256)
-				c := newNewsCluster(12, 0, group)
+				c := newNewsCluster(12, 0, false, group)
 				time.Sleep(3 * time.Second)
 				for _, i := range test.frozen {
 					c.setFault(c.nodes[i], frozen)
