Keep the bounds of a stated limit out of the adapter

The adapter decided that a server which takes no requests still gets one now and then. It decodes only; package admit states the bounds. Names in allBounded say what they hold.

--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -260,8 +260,8 @@
 		if req.Server != "" && s.ID != req.Server {
 			continue
 		}
-		until, counts := s.boundedUntil(now)
-		if !counts {
+		until, isBounded := s.boundedUntil(now)
+		if !isBounded {
 			return 0, false
 		}
 		if left := until.Sub(now); !bounded || left < wait {
--- a/internal/admit/limits.go
+++ b/internal/admit/limits.go
@@ -25,11 +25,20 @@
 	maxLimits = 1 << 14
 )
 
-// Valid reports whether the rate is one that an adapter states.
-func (r StatedRate) Valid() bool { return r.Rate >= 0 && r.Rate <= MaxStatedRate }
+// The bounds of a stated rate in requests per second. A server that takes none still gets a request now and then, since
+// only its responses tell when the limit has ended.
+const (
+	minStatedRate = 0.25
+	maxStatedRate = 1e6
+)
+
+// NewStatedRate returns the statement of a limit, which is not negative, within the bounds of a rate.
+func NewStatedRate(rate float64) StatedRate {
+	return StatedRate{Known: true, Rate: min(max(rate, minStatedRate), maxStatedRate)}
+}
 
-// MaxStatedRate is the maximum of StatedRate.Rate.
-const MaxStatedRate = 1e6
+// valid reports whether the rate is zero or one that NewStatedRate returns.
+func (r StatedRate) valid() bool { return r.Rate >= 0 && r.Rate <= maxStatedRate }
 
 // Limits holds the limits that servers state, by the ID of their incarnation. Its methods are safe for concurrent use.
 type Limits struct {
@@ -60,7 +69,7 @@
 	defer l.mu.Unlock()
 	known, found := l.servers[server]
 	switch {
-	case !stated.Known || !stated.Valid():
+	case !stated.Known || !stated.valid():
 		return false
 	case stated.Rate > 0:
 		if !found && len(l.servers) >= maxLimits {
@@ -82,7 +91,7 @@
 	defer l.mu.Unlock()
 	known, found := l.servers[server]
 	switch {
-	case !(StatedRate{Rate: rate}).Valid(), now.Sub(known.seenAt) < ownStatementTime || !found && (rate == 0 || len(l.servers) >= maxLimits):
+	case !(StatedRate{Rate: rate}).valid(), now.Sub(known.seenAt) < ownStatementTime || !found && (rate == 0 || len(l.servers) >= maxLimits):
 		return false
 	case rate == 0:
 		delete(l.servers, server)
