Forget the pools of a service that becomes divided by key

Cause: the index from server to pool, which finds the controllers of a server, was not made anew with a configuration.

TestDividedServiceHasNoPools fails before and passes.

--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -89,6 +89,8 @@
 func (p *pools) rebuild(servers *rules.ServerSet, c *rules.Config) {
 	p.servers, p.pickers, p.services = map[string][]rules.Server{}, map[string]*admit.Picker{}, map[string]string{}
 	clear(p.outdated)
+	clear(p.poolOf)
+	clear(p.domains)
 	for id, s := range servers.All() {
 		p.services[id] = s.Service
 	}
--- a/internal/node/pools_test.go
+++ b/internal/node/pools_test.go
@@ -45,3 +45,18 @@
 		})
 	}
 }
+
+// Guards against a server of a service that is now divided by key and is still looked up by its former pool.
+func TestDividedServiceHasNoPools(t *testing.T) {
+	is := is.New(t)
+	servers := rules.NewServerSet(map[string]rules.Server{"a": {ID: "a", Service: "desk", Slots: 2}})
+	config := func(divided bool) *rules.Config {
+		return &rules.Config{Services: map[string]rules.Service{"desk": {Divided: divided}}}
+	}
+	p := newPools("i0", "d0")
+	p.rebuild(servers, config(false))
+	is.Equal(p.poolOf["a"], "desk")
+	p.rebuild(servers, config(true))
+	_, pooled := p.poolOf["a"]
+	is.True(!pooled)
+}
