Keep which instance knows more while the topic is not known

Cause: a request of a starting instance computed the sources of a running one as well, and that takes the instance that was last seen to know more out of its place. The first request after the start did not ask it. Found by reading; what it costs callers was not measured.

TestStartKeepsThePeerAhead fails before and passes.

--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -41,9 +41,11 @@
 // Fetch implements follow.PeerSource. It asks the instances that the place of this one in its failure domain names, or
 // at the start those that a seed has named.
 func (n *Node) Fetch(ctx context.Context, r follow.PeerRequest) (follow.PeerUpdate, error) {
-	sources := n.newsSources(r)
+	var sources []string
 	if r.Starting {
 		sources = n.joinSources(ctx)
+	} else {
+		sources = n.newsSources(r)
 	}
 	return firstAnswer(ctx, sources, silenceOf(r), func(ctx context.Context, address string, progress func()) (follow.PeerUpdate, error) {
 		startedAt := n.leases.Clock.Now()
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -368,6 +368,16 @@
 	}
 }
 
+// Guards against a starting instance that forgets which other one knows more before it may ask that one.
+func TestStartKeepsThePeerAhead(t *testing.T) {
+	is := is.New(t)
+	n := newFollower(&hangingStore{}, 1)
+	n.peersAhead.Store("config", "i1")
+	_, err := n.Fetch(t.Context(), follow.PeerRequest{Topic: "config", From: -1, Starting: true})
+	is.Equal(err, errNoPeer)
+	is.Equal(len(n.newsSources(follow.PeerRequest{Topic: "config"})), 1)
+}
+
 // maxStartTime is how long after its start an instance must know the configuration.
 const maxStartTime = 3 * time.Second
 
