Give no limited or cold server to instances that do not know the register

Cause: while an instance does not know the register it finds no controller for a server, decides by itself, and took itself to be in charge. Any number of instances that start together would each have used the whole limit of a server, and the whole rate of a cold one.

TestUnregisteredInstanceDoesNotUseLimits fails before and passes.

--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -239,7 +239,7 @@
 		Deadline: now.Add(time.Duration(m.DeadlineInMs) * time.Millisecond),
 	}
 	r.NonExclusive = ad.isolated
-	r.Standby = !ad.inCharge(r, now)
+	ad.setCharge(&r, now)
 	c := ad.controller(m.Pool)
 	idle := c.Idle()
 	ad.deliver([]admit.Decision{c.Decide(now, r)})
@@ -248,14 +248,18 @@
 	}
 }
 
-// inCharge reports whether this instance is the first that others ask for the servers that a request may use. The lock is
-// held.
-func (ad *admissions) inCharge(r admit.Request, now time.Time) bool {
+// setCharge sets what a request says about who else may admit requests to the servers that it may use. While the register is
+// not known, any number of instances may. The lock is held.
+func (ad *admissions) setCharge(r *admit.Request, now time.Time) {
 	ranked := ad.node.roster.Rank(r.Pool, ad.pools.domains[r.Pool], now)
 	if r.Server != "" {
 		ranked = ad.controllersOf(r.Server, now)
 	}
-	return len(ranked) == 0 || ranked[0].Name == ad.node.settings.Name
+	if len(ranked) == 0 {
+		r.NonExclusive = true
+		return
+	}
+	r.Standby = ranked[0].Name != ad.node.settings.Name
 }
 
 // controllersOf returns the instances that others ask to admit requests to a server, in their order. The lock is held.
@@ -420,7 +424,7 @@
 	r.ID = admit.ID{Serial: serial}
 	ad.mu.Lock()
 	r.NonExclusive = r.NonExclusive || ad.isolated
-	r.Standby = !ad.inCharge(r, time.Now())
+	ad.setCharge(&r, time.Now())
 	m := decisionMessage(ad.controller(r.Pool).Decide(time.Now(), r))
 	ad.mu.Unlock()
 	if !isFinal(m) {
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -14,6 +14,7 @@
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -83,3 +84,28 @@
 	seen(0)
 	await(t, within, all(0))
 }
+
+// Guards against starting instances that each use the whole limit of a server, since none knows the others yet.
+func TestUnregisteredInstanceDoesNotUseLimits(t *testing.T) {
+	is := is.New(t)
+	n, err := New(config.Serve{Name: "i0", Domain: "d0", IP: "127.0.0.1", PeerPorts: []int{0}, LinkMbps: 1000, CPUShare: 1},
+		Platform{ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"}, event.New(io.Discard, log.InfoLevel))
+	is.NoErr(err)
+	group := worker.New(t.Context(), 1)
+	group.Go("admissions", n.admissions.run)
+	defer func() {
+		group.Stop()
+		is.NoErr(group.Wait(0))
+	}()
+	limited := rules.Server{ID: "s1", Service: "desk", Domain: "d0", Slots: 2, RateLimit: 1e3}
+	n.cluster.snapshot.Store(rules.NewServerSet(map[string]rules.Server{"s1": limited}))
+	n.admissions.updateServers(map[string]struct{}{"s1": {}})
+	request := func() (admitted bool) {
+		now := time.Now()
+		a, _ := n.admissions.Acquire(t.Context(), admit.Request{Service: "desk", Route: "r", TargetAt: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, "")
+		return a != nil
+	}
+	is.True(!request())
+	n.roster.Put("i0", roster.Entry{Address: n.port.Address(), Domain: "d0", Incarnation: 1, Share: 1}, time.Now())
+	is.True(request())
+}
