Let an instance that does not know the others retry only what its requests earn

Cause: the fixed number of retries was divided by max(registered instances, 1).

It becomes known once the register has named this instance in any incarnation: while a system starts for the first time the register names few. Until then a budget holds only what requests have earned lately, which fades over a tenth of a window; then it gets its share at once, as at a start before. The line size-known says when.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -173,7 +173,7 @@
 	}
 	f.edge = edge.New(edge.Deps{
 		Codec: headerCodec{}, Cluster: f.cluster, Admitter: f.admitter, ConnPool: edge.NewConnPool(func(string) int { return 10 }),
-		RetryBudget: edge.NewRetryBudget(0.2, 10*time.Second, func() float64 { return 100 }, time.Now),
+		RetryBudget: edge.NewRetryBudget(0.2, 10*time.Second, func() (float64, bool) { return 100, true }, time.Now),
 		Events:      event.New(io.Discard, log.ErrorLevel), Meters: edge.NewMeters(),
 	})
 	return f
@@ -321,7 +321,7 @@
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	b := edge.NewRetryBudget(0.2, 10*time.Second, func() float64 { return 10 }, func() time.Time { return now })
+	b := edge.NewRetryBudget(0.2, 10*time.Second, func() (float64, bool) { return 10, true }, func() time.Time { return now })
 	spent := 0
 	for range 100 {
 		b.Earn("books")
@@ -335,6 +335,30 @@
 	is.True(b.Spend("books"))
 }
 
+// Guards against instances that start together and each use the whole fixed number of retries.
+func TestRetryBudgetWithoutSlack(t *testing.T) {
+	is := is.New(t)
+	now, known := time.Unix(0, 0), false
+	b := edge.NewRetryBudget(0.2, 10*time.Second, func() (float64, bool) { return 10, known }, func() time.Time { return now })
+	is.True(!b.Spend("books"))
+	spent := 0
+	for range 100 {
+		b.Earn("books")
+		if b.Spend("books") {
+			spent++
+		}
+	}
+	is.True(spent <= 20) // a fifth of the requests
+	is.True(spent >= 10)
+	for range 100 {
+		b.Earn("books")
+	}
+	now = now.Add(10 * time.Second)
+	is.True(!b.Spend("books")) // earned in an earlier window
+	known = true
+	is.True(b.Spend("books"))
+}
+
 // A request that crashes each server that runs it is quarantined after two servers. Another request
 // that ran on the same servers, but got a response in between, is not.
 func TestCrashTracker(t *testing.T) {
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -26,6 +26,7 @@
 			n.serversChanged()
 		}
 		n.logReach()
+		n.logSize()
 		n.logEmptied()
 	}
 	return ctx.Err()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,8 +125,9 @@
 	placeMu      sync.Mutex
 	currentPlace join.Place
 	placedAt     time.Time
-	// loggedReach is what was logged last. Only checkLoop uses it.
+	// loggedReach is what was logged last, sizeLogged says that the number of instances was. Only checkLoop uses them.
 	loggedReach storeReach
+	sizeLogged  bool
 }
 
 // storeReach states for which topics the last calls to the store succeeded.
@@ -180,7 +181,7 @@
 	n.watches = n.newWatches()
 	budget := edge.NewRetryBudget(settings.Bounds.RetryRatio,
 		time.Duration(settings.Bounds.RetryWindowSeconds*float64(time.Second)),
-		func() float64 { return settings.Bounds.RetrySlack / float64(max(n.instances(), 1)) }, time.Now)
+		func() (float64, bool) { return n.shareOf(settings.Bounds.RetrySlack) }, time.Now)
 	n.edge = edge.New(edge.Deps{
 		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections), RetryBudget: budget,
 		Events: events, Meters: n.meters,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -121,6 +121,8 @@
 	// peers holds the registered instances by name, sorted holds them in the order of their names.
 	peers  map[string]*Peer
 	sorted []*Peer
+	// registeredOnce says that self has been registered, in any incarnation.
+	registeredOnce bool
 	// byAddress holds the registered instances by address. Of several with the same address it holds the
 	// last by name.
 	byAddress map[string]*Peer
@@ -219,6 +221,7 @@
 	}
 	known.Entry = e
 	r.add(known)
+	r.registeredOnce = r.registeredOnce || name == r.self
 }
 
 // Remove removes an instance whose registration was deleted from the store. It can no longer act.
