Let the connection limits of servers follow the number of instances

Cause: the part of a server's connections that an instance may open was divided by max(registered instances, 1), and computed once, when the first request went to the server. An instance that sent requests before it knew the register might open 0.7 of the cap of each server, each of 75 alike, and kept that limit as long as the server lived.

Change: while the number of instances is not known an instance may open as many connections as in a system of any size. The pool tells the client each change of the limit; what is over it is closed once idle. The other times that grow with the number of instances (range of reads, delays of batches and of lag) count an unknown number as a large one, and Node.instances, which took unknown for zero, is gone.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,9 +121,11 @@
 // the servers in turn, unless rejection is set.
 type fakeAdmitter struct {
 	ids       []string
-	next      int
 	rejection *admit.Rejected
-	outcomes  []admit.Outcome
+	// mu guards next and outcomes.
+	mu       sync.Mutex
+	next     int
+	outcomes []admit.Outcome
 }
 
 // fakeAdmission implements edge.Admission and records the outcome of its request.
@@ -133,6 +136,8 @@
 
 func (a *fakeAdmission) Server() string { return a.server }
 func (a *fakeAdmission) Complete(d admit.Completion) {
+	a.admitter.mu.Lock()
+	defer a.admitter.mu.Unlock()
 	a.admitter.outcomes = append(a.admitter.outcomes, d.Outcome)
 }
 
@@ -143,6 +148,8 @@
 	if r.Server != "" {
 		return &fakeAdmission{f, r.Server}, nil
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.next++
 	return &fakeAdmission{f, f.ids[(f.next-1)%len(f.ids)]}, nil
 }
@@ -317,6 +324,43 @@
 	}
 }
 
+// Guards against connection limits that stay as they were when the instance did not know how many others there are.
+func TestConnectionLimitFollowsTheSize(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	b := newFakeServer(t, func(_ int, c net.Conn, r *http.Request) {
+		begun <- struct{}{}
+		<-release
+		respondOK(0, c, r)
+	})
+	f := newFixture(rules.NonIdempotent, b)
+	replies := make(chan *inlet.Reply, 4)
+	var limit atomic.Int32
+	f.edge.ConnPool.Connections = func(string) int { return int(limit.Load()) }
+	// accepted reports whether one more request reaches the server under a limit, of which one instance may use a third.
+	accepted := func(newLimit int32) bool {
+		limit.Store(newLimit)
+		go func() { replies <- f.send(t.Context()) }()
+		select {
+		case <-begun:
+			return true
+		case r := <-replies:
+			is.Equal(r.Status, http.StatusServiceUnavailable)
+			return false
+		}
+	}
+	for range 3 {
+		is.True(accepted(9))
+	}
+	is.True(!accepted(9))
+	is.True(accepted(12))
+	is.True(!accepted(9))
+	close(release)
+	for range 4 {
+		is.Equal((<-replies).Status, http.StatusOK)
+	}
+}
+
 // Retries stay within the ratio plus the fixed number, and the fixed number is refilled with time.
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -115,32 +115,43 @@
 
 // ConnPool holds the connections of this instance to the servers.
 type ConnPool struct {
-	// Connections returns the connection limit of one server of a service. It is called when the
-	// first request is sent to a server and becomes upstr.Settings.MaxConns.
+	// Connections returns the connection limit of one server of a service, which may change with the
+	// number of instances. It is called for each request and becomes upstr.Settings.MaxConns.
 	Connections func(service string) int
 
 	mu      sync.Mutex
-	clients map[string]*upstr.Client
+	clients map[string]*pooledClient
+}
+
+// pooledClient is the client of a server and its connection limit.
+type pooledClient struct {
+	*upstr.Client
+	maxConns int
 }
 
 // NewConnPool returns a pool without connections. The argument becomes ConnPool.Connections.
 func NewConnPool(connections func(service string) int) *ConnPool {
-	return &ConnPool{Connections: connections, clients: map[string]*upstr.Client{}}
+	return &ConnPool{Connections: connections, clients: map[string]*pooledClient{}}
 }
 
 // clientFor returns the client of a server, a new one if there is none.
 func (p *ConnPool) clientFor(s rules.Server) *upstr.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maxConns := p.Connections(s.Service)
 	client := p.clients[s.ID]
 	if client == nil {
-		client = upstr.NewClient(upstr.Settings{
-			Name: s.ID, Address: s.Address, MaxConns: p.Connections(s.Service), Slots: s.Slots,
+		client = &pooledClient{maxConns: maxConns, Client: upstr.NewClient(upstr.Settings{
+			Name: s.ID, Address: s.Address, MaxConns: maxConns, Slots: s.Slots,
 			IdleTimeout: serverIdleTimeout, SilenceTimeout: serverSilenceTimeout, NoDeathMonitor: true, CancelByFullClose: true, UserTimeout: serverUserTimeout,
-		})
+		})}
 		p.clients[s.ID] = client
 	}
-	return client
+	if client.maxConns != maxConns {
+		client.maxConns = maxConns
+		client.SetMaxConns(maxConns)
+	}
+	return client.Client
 }
 
 // Retain drops the clients of all servers for which exists returns false. Their connections are
--- a/internal/node/lag.go
+++ b/internal/node/lag.go
@@ -25,7 +25,7 @@
 	if n.leases.Leads() {
 		return minLagTimeout
 	}
-	return min(minLagTimeout+time.Duration(n.instances())*lagTimeoutPerInstance, maxLagTimeout)
+	return minLagTimeout + n.scaled(lagTimeoutPerInstance, maxLagTimeout-minLagTimeout)
 }
 
 // observe compares the ends of the topic that a peer and this instance know. It returns true when this instance has
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -12,9 +12,10 @@
 	// maxCompletedMoves is the maximum number of completed moves that wait to be broadcast, and of those in one
 	// message.
 	maxCompletedMoves = 512
-	// gatherDelayPerInstance, for each instance, is how long completed moves are gathered. Sent one by one, the moves
-	// of a plan for some hundred servers would be as many messages to some hundred instances.
+	// gatherDelayPerInstance, for each instance, is how long completed moves are gathered, at most maxGatherDelay. Sent
+	// one by one, the moves of a plan for some hundred servers would be as many messages to some hundred instances.
 	gatherDelayPerInstance = 100 * time.Microsecond
+	maxGatherDelay         = 200 * time.Millisecond
 )
 
 // moveCompleted records that the move of a range to its new owner is complete, and queues it for the next broadcast.
@@ -39,7 +40,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		worker.Sleep(ctx, time.Duration(n.instances())*gatherDelayPerInstance)
+		worker.Sleep(ctx, n.scaled(gatherDelayPerInstance, maxGatherDelay))
 		for len(n.completedMoves) > 0 && len(ranges) < maxCompletedMoves {
 			ranges = append(ranges, <-n.completedMoves)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -221,13 +222,13 @@
 	return time.Duration(seconds*float64(time.Second)) - drainReserve
 }
 
-// instances returns the number of registered instances.
-func (n *Node) instances() int { return n.roster.Len() }
-
 // connectionShare is the part of the connections of a server that all instances together use for requests. The rest is
 // for grants and releases of leases, and for instances that join.
 const connectionShare = 0.7
 
+// minConnections is the number of connections that each instance may open to a server in a system of any size.
+const minConnections = 3
+
 // connections returns how many connections this instance may open to each server of a service.
 func (n *Node) connections(service string) int {
 	c := n.cluster.config.Load()
@@ -235,7 +236,11 @@
 	if c != nil && c.Services[service].MaxConns > 0 {
 		limit = c.Services[service].MaxConns
 	}
-	return max(int(float64(limit)*connectionShare)/max(n.instances(), 1), 3)
+	share, known := n.shareOf(math.Floor(float64(limit) * connectionShare))
+	if !known {
+		return minConnections
+	}
+	return max(int(share), minConnections)
 }
 
 // limits returns the limits of the configuration on requests of callers, or the defaults before it is known.
--- a/internal/node/size.go
+++ b/internal/node/size.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/roster"
 )
@@ -16,6 +18,16 @@
 	return 0, false
 }
 
+// scaled returns a time that grows with the number of instances up to a limit, which it is while that number is not known.
+func (n *Node) scaled(perInstance, limit time.Duration) time.Duration {
+	switch size := n.roster.Size().(type) {
+	case roster.Known:
+		return min(time.Duration(size.Instances)*perInstance, limit)
+	case roster.Unknown:
+	}
+	return limit
+}
+
 // logSize logs when the number of instances becomes known. Until then this instance uses no share of what all share.
 func (n *Node) logSize() {
 	if size, known := n.roster.Size().(roster.Known); known && !n.sizeLogged {
--- a/internal/node/watches.go
+++ b/internal/node/watches.go
@@ -81,7 +81,7 @@
 // maxStaleness returns the age from which on this instance reads by itself because its view has not been confirmed. It
 // is lower for an instance than for those that ask it.
 func (n *Node) maxStaleness() time.Duration {
-	spread := min(maxStalenessSpread, time.Duration(n.instances())*stalenessSpreadPerInstance)
+	spread := n.scaled(stalenessSpreadPerInstance, maxStalenessSpread)
 	place := n.place()
 	return n.leaderPollTimeout() + n.roster.LeaderHeartbeatInterval() + stalenessSlack + time.Duration(place.Part()*float64(spread))
 }
@@ -149,7 +149,7 @@
 
 // batchDelay returns the delay between a read that returned records of the directory and the next one.
 func (n *Node) batchDelay() time.Duration {
-	return min(max(minBatchDelay, time.Duration(n.instances())*batchDelayPerInstance), maxBatchDelay)
+	return max(minBatchDelay, n.scaled(batchDelayPerInstance, maxBatchDelay))
 }
 
 // pollTimeout returns how long a read of this instance waits for records.
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -61,7 +61,8 @@
 	Name string
 	// Address is an IP address with port.
 	Address string
-	// MaxConns is the number of connections that the server accepts from all instances.
+	// MaxConns is the number of connections that the server accepts from all instances, or the part of it that this
+	// instance may use. SetMaxConns changes it.
 	MaxConns int
 	// Slots is the number of requests that the server runs at the same time.
 	Slots int
@@ -89,7 +90,6 @@
 // Client sends requests to one backend server over its own pool of connections.
 type Client struct {
 	settings Settings
-	maxConns int
 	dialer   net.Dialer
 	// slowestResponse is the longest recent time to the head of a response, in nanoseconds. It
 	// decays with each response.
@@ -99,6 +99,8 @@
 	serial atomic.Uint64
 
 	mu sync.Mutex
+	// maxConns is the maximum number of connections.
+	maxConns int
 	// open holds all connections, including those in idle, which is ordered by idleSince. dialing
 	// is the number of connections that are being opened.
 	open    map[*conn]struct{}
@@ -123,14 +125,16 @@
 	return s
 }
 
-// NewClient returns a client without connections. The client opens at most a third of the connections
-// that the server accepts, or one more than the server has slots if that is more. The rest is left
-// for the instance that takes over the server, and for heartbeats. Close ends the client.
+// ownConns returns how many of the connections that the server accepts the client may open: a third, or one more than
+// the server has slots if that is more. The rest is left for the instance that takes over the server, and for heartbeats.
+func (s Settings) ownConns(maxConns int) int { return max(maxConns/maxConnsDivisor, s.Slots+1) }
+
+// NewClient returns a client without connections. Close ends the client.
 func NewClient(settings Settings) *Client {
 	settings = settings.withDefaults()
 	cl := &Client{
 		settings: settings,
-		maxConns: max(settings.MaxConns/maxConnsDivisor, settings.Slots+1),
+		maxConns: settings.ownConns(settings.MaxConns),
 		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: UserTimeout(settings.UserTimeout)},
 		open:     make(map[*conn]struct{}),
 	}
@@ -328,11 +332,32 @@
 	return c
 }
 
-// putIdle returns a connection to the pool, or closes it if the client is closed.
+// SetMaxConns changes Settings.MaxConns. Connections beyond the new limit are closed once they are idle.
+func (cl *Client) SetMaxConns(maxConns int) {
+	cl.mu.Lock()
+	cl.maxConns = cl.settings.ownConns(maxConns)
+	excess := min(len(cl.open)+cl.dialing-cl.maxConns, len(cl.idle))
+	var closing []*conn
+	if excess > 0 {
+		closing = slices.Clone(cl.idle[:excess])
+		cl.idle = slices.Delete(cl.idle, 0, excess)
+		for _, c := range closing {
+			delete(cl.open, c)
+		}
+	}
+	cl.mu.Unlock()
+	for _, c := range closing {
+		c.discard()
+	}
+}
+
+// putIdle returns a connection to the pool, or closes it if the client is closed or has too many.
 func (cl *Client) putIdle(c *conn) {
 	c.idleSince = time.Now()
 	cl.mu.Lock()
-	if cl.closed {
+	if cl.closed || len(cl.open)+cl.dialing > cl.maxConns {
+		// Connections that become idle at the same time must not all count the others.
+		delete(cl.open, c)
 		cl.mu.Unlock()
 		c.discard()
 		return
--- a/internal/upstr/client_test.go
+++ b/internal/upstr/client_test.go
@@ -283,6 +283,43 @@
 	is.Equal(client.OpenConns(), 4)
 }
 
+// Guards against an instance that keeps the connections that it may open while it does not know the others.
+func TestConnectionLimitFalls(t *testing.T) {
+	for name, test := range map[string]struct{ idleAtChange bool }{"connections idle": {true}, "connections in use": {false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			begun, release := make(chan struct{}), make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				begun <- struct{}{}
+				<-release
+			}))
+			defer server.Close()
+			client := newTestClient(t, server.Listener.Addr().String(), func(s *Settings) { s.MaxConns, s.Slots = 24, 2 })
+			results := make(chan result, 8)
+			for range 8 {
+				r := request(is, http.MethodGet, "")
+				go func() { results <- send(client, r) }()
+			}
+			for range 8 {
+				<-begun
+			}
+			if !test.idleAtChange {
+				client.SetMaxConns(3)
+			}
+			close(release)
+			for range 8 {
+				got := <-results
+				is.NoErr(got.err)
+				<-got.serverDone
+			}
+			if test.idleAtChange {
+				client.SetMaxConns(3)
+			}
+			is.Equal(client.OpenConns(), 3)
+		})
+	}
+}
+
 // A server responds before the end of a long upload. The response is valid, but the connection must
 // not be reused, as it may still carry the rest of the body.
 func TestResponseBeforeEndOfUpload(t *testing.T) {
