Derive how long a start waits for others from its promise

Callers saw: an instance whose named instances and seeds all wait for the configuration themselves knew it after 10 to 20 s (14.4, 19.8, 16.4, 11.1 s seen) where 3 s are promised, and answered 503 until then.

Cause: startWait, a constant of 10 to 20 s, in place of what is left of the promise. Others that wait count as progress, since a start of a whole system takes them some seconds, so nothing else ended the wait.

Change: a seed tells a starting instance how many have started before it. Each reads the configuration two seconds after its start plus 10 ms for each of those, beside the request to the others, so that the reads of any number of instances take the store 30 MB/s at most (three seeds, 100 kB). The pace of reads that failed follows from that number too; those few that read for the others are known to be few and do not double their delay, so that seeds are not the last to know after an outage.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -153,7 +153,8 @@
 	// instances that start together all read the store, it does not answer in time, and each of them reads again.
 	Peers PeerSource
 	// StoreDeadline returns when the store is read at the latest although other instances were asked, given the age of
-	// the copy and whether the topic is not known yet. It must be set if Peers is.
+	// the copy and whether the topic is not known yet. In the latter case it is called repeatedly. It must be set if
+	// Peers is.
 	StoreDeadline func(age time.Duration, starting bool) time.Time
 	// RetryDelay returns the delay after a failed read. Until the topic is known for the first time, startFailures is
 	// the number of failed reads, later it is zero: nothing rests on the topic before.
@@ -385,7 +386,7 @@
 		}
 		timer := time.NewTimer(w.timeToCheck())
 		readNow := w.ReadNow
-		if w.fetch != nil && time.Now().Before(w.fetch.storeAt) {
+		if w.fetch != nil && !w.storeReadDue() {
 			// The request to other instances is answered or the store is read soon.
 			readNow = nil
 		}
@@ -430,7 +431,7 @@
 	case time.Now().Before(w.pauseUntil):
 		return "", false
 	case w.fetch != nil && !w.ReadsStore():
-		return w.fetch.reason, !time.Now().Before(w.fetch.storeAt)
+		return w.fetch.reason, w.storeReadDue()
 	case w.needsSnapshot:
 		return w.lastReason, true
 	case w.ReadsStore():
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -43,7 +43,8 @@
 	// reason is why the topic is to be read, neededAsOf the time up to which the answer must be complete, zero for any.
 	reason     Reason
 	neededAsOf clock.Instant
-	// storeAt is when the store is read as well.
+	// storeAt is when the store is read as well. Until the topic is known for the first time it may be
+	// brought forward.
 	storeAt time.Time
 	// storeFailed means that the store was read meanwhile, in vain: the end of the request makes no other read due.
 	storeFailed bool
@@ -66,14 +67,18 @@
 	case w.Peers == nil || w.ReadsStore() || w.peersFailed:
 		return false
 	case w.fetch != nil:
-		return time.Now().Before(w.fetch.storeAt)
+		return !w.storeReadDue()
 	}
 	f := &fetch{request: w.peerRequest(), reason: reason, ended: make(chan fetchResult, 1)}
 	f.storeAt = w.StoreDeadline(w.currentAge(), f.request.Starting)
 	if f.request.MaxStaleness > 0 {
 		f.neededAsOf = w.Clock.Now().Add(-f.request.MaxStaleness)
 	}
-	ctx, f.cancel = context.WithDeadline(ctx, f.storeAt.Add(maxTransferTime))
+	if f.request.Starting {
+		ctx, f.cancel = context.WithCancel(ctx)
+	} else {
+		ctx, f.cancel = context.WithDeadline(ctx, f.storeAt.Add(maxTransferTime))
+	}
 	go func() {
 		p, err := w.Peers.Fetch(ctx, f.request)
 		f.ended <- fetchResult{p, err}
@@ -82,6 +87,16 @@
 	return true
 }
 
+// storeReadDue reports whether the store is to be read beside the request to other instances.
+func (w *Watch) storeReadDue() bool {
+	f := w.fetch
+	if f.request.Starting {
+		// What the instance learns meanwhile, such as how many others start as well, may bring the time forward.
+		f.storeAt = clock.Earlier(f.storeAt, w.StoreDeadline(w.currentAge(), true))
+	}
+	return !time.Now().Before(f.storeAt)
+}
+
 // peerRequest returns a request for what this instance lacks.
 func (w *Watch) peerRequest() PeerRequest {
 	r := PeerRequest{Topic: w.Topic, From: w.nextOffset, MinEnd: max(w.peerEnd, w.requiredEnd.Load(), w.expiredEnd), Starting: !w.loaded}
--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -43,6 +43,8 @@
 	Registers bool `json:"registers"`
 	// Loaded says that the sender has the state itself.
 	Loaded bool `json:"loaded"`
+	// Position is the number of instances that the sender knows to have started shortly before the receiver.
+	Position int `json:"position"`
 }
 
 // Book holds the instances that started lately, as one seed knows them. Its owner must serialize the calls.
@@ -57,7 +59,9 @@
 type starter struct {
 	name    string
 	address string
-	until   time.Time
+	// position is the number of starting instances that were known before this one.
+	position int
+	until    time.Time
 }
 
 // NewBook returns the book of the seed at an address.
@@ -67,15 +71,16 @@
 // failure domain that are known to run, loaded says whether the seed has the state.
 func (b *Book) Add(r Request, running []string, loaded bool, now time.Time) Reply {
 	domain := r.Entry.Domain
-	starters := slices.DeleteFunc(b.domains[domain], func(s starter) bool { return now.After(s.until) })
+	b.expire(now)
+	starters := b.domains[domain]
 	position := slices.IndexFunc(starters, func(s starter) bool { return s.name == r.Name })
 	if position < 0 {
 		position = len(starters)
-		starters = append(starters, starter{name: r.Name})
+		starters = append(starters, starter{name: r.Name, position: b.starters()})
 	}
 	starters[position].address, starters[position].until = r.Entry.Address, now.Add(batchTime)
 	b.domains[domain] = starters
-	reply := Reply{Registers: r.Register && b.enqueue(r), Loaded: loaded}
+	reply := Reply{Registers: r.Register && b.enqueue(r), Loaded: loaded, Position: starters[position].position}
 	running = slices.DeleteFunc(slices.Clone(running), func(a string) bool { return a == r.Entry.Address })
 	if !loaded && position < directReaders {
 		return reply
@@ -92,6 +97,22 @@
 	return reply
 }
 
+// expire drops the instances that do not count as starting any more.
+func (b *Book) expire(now time.Time) {
+	for domain, starters := range b.domains {
+		b.domains[domain] = slices.DeleteFunc(starters, func(s starter) bool { return now.After(s.until) })
+	}
+}
+
+// starters returns the number of starting instances.
+func (b *Book) starters() int {
+	count := 0
+	for _, starters := range b.domains {
+		count += len(starters)
+	}
+	return count
+}
+
 // pick returns up to two of the addresses, which differ from one starting instance to the next.
 func pick(addresses []string, name string) []string {
 	h := fnv.New64a()
--- a/internal/join/join_test.go
+++ b/internal/join/join_test.go
@@ -116,3 +116,14 @@
 	}
 	is.Equal(len(PlaceOf("i0006", "d0", "", alive).Ancestors), 0) // nobody leads: the strongest reads the store
 }
+
+// Checks that instances of all domains are numbered in the order in which they start, and again once a start is over.
+func TestStartersAreNumbered(t *testing.T) {
+	is := is.New(t)
+	b, now := NewBook("seed"), time.Now()
+	for i := range 20 {
+		is.Equal(b.Add(request(i, fmt.Sprintf("d%d", i%3)), nil, true, now).Position, i)
+	}
+	is.Equal(b.Add(request(7, "d1"), nil, true, now).Position, 7)
+	is.Equal(b.Add(request(30, "d1"), nil, true, now.Add(2*batchTime)).Position, 0)
+}
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -32,25 +32,49 @@
 	maxRegisterBatch      = 500
 )
 
+const (
+	// startBound is how long after its start an instance must know the configuration.
+	startBound = 3 * time.Second
+	// startReadReserve is the part of startBound for a read of the store that may fail once.
+	startReadReserve = time.Second
+	// configReadInterval and stateReadInterval are the times between the reads of two instances that start together and
+	// were not given the configuration, or the directory or the owners, by others. Three seeds number the instances, and
+	// a large configuration takes the store 3 ms. The directory of 10,000 servers takes it 50 ms.
+	configReadInterval = 10 * time.Millisecond
+	stateReadInterval  = 150 * time.Millisecond
+)
+
+// start is what an instance knows about how it gets its state at its start.
+type start struct {
+	join.Reply
+	// reader says that the instance reads the store for others, as few do.
+	reader bool
+	// begunAt is when the instance started.
+	begunAt time.Time
+}
+
 // joinLoop asks a seed for the instances from which this one gets its state. Then it waits for the end of the context,
 // since the end of a worker ends the instance.
 func (n *Node) joinLoop(ctx context.Context) error {
-	n.joinReply = n.findParents(ctx)
+	begunAt := time.Now()
+	n.start = n.findParents(ctx)
+	n.start.begunAt = begunAt
 	close(n.joined)
 	<-ctx.Done()
 	return ctx.Err()
 }
 
-// findParents asks the seeds until one answers. The reply names no parents if none does in time, or if this
+// findParents asks the seeds until one answers. The result names no parents if none does in time, or if this
 // instance is to read the store.
-func (n *Node) findParents(ctx context.Context) join.Reply {
+func (n *Node) findParents(ctx context.Context) start {
 	seeds := slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(s string) bool { return s == n.settings.ControlAddress })
 	// When the system starts for the first time, the directory says nothing about its size yet.
 	if len(seeds) == 0 || !n.settings.FirstStart && n.directoryIsSmall(ctx) {
-		return join.Reply{}
+		return start{}
 	}
 	if len(seeds) < len(n.settings.Seeds) {
-		return n.findLoadedSeed(ctx, seeds)
+		reply := n.findLoadedSeed(ctx, seeds)
+		return start{Reply: reply, reader: len(reply.Parents) == 0}
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -61,11 +85,11 @@
 			return n.askSeed(ctx, seed, true, joinCallTimeout)
 		})
 		if err == nil {
-			return reply
+			return start{Reply: reply, reader: len(reply.Parents) == 0}
 		}
 		worker.Sleep(ctx, joinRetryInterval)
 	}
-	return join.Reply{}
+	return start{}
 }
 
 const (
@@ -142,19 +166,54 @@
 func (n *Node) joinSources(ctx context.Context) []string {
 	select {
 	case <-n.joined:
-		return n.joinReply.Parents
+		return n.start.Parents
 	case <-ctx.Done():
 		return nil
 	}
 }
 
-// joinedParents returns the instances that a seed has named, none before it has answered.
-func (n *Node) joinedParents() []string {
+// knownStart returns how this instance gets its state, false before a seed has answered.
+func (n *Node) knownStart() (start, bool) {
 	select {
 	case <-n.joined:
-		return n.joinReply.Parents
+		return n.start, true
 	default:
-		return nil
+		return start{}, false
+	}
+}
+
+// joinedParents returns the instances that a seed has named, none before it has answered.
+func (n *Node) joinedParents() []string {
+	s, _ := n.knownStart()
+	return s.Parents
+}
+
+// startsAsReader reports whether this instance is one of the few that read the store for others at a start.
+func (n *Node) startsAsReader() bool {
+	s, _ := n.knownStart()
+	return s.reader
+}
+
+// startersBefore returns how many instances have started shortly before this one, as far as it knows.
+func (n *Node) startersBefore() int {
+	s, _ := n.knownStart()
+	return s.Position
+}
+
+// startDeadline returns when the store is read for a topic that is not known yet although other instances were asked. Of
+// those that start together, each reads later than the one before it: most of them get the topic from one that has read.
+//
+// A start must not wait long for the configuration. The directory is too large for many to read it: a read that others
+// delay counts as failed and is repeated, so that the store answers none of them in time.
+func (n *Node) startDeadline(topic string) time.Time {
+	s, known := n.knownStart()
+	switch {
+	case !known:
+		return time.Now().Add(maxStartFetchTime)
+	case topic == n.platform.ConfigTopic:
+		return s.begunAt.Add(startBound - startReadReserve + time.Duration(s.Position)*configReadInterval)
+	default:
+		return s.begunAt.Add(maxStartFetchTime + time.Duration(s.Position)*stateReadInterval)
 	}
 }
 
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -15,9 +16,9 @@
 )
 
 const (
-	// startWait is how long a starting instance does not read the store while others, which may be starting as well, wait
-	// for a topic on its behalf. It varies up to twice that, so that those that give up do not read the store together.
-	startWait = 10 * time.Second
+	// maxStartFetchTime is how long a starting instance waits for others, which may be starting as well, before it looks
+	// for others to ask. It varies up to twice that, so that those that give up do not do so together.
+	maxStartFetchTime = 10 * time.Second
 	// peerSilence is how long an instance that is asked for a topic may show no progress before another one is asked as
 	// well: the time for which it holds the request, and as much again. Instances that start answer later. After
 	// silenceFactor times that the request fails.
@@ -43,6 +44,9 @@
 func (n *Node) Fetch(ctx context.Context, r follow.PeerRequest) (follow.PeerUpdate, error) {
 	var sources []string
 	if r.Starting {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxStartFetchTime+rand.N(maxStartFetchTime))
+		defer cancel()
 		sources = n.joinSources(ctx)
 	} else {
 		sources = n.newsSources(r)
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -405,6 +405,14 @@
 	is.New(t).True(startBeside(t, waiting, []int{0, 1, 2, 5, 11}) <= maxStartTime)
 }
 
+// Guards against a start that depends on which of the others wait themselves.
+func TestStartWhileOthersWait(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}
+	for name, waits := range map[string][]int{"the named instances": {5, 11}, "the seeds": {0, 1, 2}, "all but two": all[:10], "all": all} {
+		t.Run(name, func(t *testing.T) { is.New(t).True(startBeside(t, waiting, waits) <= maxStartTime) })
+	}
+}
+
 // startBeside starts an instance beside running ones, some of which have a fault, and returns after what time it knows the
 // configuration.
 func startBeside(t *testing.T, fault peerFault, faulty []int) (took time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,9 +116,9 @@
 	peerClient *http.Client
 	// peersAhead holds, by topic, the name of the last peer that knew more for too long.
 	peersAhead sync.Map
-	// joined is closed once joinReply is set.
-	joined    chan struct{}
-	joinReply join.Reply
+	// joined is closed once start is set.
+	joined chan struct{}
+	start  start
 	// joinMu guards joinBook, which holds the starting instances if this one is a seed.
 	joinMu   sync.Mutex
 	joinBook *join.Book
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -89,7 +89,7 @@
 func (n *Node) registerLoop(ctx context.Context) error {
 	var r registration
 	n.joinSources(ctx)
-	if n.joinReply.Registers {
+	if n.start.Registers {
 		r.delegated(time.Now())
 	}
 	lookupAt := time.Now().Add(lookupInterval)
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -314,3 +314,31 @@
 		})
 	}
 }
+
+// Guards against starting instances that all read the store at the same time, or that read it at the pace of a system of
+// one, because those that they ask wait themselves.
+func TestStartersReadInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}}, nodes: map[string]*Node{}}
+		n := sc.newStarter(0, 0)
+		begunAt := time.Now()
+		is.True(n.startDeadline("config").Sub(begunAt) >= maxStartFetchTime) // no seed has answered yet
+		n.start.begunAt = begunAt
+		close(n.joined)
+		for position, within := range map[int]time.Duration{0: maxStartTime, 50: maxStartTime, 1000: 5 * maxStartTime} {
+			n.start.Position = position
+			is.True(n.startDeadline("config").Sub(begunAt) < within)
+			is.True(n.startDeadline("servers").Sub(begunAt) >= maxStartFetchTime)
+		}
+		for range 100 {
+			n.start.Position = 1000
+			is.True(n.retryDelay(1) >= maxRetryDelay/2)
+			n.start.Position = 0
+			is.True(n.retryDelay(8) >= maxRetryDelay/2) // others may call the store as well
+			n.start.reader = true
+			is.True(n.retryDelay(8) <= 3*minRetryDelay/2)
+			n.start.reader = false
+		}
+	})
+}
--- a/internal/node/watches.go
+++ b/internal/node/watches.go
@@ -42,7 +42,7 @@
 	for topic, w := range watches {
 		w.Store, w.Topic, w.Clock, w.Out = n.platform.Store, topic, clock.Boot{}, n.updates[topic]
 		w.ReadNow, w.PeerUpdates, w.RetryDelay = n.readRequests[topic], n.peerUpdates[topic], n.retryDelay
-		w.Peers, w.StoreDeadline = n, n.storeDeadline
+		w.Peers, w.StoreDeadline = n, n.storeDeadline(topic)
 	}
 	return watches
 }
@@ -94,15 +94,16 @@
 	minPeerTime = 150 * time.Millisecond
 )
 
-// storeDeadline returns when the store is read although other instances were asked, given the age of what this instance
-// knows. It is earlier for an instance than for those that ask it.
-func (n *Node) storeDeadline(age time.Duration, starting bool) time.Time {
-	now := time.Now()
-	if starting {
-		return now.Add(startWait + rand.N(startWait))
+// storeDeadline returns the function that decides when the store is read for a topic although other instances were asked,
+// given the age of what this instance knows. It is earlier for an instance than for those that ask it.
+func (n *Node) storeDeadline(topic string) func(age time.Duration, starting bool) time.Time {
+	return func(age time.Duration, starting bool) time.Time {
+		if starting {
+			return n.startDeadline(topic)
+		}
+		spread := time.Duration((1 - n.place().Part()) * float64(maxStalenessSpread))
+		return time.Now().Add(max(n.newsBound()-storeReadReserve-spread-age, minPeerTime))
 	}
-	spread := time.Duration((1 - n.place().Part()) * float64(maxStalenessSpread))
-	return now.Add(max(n.newsBound()-storeReadReserve-spread-age, minPeerTime))
 }
 
 // newsBound returns the time within which a change must be known everywhere.
@@ -117,9 +118,17 @@
 // retryDelay returns the delay after a failed read. It varies by half the mean each way, so that instances that lost
 // the store together do not keep calling it together.
 //
-// An instance that starts does not know how many others call the store as well, so its delay doubles with each failure.
+// An instance that starts does not know how many others call the store as well, so its delay doubles with each failure,
+// unless it is one of the few that read for the others.
 func (n *Node) retryDelay(startFailures int) time.Duration {
-	mean := max(minRetryDelay, time.Duration(len(n.roster.Alive(time.Now())))*retryDelayPerInstance)
+	callers := len(n.roster.Alive(time.Now()))
+	if startFailures > 0 {
+		callers = max(callers, n.startersBefore())
+		if n.startsAsReader() {
+			startFailures = 0
+		}
+	}
+	mean := max(minRetryDelay, time.Duration(callers)*retryDelayPerInstance)
 	mean = min(mean<<min(max(startFailures-1, 0), 8), maxRetryDelay)
 	return mean/2 + rand.N(mean)
 }
