Let a starting instance ask those that it hears for what it lacks

Cause: the owners, which name the instances as well, were read from the store by each instance. Reads of that topic wait there for the appends of all that register; of 25 instances whose lines were kept, two got an answer at 11.5 and 12.0 s, the others repeated a read that ended after 0.7 s without one until 21.4 s. They heard the two at 12.05 s (line behind), but an instance that starts asks only those that a seed has named, and where the directory is small no seed is asked. Who knows more could not be asked, as the register, which has the addresses, is what was missing.

Change: an instance that does not know all topics yet remembers from which address it gets heartbeats and what these say is known there. It asks those after the instances that a seed has named, also while a first read of the store is in progress.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -492,7 +492,7 @@
 // A read that waits for records is canceled when another instance knows more, or when the copy becomes
 // older than MaxStaleness: its answer may be lost.
 func (w *Watch) readOnce(ctx context.Context, reason Reason) (Update, bool) {
-	ctx, cancel := context.WithCancel(ctx)
+	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.lastReason = reason
 	u := Update{Topic: w.Topic, Reason: reason, StartedAt: w.Clock.Now(), From: w.nextOffset, Snapshot: w.needsSnapshot, Overdue: w.isOverdue()}
@@ -502,8 +502,9 @@
 		pollTimeout, readNow = w.PollTimeout(), w.ReadNow
 	}
 	u.WaitDeadline = u.StartedAt.Add(pollTimeout)
+	startNow := w.askNow()
 	ended := make(chan Update, 1)
-	go func() { ended <- w.read(ctx, u, pollTimeout) }()
+	go func() { ended <- w.read(readCtx, u, pollTimeout) }()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
@@ -517,6 +518,10 @@
 			if !w.finishFetch(ctx, result) {
 				continue
 			}
+		case <-startNow:
+			w.peersFailed = false
+			w.askPeers(ctx, reason)
+			continue
 		case <-readNow:
 		case <-ticker.C:
 			if !polls || !w.isOverdue() {
@@ -529,6 +534,15 @@
 	}
 }
 
+// askNow returns the channel on which a read of a topic that is not known yet learns that another instance knows it, nil
+// if no other instance can be asked. The store may be slow, while that instance answers at once.
+func (w *Watch) askNow() <-chan struct{} {
+	if w.loaded || w.Peers == nil {
+		return nil
+	}
+	return w.ReadNow
+}
+
 // read carries out a read and sets the times of the update.
 func (w *Watch) read(ctx context.Context, u Update, pollTimeout time.Duration) Update {
 	if u.Snapshot {
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -219,8 +219,10 @@
 	case dgram.Relay:
 		n.forward(r.From, m)
 	case dgram.Heartbeat:
+		n.noteHeard(r.From, m.Heartbeat)
 		n.handleHeartbeat(m.Heartbeat)
 	case dgram.Digest:
+		n.noteHeard(r.From, m.Heartbeat)
 		n.handleDigest(m)
 	case dgram.AdmissionRequest:
 		n.admissions.handleRequest(r.From, m)
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -40,14 +40,14 @@
 }
 
 // Fetch implements follow.PeerSource. It asks the instances that the place of this one in its failure domain names, or
-// at the start those that a seed has named.
+// at the start those that a seed has named and then those whose heartbeats say that they know the topic.
 func (n *Node) Fetch(ctx context.Context, r follow.PeerRequest) (follow.PeerUpdate, error) {
 	var sources []string
 	if r.Starting {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, maxStartFetchTime+rand.N(maxStartFetchTime))
 		defer cancel()
-		sources = n.joinSources(ctx)
+		sources = slices.Concat(n.joinSources(ctx), n.heard.sources(r.Topic, r.MinEnd, time.Now()))
 	} else {
 		sources = n.newsSources(r)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,6 +116,10 @@
 	peerClient *http.Client
 	// peersAhead holds, by topic, the name of the last peer that knew more for too long.
 	peersAhead sync.Map
+	// heard holds the instances from which this one can get topics before it knows the register. topicsKnown is set
+	// once all topics are known.
+	heard       *heardPeers
+	topicsKnown atomic.Bool
 	// joined is closed once start is set.
 	joined chan struct{}
 	start  start
@@ -150,7 +154,7 @@
 		unreachableLoggedAt: map[string]time.Time{}, storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(),
 		updates: map[string]chan follow.Update{}, readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, broadcasts: map[string]chan follow.Update{},
 		lag: map[string]*lagDetector{}, completedMoves: make(chan dgram.MovedRange, maxCompletedMoves), heartbeatLeaderNow: make(chan struct{}, 1), heartbeatAllNow: make(chan struct{}, 1), stopping: make(chan struct{}),
-		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: newPeerClient(), joined: make(chan struct{}),
+		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: newPeerClient(), joined: make(chan struct{}), heard: newHeardPeers(),
 	}
 	n.platform.Store = &instrumentedStore{Store: platform.Store, calls: n.storeCalls, times: n.storeTimes, events: events}
 	n.cluster = newClusterState(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))-drainReserve,
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -86,7 +86,7 @@
 		settings: config.Serve{Name: "i0", Domain: "a", IP: "127.0.0.1", PeerPorts: []int{1000}, Bounds: config.Bounds{DrainSeconds: 2, ConfigSeconds: 2}},
 		platform: Platform{Store: s, ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"},
 		roster:   roster.New("i0", "a"), updates: sharedUpdates(),
-		readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, joined: make(chan struct{}),
+		readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, joined: make(chan struct{}), heard: newHeardPeers(),
 	}
 	close(n.joined)
 	for _, topic := range []string{"config", "servers", "owners"} {
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -153,7 +153,7 @@
 		platform: Platform{Store: sc.store, ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"},
 		roster:   roster.New(name, domain), updates: sharedUpdates(), events: event.New(io.Discard, log.FatalLevel),
 		readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, joined: make(chan struct{}), stopping: make(chan struct{}),
-		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: &http.Client{Transport: sc},
+		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: &http.Client{Transport: sc}, heard: newHeardPeers(), lag: map[string]*lagDetector{},
 		storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(), incarnation: uint64(i + 1),
 	}
 	for s := range seeds {
@@ -164,6 +164,7 @@
 	for _, topic := range []string{"config", "servers", "owners"} {
 		n.readRequests[topic] = make(chan struct{}, 1)
 		n.peerUpdates[topic] = make(chan follow.PeerUpdate, maxQueuedPeerUpdates)
+		n.lag[topic] = &lagDetector{}
 		if topic != "owners" {
 			n.topics[topic] = newTopicCopy()
 		}
