Spread the requests of instances that do not know each other over the servers

Cause: while an instance finds no controller for a pool it admits requests by itself and chooses the cheapest server, by what it has learned and then by name. Instances that start together have learned nothing, so all chose the same server, and filled up its slots as if no other did.

Change: a request that other controllers do not count goes to the cheaper of two random servers, or to one with a connection and none of this instance's requests. This holds for instances that are cut off from their domain too.

--- a/internal/admit/choose.go
+++ b/internal/admit/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -70,6 +71,34 @@
 	return nil
 }
 
+// sample returns the cheaper of two random servers that accept the request. Of the controllers that admit requests to the
+// same servers without counting those of the others, each would find the same server cheapest.
+func (o *openServers) sample(now time.Time, w *waiter, random *rand.Rand) *server {
+	var best listing
+	for range 2 {
+		if l, found := o.randomListing(now, w, random); found && (best.server == nil || l.cost < best.cost) {
+			best = l
+		}
+	}
+	return best.server
+}
+
+// randomListing returns a random server that accepts the request, and false if there is none. The server to avoid is
+// passed over if there are others.
+func (o *openServers) randomListing(now time.Time, w *waiter, random *rand.Rand) (listing, bool) {
+	if len(o.listings) == 0 {
+		return listing{}, false
+	}
+	first := random.IntN(len(o.listings))
+	for i := range o.listings {
+		l := o.listings[(first+i)%len(o.listings)]
+		if l.server.accepts(now, w) && (l.server.ID != w.Avoid || len(o.listings) == 1) {
+			return l, true
+		}
+	}
+	return listing{}, false
+}
+
 // accepts reports whether the request may be sent to the server at all. A server that bears a
 // bounded rate accepts no non-exclusive request, as another controller may be admitting requests to
 // it without counting this one.
@@ -191,15 +220,25 @@
 	}
 	anyDomain := !now.Before(w.crossDomainAt)
 	for _, r := range recent {
-		if s := c.servers[r.server]; s != nil && s.listed && s.accepts(now, w) && (anyDomain || s.Domain == w.Domain) {
-			consider(s, true)
+		s := c.servers[r.server]
+		if s == nil || !s.listed || !s.accepts(now, w) || !anyDomain && s.Domain != w.Domain {
+			continue
 		}
+		if w.NonExclusive && len(s.admissions) > 0 {
+			// Others may use the rest of its slots.
+			continue
+		}
+		consider(s, true)
 	}
 	for _, o := range c.openByDomain {
 		if !anyDomain && o.domain != w.Domain {
 			continue
 		}
-		if s := o.best(now, w); s != nil {
+		s := o.best(now, w)
+		if w.NonExclusive {
+			s = o.sample(now, w, c.random)
+		}
+		if s != nil {
 			consider(s, false)
 		}
 	}
--- a/internal/admit/cluster_test.go
+++ b/internal/admit/cluster_test.go
@@ -168,3 +168,35 @@
 		}
 	}
 }
+
+// Guards against instances that do not know each other and all send their requests to the same server, which turns most of
+// them away while others are idle.
+func TestUnregisteredInstancesSpreadOverServers(t *testing.T) {
+	is := is.New(t)
+	const instances, servers, slots, queue = 75, 25, 3, 12
+	var all []rules.Server
+	for i := range servers {
+		all = append(all, rules.Server{ID: fmt.Sprintf("s%02d", i), Service: "books", Domain: "d0", Slots: slots})
+	}
+	atServer := map[string]int{}
+	for i := range instances {
+		ctl := admit.New(rand.New(rand.NewPCG(7, uint64(i))))
+		ctl.SetServers(start, all)
+		for serial := range uint64(2) {
+			d := ctl.Decide(start, admit.Request{
+				ID: admit.ID{Serial: serial + 1}, Service: "books", Pool: "books", Domain: "d0", Route: "r", NonExclusive: true,
+				TargetAt: start.Add(time.Second), Deadline: start.Add(3 * time.Second),
+			})
+			admitted, ok := d.(admit.Admitted)
+			is.True(ok)
+			atServer[admitted.Server]++
+		}
+	}
+	most := 0
+	for _, n := range atServer {
+		most = max(most, n)
+	}
+	t.Logf("%d requests at %d of %d servers, at most %d at one", 2*instances, len(atServer), servers, most)
+	is.True(most <= slots+queue)
+	is.True(len(atServer) == servers)
+}
