Write a registration once, by a seed if the store refuses it

Callers saw nothing of it by itself; the store takes appends one after the other, and each record that is written twice delays those that others wait for.

Cause: an instance that has left its registration to a seed wrote it itself after 5 s, while the seed still held it because the store refused it, and wrote it as soon as the store answered. A seed also repeated registrations whose outcome was unknown.

Change: a seed gives up a registration 2.5 s after it was last asked, and remembers for 5 s what it has written or may have written. An instance that is not registered yet asks again each 2 s, and counts the record as missing only when the seed must have given up and an append be over. After a refusal of its own append it asks a seed as well, instead of competing with hundreds of others for the next append.

TestSeedWritesARegistrationOnce is new.

--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -8,6 +8,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,12 +28,23 @@
 	maxPending = 4096
 )
 
+const (
+	// WriteTime is how long a seed tries to write a registration after the last request. After that the instance may have
+	// it written another way.
+	WriteTime = 2500 * time.Millisecond
+	// WrittenTime is how long a seed remembers that it has written a registration.
+	WrittenTime = 5 * time.Second
+)
+
 // Request is sent by an instance that starts.
 type Request struct {
 	Name  string       `json:"name"`
 	Entry roster.Entry `json:"entry"`
 	// Register asks the receiver to write the registration to the store.
 	Register bool `json:"register"`
+
+	// writeUntil is when the receiver gives up writing the registration.
+	writeUntil time.Time
 }
 
 // Reply is the answer to a Request.
@@ -53,6 +65,15 @@
 	self    string
 	domains map[string][]starter
 	pending []Request
+	// written holds the registrations that the seed has written lately, by the name of the instance: an instance asks again
+	// before it knows that it is registered.
+	written map[string]writtenEntry
+}
+
+// writtenEntry is a registration that was written.
+type writtenEntry struct {
+	incarnation uint64
+	until       time.Time
 }
 
 // starter is a starting instance.
@@ -65,7 +86,9 @@
 }
 
 // NewBook returns the book of the seed at an address.
-func NewBook(self string) *Book { return &Book{self: self, domains: map[string][]starter{}} }
+func NewBook(self string) *Book {
+	return &Book{self: self, domains: map[string][]starter{}, written: map[string]writtenEntry{}}
+}
 
 // Add records a starting instance and returns the reply to it. Running holds the addresses of the instances of its
 // failure domain that are known to run, loaded says whether the seed has the state.
@@ -80,7 +103,7 @@
 	}
 	starters[position].address, starters[position].until = r.Entry.Address, now.Add(batchTime)
 	b.domains[domain] = starters
-	reply := Reply{Registers: r.Register && b.enqueue(r), Loaded: loaded, Position: starters[position].position}
+	reply := Reply{Registers: r.Register && b.Register(r, now), Loaded: loaded, Position: starters[position].position}
 	running = slices.DeleteFunc(slices.Clone(running), func(a string) bool { return a == r.Entry.Address })
 	if !loaded && position < directReaders {
 		return reply
@@ -125,6 +148,16 @@
 	return out
 }
 
+// Register adds a registration that is to be written within WriteTime, unless it has been written lately. It reports false
+// if there is no room.
+func (b *Book) Register(r Request, now time.Time) bool {
+	if w, found := b.written[r.Name]; found && w.incarnation == r.Entry.Incarnation && now.Before(w.until) {
+		return true
+	}
+	r.writeUntil = now.Add(WriteTime)
+	return b.enqueue(r)
+}
+
 // enqueue adds a registration that is to be written, in place of an earlier one of the same instance. It reports
 // whether there is room.
 func (b *Book) enqueue(r Request) bool {
@@ -139,6 +172,21 @@
 	return true
 }
 
+// Written records that registrations were written.
+func (b *Book) Written(requests []Request, now time.Time) {
+	for _, r := range requests {
+		b.written[r.Name] = writtenEntry{incarnation: r.Entry.Incarnation, until: now.Add(WrittenTime)}
+	}
+}
+
+// Expire drops the registrations that were not written within WriteTime, and returns their number.
+func (b *Book) Expire(now time.Time) int {
+	maps.DeleteFunc(b.written, func(_ string, w writtenEntry) bool { return now.After(w.until) })
+	before := len(b.pending)
+	b.pending = slices.DeleteFunc(b.pending, func(r Request) bool { return now.After(r.writeUntil) })
+	return before - len(b.pending)
+}
+
 // Take returns up to most registrations that are to be written, and removes them.
 func (b *Book) Take(most int) []Request {
 	n := min(most, len(b.pending))
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -78,13 +79,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	first := n.incarnation % uint64(len(seeds))
-	seeds = slices.Concat(seeds[first:], seeds[:first])
 	for ctx.Err() == nil {
-		reply, err := firstAnswer(ctx, seeds, seedSilence, func(ctx context.Context, seed string, _ func()) (join.Reply, error) {
-			return n.askSeed(ctx, seed, true, joinCallTimeout)
-		})
-		if err == nil {
+		if reply, err := n.askSeeds(ctx, seeds); err == nil {
 			return start{Reply: reply, reader: len(reply.Parents) == 0}
 		}
 		worker.Sleep(ctx, joinRetryInterval)
@@ -92,6 +88,18 @@
 	return start{}
 }
 
+// askSeeds asks one seed to name parents and to register this instance, and others as well if it does not answer. Not all
+// instances ask the same one first.
+func (n *Node) askSeeds(ctx context.Context, seeds []string) (join.Reply, error) {
+	if len(seeds) > 0 {
+		first := n.incarnation % uint64(len(seeds))
+		seeds = slices.Concat(seeds[first:], seeds[:first])
+	}
+	return firstAnswer(ctx, seeds, seedSilence, func(ctx context.Context, seed string, _ func()) (join.Reply, error) {
+		return n.askSeed(ctx, seed, true, joinCallTimeout)
+	})
+}
+
 const (
 	// smallDirectoryEnd is the number of records up to which the directory is small enough for every instance to read
 	// it from the store, which is faster than to wait for seeds that may be starting as well.
@@ -137,11 +145,16 @@
 	return reply, nil
 }
 
+// joinRequest returns the request of this instance to a seed.
+func (n *Node) joinRequest(register bool) join.Request {
+	return join.Request{Name: n.settings.Name, Entry: n.entry(false), Register: register}
+}
+
 // callSeed sends a join.Request to a seed.
 func (n *Node) callSeed(ctx context.Context, seed string, register bool, timeout time.Duration) (join.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := json.Marshal(join.Request{Name: n.settings.Name, Entry: n.entry(false), Register: register})
+	body, err := json.Marshal(n.joinRequest(register))
 	if err != nil {
 		return join.Reply{}, err
 	}
@@ -220,22 +233,41 @@
 // registerStartersLoop writes the registrations of the instances that have asked this seed, many in one call.
 func (n *Node) registerStartersLoop(ctx context.Context) error {
 	for worker.Sleep(ctx, registerBatchInterval) {
-		n.joinMu.Lock()
-		batch := n.joinBook.Take(maxRegisterBatch)
-		n.joinMu.Unlock()
+		batch := n.takeRegistrations(time.Now())
 		if len(batch) == 0 || n.isStopping() {
 			continue
 		}
-		if err := n.registerStarters(ctx, batch); err != nil {
-			n.joinMu.Lock()
-			n.joinBook.Return(batch)
-			n.joinMu.Unlock()
+		err := n.registerStarters(ctx, batch)
+		n.finishRegistrations(batch, err, time.Now())
+		if err != nil {
 			worker.Sleep(ctx, n.retryDelay(0))
 		}
 	}
 	return ctx.Err()
 }
 
+// finishRegistrations records the result of a write of registrations. If the outcome is unknown they count as written:
+// instances that find theirs missing in the register ask again.
+func (n *Node) finishRegistrations(batch []join.Request, err error, now time.Time) {
+	n.joinMu.Lock()
+	defer n.joinMu.Unlock()
+	if errors.Is(err, follow.ErrNotDone) {
+		n.joinBook.Return(batch)
+		return
+	}
+	n.joinBook.Written(batch, now)
+}
+
+// takeRegistrations takes registrations that are to be written, and drops those whose time is over.
+func (n *Node) takeRegistrations(now time.Time) []join.Request {
+	n.joinMu.Lock()
+	defer n.joinMu.Unlock()
+	if dropped := n.joinBook.Expire(now); dropped > 0 {
+		n.events.Record(event.StateChange, "registrations-not-written", "count", dropped)
+	}
+	return n.joinBook.Take(maxRegisterBatch)
+}
+
 // registerStarters writes registrations to the register. A registration that is written twice changes nothing.
 func (n *Node) registerStarters(ctx context.Context, batch []join.Request) error {
 	records := make([]follow.Record, 0, len(batch))
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/join"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -19,8 +21,10 @@
 	// maxAppendTime is how long it may take until a record that was sent can be read: appends wait up to two seconds
 	// for one another in the store.
 	maxAppendTime = 2500 * time.Millisecond
-	// seedRegisterTime is how long a seed may take to write the record of an instance that has asked it.
-	seedRegisterTime = 5 * time.Second
+	// seedRegisterTime is how long it may take until a record can be read that a seed was asked to write.
+	seedRegisterTime = join.WriteTime + maxAppendTime
+	// seedRenewInterval is the time between two requests to a seed, within which it does not give up.
+	seedRenewInterval = join.WriteTime * 4 / 5
 	// lookupInterval is the time between two reads of the owners while the record of this instance is missing there.
 	lookupInterval = 1500 * time.Millisecond
 	// maxLookupAge is the maximum age of the owners that such a read returns.
@@ -41,6 +45,11 @@
 	end int64
 	// refusals is the number of records in a row that the store refused.
 	refusals int
+	// shared says that a seed is asked to write the record together with those of others. Each append takes the store as
+	// long whatever its size, so it refuses most of those of hundreds of instances.
+	shared bool
+	// renewAt is when a seed is asked again to write the record, zero if none was asked.
+	renewAt time.Time
 }
 
 // ownersKnowledge is what an instance knows of the topic that contains the register.
@@ -72,10 +81,11 @@
 	if errors.Is(err, follow.ErrNotDone) {
 		mean := min(registerInterval<<min(r.refusals, 8), maxRegisterDelay)
 		r.refusals++
+		r.shared = true
 		r.nextAt = now.Add(mean/2 + rand.N(mean))
 		return
 	}
-	r.refusals, r.end, r.writtenBy = 0, 0, now.Add(maxAppendTime)
+	r.refusals, r.end, r.renewAt, r.writtenBy = 0, 0, time.Time{}, now.Add(maxAppendTime)
 	if err == nil {
 		r.end = offset + 1
 	}
@@ -83,7 +93,39 @@
 }
 
 // delegated records that a seed writes the record.
-func (r *registration) delegated(now time.Time) { r.writtenBy = now.Add(seedRegisterTime) }
+func (r *registration) delegated(now time.Time) {
+	r.refusals, r.end, r.shared, r.writtenBy = 0, 0, true, now.Add(seedRegisterTime)
+	r.renewAt = now.Add(seedRenewInterval)
+}
+
+// renewalDue reports whether a seed is to be asked again, which has not written the record as far as is known.
+func (r *registration) renewalDue(known ownersKnowledge, now time.Time) bool {
+	return !known.Registered && !r.renewAt.IsZero() && !now.Before(r.renewAt)
+}
+
+// register has the record of this instance written, by a seed if the store has more to do than it can.
+func (n *Node) register(ctx context.Context, r *registration) {
+	if r.shared && n.registerThroughSeed(ctx) {
+		r.delegated(time.Now())
+		return
+	}
+	offset, err := n.appendEntry(ctx, false)
+	if err != nil {
+		n.events.Record(event.StateChange, "not-registered", "error", err)
+	}
+	r.attempted(offset, err, time.Now())
+}
+
+// registerThroughSeed asks a seed, which may be this instance, to write the record, and reports whether it will.
+func (n *Node) registerThroughSeed(ctx context.Context) bool {
+	if slices.Contains(n.settings.Seeds, n.settings.ControlAddress) {
+		n.joinMu.Lock()
+		defer n.joinMu.Unlock()
+		return n.joinBook.Register(n.joinRequest(true), time.Now())
+	}
+	reply, err := n.askSeeds(ctx, n.settings.Seeds)
+	return err == nil && reply.Registers
+}
 
 // registerLoop registers this instance, and again if its record is removed.
 func (n *Node) registerLoop(ctx context.Context) error {
@@ -99,12 +141,13 @@
 		switch {
 		case n.isStopping():
 		case r.due(known, now):
-			offset, err := n.appendEntry(ctx, false)
-			if err != nil {
-				n.events.Record(event.StateChange, "not-registered", "error", err)
-			}
-			r.attempted(offset, err, time.Now())
+			n.register(ctx, &r)
 			lookupAt = now
+		case r.renewalDue(known, now):
+			r.renewAt = time.Time{}
+			if n.registerThroughSeed(ctx) {
+				r.delegated(time.Now())
+			}
 		case !known.Registered && !now.Before(lookupAt):
 			lookupAt = now.Add(lookupInterval)
 			n.watches[n.platform.OwnersTopic].Require(n.leases.Clock.Now().Add(-maxLookupAge))
--- a/internal/node/register_test.go
+++ b/internal/node/register_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/join"
+	"example.org/mustardring/internal/roster"
 )
 
 // Guards against instances that write their records again and again because reads fail or answers arrive too late. While
@@ -51,3 +53,31 @@
 	is.True(r.nextAt.Sub(now) >= maxRegisterDelay/2)
 	is.True(r.due(ownersKnowledge{}, now.Add(2*maxRegisterDelay)))
 }
+
+// Guards against instances whose record is written by a seed after they have written it themselves, and against seeds that
+// write records twice because they were asked twice.
+func TestSeedWritesARegistrationOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	request := join.Request{Name: "a", Entry: roster.Entry{Incarnation: 7}, Register: true}
+	b := join.NewBook("seed")
+	is.True(b.Register(request, now))
+	is.True(b.Register(request, now))
+	batch := b.Take(10)
+	is.Equal(len(batch), 1)
+	b.Return(batch) // refused
+	b.Expire(now.Add(seedRenewInterval))
+	is.Equal(len(b.Take(10)), 1)
+	b.Written(batch, now)
+	is.True(b.Register(request, now.Add(seedRenewInterval)))
+	is.Equal(len(b.Take(10)), 0)
+	request.Entry.Incarnation++
+	is.True(b.Register(request, now.Add(seedRenewInterval)))
+	is.Equal(len(b.Take(10)), 1)
+	b.Return(batch)
+	is.Equal(b.Expire(now.Add(join.WriteTime+1)), 1) // the instance may write its record by itself soon
+	is.Equal(len(b.Take(10)), 0)
+	var r registration
+	r.delegated(now)
+	is.True(r.writtenBy.Sub(now) >= join.WriteTime+maxAppendTime)
+}
