Have seeds write the registrations of instances that start on a slow store

Cause: where the directory is small each instance writes its own record.

Change: the first answer of the store tells an instance that it is slow. Then a seed is asked first, for a second at most; seeds write many records in one append. On a store that answers as usual nothing changes.

Evidence: TestRestartOnASlowStore, 75 instances registered after 3.5 to 3.9 s with 82 appends before, after 0.6 to 1.6 s with 3 to 6 now.

--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -50,10 +50,16 @@
 	join.Reply
 	// reader says that the instance reads the store for others, as few do.
 	reader bool
+	// storeSlow says that the store took longer than slowStoreTime for its first answer.
+	storeSlow bool
 	// begunAt is when the instance started.
 	begunAt time.Time
 }
 
+// slowStoreTime is the time from which on an answer of the store counts as slow, also for an instance with a small share of
+// a core.
+const slowStoreTime = 120 * time.Millisecond
+
 // joinLoop asks a seed for the instances from which this one gets its state. Then it waits for the end of the context,
 // since the end of a worker ends the instance.
 func (n *Node) joinLoop(ctx context.Context) error {
@@ -70,9 +76,14 @@
 func (n *Node) findParents(ctx context.Context) start {
 	seeds := slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(s string) bool { return s == n.settings.ControlAddress })
 	// When the system starts for the first time, the directory says nothing about its size yet.
-	if len(seeds) == 0 || !n.settings.FirstStart && n.directoryIsSmall(ctx) {
+	if len(seeds) == 0 {
 		return start{}
 	}
+	if !n.settings.FirstStart {
+		if small, took := n.directoryIsSmall(ctx); small {
+			return start{storeSlow: took > slowStoreTime}
+		}
+	}
 	if len(seeds) < len(n.settings.Seeds) {
 		reply := n.findLoadedSeed(ctx, seeds)
 		return start{Reply: reply, reader: len(reply.Parents) == 0}
@@ -108,12 +119,15 @@
 	farOffset = 1 << 40
 )
 
-// directoryIsSmall reports whether few records were ever written to the directory, so that the system is small.
-func (n *Node) directoryIsSmall(ctx context.Context) bool {
+// directoryIsSmall reports whether few records were ever written to the directory, so that the system is small, and how
+// long the store took to answer.
+func (n *Node) directoryIsSmall(ctx context.Context) (small bool, took time.Duration) {
+	askedAt := time.Now()
 	batch, err := n.platform.Store.Read(ctx, n.platform.ServersTopic, farOffset, 0)
-	n.events.Record(event.StateChange, "store-read", "topic", n.platform.ServersTopic, "reason", "size", "end", batch.End, "error", err)
+	took = time.Since(askedAt)
+	n.events.Record(event.StateChange, "store-read", "topic", n.platform.ServersTopic, "reason", "size", "end", batch.End, "took", took, "error", err)
 	n.storeCalls.Add("read "+n.platform.ServersTopic+" size", 1)
-	return err == nil && batch.End <= smallDirectoryEnd
+	return err == nil && batch.End <= smallDirectoryEnd, took
 }
 
 // findLoadedSeed asks the other seeds at the same time. A seed uses the reply of one that has the state; seeds that start
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -25,6 +25,9 @@
 	seedRegisterTime = join.WriteTime + maxAppendTime
 	// seedRenewInterval is the time between two requests to a seed, within which it does not give up.
 	seedRenewInterval = join.WriteTime * 4 / 5
+	// seedPatience is how long after its start an instance asks seeds, which may be starting as well, before it writes its
+	// record to a slow store by itself.
+	seedPatience = time.Second
 	// lookupInterval is the time between two reads of the owners while the record of this instance is missing there.
 	lookupInterval = 1500 * time.Millisecond
 	// maxLookupAge is the maximum age of the owners that such a read returns.
@@ -109,6 +112,9 @@
 		r.delegated(time.Now())
 		return
 	}
+	if n.start.storeSlow && time.Since(n.start.begunAt) < seedPatience {
+		return
+	}
 	offset, err := n.appendEntry(ctx, false)
 	if err != nil {
 		n.events.Record(event.StateChange, "not-registered", "error", err)
@@ -129,8 +135,8 @@
 
 // registerLoop registers this instance, and again if its record is removed.
 func (n *Node) registerLoop(ctx context.Context) error {
-	var r registration
 	n.joinSources(ctx)
+	r := registration{shared: n.start.storeSlow}
 	if n.start.Registers {
 		r.delegated(time.Now())
 	}
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -40,6 +40,8 @@
 	mu      sync.Mutex
 	topics  map[string][]follow.Record
 	refuses bool
+	// slowdown is the factor by which appends and answers take longer than usual, zero for one.
+	slowdown time.Duration
 	// readsUntil and appendsUntil are when the accepted calls will have been carried out.
 	readsUntil   time.Time
 	appendsUntil time.Time
@@ -58,13 +60,13 @@
 		return storeAnswerTime, false
 	}
 	*until = until.Add(took)
-	return until.Sub(now) + storeAnswerTime, true
+	return until.Sub(now) + max(s.slowdown, 1)*storeAnswerTime, true
 }
 
 func (s *limitedStore) Append(ctx context.Context, topic string, records []follow.Record, _ int64) (int64, error) {
 	s.mu.Lock()
 	s.appends++
-	wait, accepted := s.accept(&s.appendsUntil, storeAppendTime)
+	wait, accepted := s.accept(&s.appendsUntil, max(s.slowdown, 1)*storeAppendTime)
 	offset := int64(len(s.topics[topic]))
 	if accepted {
 		for i, r := range records {
@@ -316,6 +318,45 @@
 	}
 }
 
+// Guards against instances that start together on a slow store and each take an append, and so several seconds, to register.
+func TestRestartOnASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const instances, servers, slowdown = 75, 216, 50
+		sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}, slowdown: slowdown}, nodes: map[string]*Node{}}
+		for i := range servers {
+			sc.store.topics["servers"] = append(sc.store.topics["servers"], follow.Record{Key: fmt.Sprintf("s%05d", i), Value: make([]byte, 300), Offset: int64(i)})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		group := worker.New(ctx, 12*instances)
+		for i := range instances {
+			n := sc.newStarter(i, 3)
+			n.settings.FirstStart = false
+			n.run(group)
+		}
+		begun, registered := time.Now(), 0
+		for registered < instances && time.Since(begun) < 20*time.Second {
+			time.Sleep(50 * time.Millisecond)
+			registered = len(sc.store.registered())
+		}
+		t.Logf("%d registered after %v, %d appends", registered, time.Since(begun), sc.store.appends)
+		is.True(time.Since(begun) <= maxStartTime)
+		cancel()
+		_ = group.Wait(0)
+	})
+}
+
+// registered returns the keys of the records of the owners.
+func (s *limitedStore) registered() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keys := map[string]bool{}
+	for _, r := range s.topics["owners"] {
+		keys[r.Key] = true
+	}
+	return keys
+}
+
 // Guards against starting instances that all read the store at the same time, or that read it at the pace of a system of
 // one, because those that they ask wait themselves.
 func TestStartersReadInTurn(t *testing.T) {
