Keep to the tree of a failure domain while no heartbeats are heard

Callers saw nothing of it by itself; calls to the store are priced and limited, and it serves the operator's changes and the directory too.

Cause: an instance that hears none of its failure domain took itself for the only one there, so it asked nobody and read the store by itself each half second. Two hypotheses were open: (a) a time without a leader always costs calls in proportion to the instances, (b) only one without heartbeats does.

Change: without a leader and without a heartbeat of its domain, an instance takes its place in the tree from the register. The wait for those that it asks is bounded by the promise as before, then it reads the store.

--- /dev/null
+++ b/internal/node/calls_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/worker"
+)
+
+// Guards against calls to the store that grow with the number of instances while nobody leads, or while no heartbeats
+// arrive although instances can be reached by calls.
+func TestCallsWhileNobodyLeads(t *testing.T) {
+	for _, instances := range []int{12, 70, 400} {
+		for name, heartbeats := range map[string]bool{"heartbeats arrive": true, "no heartbeats": false} {
+			t.Run(fmt.Sprintf("%s, %d instances", name, instances), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					ctx, cancel := context.WithCancel(t.Context())
+					group := worker.New(ctx, 8*instances)
+					c := newNewsCluster(instances, 0, false, group)
+					time.Sleep(3 * time.Second)
+					c.setFault(c.leader, frozen)
+					if !heartbeats {
+						c.stopHeartbeats()
+					}
+					time.Sleep(10 * time.Second)
+					before := c.store.count()
+					time.Sleep(calmTime)
+					calls := c.store.count() - before
+					t.Logf("%d calls in %v", calls, calmTime)
+					is.True(calls <= max(instances/2, 150))
+					cancel()
+					_ = group.Wait(0)
+				})
+			})
+		}
+	}
+}
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,13 @@
 	s.records = append(s.records, follow.Record{Key: "config", Value: []byte(value), Offset: int64(len(s.records))})
 }
 
+// count returns the number of calls so far.
+func (s *pollStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // from returns the records from an offset on.
 func (s *pollStore) from(offset int64) follow.Batch {
 	s.mu.Lock()
@@ -99,8 +107,9 @@
 	nodes   []*Node
 	leader  *Node
 	address map[string]*Node
-	// lossy loses the leader's announcements.
+	// lossy loses the leader's announcements, silent all heartbeats.
 	lossy  bool
+	silent atomic.Bool
 	mu     sync.Mutex
 	faults map[*Node]peerFault
 	// thawedAt is when the thawing instances go on.
@@ -252,16 +261,23 @@
 	}
 }
 
-// sendHeartbeats gives each instance the heartbeats of all others, those of the leader more often.
+// sendHeartbeats gives each instance the heartbeats of all others, those of its failure domain and of the leader more often.
 func (c *newsCluster) sendHeartbeats(ctx context.Context) error {
-	nextAt := map[*Node]time.Time{}
+	nextAt, nextInDomainAt := map[*Node]time.Time{}, map[*Node]time.Time{}
 	for worker.Sleep(ctx, 50*time.Millisecond) {
+		if c.silent.Load() {
+			continue
+		}
 		now := time.Now()
 		for _, sender := range c.nodes {
-			if _, stands := c.fault(sender); stands > 0 || now.Before(nextAt[sender]) {
+			if _, stands := c.fault(sender); stands > 0 || now.Before(nextAt[sender]) && now.Before(nextInDomainAt[sender]) {
 				continue
 			}
-			nextAt[sender] = now.Add(sender.roster.HeartbeatInterval())
+			toAll := !now.Before(nextAt[sender])
+			nextInDomainAt[sender] = now.Add(sender.roster.DomainHeartbeatInterval())
+			if toAll {
+				nextAt[sender] = now.Add(sender.roster.HeartbeatInterval())
+			}
 			if sender == c.leader {
 				nextAt[sender] = now.Add(sender.roster.LeaderHeartbeatInterval())
 			}
@@ -271,7 +287,7 @@
 				StoreOK: sender == c.leader, StoreAnswered: sender == c.leader, Leads: sender == c.leader,
 			}
 			for _, n := range c.nodes {
-				if _, stands := c.fault(n); stands > 0 || n == sender {
+				if _, stands := c.fault(n); stands > 0 || n == sender || !toAll && n.settings.Domain != sender.settings.Domain {
 					continue
 				}
 				n.roster.RecordHeartbeat(h, now)
@@ -284,6 +300,9 @@
 	return ctx.Err()
 }
 
+// stopHeartbeats loses all heartbeats from now on.
+func (c *newsCluster) stopHeartbeats() { c.silent.Store(true) }
+
 // inDomain returns the instance of a failure domain at an index in its tree.
 func (c *newsCluster) inDomain(domain, index int) *Node { return c.nodes[domain+6*index] }
 
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/join"
+	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/internal/worker"
 )
@@ -210,11 +212,27 @@
 	defer n.placeMu.Unlock()
 	if now.Sub(n.placedAt) >= placeInterval {
 		leader, _ := n.roster.Leader(now)
-		n.currentPlace, n.placedAt = join.PlaceOf(n.settings.Name, n.settings.Domain, leader.Name, n.roster.Alive(now)), now
+		n.currentPlace, n.placedAt = join.PlaceOf(n.settings.Name, n.settings.Domain, leader.Name, n.treeMembers(leader.Name, now)), now
 	}
 	return n.currentPlace
 }
 
+// treeMembers returns the instances that form the trees: those that are alive. An instance that knows no leader and hears
+// none of its failure domain takes all that are registered: if it took itself for the only one, it would read the store,
+// and so would all others that hear nobody.
+func (n *Node) treeMembers(leader string, now time.Time) []roster.Peer {
+	alive := n.roster.Alive(now)
+	heard := func(p roster.Peer) bool { return p.Name != n.settings.Name && p.Domain == n.settings.Domain }
+	if leader != "" || slices.ContainsFunc(alive, heard) {
+		return alive
+	}
+	members := n.roster.Others()
+	if self, registered := n.roster.Peer(n.settings.Name); registered {
+		members = append(members, self)
+	}
+	return slices.DeleteFunc(members, func(p roster.Peer) bool { return p.Heartbeat.Stopping })
+}
+
 // errTopicFormat means that a peer sent a topic in another format.
 var errTopicFormat = errors.New("node: peer sent a topic in another format")
 
