Call a store that refuses at the pace of an unknown number of instances

Callers saw nothing of it by itself; a store that is back must first work off what all instances ask of it together.

Cause: the delay after a failed read is 40 ms for each instance that is heard. An instance that knows the configuration and the directory but not the register hears nobody, so it retried at the pace of a system of one. While its reads failed, each request of another instance for newer knowledge made a further read at once, five a second.

Change: while the number of instances is not known the delay doubles and counts the instances that a seed says have started (the reply has their number now). A request for newer knowledge makes a read due after the delay; only one for records that are known to exist passes it. During the delay other instances are asked, also after a request to them that failed while the store did, so a long delay does not keep an instance from what others have read. The owners that are overdue have a deadline from their own promise, half of what is left of the age at which they may not be acted on, and instances become overdue one after the other along the tree.

TestPeersAreAskedDuringRetryDelay fails before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -172,13 +172,13 @@
 	// readCurrentAsOf is a time up to which the topic had no records from nextOffset on, zero if there is no known
 	// one.
 	readCurrentAsOf atomic.Int64
-	// lastReadFailed reports whether the last read failed.
-	lastReadFailed atomic.Bool
+	// failures is the number of reads that have failed since the last that did not.
+	failures atomic.Int32
 	// requiredAsOf is the argument of Require, requiredEnd that of RequireEnd, zero before the first call.
 	requiredAsOf atomic.Int64
 	requiredEnd  atomic.Int64
 
-	// The fields up to peersFailed are used by the goroutine of Run only. nextOffset is the offset after the last known
+	// The fields up to nextAskAt are used by the goroutine of Run only. nextOffset is the offset after the last known
 	// record, peerEnd the end of the topic known to another instance. Until pauseUntil this instance reads only
 	// when asked to.
 	nextOffset int64
@@ -193,9 +193,10 @@
 	loaded        bool
 	startFailures int
 	// fetch is the request to other instances in progress, nil if there is none. peersFailed means that the last one
-	// failed, so that the store is read next.
+	// failed, so that the store is read next. nextAskAt is when the next request may begin while the store is not read.
 	fetch       *fetch
 	peersFailed bool
+	nextAskAt   time.Time
 
 	// mu guards appliedEnd, the end of what the receiver of Out acts on, and appliedAsOf, a time up to which the
 	// topic had no records from there on, zero if there is no known one. They are updated together: an end from
@@ -264,7 +265,10 @@
 }
 
 // LastReadFailed reports whether the last read failed.
-func (w *Watch) LastReadFailed() bool { return w.lastReadFailed.Load() }
+func (w *Watch) LastReadFailed() bool { return w.Failures() > 0 }
+
+// Failures returns the number of reads that have failed since the last that did not.
+func (w *Watch) Failures() int { return int(w.failures.Load()) }
 
 // isOverdue reports whether this instance must read because its copy is older than MaxStaleness.
 func (w *Watch) isOverdue() bool {
@@ -319,9 +323,9 @@
 
 // finishRead passes on the result of a read, and sets the time before which no other read is due.
 func (w *Watch) finishRead(ctx context.Context, u Update) {
-	w.lastReadFailed.Store(u.Err != nil)
 	w.peersFailed = false
 	if u.Err != nil {
+		w.failures.Add(1)
 		if !w.loaded {
 			w.startFailures++
 		}
@@ -333,6 +337,7 @@
 		return
 	}
 	w.stopFetch()
+	w.failures.Store(0)
 	w.loaded, w.startFailures = true, 0
 	u = w.dropKnown(u)
 	w.emit(ctx, u)
@@ -384,9 +389,10 @@
 		if reason, due := w.readDue(); due {
 			return reason
 		}
+		w.askDuringPause(ctx)
 		timer := time.NewTimer(w.timeToCheck())
 		readNow := w.ReadNow
-		if w.fetch != nil && !w.storeReadDue() {
+		if w.fetch != nil && !w.fetch.duringPause && !w.storeReadDue() {
 			// The request to other instances is answered or the store is read soon.
 			readNow = nil
 		}
@@ -402,6 +408,9 @@
 			}
 		case <-readNow:
 			timer.Stop()
+			if w.fetch != nil && w.fetch.duringPause {
+				w.stopFetch()
+			}
 			return w.requestedRead(ReasonBehind)
 		case <-timer.C:
 		case <-ctx.Done():
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -801,6 +801,42 @@
 	}
 }
 
+// Guards against an instance that learns of a change only at the end of the delay after a failed read, although others that
+// it may ask have read it.
+func TestPeersAreAskedDuringRetryDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const delay = 10 * time.Second
+		s := &fakeStore{}
+		s.put("a", "1")
+		outage := &outageStore{fakeStore: s}
+		outage.down.Store(true)
+		peer := &knowingPeer{}
+		out := runWatch(t, &follow.Watch{
+			Store: outage, ReadsStore: never, Clock: testClock{}, Peers: peer,
+			StoreDeadline: func(time.Duration, bool) time.Time { return time.Now().Add(150 * time.Millisecond) },
+			RetryDelay:    func(int) time.Duration { return delay },
+		})
+		is.True((<-out).Err != nil)
+		time.Sleep(time.Second)
+		peer.knows.Store(true)
+		begun := time.Now()
+		is.NoErr((<-out).Err)
+		is.True(time.Since(begun) <= time.Second)
+	})
+}
+
+// knowingPeer is an instance that fails until it knows the topic.
+type knowingPeer struct{ knows atomic.Bool }
+
+func (p *knowingPeer) Fetch(context.Context, follow.PeerRequest) (follow.PeerUpdate, error) {
+	if !p.knows.Load() {
+		return follow.PeerUpdate{}, errNotKnown
+	}
+	records := []follow.Record{{Key: "a", Value: []byte("1")}}
+	return follow.PeerUpdate{Snapshot: true, SentAt: testClock{}.Now(), Batch: follow.Batch{Records: records, End: 1}}, nil
+}
+
 // outageStore is a store that refuses all reads while it is down.
 type outageStore struct {
 	*fakeStore
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -33,6 +33,8 @@
 	fetchPause = 50 * time.Millisecond
 	// maxDatingError is by how much the age of an answer of a peer may be overstated.
 	maxDatingError = 30 * time.Millisecond
+	// minAskInterval is the minimum time between two requests to other instances while the store is not read.
+	minAskInterval = 200 * time.Millisecond
 	// maxTransferTime is how long an answer may go on arriving beside a read of the store.
 	maxTransferTime = 2 * time.Second
 )
@@ -46,8 +48,10 @@
 	// storeAt is when the store is read as well. Until the topic is known for the first time it may be
 	// brought forward.
 	storeAt time.Time
-	// storeFailed means that the store was read meanwhile, in vain: the end of the request makes no other read due.
+	// storeFailed means that the store was read meanwhile, in vain: the end of the request makes no read of it due.
 	storeFailed bool
+	// duringPause means that the request began during the delay after a failed read.
+	duringPause bool
 	cancel      context.CancelFunc
 	ended       chan fetchResult
 }
@@ -69,8 +73,14 @@
 	case w.fetch != nil:
 		return !w.storeReadDue()
 	}
-	f := &fetch{request: w.peerRequest(), reason: reason, ended: make(chan fetchResult, 1)}
-	f.storeAt = w.StoreDeadline(w.currentAge(), f.request.Starting)
+	w.lastReason = reason
+	w.startFetch(ctx, &fetch{reason: reason, storeAt: w.StoreDeadline(w.currentAge(), !w.loaded)})
+	return true
+}
+
+// startFetch begins a request to other instances.
+func (w *Watch) startFetch(ctx context.Context, f *fetch) {
+	f.request, f.ended = w.peerRequest(), make(chan fetchResult, 1)
 	if f.request.MaxStaleness > 0 {
 		f.neededAsOf = w.Clock.Now().Add(-f.request.MaxStaleness)
 	}
@@ -83,14 +93,26 @@
 		p, err := w.Peers.Fetch(ctx, f.request)
 		f.ended <- fetchResult{p, err}
 	}()
-	w.lastReason, w.fetch = reason, f
-	return true
+	w.fetch = f
+}
+
+// askDuringPause asks other instances for what this one lacks during the delay after a failed read, at the end of which the
+// store is read beside them: they may have read it meanwhile.
+func (w *Watch) askDuringPause(ctx context.Context) {
+	now := time.Now()
+	pausing := w.Failures() > 0 && now.Before(w.pauseUntil)
+	canAsk := w.Peers != nil && !w.ReadsStore() && w.fetch == nil && !now.Before(w.nextAskAt)
+	if !pausing || !canAsk || !w.needsSnapshot && !w.isOverdue() {
+		return
+	}
+	w.nextAskAt = now.Add(minAskInterval)
+	w.startFetch(ctx, &fetch{reason: ReasonOverdue, storeAt: w.pauseUntil, storeFailed: true, duringPause: true})
 }
 
 // storeReadDue reports whether the store is to be read beside the request to other instances.
 func (w *Watch) storeReadDue() bool {
 	f := w.fetch
-	if f.request.Starting {
+	if f.request.Starting && !f.duringPause {
 		// What the instance learns meanwhile, such as how many others start as well, may bring the time forward.
 		f.storeAt = clock.Earlier(f.storeAt, w.StoreDeadline(w.currentAge(), true))
 	}
@@ -129,7 +151,8 @@
 	f.cancel()
 	w.fetch = nil
 	if result.err != nil || ctx.Err() != nil || !w.applyFetched(ctx, f, result.update) {
-		w.peersFailed = true
+		// If the store was read meanwhile, in vain, the others are asked first again.
+		w.peersFailed = !f.storeFailed
 		return false
 	}
 	w.loaded, w.startFailures, w.peersFailed = true, 0, false
--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -55,8 +55,10 @@
 	Registers bool `json:"registers"`
 	// Loaded says that the sender has the state itself.
 	Loaded bool `json:"loaded"`
-	// Position is the number of instances that the sender knows to have started shortly before the receiver.
+	// Position is the number of instances that the sender knows to have started shortly before the receiver, Starters the
+	// number of all that it knows to have started shortly before the reply, the receiver included.
 	Position int `json:"position"`
+	Starters int `json:"starters"`
 }
 
 // Book holds the instances that started lately, as one seed knows them. Its owner must serialize the calls.
@@ -103,7 +105,7 @@
 	}
 	starters[position].address, starters[position].until = r.Entry.Address, now.Add(batchTime)
 	b.domains[domain] = starters
-	reply := Reply{Registers: r.Register && b.Register(r, now), Loaded: loaded, Position: starters[position].position}
+	reply := Reply{Registers: r.Register && b.Register(r, now), Loaded: loaded, Position: starters[position].position, Starters: b.starters()}
 	running = slices.DeleteFunc(slices.Clone(running), func(a string) bool { return a == r.Entry.Address })
 	if !loaded && position < directReaders {
 		return reply
--- a/internal/join/join_test.go
+++ b/internal/join/join_test.go
@@ -124,6 +124,8 @@
 	for i := range 20 {
 		is.Equal(b.Add(request(i, fmt.Sprintf("d%d", i%3)), nil, true, now).Position, i)
 	}
-	is.Equal(b.Add(request(7, "d1"), nil, true, now).Position, 7)
+	reply := b.Add(request(7, "d1"), nil, true, now)
+	is.Equal(reply.Position, 7)
+	is.Equal(reply.Starters, 20)
 	is.Equal(b.Add(request(30, "d1"), nil, true, now.Add(2*batchTime)).Position, 0)
 }
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -84,7 +84,7 @@
 		}
 		return
 	}
-	for _, name := range lm.Roster.RemovedBefore(now.Add(-maxViewAge - leaseDuration)) {
+	for _, name := range lm.Roster.RemovedBefore(now.Add(-MaxViewAge - leaseDuration)) {
 		lm.append(ctx, follow.Record{Key: InstanceKey(name)})
 		return
 	}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -7,12 +7,12 @@
 //   - The new owner gets its first grant once the former owner has answered a release that carries
 //     the new fence: from then on the former owner rejects older grants, however late they arrive. If it
 //     does not answer, its lease must have expired. The manager waits until every instance has confirmed
-//     that it acts on the new record, or has not read the store for maxViewAge, and then for one lease.
+//     that it acts on the new record, or has not read the store for MaxViewAge, and then for one lease.
 //   - A grant is sent only on a connection that was opened before the time as of which its record is
 //     known to be the newest. A restarted server may keep its name but loses the fences that it has
 //     seen, and only the connection tells one incarnation from the next.
 //   - An instance renews only the leases in its newest record, and only while that record is known to
-//     have been the newest within the contact timeout of the roster, or within maxViewAge while the
+//     have been the newest within the contact timeout of the roster, or within MaxViewAge while the
 //     instance is in contact with a majority of the others. Both are checked just before sending.
 //   - The register of instances is in the same log. An instance that appends a move has thus read every
 //     registration before it, and an instance that reads its own registration reads every move before
@@ -63,10 +63,10 @@
 	// maxTransitTime is how long a request that was sent before it was canceled may still take to
 	// arrive. The longest link delay is 20 milliseconds.
 	maxTransitTime = 150 * time.Millisecond
-	// maxViewAge is the age up to which a view of the owners may be acted on. It bridges an outage of the
+	// MaxViewAge is the age up to which a view of the owners may be acted on. It bridges an outage of the
 	// store of that length. A takeover from a server that does not answer waits as long for
 	// instances that do not confirm it.
-	maxViewAge = 12 * time.Second
+	MaxViewAge = 12 * time.Second
 	// grantTimeout bounds a grant. releaseTimeout bounds a release, which is answered once the work
 	// in progress has ended.
 	grantTimeout   = 350 * time.Millisecond
@@ -106,7 +106,7 @@
 	// cutOffHoldTime is how long servers that seem lost keep their keys while all instances of their
 	// failure domain are unreachable as well. The domain is then probably cut off and not down: its servers
 	// continue to serve callers of their own domain, and a move could not complete before the
-	// cut ends or maxViewAge is over. Without it each cut of six seconds moved a quarter of all keys
+	// cut ends or MaxViewAge is over. Without it each cut of six seconds moved a quarter of all keys
 	// when it ended, and for four seconds half to four fifths of the requests at the servers of the other
 	// domains were refused, while the servers of the domain were idle. After the permanent loss of a domain
 	// its keys are without an owner for this much longer.
--- a/internal/lease/move.go
+++ b/internal/lease/move.go
@@ -247,9 +247,9 @@
 // domain, have confirmed the record, the others may act on an older view for the contact timeout of the
 // roster only.
 func (lm *Manager) awaitExpiry(ctx context.Context, p pendingMove) bool {
-	staleUntil := p.firstSeen.Add(maxViewAge)
+	staleUntil := p.firstSeen.Add(MaxViewAge)
 	for lm.Clock.Now().Before(staleUntil) {
-		since := time.Now().Add(-maxViewAge)
+		since := time.Now().Add(-MaxViewAge)
 		if !lm.guards.awaitConfirmation || len(lm.Roster.Unconfirmed(p.offset, since)) == 0 {
 			staleUntil = lm.Clock.Now()
 			break
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -37,13 +37,13 @@
 	return v.current
 }
 
-// fresh reports whether the view may be acted on: until its age is contactTimeout, or maxViewAge if
+// fresh reports whether the view may be acted on: until its age is contactTimeout, or MaxViewAge if
 // inContact reports contact with a majority of the other instances.
 func (v *localView) fresh(now clock.Instant, contactTimeout time.Duration, inContact func() bool) bool {
 	v.mu.Lock()
 	age, loaded := now.Sub(v.currentAsOf), v.loaded
 	v.mu.Unlock()
-	return loaded && (age < contactTimeout || age < maxViewAge && inContact())
+	return loaded && (age < contactTimeout || age < MaxViewAge && inContact())
 }
 
 // confirmCurrent takes in the statement of another instance that, at some time not before echo, its view up to
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -155,7 +155,10 @@
 		n.events.Record(event.StateChange, "seed-unreachable", "seed", seed, "error", err)
 		return join.Reply{}, err
 	}
-	n.events.Record(event.StateChange, "joined", "seed", seed, "parents", strings.Join(reply.Parents, ","), "registers", reply.Registers, "loaded", reply.Loaded)
+	n.events.Record(event.StateChange, "joined", "seed", seed, "parents", strings.Join(reply.Parents, ","), "registers", reply.Registers, "loaded", reply.Loaded,
+		"position", reply.Position, "starters", reply.Starters)
+	// Each seed knows those that have asked it.
+	n.starters.Store(int64(reply.Starters * len(n.settings.Seeds)))
 	return reply, nil
 }
 
@@ -221,12 +224,6 @@
 	return s.reader
 }
 
-// startersBefore returns how many instances have started shortly before this one, as far as it knows.
-func (n *Node) startersBefore() int {
-	s, _ := n.knownStart()
-	return s.Position
-}
-
 // startDeadline returns when the store is read for a topic that is not known yet although other instances were asked. Of
 // those that start together, each reads later than the one before it: most of them get the topic from one that has read.
 //
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,6 +123,8 @@
 	// joined is closed once start is set.
 	joined chan struct{}
 	start  start
+	// starters is the number of instances that start together with this one, as far as seeds have told.
+	starters atomic.Int64
 	// joinMu guards joinBook, which holds the starting instances if this one is a seed.
 	joinMu   sync.Mutex
 	joinBook *join.Book
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -318,6 +318,18 @@
 	}
 }
 
+// Guards against instances that know some topics and not how many others there are, and that call a store that refuses at
+// the pace of a system of one.
+func TestRefusalOfAStartCostsFewCalls(t *testing.T) {
+	is := is.New(t)
+	// A topic may cost each instance a read that shows that the store refuses and one later, and all together 25 a second.
+	const instances, topics, perSecond = 500, 3, 25
+	r := startTogether(t, instances, 1000, 100*time.Millisecond, 20*time.Second)
+	is.Equal(r.waiting, 0)
+	is.True(r.calls <= topics*(2*instances+perSecond*int(refusalTime/time.Second)))
+	is.True(r.later <= instances/2)
+}
+
 // Guards against instances that start together on a slow store and each take an append, and so several seconds, to register.
 func TestRestartOnASlowStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -374,9 +386,9 @@
 			is.True(n.startDeadline("servers").Sub(begunAt) >= maxStartFetchTime)
 		}
 		for range 100 {
-			n.start.Position = 1000
+			n.starters.Store(1000)
 			is.True(n.retryDelay(1) >= maxRetryDelay/2)
-			n.start.Position = 0
+			n.starters.Store(0)
 			is.True(n.retryDelay(8) >= maxRetryDelay/2) // others may call the store as well
 			n.start.reader = true
 			is.True(n.retryDelay(8) <= 3*minRetryDelay/2)
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -159,7 +159,10 @@
 			if !current {
 				n.watches[r.Topic].Require(n.leases.Clock.Now().Add(-r.MaxStaleness))
 			}
-			n.requestRead(r.Topic)
+			// That a peer needs newer knowledge does not mean that the store answers again after a failed read.
+			if end < max(r.MinEnd, r.From) || !n.watches[r.Topic].LastReadFailed() {
+				n.requestRead(r.Topic)
+			}
 		}
 		if time.Now().After(deadline) || !worker.Sleep(ctx, topicPollInterval) {
 			return false
--- a/internal/node/watches.go
+++ b/internal/node/watches.go
@@ -6,6 +6,8 @@
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -41,7 +43,7 @@
 	}
 	for topic, w := range watches {
 		w.Store, w.Topic, w.Clock, w.Out = n.platform.Store, topic, clock.Boot{}, n.updates[topic]
-		w.ReadNow, w.PeerUpdates, w.RetryDelay = n.readRequests[topic], n.peerUpdates[topic], n.retryDelay
+		w.ReadNow, w.PeerUpdates, w.RetryDelay = n.readRequests[topic], n.peerUpdates[topic], n.topicRetryDelay(w)
 		w.Peers, w.StoreDeadline = n, n.storeDeadline(topic)
 	}
 	return watches
@@ -72,6 +74,9 @@
 	minRetryDelay         = 250 * time.Millisecond
 	retryDelayPerInstance = 40 * time.Millisecond
 	maxRetryDelay         = 10 * time.Second
+	// maxUnknownDoublings is how often the delay for a known topic doubles while it is not known how many instances call
+	// the store. Afterwards the topic must come into force in time.
+	maxUnknownDoublings = 3
 	// storeAnswerSlack is how much longer than the poll timeout of the leader an answer of the store counts as proof
 	// that an instance reaches the store, so that the leader does not lose its role while it waits for the next
 	// answer.
@@ -102,7 +107,12 @@
 			return n.startDeadline(topic)
 		}
 		spread := time.Duration((1 - n.place().Part()) * float64(maxStalenessSpread))
-		return time.Now().Add(max(n.newsBound()-storeReadReserve-spread-age, minPeerTime))
+		bound := n.newsBound()
+		if topic == n.platform.OwnersTopic && age >= maxOwnersAge {
+			// The owners are to be confirmed before they are too old to act on.
+			bound = age + (lease.MaxViewAge-age)/2
+		}
+		return time.Now().Add(max(bound-storeReadReserve-spread-age, minPeerTime))
 	}
 }
 
@@ -122,17 +132,28 @@
 // unless it is one of the few that read for the others.
 func (n *Node) retryDelay(startFailures int) time.Duration {
 	callers := len(n.roster.Alive(time.Now()))
+	if n.startsAsReader() {
+		startFailures = 0
+	}
 	if startFailures > 0 {
-		callers = max(callers, n.startersBefore())
-		if n.startsAsReader() {
-			startFailures = 0
-		}
+		callers = max(callers, int(n.starters.Load()))
 	}
 	mean := max(minRetryDelay, time.Duration(callers)*retryDelayPerInstance)
 	mean = min(mean<<min(max(startFailures-1, 0), 8), maxRetryDelay)
 	return mean/2 + rand.N(mean)
 }
 
+// topicRetryDelay returns the function that decides about the delay after a failed read of a watch. While it is not known
+// how many instances call the store, a known topic is retried like one that is not known yet, but not as rarely.
+func (n *Node) topicRetryDelay(w *follow.Watch) func(startFailures int) time.Duration {
+	return func(startFailures int) time.Duration {
+		if _, unknown := n.roster.Size().(roster.Unknown); unknown {
+			startFailures = max(startFailures, min(w.Failures(), maxUnknownDoublings+1))
+		}
+		return n.retryDelay(startFailures)
+	}
+}
+
 // readsStore reports whether this instance reads configuration and directory from the store: only the leader does,
 // and broadcasts them. Three more readers cost a seventh of all calls (66 of 458) and were of no more use than any
 // other instance, which reads when no confirmation arrives.
@@ -153,8 +174,11 @@
 	return place.Index == 0 && n.leases.Registered() && place.Leader.Share > 0 && n.workShare() > challengerFactor*place.Leader.Share
 }
 
-// maxOwnersStaleness returns the age of the owners from which on this instance reads them by itself.
-func (n *Node) maxOwnersStaleness() time.Duration { return maxOwnersAge }
+// maxOwnersStaleness returns the age of the owners from which on this instance reads them by itself. It is lower for an
+// instance than for those that ask it.
+func (n *Node) maxOwnersStaleness() time.Duration {
+	return maxOwnersAge + time.Duration(n.place().Part()*float64(maxStalenessSpread))
+}
 
 // batchDelay returns the delay between a read that returned records of the directory and the next one.
 func (n *Node) batchDelay() time.Duration {
