--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime/debug"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -225,6 +226,9 @@
 	records int
 }
 
+// maxStartMemory is the memory in bytes beyond which garbage is collected at once.
+const maxStartMemory = 6 << 30
+
 // The times of a start.
 const (
 	refusalTime = 5 * time.Second
@@ -234,6 +238,8 @@
 // startTogether starts instances together on a store with a directory of servers, which refuses all calls for refusalTime
 // from refuseFrom on. It ends when all have started, or after a time.
 func startTogether(t *testing.T, instances, servers int, refuseFrom, within time.Duration) (result startResult) {
+	// A thousand copies of a large directory would otherwise take half of the memory of a machine.
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(maxStartMemory))
 	synctest.Test(t, func(t *testing.T) {
 		sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}}, nodes: map[string]*Node{}}
 		for i := range servers {
