--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -96,7 +96,7 @@
 // failure domain that are known to run, loaded says whether the seed has the state.
 func (b *Book) Add(r Request, running []string, loaded bool, now time.Time) Reply {
 	domain := r.Entry.Domain
-	b.expire(now)
+	b.dropStarters(now)
 	starters := b.domains[domain]
 	position := slices.IndexFunc(starters, func(s starter) bool { return s.name == r.Name })
 	if position < 0 {
@@ -122,8 +122,8 @@
 	return reply
 }
 
-// expire drops the instances that do not count as starting any more.
-func (b *Book) expire(now time.Time) {
+// dropStarters drops the instances that do not count as starting any more.
+func (b *Book) dropStarters(now time.Time) {
 	for domain, starters := range b.domains {
 		b.domains[domain] = slices.DeleteFunc(starters, func(s starter) bool { return now.After(s.until) })
 	}
@@ -181,8 +181,8 @@
 	}
 }
 
-// Expire drops the registrations that were not written within WriteTime, and returns their number.
-func (b *Book) Expire(now time.Time) int {
+// DropUnwritten drops the registrations that were not written within WriteTime, and returns their number.
+func (b *Book) DropUnwritten(now time.Time) int {
 	maps.DeleteFunc(b.written, func(_ string, w writtenEntry) bool { return now.After(w.until) })
 	before := len(b.pending)
 	b.pending = slices.DeleteFunc(b.pending, func(r Request) bool { return now.After(r.writeUntil) })
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -273,7 +273,7 @@
 func (n *Node) takeRegistrations(now time.Time) []join.Request {
 	n.joinMu.Lock()
 	defer n.joinMu.Unlock()
-	if dropped := n.joinBook.Expire(now); dropped > 0 {
+	if dropped := n.joinBook.DropUnwritten(now); dropped > 0 {
 		n.events.Record(event.StateChange, "registrations-not-written", "count", dropped)
 	}
 	return n.joinBook.Take(maxRegisterBatch)
--- a/internal/node/register_test.go
+++ b/internal/node/register_test.go
@@ -66,7 +66,7 @@
 	batch := b.Take(10)
 	is.Equal(len(batch), 1)
 	b.Return(batch) // refused
-	b.Expire(now.Add(seedRenewInterval))
+	b.DropUnwritten(now.Add(seedRenewInterval))
 	is.Equal(len(b.Take(10)), 1)
 	b.Written(batch, now)
 	is.True(b.Register(request, now.Add(seedRenewInterval)))
@@ -75,7 +75,7 @@
 	is.True(b.Register(request, now.Add(seedRenewInterval)))
 	is.Equal(len(b.Take(10)), 1)
 	b.Return(batch)
-	is.Equal(b.Expire(now.Add(join.WriteTime+1)), 1) // the instance may write its record by itself soon
+	is.Equal(b.DropUnwritten(now.Add(join.WriteTime+1)), 1) // the instance may write its record by itself soon
 	is.Equal(len(b.Take(10)), 0)
 	var r registration
 	r.delegated(now)
