Let the adapter open connections to servers, and log those that fail

Each connection that cannot be opened is now logged with the number of servers that failed in a row since the last sign of life of any and how long ago that was, and counted (server_connections{how=...}).

The dialer comes from the adapter, so that a test can cut the paths of one instance.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -179,7 +179,7 @@
 		f.admitter.ids = append(f.admitter.ids, id)
 	}
 	f.edge = edge.New(edge.Deps{
-		Codec: headerCodec{}, Cluster: f.cluster, Admitter: f.admitter, ConnPool: edge.NewConnPool(func(string) int { return 10 }),
+		Codec: headerCodec{}, Cluster: f.cluster, Admitter: f.admitter, ConnPool: edge.NewConnPool(func(string) int { return 10 }, nil),
 		RetryBudget: edge.NewRetryBudget(0.2, 10*time.Second, func() (float64, bool) { return 100, true }, time.Now),
 		Events:      event.New(io.Discard, log.ErrorLevel), Meters: edge.NewMeters(),
 	})
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -104,10 +104,10 @@
 const (
 	// serverIdleTimeout is below the ten seconds after which servers close idle connections.
 	serverIdleTimeout = 8 * time.Second
-	// serverUserTimeout is the time after which a connection to an unreachable machine ends. On a
+	// ServerUserTimeout is the time after which a connection to an unreachable machine ends. On a
 	// lossy link, the recovery from three lost packets in a row takes longer than that only about
 	// once in ten thousand cases.
-	serverUserTimeout = 1200 * time.Millisecond
+	ServerUserTimeout = 1200 * time.Millisecond
 	// serverSilenceTimeout is longer than any deadline, so that a server that has not responded
 	// yet is never probed.
 	serverSilenceTimeout = time.Minute
@@ -118,6 +118,8 @@
 	// Connections returns the connection limit of one server of a service, which may change with the
 	// number of instances. It is called for each request and becomes upstr.Settings.MaxConns.
 	Connections func(service string) int
+	// Dialer opens the connections; nil means that they are opened directly.
+	Dialer upstr.Dialer
 
 	mu      sync.Mutex
 	clients map[string]*pooledClient
@@ -129,9 +131,9 @@
 	maxConns int
 }
 
-// NewConnPool returns a pool without connections. The argument becomes ConnPool.Connections.
-func NewConnPool(connections func(service string) int) *ConnPool {
-	return &ConnPool{Connections: connections, clients: map[string]*pooledClient{}}
+// NewConnPool returns a pool without connections. The arguments become ConnPool.Connections and ConnPool.Dialer.
+func NewConnPool(connections func(service string) int, dialer upstr.Dialer) *ConnPool {
+	return &ConnPool{Connections: connections, Dialer: dialer, clients: map[string]*pooledClient{}}
 }
 
 // clientFor returns the client of a server, a new one if there is none.
@@ -143,7 +145,8 @@
 	if client == nil {
 		client = &pooledClient{maxConns: maxConns, Client: upstr.NewClient(upstr.Settings{
 			Name: s.ID, Address: s.Address, MaxConns: maxConns, Slots: s.Slots,
-			IdleTimeout: serverIdleTimeout, SilenceTimeout: serverSilenceTimeout, NoDeathMonitor: true, CancelByFullClose: true, UserTimeout: serverUserTimeout,
+			IdleTimeout: serverIdleTimeout, SilenceTimeout: serverSilenceTimeout, NoDeathMonitor: true, CancelByFullClose: true, UserTimeout: ServerUserTimeout,
+			Dialer: p.Dialer,
 		})}
 		p.clients[s.ID] = client
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"example.org/mustardring/internal/lease"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -38,7 +39,9 @@
 type Platform struct {
 	Store       follow.Store
 	LeaseClient lease.Client
-	Codec       edge.HeaderCodec
+	// DialServer connects to a backend server.
+	DialServer upstr.DialFunc
+	Codec      edge.HeaderCodec
 	// ConfigTopic, ServersTopic and OwnersTopic are topics of the store: the configuration and the evacuations of the
 	// operators, the directory of servers, and the owners with the register of instances. ConfigKey is the key of
 	// the configuration in its topic.
@@ -73,6 +76,7 @@
 	roster      *roster.Roster
 	port        *dgram.Port
 	admissions  *admissions
+	dialer      *serverDialer
 	loadTracker *loadTracker
 	leases      *lease.Manager
 	edge        *edge.Edge
@@ -186,11 +190,12 @@
 	})
 	n.cluster.owners = n.leases.View
 	n.watches = n.newWatches()
+	n.dialer = newServerDialer(platform.DialServer, events)
 	budget := edge.NewRetryBudget(settings.Bounds.RetryRatio,
 		time.Duration(settings.Bounds.RetryWindowSeconds*float64(time.Second)),
 		func() (float64, bool) { return n.shareOf(settings.Bounds.RetrySlack) }, time.Now)
 	n.edge = edge.New(edge.Deps{
-		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections), RetryBudget: budget,
+		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections, n.dialer), RetryBudget: budget,
 		Events: events, Meters: n.meters,
 	})
 	n.inlet = inlet.New(n.edge.Handle, n.limits)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -92,6 +92,7 @@
 	vars.Set("mustardring-requests", n.meters.Var())
 	vars.Set("mustardring-events", n.events.Counts())
 	vars.Set("mustardring-store-calls", n.storeCalls)
+	vars.Set("mustardring-server-connections", n.dialer.counts)
 	mux := http.NewServeMux()
 	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
@@ -121,6 +122,9 @@
 	n.storeCalls.Do(func(v expvar.KeyValue) {
 		lines = append(lines, fmt.Sprintf("store_calls{what=%q} %s\n", v.Key, v.Value))
 	})
+	n.dialer.counts.Do(func(v expvar.KeyValue) {
+		lines = append(lines, fmt.Sprintf("server_connections{how=%q} %s\n", v.Key, v.Value))
+	})
 	for call, l := range n.storeTimes.Snapshot() {
 		lines = append(lines, fmt.Sprintf("store_time_us{call=%q,quantile=\"0.5\"} %d\n", call, l.P50),
 			fmt.Sprintf("store_time_us{call=%q,quantile=\"0.99\"} %d\n", call, l.P99),
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -37,8 +37,22 @@
 	ErrDeadline = errors.New("upstr: no response by the deadline")
 	// ErrConnLimit accompanies ErrNotSent if all connections are in use.
 	ErrConnLimit = errors.New("upstr: all connections in use")
+	// ErrUnreachable accompanies ErrNotSent if the server accepts no connection of any instance, as far as is known. A
+	// Dialer returns it; a connection that fails for another reason says nothing about the server.
+	ErrUnreachable = errors.New("upstr: server unreachable")
 )
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer opens the connections of clients.
+type Dialer interface {
+	// DialServer connects to the server with a name at an address.
+	DialServer(ctx context.Context, name, address string) (net.Conn, error)
+	// Answered is called for each response of a server with the connection that DialServer returned.
+	Answered(c net.Conn)
+}
+
 // The limits and timeouts of connections.
 const (
 	dialTimeout = 2 * time.Second
@@ -82,6 +96,8 @@
 	// UserTimeout is how long sent bytes may stay unacknowledged before the connection is
 	// lost; zero means defaultUserTimeoutMillis.
 	UserTimeout time.Duration
+	// Dialer opens the connections for requests; nil means that they are opened directly.
+	Dialer Dialer
 }
 
 // DefaultSilenceTimeout is much longer than the typical latency of a service.
@@ -202,6 +218,9 @@
 		return nil, cl.failAttempt(a, c, err)
 	}
 	cl.observeLatency(time.Since(a.startedAt))
+	if cl.settings.Dialer != nil {
+		cl.settings.Dialer.Answered(c.Conn)
+	}
 	b := &responseBody{ReadCloser: response.Body, conn: c, attempt: a, reusable: !response.Close && !r.Close}
 	response.Body = b
 	if b.ReadCloser == http.NoBody {
@@ -285,9 +304,7 @@
 	if !cl.reserveConn() {
 		return nil, ErrConnLimit
 	}
-	dialer := cl.dialer
-	dialer.Deadline = o.Deadline
-	raw, err := dialer.DialContext(ctx, "tcp", cl.settings.Address)
+	raw, err := cl.dialServer(ctx, o.Deadline)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.dialing--
@@ -299,6 +316,18 @@
 	return c, nil
 }
 
+// dialServer opens a connection to the server, by a deadline.
+func (cl *Client) dialServer(ctx context.Context, deadline time.Time) (net.Conn, error) {
+	if cl.settings.Dialer != nil {
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		return cl.settings.Dialer.DialServer(ctx, cl.settings.Name, cl.settings.Address)
+	}
+	dialer := cl.dialer
+	dialer.Deadline = deadline
+	return dialer.DialContext(ctx, "tcp", cl.settings.Address)
+}
+
 // reserveConn counts a connection that is about to be opened, and reports whether the limit allows
 // it. At the limit it closes an idle connection to make room.
 func (cl *Client) reserveConn() bool {
@@ -389,6 +418,26 @@
 	}
 }
 
+// CloseUnusable closes the idle connections that cannot carry another request.
+func (cl *Client) CloseUnusable() {
+	cl.mu.Lock()
+	var closing []*conn
+	cl.idle = slices.DeleteFunc(cl.idle, func(c *conn) bool {
+		if c.peeker.usable() {
+			return false
+		}
+		closing = append(closing, c)
+		return true
+	})
+	cl.mu.Unlock()
+	for _, c := range closing {
+		c.discard()
+	}
+}
+
+// CloseIdle closes all idle connections.
+func (cl *Client) CloseIdle() { cl.closeIdle() }
+
 // closeIdle closes all idle connections.
 func (cl *Client) closeIdle() {
 	for c := cl.takeIdle(); c != nil; c = cl.takeIdle() {
--- a/internal/upstr/peek_linux.go
+++ b/internal/upstr/peek_linux.go
@@ -8,6 +8,8 @@
 
 // peeker checks whether there is anything to read on a connection, without reading it.
 type peeker struct {
+	// allowed reports whether the connection may be used again; nil means that it may.
+	allowed func() bool
 	raw     syscall.RawConn
 	peek    func(fd uintptr)
 	failure error
@@ -16,6 +18,9 @@
 
 func newPeeker(c net.Conn) *peeker {
 	p := &peeker{}
+	if u, ok := c.(interface{ Usable() bool }); ok {
+		p.allowed = u.Usable
+	}
 	if s, ok := c.(syscall.Conn); ok {
 		p.raw, _ = s.SyscallConn()
 	}
@@ -29,7 +34,7 @@
 // closed it, the next request would be lost; if the server had sent unsolicited bytes, they would be
 // taken for the response to the next request.
 func (p *peeker) usable() bool {
-	if p.raw == nil {
+	if p.raw == nil || p.allowed != nil && !p.allowed() {
 		return false
 	}
 	err := p.raw.Control(p.peek)
--- a/internal/upstr/silence.go
+++ b/internal/upstr/silence.go
@@ -64,3 +64,16 @@
 	}
 	return response.Body.Close()
 }
+
+// Configure sets the options of a connection that a DialFunc has opened, as those of the connections of a Client without
+// a Dialer.
+func Configure(c net.Conn, userTimeout time.Duration) error {
+	if tcp, ok := c.(interface {
+		SetKeepAliveConfig(config net.KeepAliveConfig) error
+	}); ok {
+		if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
+			return err
+		}
+	}
+	return SetUserTimeout(c, userTimeout)
+}
--- a/internal/upstr/timeout_linux.go
+++ b/internal/upstr/timeout_linux.go
@@ -1,6 +1,7 @@
 package upstr
 
 import (
+	"net"
 	"syscall"
 	"time"
 )
@@ -26,3 +27,16 @@
 		return optErr
 	}
 }
+
+// SetUserTimeout sets TCP_USER_TIMEOUT of an open connection to d. It does nothing if c is not a connection of the system.
+func SetUserTimeout(c net.Conn, d time.Duration) error {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return UserTimeout(d)("", "", raw)
+}
--- a/internal/upstr/timeout_other.go
+++ b/internal/upstr/timeout_other.go
@@ -3,6 +3,7 @@
 package upstr
 
 import (
+	"net"
 	"syscall"
 	"time"
 )
@@ -11,3 +12,6 @@
 func UserTimeout(time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, _ syscall.RawConn) error { return nil }
 }
+
+// SetUserTimeout does nothing: the option is not supported on this system.
+func SetUserTimeout(net.Conn, time.Duration) error { return nil }
