Rank instances that have lost their paths to all servers last

A heartbeat now says in one bit whether its sender reaches no server; a heartbeat of the release before has no such field and says that it does. RankConnected and Responsible leave such instances out, unless there are no others, and of those that reach the store one that reaches servers leads. Nothing sets the bit yet.

TestInstancesWithoutPathsAreNotInCharge

--- a/internal/roster/liveness.go
+++ b/internal/roster/liveness.go
@@ -68,7 +68,7 @@
 		if !r.alive(p, now) || p.Heartbeat.Stopping || !p.Heartbeat.StoreOK {
 			continue
 		}
-		if best == nil || p.Heartbeat.StoreAnswered && !best.Heartbeat.StoreAnswered || p.Heartbeat.StoreAnswered == best.Heartbeat.StoreAnswered && p.Share > best.Share {
+		if best == nil || p.leadsBefore(best) {
 			best = p
 		}
 	}
@@ -78,6 +78,20 @@
 	return *best, true
 }
 
+// leadsBefore reports whether an instance that may lead goes before another one: if only it had an answer of the store
+// lately, else if only it reaches servers, else by its share.
+func (p *Peer) leadsBefore(o *Peer) bool {
+	h, other := p.Heartbeat, o.Heartbeat
+	switch {
+	case h.StoreAnswered != other.StoreAnswered:
+		return h.StoreAnswered
+	case h.ReachesNone != other.ReachesNone:
+		return !h.ReachesNone
+	default:
+		return p.Share > o.Share
+	}
+}
+
 // Relays returns the instances to which this one sends a broadcast. The direct ones are the others of its
 // own failure domain and all instances of domains with few of them. The relays are, of each other domain,
 // the instance with the largest share that is alive, which forwards the message within its domain.
@@ -120,6 +134,14 @@
 	return p == nil || r.alive(p, now)
 }
 
+// AliveNamed reports whether the instance with a name is alive.
+func (r *Roster) AliveNamed(name string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[name]
+	return p != nil && r.alive(p, now)
+}
+
 // Unconfirmed returns the names of the instances that may still act on a view without the record at an
 // offset: the registered ones that have not confirmed it, and those whose removal this instance learned of
 // after the given time.
--- a/internal/roster/rank.go
+++ b/internal/roster/rank.go
@@ -24,7 +24,7 @@
 // Without the cache, ranking some hundred servers takes most of the processor time of a small instance in a
 // system of hundreds of instances.
 type ranking struct {
-	// eligible holds the instances that are alive and not stopping, by domain and name.
+	// eligible holds the ranked instances by domain and name.
 	eligible map[string]map[string]*Peer
 	subjects map[subject]*ranked
 	// version changes whenever a rank or the responsibility for a server may have changed.
@@ -99,6 +99,19 @@
 	}
 }
 
+// set makes an instance eligible or not, and reports whether that is a change.
+func (k *ranking) set(p *Peer, eligible bool) bool {
+	switch contained := k.contains(p); {
+	case eligible && !contained:
+		k.add(p)
+	case contained && !eligible:
+		k.remove(p)
+	default:
+		return false
+	}
+	return true
+}
+
 // newCandidate scores an instance for a subject with the given hash.
 func (k *ranking) newCandidate(p *Peer, key subject, hash uint64) candidate {
 	k.scoreCount++
@@ -158,13 +171,10 @@
 // refreshPeer updates the ranking with the current state of one instance. The lock is held.
 func (r *Roster) refreshPeer(p *Peer, now time.Time) {
 	eligible := r.peers[p.Name] == p && r.alive(p, now) && !p.Heartbeat.Stopping
-	switch contained := r.ranking.contains(p); {
-	case eligible && !contained:
-		r.ranking.add(p)
+	if r.ranking.set(p, eligible) && eligible {
 		r.refreshAt = clock.Earlier(r.refreshAt, r.aliveUntil(p))
-	case contained && !eligible:
-		r.ranking.remove(p)
 	}
+	r.connected.set(p, eligible && !p.Heartbeat.ReachesNone)
 }
 
 // maxRefreshInterval limits the time between two checks of all instances for missing heartbeats.
@@ -200,13 +210,35 @@
 	return out
 }
 
-// Responsible reports whether this instance is to renew the leases of a server: the first instance in rank
-// is, and each further one if all before it report that the server does not answer them.
+// RankConnected returns what Rank does for the instances that reach servers themselves. If there are none it returns
+// the same as Rank.
+func (r *Roster) RankConnected(name, domain string, now time.Time) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refreshAll(now)
+	out := make([]Peer, 0, MaxRanked)
+	for _, c := range r.connectedFor(name, domain) {
+		out = append(out, *c.peer)
+	}
+	return out
+}
+
+// connectedFor returns the highest ranks for a subject among the instances that reach servers themselves, or among all
+// if there are none. The lock is held.
+func (r *Roster) connectedFor(name, domain string) []candidate {
+	if len(r.connected.eligible) == 0 {
+		return r.ranking.topFor(name, domain)
+	}
+	return r.connected.topFor(name, domain)
+}
+
+// Responsible reports whether this instance is to renew the leases of a server: the first instance in the rank of those
+// that reach servers is, and each further one if all before it report that the server does not answer them.
 func (r *Roster) Responsible(server, domain string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshAll(now)
-	for _, c := range r.ranking.topFor(server, domain) {
+	for _, c := range r.connectedFor(server, domain) {
 		if c.peer.Name == r.self {
 			return true
 		}
@@ -217,12 +249,12 @@
 	return false
 }
 
-// RankVersion returns a number that changes whenever the results of Rank and Responsible may have changed.
+// RankVersion returns a number that changes whenever the results of Rank, RankConnected and Responsible may have changed.
 func (r *Roster) RankVersion(now time.Time) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshAll(now)
-	return r.ranking.version
+	return r.ranking.version + r.connected.version
 }
 
 // score returns the score of the instance for the hash of a subject. The instance with the lowest score is
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -83,6 +83,8 @@
 	ReplyNow bool
 	// Failing lists the ids of the servers that do not answer the instance's lease renewals.
 	Failing []string
+	// ReachesNone says that the instance has lost its own paths to all servers, as far as it can tell.
+	ReachesNone bool
 }
 
 // Peer is a registered instance, which may be this one.
@@ -126,7 +128,9 @@
 	// byAddress holds the registered instances by address. Of several with the same address it holds the
 	// last by name.
 	byAddress map[string]*Peer
+	// ranking holds the instances that are alive and not stopping, connected those of them that reach servers themselves.
 	ranking   ranking
+	connected ranking
 	// refreshAt is the earliest time at which an instance of the ranking may reach its timeout.
 	refreshAt time.Time
 	// removed holds, by name, the instances that were removed and may still act.
@@ -152,7 +156,7 @@
 // New returns the roster of the instance self in a failure domain. It holds no instances, not even that one.
 func New(self, domain string) *Roster {
 	return &Roster{
-		self: self, domain: domain, domainSizes: make(map[string]int), byAddress: make(map[string]*Peer), ranking: newRanking(),
+		self: self, domain: domain, domainSizes: make(map[string]int), byAddress: make(map[string]*Peer), ranking: newRanking(), connected: newRanking(),
 		peers: make(map[string]*Peer), removed: make(map[string]removal), unregistered: make(map[string]time.Time), departed: make(map[string]departure),
 	}
 }
@@ -185,9 +189,8 @@
 			}
 		}
 	}
-	if r.ranking.contains(p) {
-		r.ranking.remove(p)
-	}
+	r.ranking.set(p, false)
+	r.connected.set(p, false)
 	r.refreshAt = time.Time{}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -295,3 +296,44 @@
 		is.True(p.Name != relays[0].Name) // an instance that is not alive cannot relay
 	}
 }
+
+// Guards against work on servers that is left with an instance which reaches none of them, and against a system in which
+// nobody does it because all say so.
+func TestInstancesWithoutPathsAreNotInCharge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	names := []string{"i0", "i1", "i2", "i3"}
+	cases := map[string]struct {
+		without []string
+		// inCharge is who may be in charge of servers.
+		inCharge []string
+	}{
+		"none":      {nil, names},
+		"one":       {[]string{"i2"}, []string{"i0", "i1", "i3"}},
+		"most":      {[]string{"i0", "i1", "i3"}, []string{"i2"}},
+		"all":       {names, names},
+		"this, too": {[]string{"i0"}, []string{"i1", "i2", "i3"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New("i0", "d0")
+			registerAll(r, len(names))
+			for _, instance := range names {
+				r.RecordHeartbeat(roster.Heartbeat{
+					Name: instance, Incarnation: 1, StoreOK: true, StoreAnswered: true, ReachesNone: slices.Contains(c.without, instance),
+				}, now)
+			}
+			for i := range 40 {
+				server := fmt.Sprintf("s%d", i)
+				ranked := r.RankConnected(server, "d0", now)
+				is.True(len(ranked) > 0)
+				for _, p := range ranked {
+					is.True(slices.Contains(c.inCharge, p.Name))
+				}
+				is.Equal(r.Responsible(server, "d0", now), ranked[0].Name == "i0")
+			}
+			leader, found := r.Leader(now)
+			is.True(found && slices.Contains(c.inCharge, leader.Name))
+		})
+	}
+}
