Reach servers through other instances where the own path is lost

Cause: an instance sent each attempt on a connection of its own and had no other way. A failed connection was taken for what it shows about the server, while the other instances reached it.

Change: package paths connects directly or through another instance, and in the other way as well if that fails or takes 150 ms. A path counts as lost only if another instance reaches the server; then the next connections go through at once, and probes (500 ms to 4 s apart, two a second for all servers together if none is reached) find out when the path is back. Package tunnel carries one connection through one instance: bytes as they are to the server, frames from it, so that a response that ends with its connection cannot seem complete if the instance in the middle dies. Only registered instances may open one, from their address and with their incarnation; the last instance uses only a path of its own, and checks before each request that the server still takes requests. An instance that reaches none says so with one bit of its heartbeat and is not asked. Tunnels through an instance that goes silent are closed, those through one that stops are not used again.

Why it works: connections stay within the share of the instance that uses them, so the limits of servers hold; retries and admissions stay where they were; one attempt is one arrival, and what is known not to have been sent stays known.

TestRuleOfLostPaths: 8, 70 and 300 instances in virtual time, one, a domain, half, all but one cut: all served from 3 s after the cut on.

--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -157,6 +157,35 @@
 	return client.Client
 }
 
+// CloseIdle closes the idle connections to all servers.
+func (p *ConnPool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.CloseIdle()
+	}
+}
+
+// CloseIdleTo closes the idle connections to a server.
+func (p *ConnPool) CloseIdleTo(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.clients[server]; c != nil {
+		c.CloseIdle()
+	}
+}
+
+// CloseUnusable closes the idle connections to some servers that cannot carry another request.
+func (p *ConnPool) CloseUnusable(servers map[string]struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for server := range servers {
+		if c := p.clients[server]; c != nil {
+			c.CloseUnusable()
+		}
+	}
+}
+
 // Retain drops the clients of all servers for which exists returns false. Their connections are
 // closed as soon as they are idle.
 func (p *ConnPool) Retain(exists func(id string) bool) {
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -196,6 +196,7 @@
 func (n *Node) serversChanged() {
 	n.admissions.updateServers(n.cluster.takeUnseen())
 	n.edge.ConnPool.Retain(n.cluster.servers().Has)
+	n.dialer.Table.Retain(n.cluster.servers().Has)
 }
 
 // ownersChanged wakes the requests that wait for a change of owners.
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -153,6 +153,7 @@
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.leases.ConfirmedOffset(),
 		Known: n.leases.View().End, StoreOK: reached.owners && reached.directory,
 		Stopping: n.isStopping(), Leads: n.leases.Leads(), ConfigEnd: configEnd, ServersEnd: serversEnd, Failing: n.leases.Failing(),
+		ReachesNone: n.dialer.Table.ReachesNone(),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,8 +29,10 @@
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/join"
 	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/paths"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/tunnel"
 	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/internal/worker"
 )
@@ -76,7 +78,8 @@
 	roster      *roster.Roster
 	port        *dgram.Port
 	admissions  *admissions
-	dialer      *serverDialer
+	dialer      *paths.Dialer
+	tunnels     tunnels
 	loadTracker *loadTracker
 	leases      *lease.Manager
 	edge        *edge.Edge
@@ -190,7 +193,8 @@
 	})
 	n.cluster.owners = n.leases.View
 	n.watches = n.newWatches()
-	n.dialer = newServerDialer(platform.DialServer, events)
+	n.tunnels.opened = map[*tunnel.Conn]string{}
+	n.dialer = n.newDialer()
 	budget := edge.NewRetryBudget(settings.Bounds.RetryRatio,
 		time.Duration(settings.Bounds.RetryWindowSeconds*float64(time.Second)),
 		func() (float64, bool) { return n.shareOf(settings.Bounds.RetrySlack) }, time.Now)
@@ -319,6 +323,7 @@
 	group.Go("permits", n.admissions.run)
 	group.Go("loads", n.reportLoop)
 	group.Go("limits", n.limitLoop)
+	group.Go("tunnels", n.tunnelLoop)
 	group.Go("ready", n.serveReady)
 	group.Go("metrics", n.serveMetrics)
 	group.Go("front", func(ctx context.Context) error { return n.inlet.Serve(ctx, listener) })
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -50,8 +50,8 @@
 	}
 	_ = listener.Close()
 	n.inlet.Finish()
-	// A connection stays open until the caller has read the last reply from it.
-	for n.inlet.Conns() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+	// A connection stays open until the caller has read the last reply from it, a tunnel until its sender closes it.
+	for n.inlet.Conns()+n.tunnels.carriedCount() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		time.Sleep(stopPollInterval)
 		n.inlet.Finish()
 	}
@@ -92,7 +92,7 @@
 	vars.Set("mustardring-requests", n.meters.Var())
 	vars.Set("mustardring-events", n.events.Counts())
 	vars.Set("mustardring-store-calls", n.storeCalls)
-	vars.Set("mustardring-server-connections", n.dialer.counts)
+	vars.Set("mustardring-server-connections", n.dialer.Counts())
 	mux := http.NewServeMux()
 	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
@@ -122,9 +122,11 @@
 	n.storeCalls.Do(func(v expvar.KeyValue) {
 		lines = append(lines, fmt.Sprintf("store_calls{what=%q} %s\n", v.Key, v.Value))
 	})
-	n.dialer.counts.Do(func(v expvar.KeyValue) {
+	n.dialer.Counts().Do(func(v expvar.KeyValue) {
 		lines = append(lines, fmt.Sprintf("server_connections{how=%q} %s\n", v.Key, v.Value))
 	})
+	lines = append(lines, fmt.Sprintf("paths_lost %d\n", n.dialer.Table.LostCount()),
+		fmt.Sprintf("tunnels{side=\"opened\"} %d\n", n.tunnels.openedCount()), fmt.Sprintf("tunnels{side=\"carried\"} %d\n", n.tunnels.carriedCount()))
 	for call, l := range n.storeTimes.Snapshot() {
 		lines = append(lines, fmt.Sprintf("store_time_us{call=%q,quantile=\"0.5\"} %d\n", call, l.P50),
 			fmt.Sprintf("store_time_us{call=%q,quantile=\"0.99\"} %d\n", call, l.P99),
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -16,6 +16,7 @@
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/join"
 	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/tunnel"
 	"example.org/mustardring/internal/upstr"
 )
 
@@ -59,18 +60,25 @@
 
 // newPeerClient returns a client for calls to other instances.
 func newPeerClient() *http.Client {
-	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: upstr.UserTimeout(peerUserTimeout)}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		DialContext: newPeerDialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 	}}
 }
 
+// newPeerDialer returns a dialer for connections to other instances.
+func newPeerDialer() *net.Dialer {
+	return &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: upstr.UserTimeout(peerUserTimeout)}
+}
+
 // servePeers returns the worker that answers the calls of other instances at an address.
 func (n *Node) servePeers(address string) func(ctx context.Context) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+pathJoin, n.handleJoin)
-	mux.HandleFunc("GET "+pathTopics, n.handleTopic)
-	return func(ctx context.Context) error { return serveHTTP(ctx, address, mux) }
+	return func(ctx context.Context) error {
+		mux := http.NewServeMux()
+		mux.HandleFunc("POST "+pathJoin, n.handleJoin)
+		mux.HandleFunc("GET "+pathTopics, n.handleTopic)
+		mux.HandleFunc("POST "+tunnel.Path, func(w http.ResponseWriter, r *http.Request) { n.handleTunnel(ctx, w, r) })
+		return serveHTTP(ctx, address, mux)
+	}
 }
 
 // topicQuery returns the query of a request for a topic that the receiver may hold for a time.
--- /dev/null
+++ b/internal/paths/dialer.go
@@ -0,0 +1,298 @@
+package paths
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"time"
+
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/upstr"
+)
+
+// The errors of Deps.Open.
+var (
+	// ErrUnreachable means that the other instance could not connect to the server either.
+	ErrUnreachable = errors.New("paths: server unreachable from the other instance")
+	// ErrNoPath means that the other instance has lost its own path to the server.
+	ErrNoPath = errors.New("paths: other instance has no path to the server")
+	// errNoInstance means that there is no instance to go through.
+	errNoInstance = errors.New("paths: no other instance to go through")
+)
+
+const (
+	// directTimeout limits an attempt to connect to a server.
+	directTimeout = 600 * time.Millisecond
+	// hedgeDelay is how long a connection may take to open before another instance is asked for one as well. It is longer
+	// than an instance is held up by its processor quota, which is counted per tenth of a second.
+	hedgeDelay = 150 * time.Millisecond
+	// throughTimeout limits the time to connect through other instances, of which maxInstancesAsked are tried.
+	throughTimeout    = 500 * time.Millisecond
+	maxInstancesAsked = 3
+)
+
+// Server is the server to connect to.
+type Server struct {
+	ID string
+	// Address is an IP address with port.
+	Address string
+}
+
+// Deps holds the dependencies of a Dialer.
+type Deps struct {
+	Table *Table
+	// Direct connects to a server.
+	Direct func(ctx context.Context, s Server) (net.Conn, error)
+	// Choose returns the instance that a choice for a server stands for, and false if there is none. Instances that reach
+	// no server themselves are left out.
+	Choose func(server string, choice int) (instance string, ok bool)
+	// Open connects to a server through an instance. Its errors may wrap ErrUnreachable or ErrNoPath.
+	Open func(ctx context.Context, instance string, s Server) (net.Conn, error)
+	// PathSilent is called when a path is lost and nothing comes back on it, so that connections that are open cannot be
+	// relied on.
+	PathSilent func(server string)
+	Events     *event.Log
+}
+
+// Dialer opens connections to servers. It implements upstr.Dialer.
+type Dialer struct {
+	Deps
+	// counts holds the number of connections by how they were opened, and of failures.
+	counts *expvar.Map
+}
+
+// NewDialer returns a Dialer with the given dependencies.
+func NewDialer(d Deps) *Dialer { return &Dialer{Deps: d, counts: new(expvar.Map).Init()} }
+
+// Counts returns the number of connections by how they were opened, and of failures.
+func (d *Dialer) Counts() *expvar.Map { return d.counts }
+
+// throughConn is a connection that was opened through another instance.
+type throughConn interface {
+	net.Conn
+	// Via returns the name of that instance.
+	Via() string
+}
+
+// Via returns the instance that a connection goes through, and an empty string for a connection of this instance's own.
+func Via(c net.Conn) string {
+	if t, ok := c.(throughConn); ok {
+		return t.Via()
+	}
+	return ""
+}
+
+// Answered implements upstr.Dialer.
+func (d *Dialer) Answered(c net.Conn) {
+	if Via(c) == "" {
+		d.Table.Answered()
+		return
+	}
+	d.Table.Reached()
+}
+
+// dialResult is the result of one of the two ways to connect.
+type dialResult struct {
+	conn net.Conn
+	err  error
+}
+
+// dial is an attempt to connect to a server. Direct and through take the results of the two ways to connect; they are
+// nil until those have been started, and done once the result has been received.
+type dial struct {
+	*Dialer
+	server     Server
+	direct     chan dialResult
+	through    chan dialResult
+	directErr  error
+	throughErr error
+}
+
+// DialServer implements upstr.Dialer. It connects directly or through another instance, whichever is expected to work,
+// and in the other way as well if that fails or takes long. Errors wrap upstr.ErrUnreachable if it is known of no instance
+// that it reaches the server.
+//
+// What the attempt shows of the path is recorded also after ctx has ended.
+func (d *Dialer) DialServer(ctx context.Context, server, address string) (net.Conn, error) {
+	a := &dial{Dialer: d, server: Server{ID: server, Address: address}}
+	done := make(chan dialResult, 1)
+	go func() {
+		c, err := a.run(context.WithoutCancel(ctx))
+		done <- dialResult{c, err}
+	}()
+	select {
+	case r := <-done:
+		return r.conn, r.err
+	case <-ctx.Done():
+		go discard(done)
+		return nil, context.Cause(ctx)
+	}
+}
+
+// run connects in one way or the other. It returns within directTimeout and throughTimeout.
+func (a *dial) run(ctx context.Context) (net.Conn, error) {
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	switch a.Table.Route(a.server.ID, time.Now()).(type) {
+	case Direct:
+		a.startDirect(ctx)
+	case Through:
+		a.startThrough(ctx)
+	case Probe:
+		a.startDirect(ctx)
+		a.startThrough(ctx)
+	}
+	for a.directErr == nil || a.throughErr == nil {
+		select {
+		case r := <-a.direct:
+			if r.err == nil {
+				a.connected()
+				if a.through != nil && a.throughErr == nil {
+					go discard(a.through)
+				}
+				return r.conn, nil
+			}
+			a.directErr = r.err
+			a.startThrough(ctx)
+		case r := <-a.through:
+			if r.err == nil {
+				a.passedOn()
+				return r.conn, nil
+			}
+			a.throughErr = r.err
+			a.startDirect(ctx)
+		case <-hedge.C:
+			a.startThrough(ctx)
+		}
+	}
+	return nil, a.failure()
+}
+
+// startDirect starts to connect directly, if that has not been done.
+func (a *dial) startDirect(ctx context.Context) {
+	if a.direct == nil {
+		a.direct = make(chan dialResult, 1)
+		go connect(ctx, a.direct, directTimeout, a.server, a.Direct)
+	}
+}
+
+// startThrough starts to connect through another instance, if that has not been done.
+func (a *dial) startThrough(ctx context.Context) {
+	if a.through == nil {
+		a.through = make(chan dialResult, 1)
+		go connect(ctx, a.through, throughTimeout, a.server, a.openThrough)
+	}
+}
+
+// connect connects to a server in one of the two ways, within a time, and sends the result.
+func connect(ctx context.Context, result chan<- dialResult, within time.Duration, s Server, open func(context.Context, Server) (net.Conn, error)) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	c, err := open(ctx, s)
+	result <- dialResult{c, err}
+}
+
+// discard closes a connection that is not needed any more, once it has been opened.
+func discard(result <-chan dialResult) {
+	if r := <-result; r.err == nil {
+		_ = r.conn.Close()
+	}
+}
+
+// openThrough asks up to maxInstancesAsked instances in turn for a connection to a server. It returns the errors of all.
+func (d *Dialer) openThrough(ctx context.Context, s Server) (net.Conn, error) {
+	var failed error
+	for range maxInstancesAsked {
+		choice := d.Table.Choice(s.ID)
+		instance, ok := d.Choose(s.ID, choice)
+		if !ok {
+			return nil, errors.Join(failed, errNoInstance)
+		}
+		c, err := d.Open(ctx, instance, s)
+		if err == nil {
+			return c, nil
+		}
+		failed = errors.Join(failed, fmt.Errorf("through %s: %w", instance, err))
+		d.Table.NextChoice(s.ID, choice)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, failed
+}
+
+// connected records a direct connection.
+func (a *dial) connected() {
+	a.counts.Add("direct", 1)
+	if a.Table.Connected(a.server.ID) {
+		a.Events.Record(event.StateChange, "path-regained", "server", a.server.ID, "paths-lost", a.Table.LostCount())
+	}
+}
+
+// passedOn records a connection through another instance. If the direct one has not come yet its result is awaited in the
+// background.
+func (a *dial) passedOn() {
+	a.counts.Add("through", 1)
+	a.Table.Reached()
+	switch {
+	case a.directErr != nil:
+		a.lost(a.directErr)
+	case a.direct != nil:
+		a.Table.Suspect(a.server.ID, time.Now())
+		go func() {
+			r := <-a.direct
+			if r.err == nil {
+				_ = r.conn.Close()
+				a.connected()
+				return
+			}
+			a.lost(r.err)
+		}()
+	}
+}
+
+// lost records that this instance does not reach a server that another one reaches.
+func (a *dial) lost(err error) {
+	reachedNone := a.Table.ReachesNone()
+	news := a.Table.Lost(a.server.ID, time.Now())
+	if news {
+		a.Events.Record(event.StateChange, "path-lost", "server", a.server.ID, "paths-lost", a.Table.LostCount(), "error", err)
+	}
+	reachesNone := a.Table.ReachesNone()
+	if reachesNone && !reachedNone {
+		a.Events.Record(event.StateChange, "all-paths-lost", "paths-lost", a.Table.LostCount())
+	}
+	if news && !reachedNone && errors.Is(err, context.DeadlineExceeded) {
+		a.PathSilent(a.server.ID)
+	}
+}
+
+// failure records that a server was reached in neither way and returns the error.
+func (a *dial) failure() error {
+	a.counts.Add("failed", 1)
+	a.Table.Unreachable(a.server.ID)
+	err := errors.Join(a.directErr, a.throughErr)
+	if errors.Is(a.throughErr, ErrNoPath) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", upstr.ErrUnreachable, err)
+}
+
+// DialOwn connects to a server on behalf of another instance, without going through a third one.
+func (d *Dialer) DialOwn(ctx context.Context, s Server) (net.Conn, error) {
+	if d.Table.IsLost(s.ID) {
+		return nil, ErrNoPath
+	}
+	ctx, cancel := context.WithTimeout(ctx, throughTimeout/2)
+	defer cancel()
+	c, err := d.Direct(ctx, s)
+	if err != nil {
+		d.counts.Add("for-others-failed", 1)
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	d.counts.Add("for-others", 1)
+	d.Table.Connected(s.ID)
+	return c, nil
+}
