Count a lost connection as a crash only if no instance reaches the server

What callers saw: during the cut of the incident every server that an instance had lost its path to was recorded as crashed by the request that ran there, at all instances (server-lost-in-request for server after server). Two of them block a request, and its caller gets 502 everywhere for two minutes.

Cause: the check whether a server still accepts connections was made by the instance that had lost its path, on that path. Fix: the check may go through another instance; only a server that nobody reaches counts.

TestLostPathIsNoCrash (path lost) fails without the change: the request is blocked after three lost paths.

--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"errors"
 	"time"
 
 	"example.org/mustardring/internal/clock"
@@ -12,6 +12,7 @@
 	"example.org/mustardring/internal/lease"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
+	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -318,17 +319,22 @@
 }
 
 // crashProbeTimeout limits the check whether a server that lost a connection still accepts new ones.
-const crashProbeTimeout = 300 * time.Millisecond
+const crashProbeTimeout = time.Second
 
-// ReportCrash implements edge.Cluster. Servers also break off single responses, so a lost connection counts as a crash
-// only if the server does not accept a new one.
+// ReportCrash implements edge.Cluster. Servers also break off single responses, and this instance may have lost its path,
+// so a lost connection counts as a crash only if no instance that is asked can open a new one.
 func (n *Node) ReportCrash(print uint64, s rules.Server) {
 	go func() {
-		c, err := net.DialTimeout("tcp4", s.Address, crashProbeTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+		defer cancel()
+		c, err := n.dialer.DialServer(ctx, s.ID, s.Address)
 		if err == nil {
 			_ = c.Close()
 			return
 		}
+		if !errors.Is(err, upstr.ErrUnreachable) {
+			return
+		}
 		n.events.Record(event.StateChange, "server-lost-in-request", "print", print, "server", s.ID, "error", err)
 		n.suspects.RecordCrash(print, s.ID, time.Now())
 		n.broadcast(dgram.CrashReport{Fingerprint: print, Server: s.ID})
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -18,6 +18,8 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/dgram"
+	"example.org/mustardring/internal/edge"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/paths"
 	"example.org/mustardring/internal/roster"
@@ -318,3 +320,36 @@
 		})
 	}
 }
+
+// Guards against requests that are blocked, at all instances, as ones that crash servers, because one instance has lost its
+// paths.
+func TestLostPathIsNoCrash(t *testing.T) {
+	cases := map[string]struct {
+		cut     []string
+		crashes bool
+	}{
+		"path lost":   {[]string{"i0"}, false},
+		"server lost": {[]string{"i0", "i1", "i2", "i3"}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				defer time.Sleep(2 * time.Second) // for what the dialers do in the background
+				pc := newPathCluster(4)
+				for _, name := range c.cut {
+					pc.cut[name] = syscall.ECONNREFUSED
+				}
+				n := pc.nodes["i0"]
+				port, err := dgram.Listen("127.0.0.1:0")
+				is.NoErr(err)
+				n.port, n.suspects = port, edge.NewCrashTracker()
+				for _, server := range []string{"s1", "s2", "s3"} {
+					n.ReportCrash(7, rules.Server{ID: server, Address: "127.0.0.1:1"})
+				}
+				time.Sleep(2 * time.Second)
+				is.Equal(n.Quarantined(7), c.crashes)
+			})
+		})
+	}
+}
