Do not count a connection that one instance cannot open against the server

What callers saw: all callers lost when some paths were cut, also at instances with paths: the failed connections of those without paths went to the shared admission controller as lost requests, and it set the servers aside for all.

Cause: a request that was not sent was completed with the outcome Lost, whoever could not connect. Now only a server that no instance which was asked reaches (upstr.ErrUnreachable) has failed; otherwise the admission is given back unsent.

TestFailedConnectionIsNoFailureOfTheServer fails without the change (Lost instead of Unsent).

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +25,7 @@
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
+	"example.org/mustardring/internal/upstr"
 )
 
 // headerCodec implements edge.HeaderCodec with a simple set of headers.
@@ -443,3 +446,35 @@
 	is.Equal(reply.Status, http.StatusServiceUnavailable)
 	is.True(reply.Header.Get("Retry-After") != "")
 }
+
+// Guards against a server that is set aside for all instances because one cannot connect to it.
+func TestFailedConnectionIsNoFailureOfTheServer(t *testing.T) {
+	cases := map[string]struct {
+		err     error
+		outcome admit.Outcome
+	}{
+		"this instance cannot connect": {syscall.ECONNREFUSED, admit.Unsent},
+		"no instance can connect":      {fmt.Errorf("%w: %w", upstr.ErrUnreachable, syscall.ECONNREFUSED), admit.Lost},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(rules.NonIdempotent, newFakeServer(t, respondOK))
+			f.edge.ConnPool.Dialer = &failingDialer{c.err}
+			reply := f.send(t.Context())
+			is.Equal(reply.Status, http.StatusServiceUnavailable)
+			is.True(len(f.admitter.outcomes) > 0)
+			for _, outcome := range f.admitter.outcomes {
+				is.Equal(outcome, c.outcome)
+			}
+		})
+	}
+}
+
+// failingDialer implements upstr.Dialer and fails.
+type failingDialer struct{ err error }
+
+func (d *failingDialer) DialServer(context.Context, string, string) (net.Conn, error) {
+	return nil, d.err
+}
+func (*failingDialer) Answered(net.Conn) {}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -252,7 +252,8 @@
 		q.reason = endNoOwner
 		return nil, true
 	case unsent:
-		if errors.Is(err, upstr.ErrConnLimit) {
+		if !errors.Is(err, upstr.ErrUnreachable) {
+			// That this instance could not send says nothing about the server.
 			completion.Outcome = admit.Unsent
 		}
 		q.reason, q.avoid = endUnsent, s.ID
