State the time left when the request is written

A server stops work at the time that it is told, and was told what was left before the connection was opened: a connection that takes long, as one through another instance may, made it work on for a caller that had left.

TestTimeLeftIsThatAfterConnecting fails without the change (400 ms stated, 250 left).

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -478,3 +478,27 @@
 	return nil, d.err
 }
 func (*failingDialer) Answered(net.Conn) {}
+
+// slowDialer implements upstr.Dialer. It takes a time to connect.
+type slowDialer struct{ takes time.Duration }
+
+func (d *slowDialer) DialServer(ctx context.Context, _, address string) (net.Conn, error) {
+	<-time.After(d.takes)
+	return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+}
+func (*slowDialer) Answered(net.Conn) {}
+
+// Guards against a server that is given the time which it took to connect once more.
+func TestTimeLeftIsThatAfterConnecting(t *testing.T) {
+	is := is.New(t)
+	left := make(chan int, 1)
+	f := newFixture(rules.NonIdempotent, newFakeServer(t, func(run int, c net.Conn, r *http.Request) {
+		millis, _ := strconv.Atoi(r.Header.Get("Left"))
+		left <- millis
+		respondOK(run, c, r)
+	}))
+	f.edge.ConnPool.Dialer = &slowDialer{150 * time.Millisecond}
+	reply := f.send(t.Context())
+	is.Equal(reply.Status, http.StatusOK)
+	is.True(<-left <= 250) // the route gives 400
+}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -44,12 +44,15 @@
 	if _, found := out.Header["User-Agent"]; !found {
 		out.Header["User-Agent"] = noUserAgent
 	}
-	q.edge.Codec.EncodeTarget(out.Header, s.ID, time.Until(q.deadline))
 	client := q.edge.ConnPool.clientFor(s)
 	startedAt := time.Now()
 	return client.Send(out, upstr.SendOptions{
 		Deadline: q.deadline, InMemory: true, Done: func(bool) {},
-		BeforeWrite: func() error { return q.checkServer(s.ID, time.Since(startedAt)) },
+		BeforeWrite: func() error {
+			// The time left does not include that for the connection.
+			q.edge.Codec.EncodeTarget(out.Header, s.ID, time.Until(q.deadline))
+			return q.checkServer(s.ID, time.Since(startedAt))
+		},
 	})
 }
 
