--- a/internal/lease/faults_test.go
+++ b/internal/lease/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,8 +39,10 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		tc := newTestCluster(ctx)
+		stop := sync.OnceFunc(func() { tc.shutDown(cancel) })
+		defer stop()
 		play(is, tc)
-		tc.shutDown(cancel)
+		stop()
 		is.Equal(len(tc.violations), 0)
 	})
 }
--- a/internal/lease/server_test.go
+++ b/internal/lease/server_test.go
@@ -228,16 +228,23 @@
 	defer tc.mu.Unlock()
 	n := 0
 	for i := range shard.NumKeys / keySpacing {
-		for _, s := range tc.servers {
-			if s.up && !s.noKeys && s.leases[i].granted && time.Now().Before(s.leases[i].expiresAt) {
-				n++
-				break
-			}
+		if tc.isServed(i) {
+			n++
 		}
 	}
 	return n
 }
 
+// isServed reports whether some server holds the checked key with index i. mu is held.
+func (tc *testCluster) isServed(i int) bool {
+	for _, s := range tc.servers {
+		if s.up && !s.noKeys && s.leases[i].granted && time.Now().Before(s.leases[i].expiresAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // addServer starts a server.
 func (tc *testCluster) addServer(id, address, domain string) {
 	tc.mu.Lock()
