Take keys from a server only if no instance reaches it

What callers saw: in the incident the leader planned with 12 of 15 servers of the service with keys for all of the cut; keys of three healthy servers moved, and moved back after it.

Cause: a server counted as failed when the first two instances in charge reported it, whoever else reached it; with half of the instances cut off both may be.

Change: the first two are now not enough if any instance reaches the server: the leader checks that, itself or through another instance, from the first report on. The third in charge renews meanwhile. If all in charge report the server nobody renews, and it has failed as before. Instances that reach no server are not in charge (RankConnected).

--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -18,6 +18,7 @@
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
 )
 
 // The cluster of the random schedules: real managers, watches of the store and rosters, with a simple fake store
@@ -247,6 +248,7 @@
 		TargetLatency: func(string) time.Duration { return time.Second },
 		Load:          func(string) []float64 { return tc.loadAt(name) },
 		Capacities:    func(string) map[string]float64 { return nil },
+		Probe:         func(ctx context.Context, server shard.Owner) error { return tc.probe(ctx, name, server) },
 		DirectoryAge:  func() time.Duration { return 0 }, EntryDelay: time.Second, ReadDirectory: func() {},
 		LeadershipChanged: func(bool) {}, OwnersChanged: func() {}, SendHeartbeat: func() {},
 		RereadOwners: func() {
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -360,28 +360,39 @@
 	}
 }
 
-// failingServers returns the servers that are reported as failing by all of the first requiredReporters
-// instances responsible for them. Reports of other instances do not count, as they may have lost their own
-// connection: when a cut between two failure domains ended, the instances of one still reported the
+// failingServers returns the servers that have failed: all instances in charge of them report that, or the first
+// requiredReporters do and no instance reaches them. Reports of other instances do not count, as they may have lost
+// their own connection: when a cut between two failure domains ended, the instances of one still reported the
 // servers of the other as failing, though these had been renewed all the time.
 func (lm *Manager) failingServers(servers *rules.ServerSet, now time.Time) map[string]bool {
 	out := map[string]bool{}
 	for _, reporter := range lm.Roster.Alive(now) {
 		for _, id := range reporter.Heartbeat.Failing {
 			s, found := servers.Get(id)
-			if !found || out[id] {
-				continue
+			if _, decided := out[id]; found && !decided {
+				out[id] = lm.hasFailed(s, now)
 			}
-			responsible := lm.Roster.Rank(id, s.Domain, now)
-			responsible = responsible[:min(requiredReporters, len(responsible))]
-			out[id] = !slices.ContainsFunc(responsible, func(p roster.Peer) bool {
-				return !slices.Contains(p.Heartbeat.Failing, id)
-			})
 		}
 	}
 	return out
 }
 
+// hasFailed reports whether a server that some instance reports as failing has failed.
+func (lm *Manager) hasFailed(s rules.Server, now time.Time) bool {
+	inCharge := lm.Roster.RankConnected(s.ID, s.Domain, now)
+	reporters := slices.IndexFunc(inCharge, func(p roster.Peer) bool { return !slices.Contains(p.Heartbeat.Failing, s.ID) })
+	switch {
+	case reporters < 0:
+		return true
+	case reporters == 0:
+		return false
+	default:
+		// The check begins with the first report, so that the last one need not wait for it.
+		unreachable := lm.Probe == nil || lm.anyPath.unreachable(shard.Owner{Server: s.ID, Address: s.Address}, now)
+		return unreachable && reporters >= requiredReporters
+	}
+}
+
 // writeOwners appends the next owners of a service directly behind the view that they were decided from.
 func (lm *Manager) writeOwners(ctx context.Context, service string, from, to *shard.Map) {
 	records, to, err := ownersRecords(service, from, to)
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -89,9 +89,11 @@
 	// failingTimeout is how long a server counts as failing after its last renewal was due, when it gets no
 	// more renewals. It then gets keys again, and loses them within a lease if it still does not answer.
 	failingTimeout = 4 * time.Second
-	// requiredReporters is the number of instances that must report a server as failing before it loses
-	// its keys: a single one may have lost its own connection to the server.
+	// requiredReporters is the number of instances in charge that must report a server as failing before it loses its
+	// keys, if no other instance reaches it either. If all in charge report it, nobody renews its leases any more.
 	requiredReporters = 2
+	// probeTimeout limits a check whether any instance reaches a server.
+	probeTimeout = 1200 * time.Millisecond
 	// balanceInterval is the minimum time between two plans that only balance load.
 	balanceInterval = 700 * time.Millisecond
 	// maxCompletionDelay is how long the record of completed moves may wait for further ones, or for a
@@ -203,6 +205,8 @@
 	BroadcastRegister func([]follow.Record)
 	BroadcastOwners   func(OwnerChange)
 	MoveCompleted     func(service string, from uint16, fence uint64)
+	// Probe connects to a server by way of any instance, and closes the connection. It returns an error if that fails.
+	Probe func(ctx context.Context, server shard.Owner) error
 	// RereadOwners asks for a read of Topic.
 	RereadOwners func()
 	// OwnersChanged is called when the view has changed. SendHeartbeat asks for a heartbeat at once, because
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -67,15 +67,19 @@
 	// presentServers holds the servers of the directory at the last decision, leftServers those that have left it.
 	presentServers *rules.ServerSet
 	leftServers    map[string]rules.Server
-	contacts       *contacts
+	// contacts checks which servers this instance reaches, anyPath which ones any instance does.
+	contacts *contacts
+	anyPath  *contacts
 }
 
 // New returns a Manager that is not running.
 func New(d Deps) *Manager {
+	connect := func(ctx context.Context, server shard.Owner) error { return d.LeaseClient.Connect(ctx, server) }
 	return &Manager{
 		Deps: d, guards: allGuards, view: newLocalView(), storeUpdates: make(chan follow.Update, 16),
 		ownerChanges: make(chan OwnerChange, 64), registerUpdates: make(chan []follow.Record, 64), peerViews: make(chan *View, 4), completions: make(chan completedMove, 256), renewers: map[string]*renewer{},
-		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{}, contacts: newContacts(),
+		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{},
+		contacts: newContacts(connect, grantTimeout), anyPath: newContacts(d.Probe, probeTimeout),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -185,7 +185,7 @@
 		Name: settings.Name, Domain: settings.Domain, LeaseClient: platform.LeaseClient, Store: n.platform.Store,
 		Topic: platform.OwnersTopic, Incarnation: n.incarnation, Clock: clock.Boot{}, Roster: n.roster, Events: events,
 		Servers: n.cluster.servers, DirectoryVersion: n.cluster.snapshotVersion.Load, Services: n.cluster.dividedServices, TargetLatency: n.cluster.shortestTarget, Load: n.loadTracker.load, Capacities: n.loadTracker.capacities,
-		RereadOwners: func() { n.requestRead(platform.OwnersTopic) },
+		Probe: n.probeServer, RereadOwners: func() { n.requestRead(platform.OwnersTopic) },
 		DirectoryAge: func() time.Duration { return n.watches[platform.ServersTopic].Age() },
 		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: func() { n.requestRead(platform.ServersTopic) },
 		LeadershipChanged: n.leadershipChanged, BroadcastOwners: n.broadcastOwnerChange, BroadcastRegister: n.broadcastRegister, MoveCompleted: n.moveCompleted,
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -14,6 +14,7 @@
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/paths"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
 	"example.org/mustardring/internal/tunnel"
 	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/internal/worker"
@@ -55,6 +56,15 @@
 	return c, nil
 }
 
+// probeServer connects to a server by way of any instance, and closes the connection.
+func (n *Node) probeServer(ctx context.Context, server shard.Owner) error {
+	c, err := n.dialer.DialServer(ctx, server.Server, server.Address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // chooseInstance returns the instance that a choice for a server stands for. Every second choice is one of this instance's
 // failure domain, if there is any, and the others may be of any domain. They differ by instance and server, so that the
 // load of many instances without paths is spread.
