Leave the first grant to others where the leader has no path to a server

Cause: the leader took what it reaches for what there is. It gave keys to servers to which it had lost its path and tried to grant them until the path was back, and took keys from servers that it could not ask for a release, which holds them back for an expiry.

Change: a server that does not answer this instance is suspected: it keeps its keys and gets no more until a connection succeeds. If a first grant gets no answer twice, the move is recorded as complete: the former owners have lost their leases, so the instances in charge of the new owner grant it the keys as if they renewed them. The handover is lost then. If they do not reach it either, it has failed and the keys move on.

--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -264,8 +264,11 @@
 			capacity, capped = min(capacity, boundedLoadFactor*s.RateLimit), true
 		}
 		usable := !lost && (s.Domain == lm.Domain || !cutOff[s.Domain])
-		// A cold server has started lately, and gets the keys of those that it replaces at once.
-		if _, trusts := trusted[id]; usable && len(m.Ranges) > 0 && !trusts && !now.Before(s.WarmAt) {
+		// A cold server has started lately, and gets the keys of those that it replaces at once. A server that this
+		// instance does not reach itself may be served well by others: it keeps its keys, and gets no more.
+		_, trusts := trusted[id]
+		unproven := len(m.Ranges) > 0 && !trusts && !now.Before(s.WarmAt)
+		if usable && (unproven || lm.contacts.isSuspected(id)) {
 			usable = lm.contacts.reachable(shard.Owner{Server: id, Address: s.Address}, now)
 		}
 		in.Servers = append(in.Servers, shard.ServerState{
--- a/internal/lease/move.go
+++ b/internal/lease/move.go
@@ -21,11 +21,13 @@
 	fence   uint64
 }
 
-// completedMove is a move whose new owner has its first grant while no other server has a lease on the keys.
+// completedMove is a move whose new owner has its first grant while no other server has a lease on the keys. Delegated
+// says that this instance does not reach the new owner, and leaves the first grant to the instances in charge of it.
 type completedMove struct {
-	service string
-	from    uint16
-	fence   uint64
+	service   string
+	from      uint16
+	fence     uint64
+	delegated bool
 }
 
 // runningMove is a move that a goroutine of this instance carries out.
@@ -226,6 +228,9 @@
 			released <- handover
 			return
 		}
+		if errors.Is(err, ErrNoAnswer) && ctx.Err() == nil {
+			lm.contacts.suspect(former.Server)
+		}
 		worker.Sleep(ctx, orderRetryDelay)
 	}
 }
@@ -282,10 +287,14 @@
 
 // grantFirst sends the first grant to the new owner until it answers, and then renews the lease until a
 // record states that the move is complete. No other instance renews it before that.
+//
+// If the new owner does not answer this instance, the move is recorded as complete without a first grant. The former
+// owners have lost their leases, so that the instances in charge of the new owner may grant it the keys as if they
+// renewed them. If none of them reaches it either, it is lost and the keys move on.
 func (lm *Manager) grantFirst(ctx context.Context, p pendingMove, handover string, startedAt time.Time) {
 	service, r, firstGrant := p.service, p.Range, p.decidedHere
 	g := Grant{From: r.From, To: r.To, Fence: r.Fence, Lease: leaseDuration, Handover: handover}
-	granted := false
+	granted, failures := false, 0
 	delay := orderRetryDelay
 	for ctx.Err() == nil {
 		s, found := lm.Servers().Get(r.Server)
@@ -302,10 +311,18 @@
 			granted, delay = true, renewInterval
 			lm.Events.Record(event.StateChange, "moved", "service", service, "from", r.From, "to", r.To, "server", r.Server,
 				"fence", r.Fence, "handover", handover != "", "took", time.Since(startedAt))
-			lm.completions <- completedMove{service, r.From, r.Fence}
+			lm.completions <- completedMove{service: service, from: r.From, fence: r.Fence}
 		case err != nil:
 			lm.Events.Record(event.StateChange, "first-grant-failed", "server", r.Server, "fence", r.Fence, "error", err)
 		}
+		if errors.Is(err, ErrNoAnswer) && !errors.Is(err, context.Canceled) {
+			failures++
+			lm.contacts.suspect(r.Server)
+			if failures == maxRenewalFailures && !granted {
+				lm.Events.Record(event.StateChange, "first-grant-delegated", "service", service, "from", r.From, "to", r.To, "server", r.Server, "fence", r.Fence)
+				lm.completions <- completedMove{service: service, from: r.From, fence: r.Fence, delegated: true}
+			}
+		}
 		if errors.Is(err, ErrFenced) {
 			return
 		}
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -203,6 +203,7 @@
 		return false
 	}
 	r.failures++
+	lm.contacts.suspect(r.server.ID)
 	lm.Events.Record(event.StateChange, "renewal-failed", "server", r.server.ID, "failures", r.failures, "error", err)
 	if r.failures == maxRenewalFailures {
 		lm.SendHeartbeat()
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -243,12 +243,18 @@
 	lm.firstSeen = firstSeen
 }
 
-// recordCompletion records that the new owner of a move has its first grant.
+// recordCompletion records that the new owner of a move has its first grant, or is to get it from the instances in charge
+// of it.
 func (lm *Manager) recordCompletion(m completedMove) {
 	if len(lm.completedMoves) == 0 {
 		lm.completionDueAt = time.Now().Add(maxCompletionDelay)
 	}
 	lm.completedMoves = append(lm.completedMoves, m)
+	if m.delegated {
+		// The instances in charge of the new owner renew only by a record without former owners.
+		lm.completionDueAt = time.Now()
+		return
+	}
 	lm.MoveCompleted(m.service, m.from, m.fence)
 }
 
