Put up to six instances in charge of a server that the first two do not reach

Cause: three instances were in charge of a server.

Change: the ranks of the instances that reach servers hold six. A server that nobody reaches has failed after the first two, as before.

TestServerThatOthersReachKeepsItsKeys has a second case, the first three in charge cut off, which fails without the change (3.35 s without an owner, keys moved) and passes with it (150 ms). Tests of package lease pass, with their schedules (129 s).

--- a/internal/lease/paths_test.go
+++ b/internal/lease/paths_test.go
@@ -102,25 +102,29 @@
 	}
 }
 
-// Guards against keys that are taken from a server because the first two instances in charge have lost their paths to it,
-// while others reach it.
+// Guards against keys that are taken from a server because the first instances in charge have lost their paths to it, while
+// others reach it.
 func TestServerThatOthersReachKeepsItsKeys(t *testing.T) {
-	runInCluster(t, func(is *is.I, tc *testCluster) {
-		time.Sleep(5 * time.Second)
-		tc.mu.Lock()
-		server := tc.servers["s0"]
-		ranked := tc.instances["i0"].roster.Rank(server.ID, server.Domain, time.Now())
-		tc.mu.Unlock()
-		before := tc.rangesOf("i0", "s0")
-		is.True(len(before) > 0)
-		for _, p := range ranked[:2] {
-			tc.cut(p.Name, server.Address, 12*time.Second)
-		}
-		longest := tc.longestUnserved(10 * time.Second)
-		t.Log("longest time without an owner:", longest, "ranges", before, tc.rangesOf("i0", "s0"))
-		is.True(longest <= time.Second)
-		is.Equal(tc.rangesOf("i0", "s0"), before)
-	})
+	for name, cut := range map[string]int{"the first two in charge": 2, "the first three in charge": 3} {
+		t.Run(name, func(t *testing.T) {
+			runInCluster(t, func(is *is.I, tc *testCluster) {
+				time.Sleep(5 * time.Second)
+				tc.mu.Lock()
+				server := tc.servers["s0"]
+				ranked := tc.instances["i0"].roster.Rank(server.ID, server.Domain, time.Now())
+				tc.mu.Unlock()
+				before := tc.rangesOf("i0", "s0")
+				is.True(len(before) > 0)
+				for _, p := range ranked[:cut] {
+					tc.cut(p.Name, server.Address, 12*time.Second)
+				}
+				longest := tc.longestUnserved(10 * time.Second)
+				t.Log("longest time without an owner:", longest, "ranges", before, tc.rangesOf("i0", "s0"))
+				is.True(longest <= time.Second)
+				is.Equal(tc.rangesOf("i0", "s0"), before)
+			})
+		})
+	}
 }
 
 // rangesOf returns the first keys of the ranges of a server, as an instance knows them.
--- a/internal/roster/rank.go
+++ b/internal/roster/rank.go
@@ -10,8 +10,16 @@
 	"example.org/mustardring/internal/clock"
 )
 
-// MaxRanked is the maximum number of instances that Rank returns.
-const MaxRanked = 3
+const (
+	// MaxRanked is the maximum number of instances that Rank returns.
+	MaxRanked = 3
+	// MaxConnected is the maximum number of instances that RankConnected returns. It is larger because each of them may
+	// have lost its path to a server that others reach.
+	MaxConnected = 6
+	// successors is the number of instances in charge of a server that renew its leases in turn. If they all report that
+	// it does not answer, the others in charge renew at the same time, as a lease does not last until they have all tried.
+	successors = 2
+)
 
 // maxSubjects limits the number of subjects whose ranked instances are cached. When it is reached, the cache
 // is cleared.
@@ -24,6 +32,8 @@
 // Without the cache, ranking some hundred servers takes most of the processor time of a small instance in a
 // system of hundreds of instances.
 type ranking struct {
+	// size is the number of instances that are ranked for a subject.
+	size int
 	// eligible holds the ranked instances by domain and name.
 	eligible map[string]map[string]*Peer
 	subjects map[subject]*ranked
@@ -64,8 +74,8 @@
 	return c.score < o.score
 }
 
-func newRanking() ranking {
-	return ranking{eligible: map[string]map[string]*Peer{}, subjects: map[subject]*ranked{}}
+func newRanking(size int) ranking {
+	return ranking{size: size, eligible: map[string]map[string]*Peer{}, subjects: map[subject]*ranked{}}
 }
 
 // contains reports whether an instance is eligible. Another incarnation of it does not count.
@@ -80,7 +90,7 @@
 	k.version++
 	for key, s := range k.subjects {
 		if s.complete {
-			s.insert(k.newCandidate(p, key, s.hash))
+			s.insert(k.newCandidate(p, key, s.hash), k.size)
 		}
 	}
 }
@@ -118,17 +128,17 @@
 	return candidate{peer: p, preferred: p.Domain == key.domain, score: p.score(hash)}
 }
 
-// insert adds an instance if it is among the first MaxRanked.
-func (s *ranked) insert(c candidate) {
+// insert adds an instance if it is among the first ones, of which there are at most size.
+func (s *ranked) insert(c candidate, size int) {
 	i := len(s.top)
 	for i > 0 && c.before(s.top[i-1]) {
 		i--
 	}
-	if i == MaxRanked {
+	if i == size {
 		return
 	}
 	s.top = slices.Insert(s.top, i, c)
-	s.top = s.top[:min(len(s.top), MaxRanked)]
+	s.top = s.top[:min(len(s.top), size)]
 }
 
 // topFor returns the highest ranks for a subject.
@@ -149,13 +159,13 @@
 }
 
 // rebuild computes the highest ranks for a subject from the instances of the preferred domain and, if they
-// are less than MaxRanked, all others.
+// are less than size, all others.
 func (k *ranking) rebuild(key subject, s *ranked) {
 	s.top, s.complete = s.top[:0], true
 	for _, p := range k.eligible[key.domain] {
-		s.insert(k.newCandidate(p, key, s.hash))
+		s.insert(k.newCandidate(p, key, s.hash), k.size)
 	}
-	if len(s.top) == MaxRanked {
+	if len(s.top) == k.size {
 		return
 	}
 	for domain, peers := range k.eligible {
@@ -163,7 +173,7 @@
 			continue
 		}
 		for _, p := range peers {
-			s.insert(k.newCandidate(p, key, s.hash))
+			s.insert(k.newCandidate(p, key, s.hash), k.size)
 		}
 	}
 }
@@ -210,13 +220,13 @@
 	return out
 }
 
-// RankConnected returns what Rank does for the instances that reach servers themselves. If there are none it returns
-// the same as Rank.
+// RankConnected returns up to MaxConnected instances in the order of Rank, of those that reach servers themselves. If there
+// are none it returns the same as Rank.
 func (r *Roster) RankConnected(name, domain string, now time.Time) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshAll(now)
-	out := make([]Peer, 0, MaxRanked)
+	out := make([]Peer, 0, MaxConnected)
 	for _, c := range r.connectedFor(name, domain) {
 		out = append(out, *c.peer)
 	}
@@ -233,16 +243,17 @@
 }
 
 // Responsible reports whether this instance is to renew the leases of a server: the first instance in the rank of those
-// that reach servers is, and each further one if all before it report that the server does not answer them.
+// that reach servers is, the second if the first reports that the server does not answer it, and all others in the rank if
+// both do.
 func (r *Roster) Responsible(server, domain string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshAll(now)
-	for _, c := range r.connectedFor(server, domain) {
+	for i, c := range r.connectedFor(server, domain) {
 		if c.peer.Name == r.self {
 			return true
 		}
-		if !slices.Contains(c.peer.Heartbeat.Failing, server) {
+		if i < successors && !slices.Contains(c.peer.Heartbeat.Failing, server) {
 			return false
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -156,7 +156,7 @@
 // New returns the roster of the instance self in a failure domain. It holds no instances, not even that one.
 func New(self, domain string) *Roster {
 	return &Roster{
-		self: self, domain: domain, domainSizes: make(map[string]int), byAddress: make(map[string]*Peer), ranking: newRanking(), connected: newRanking(),
+		self: self, domain: domain, domainSizes: make(map[string]int), byAddress: make(map[string]*Peer), ranking: newRanking(MaxRanked), connected: newRanking(MaxConnected),
 		peers: make(map[string]*Peer), removed: make(map[string]removal), unregistered: make(map[string]time.Time), departed: make(map[string]departure),
 	}
 }
