Say in the line of a request which instance it went through

A request that another instance passed on looked like one that was sent directly. The line has through=NAME; explain shows the lines about paths of its server. No change of behavior.

--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -19,7 +19,7 @@
 // serverEvents are the names of the events about the state of a server and of its lease.
 var serverEvents = []string{
 	"server", "server-gone", "server-regained", "renewal-failed", "renewal-withheld", "right-ended", "moved",
-	"first-grant-failed", "server-lost-in-request",
+	"first-grant-failed", "first-grant-delegated", "server-lost-in-request", "server-unreachable", "path-lost", "path-regained", "tunnel-refused",
 }
 
 // maxLineLength is the maximum length of a log line, in bytes. A longer one fails the command.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,7 +145,7 @@
 	took := time.Since(q.arrivedAt)
 	e.Meters.RecordRequest(q.route.Name, q.reason, took)
 	e.Events.Record(class, "request", "id", q.info.ID, "route", q.route.Name, "config", q.configVersion, "service", q.service,
-		"status", status, "why", q.reason, "server", q.server, "attempts", q.attempts, "took", took,
+		"status", status, "why", q.reason, "server", q.server, "through", q.through, "attempts", q.attempts, "took", took,
 		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
 		"error", q.err)
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -75,6 +75,8 @@
 	// The fields from here to leavesIn are only logged.
 
 	fence uint64
+	// through is the instance that the last request went through, empty if it was sent to the server directly.
+	through string
 	// predictedWait is the predicted time in the queue that led to a rejection, and pool the pool
 	// that it was predicted for.
 	predictedWait time.Duration
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"example.org/mustardring/internal/inlet"
+	"example.org/mustardring/internal/paths"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/upstr"
 )
@@ -48,7 +50,8 @@
 	startedAt := time.Now()
 	return client.Send(out, upstr.SendOptions{
 		Deadline: q.deadline, InMemory: true, Done: func(bool) {},
-		BeforeWrite: func() error {
+		BeforeWrite: func(c net.Conn) error {
+			q.through = paths.Via(c)
 			// The time left does not include that for the connection.
 			q.edge.Codec.EncodeTarget(out.Header, s.ID, time.Until(q.deadline))
 			return q.checkServer(s.ID, time.Since(startedAt))
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -171,20 +171,20 @@
 	InMemory bool
 	// NewConn makes Send open a new connection instead of reusing one.
 	NewConn bool
-	// BeforeWrite, if not nil, is called when a connection is available, immediately before the
-	// first byte is written. If it returns an error, the request is not sent.
-	BeforeWrite func() error
+	// BeforeWrite, if not nil, is called with the connection when one is available, immediately before
+	// the first byte is written. If it returns an error, the request is not sent.
+	BeforeWrite func(c net.Conn) error
 	// Done is called exactly once, when the server has finished or dropped the request. Only then
 	// its slot is free. Sent says whether bytes of the request may have been sent.
 	Done func(sent bool)
 }
 
 // runBeforeWrite calls BeforeWrite if it is set.
-func (o *SendOptions) runBeforeWrite() error {
+func (o *SendOptions) runBeforeWrite(c net.Conn) error {
 	if o.BeforeWrite == nil {
 		return nil
 	}
-	return o.BeforeWrite()
+	return o.BeforeWrite(c)
 }
 
 // Send sends a request and returns when the head of the response has arrived. The context of the
@@ -199,7 +199,7 @@
 		o.Done(false)
 		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, cl.settings.Name, err)
 	}
-	if err := o.runBeforeWrite(); err != nil {
+	if err := o.runBeforeWrite(c.Conn); err != nil {
 		cl.putIdle(c)
 		o.Done(false)
 		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, cl.settings.Name, err)
