Say not ready and reject at once where no server is reached in any way

What callers saw: an instance that is cut off from all servers and from all that could help took each request and made it wait, up to 650 ms for each attempt on silent paths, and went on being sent callers.

Change: after a second in which three servers in a row were reached neither directly nor through others, requests are rejected at once but for two probes a second, and the readiness check fails. As callers then go elsewhere, the instance tries a server by itself and is ready again with the first connection.

TestNothingIsReached

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,21 +71,23 @@
 // Node is an instance: one process of the system. It also implements the interface through which the edge sees the
 // cluster.
 type Node struct {
-	settings    config.Serve
-	platform    Platform
-	events      *event.Log
-	cluster     *clusterState
-	roster      *roster.Roster
-	port        *dgram.Port
-	admissions  *admissions
-	dialer      *paths.Dialer
-	tunnels     tunnels
-	loadTracker *loadTracker
-	leases      *lease.Manager
-	edge        *edge.Edge
-	suspects    *edge.CrashTracker
-	meters      *edge.Meters
-	inlet       *inlet.Server
+	settings   config.Serve
+	platform   Platform
+	events     *event.Log
+	cluster    *clusterState
+	roster     *roster.Roster
+	port       *dgram.Port
+	admissions *admissions
+	dialer     *paths.Dialer
+	tunnels    tunnels
+	// loggedNothing is whether it was logged last that no server is reached. Only tunnelLoop uses it.
+	loggedNothing bool
+	loadTracker   *loadTracker
+	leases        *lease.Manager
+	edge          *edge.Edge
+	suspects      *edge.CrashTracker
+	meters        *edge.Meters
+	inlet         *inlet.Server
 	// storeCalls counts appends by topic and kind of record, and reads by topic and reason.
 	storeCalls *expvar.Map
 	// storeTimes records the latencies of calls to the store, except for reads that wait for new records.
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -139,6 +139,7 @@
 func (n *Node) tunnelLoop(ctx context.Context) error {
 	reachedNone := false
 	for worker.Sleep(ctx, tunnelCheckInterval) {
+		n.retryServers(ctx)
 		if none := n.dialer.Table.ReachesNone(); none != reachedNone {
 			reachedNone = none
 			if !n.roster.LargeDomain(n.settings.Domain) {
@@ -155,6 +156,21 @@
 	return ctx.Err()
 }
 
+// retryServers connects to a server if none is reached: callers are not sent to this instance then, whose requests would
+// find out that servers are reached again.
+func (n *Node) retryServers(ctx context.Context) {
+	server, nothing := n.dialer.Table.ReachesNothing(time.Now())
+	if nothing != n.loggedNothing {
+		n.loggedNothing = nothing
+		n.events.Record(event.StateChange, "reaches-nothing", "nothing", nothing, "server", server)
+	}
+	if s, found := n.cluster.servers().Get(server); nothing && found {
+		if err := n.probeServer(ctx, shard.Owner{Server: s.ID, Address: s.Address}); err == nil {
+			n.events.Record(event.StateChange, "servers-reached", "server", s.ID)
+		}
+	}
+}
+
 // checkTunnels returns the open tunnels through instances that are not alive, and the servers that the others lead to.
 func (n *Node) checkTunnels(now time.Time) (dead []*tunnel.Conn, servers map[string]struct{}) {
 	servers = map[string]struct{}{}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -69,10 +69,11 @@
 	}
 }
 
-// ready reports whether callers should be sent to this instance: it knows a configuration and servers, and is not
-// stopping.
+// ready reports whether callers should be sent to this instance: it knows a configuration and servers, reaches servers
+// itself or through others, and is not stopping.
 func (n *Node) ready() bool {
-	return !n.isStopping() && n.cluster.config.Load() != nil && n.cluster.servers().Len() > 0
+	_, reachesNothing := n.dialer.Table.ReachesNothing(time.Now())
+	return !n.isStopping() && !reachesNothing && n.cluster.config.Load() != nil && n.cluster.servers().Len() > 0
 }
 
 // serveReady answers the readiness checks of the load balancer.
--- a/internal/paths/dialer.go
+++ b/internal/paths/dialer.go
@@ -20,6 +20,8 @@
 	ErrNoPath = errors.New("paths: other instance has no path to the server")
 	// errNoInstance means that there is no instance to go through.
 	errNoInstance = errors.New("paths: no other instance to go through")
+	// errNothing means that no connection was tried, as none has been opened for some time.
+	errNothing = errors.New("paths: no server is reached")
 )
 
 const (
@@ -143,6 +145,8 @@
 	case Probe:
 		a.startDirect(ctx)
 		a.startThrough(ctx)
+	case None:
+		return nil, errNothing
 	}
 	for a.directErr == nil || a.throughErr == nil {
 		select {
@@ -272,7 +276,7 @@
 // failure records that a server was reached in neither way and returns the error.
 func (a *dial) failure() error {
 	a.counts.Add("failed", 1)
-	a.Table.Unreachable(a.server.ID)
+	a.Table.Unreachable(a.server.ID, time.Now())
 	err := errors.Join(a.directErr, a.throughErr)
 	if errors.Is(a.throughErr, ErrNoPath) {
 		return err
--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -84,7 +84,9 @@
 		Direct: w.dialDirect,
 		Choose: func(string, int) (string, bool) { return "other", w.others > 0 },
 		Open: func(ctx context.Context, instance string, _ paths.Server) (net.Conn, error) {
+			w.mu.Lock()
 			w.throughDials++
+			w.mu.Unlock()
 			return open(ctx, instance, w.through)
 		},
 		PathSilent: func(server string) {
@@ -262,3 +264,48 @@
 		is.Equal(w.reset(nil), 0)
 	})
 }
+
+// Guards against callers who wait for servers at an instance that is known to reach none, and against an instance that takes
+// long to notice that it reaches them again.
+func TestNothingIsReached(t *testing.T) {
+	cases := map[string]*world{
+		"refused": {others: 1, direct: syscall.ECONNREFUSED, through: paths.ErrUnreachable},
+		"silent":  {others: 1, direct: errSilent, through: errSilent},
+		"alone":   {direct: syscall.ECONNREFUSED},
+	}
+	for name, w := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				defer time.Sleep(2 * time.Second) // for what goes on in the background
+				d := w.newDialer()
+				for _, server := range []string{"s1", "s2", "s3"} {
+					_, nothing := d.Table.ReachesNothing(time.Now())
+					is.True(!nothing)
+					_, _, err := dial(t, d, server)
+					is.True(err != nil)
+				}
+				server, nothing := d.Table.ReachesNothing(time.Now())
+				is.True(nothing && server != "")
+				w.reset(w.direct)
+				const seconds = 4
+				for range seconds * 20 {
+					go func() {
+						ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+						defer cancel()
+						_, err := d.DialServer(ctx, "s1", "127.0.0.1:1")
+						is.True(err != nil)
+					}()
+					time.Sleep(50 * time.Millisecond)
+				}
+				is.True(w.reset(nil) <= 2*seconds+1)
+				time.Sleep(600 * time.Millisecond)
+				_, took, err := dial(t, d, "s1")
+				is.NoErr(err)
+				is.True(took < 10*time.Millisecond)
+				_, nothing = d.Table.ReachesNothing(time.Now())
+				is.True(!nothing)
+			})
+		})
+	}
+}
--- a/internal/paths/table.go
+++ b/internal/paths/table.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Route says how to connect to a server: Direct, Through or Probe.
+// Route says how to connect to a server: Direct, Through, Probe or None.
 type Route interface{ isRoute() }
 
 // Direct means that the instance connects to the server itself, and through another instance if that fails.
@@ -24,9 +24,13 @@
 // Probe means that the instance connects in both ways, to find out whether its own path is back.
 type Probe struct{}
 
+// None means that the instance has reached no server in any way for some time, so that it is no use to try now.
+type None struct{}
+
 func (Direct) isRoute()  {}
 func (Through) isRoute() {}
 func (Probe) isRoute()   {}
+func (None) isRoute()    {}
 
 const (
 	// minLostServers is the number of servers that an instance does not reach in a row, without any sign of life of a
@@ -36,6 +40,8 @@
 	// instance that has lost all paths sends one probe in each minProbeDelay to all servers together.
 	minProbeDelay = 500 * time.Millisecond
 	maxProbeDelay = 4 * time.Second
+	// nothingTime is how long an instance has reached no server in any way before it gives up until the next probe.
+	nothingTime = time.Second
 )
 
 // path is what is known of the path to a server. There is none for a server that was always reached.
@@ -60,6 +66,8 @@
 	// path of its own, and failedInRow those that it did not reach in any way since the last one on any path.
 	lostInRow   map[string]struct{}
 	failedInRow map[string]struct{}
+	// failingSince is when the first of failedInRow failed.
+	failingSince time.Time
 	// probeAt is when an instance that has lost all paths may send the next probe.
 	probeAt time.Time
 }
@@ -76,6 +84,9 @@
 	p := t.paths[server]
 	if t.reachesNone() {
 		if now.Before(t.probeAt) {
+			if t.reachesNothing(now) {
+				return None{}
+			}
 			return Through{}
 		}
 		t.probeAt = now.Add(minProbeDelay)
@@ -175,9 +186,12 @@
 }
 
 // Unreachable records that a server could not be reached in any way.
-func (t *Table) Unreachable(server string) {
+func (t *Table) Unreachable(server string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if len(t.failedInRow) == 0 {
+		t.failingSince = now
+	}
 	t.lostInRow[server] = struct{}{}
 	t.failedInRow[server] = struct{}{}
 }
@@ -199,11 +213,19 @@
 
 func (t *Table) reachesNone() bool { return len(t.lostInRow) >= minLostServers }
 
-// ReachesNothing reports whether this instance can reach no server in any way.
-func (t *Table) ReachesNothing() bool {
+// ReachesNothing reports whether this instance has reached no server in any way for some time. It also returns one of the
+// servers, to try whether that has ended.
+func (t *Table) ReachesNothing(now time.Time) (server string, nothing bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.failedInRow) >= minLostServers
+	for server = range t.failedInRow {
+		break
+	}
+	return server, t.reachesNothing(now)
+}
+
+func (t *Table) reachesNothing(now time.Time) bool {
+	return len(t.failedInRow) >= minLostServers && now.Sub(t.failingSince) >= nothingTime
 }
 
 // LostCount returns the number of servers to which the path is lost.
