Send no keep-alive probes on connections with a short user timeout

With TCP_USER_TIMEOUT the count of keep-alive probes has no effect: one probe that stays unanswered for the interval ends the connection. Connections for requests had 1.2 s, and probes after 2 s at intervals of 1 s: a request that its server had worked on for 2 s was lost at 3 s if a single probe was lost. The deadline bounds a request, and 8 s an idle connection, without probes; what is lost is that a server that vanishes is noticed before the deadline of a request that waits for it. The other connections with a user timeout have none (peers, leases) or a matching bound (store: 2 s both).

--- a/internal/upstr/silence.go
+++ b/internal/upstr/silence.go
@@ -65,13 +65,11 @@
 	return response.Body.Close()
 }
 
-// Configure sets the options of a connection that a DialFunc has opened, as those of the connections of a Client without
-// a Dialer.
+// Configure sets the options of a connection that a DialFunc has opened. It sends no keep-alive probes: with a user timeout
+// the first one that stays unanswered would end the connection, while a server may be at work on a request.
 func Configure(c net.Conn, userTimeout time.Duration) error {
-	if tcp, ok := c.(interface {
-		SetKeepAliveConfig(config net.KeepAliveConfig) error
-	}); ok {
-		if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
+	if tcp, ok := c.(interface{ SetKeepAlive(keepAlive bool) error }); ok {
+		if err := tcp.SetKeepAlive(false); err != nil {
 			return err
 		}
 	}
