Set a server aside only for failures that are the server's

Cause: three requests lost in a row set a server aside for all instances, for 0.5 s and longer each time, though one instance may have lost all of them on a path that broke with its connections, while others are answered.

Change: lost requests count towards that only once a second instance has lost some, or if no other instance has used the server for 2 s, so that there is nothing to compare with. What the server itself answers as a failure counts at once, as before.

TestLossesOfOneInstance: the first case (one instance loses all, another is answered) fails without the change.

--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -381,7 +381,7 @@
 	if done.Outcome == Answered {
 		c.answered[s.ID] = s
 	}
-	if s.failureRate > maxFailureRate && !s.ejected && c.ejected < c.maxEjected() {
+	if s.failureRate > maxFailureRate && s.evidence.holds(now) && !s.ejected && c.ejected < c.maxEjected() {
 		s.eject(now)
 		c.ejected++
 	}
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -90,8 +90,9 @@
 	// timeRatio is the ratio of the server's service times to the means of their routes; above 1
 	// the server is slow.
 	timeRatio float64
-	// failureRate is the moving average of failures, from 0 to 1.
+	// failureRate is the moving average of failures, from 0 to 1. evidence says whether they are the server's.
 	failureRate float64
+	evidence    failureEvidence
 	// ejected reports whether the server is ejected, which lasts until ejectedUntil. The next
 	// ejection lasts for nextEjectionTime.
 	ejected          bool
@@ -209,6 +210,7 @@
 
 // learn updates what is known of the server with the outcome of a request.
 func (s *server) learn(done Completion, a admission, mean time.Duration, now time.Time) {
+	s.evidence.observe(done.From, done.Outcome, now)
 	switch done.Outcome {
 	case Answered:
 		ratio := min(max(float64(a.serviceTime(done))/a.coldFactor/float64(max(mean, time.Millisecond)), minTimeRatio), maxTimeRatio)
@@ -217,6 +219,7 @@
 		s.answers++
 		if s.failureRate < failureWeight {
 			s.nextEjectionTime = minEjectionTime
+			s.evidence.forget()
 		}
 	case Failed, Lost:
 		s.failureRate += (1 - s.failureRate) * failureWeight
