Do not count a loss through another instance against the server

A request that breaks off on its way through another instance was completed as lost by the server; the instance in the middle may have ended, or lost its path. The admission is given back without a judgment. Whether the server has crashed is checked as for any lost connection.

TestLossInTheMiddleIsNoFailureOfTheServer fails without the change.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -502,3 +502,27 @@
 	is.Equal(reply.Status, http.StatusOK)
 	is.True(<-left <= 250) // the route gives 400
 }
+
+// throughDialer implements upstr.Dialer with connections that go through another instance.
+type throughDialer struct{}
+
+func (throughDialer) DialServer(ctx context.Context, _, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	return throughConn{c}, err
+}
+func (throughDialer) Answered(net.Conn) {}
+
+// throughConn is a connection that goes through another instance.
+type throughConn struct{ net.Conn }
+
+func (throughConn) Via() string { return "other" }
+
+// Guards against a server that is taken for failing because the instance in the middle has failed.
+func TestLossInTheMiddleIsNoFailureOfTheServer(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(rules.NonIdempotent, newFakeServer(t, func(_ int, c net.Conn, _ *http.Request) { _ = c.Close() }))
+	f.edge.ConnPool.Dialer = throughDialer{}
+	reply := f.send(t.Context())
+	is.Equal(reply.Status, http.StatusBadGateway)
+	is.Equal(f.admitter.outcomes, []admit.Outcome{admit.Cancelled})
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -265,6 +265,10 @@
 		return errorReply(http.StatusGatewayTimeout, 0), false
 	}
 	q.reason, q.avoid = endInDoubt, s.ID
+	if q.through != "" {
+		// The instance in the middle may have failed, or its path.
+		completion.Outcome = admit.Cancelled
+	}
 	if errors.Is(err, upstr.ErrLost) {
 		q.edge.Cluster.ReportCrash(q.print, s)
 	}
