Ask other instances for a path beside each other

Cause: instances were asked in turn, and one whose own path is silent answers only after 250 ms, so that two could be asked in the 500 ms, at times the same one twice.

Change: the next instance is asked when one has refused or has not answered for 100 ms, up to three different ones; the one that helped is asked first the next time, connections that come late are closed.

TestSilentInstanceIsNotWaitedFor.

--- a/internal/paths/dialer.go
+++ b/internal/paths/dialer.go
@@ -30,9 +30,11 @@
 	// hedgeDelay is how long a connection may take to open before another instance is asked for one as well. It is longer
 	// than an instance is held up by its processor quota, which is counted per tenth of a second.
 	hedgeDelay = 150 * time.Millisecond
-	// throughTimeout limits the time to connect through other instances, of which maxInstancesAsked are tried.
+	// throughTimeout limits the time to connect through other instances, of which maxInstancesAsked are asked.
 	throughTimeout    = 500 * time.Millisecond
 	maxInstancesAsked = 3
+	// askInterval is how long an instance may take before the next one is asked as well.
+	askInterval = 100 * time.Millisecond
 )
 
 // Server is the server to connect to.
@@ -205,26 +207,95 @@
 	}
 }
 
-// openThrough asks up to maxInstancesAsked instances in turn for a connection to a server. It returns the errors of all.
+// openThrough asks up to maxInstancesAsked instances for a connection to a server, the next one when the last has refused or
+// has not answered for askInterval. It returns the errors of all if none can help.
 func (d *Dialer) openThrough(ctx context.Context, s Server) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := &asking{Dialer: d, server: s, choice: d.Table.Choice(s.ID), asked: map[string]struct{}{}, answers: make(chan answer, maxInstancesAsked)}
 	var failed error
-	for range maxInstancesAsked {
-		choice := d.Table.Choice(s.ID)
-		instance, ok := d.Choose(s.ID, choice)
-		if !ok {
-			return nil, errors.Join(failed, errNoInstance)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-next.C:
+			if a.askNext(ctx) {
+				next.Reset(askInterval)
+			}
+		case r := <-a.answers:
+			a.running--
+			if r.err == nil {
+				d.Table.SetChoice(s.ID, r.choice)
+				go a.discard()
+				return r.conn, nil
+			}
+			failed = errors.Join(failed, fmt.Errorf("through %s: %w", r.instance, r.err))
+			next.Reset(0)
 		}
-		c, err := d.Open(ctx, instance, s)
-		if err == nil {
-			return c, nil
+		if a.exhausted && a.running == 0 {
+			d.Table.SetChoice(s.ID, a.choice)
+			if failed == nil {
+				return nil, errNoInstance
+			}
+			return nil, failed
+		}
+	}
+}
+
+// asking is an attempt to connect to a server through one of several instances.
+type asking struct {
+	*Dialer
+	server Server
+	// choice is the next choice to try, asked holds the instances that have been asked.
+	choice int
+	asked  map[string]struct{}
+	// running is the number of instances that have not answered yet, exhausted says that no more will be asked.
+	running   int
+	exhausted bool
+	answers   chan answer
+}
+
+// answer is the answer of an instance, which a choice stands for.
+type answer struct {
+	dialResult
+	instance string
+	choice   int
+}
+
+// askNext asks the next instance that has not been asked, and reports whether there was one.
+func (a *asking) askNext(ctx context.Context) bool {
+	for range maxChoices {
+		if len(a.asked) == maxInstancesAsked {
+			break
 		}
-		failed = errors.Join(failed, fmt.Errorf("through %s: %w", instance, err))
-		d.Table.NextChoice(s.ID, choice)
-		if ctx.Err() != nil {
+		choice := a.choice
+		instance, ok := a.Choose(a.server.ID, choice)
+		if !ok {
 			break
 		}
+		a.choice = (choice + 1) % maxChoices
+		if _, done := a.asked[instance]; done {
+			continue
+		}
+		a.asked[instance] = struct{}{}
+		a.running++
+		go func() {
+			c, err := a.Open(ctx, instance, a.server)
+			a.answers <- answer{dialResult{c, err}, instance, choice}
+		}()
+		return true
+	}
+	a.exhausted = true
+	return false
+}
+
+// discard closes the connections that other instances still open.
+func (a *asking) discard() {
+	for range a.running {
+		if r := <-a.answers; r.err == nil {
+			_ = r.conn.Close()
+		}
 	}
-	return nil, failed
 }
 
 // connected records a direct connection.
--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -247,6 +247,48 @@
 	})
 }
 
+// Guards against a caller who waits for an instance that does not answer while another could help at once.
+func TestSilentInstanceIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		defer time.Sleep(2 * time.Second) // for what goes on in the background
+		closed := 0
+		d := paths.NewDialer(paths.Deps{
+			Table:  paths.NewTable(),
+			Direct: func(context.Context, paths.Server) (net.Conn, error) { return nil, syscall.ECONNREFUSED },
+			Choose: func(_ string, choice int) (string, bool) { return string(rune('a' + choice/2%3)), true },
+			Open: func(ctx context.Context, instance string, _ paths.Server) (net.Conn, error) {
+				if instance != "c" {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return countingConn{fakeConn{via: instance}, &closed}, nil
+			},
+			PathSilent: func(string) {}, Events: event.New(io.Discard, log.ErrorLevel),
+		})
+		via, took, err := dial(t, d, "s1")
+		is.NoErr(err)
+		is.Equal(via, "c")
+		is.True(took < 250*time.Millisecond)
+		via, took, err = dial(t, d, "s1")
+		is.NoErr(err)
+		is.Equal(via, "c")
+		is.True(took < 10*time.Millisecond) // it is asked first from now on
+		is.Equal(closed, 0)
+	})
+}
+
+// countingConn counts how often it is closed.
+type countingConn struct {
+	fakeConn
+	closed *int
+}
+
+func (c countingConn) Close() error {
+	*c.closed++
+	return nil
+}
+
 // Guards against an instance that passes connections on through a third one, or dials for others what it has lost.
 func TestOwnPathsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/paths/table.go
+++ b/internal/paths/table.go
@@ -251,13 +251,11 @@
 	return 0
 }
 
-// NextChoice chooses another instance for a server, unless that has been done since choice was returned.
-func (t *Table) NextChoice(server string, choice int) {
+// SetChoice sets the number of the instance that a server should be reached through next.
+func (t *Table) SetChoice(server string, choice int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p := t.pathOf(server); p.choice == choice {
-		p.choice = (choice + 1) % maxChoices
-	}
+	t.pathOf(server).choice = choice
 }
 
 // maxChoices is the number of choices for a server, after which the first one is tried again.
