--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -177,7 +177,7 @@
 					time.Sleep(50 * time.Millisecond)
 				}
 				w.mu.Lock()
-				if failure == errSilent {
+				if errors.Is(failure, errSilent) {
 					is.Equal(w.silent, []string{"s1", "s2", "s3"}) // connections that are open now are kept
 				}
 				w.mu.Unlock()
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -115,7 +115,7 @@
 			m := newMiddle(t, address)
 			conn, err := m.open()
 			is.NoErr(err)
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			_, err = conn.Write([]byte("x"))
 			is.NoErr(err)
 			got := make([]byte, len(body))
@@ -170,7 +170,7 @@
 	m.allowed = func() bool { return accepts }
 	conn, err := m.open()
 	is.NoErr(err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
 	_, _ = conn.Write([]byte("one\n"))
 	answer, err := in.ReadString('\n')
