--- a/internal/lease/contact.go
+++ b/internal/lease/contact.go
@@ -19,7 +19,9 @@
 	maxContactChecks = 64
 )
 
-// contacts tracks which servers accept connections, by checks that are made when the answer is asked for.
+// contacts tracks which servers accept connections, by checks that are made when the answer is asked for. The directory
+// lists a crashed server until its entry expires. If such a server got keys, they would have no owner until its lease,
+// which it may never have had, has expired.
 type contacts struct {
 	// check connects to a server.
 	check func(ctx context.Context, server shard.Owner) error
