Take the register over in one step, and the place in the tree with it

Evidence: a trace of each read after the start (scratch copy, 1,000 instances, 1,000 servers): bursts of 25 to 48 overdue reads of one topic, all by instances that knew the register and had a place in a tree of one.

Cause: the register was put into the roster instance by instance. A place that was computed in between was kept for half a second, as was one from a register that went on growing; only an empty place was computed anew.

Change: the roster takes all changes in one step, and the place is computed when the number of registered instances has changed. TestPlaceFollowsTheRegister fails without it (1 instead of 5).

--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -288,17 +288,21 @@
 
 // updateRoster applies changes of the register to the roster.
 func (lm *Manager) updateRoster(before, after *View) {
-	now := time.Now()
+	changed := make(map[string]roster.Entry)
 	for name, e := range after.Instances {
 		if old, known := before.Instances[name]; !known || old != e {
-			lm.Roster.Put(name, e, now)
+			changed[name] = e
 		}
 	}
+	var deleted []string
 	for name := range before.Instances {
 		if _, found := after.Instances[name]; !found {
-			lm.Roster.Remove(name, now)
+			deleted = append(deleted, name)
 		}
 	}
+	if len(changed)+len(deleted) > 0 {
+		lm.Roster.Update(changed, deleted, time.Now())
+	}
 }
 
 // HandleHeartbeat uses the statement of another instance that its view is the newest.
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -54,3 +54,19 @@
 	}
 	is.True(len(n.place().Ancestors) > 0)
 }
+
+// Guards against an instance that keeps, for half a second, the place that it had when it knew only a part of the register.
+func TestPlaceFollowsTheRegister(t *testing.T) {
+	is := is.New(t)
+	n := newFollower(&hangingStore{}, 0)
+	put := func(i int) {
+		n.roster.Put(fmt.Sprintf("i%d", i), roster.Entry{Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: "a", Incarnation: 1, Share: float64(i)}, time.Now())
+	}
+	put(0)
+	is.Equal(n.place().Size, 1)
+	for i := 1; i < 5; i++ {
+		put(i)
+	}
+	is.Equal(n.place().Size, 5)
+	is.True(len(n.place().Ancestors) > 0)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,10 +137,11 @@
 	// joinMu guards joinBook, which holds the starting instances if this one is a seed.
 	joinMu   sync.Mutex
 	joinBook *join.Book
-	// placeMu guards currentPlace, which was computed at placedAt.
+	// placeMu guards currentPlace, which was computed at placedAt for placedAmong registered instances.
 	placeMu      sync.Mutex
 	currentPlace join.Place
 	placedAt     time.Time
+	placedAmong  int
 	// loggedReach is what was logged last, sizeLogged says that the number of instances was. Only checkLoop uses them.
 	loggedReach storeReach
 	sizeLogged  bool
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -223,7 +223,8 @@
 	return n.ownersCopy.of(view)
 }
 
-// placeInterval is the time between two computations of the place of this instance, which looks at all instances.
+// placeInterval is the time between two computations of the place of this instance, which looks at all instances. It is
+// computed at once if the number of registered instances has changed.
 const placeInterval = 500 * time.Millisecond
 
 // place returns the place of this instance in the tree of its failure domain.
@@ -231,10 +232,10 @@
 	now := time.Now()
 	n.placeMu.Lock()
 	defer n.placeMu.Unlock()
-	// An empty place is of before the register was known.
-	if n.currentPlace.Size == 0 || now.Sub(n.placedAt) >= placeInterval {
+	if registered := n.roster.Len(); registered != n.placedAmong || now.Sub(n.placedAt) >= placeInterval {
 		leader, _ := n.roster.Leader(now)
-		n.currentPlace, n.placedAt = join.PlaceOf(n.settings.Name, n.settings.Domain, leader.Name, n.treeMembers(leader.Name, now)), now
+		n.placedAmong, n.placedAt = registered, now
+		n.currentPlace = join.PlaceOf(n.settings.Name, n.settings.Domain, leader.Name, n.treeMembers(leader.Name, now))
 	}
 	return n.currentPlace
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -200,6 +200,24 @@
 func (r *Roster) Put(name string, e Entry, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.put(name, e, now)
+}
+
+// Update adds or updates instances, and removes those whose registrations were deleted from the store, in one step: nobody
+// sees a part of the register.
+func (r *Roster) Update(registered map[string]Entry, deleted []string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, e := range registered {
+		r.put(name, e, now)
+	}
+	for _, name := range deleted {
+		r.delete(name, now)
+	}
+}
+
+// put adds or updates an instance. The lock is held.
+func (r *Roster) put(name string, e Entry, now time.Time) {
 	known := r.peers[name]
 	if known != nil {
 		r.drop(known)
@@ -231,6 +249,11 @@
 func (r *Roster) Remove(name string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.delete(name, now)
+}
+
+// delete removes an instance. The lock is held.
+func (r *Roster) delete(name string, now time.Time) {
 	if p, found := r.peers[name]; found {
 		r.departed[name] = departure{p.Domain, now}
 		r.drop(p)
