--- a/internal/lease/register.go
+++ b/internal/lease/register.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strings"
+	"time"
 
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
@@ -64,3 +65,22 @@
 		lm.BroadcastRegister(records)
 	}
 }
+
+// updateRoster applies changes of the register to the roster.
+func (lm *Manager) updateRoster(before, after *View) {
+	changed := make(map[string]roster.Entry)
+	for name, e := range after.Instances {
+		if old, known := before.Instances[name]; !known || old != e {
+			changed[name] = e
+		}
+	}
+	var deleted []string
+	for name := range before.Instances {
+		if _, found := after.Instances[name]; !found {
+			deleted = append(deleted, name)
+		}
+	}
+	if len(changed)+len(deleted) > 0 {
+		lm.Roster.Update(changed, deleted, time.Now())
+	}
+}
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -286,25 +286,6 @@
 	}
 }
 
-// updateRoster applies changes of the register to the roster.
-func (lm *Manager) updateRoster(before, after *View) {
-	changed := make(map[string]roster.Entry)
-	for name, e := range after.Instances {
-		if old, known := before.Instances[name]; !known || old != e {
-			changed[name] = e
-		}
-	}
-	var deleted []string
-	for name := range before.Instances {
-		if _, found := after.Instances[name]; !found {
-			deleted = append(deleted, name)
-		}
-	}
-	if len(changed)+len(deleted) > 0 {
-		lm.Roster.Update(changed, deleted, time.Now())
-	}
-}
-
 // HandleHeartbeat uses the statement of another instance that its view is the newest.
 func (lm *Manager) HandleHeartbeat(h roster.Heartbeat) {
 	if h.KnownAge >= 0 && h.EchoAt > 0 {
--- a/internal/paths/dialer.go
+++ b/internal/paths/dialer.go
@@ -20,7 +20,7 @@
 	ErrNoPath = errors.New("paths: other instance has no path to the server")
 	// errNoInstance means that there is no instance to go through.
 	errNoInstance = errors.New("paths: no other instance to go through")
-	// errNothing means that no connection was tried, as none has been opened for some time.
+	// errNothing means that no connection is attempted, as none has been opened for some time.
 	errNothing = errors.New("paths: no server is reached")
 )
 
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -42,17 +42,6 @@
 	ErrUnreachable = errors.New("upstr: server unreachable")
 )
 
-// DialFunc opens a connection, as net.Dialer.DialContext does.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Dialer opens the connections of clients.
-type Dialer interface {
-	// DialServer connects to the server with a name at an address.
-	DialServer(ctx context.Context, name, address string) (net.Conn, error)
-	// Answered is called for each response of a server with the connection that DialServer returned.
-	Answered(c net.Conn)
-}
-
 // The limits and timeouts of connections.
 const (
 	dialTimeout = 2 * time.Second
@@ -316,18 +305,6 @@
 	return c, nil
 }
 
-// dialServer opens a connection to the server, by a deadline.
-func (cl *Client) dialServer(ctx context.Context, deadline time.Time) (net.Conn, error) {
-	if cl.settings.Dialer != nil {
-		ctx, cancel := context.WithDeadline(ctx, deadline)
-		defer cancel()
-		return cl.settings.Dialer.DialServer(ctx, cl.settings.Name, cl.settings.Address)
-	}
-	dialer := cl.dialer
-	dialer.Deadline = deadline
-	return dialer.DialContext(ctx, "tcp", cl.settings.Address)
-}
-
 // reserveConn counts a connection that is about to be opened, and reports whether the limit allows
 // it. At the limit it closes an idle connection to make room.
 func (cl *Client) reserveConn() bool {
