Take a server for unreachable only if another instance has tried in vain

Found by reading: if the instances that were asked refused because they were busy or did not answer, the server counted as reached by nobody, so that its admission was completed as lost and a broken request as a crash: what one instance sees, again. Now one of them must have tried to connect in vain, or there is none to ask.

The case of a silent server in TestPathOrServer was modelled by a silent other instance; it now has an answer of that instance, and two cases stand beside it (other instance silent, busy) that fail without the change. The line of a request no longer names the instance of an earlier attempt; a field that nothing read is gone.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -175,7 +175,7 @@
 // no retry after all, or nil if the request was not sent and the attempt does not count.
 func (q *request) attempt(ctx context.Context, a Admission, s rules.Server) (*inlet.Reply, bool) {
 	q.attempts++
-	q.server = s.ID
+	q.server, q.through = s.ID, ""
 	q.edge.inFlight.add(s.Domain, 1)
 	defer q.edge.inFlight.add(s.Domain, -1)
 	startedAt := time.Now()
--- a/internal/paths/dialer.go
+++ b/internal/paths/dialer.go
@@ -115,8 +115,8 @@
 }
 
 // DialServer implements upstr.Dialer. It connects directly or through another instance, whichever is expected to work,
-// and in the other way as well if that fails or takes long. Errors wrap upstr.ErrUnreachable if it is known of no instance
-// that it reaches the server.
+// and in the other way as well if that fails or takes long. Errors wrap upstr.ErrUnreachable if another instance tried to
+// connect to the server in vain, or if there is none to ask, and no instance is known to reach it.
 //
 // What the attempt shows of the path is recorded also after ctx has ended.
 func (d *Dialer) DialServer(ctx context.Context, server, address string) (net.Conn, error) {
@@ -349,7 +349,8 @@
 	a.counts.Add("failed", 1)
 	a.Table.Unreachable(a.server.ID, time.Now())
 	err := errors.Join(a.directErr, a.throughErr)
-	if errors.Is(a.throughErr, ErrNoPath) {
+	tried := errors.Is(a.throughErr, ErrUnreachable) || errors.Is(a.throughErr, errNoInstance)
+	if !tried || errors.Is(a.throughErr, ErrNoPath) {
 		return err
 	}
 	return fmt.Errorf("%w: %w", upstr.ErrUnreachable, err)
--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -129,7 +129,9 @@
 		"path refused":                    {world: &world{others: 1, direct: syscall.ECONNREFUSED}, via: "other", within: 5 * time.Millisecond, lost: true},
 		"path silent":                     {world: &world{others: 1, direct: errSilent}, via: "other", within: 200 * time.Millisecond, lost: true},
 		"server refuses":                  {world: &world{others: 1, direct: syscall.ECONNREFUSED, through: paths.ErrUnreachable}, within: 20 * time.Millisecond, unreachable: true, failed: true},
-		"server silent":                   {world: &world{others: 1, direct: errSilent, through: errSilent}, within: 700 * time.Millisecond, unreachable: true, failed: true},
+		"server silent":                   {world: &world{others: 1, direct: errSilent, through: paths.ErrUnreachable}, within: 700 * time.Millisecond, unreachable: true, failed: true},
+		"other instance silent":           {world: &world{others: 1, direct: errSilent, through: errSilent}, within: 700 * time.Millisecond, failed: true},
+		"other instance busy":             {world: &world{others: 1, direct: syscall.ECONNREFUSED, through: errors.New("busy")}, within: 20 * time.Millisecond, failed: true},
 		"other has lost its path as well": {world: &world{others: 1, direct: syscall.ECONNREFUSED, through: paths.ErrNoPath}, within: 20 * time.Millisecond, failed: true},
 		"alone":                           {world: &world{direct: syscall.ECONNREFUSED}, within: 20 * time.Millisecond, unreachable: true, failed: true},
 	}
--- a/internal/paths/table.go
+++ b/internal/paths/table.go
@@ -47,10 +47,9 @@
 // path is what is known of the path to a server. There is none for a server that was always reached.
 type path struct {
 	// lost says that the path does not work, or that it was slower than the one through another instance. Confirmed says
-	// that it does not work. lostAt is since when.
+	// that it does not work.
 	lost      bool
 	confirmed bool
-	lostAt    time.Time
 	probeAt   time.Time
 	// probeCount is the number of probes since the path was lost.
 	probeCount int
@@ -157,7 +156,7 @@
 func (t *Table) setLost(server string, now time.Time) *path {
 	p := t.pathOf(server)
 	if !p.lost {
-		p.lost, p.lostAt, p.probeCount = true, now, 0
+		p.lost, p.probeCount = true, 0
 		p.scheduleProbe(now)
 	}
 	return p
