State that no server is reached without a new field of heartbeats

Found by reading, and checked: structs are encoded by position, and the decoder refuses another number of fields (a struct with one field more fails both ways with 'number of fields in array-encoded struct has changed').

Now the entry AllServers in the list of failing servers says it; the release before takes it for a server that is not listed. Heartbeat and Report have their fields of before (TestHeartbeatsKeepTheirFields, which fails with the field).

--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -152,11 +152,19 @@
 		SentAt:        int64(sentAt), KnownAge: age,
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.leases.ConfirmedOffset(),
 		Known: n.leases.View().End, StoreOK: reached.owners && reached.directory,
-		Stopping: n.isStopping(), Leads: n.leases.Leads(), ConfigEnd: configEnd, ServersEnd: serversEnd, Failing: n.leases.Failing(),
-		ReachesNone: n.dialer.Table.ReachesNone(),
+		Stopping: n.isStopping(), Leads: n.leases.Leads(), ConfigEnd: configEnd, ServersEnd: serversEnd, Failing: n.failing(),
 	}
 }
 
+// failing returns the content of roster.Heartbeat.Failing.
+func (n *Node) failing() []string {
+	out := n.leases.Failing()
+	if n.dialer.Table.ReachesNone() {
+		out = append(out, roster.AllServers)
+	}
+	return out
+}
+
 // completeness returns the end offsets of the configuration and the directory that this instance acts on, and how long
 // before an instant they were last known to be the ends of their topics, in milliseconds; negative if that is too long
 // ago to be of use to peers.
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -141,7 +141,10 @@
 			foreignAt = time.Now().Add(foreignInterval)
 		}
 		for i, name := range pc.names {
-			h := roster.Heartbeat{Name: name, Incarnation: 1, ReachesNone: pc.nodes[name].dialer.Table.ReachesNone()}
+			h := roster.Heartbeat{Name: name, Incarnation: 1}
+			if pc.nodes[name].dialer.Table.ReachesNone() {
+				h.Failing = []string{roster.AllServers}
+			}
 			for j, other := range pc.names {
 				if foreign || domainOf(i) == domainOf(j) {
 					pc.nodes[other].roster.RecordHeartbeat(h, time.Now())
--- a/internal/roster/digest.go
+++ b/internal/roster/digest.go
@@ -38,7 +38,6 @@
 	StoreAnswered bool
 	Stopping      bool
 	Failing       []string
-	ReachesNone   bool
 }
 
 // LargeDomain reports whether the instances of a failure domain exchange digests.
@@ -79,7 +78,7 @@
 		h := p.direct
 		report := Report{
 			Name: p.Name, Incarnation: p.Incarnation, AgeMs: now.Sub(p.directAt).Milliseconds() + 1,
-			Confirmed: h.Confirmed, Known: h.Known, StoreOK: h.StoreOK, StoreAnswered: h.StoreAnswered, Stopping: h.Stopping, Failing: h.Failing, ReachesNone: h.ReachesNone,
+			Confirmed: h.Confirmed, Known: h.Known, StoreOK: h.StoreOK, StoreAnswered: h.StoreAnswered, Stopping: h.Stopping, Failing: h.Failing,
 		}
 		if sentAt, dated := p.clockOffset.earliestSendTime(clock.Instant(h.SentAt), clockNow); dated {
 			report.AgeMs, report.Dated = clockNow.Sub(sentAt).Milliseconds()+1, true
@@ -146,7 +145,6 @@
 	h.Name, h.Incarnation = report.Name, report.Incarnation
 	h.Confirmed, h.Known = max(h.Confirmed, report.Confirmed), max(h.Known, report.Known)
 	h.StoreOK, h.StoreAnswered, h.Stopping, h.Failing = report.StoreOK, report.StoreAnswered, report.Stopping, report.Failing
-	h.ReachesNone = report.ReachesNone
 	p.Heartbeat, p.HeartbeatAt, p.suspected = h, heardAt, false
 	r.refreshPeer(p, now)
 }
--- a/internal/roster/digest_test.go
+++ b/internal/roster/digest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -106,3 +107,11 @@
 		is.Equal(len(a.Hubs(time.Now())), hubCount)
 	}
 }
+
+// Guards against an upgrade in turn in which instances of two releases cannot decode each other's heartbeats: structs are
+// encoded by position, with the number of their fields.
+func TestHeartbeatsKeepTheirFields(t *testing.T) {
+	is := is.New(t)
+	is.Equal(reflect.TypeFor[Heartbeat]().NumField(), 16)
+	is.Equal(reflect.TypeFor[Report]().NumField(), 10)
+}
--- a/internal/roster/liveness.go
+++ b/internal/roster/liveness.go
@@ -85,8 +85,8 @@
 	switch {
 	case h.StoreAnswered != other.StoreAnswered:
 		return h.StoreAnswered
-	case h.ReachesNone != other.ReachesNone:
-		return !h.ReachesNone
+	case h.ReachesNone() != other.ReachesNone():
+		return !h.ReachesNone()
 	default:
 		return p.Share > o.Share
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -81,12 +81,18 @@
 	// ReplyNow asks the receiver to send a heartbeat at once. The shorter the time to the echo, the more
 	// closely the age of what the receiver sends can be determined.
 	ReplyNow bool
-	// Failing lists the ids of the servers that do not answer the instance's lease renewals.
+	// Failing lists the ids of the servers that do not answer the instance's lease renewals. AllServers among them says
+	// that the instance has lost its own paths to all servers, as far as it can tell.
 	Failing []string
-	// ReachesNone says that the instance has lost its own paths to all servers, as far as it can tell.
-	ReachesNone bool
 }
 
+// AllServers stands for all servers in Heartbeat.Failing. Instances of releases that do not know it take it for the id of a
+// server that is not listed; they could not decode a further field.
+const AllServers = "*"
+
+// ReachesNone reports whether the sender has lost its own paths to all servers.
+func (h Heartbeat) ReachesNone() bool { return slices.Contains(h.Failing, AllServers) }
+
 // Peer is a registered instance, which may be this one.
 type Peer struct {
 	Entry
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -319,9 +319,11 @@
 			r := roster.New("i0", "d0")
 			registerAll(r, len(names))
 			for _, instance := range names {
-				r.RecordHeartbeat(roster.Heartbeat{
-					Name: instance, Incarnation: 1, StoreOK: true, StoreAnswered: true, ReachesNone: slices.Contains(c.without, instance),
-				}, now)
+				h := roster.Heartbeat{Name: instance, Incarnation: 1, StoreOK: true, StoreAnswered: true}
+				if slices.Contains(c.without, instance) {
+					h.Failing = []string{roster.AllServers}
+				}
+				r.RecordHeartbeat(h, now)
 			}
 			for i := range 40 {
 				server := fmt.Sprintf("s%d", i)
