Log what responses state about leaving and rest

Cause: no line says what a server states about itself in a response, so the logs of DRAIN and BUDGET cannot tell whether it was not read or read and not kept to.

Nothing is decided by them yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,6 +45,13 @@
 	// Limit is the request rate that the server states. LimitErr is set if a statement was malformed.
 	Limit    admit.StatedLimit
 	LimitErr error
+	// Leaving says that the server is about to leave. LeavingErr is set if a statement was malformed.
+	Leaving    bool
+	LeavingErr error
+	// RestUntil is until when the server wants no more requests of this instance, zero if it does not say so. RestErr is
+	// set if a statement was malformed.
+	RestUntil time.Time
+	RestErr   error
 }
 
 // HeaderCodec decodes and encodes the headers that callers, instances and servers exchange.
@@ -52,7 +59,8 @@
 	DecodeRequest(h http.Header) RequestInfo
 	// EncodeTarget sets the only server that may run the request, and the time left for it.
 	EncodeTarget(h http.Header, server string, left time.Duration)
-	DecodeResponse(r *http.Response) ResponseInfo
+	// DecodeResponse decodes a response whose head was received at a time.
+	DecodeResponse(r *http.Response, receivedAt time.Time) ResponseInfo
 }
 
 // Admitter admits requests to servers.
@@ -107,10 +115,9 @@
 type Edge struct {
 	Deps
 	returns returnDetector
-	// malformedLoads and malformedLimits hold the servers whose malformed load or limit has been logged.
-	malformedLoads  malformedSet
-	malformedLimits malformedSet
-	inFlight        inFlightCounter
+	// malformed holds the servers of which something malformed has been logged.
+	malformed malformed
+	inFlight  inFlightCounter
 }
 
 // New returns an Edge with the given dependencies.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -42,7 +42,7 @@
 	h.Set("Left", strconv.Itoa(int(left.Milliseconds())))
 }
 
-func (headerCodec) DecodeResponse(r *http.Response) edge.ResponseInfo {
+func (headerCodec) DecodeResponse(r *http.Response, _ time.Time) edge.ResponseInfo {
 	return edge.ResponseInfo{
 		ID: r.Header.Get("Id"), NotRun: r.Header.Get("Not-Run") != "" || r.StatusCode == 421, Misdirected: r.StatusCode == 421,
 	}
--- a/internal/edge/malformed.go
+++ b/internal/edge/malformed.go
@@ -30,16 +30,23 @@
 	return true
 }
 
-// logMalformedLoad logs, once for each server, that the server stated a malformed load.
-func (e *Edge) logMalformedLoad(server string, err error) {
-	if e.malformedLoads.add(server) {
-		e.Events.Record(event.StateChange, "load-malformed", "server", server, "error", err)
-	}
-}
+// malformed holds, by what it was about, the servers whose malformed statements have been logged.
+type malformed struct{ loads, limits, leaves, rests malformedSet }
 
-// logMalformedLimit logs, once for each server, that the server stated a malformed limit.
-func (e *Edge) logMalformedLimit(server string, err error) {
-	if e.malformedLimits.add(server) {
-		e.Events.Record(event.StateChange, "limit-malformed", "server", server, "error", err)
+// logMalformed logs, once for each server and kind, that the server stated something malformed.
+func (e *Edge) logMalformed(server string, info ResponseInfo) {
+	for _, statement := range []struct {
+		name    string
+		err     error
+		servers *malformedSet
+	}{
+		{"load-malformed", info.LoadErr, &e.malformed.loads},
+		{"limit-malformed", info.LimitErr, &e.malformed.limits},
+		{"leaving-malformed", info.LeavingErr, &e.malformed.leaves},
+		{"rest-malformed", info.RestErr, &e.malformed.rests},
+	} {
+		if statement.err != nil && statement.servers.add(server) {
+			e.Events.Record(event.StateChange, statement.name, "server", server, "error", statement.err)
+		}
 	}
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"example.org/mustardring/internal/admit"
+	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
@@ -188,15 +189,10 @@
 	if err != nil {
 		return q.handleFailure(ctx, &completion, s, err)
 	}
-	info := q.edge.Codec.DecodeResponse(response)
-	completion.Load = info.Load
-	if info.LoadErr != nil {
-		q.edge.logMalformedLoad(s.ID, info.LoadErr)
-	}
-	completion.Limit = info.Limit
-	if info.LimitErr != nil {
-		q.edge.logMalformedLimit(s.ID, info.LimitErr)
-	}
+	info := q.edge.Codec.DecodeResponse(response, time.Now())
+	completion.Load, completion.Limit = info.Load, info.Limit
+	q.edge.logMalformed(s.ID, info)
+	q.logStatement(s.ID, response.StatusCode, info)
 	reply, err := readWhole(response)
 	if err == nil && info.ID != q.info.ID && info.ID != "" {
 		err = errMismatchedResponse
@@ -210,6 +206,14 @@
 	return q.handleResponse(ctx, &completion, s, info, reply)
 }
 
+// logStatement logs that a server states in a response that it leaves, or that it wants no more requests for a time.
+func (q *request) logStatement(server string, status int, info ResponseInfo) {
+	if info.Leaving || !info.RestUntil.IsZero() {
+		q.edge.Events.Record(event.StateChange, "server-statement", "server", server, "id", q.info.ID, "through", q.through,
+			"status", status, "leaving", info.Leaving, "rest", max(time.Until(info.RestUntil), 0))
+	}
+}
+
 // handleResponse decides what a complete response means for the caller and for the admission. It sets
 // the outcome of the completion and returns the results of attempt.
 func (q *request) handleResponse(ctx context.Context, completion *admit.Completion, s rules.Server, info ResponseInfo, reply *inlet.Reply) (*inlet.Reply, bool) {
