Keep what servers state about themselves beside their directory entries

What callers saw: requests reached a server that had said in its responses that it leaves, for as long as the store was away and could not say so (DRAIN). A server that is about to exit runs them at its own risk, and theirs.

Cause: Server-Leaving was read nowhere. The server's entry in the directory was taken for all that is known of it, and an entry that says ready would have undone any other knowledge.

Change: package stated holds what servers state in responses, by incarnation, with the end stored as a deadline. The limits move there from package admit. Its controllers, the leader and the instance that the request went through are told, so that requests go to other servers and keys move while the store is up.

Evidence: the line server-leaves names the response. While the store is down, the keys of the server are rejected at once from the deadline on; they cannot move without a record in the store.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -20,6 +20,8 @@
 
 import (
 	"time"
+
+	"example.org/mustardring/internal/stated"
 )
 
 // ID identifies a request for admission.
@@ -106,7 +108,7 @@
 	Took  time.Duration
 	Bytes int
 	Load  Load
-	Limit StatedLimit
+	Limit stated.Limit
 }
 
 // Decision is the answer to a Request: Admitted, Queued or Rejected.
--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -140,6 +140,12 @@
 		Server string
 		Rate   float64
 	}
+	// ServerLeave states that a server has said in a response that it leaves. It may get requests for LeaveInMs milliseconds
+	// from now on, and none if that is negative.
+	ServerLeave struct {
+		Server    string
+		LeaveInMs int
+	}
 	// CrashReport announces that a server was lost while it ran the request with a fingerprint, or, if
 	// Cleared is set, that such a request had an answer.
 	CrashReport struct {
@@ -173,6 +179,7 @@
 func (Relay) kind() byte             { return 15 }
 func (Digest) kind() byte            { return 17 } // 16 is kindDeflated
 func (ServerLimit) kind() byte       { return 18 }
+func (ServerLeave) kind() byte       { return 19 }
 
 // Received is a message and the address of its sender.
 type Received struct {
@@ -240,6 +247,8 @@
 		return decode[Digest](data[1:])
 	case 18:
 		return decode[ServerLimit](data[1:])
+	case 19:
+		return decode[ServerLeave](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
+	"example.org/mustardring/internal/stated"
 )
 
 // RequestInfo is what the headers of a request state.
@@ -43,15 +44,12 @@
 	// LoadErr is set if the server stated a malformed load.
 	LoadErr error
 	// Limit is the request rate that the server states. LimitErr is set if a statement was malformed.
-	Limit    admit.StatedLimit
+	Limit    stated.Limit
 	LimitErr error
-	// Leaving says that the server is about to leave. LeavingErr is set if a statement was malformed.
-	Leaving    bool
+	// Statement is what the server states about itself besides. LeavingErr and RestErr are set if a part of it was malformed.
+	Statement  stated.Statement
 	LeavingErr error
-	// RestUntil is until when the server wants no more requests of this instance, zero if it does not say so. RestErr is
-	// set if a statement was malformed.
-	RestUntil time.Time
-	RestErr   error
+	RestErr    error
 }
 
 // HeaderCodec decodes and encodes the headers that callers, instances and servers exchange.
@@ -96,6 +94,8 @@
 	// ReportCrash reports that the connection to a server was lost while the server ran the
 	// request with a fingerprint.
 	ReportCrash(print uint64, s rules.Server)
+	// ObserveStatement takes in what a response to this instance states about its server.
+	ObserveStatement(server string, s stated.Statement, source stated.Source)
 	// ClearSuspicion reports that the request with a fingerprint got a response.
 	ClearSuspicion(print uint64)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -23,6 +23,7 @@
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
+	"example.org/mustardring/internal/stated"
 )
 
 // headerCodec implements edge.HeaderCodec with a simple set of headers.
@@ -112,10 +113,11 @@
 func (c *fakeCluster) Owner(string, uint16) (shard.Range, bool, <-chan struct{}) {
 	return c.owner, c.owner.Server != "", c.changed
 }
-func (c *fakeCluster) CountRequest(string, uint16)      {}
-func (c *fakeCluster) Quarantined(uint64) bool          { return c.quarantined }
-func (c *fakeCluster) ReportCrash(uint64, rules.Server) { c.crashed.Add(1) }
-func (c *fakeCluster) ClearSuspicion(uint64)            {}
+func (c *fakeCluster) CountRequest(string, uint16)                              {}
+func (c *fakeCluster) Quarantined(uint64) bool                                  { return c.quarantined }
+func (c *fakeCluster) ReportCrash(uint64, rules.Server)                         { c.crashed.Add(1) }
+func (c *fakeCluster) ObserveStatement(string, stated.Statement, stated.Source) {}
+func (c *fakeCluster) ClearSuspicion(uint64)                                    {}
 
 // fakeAdmitter implements edge.Admitter. It admits each request to the server that it names, or to
 // the servers in turn, unless rejection is set.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"example.org/mustardring/internal/admit"
-	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
+	"example.org/mustardring/internal/stated"
 	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/internal/worker"
 )
@@ -192,7 +192,9 @@
 	info := q.edge.Codec.DecodeResponse(response, time.Now())
 	completion.Load, completion.Limit = info.Load, info.Limit
 	q.edge.logMalformed(s.ID, info)
-	q.logStatement(s.ID, response.StatusCode, info)
+	if !info.Statement.Empty() {
+		q.edge.Cluster.ObserveStatement(s.ID, info.Statement, stated.Source{Request: q.info.ID, Through: q.through, Status: response.StatusCode})
+	}
 	reply, err := readWhole(response)
 	if err == nil && info.ID != q.info.ID && info.ID != "" {
 		err = errMismatchedResponse
@@ -206,14 +208,6 @@
 	return q.handleResponse(ctx, &completion, s, info, reply)
 }
 
-// logStatement logs that a server states in a response that it leaves, or that it wants no more requests for a time.
-func (q *request) logStatement(server string, status int, info ResponseInfo) {
-	if info.Leaving || !info.RestUntil.IsZero() {
-		q.edge.Events.Record(event.StateChange, "server-statement", "server", server, "id", q.info.ID, "through", q.through,
-			"status", status, "leaving", info.Leaving, "rest", max(time.Until(info.RestUntil), 0))
-	}
-}
-
 // handleResponse decides what a complete response means for the caller and for the admission. It sets
 // the outcome of the completion and returns the results of attempt.
 func (q *request) handleResponse(ctx context.Context, completion *admit.Completion, s rules.Server, info ResponseInfo, reply *inlet.Reply) (*inlet.Reply, bool) {
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -12,6 +12,7 @@
 	"example.org/mustardring/internal/edge"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/stated"
 )
 
 const (
@@ -279,7 +280,7 @@
 		Load: admit.Load{
 			Running: m.Running, Waiting: m.Waiting, Known: m.LoadKnown, Slowdown: float64(m.Slowdown) / slowdownScale,
 		},
-		Limit: admit.StatedLimit{Known: m.LimitKnown, Rate: m.Limit},
+		Limit: stated.Limit{Known: m.LimitKnown, Rate: m.Limit},
 	})
 }
 
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -5,12 +5,12 @@
 	"sync/atomic"
 	"time"
 
-	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/lease"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/stated"
 )
 
 // entryReturnTime is how long the entries of live servers may be missing after an outage of the store: they expired
@@ -36,8 +36,8 @@
 	changed     chan struct{}
 	directory   *directory
 	evacuations *evacuations
-	// limits holds the request rates that servers state.
-	limits *admit.Limits
+	// statements holds what servers state in their responses.
+	statements *stated.Table
 	// unseen holds the ids of the servers that have changed in snapshot since the last call of takeUnseen.
 	unseen map[string]struct{}
 	// storeDown says that the last read of the directory failed. Until missingUntil, missing entries do not mean that
@@ -65,7 +65,7 @@
 func newClusterState(events *event.Log, drainTime, evacuationTime time.Duration) *clusterState {
 	c := &clusterState{
 		events: events, drainTime: drainTime, evacuationTime: evacuationTime, changed: make(chan struct{}),
-		directory: newDirectory(events), limits: admit.NewLimits(), unseen: map[string]struct{}{}, evacuations: newEvacuations(events), completedMoves: map[moveKey]uint64{},
+		directory: newDirectory(events), statements: stated.NewTable(), unseen: map[string]struct{}{}, evacuations: newEvacuations(events), completedMoves: map[moveKey]uint64{},
 	}
 	c.snapshot.Store(&rules.ServerSet{})
 	return c
@@ -180,9 +180,7 @@
 	for id := range c.directory.takeChanged() {
 		c.unseen[id] = struct{}{}
 		if s, found := c.directory.servers[id]; found {
-			s = c.evacuations.apply(s, services[s.Service])
-			s.RateLimit = c.limits.Rate(id)
-			put[id] = s
+			put[id] = c.statements.Apply(c.evacuations.apply(s, services[s.Service]))
 		} else {
 			removed = append(removed, id)
 		}
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -254,6 +254,8 @@
 		n.handleCrashReport(m)
 	case dgram.ServerLimit:
 		n.handleLimit(m)
+	case dgram.ServerLeave:
+		n.handleLeave(m)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -325,7 +325,7 @@
 	group.Go("holder", n.leases.Run)
 	group.Go("permits", n.admissions.run)
 	group.Go("loads", n.reportLoop)
-	group.Go("limits", n.limitLoop)
+	group.Go("statements", n.statementLoop)
 	group.Go("tunnels", n.tunnelLoop)
 	group.Go("ready", n.serveReady)
 	group.Go("metrics", n.serveMetrics)
--- /dev/null
+++ b/internal/node/statements.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"example.org/mustardring/internal/admit"
+	"example.org/mustardring/internal/dgram"
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/stated"
+	"example.org/mustardring/internal/worker"
+)
+
+const (
+	// tellInterval is the time between two messages about a limit. The next one makes up for one that was lost.
+	tellInterval = 400 * time.Millisecond
+	// limitTellTime is for how long a limit is told after it was last seen in a response.
+	limitTellTime = 10 * time.Second
+	// leaveTellRounds is how many times as long as tellInterval the time between two messages about a server that leaves
+	// is. They go on while the server is listed.
+	leaveTellRounds = 5
+	// firstRetellDelay and secondRetellDelay are the delays after which a message is sent again that is not sent regularly.
+	firstRetellDelay  = 40 * time.Millisecond
+	secondRetellDelay = 200 * time.Millisecond
+)
+
+// observeLimit takes in the limit that a server has stated in the response to a request, or that it has stated none.
+func (n *Node) observeLimit(done admit.Completion, sentAt, now time.Time) {
+	limit := done.Limit
+	if limit.Rate == 0 && done.Outcome != admit.Answered {
+		// Only what a server answers as usual shows that it states no limit any more.
+		return
+	}
+	if n.cluster.statements.ObserveLimit(done.Server, limit, sentAt, now) {
+		n.limitChanged(done.Server, "response")
+		n.tellLimit(done.Server, n.cluster.statements.RateLimit(done.Server), now)
+	}
+}
+
+// handleLimit takes in the limit of a server that another instance has seen.
+func (n *Node) handleLimit(m dgram.ServerLimit) {
+	if n.cluster.servers().Has(m.Server) && n.cluster.statements.TellLimit(m.Server, m.Rate, time.Now()) {
+		n.limitChanged(m.Server, "instance")
+	}
+}
+
+// limitChanged applies and logs the change of the limit of a server, which was learned from a source.
+func (n *Node) limitChanged(server, source string) {
+	n.events.Record(event.StateChange, "server-limit", "server", server, "per-second", n.cluster.statements.RateLimit(server), "source", source)
+	n.applyStatement(server)
+}
+
+// applyStatement applies what a server states to what requests, controllers and pools see of it.
+func (n *Node) applyStatement(server string) {
+	n.cluster.republish(server)
+	n.serversChanged()
+}
+
+// ObserveStatement implements edge.Cluster.
+func (n *Node) ObserveStatement(server string, s stated.Statement, source stated.Source) {
+	if s.Leaving {
+		n.observeLeave(server, source)
+	}
+}
+
+// observeLeave takes in that a server has said that it leaves, and tells those that may decide about its requests and keys.
+func (n *Node) observeLeave(server string, source stated.Source) {
+	now := time.Now()
+	leaveBy := now.Add(n.cluster.drainTime)
+	if !n.cluster.statements.ObserveLeave(server, leaveBy) {
+		return
+	}
+	n.events.Record(event.StateChange, "server-leaves", "server", server, "leave-in", n.cluster.drainTime, "source", "response",
+		"id", source.Request, "through", source.Through, "status", source.Status)
+	n.applyStatement(server)
+	receivers := n.withLeader(n.controllersOf(server, now), now)
+	if middle, known := n.roster.Peer(source.Through); known {
+		// The instance in the middle only sees bytes.
+		receivers = append(receivers, middle)
+	}
+	n.tellOnce(receivers, func(at time.Time) dgram.Message { return leaveMessage(server, leaveBy, at) })
+}
+
+// handleLeave takes in that a server has told another instance that it leaves.
+func (n *Node) handleLeave(m dgram.ServerLeave) {
+	leaveIn := min(time.Duration(m.LeaveInMs)*time.Millisecond, n.cluster.drainTime)
+	if !n.cluster.servers().Has(m.Server) || !n.cluster.statements.ObserveLeave(m.Server, time.Now().Add(leaveIn)) {
+		return
+	}
+	n.events.Record(event.StateChange, "server-leaves", "server", m.Server, "leave-in", leaveIn, "source", "instance")
+	n.applyStatement(m.Server)
+}
+
+// leaveMessage returns the message at a time that a server leaves.
+func leaveMessage(server string, leaveBy, at time.Time) dgram.Message {
+	return dgram.ServerLeave{Server: server, LeaveInMs: int(leaveBy.Sub(at).Milliseconds())}
+}
+
+// statementLoop tells others what servers have stated, and drops what is outdated, until the context ends.
+func (n *Node) statementLoop(ctx context.Context) error {
+	for round := 0; worker.Sleep(ctx, tellInterval); round++ {
+		now := time.Now()
+		for _, server := range n.cluster.statements.Expire(n.cluster.servers().Has, now) {
+			n.limitChanged(server, "expired")
+		}
+		for server, rate := range n.cluster.statements.SeenLimits(limitTellTime, now) {
+			n.tellLimit(server, rate, now)
+		}
+		if round%leaveTellRounds == 0 {
+			n.tellLeaves(now)
+		}
+	}
+	return ctx.Err()
+}
+
+// tellLimit tells the limit of a server if this instance is one of its controllers.
+func (n *Node) tellLimit(server string, rate float64, now time.Time) {
+	n.tellAsController(server, now, dgram.ServerLimit{Server: server, Rate: rate})
+}
+
+// tellLeaves tells which servers have said that they leave, of those that this instance is a controller of.
+func (n *Node) tellLeaves(now time.Time) {
+	for server, leaveBy := range n.cluster.statements.Leaves() {
+		if n.cluster.servers().Has(server) {
+			n.tellAsController(server, now, leaveMessage(server, leaveBy, now))
+		}
+	}
+}
+
+// tellAsController sends a message to those that may decide about the requests and keys of a server, if this instance is
+// one of the server's controllers: the number of messages does not depend on that of the instances.
+func (n *Node) tellAsController(server string, now time.Time, m dgram.Message) {
+	controllers := n.controllersOf(server, now)
+	if contains(controllers, n.settings.Name) {
+		n.port.SendAll(n.otherAddresses(n.withLeader(controllers, now)), m)
+	}
+}
+
+// tellOnce sends a message to some instances, and twice again in case it is lost. Message returns it for the time at which
+// it is sent.
+func (n *Node) tellOnce(receivers []roster.Peer, message func(at time.Time) dgram.Message) {
+	to := n.otherAddresses(receivers)
+	if len(to) == 0 {
+		return
+	}
+	send := func() { n.port.SendAll(to, message(time.Now())) }
+	send()
+	time.AfterFunc(firstRetellDelay, send)
+	time.AfterFunc(secondRetellDelay, send)
+}
+
+// controllersOf returns the instances that others ask to admit requests to a server.
+func (n *Node) controllersOf(server string, now time.Time) []roster.Peer {
+	n.admissions.mu.Lock()
+	defer n.admissions.mu.Unlock()
+	return n.admissions.controllersOf(server, now)
+}
+
+// withLeader returns the controllers of a server and the leader, which together decide about its requests and keys.
+func (n *Node) withLeader(controllers []roster.Peer, now time.Time) []roster.Peer {
+	if leader, found := n.roster.Leader(now); found && !contains(controllers, leader.Name) {
+		return append(controllers, leader)
+	}
+	return controllers
+}
+
+// otherAddresses returns the addresses of peers but for that of this instance.
+func (n *Node) otherAddresses(peers []roster.Peer) []netip.AddrPort {
+	return addresses(slices.DeleteFunc(slices.Clone(peers), func(p roster.Peer) bool { return p.Name == n.settings.Name }))
+}
+
+// contains reports whether an instance is among peers.
+func contains(peers []roster.Peer, name string) bool {
+	return slices.ContainsFunc(peers, func(p roster.Peer) bool { return p.Name == name })
+}
--- a/internal/node/limits_test.go
+++ b/internal/node/statements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"testing"
@@ -13,8 +14,10 @@
 	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/config"
 	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/stated"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -41,7 +44,7 @@
 		}
 		group.Go("port", n.port.Run)
 		group.Go("messages", n.receiveLoop)
-		group.Go("limits", n.limitLoop)
+		group.Go("statements", n.statementLoop)
 		group.Go("events", n.events.Run)
 	}
 	return nodes
@@ -65,7 +68,7 @@
 	now := time.Now()
 	seen := func(rate float64) {
 		now = now.Add(time.Millisecond)
-		first.observeLimit(admit.Completion{Server: "s1", Outcome: admit.Answered, Limit: admit.StatedLimit{Known: true, Rate: rate}}, now, now)
+		first.observeLimit(admit.Completion{Server: "s1", Outcome: admit.Answered, Limit: stated.Limit{Known: true, Rate: rate}}, now, now)
 	}
 	all := func(rate float64) func() bool {
 		return func() bool {
@@ -109,3 +112,56 @@
 	n.roster.Put("i0", roster.Entry{Address: n.port.Address(), Domain: "d0", Incarnation: 1, Share: 1}, time.Now())
 	is.True(request())
 }
+
+// Guards against a directory that puts a server back which has said in a response that it leaves.
+func TestLeaveOutlivesTheDirectory(t *testing.T) {
+	updates := map[string]func(n *Node){
+		"an entry that says ready": func(n *Node) { n.cluster.applyDirectory(false, "s1", "ready") },
+		"a snapshot":               func(n *Node) { n.cluster.applyDirectory(true, "s1", "ready") },
+		"an outage of the store": func(n *Node) {
+			n.cluster.applyServers(follow.Update{Err: errors.New("down")}, 0, decodeServer)
+			n.cluster.applyDirectory(true, "s1", "ready")
+		},
+		"an entry that was gone": func(n *Node) {
+			n.cluster.applyDirectory(false, "s1", "")
+			n.cluster.applyDirectory(false, "s1", "ready")
+		},
+	}
+	for name, update := range updates {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newPeers(t, 1, "s1")[0]
+			n.ObserveStatement("s1", stated.Statement{Leaving: true}, stated.Source{})
+			leaveBy := n.cluster.server("s1").LeaveBy
+			is.True(n.cluster.server("s1").Draining)
+			update(n)
+			is.True(n.cluster.server("s1").Draining)
+			is.Equal(n.cluster.server("s1").LeaveBy, leaveBy)
+		})
+	}
+}
+
+// Guards against controllers, and instances in the middle, that go on sending requests to a server that has told another
+// instance that it leaves.
+func TestLeaveIsTold(t *testing.T) {
+	const within = 500 * time.Millisecond
+	nodes := newPeers(t, 5, "s1")
+	first := nodes[1]
+	controllers := first.controllersOf("s1", time.Now())
+	var middle string
+	for _, n := range nodes {
+		if n != first && !contains(controllers, n.settings.Name) {
+			middle = n.settings.Name
+		}
+	}
+	first.ObserveStatement("s1", stated.Statement{Leaving: true}, stated.Source{Through: middle})
+	await(t, within, func() bool {
+		for _, n := range nodes {
+			told := n == first || n.settings.Name == middle || contains(controllers, n.settings.Name)
+			if told && !n.cluster.server("s1").Draining {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/stated/table.go
@@ -0,0 +1,153 @@
+// Package stated holds what backend servers state about themselves in their responses: a limit of requests, that they are
+// about to leave, and that they want no requests of an instance for a time. It performs no I/O.
+//
+// What a server states in a response is as good as its entry in the directory, and may be known earlier: the directory
+// cannot be read during an outage of the store.
+package stated
+
+import (
+	"sync"
+	"time"
+
+	"example.org/mustardring/internal/rules"
+)
+
+// Statement is what one response states about its server, apart from its load and a limit.
+type Statement struct {
+	// Leaving says that the server is about to leave.
+	Leaving bool
+	// RestUntil is until when the server wants no more requests of the instance that got the response, zero if it does
+	// not say so.
+	RestUntil time.Time
+}
+
+// Empty reports whether the response states nothing.
+func (s Statement) Empty() bool { return !s.Leaving && s.RestUntil.IsZero() }
+
+// Source says which response made a statement.
+type Source struct {
+	// Request is the ID of the request.
+	Request string
+	// Through is the instance that the request went through, empty if it was sent to the server directly.
+	Through string
+	Status  int
+}
+
+// unlistedTime is for how long statements of a server are kept after its entry in the directory is gone. The entry may come
+// back after an outage of the store, and a server that leaves goes on running for a while.
+const unlistedTime = 10 * time.Minute
+
+// maxUnlisted is the number of servers without an entry in the directory whose statements are kept.
+const maxUnlisted = 4096
+
+// Table holds the statements of servers, by the ID of their incarnation. Its methods are safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	servers map[string]*entry
+}
+
+// entry is what one server states.
+type entry struct {
+	limit limitEntry
+	// leaveBy is when the server may get its last request, zero if it has not said that it leaves.
+	leaveBy time.Time
+	// restUntil is until when this instance sends the server no requests, zero if it has never asked for that.
+	restUntil time.Time
+	// dropAt is when the entry is dropped, zero while the server is listed in the directory.
+	dropAt time.Time
+}
+
+// NewTable returns a table without statements.
+func NewTable() *Table { return &Table{servers: map[string]*entry{}} }
+
+// entry returns the entry of a server, a new one if there is none. The lock is held.
+func (t *Table) entry(server string) *entry {
+	e := t.servers[server]
+	if e == nil {
+		e = &entry{}
+		t.servers[server] = e
+	}
+	return e
+}
+
+// ObserveLeave takes in that a server leaves and must get its last request by a time. Of several times the earliest counts.
+// It reports whether anything has changed.
+//
+// A server that has said that it leaves does not come back: a response without the statement was made earlier.
+func (t *Table) ObserveLeave(server string, leaveBy time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entry(server)
+	if !e.leaveBy.IsZero() && !leaveBy.Before(e.leaveBy) {
+		return false
+	}
+	e.leaveBy = leaveBy
+	return true
+}
+
+// Leaves returns the servers that have said that they leave, and when each may get its last request.
+func (t *Table) Leaves() map[string]time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]time.Time{}
+	for server, e := range t.servers {
+		if !e.leaveBy.IsZero() {
+			out[server] = e.leaveBy
+		}
+	}
+	return out
+}
+
+// Apply returns a server with what it states beside its entry in the directory.
+func (t *Table) Apply(s rules.Server) rules.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.servers[s.ID]
+	if e == nil {
+		return s
+	}
+	s.RateLimit = e.limit.rate
+	if !e.leaveBy.IsZero() {
+		s.Draining = true
+		if s.LeaveBy.IsZero() || e.leaveBy.Before(s.LeaveBy) {
+			s.LeaveBy = e.leaveBy
+		}
+	}
+	return s
+}
+
+// Expire drops what does not count any more: limits that others have told and not repeated, and statements of servers that
+// are not listed in the directory. It returns the servers that have lost their limit.
+func (t *Table) Expire(listed func(server string) bool, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	unlisted := 0
+	for server, e := range t.servers {
+		isListed := listed(server)
+		if e.limit.expired(now) || !isListed {
+			if e.limit.rate != 0 {
+				out = append(out, server)
+			}
+			e.limit = limitEntry{}
+		}
+		switch {
+		case isListed:
+			e.dropAt = time.Time{}
+		case e.dropAt.IsZero():
+			e.dropAt = now.Add(unlistedTime)
+		}
+		if !isListed {
+			unlisted++
+		}
+		if e.idle(now) || !isListed && (now.After(e.dropAt) || unlisted > maxUnlisted) {
+			delete(t.servers, server)
+		}
+	}
+	return out
+}
+
+// idle reports whether the entry states nothing.
+func (e *entry) idle(now time.Time) bool {
+	return e.limit == (limitEntry{}) && e.leaveBy.IsZero() && !now.Before(e.restUntil)
+}
