Send nothing to a server that has asked the instance for rest

Cause: Retry-After of a server was read nowhere. A rejection counted as a full server for 60 ms, and only if its load said so; a retry for a key went to its only owner again.

Change: the rest that a response with status 503 asks for is kept for this instance, by incarnation, until its end; a shorter one does not end a longer one. A request whose owner rests is rejected at once as not run, and not retried. Others are looked for another server. The last look is immediately before the first byte, and in the middle of a tunnel before each request; an instance that has carried the request is told, as the server has asked that one. A server that one instance leaves alone gets requests of others as before.

Grants and releases go on: they do not count, and without them the keys of a server that rests for some seconds would have no owner after it.

Evidence: the line server-rests names the response.

--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -146,6 +146,12 @@
 		Server    string
 		LeaveInMs int
 	}
+	// ServerRest states that a server wants no requests of the receiver for RestMs milliseconds from now on. The receiver
+	// has carried the request to which the server responded.
+	ServerRest struct {
+		Server string
+		RestMs int64
+	}
 	// CrashReport announces that a server was lost while it ran the request with a fingerprint, or, if
 	// Cleared is set, that such a request had an answer.
 	CrashReport struct {
@@ -180,6 +186,7 @@
 func (Digest) kind() byte            { return 17 } // 16 is kindDeflated
 func (ServerLimit) kind() byte       { return 18 }
 func (ServerLeave) kind() byte       { return 19 }
+func (ServerRest) kind() byte        { return 20 }
 
 // Received is a message and the address of its sender.
 type Received struct {
@@ -249,6 +256,8 @@
 		return decode[ServerLimit](data[1:])
 	case 19:
 		return decode[ServerLeave](data[1:])
+	case 20:
+		return decode[ServerRest](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,6 +96,9 @@
 	ReportCrash(print uint64, s rules.Server)
 	// ObserveStatement takes in what a response to this instance states about its server.
 	ObserveStatement(server string, s stated.Statement, source stated.Source)
+	// RestUntil returns until when a server wants no requests of this instance, the zero time or one in the past if it
+	// takes them.
+	RestUntil(server string) time.Time
 	// ClearSuspicion reports that the request with a fingerprint got a response.
 	ClearSuspicion(print uint64)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -43,10 +43,14 @@
 	h.Set("Left", strconv.Itoa(int(left.Milliseconds())))
 }
 
-func (headerCodec) DecodeResponse(r *http.Response, _ time.Time) edge.ResponseInfo {
-	return edge.ResponseInfo{
+func (headerCodec) DecodeResponse(r *http.Response, receivedAt time.Time) edge.ResponseInfo {
+	info := edge.ResponseInfo{
 		ID: r.Header.Get("Id"), NotRun: r.Header.Get("Not-Run") != "" || r.StatusCode == 421, Misdirected: r.StatusCode == 421,
 	}
+	if millis, err := strconv.Atoi(r.Header.Get("Rest")); err == nil {
+		info.Statement.RestUntil = receivedAt.Add(time.Duration(millis) * time.Millisecond)
+	}
+	return info
 }
 
 // fakeServer is a backend server that handles each request with a function of the test, which
@@ -103,6 +107,7 @@
 	changed     chan struct{}
 	crashed     atomic.Int32
 	quarantined bool
+	statements  *stated.Table
 }
 
 func (c *fakeCluster) Config() *rules.Config { return c.config }
@@ -113,11 +118,14 @@
 func (c *fakeCluster) Owner(string, uint16) (shard.Range, bool, <-chan struct{}) {
 	return c.owner, c.owner.Server != "", c.changed
 }
-func (c *fakeCluster) CountRequest(string, uint16)                              {}
-func (c *fakeCluster) Quarantined(uint64) bool                                  { return c.quarantined }
-func (c *fakeCluster) ReportCrash(uint64, rules.Server)                         { c.crashed.Add(1) }
-func (c *fakeCluster) ObserveStatement(string, stated.Statement, stated.Source) {}
-func (c *fakeCluster) ClearSuspicion(uint64)                                    {}
+func (c *fakeCluster) CountRequest(string, uint16)      {}
+func (c *fakeCluster) Quarantined(uint64) bool          { return c.quarantined }
+func (c *fakeCluster) ReportCrash(uint64, rules.Server) { c.crashed.Add(1) }
+func (c *fakeCluster) ObserveStatement(server string, s stated.Statement, _ stated.Source) {
+	c.statements.ObserveRest(server, s.RestUntil)
+}
+func (c *fakeCluster) RestUntil(server string) time.Time { return c.statements.RestUntil(server) }
+func (c *fakeCluster) ClearSuspicion(uint64)             {}
 
 // fakeAdmitter implements edge.Admitter. It admits each request to the server that it names, or to
 // the servers in turn, unless rejection is set.
@@ -173,7 +181,7 @@
 			Version: 7, Services: map[string]rules.Service{"books": {Name: "books"}},
 			Hosts: map[string][]*rules.Route{"a.example": {route}},
 		},
-		servers: map[string]rules.Server{}, changed: make(chan struct{}),
+		servers: map[string]rules.Server{}, changed: make(chan struct{}), statements: stated.NewTable(),
 	}}
 	for i, b := range backends {
 		id := "s" + strconv.Itoa(i)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -45,6 +45,7 @@
 	endCallerLeft     endReason = "caller-left"
 	endCrashesServers endReason = "crashes-servers"
 	endNoService      endReason = "no-service"
+	endServerRests    endReason = "server-rests"
 )
 
 // request is a request of a caller in progress.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -63,13 +63,14 @@
 // before the first byte is written; took is the time that it took to get a connection.
 //
 // Getting a connection can take long on a busy instance. Without this check, a request that was
-// admitted in time could reach a server that has left since. After it, only the network delay remains.
+// admitted in time could reach a server that has left since, or has asked for rest. After it, only the network delay
+// remains.
 func (q *request) checkServer(server string, took time.Duration) error {
 	now := time.Now()
 	s, found := q.edge.Cluster.Server(server)
 	q.dispatchDelay, q.leavesIn = took, s.LeavesIn(now)
 	bounded := s.Cold(now) || s.RateLimit > 0
-	if !found || s.Closed(q.divided, now) || bounded && took > maxBoundedDispatchDelay {
+	if !found || s.Closed(q.divided, now) || q.rests(server) || bounded && took > maxBoundedDispatchDelay {
 		return errServerClosed
 	}
 	return nil
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		q.fallback = reply
-		if q.attempts >= q.route.MaxAttempts || time.Until(q.deadline) < minAttemptTime || !q.edge.RetryBudget.Spend(q.service) {
+		if q.attempts >= q.route.MaxAttempts || time.Until(q.deadline) < minAttemptTime || q.ownerRests() || !q.edge.RetryBudget.Spend(q.service) {
 			return q.finalReply(ctx, reply)
 		}
 	}
@@ -107,19 +107,49 @@
 			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, retryAfterNoOwner)
 		}
 		req.Server, domain, q.fence, q.server = r.Server, owner.Domain, r.Fence, r.Server
+		if q.rests(r.Server) {
+			q.reason = endServerRests
+			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, q.rejectionDelay(r.Server))
+		}
 	}
 	a, rejected := q.edge.Admitter.Acquire(ctx, req, domain)
 	if rejected != nil {
 		return nil, rules.Server{}, q.handleRejection(ctx, rejected)
 	}
 	s, found := q.edge.Cluster.Server(a.Server())
-	if !found || s.Closed(q.divided, time.Now()) {
+	if !found || s.Closed(q.divided, time.Now()) || q.rests(s.ID) {
 		a.Complete(admit.Completion{Outcome: admit.Unsent})
+		q.avoid = a.Server()
 		return nil, rules.Server{}, nil
 	}
 	return a, s, nil
 }
 
+// rests reports whether a server wants no requests of this instance now.
+func (q *request) rests(server string) bool {
+	return time.Now().Before(q.edge.Cluster.RestUntil(server))
+}
+
+// ownerRests reports whether only one server may run the request, and that one wants no requests of this instance now.
+func (q *request) ownerRests() bool {
+	if !q.divided {
+		return false
+	}
+	r, found, _ := q.edge.Cluster.Owner(q.service, q.info.Key)
+	return found && q.rests(r.Server)
+}
+
+// rejectionDelay returns the Retry-After of a request that a server has rejected, or that it would reject. If the server
+// wants no requests for a time, it may still take those of other instances, and by the time that a move takes the key may
+// belong to another server.
+func (q *request) rejectionDelay(server string) time.Duration {
+	rest := time.Until(q.edge.Cluster.RestUntil(server))
+	if !q.divided || rest <= 0 {
+		return retryAfterServerFull
+	}
+	return min(rest, retryAfterNoOwner)
+}
+
 // handleRejection returns the reply to a rejection by the admission controller, or nil if the
 // admission should be requested again.
 func (q *request) handleRejection(ctx context.Context, rejected *admit.Rejected) *inlet.Reply {
@@ -220,7 +250,7 @@
 	case info.NotRun:
 		completion.Outcome = admit.Full
 		q.reason, q.avoid = endServerFull, s.ID
-		return errorReply(http.StatusServiceUnavailable, retryAfterServerFull), true
+		return errorReply(http.StatusServiceUnavailable, q.rejectionDelay(s.ID)), true
 	case reply.Status >= http.StatusInternalServerError:
 		completion.Outcome = admit.Failed
 		q.reason, q.avoid, q.mayHaveRun = endAnswered, s.ID, true
@@ -247,7 +277,7 @@
 	case errors.Is(err, errServerClosed):
 		completion.Outcome = admit.Unsent
 		q.attempts--
-		q.reason = endNoOwner
+		q.reason, q.avoid = endNoOwner, s.ID
 		return nil, true
 	case unsent:
 		if !errors.Is(err, upstr.ErrUnreachable) {
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -256,6 +256,8 @@
 		n.handleLimit(m)
 	case dgram.ServerLeave:
 		n.handleLeave(m)
+	case dgram.ServerRest:
+		n.handleRest(m)
 	}
 }
 
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -261,10 +261,11 @@
 	return errRemote == nil && errRegistered == nil && remote == registered
 }
 
-// accepts reports whether a server may get another request, as far as this instance knows.
+// accepts reports whether a server may get another request from this instance, as far as this instance knows.
 func (n *Node) accepts(server string) bool {
+	now := time.Now()
 	s, found := n.cluster.servers().Get(server)
-	return found && !s.Closed(n.divided(s), time.Now())
+	return found && !s.Closed(n.divided(s), now) && !now.Before(n.RestUntil(server))
 }
 
 // divided reports whether the service of a server is divided by key.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -144,6 +144,13 @@
 			lines = append(lines, fmt.Sprintf("server_limit_per_second{server=%q} %g\n", server.ID, server.RateLimit))
 		}
 	}
+	now := time.Now()
+	for server, leaveBy := range n.cluster.statements.Leaves() {
+		lines = append(lines, fmt.Sprintf("server_leave_seconds{server=%q} %.1f\n", server, leaveBy.Sub(now).Seconds()))
+	}
+	for server, until := range n.cluster.statements.Rests(now) {
+		lines = append(lines, fmt.Sprintf("server_rest_seconds{server=%q} %.1f\n", server, until.Sub(now).Seconds()))
+	}
 	sort.Strings(lines)
 	for _, l := range lines {
 		_, _ = w.Write([]byte(l))
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -64,6 +65,36 @@
 	if s.Leaving {
 		n.observeLeave(server, source)
 	}
+	if !s.RestUntil.IsZero() {
+		n.observeRest(server, s.RestUntil, source)
+	}
+}
+
+// RestUntil implements edge.Cluster.
+func (n *Node) RestUntil(server string) time.Time { return n.cluster.statements.RestUntil(server) }
+
+// observeRest takes in that a server wants no requests of this instance until a time. A request that went through another
+// instance has reached the server from that one, which only sees bytes: the server has asked it as well.
+func (n *Node) observeRest(server string, until time.Time, source stated.Source) {
+	if !n.cluster.statements.ObserveRest(server, until) {
+		return
+	}
+	n.events.Record(event.StateChange, "server-rests", "server", server, "rest", time.Until(until), "source", "response",
+		"id", source.Request, "through", source.Through, "status", source.Status)
+	if middle, known := n.roster.Peer(source.Through); known {
+		n.tellOnce([]roster.Peer{middle}, func(at time.Time) dgram.Message {
+			return dgram.ServerRest{Server: server, RestMs: until.Sub(at).Milliseconds()}
+		})
+	}
+}
+
+// handleRest takes in that a server wants no requests of this instance for a time, as another one has learned whose request
+// this one has carried.
+func (n *Node) handleRest(m dgram.ServerRest) {
+	until := time.Now().Add(time.Duration(min(m.RestMs, math.MaxInt64/int64(time.Millisecond))) * time.Millisecond)
+	if n.cluster.servers().Has(m.Server) && n.cluster.statements.ObserveRest(m.Server, until) {
+		n.events.Record(event.StateChange, "server-rests", "server", m.Server, "rest", time.Until(until), "source", "instance")
+	}
 }
 
 // observeLeave takes in that a server has said that it leaves, and tells those that may decide about its requests and keys.
@@ -103,9 +134,13 @@
 func (n *Node) statementLoop(ctx context.Context) error {
 	for round := 0; worker.Sleep(ctx, tellInterval); round++ {
 		now := time.Now()
-		for _, server := range n.cluster.statements.Expire(n.cluster.servers().Has, now) {
+		ended := n.cluster.statements.Expire(n.cluster.servers().Has, now)
+		for _, server := range ended.Limits {
 			n.limitChanged(server, "expired")
 		}
+		for _, server := range ended.Rests {
+			n.events.Record(event.StateChange, "server-rest-ended", "server", server)
+		}
 		for server, rate := range n.cluster.statements.SeenLimits(limitTellTime, now) {
 			n.tellLimit(server, rate, now)
 		}
--- a/internal/node/statements_test.go
+++ b/internal/node/statements_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/roster"
@@ -165,3 +167,17 @@
 		return true
 	})
 }
+
+// Guards against an instance in the middle that goes on sending requests of its own to a server that has asked it for rest in
+// a response which it carried, and against taking that for a rest of others.
+func TestRestIsToldToTheInstanceInTheMiddle(t *testing.T) {
+	is := is.New(t)
+	const rest = time.Minute
+	nodes := newPeers(t, 3, "s1")
+	nodes[0].ObserveStatement("s1", stated.Statement{RestUntil: time.Now().Add(rest)}, stated.Source{Through: "i1"})
+	await(t, 500*time.Millisecond, func() bool { return time.Until(nodes[1].RestUntil("s1")) > rest-time.Second })
+	is.True(!nodes[0].accepts("s1") && !nodes[1].accepts("s1"))
+	is.True(nodes[2].accepts("s1"))
+	nodes[1].handleRest(dgram.ServerRest{Server: "s1", RestMs: math.MaxInt64})
+	is.True(time.Until(nodes[1].RestUntil("s1")) > 24*time.Hour)
+}
--- a/internal/stated/table.go
+++ b/internal/stated/table.go
@@ -98,6 +98,42 @@
 	return out
 }
 
+// ObserveRest takes in that a server wants no requests of this instance until a time. It reports whether that is later than
+// what was known: a shorter rest does not end a longer one.
+func (t *Table) ObserveRest(server string, until time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entry(server)
+	if !until.After(e.restUntil) {
+		return false
+	}
+	e.restUntil = until
+	return true
+}
+
+// RestUntil returns until when this instance must send a server no requests; the zero time or one in the past if it may.
+func (t *Table) RestUntil(server string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.servers[server]; e != nil {
+		return e.restUntil
+	}
+	return time.Time{}
+}
+
+// Rests returns the servers to which this instance must send no requests now, and until when.
+func (t *Table) Rests(now time.Time) map[string]time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]time.Time{}
+	for server, e := range t.servers {
+		if now.Before(e.restUntil) {
+			out[server] = e.restUntil
+		}
+	}
+	return out
+}
+
 // Apply returns a server with what it states beside its entry in the directory.
 func (t *Table) Apply(s rules.Server) rules.Server {
 	t.mu.Lock()
@@ -116,21 +152,28 @@
 	return s
 }
 
-// Expire drops what does not count any more: limits that others have told and not repeated, and statements of servers that
-// are not listed in the directory. It returns the servers that have lost their limit.
-func (t *Table) Expire(listed func(server string) bool, now time.Time) []string {
+// Ended names the servers whose limit or rest has ended.
+type Ended struct{ Limits, Rests []string }
+
+// Expire drops what does not count any more: limits that others have told and not repeated, rests that are over, and
+// statements of servers that are not listed in the directory.
+func (t *Table) Expire(listed func(server string) bool, now time.Time) Ended {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []string
+	var out Ended
 	unlisted := 0
 	for server, e := range t.servers {
 		isListed := listed(server)
 		if e.limit.expired(now) || !isListed {
 			if e.limit.rate != 0 {
-				out = append(out, server)
+				out.Limits = append(out.Limits, server)
 			}
 			e.limit = limitEntry{}
 		}
+		if !e.restUntil.IsZero() && !now.Before(e.restUntil) {
+			out.Rests = append(out.Rests, server)
+			e.restUntil = time.Time{}
+		}
 		switch {
 		case isListed:
 			e.dropAt = time.Time{}
@@ -140,14 +183,14 @@
 		if !isListed {
 			unlisted++
 		}
-		if e.idle(now) || !isListed && (now.After(e.dropAt) || unlisted > maxUnlisted) {
+		if e.empty() || !isListed && (now.After(e.dropAt) || unlisted > maxUnlisted) {
 			delete(t.servers, server)
 		}
 	}
 	return out
 }
 
-// idle reports whether the entry states nothing.
-func (e *entry) idle(now time.Time) bool {
-	return e.limit == (limitEntry{}) && e.leaveBy.IsZero() && !now.Before(e.restUntil)
+// empty reports whether the entry states nothing.
+func (e *entry) empty() bool {
+	return e.limit == (limitEntry{}) && e.leaveBy.IsZero() && e.restUntil.IsZero()
 }
--- a/internal/stated/table_test.go
+++ b/internal/stated/table_test.go
@@ -119,3 +119,41 @@
 		})
 	}
 }
+
+// Checks what begins, prolongs and ends the rest that a server has asked for.
+func TestRests(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	tests := map[string]struct {
+		do   func(l *stated.Table)
+		want time.Time
+	}{
+		"none":           {func(*stated.Table) {}, time.Time{}},
+		"one":            {func(l *stated.Table) { l.ObserveRest("s", at(100)) }, at(100)},
+		"a longer one":   {func(l *stated.Table) { l.ObserveRest("s", at(100)); l.ObserveRest("s", at(200)) }, at(200)},
+		"a shorter one":  {func(l *stated.Table) { l.ObserveRest("s", at(200)); l.ObserveRest("s", at(100)) }, at(200)},
+		"another server": {func(l *stated.Table) { l.ObserveRest("r", at(100)) }, time.Time{}},
+		"another life":   {func(l *stated.Table) { l.ObserveRest("s~1", at(100)) }, time.Time{}},
+		"not over": {func(l *stated.Table) {
+			l.ObserveRest("s", at(200))
+			l.Expire(func(string) bool { return true }, at(199))
+		}, at(200)},
+		"over": {func(l *stated.Table) {
+			l.ObserveRest("s", at(200))
+			l.Expire(func(string) bool { return true }, at(200))
+		}, time.Time{}},
+		"the entry is gone": {func(l *stated.Table) {
+			l.ObserveRest("s", at(200))
+			l.Expire(func(string) bool { return false }, at(100))
+		}, at(200)},
+		"and a leave":        {func(l *stated.Table) { l.ObserveRest("s", at(200)); l.ObserveLeave("s", at(100)) }, at(200)},
+		"longer than a life": {func(l *stated.Table) { l.ObserveRest("s", at(0).AddDate(100, 0, 0)); l.ObserveRest("s", at(100)) }, at(0).AddDate(100, 0, 0)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := stated.NewTable()
+			test.do(l)
+			is.Equal(l.RestUntil("s"), test.want)
+		})
+	}
+}
