Choose other servers for instances that were asked for rest, and move keys from servers that rest for all

Cause: the rest was known only to the instance that was asked. Admissions are decided by controllers, owners by the leader.

Change: an instance tells the three controllers of the server, and again if one of them admits it there all the same. A controller leaves the server out for that instance. Two instances that were asked with no answer in between are taken for a rest of all: requests for its keys are rejected at once, a request each half second tries it, and the leader gives its keys to others if the rest lasts for over a second. One rest alone is no rest of others; from then on the server gets one request at a time, and one more for each that it answers, so that the end of all rests does not bring the next.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -156,4 +156,6 @@
 	PoolBusy Reason = "pool-busy"
 	// OwnerGone means that the owner of the key, or the last server of the pool, is gone.
 	OwnerGone Reason = "owner-gone"
+	// Resting means that the owner of the key, or all servers of the pool, have asked for rest.
+	Resting Reason = "resting"
 )
--- a/internal/admit/choose.go
+++ b/internal/admit/choose.go
@@ -99,10 +99,12 @@
 	return listing{}, false
 }
 
-// accepts reports whether the request may be sent to the server at all. A server that bears a
+// accepts reports whether the request may be sent to the server at all, as far as its instance decides. A server that bears a
 // bounded rate accepts no non-exclusive request, as another controller may be admitting requests to
 // it without counting this one.
-func (s *server) accepts(now time.Time, w *waiter) bool { return !w.NonExclusive || !s.bounded(now) }
+func (s *server) accepts(now time.Time, w *waiter) bool {
+	return !s.restsFor(w.From, now) && (!w.NonExclusive || !s.bounded(now))
+}
 
 // openIn returns the list of open servers of a domain.
 func (c *Controller) openIn(name string) *openServers {
@@ -126,8 +128,10 @@
 	s.countedCapacity, s.countedWaiting = 0, 0
 	if c.servers[s.ID] != s {
 		delete(c.awaitingRate, s)
+		delete(c.resting, s)
 		return
 	}
+	c.refreshRests(now, s)
 	s.countedCapacity = c.capacityOf(now, s)
 	c.capacity += s.countedCapacity
 	s.countedWaiting = s.waitingForSlot()
@@ -164,7 +168,7 @@
 	if s.RateLimit > 0 {
 		capacity = min(capacity, s.RateLimit*c.main().Seconds())
 	}
-	return capacity
+	return s.restCapacity(capacity, now)
 }
 
 // cost returns the part of a server's cost that is the same for all requests.
@@ -181,7 +185,7 @@
 
 // nextChange returns when a server may next become open or warm without any message about it.
 func (s *server) nextChange(now time.Time) (at time.Time, changes bool) {
-	for _, t := range []time.Time{s.fullUntil, s.untrackedUntil, s.ejectedUntil, s.nextSendAt, s.WarmAt} {
+	for _, t := range []time.Time{s.fullUntil, s.untrackedUntil, s.ejectedUntil, s.nextSendAt, s.WarmAt, s.rests.allUntil, s.rests.endsAt, s.rests.probeAt, s.rests.rampUntil} {
 		if t.After(now) && (!changes || t.Before(at)) {
 			at, changes = t, true
 		}
--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -76,6 +76,8 @@
 	ejected  int
 	// awaitingRate holds the servers whose next request may not be sent yet because their rate is bounded.
 	awaitingRate map[*server]struct{}
+	// resting holds the servers that have asked an instance for rest which is not over.
+	resting map[*server]struct{}
 	// waitingAtServers is the number of admitted requests that wait for a slot at their server.
 	waitingAtServers int
 	// demands holds the demand by priority.
@@ -106,7 +108,7 @@
 	return &Controller{
 		random: random, servers: map[string]*server{}, routes: map[string]*routeStats{},
 		admitted: map[ID]*server{}, queued: map[ID]*waiter{}, domainQueues: map[string]*queue{},
-		recent: map[string][]recentServer{}, demands: map[int]*demand{}, answered: map[string]*server{}, awaitingRate: map[*server]struct{}{},
+		recent: map[string][]recentServer{}, demands: map[int]*demand{}, answered: map[string]*server{}, awaitingRate: map[*server]struct{}{}, resting: map[*server]struct{}{},
 	}
 }
 
@@ -226,8 +228,11 @@
 	if wait, bounded := c.allBounded(now, req); bounded {
 		return c.reject(now, req, Overload, wait)
 	}
+	if until, resting := c.restEnd(now, req); resting {
+		return c.reject(now, req, Resting, until.Sub(now))
+	}
 	s := c.chooseServer(now, w)
-	if s != nil && s.free(now) && c.precedesQueue(w, s) {
+	if s != nil && s.free(now) && c.precedesQueue(now, w, s) {
 		c.recordDemand(now, w)
 		return c.admit(now, s, w)
 	}
@@ -237,7 +242,7 @@
 		return c.reject(now, req, Overload, wait)
 	}
 	c.recordDemand(now, w)
-	if s != nil && !req.HasFallback && !now.Before(w.crossDomainAt) && c.precedesQueue(w, s) {
+	if s != nil && !req.HasFallback && !now.Before(w.crossDomainAt) && c.precedesQueue(now, w, s) {
 		return c.admit(now, s, w)
 	}
 	c.enqueue(now, w)
@@ -245,8 +250,8 @@
 }
 
 // precedesQueue reports whether a new request goes before all requests that wait for the server.
-func (c *Controller) precedesQueue(w *waiter, s *server) bool {
-	next := c.nextWaiter(s)
+func (c *Controller) precedesQueue(now time.Time, w *waiter, s *server) bool {
+	next := c.nextWaiter(now, s)
 	return next == nil || w.precedes(next)
 }
 
@@ -306,6 +311,7 @@
 	if s.RateLimit > 0 {
 		s.recordLimitedSend(now, w.Standby)
 	}
+	s.recordProbe(now)
 	c.admitted[w.ID] = s
 	c.recordUse(w.From, s.ID, now)
 	expiry := admissionExpiry{w.ID, s}
--- a/internal/admit/dispatch.go
+++ b/internal/admit/dispatch.go
@@ -85,7 +85,7 @@
 // nextWaiter returns the waiting request that is next for a server, nil if there is none. A server
 // that is not listed as open, as when it is ejected, gets only the requests that no other server
 // can serve.
-func (c *Controller) nextWaiter(s *server) *waiter {
+func (c *Controller) nextWaiter(now time.Time, s *server) *waiter {
 	c.inspected++
 	best := s.queue.head()
 	if !s.listed {
@@ -95,7 +95,11 @@
 		if q == nil {
 			continue
 		}
-		if w := q.head(); w != nil && (best == nil || w.precedes(best)) {
+		w := q.head()
+		if w != nil && s.restsFor(w.From, now) {
+			w = s.firstAccepted(q, now)
+		}
+		if w != nil && (best == nil || w.precedes(best)) {
 			best = w
 		}
 	}
@@ -106,7 +110,7 @@
 func (c *Controller) dispatch(now time.Time, s *server) []Decision {
 	var out []Decision
 	for c.servers[s.ID] == s && s.open(now) {
-		w := c.nextWaiter(s)
+		w := c.nextWaiter(now, s)
 		if w == nil || !s.accepts(now, w) || !s.free(now) && now.Before(w.crossDomainAt) {
 			break
 		}
--- a/internal/admit/evidence.go
+++ b/internal/admit/evidence.go
@@ -42,5 +42,8 @@
 
 // holds reports whether the failures are the server's, as far as can be known: one instance alone has no others to compare.
 func (e *failureEvidence) holds(now time.Time) bool {
-	return e.confirmed || now.Sub(e.otherUsedAt) > soleUserTime
+	return e.confirmed || e.soleUser(now)
 }
+
+// soleUser reports whether only one instance uses the server.
+func (e *failureEvidence) soleUser(now time.Time) bool { return now.Sub(e.otherUsedAt) > soleUserTime }
--- /dev/null
+++ b/internal/admit/rest.go
@@ -0,0 +1,233 @@
+package admit
+
+import (
+	"cmp"
+	"time"
+)
+
+// A server in need rejects a request and asks the instance that sent it for rest. The controller sends that instance
+// elsewhere until then. One rest says little about the requests of others: the server may have singled the instance out. Two
+// that were asked of different instances, with no answer in between, are taken for a rest of all, or each instance would
+// find out by itself. Now and then one that was not asked tries, as only a request shows that the server takes some again.
+//
+// The rests of all instances end at about the same time. The server then gets one request at a time, and one more for each
+// that it answers, until its slots are in use.
+
+const (
+	// restProbeInterval is the time between two requests to a server while it rests for all instances, of those that it has
+	// not asked for rest.
+	restProbeInterval = 500 * time.Millisecond
+	// maxRampTime is for how long after its last rest the requests at a server may be bounded.
+	maxRampTime = 3 * time.Second
+)
+
+// rests holds the rests that a server has asked for.
+type rests struct {
+	// until holds, by instance, until when the server wants no requests of it. The last of these times is endsAt.
+	until  map[string]time.Time
+	endsAt time.Time
+	// lastFrom is the instance whose rest ends last, at lastUntil. Until allUntil, that of another one has not ended either.
+	lastFrom  string
+	lastUntil time.Time
+	allUntil  time.Time
+	// askedAt is when the server last asked for rest.
+	askedAt time.Time
+	// probeAt is when a request may be sent although the server rests for all instances.
+	probeAt time.Time
+	// allowance is the number of requests that the server may have at a time until rampUntil.
+	allowance int
+	rampUntil time.Time
+}
+
+// Rest takes in that a server wants no requests of an instance until a time, and returns the decisions that follow. An empty
+// name stands for the instance of the controller.
+func (c *Controller) Rest(now time.Time, from, server string, until time.Time) []Decision {
+	s := c.servers[server]
+	if s == nil || !until.After(s.rests.until[from]) {
+		return nil
+	}
+	s.rests.ask(now, from, until)
+	c.resting[s] = struct{}{}
+	c.refresh(now, s)
+	return append(c.rejectResting(now, s), c.Tick(now)...)
+}
+
+// ask records a rest.
+func (r *rests) ask(now time.Time, from string, until time.Time) {
+	if r.until == nil {
+		r.until = map[string]time.Time{}
+	}
+	r.until[from] = until
+	r.endsAt = later(r.endsAt, until)
+	switch {
+	case from == r.lastFrom:
+		r.lastUntil = until
+	case until.After(r.lastUntil):
+		r.allUntil = r.lastUntil
+		r.lastFrom, r.lastUntil = from, until
+	default:
+		r.allUntil = later(r.allUntil, until)
+	}
+	r.askedAt, r.probeAt = now, now.Add(restProbeInterval)
+	r.allowance, r.rampUntil = 1, r.endsAt.Add(maxRampTime)
+}
+
+// answered takes in the answer to a request that was admitted at a time. One that came after the last rest was asked for
+// shows that the server takes requests again, of instances that it has not asked.
+func (r *rests) answered(admittedAt time.Time) {
+	if r.allowance == 0 || !admittedAt.After(r.askedAt) {
+		return
+	}
+	r.allowance++
+	r.lastFrom, r.lastUntil, r.allUntil = "", time.Time{}, time.Time{}
+}
+
+// rested reports whether all instances must leave a server alone now.
+func (s *server) rested(now time.Time) bool {
+	return s.rests.allUntil.After(now) && (now.Before(s.rests.probeAt) || len(s.admissions) > 0)
+}
+
+// recordProbe records that a request is sent to a server that rests.
+func (s *server) recordProbe(now time.Time) {
+	if s.rests.allUntil.After(now) {
+		s.rests.probeAt = now.Add(restProbeInterval)
+	}
+}
+
+// restsFor reports whether a server wants no requests of an instance now.
+func (s *server) restsFor(from string, now time.Time) bool { return s.rests.until[from].After(now) }
+
+// ramped reports whether the number of requests at a server is bounded because it has asked for rest.
+func (s *server) ramped(now time.Time) bool { return now.Before(s.rests.rampUntil) }
+
+// room returns the number of requests that may be at a server, to run or to wait for a slot there.
+func (s *server) room(now time.Time) int {
+	room := s.Slots + maxWaitingAtServer
+	if s.ramped(now) {
+		return min(room, s.rests.allowance)
+	}
+	return room
+}
+
+// restCapacity returns what a server can run now, given what it could run if it had never asked for rest. Both are in slots.
+func (s *server) restCapacity(capacity float64, now time.Time) float64 {
+	switch {
+	case s.rested(now):
+		return 0
+	case s.ramped(now):
+		return min(capacity, float64(s.rests.allowance))
+	default:
+		return capacity
+	}
+}
+
+// refreshRests drops the rests of a server that are over, and the server from those that rest.
+func (c *Controller) refreshRests(now time.Time, s *server) {
+	if s.rests.endsAt.After(now) {
+		return
+	}
+	s.rests.until = nil
+	delete(c.resting, s)
+}
+
+// restEnd returns until when no server may get a request because of rests, and false if one may.
+func (c *Controller) restEnd(now time.Time, req Request) (end time.Time, resting bool) {
+	if req.Server != "" {
+		return c.servers[req.Server].restEndFor(req.From, now)
+	}
+	if len(c.resting) < len(c.servers) {
+		return time.Time{}, false
+	}
+	for s := range c.resting {
+		until, rests := s.restEndFor(req.From, now)
+		if !rests {
+			return time.Time{}, false
+		}
+		if !resting || until.Before(end) {
+			end, resting = until, true
+		}
+	}
+	return end, resting
+}
+
+// restEndFor returns until when the server may get no request of an instance because of rests, and false if it may.
+func (s *server) restEndFor(from string, now time.Time) (time.Time, bool) {
+	if s.rested(now) {
+		return later(s.rests.allUntil, s.rests.until[from]), true
+	}
+	return s.rests.until[from], s.restsFor(from, now)
+}
+
+// rejectResting rejects the requests that wait for a server which has just asked for rest, and those that wait for any
+// server if all rest for all instances.
+func (c *Controller) rejectResting(now time.Time, s *server) []Decision {
+	waiting := s.queue.inOrder()
+	if c.allRest(now) {
+		for _, w := range c.queued {
+			if w.Server == "" {
+				waiting = append(waiting, w)
+			}
+		}
+	}
+	var out []Decision
+	for _, w := range waiting {
+		if until, resting := c.restEnd(now, w.Request); resting {
+			c.dequeue(w)
+			out = append(out, Rejected{ID: w.ID, Reason: Resting, RetryIn: c.retryDelay(now, w.Request, until.Sub(now)), Wait: until.Sub(now)})
+		}
+	}
+	return out
+}
+
+// allRest reports whether all servers rest for all instances.
+func (c *Controller) allRest(now time.Time) bool {
+	if len(c.resting) < len(c.servers) {
+		return false
+	}
+	for s := range c.resting {
+		if !s.rested(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// RestsUntil returns the servers that rest for all instances, as far as is known, and until when. An instance that is the
+// only one to use a server stands for all.
+func (c *Controller) RestsUntil(now time.Time) map[string]time.Time {
+	out := map[string]time.Time{}
+	for s := range c.resting {
+		until := s.rests.allUntil
+		if s.evidence.soleUser(now) {
+			until = later(until, s.rests.lastUntil)
+		}
+		if until.After(now) {
+			out[s.ID] = until
+		}
+	}
+	return out
+}
+
+// maxPassedOver is the number of waiting requests that a server looks at for one whose instance it has not asked for rest.
+const maxPassedOver = 8
+
+// firstAccepted returns a request near the head of a queue whose instance the server has not asked for rest, nil if there is
+// none.
+func (s *server) firstAccepted(q *queue, now time.Time) *waiter {
+	left := maxPassedOver
+	for _, rq := range q.ranks {
+		var best *waiter
+		for _, w := range rq.waiters[:min(len(rq.waiters), left)] {
+			if !s.restsFor(w.From, now) && (best == nil || cmp.Less(w.sequence, best.sequence)) {
+				best = w
+			}
+		}
+		if best != nil {
+			return best
+		}
+		if left -= len(rq.waiters); left <= 0 {
+			return nil
+		}
+	}
+	return nil
+}
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -100,6 +100,7 @@
 	nextEjectionTime time.Duration
 	// fullUntil is the end of the backoff after the server has said that it is full.
 	fullUntil time.Time
+	rests     rests
 	// untracked is the number of requests at the server that this controller did not admit, as of
 	// the last report.
 	untracked      int
@@ -169,7 +170,7 @@
 
 // open reports whether a request may be sent now, to run or to wait for a slot at the server.
 func (s *server) open(now time.Time) bool {
-	return s.occupancy(now) < s.Slots+maxWaitingAtServer && !now.Before(s.fullUntil) && !now.Before(s.nextSendAt)
+	return s.occupancy(now) < s.room(now) && !now.Before(s.fullUntil) && !now.Before(s.nextSendAt) && !s.rested(now)
 }
 
 // waitingForSlot returns how many admitted requests wait for a slot at the server.
@@ -216,6 +217,7 @@
 		ratio := min(max(float64(a.serviceTime(done))/a.coldFactor/float64(max(mean, time.Millisecond)), minTimeRatio), maxTimeRatio)
 		s.timeRatio += (ratio - s.timeRatio) * timeRatioWeight
 		s.failureRate -= s.failureRate * failureWeight
+		s.rests.answered(a.admittedAt)
 		s.answers++
 		if s.failureRate < failureWeight {
 			s.nextEjectionTime = minEjectionTime
--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -146,11 +146,11 @@
 		Server    string
 		LeaveInMs int
 	}
-	// ServerRest states that a server wants no requests of the receiver for RestMs milliseconds from now on. The receiver
-	// has carried the request to which the server responded.
+	// ServerRest states that a server wants no requests of some instances for RestMs milliseconds from now on.
 	ServerRest struct {
 		Server string
 		RestMs int64
+		Asked  RestAsked
 	}
 	// CrashReport announces that a server was lost while it ran the request with a fingerprint, or, if
 	// Cleared is set, that such a request had an answer.
@@ -161,6 +161,18 @@
 	}
 )
 
+// RestAsked says which instances a server wants no requests of.
+type RestAsked byte
+
+// The instances.
+const (
+	// AskedReceiver is the receiver of the message, which has carried the request to which the server responded.
+	AskedReceiver RestAsked = iota
+	// AskedSender is the sender of the message, AskedAll are all instances, as the sender believes.
+	AskedSender
+	AskedAll
+)
+
 // MovedRange identifies a range whose move is complete by its first key and its fencing token.
 type MovedRange struct {
 	Service string
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -160,6 +160,8 @@
 			return errorReply(http.StatusServiceUnavailable, retryAfterNoOwner)
 		}
 		return nil
+	case rejected.Reason == admit.Resting:
+		q.reason = endServerRests
 	case rejected.Reason == admit.NoServer:
 		q.reason = endNoServer
 	case errors.Is(context.Cause(ctx), context.Canceled):
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -225,6 +225,10 @@
 	return next
 }
 
+// minRestToMove is how much longer a server must want no requests for its keys to be given to others. Moving them takes
+// some tenths of a second, and slows the requests for them down for longer.
+const minRestToMove = time.Second
+
 // planInput returns the input of a plan.
 func (lm *Manager) planInput(service string, m *shard.Map, now time.Time) shard.Input {
 	servers, capacities := lm.Servers(), lm.Capacities(service)
@@ -252,7 +256,7 @@
 				capacity = average
 			}
 		}
-		lost := s.Leaving() || failing[id] && !cutOff[s.Domain]
+		lost := s.Leaving() || s.RestsUntil.Sub(now) > minRestToMove || failing[id] && !cutOff[s.Domain]
 		capped := false
 		if now.Before(s.WarmAt) {
 			capacity *= coldCapacityFactor
--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -62,6 +62,26 @@
 	})
 }
 
+// Guards against keys that stay with a server which wants no requests for longer than a move takes, and against moves for less.
+func TestKeysLeaveServersThatRest(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	rests := map[string]time.Duration{"s0": 0, "s1": minRestToMove / 2, "s2": 3 * minRestToMove, "s3": -time.Second}
+	servers := map[string]rules.Server{}
+	for id, rest := range rests {
+		servers[id] = rules.Server{ID: id, Service: "books", Address: "127.0.0.1:1", Domain: "d0", Slots: 2, RestsUntil: now.Add(rest)}
+	}
+	lm := New(Deps{
+		Name: "i0", Domain: "d0", Clock: fakeClock{now}, Roster: roster.New("i0", "d0"), Incarnation: 1, Events: event.New(io.Discard, log.InfoLevel),
+		Servers:       func() *rules.ServerSet { return rules.NewServerSet(servers) },
+		TargetLatency: func(string) time.Duration { return time.Second },
+		Capacities:    func(string) map[string]float64 { return nil },
+	})
+	for _, s := range lm.planInput("books", &shard.Map{}, now).Servers {
+		is.Equal(s.Lost, s.ID == "s2")
+	}
+}
+
 // Guards against keys that are left with, or given to, a server that has stated that it takes few requests.
 func TestLimitCountsAsCapacity(t *testing.T) {
 	is := is.New(t)
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -296,6 +297,31 @@
 	}
 }
 
+// rest passes to the controller of a server that the server wants no requests of an instance until a time. An empty name
+// stands for this instance.
+func (ad *admissions) rest(from, server string, until time.Time) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	pool, pooled := ad.pools.poolOf[server]
+	if !pooled {
+		s, _ := ad.node.cluster.servers().Get(server)
+		pool = s.Service
+	}
+	ad.deliver(ad.controller(pool).Rest(time.Now(), from, server, until))
+}
+
+// restsUntil returns the servers that rest for all instances, as far as the controllers of this instance know, and until
+// when.
+func (ad *admissions) restsUntil(now time.Time) map[string]time.Time {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	out := map[string]time.Time{}
+	for _, c := range ad.controllers {
+		maps.Copy(out, c.RestsUntil(now))
+	}
+	return out
+}
+
 // handleCancel cancels an admission of another instance, in all pools if the message names none.
 func (ad *admissions) handleCancel(from netip.AddrPort, m dgram.Cancel) {
 	ad.mu.Lock()
@@ -327,6 +353,7 @@
 func (a *admission) Complete(d admit.Completion) {
 	defer a.admissions.client.close(a.serial)
 	d.ID, d.Server, d.Route = admit.ID{Serial: a.serial}, a.server, a.route
+	a.restateRest(d.Outcome)
 	if !a.controller.IsValid() {
 		a.admissions.complete(a.pool, d)
 		return
@@ -345,6 +372,20 @@
 	time.AfterFunc(completionResendDelay, func() { a.admissions.node.port.Send(a.controller, m) })
 }
 
+// restateRest tells the controller again that the server wants no requests of this instance, if that is why the request was
+// not sent: the controller has not heard it.
+func (a *admission) restateRest(outcome admit.Outcome) {
+	n, now := a.admissions.node, time.Now()
+	until := n.RestUntil(a.server)
+	switch {
+	case outcome != admit.Unsent || !now.Before(until):
+	case a.controller.IsValid():
+		n.port.Send(a.controller, restMessage(a.server, until, dgram.AskedSender)(now))
+	default:
+		a.admissions.rest("", a.server, until)
+	}
+}
+
 // Acquire implements edge.Admitter. A request with an owner is decided by the controller of that server; others try
 // the pools of the service in turn until one has room.
 func (ad *admissions) Acquire(ctx context.Context, r admit.Request, domain string) (edge.Admission, *admit.Rejected) {
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -257,7 +257,7 @@
 	case dgram.ServerLeave:
 		n.handleLeave(m)
 	case dgram.ServerRest:
-		n.handleRest(m)
+		n.handleRest(r.From, m)
 	}
 }
 
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -82,18 +82,57 @@
 	n.events.Record(event.StateChange, "server-rests", "server", server, "rest", time.Until(until), "source", "response",
 		"id", source.Request, "through", source.Through, "status", source.Status)
 	if middle, known := n.roster.Peer(source.Through); known {
-		n.tellOnce([]roster.Peer{middle}, func(at time.Time) dgram.Message {
-			return dgram.ServerRest{Server: server, RestMs: until.Sub(at).Milliseconds()}
-		})
+		n.tellOnce([]roster.Peer{middle}, restMessage(server, until, dgram.AskedReceiver))
 	}
+	n.restAsked(server, until)
 }
 
-// handleRest takes in that a server wants no requests of this instance for a time, as another one has learned whose request
-// this one has carried.
-func (n *Node) handleRest(m dgram.ServerRest) {
+// restAsked tells the controllers of a server that it wants no requests of this instance until a time, so that they choose
+// others for it. The controller of this instance may have to decide for want of another.
+func (n *Node) restAsked(server string, until time.Time) {
+	n.admissions.rest("", server, until)
+	n.tellOnce(n.controllersOf(server, time.Now()), restMessage(server, until, dgram.AskedSender))
+}
+
+// restMessage returns a function that returns the message at a time that a server rests.
+func restMessage(server string, until time.Time, asked dgram.RestAsked) func(at time.Time) dgram.Message {
+	return func(at time.Time) dgram.Message {
+		return dgram.ServerRest{Server: server, RestMs: until.Sub(at).Milliseconds(), Asked: asked}
+	}
+}
+
+// handleRest takes in that a server wants no requests of some instances for a time.
+func (n *Node) handleRest(from netip.AddrPort, m dgram.ServerRest) {
+	if !n.cluster.servers().Has(m.Server) {
+		return
+	}
 	until := time.Now().Add(time.Duration(min(m.RestMs, math.MaxInt64/int64(time.Millisecond))) * time.Millisecond)
-	if n.cluster.servers().Has(m.Server) && n.cluster.statements.ObserveRest(m.Server, until) {
-		n.events.Record(event.StateChange, "server-rests", "server", m.Server, "rest", time.Until(until), "source", "instance")
+	switch m.Asked {
+	case dgram.AskedReceiver:
+		if n.cluster.statements.ObserveRest(m.Server, until) {
+			n.events.Record(event.StateChange, "server-rests", "server", m.Server, "rest", time.Until(until), "source", "instance")
+			n.restAsked(m.Server, until)
+		}
+	case dgram.AskedSender:
+		n.admissions.rest(from.String(), m.Server, until)
+	case dgram.AskedAll:
+		n.restOfAll(m.Server, until)
+	}
+}
+
+// restOfAll takes in that a server wants no requests of any instance until a time.
+func (n *Node) restOfAll(server string, until time.Time) {
+	if n.cluster.statements.ObserveRestOfAll(server, until, time.Now()) {
+		n.events.Record(event.StateChange, "server-rests-for-all", "server", server, "rest", time.Until(until))
+		n.applyStatement(server)
+	}
+}
+
+// tellRests tells the leader which servers rest for all instances, as the controllers of this instance believe, and takes it in.
+func (n *Node) tellRests(now time.Time) {
+	for server, until := range n.admissions.restsUntil(now) {
+		n.restOfAll(server, until)
+		n.tellAsController(server, now, restMessage(server, until, dgram.AskedAll)(now))
 	}
 }
 
@@ -144,6 +183,7 @@
 		for server, rate := range n.cluster.statements.SeenLimits(limitTellTime, now) {
 			n.tellLimit(server, rate, now)
 		}
+		n.tellRests(now)
 		if round%leaveTellRounds == 0 {
 			n.tellLeaves(now)
 		}
--- a/internal/node/statements_test.go
+++ b/internal/node/statements_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -38,6 +39,7 @@
 			Platform{ConfigTopic: "config", ConfigKey: "config", ServersTopic: "servers", OwnersTopic: "owners"}, event.New(io.Discard, log.InfoLevel))
 		is.NoErr(err)
 		n.cluster.applyDirectory(true, server, "ready")
+		n.admissions.setServers()
 		nodes = append(nodes, n)
 	}
 	for _, n := range nodes {
@@ -178,6 +180,40 @@
 	await(t, 500*time.Millisecond, func() bool { return time.Until(nodes[1].RestUntil("s1")) > rest-time.Second })
 	is.True(!nodes[0].accepts("s1") && !nodes[1].accepts("s1"))
 	is.True(nodes[2].accepts("s1"))
-	nodes[1].handleRest(dgram.ServerRest{Server: "s1", RestMs: math.MaxInt64})
+	nodes[1].handleRest(netip.AddrPort{}, dgram.ServerRest{Server: "s1", RestMs: math.MaxInt64})
 	is.True(time.Until(nodes[1].RestUntil("s1")) > 24*time.Hour)
 }
+
+// Guards against a controller that chooses servers for an instance which they have asked for rest, and a leader that leaves
+// keys with servers which rest for all.
+func TestRestIsToldToControllers(t *testing.T) {
+	is := is.New(t)
+	const within = time.Second
+	nodes := newPeers(t, 5, "s1")
+	controller := nodes[0].controllersOf("s1", time.Now())[0].Name
+	var others []*Node
+	var in *Node
+	for _, n := range nodes {
+		if n.settings.Name == controller {
+			in = n
+		} else {
+			others = append(others, n)
+		}
+	}
+	until := time.Now().Add(time.Minute)
+	reason := func(from *Node) admit.Reason {
+		in.admissions.mu.Lock()
+		defer in.admissions.mu.Unlock()
+		r := admit.Request{ID: admit.ID{From: from.port.Address(), Serial: 1}, Server: "s1", TargetAt: until, Deadline: until}
+		d := in.admissions.controller("books").Decide(time.Now(), r)
+		in.admissions.controller("books").Cancel(time.Now(), r.ID)
+		rejected, _ := d.(admit.Rejected)
+		return rejected.Reason
+	}
+	others[0].ObserveStatement("s1", stated.Statement{RestUntil: until}, stated.Source{})
+	await(t, within, func() bool { return reason(others[0]) == admit.Resting })
+	is.Equal(reason(others[1]), admit.Reason("")) // it was not asked
+	others[1].ObserveStatement("s1", stated.Statement{RestUntil: until}, stated.Source{})
+	await(t, within, func() bool { return reason(others[2]) == admit.Resting })
+	await(t, within, func() bool { return in.cluster.server("s1").RestsUntil.After(time.Now()) })
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -194,4 +194,6 @@
 	// RateLimit is the number of requests per second that the server says it takes from all
 	// instances together, zero for no limit.
 	RateLimit float64
+	// RestsUntil is until when the server wants no requests of any instance, as far as is known, zero if that is not so.
+	RestsUntil time.Time
 }
--- a/internal/stated/table.go
+++ b/internal/stated/table.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/rules"
 )
 
@@ -37,6 +38,14 @@
 // back after an outage of the store, and a server that leaves goes on running for a while.
 const unlistedTime = 10 * time.Minute
 
+const (
+	// restOfAllTime is for how long a rest for all instances counts that is not told again. The server may take requests
+	// again before the rests that it has asked for are over.
+	restOfAllTime = 3 * time.Second
+	// minRestNews is by how much such a rest must be longer than what was known to be worth a change.
+	minRestNews = 500 * time.Millisecond
+)
+
 // maxUnlisted is the number of servers without an entry in the directory whose statements are kept.
 const maxUnlisted = 4096
 
@@ -53,6 +62,9 @@
 	leaveBy time.Time
 	// restUntil is until when this instance sends the server no requests, zero if it has never asked for that.
 	restUntil time.Time
+	// restOfAllUntil is until when the server wants no requests of any instance, as far as its controllers know, zero if that
+	// is not so.
+	restOfAllUntil time.Time
 	// dropAt is when the entry is dropped, zero while the server is listed in the directory.
 	dropAt time.Time
 }
@@ -111,6 +123,20 @@
 	return true
 }
 
+// ObserveRestOfAll takes in that a server wants no requests of any instance until a time, but no longer than
+// restOfAllTime if that is not told again. It reports whether what is known has changed by enough to matter.
+func (t *Table) ObserveRestOfAll(server string, until, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entry(server)
+	until = clock.Earlier(until, now.Add(restOfAllTime))
+	if until.Sub(e.restOfAllUntil) <= minRestNews {
+		return false
+	}
+	e.restOfAllUntil = until
+	return true
+}
+
 // RestUntil returns until when this instance must send a server no requests; the zero time or one in the past if it may.
 func (t *Table) RestUntil(server string) time.Time {
 	t.mu.Lock()
@@ -142,7 +168,7 @@
 	if e == nil {
 		return s
 	}
-	s.RateLimit = e.limit.rate
+	s.RateLimit, s.RestsUntil = e.limit.rate, e.restOfAllUntil
 	if !e.leaveBy.IsZero() {
 		s.Draining = true
 		if s.LeaveBy.IsZero() || e.leaveBy.Before(s.LeaveBy) {
@@ -174,6 +200,9 @@
 			out.Rests = append(out.Rests, server)
 			e.restUntil = time.Time{}
 		}
+		if !now.Before(e.restOfAllUntil) {
+			e.restOfAllUntil = time.Time{}
+		}
 		switch {
 		case isListed:
 			e.dropAt = time.Time{}
@@ -192,5 +221,5 @@
 
 // empty reports whether the entry states nothing.
 func (e *entry) empty() bool {
-	return e.limit == (limitEntry{}) && e.leaveBy.IsZero() && e.restUntil.IsZero()
+	return e.limit == (limitEntry{}) && e.leaveBy.IsZero() && e.restUntil.IsZero() && e.restOfAllUntil.IsZero()
 }
