Tell the sender of a tunnel that its request was not passed on

What callers saw: 502 for requests that no server had got, while a server leaves or rests: the instance in the middle ended the tunnel instead of passing the request on, and the sender, whose bytes were written, had to take the request for one that may have run.

Change: the middle sends a frame that says so, before it ends the tunnel. If the server has sent nothing since the request began, no byte of it was passed on, and the request counts as not sent: it may be tried elsewhere, or is rejected as not run.

--- a/internal/tunnel/carry.go
+++ b/internal/tunnel/carry.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -47,16 +46,20 @@
 type carrier struct {
 	sender net.Conn
 	server net.Conn
-	// responded says that the server has sent something since the sender last did, so that what the sender sends next
-	// begins a request.
-	responded atomic.Bool
+
+	// mu guards responded and the frames to the sender. Responded says that the server has sent something since the sender
+	// last did, so that what the sender sends next begins a request.
+	mu        sync.Mutex
+	responded bool
+	// refused says that a request was refused, which the sender has been told.
+	refused bool
 }
 
 // Carry passes on what the sender of a tunnel and the server send, until one of them closes its connection, and closes
-// both. Allowed is called before the first bytes of a request are sent to the server; if it returns false the tunnel ends.
+// both. Allowed is called before the first bytes of a request are sent to the server; if it returns false the sender is told
+// and the tunnel ends.
 func Carry(sender, server net.Conn, allowed func() bool) {
-	c := &carrier{sender: sender, server: server}
-	c.responded.Store(true)
+	c := &carrier{sender: sender, server: server, responded: true}
 	var ended sync.WaitGroup
 	ended.Go(func() {
 		// A server takes the end of the connection for the end of its work, so that it must come at once.
@@ -75,7 +78,7 @@
 	for {
 		n, err := c.sender.Read(buffer)
 		if n > 0 {
-			if c.responded.Swap(false) && !allowed() {
+			if c.refuses(allowed) {
 				return
 			}
 			_ = c.server.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -89,6 +92,38 @@
 	}
 }
 
+// refuses reports whether what the sender has sent begins a request that is not allowed, and tells the sender so.
+func (c *carrier) refuses(allowed func() bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begins := c.responded
+	c.responded = false
+	if !begins || allowed() {
+		return false
+	}
+	c.refused = true
+	writeFrame(c.sender, binary.BigEndian.AppendUint32(nil, refusedFrame))
+	return true
+}
+
+// passOn sends a frame with what the server has sent to the sender, and reports whether that succeeded.
+func (c *carrier) passOn(frame []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responded = true
+	return writeFrame(c.sender, frame)
+}
+
+// resetSender makes the connection to the sender end with a reset, unless the sender is still to read that its request was
+// refused.
+func (c *carrier) resetSender() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if tcp, ok := c.sender.(interface{ SetLinger(seconds int) error }); ok && !c.refused {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // carryResponses passes on what the server sends, in frames. If the connection to the server breaks, that to the sender
 // is reset.
 func (c *carrier) carryResponses() {
@@ -96,21 +131,18 @@
 	for {
 		n, err := c.server.Read(frame[headerSize:])
 		if n > 0 {
-			c.responded.Store(true)
 			binary.BigEndian.PutUint32(frame, uint32(n))
-			if !writeFrame(c.sender, frame[:headerSize+n]) {
+			if !c.passOn(frame[:headerSize+n]) {
 				return
 			}
 		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			writeFrame(c.sender, make([]byte, headerSize))
+			c.passOn(make([]byte, headerSize))
 			return
 		default:
-			if tcp, ok := c.sender.(interface{ SetLinger(seconds int) error }); ok {
-				_ = tcp.SetLinger(0)
-			}
+			c.resetSender()
 			return
 		}
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/tunnel"
+	"example.org/mustardring/internal/upstr"
 )
 
 // listen accepts connections and handles each with a function, until the test ends. It returns the address.
@@ -177,9 +178,10 @@
 	is.NoErr(err)
 	is.Equal(answer, "done\n")
 	accepts = false
+	conn.BeginRequest()
 	_, _ = conn.Write([]byte("two\n"))
 	_, err = in.ReadString('\n')
-	is.True(err != nil)
+	is.True(errors.Is(err, upstr.ErrNotPassedOn))
 	is.Equal(<-bodies, "one\n")
 	_, more := <-bodies
 	is.True(!more)
@@ -231,3 +233,27 @@
 	is.True(err != nil)
 	is.True(time.Since(began) < 400*time.Millisecond)
 }
+
+// Guards against calling a request not passed on whose beginning has reached the server.
+func TestRefusalAfterBytesOfTheServer(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(s *net.TCPConn) {
+		_, _ = bufio.NewReader(s).ReadString('\n')
+		_, _ = s.Write([]byte("early\n"))
+	})
+	m := newMiddle(t, address)
+	requests := 0
+	m.allowed = func() bool { requests++; return requests == 1 }
+	conn, err := m.open()
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	conn.BeginRequest()
+	_, _ = conn.Write([]byte("first part\n"))
+	_, err = in.ReadString('\n')
+	is.NoErr(err)
+	_, _ = conn.Write([]byte("second part\n"))
+	_, err = in.ReadString('\n')
+	is.True(err != nil)
+	is.True(!errors.Is(err, upstr.ErrNotPassedOn))
+}
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -35,6 +35,9 @@
 	ErrSilent = errors.New("upstr: connection went silent")
 	// ErrDeadline accompanies ErrInDoubt if the server did not respond in time.
 	ErrDeadline = errors.New("upstr: no response by the deadline")
+	// ErrNotPassedOn accompanies ErrNotSent if the bytes of the request were written to a connection that goes through
+	// another instance, and that one passed none of them on. A connection returns it from Read.
+	ErrNotPassedOn = errors.New("upstr: request not passed on to the server")
 	// ErrConnLimit accompanies ErrNotSent if all connections are in use.
 	ErrConnLimit = errors.New("upstr: all connections in use")
 	// ErrUnreachable accompanies ErrNotSent if the server accepts no connection of any instance, as far as is known. A
@@ -197,6 +200,9 @@
 		serial: cl.serial.Add(1), request: r, startedAt: time.Now(),
 		deadline: o.Deadline, dropDeadline: o.Deadline.Add(dropGrace), done: o.Done,
 	}
+	if through, ok := c.Conn.(interface{ BeginRequest() }); ok {
+		through.BeginRequest()
+	}
 	c.begin(a.serial, a.writeDeadline(o))
 	a.stopContextWatch = context.AfterFunc(r.Context(), func() { c.interrupt(a.serial) })
 	if err := a.write(c, o.InMemory); err != nil {
@@ -221,7 +227,7 @@
 // failAttempt ends an attempt that got no response and returns its error.
 func (cl *Client) failAttempt(a *attempt, c *conn, err error) error {
 	a.stopContextWatch()
-	if a.writeDone == nil && !c.mayHaveWritten {
+	if a.writeDone == nil && (!c.mayHaveWritten || errors.Is(err, ErrNotPassedOn)) {
 		c.ignoreInterrupts()
 		c.discard()
 		a.done(false)
