Hear in answers to grants and releases that a server leaves

A server says so in all its answers, and those in charge of its keys talk to it each 0.7 s. Where no caller sends it requests, or its directory entry cannot be read, the answers to renewals were the first that said so, and nobody looked: the keys stayed until callers found out.

Change: Grant and Release of lease.Client return a Reply with what the answer says; the manager passes on that the server leaves, as a response to a request does. Status 421 says nothing of the server that was meant.

--- a/internal/lease/grant_test.go
+++ b/internal/lease/grant_test.go
@@ -19,16 +19,16 @@
 // cancelFirstGrant is a Client whose first grant is canceled, as by a later record.
 type cancelFirstGrant struct{ grants int }
 
-func (o *cancelFirstGrant) Grant(context.Context, shard.Owner, Grant, GrantCheck) error {
+func (o *cancelFirstGrant) Grant(context.Context, shard.Owner, Grant, GrantCheck) (Reply, error) {
 	o.grants++
 	if o.grants == 1 {
-		return context.Canceled
+		return Reply{}, context.Canceled
 	}
-	return nil
+	return Reply{}, nil
 }
 
-func (o *cancelFirstGrant) Release(context.Context, shard.Owner, Grant) (string, error) {
-	return "", nil
+func (o *cancelFirstGrant) Release(context.Context, shard.Owner, Grant) (Reply, error) {
+	return Reply{}, nil
 }
 
 func (o *cancelFirstGrant) Connect(context.Context, shard.Owner) error { return nil }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -143,15 +143,22 @@
 // otherwise. A Client calls it before it sends the grant; it may block until ctx is done.
 type GrantCheck func(ctx context.Context, openedAt clock.Instant) error
 
+// Reply is what a server answers to a grant or a release.
+type Reply struct {
+	// Handover is what a former owner returns on release, once the work in progress has ended.
+	Handover string
+	// Leaving says that the server is about to leave. It may be set beside an error.
+	Leaving bool
+}
+
 // Client sends grants and releases to servers.
 type Client interface {
 	// Grant gives keys to a server, or renews its lease. It names the incarnation of the server that is
 	// meant, and sends nothing on a connection for which check fails: a restarted server has lost the
 	// fences that it had seen, and would accept an old grant.
-	Grant(ctx context.Context, to shard.Owner, g Grant, check GrantCheck) error
-	// Release ends a lease. It returns the handover for the next owner once the work in progress
-	// has ended.
-	Release(ctx context.Context, to shard.Owner, g Grant) (string, error)
+	Grant(ctx context.Context, to shard.Owner, g Grant, check GrantCheck) (Reply, error)
+	// Release ends a lease. It returns once the work in progress has ended.
+	Release(ctx context.Context, to shard.Owner, g Grant) (Reply, error)
 	// Connect opens a connection to a server, which the next grant uses. It sends nothing.
 	Connect(ctx context.Context, to shard.Owner) error
 }
@@ -185,7 +192,9 @@
 	// whenever they do. Services returns the services whose keys are divided among servers.
 	Servers          func() *rules.ServerSet
 	DirectoryVersion func() uint64
-	Services         func() []string
+	// ServerLeaves is called when a server says in an answer to a grant or a release that it is about to leave.
+	ServerLeaves func(server string)
+	Services     func() []string
 	// TargetLatency returns the time within which requests of a service should be answered.
 	TargetLatency func(service string) time.Duration
 	// DirectoryAge returns the age of the local copy of the directory. EntryDelay is how long after the start
--- a/internal/lease/move.go
+++ b/internal/lease/move.go
@@ -222,10 +222,11 @@
 func (lm *Manager) release(ctx context.Context, former shard.Owner, r shard.Range, released chan<- string) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
-		handover, err := lm.LeaseClient.Release(callCtx, former, Grant{From: r.From, To: r.To, Fence: r.Fence})
+		reply, err := lm.LeaseClient.Release(callCtx, former, Grant{From: r.From, To: r.To, Fence: r.Fence})
 		cancel()
+		lm.observeReply(former.Server, reply)
 		if err == nil || errors.Is(err, ErrServerGone) || errors.Is(err, ErrRefused) && lm.addressReassigned(former) {
-			released <- handover
+			released <- reply.Handover
 			return
 		}
 		if errors.Is(err, ErrNoAnswer) && ctx.Err() == nil {
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -137,7 +137,16 @@
 		}
 		return nil
 	}
-	return r.manager.LeaseClient.Grant(ctx, shard.Owner{Server: r.server.ID, Address: r.server.Address}, g, check)
+	reply, err := r.manager.LeaseClient.Grant(ctx, shard.Owner{Server: r.server.ID, Address: r.server.Address}, g, check)
+	r.manager.observeReply(r.server.ID, reply)
+	return err
+}
+
+// observeReply passes on what the answer of a server states about it.
+func (lm *Manager) observeReply(server string, reply Reply) {
+	if reply.Leaving {
+		lm.ServerLeaves(server)
+	}
 }
 
 // mayAct reports whether the instance may act on its view of the owners: it is registered, and the
--- a/internal/lease/server_test.go
+++ b/internal/lease/server_test.go
@@ -53,24 +53,24 @@
 	openedAt clock.Instant
 }
 
-func (lc *fakeLeaseClient) Grant(ctx context.Context, to shard.Owner, g Grant, check GrantCheck) error {
+func (lc *fakeLeaseClient) Grant(ctx context.Context, to shard.Owner, g Grant, check GrantCheck) (Reply, error) {
 	address := to.Address
 	lc.cluster.delay()
 	if ctx.Err() != nil {
-		return errCut
+		return Reply{}, errCut
 	}
 	if lc.cluster.isCut(lc.name, address) {
 		<-ctx.Done()
-		return errCut
+		return Reply{}, errCut
 	}
 	var server *fakeServer
 	if lc.cluster.namedRestarts {
 		c, err := lc.conn(to)
 		if err != nil {
-			return err
+			return Reply{}, err
 		}
 		if err := check(ctx, c.openedAt); err != nil {
-			return err
+			return Reply{}, err
 		}
 		server = c.server
 	}
@@ -78,11 +78,11 @@
 	if lc.cluster.chance(lc.cluster.delayedGrants) {
 		lc.cluster.after(lc.cluster.randomDuration(2*time.Second, 12*time.Second), func() { _ = lc.cluster.grant(to, g, arrivedAt, server) })
 		<-ctx.Done()
-		return errCut
+		return Reply{}, errCut
 	}
 	err := lc.cluster.grant(to, g, arrivedAt, server)
 	lc.cluster.delay()
-	return err
+	return Reply{}, err
 }
 
 // conn returns the connection to an incarnation of a server. It fails once after the server has ended.
@@ -119,19 +119,19 @@
 	return nil
 }
 
-func (lc *fakeLeaseClient) Release(ctx context.Context, to shard.Owner, g Grant) (string, error) {
+func (lc *fakeLeaseClient) Release(ctx context.Context, to shard.Owner, g Grant) (Reply, error) {
 	address := to.Address
 	lc.cluster.delay()
 	if lc.cluster.isCut(lc.name, address) {
 		<-ctx.Done()
-		return "", errCut
+		return Reply{}, errCut
 	}
 	// The answer comes when the work in progress has ended.
 	if err := lc.cluster.release(to, g); err != nil {
-		return "", err
+		return Reply{}, err
 	}
 	time.Sleep(lc.cluster.randomDuration(0, 300*time.Millisecond))
-	return "handover", nil
+	return Reply{Handover: "handover"}, nil
 }
 
 // grant carries out a grant and checks that no two servers hold a key. If target is not nil, only that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"example.org/mustardring/internal/paths"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/stated"
 	"example.org/mustardring/internal/tunnel"
 	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/internal/worker"
@@ -187,7 +188,8 @@
 	n.leases = lease.New(lease.Deps{
 		Name: settings.Name, Domain: settings.Domain, LeaseClient: platform.LeaseClient, Store: n.platform.Store,
 		Topic: platform.OwnersTopic, Incarnation: n.incarnation, Clock: clock.Boot{}, Roster: n.roster, Events: events,
-		Servers: n.cluster.servers, DirectoryVersion: n.cluster.snapshotVersion.Load, Services: n.cluster.dividedServices, TargetLatency: n.cluster.shortestTarget, Load: n.loadTracker.load, Capacities: n.loadTracker.capacities,
+		ServerLeaves: func(server string) { n.observeLeave(server, stated.Source{}) },
+		Servers:      n.cluster.servers, DirectoryVersion: n.cluster.snapshotVersion.Load, Services: n.cluster.dividedServices, TargetLatency: n.cluster.shortestTarget, Load: n.loadTracker.load, Capacities: n.loadTracker.capacities,
 		Probe: n.probeServer, RereadOwners: func() { n.requestRead(platform.OwnersTopic) },
 		DirectoryAge: func() time.Duration { return n.watches[platform.ServersTopic].Age() },
 		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: func() { n.requestRead(platform.ServersTopic) },
--- a/internal/stated/table.go
+++ b/internal/stated/table.go
@@ -27,7 +27,7 @@
 
 // Source says which response made a statement.
 type Source struct {
-	// Request is the ID of the request.
+	// Request is the ID of the request of a caller, empty for a grant or a release of keys.
 	Request string
 	// Through is the instance that the request went through, empty if it was sent to the server directly.
 	Through string
