Reuse connections only for as long as the server says that it keeps them

A server that closes idle connections sooner than 10 s loses requests that are sent at that moment; those that are not idempotent end in doubt.

Change: a connection is reused for four fifths of the stated time at most, or 8 s as before. A value that means nothing is ignored.

--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -103,6 +103,9 @@
 	// decays with each response.
 	slowestResponse atomic.Int64
 	monitor         *monitor
+	// statedIdle is the time in nanoseconds after which the server closes idle connections, as it last stated; zero if it
+	// never has.
+	statedIdle atomic.Int64
 	// serial is the number of the last attempt.
 	serial atomic.Uint64
 
@@ -213,6 +216,7 @@
 		return nil, cl.failAttempt(a, c, err)
 	}
 	cl.observeLatency(time.Since(a.startedAt))
+	cl.observeKeepAlive(response.Header)
 	if cl.settings.Dialer != nil {
 		cl.settings.Dialer.Answered(c.Conn)
 	}
@@ -290,7 +294,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) < cl.settings.IdleTimeout && c.peeker.usable() {
+		if time.Since(c.idleSince) < cl.idleTimeout() && c.peeker.usable() {
 			c.reused = true
 			return c, nil
 		}
@@ -376,7 +380,7 @@
 	}
 	cl.idle = append(cl.idle, c)
 	if cl.reaper == nil {
-		cl.reaper = time.AfterFunc(cl.settings.IdleTimeout, cl.closeExpiredIdle)
+		cl.reaper = time.AfterFunc(cl.idleTimeout(), cl.closeExpiredIdle)
 	}
 	cl.mu.Unlock()
 }
@@ -384,7 +388,7 @@
 // closeExpiredIdle closes the connections that have been idle for longer than the idle timeout.
 func (cl *Client) closeExpiredIdle() {
 	cl.mu.Lock()
-	cutoff := time.Now().Add(-cl.settings.IdleTimeout)
+	cutoff := time.Now().Add(-cl.idleTimeout())
 	firstKept := slices.IndexFunc(cl.idle, func(c *conn) bool { return c.idleSince.After(cutoff) })
 	if firstKept < 0 {
 		firstKept = len(cl.idle)
@@ -393,7 +397,7 @@
 	cl.idle = slices.Delete(cl.idle, 0, firstKept)
 	cl.reaper = nil
 	if len(cl.idle) > 0 {
-		cl.reaper = time.AfterFunc(time.Until(cl.idle[0].idleSince.Add(cl.settings.IdleTimeout)), cl.closeExpiredIdle)
+		cl.reaper = time.AfterFunc(time.Until(cl.idle[0].idleSince.Add(cl.idleTimeout())), cl.closeExpiredIdle)
 	}
 	cl.mu.Unlock()
 	for _, c := range expired {
