Tell a leave only to those that cannot know it

Found by reading: where entries say that servers drain, each instance would have told the controllers of each the same again, some nine messages for each pair of an instance and a server of a release. Now it tells them only if the server was not known to leave. A controller that this instance does not have is not made for a rest, and statements of unlisted servers are kept without making pools anew.

--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -298,7 +298,7 @@
 }
 
 // rest passes to the controller of a server that the server wants no requests of an instance until a time. An empty name
-// stands for this instance.
+// stands for this instance, which may have no such controller.
 func (ad *admissions) rest(from, server string, until time.Time) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
@@ -307,7 +307,9 @@
 		s, _ := ad.node.cluster.servers().Get(server)
 		pool = s.Service
 	}
-	ad.deliver(ad.controller(pool).Rest(time.Now(), from, server, until))
+	if from != "" || ad.controllers[pool] != nil {
+		ad.deliver(ad.controller(pool).Rest(time.Now(), from, server, until))
+	}
 }
 
 // restsUntil returns the servers that rest for all instances, as far as the controllers of this instance know, and until
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -56,8 +56,10 @@
 
 // applyStatement applies what a server states to what requests, controllers and pools see of it.
 func (n *Node) applyStatement(server string) {
-	n.cluster.republish(server)
-	n.serversChanged()
+	if n.cluster.servers().Has(server) {
+		n.cluster.republish(server)
+		n.serversChanged()
+	}
 }
 
 // ObserveStatement implements edge.Cluster.
@@ -140,13 +142,18 @@
 func (n *Node) observeLeave(server string, source stated.Source) {
 	now := time.Now()
 	leaveBy := now.Add(n.cluster.drainTime)
+	before, _ := n.cluster.servers().Get(server)
 	if !n.cluster.statements.ObserveLeave(server, leaveBy) {
 		return
 	}
 	n.events.Record(event.StateChange, "server-leaves", "server", server, "leave-in", n.cluster.drainTime, "source", "response",
 		"id", source.Request, "through", source.Through, "status", source.Status)
 	n.applyStatement(server)
-	receivers := n.withLeader(n.controllersOf(server, now), now)
+	var receivers []roster.Peer
+	if !before.Draining {
+		// Otherwise they know it from the directory, or from another instance.
+		receivers = n.withLeader(n.controllersOf(server, now), now)
+	}
 	if middle, known := n.roster.Peer(source.Through); known {
 		// The instance in the middle only sees bytes.
 		receivers = append(receivers, middle)
