Count repeated messages about a rest once, and tell rests of all only from the controller in charge

Messages about a rest are sent three times and arrive with different delays, so that the repeats looked like new rests: two of them after the server had answered again closed it to all once more. A controller that admits nothing to a server, but hears of its rests, took one instance for the only user of the server, and would have had its keys moved for a rest of one.

Result: TestRestIsToldAgain (fails without the minimum) and TestRestAtAnotherController.

--- a/internal/admit/choose.go
+++ b/internal/admit/choose.go
@@ -99,9 +99,9 @@
 	return listing{}, false
 }
 
-// accepts reports whether the request may be sent to the server at all, as far as its instance decides. A server that bears a
-// bounded rate accepts no non-exclusive request, as another controller may be admitting requests to
-// it without counting this one.
+// accepts reports whether the request may be sent to the server at all, which depends on its
+// instance. A server that bears a bounded rate accepts no non-exclusive request, as another
+// controller may be admitting requests to it without counting this one.
 func (s *server) accepts(now time.Time, w *waiter) bool {
 	return !s.restsFor(w.From, now) && (!w.NonExclusive || !s.bounded(now))
 }
@@ -185,7 +185,10 @@
 
 // nextChange returns when a server may next become open or warm without any message about it.
 func (s *server) nextChange(now time.Time) (at time.Time, changes bool) {
-	for _, t := range []time.Time{s.fullUntil, s.untrackedUntil, s.ejectedUntil, s.nextSendAt, s.WarmAt, s.rests.allUntil, s.rests.endsAt, s.rests.probeAt, s.rests.rampUntil} {
+	for _, t := range []time.Time{
+		s.fullUntil, s.untrackedUntil, s.ejectedUntil, s.nextSendAt, s.WarmAt,
+		s.rests.allUntil, s.rests.endsAt, s.rests.probeAt, s.rests.rampUntil,
+	} {
 		if t.After(now) && (!changes || t.Before(at)) {
 			at, changes = t, true
 		}
--- a/internal/admit/rest.go
+++ b/internal/admit/rest.go
@@ -17,6 +17,9 @@
 	// restProbeInterval is the time between two requests to a server while it rests for all instances, of those that it has
 	// not asked for rest.
 	restProbeInterval = 500 * time.Millisecond
+	// minRestNews is by how much a rest must be longer than what is known of the same instance to count as another one.
+	// Messages about a rest are repeated, and each takes another time.
+	minRestNews = 300 * time.Millisecond
 	// maxRampTime is for how long after its last rest the requests at a server may be bounded.
 	maxRampTime = 3 * time.Second
 )
@@ -43,7 +46,7 @@
 // name stands for the instance of the controller.
 func (c *Controller) Rest(now time.Time, from, server string, until time.Time) []Decision {
 	s := c.servers[server]
-	if s == nil || !until.After(s.rests.until[from]) {
+	if s == nil || until.Sub(s.rests.until[from]) < minRestNews {
 		return nil
 	}
 	s.rests.ask(now, from, until)
@@ -82,8 +85,8 @@
 	r.lastFrom, r.lastUntil, r.allUntil = "", time.Time{}, time.Time{}
 }
 
-// rested reports whether all instances must leave a server alone now.
-func (s *server) rested(now time.Time) bool {
+// restsForAll reports whether all instances must leave a server alone now.
+func (s *server) restsForAll(now time.Time) bool {
 	return s.rests.allUntil.After(now) && (now.Before(s.rests.probeAt) || len(s.admissions) > 0)
 }
 
@@ -112,7 +115,7 @@
 // restCapacity returns what a server can run now, given what it could run if it had never asked for rest. Both are in slots.
 func (s *server) restCapacity(capacity float64, now time.Time) float64 {
 	switch {
-	case s.rested(now):
+	case s.restsForAll(now):
 		return 0
 	case s.ramped(now):
 		return min(capacity, float64(s.rests.allowance))
@@ -152,7 +155,7 @@
 
 // restEndFor returns until when the server may get no request of an instance because of rests, and false if it may.
 func (s *server) restEndFor(from string, now time.Time) (time.Time, bool) {
-	if s.rested(now) {
+	if s.restsForAll(now) {
 		return later(s.rests.allUntil, s.rests.until[from]), true
 	}
 	return s.rests.until[from], s.restsFor(from, now)
@@ -185,7 +188,7 @@
 		return false
 	}
 	for s := range c.resting {
-		if !s.rested(now) {
+		if !s.restsForAll(now) {
 			return false
 		}
 	}
@@ -193,12 +196,13 @@
 }
 
 // RestsUntil returns the servers that rest for all instances, as far as is known, and until when. An instance that is the
-// only one to use a server stands for all.
+// only one to use a server stands for all. A controller that admits no requests to a server knows less of it than the one
+// in charge.
 func (c *Controller) RestsUntil(now time.Time) map[string]time.Time {
 	out := map[string]time.Time{}
 	for s := range c.resting {
 		until := s.rests.allUntil
-		if s.evidence.soleUser(now) {
+		if s.evidence.used && s.evidence.soleUser(now) {
 			until = later(until, s.rests.lastUntil)
 		}
 		if until.After(now) {
--- a/internal/admit/rest_test.go
+++ b/internal/admit/rest_test.go
@@ -259,3 +259,32 @@
 		})
 	}
 }
+
+// Guards against messages about rests that come again after the server has answered, and are taken for new ones.
+func TestRestIsToldAgain(t *testing.T) {
+	is := is.New(t)
+	c := newController(server("s0", "north", 2))
+	ask := func(at time.Time) {
+		for _, from := range []string{"i0", "i1"} {
+			c.Rest(at, from, "s0", start.Add(3*time.Second+at.Sub(start)/4)) // messages are delayed
+		}
+	}
+	ask(start)
+	now := start.Add(600 * time.Millisecond)
+	req := newRequest(1, now)
+	req.From = "i2"
+	g, admitted := c.Decide(now, req).(admit.Admitted)
+	is.True(admitted) // a probe
+	c.Complete(now.Add(workTime), admit.Completion{ID: g.ID, Server: "s0", Route: "read", Took: workTime})
+	is.Equal(len(c.RestsUntil(now.Add(workTime))), 0)
+	ask(now.Add(2 * workTime))
+	is.Equal(len(c.RestsUntil(now.Add(2*workTime))), 0)
+}
+
+// Guards against a controller that is not in charge of a server and takes one rest for that of all.
+func TestRestAtAnotherController(t *testing.T) {
+	is := is.New(t)
+	c := newController(server("s0", "north", 2))
+	c.Rest(start, "i0", "s0", start.Add(time.Minute))
+	is.Equal(len(c.RestsUntil(start)), 0)
+}
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -100,7 +100,8 @@
 	nextEjectionTime time.Duration
 	// fullUntil is the end of the backoff after the server has said that it is full.
 	fullUntil time.Time
-	rests     rests
+	// rests is what the server wants of instances that it has asked for rest.
+	rests rests
 	// untracked is the number of requests at the server that this controller did not admit, as of
 	// the last report.
 	untracked      int
@@ -170,7 +171,7 @@
 
 // open reports whether a request may be sent now, to run or to wait for a slot at the server.
 func (s *server) open(now time.Time) bool {
-	return s.occupancy(now) < s.room(now) && !now.Before(s.fullUntil) && !now.Before(s.nextSendAt) && !s.rested(now)
+	return s.occupancy(now) < s.room(now) && !now.Before(s.fullUntil) && !now.Before(s.nextSendAt) && !s.restsForAll(now)
 }
 
 // waitingForSlot returns how many admitted requests wait for a slot at the server.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -70,7 +70,7 @@
 	s, found := q.edge.Cluster.Server(server)
 	q.dispatchDelay, q.leavesIn = took, s.LeavesIn(now)
 	bounded := s.Cold(now) || s.RateLimit > 0
-	if !found || s.Closed(q.divided, now) || q.rests(server) || bounded && took > maxBoundedDispatchDelay {
+	if !found || s.Closed(q.divided, now) || q.serverRests(server) || bounded && took > maxBoundedDispatchDelay {
 		return errServerClosed
 	}
 	return nil
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -107,7 +107,7 @@
 			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, retryAfterNoOwner)
 		}
 		req.Server, domain, q.fence, q.server = r.Server, owner.Domain, r.Fence, r.Server
-		if q.rests(r.Server) {
+		if q.serverRests(r.Server) {
 			q.reason = endServerRests
 			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, q.rejectionDelay(r.Server))
 		}
@@ -117,7 +117,7 @@
 		return nil, rules.Server{}, q.handleRejection(ctx, rejected)
 	}
 	s, found := q.edge.Cluster.Server(a.Server())
-	if !found || s.Closed(q.divided, time.Now()) || q.rests(s.ID) {
+	if !found || s.Closed(q.divided, time.Now()) || q.serverRests(s.ID) {
 		a.Complete(admit.Completion{Outcome: admit.Unsent})
 		q.avoid = a.Server()
 		return nil, rules.Server{}, nil
@@ -125,8 +125,8 @@
 	return a, s, nil
 }
 
-// rests reports whether a server wants no requests of this instance now.
-func (q *request) rests(server string) bool {
+// serverRests reports whether a server wants no requests of this instance now.
+func (q *request) serverRests(server string) bool {
 	return time.Now().Before(q.edge.Cluster.RestUntil(server))
 }
 
@@ -136,7 +136,7 @@
 		return false
 	}
 	r, found, _ := q.edge.Cluster.Owner(q.service, q.info.Key)
-	return found && q.rests(r.Server)
+	return found && q.serverRests(r.Server)
 }
 
 // rejectionDelay returns the Retry-After of a request that a server has rejected, or that it would reject. If the server
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -377,10 +377,13 @@
 // restateRest tells the controller again that the server wants no requests of this instance, if that is why the request was
 // not sent: the controller has not heard it.
 func (a *admission) restateRest(outcome admit.Outcome) {
+	if outcome != admit.Unsent {
+		return
+	}
 	n, now := a.admissions.node, time.Now()
 	until := n.RestUntil(a.server)
 	switch {
-	case outcome != admit.Unsent || !now.Before(until):
+	case !now.Before(until):
 	case a.controller.IsValid():
 		n.port.Send(a.controller, restMessage(a.server, until, dgram.AskedSender)(now))
 	default:
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -130,11 +130,14 @@
 	}
 }
 
-// tellRests tells the leader which servers rest for all instances, as the controllers of this instance believe, and takes it in.
+// tellRests takes in which servers rest for all instances, of those that this instance is in charge of, and tells the leader.
 func (n *Node) tellRests(now time.Time) {
 	for server, until := range n.admissions.restsUntil(now) {
-		n.restOfAll(server, until)
-		n.tellAsController(server, now, restMessage(server, until, dgram.AskedAll)(now))
+		controllers := n.controllersOf(server, now)
+		if len(controllers) > 0 && controllers[0].Name == n.settings.Name {
+			n.restOfAll(server, until)
+			n.port.SendAll(n.otherAddresses(n.withLeader(nil, now)), restMessage(server, until, dgram.AskedAll)(now))
+		}
 	}
 }
 
