Write a registration again only for instances that know that it is missing

What was seen: 300 instances that meet a refusal of the store a second after their start are registered twice, all but four. Callers see nothing by itself; the store takes appends one after the other.

Cause: a seed forgot after 5 s that it had written a registration. Instances that cannot read the register ask again each 2 s, and the first request after that was written at the store's return.

Change: an instance says up to which record it knows the register, and the seed compares that with where it wrote the record. Without that knowledge it waits for a minute.

--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/roster"
 )
 
@@ -32,8 +33,10 @@
 	// WriteTime is how long a seed tries to write a registration after the last request. After that the instance may have
 	// it written another way.
 	WriteTime = 2500 * time.Millisecond
-	// WrittenTime is how long a seed remembers that it has written a registration.
+	// WrittenTime is how long a seed remembers that it has written a registration, or may have, after the instance last asked.
 	WrittenTime = 5 * time.Second
+	// maxWrittenTime bounds that time for instances that ask again and again.
+	maxWrittenTime = time.Minute
 )
 
 // Request is sent by an instance that starts.
@@ -42,6 +45,8 @@
 	Entry roster.Entry `json:"entry"`
 	// Register asks the receiver to write the registration to the store.
 	Register bool `json:"register"`
+	// Known is the offset after the last record of the register that the sender knows.
+	Known int64 `json:"known"`
 
 	// writeUntil is when the receiver gives up writing the registration.
 	writeUntil time.Time
@@ -75,7 +80,11 @@
 // writtenEntry is a registration that was written.
 type writtenEntry struct {
 	incarnation uint64
-	until       time.Time
+	// end is the offset after the record, zero if it is not known whether it was written.
+	end int64
+	// until is until when the seed remembers it, but no longer than latest.
+	until  time.Time
+	latest time.Time
 }
 
 // starter is a starting instance.
@@ -152,8 +161,15 @@
 
 // Register adds a registration that is to be written within WriteTime, unless it has been written lately. It reports false
 // if there is no room.
+//
+// An instance that cannot read the register asks again although its registration has been written. It is written again only
+// if the instance knows later records than that.
 func (b *Book) Register(r Request, now time.Time) bool {
-	if w, found := b.written[r.Name]; found && w.incarnation == r.Entry.Incarnation && now.Before(w.until) {
+	if w, found := b.written[r.Name]; found && w.incarnation == r.Entry.Incarnation && now.Before(w.until) && (w.end == 0 || r.Known < w.end) {
+		if w.end > 0 {
+			w.until = clock.Earlier(now.Add(WrittenTime), w.latest)
+			b.written[r.Name] = w
+		}
 		return true
 	}
 	r.writeUntil = now.Add(WriteTime)
@@ -174,10 +190,10 @@
 	return true
 }
 
-// Written records that registrations were written.
-func (b *Book) Written(requests []Request, now time.Time) {
+// Written records that registrations were written, and the offset after them, zero if it is not known whether they were.
+func (b *Book) Written(requests []Request, end int64, now time.Time) {
 	for _, r := range requests {
-		b.written[r.Name] = writtenEntry{incarnation: r.Entry.Incarnation, until: now.Add(WrittenTime)}
+		b.written[r.Name] = writtenEntry{incarnation: r.Entry.Incarnation, end: end, until: now.Add(WrittenTime), latest: now.Add(maxWrittenTime)}
 	}
 }
 
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -164,7 +164,7 @@
 
 // joinRequest returns the request of this instance to a seed.
 func (n *Node) joinRequest(register bool) join.Request {
-	return join.Request{Name: n.settings.Name, Entry: n.entry(false), Register: register}
+	return join.Request{Name: n.settings.Name, Entry: n.entry(false), Register: register, Known: n.leases.View().End}
 }
 
 // callSeed sends a join.Request to a seed.
@@ -248,8 +248,8 @@
 		if len(batch) == 0 || n.isStopping() {
 			continue
 		}
-		err := n.registerStarters(ctx, batch)
-		n.finishRegistrations(batch, err, time.Now())
+		end, err := n.registerStarters(ctx, batch)
+		n.finishRegistrations(batch, end, err, time.Now())
 		if err != nil {
 			worker.Sleep(ctx, n.retryDelay(0))
 		}
@@ -257,16 +257,16 @@
 	return ctx.Err()
 }
 
-// finishRegistrations records the result of a write of registrations. If the outcome is unknown they count as written:
-// instances that find theirs missing in the register ask again.
-func (n *Node) finishRegistrations(batch []join.Request, err error, now time.Time) {
+// finishRegistrations records the result of a write of registrations: the offset after them, or an error. If the outcome is
+// unknown they count as written: instances that find theirs missing in the register ask again.
+func (n *Node) finishRegistrations(batch []join.Request, end int64, err error, now time.Time) {
 	n.joinMu.Lock()
 	defer n.joinMu.Unlock()
 	if errors.Is(err, follow.ErrNotDone) {
 		n.joinBook.Return(batch)
 		return
 	}
-	n.joinBook.Written(batch, now)
+	n.joinBook.Written(batch, end, now)
 }
 
 // takeRegistrations takes registrations that are to be written, and drops those whose time is over.
@@ -279,8 +279,9 @@
 	return n.joinBook.Take(maxRegisterBatch)
 }
 
-// registerStarters writes registrations to the register. A registration that is written twice changes nothing.
-func (n *Node) registerStarters(ctx context.Context, batch []join.Request) error {
+// registerStarters writes registrations to the register and returns the offset after them, zero with an error. A registration
+// that is written twice changes nothing.
+func (n *Node) registerStarters(ctx context.Context, batch []join.Request) (int64, error) {
 	records := make([]follow.Record, 0, len(batch))
 	for _, r := range batch {
 		value, err := r.Entry.Encode()
@@ -291,13 +292,14 @@
 		records = append(records, follow.Record{Key: lease.InstanceKey(r.Name), Value: value})
 	}
 	if len(records) == 0 {
-		return nil
+		return 0, nil
 	}
-	if _, err := n.platform.Store.Append(ctx, n.platform.OwnersTopic, records, -1); err != nil {
-		return err
+	offset, err := n.platform.Store.Append(ctx, n.platform.OwnersTopic, records, -1)
+	if err != nil {
+		return 0, err
 	}
 	if n.leases.Leads() {
 		n.requestRead(n.platform.OwnersTopic)
 	}
-	return nil
+	return offset + int64(len(records)), nil
 }
--- a/internal/node/register_test.go
+++ b/internal/node/register_test.go
@@ -54,6 +54,36 @@
 	is.True(r.due(ownersKnowledge{}, now.Add(2*maxRegisterDelay)))
 }
 
+// Guards against a seed that writes a registration again for an instance which cannot read that it is registered, and against
+// one that does not write it again after the record was removed.
+func TestSeedRemembersWhatItHasWritten(t *testing.T) {
+	const end = 7
+	tests := map[string]struct {
+		known int64
+		after time.Duration
+		again bool
+	}{
+		"not read yet":           {known: end - 1, after: 4 * join.WrittenTime},
+		"read, and not there":    {known: end, after: seedRenewInterval, again: true},
+		"not read for very long": {known: end - 1, after: 2 * time.Minute, again: true},
+		"of the release before":  {known: 0, after: 4 * join.WrittenTime},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			request := join.Request{Name: "a", Entry: roster.Entry{Incarnation: 7}, Register: true, Known: test.known}
+			b := join.NewBook("seed")
+			b.Written([]join.Request{request}, end, now)
+			for at := seedRenewInterval; at <= test.after; at += seedRenewInterval {
+				b.DropUnwritten(now.Add(at))
+				is.True(b.Register(request, now.Add(at)))
+			}
+			is.Equal(len(b.Take(10)) > 0, test.again)
+		})
+	}
+}
+
 // Guards against instances whose record is written by a seed after they have written it themselves, and against seeds that
 // write records twice because they were asked twice.
 func TestSeedWritesARegistrationOnce(t *testing.T) {
@@ -68,7 +98,7 @@
 	b.Return(batch) // refused
 	b.DropUnwritten(now.Add(seedRenewInterval))
 	is.Equal(len(b.Take(10)), 1)
-	b.Written(batch, now)
+	b.Written(batch, 0, now)
 	is.True(b.Register(request, now.Add(seedRenewInterval)))
 	is.Equal(len(b.Take(10)), 0)
 	request.Entry.Incarnation++
