Name the owner in the line of a request that its leave rejects, and ignore repeats of a leave

Requests whose owner may get no more had neither server, fence nor leaving-in in their line, so that the way from the id to the cause ended there. Messages about a leave are repeated, round to milliseconds and take time, so that each repeat looked like an earlier deadline and was logged and applied again.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -102,11 +102,12 @@
 			return nil, rules.Server{}, reply
 		}
 		owner, found := q.edge.Cluster.Server(r.Server)
+		req.Server, domain = r.Server, owner.Domain
+		q.server, q.fence, q.leavesIn = r.Server, r.Fence, owner.LeavesIn(time.Now())
 		if !found || owner.Closed(true, time.Now()) {
 			q.reason = endNoOwner
 			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, retryAfterNoOwner)
 		}
-		req.Server, domain, q.fence, q.server = r.Server, owner.Domain, r.Fence, r.Server
 		if q.serverRests(r.Server) {
 			q.reason = endServerRests
 			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, q.rejectionDelay(r.Server))
--- a/internal/stated/table.go
+++ b/internal/stated/table.go
@@ -44,6 +44,9 @@
 	restOfAllTime = 3 * time.Second
 	// minRestNews is by how much such a rest must be longer than what was known to be worth a change.
 	minRestNews = 500 * time.Millisecond
+	// minLeaveNews is by how much the time of a leave must be earlier to be worth a change. What others tell differs by the
+	// delays of messages, and the time allowed has a reserve.
+	minLeaveNews = 50 * time.Millisecond
 )
 
 // maxUnlisted is the number of servers without an entry in the directory whose statements are kept.
@@ -82,15 +85,15 @@
 	return e
 }
 
-// ObserveLeave takes in that a server leaves and must get its last request by a time. Of several times the earliest counts.
-// It reports whether anything has changed.
+// ObserveLeave takes in that a server leaves and must get its last request by a time. Of several times the earliest counts,
+// but for differences below minLeaveNews. It reports whether anything has changed.
 //
 // A server that has said that it leaves does not come back: a response without the statement was made earlier.
 func (t *Table) ObserveLeave(server string, leaveBy time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(server)
-	if !e.leaveBy.IsZero() && !leaveBy.Before(e.leaveBy) {
+	if !e.leaveBy.IsZero() && e.leaveBy.Sub(leaveBy) < minLeaveNews {
 		return false
 	}
 	e.leaveBy = leaveBy
--- a/internal/stated/table_test.go
+++ b/internal/stated/table_test.go
@@ -87,6 +87,10 @@
 			rules.Server{ID: "s", Draining: true, LeaveBy: at(100)}},
 		"stated again": {rules.Server{ID: "s"}, func(l *stated.Table) { l.ObserveLeave("s", at(100)); l.ObserveLeave("s", at(200)) },
 			rules.Server{ID: "s", Draining: true, LeaveBy: at(100)}},
+		"told hardly earlier": {rules.Server{ID: "s"}, func(l *stated.Table) { l.ObserveLeave("s", at(100)); l.ObserveLeave("s", at(99)) },
+			rules.Server{ID: "s", Draining: true, LeaveBy: at(100)}},
+		"told earlier": {rules.Server{ID: "s"}, func(l *stated.Table) { l.ObserveLeave("s", at(1000)); l.ObserveLeave("s", at(500)) },
+			rules.Server{ID: "s", Draining: true, LeaveBy: at(500)}},
 		"evacuated at the same time": {rules.Server{ID: "s", Evacuated: true, LeaveBy: at(80)}, func(l *stated.Table) { l.ObserveLeave("s", at(100)) },
 			rules.Server{ID: "s", Evacuated: true, Draining: true, LeaveBy: at(80)}},
 		"a limit at the same time": {rules.Server{ID: "s"}, func(l *stated.Table) {
