Tell each instance in the middle that it has carried the word of a server

Found by reading: an instance that knew already that a server leaves, or rests for longer, did not tell the one through which it heard so again. That one is bound by the answer that it has carried, and may know nothing of it.

Result: TestLeaveIsTold now hears the word through an instance after it is known; it fails without the change.

--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -78,14 +78,14 @@
 // observeRest takes in that a server wants no requests of this instance until a time. A request that went through another
 // instance has reached the server from that one, which only sees bytes: the server has asked it as well.
 func (n *Node) observeRest(server string, until time.Time, source stated.Source) {
+	if middle, known := n.roster.Peer(source.Through); known {
+		n.tellOnce([]roster.Peer{middle}, restMessage(server, until, dgram.AskedReceiver))
+	}
 	if !n.cluster.statements.ObserveRest(server, until) {
 		return
 	}
 	n.events.Record(event.StateChange, "server-rests", "server", server, "rest", time.Until(until), "source", "response",
 		"id", source.Request, "through", source.Through, "status", source.Status)
-	if middle, known := n.roster.Peer(source.Through); known {
-		n.tellOnce([]roster.Peer{middle}, restMessage(server, until, dgram.AskedReceiver))
-	}
 	n.restAsked(server, until)
 }
 
@@ -145,6 +145,11 @@
 func (n *Node) observeLeave(server string, source stated.Source) {
 	now := time.Now()
 	leaveBy := now.Add(n.cluster.drainTime)
+	message := func(at time.Time) dgram.Message { return leaveMessage(server, leaveBy, at) }
+	if middle, known := n.roster.Peer(source.Through); known && n.cluster.statements.HeardThrough(server, middle.Name) {
+		// The server has told the instance in the middle, which only sees bytes.
+		n.tellOnce([]roster.Peer{middle}, message)
+	}
 	before, _ := n.cluster.servers().Get(server)
 	if !n.cluster.statements.ObserveLeave(server, leaveBy) {
 		return
@@ -152,16 +157,10 @@
 	n.events.Record(event.StateChange, "server-leaves", "server", server, "leave-in", n.cluster.drainTime, "source", "response",
 		"id", source.Request, "through", source.Through, "status", source.Status)
 	n.applyStatement(server)
-	var receivers []roster.Peer
 	if !before.Draining {
 		// Otherwise they know it from the directory, or from another instance.
-		receivers = n.withLeader(n.controllersOf(server, now), now)
-	}
-	if middle, known := n.roster.Peer(source.Through); known {
-		// The instance in the middle only sees bytes.
-		receivers = append(receivers, middle)
+		n.tellOnce(n.withLeader(n.controllersOf(server, now), now), message)
 	}
-	n.tellOnce(receivers, func(at time.Time) dgram.Message { return leaveMessage(server, leaveBy, at) })
 }
 
 // handleLeave takes in that a server has told another instance that it leaves.
--- a/internal/node/statements_test.go
+++ b/internal/node/statements_test.go
@@ -148,26 +148,29 @@
 // Guards against controllers, and instances in the middle, that go on sending requests to a server that has told another
 // instance that it leaves.
 func TestLeaveIsTold(t *testing.T) {
+	is := is.New(t)
 	const within = 500 * time.Millisecond
 	nodes := newPeers(t, 5, "s1")
 	first := nodes[1]
 	controllers := first.controllersOf("s1", time.Now())
-	var middle string
+	var middle *Node
 	for _, n := range nodes {
 		if n != first && !contains(controllers, n.settings.Name) {
-			middle = n.settings.Name
+			middle = n
 		}
 	}
-	first.ObserveStatement("s1", stated.Statement{Leaving: true}, stated.Source{Through: middle})
+	first.ObserveStatement("s1", stated.Statement{Leaving: true}, stated.Source{})
 	await(t, within, func() bool {
 		for _, n := range nodes {
-			told := n == first || n.settings.Name == middle || contains(controllers, n.settings.Name)
-			if told && !n.cluster.server("s1").Draining {
+			if (n == first || contains(controllers, n.settings.Name)) && !n.cluster.server("s1").Draining {
 				return false
 			}
 		}
 		return true
 	})
+	is.True(!middle.cluster.server("s1").Draining)
+	first.ObserveStatement("s1", stated.Statement{Leaving: true}, stated.Source{Through: middle.settings.Name}) // no news to this one
+	await(t, within, func() bool { return middle.cluster.server("s1").Draining })
 }
 
 // Guards against an instance in the middle that goes on sending requests of its own to a server that has asked it for rest in
--- a/internal/stated/table.go
+++ b/internal/stated/table.go
@@ -63,6 +63,8 @@
 	limit limitEntry
 	// leaveBy is when the server may get its last request, zero if it has not said that it leaves.
 	leaveBy time.Time
+	// middles holds the instances through which this one has heard that the server leaves.
+	middles map[string]struct{}
 	// restUntil is until when this instance sends the server no requests, zero if it has never asked for that.
 	restUntil time.Time
 	// restOfAllUntil is until when the server wants no requests of any instance, as far as its controllers know, zero if that
@@ -100,6 +102,22 @@
 	return true
 }
 
+// HeardThrough records that this instance has heard through another one that a server leaves. It reports whether that is the
+// first time.
+func (t *Table) HeardThrough(server, instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entry(server)
+	if _, heard := e.middles[instance]; heard {
+		return false
+	}
+	if e.middles == nil {
+		e.middles = map[string]struct{}{}
+	}
+	e.middles[instance] = struct{}{}
+	return true
+}
+
 // Leaves returns the servers that have said that they leave, and when each may get its last request.
 func (t *Table) Leaves() map[string]time.Time {
 	t.mu.Lock()
