--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// tellInterval is the time between two messages about a limit. The next one makes up for one that was lost.
+	// tellInterval is the time between two messages about a limit or a rest. The next one makes up for one that was lost.
 	tellInterval = 400 * time.Millisecond
 	// limitTellTime is for how long a limit is told after it was last seen in a response.
 	limitTellTime = 10 * time.Second
