Bound the Retry-After of requests that are rejected because servers rest

Found in the read-through. Cause: a controller derived the delay from the end of the rest, up to three tenths of the caller's time left; but another instance may be served at once, and a key whose owner rests for longer moves within some tenths of a second.

Change: 0.4 s at most, as for requests that the instance rejects by itself.

Result: TestRetryAfterARestIsShort fails before (callers with a minute left).

--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -229,7 +229,7 @@
 		return c.reject(now, req, Overload, wait)
 	}
 	if until, resting := c.restEnd(now, req); resting {
-		return c.reject(now, req, Resting, until.Sub(now))
+		return c.reject(now, req, Resting, restDelay(now, until))
 	}
 	s := c.chooseServer(now, w)
 	if s != nil && s.free(now) && c.precedesQueue(now, w, s) {
--- a/internal/admit/rest.go
+++ b/internal/admit/rest.go
@@ -20,6 +20,9 @@
 	// minRestNews is by how much a rest must be longer than what is known of the same instance to count as another one.
 	// Messages about a rest are repeated, and each takes another time.
 	minRestNews = 300 * time.Millisecond
+	// maxRestDelay bounds the delay after which a caller should come back whose request was rejected because of rests. By
+	// then another instance may be served, or the key may have moved.
+	maxRestDelay = 400 * time.Millisecond
 	// maxRampTime is for how long after its last rest the requests at a server may be bounded.
 	maxRampTime = 3 * time.Second
 )
@@ -153,6 +156,9 @@
 	return end, resting
 }
 
+// restDelay returns after which time a caller should come back because of a rest, given its end.
+func restDelay(now, until time.Time) time.Duration { return min(until.Sub(now), maxRestDelay) }
+
 // restEndFor returns until when the server may get no request of an instance because of rests, and false if it may.
 func (s *server) restEndFor(from string, now time.Time) (time.Time, bool) {
 	if s.restsForAll(now) {
@@ -176,7 +182,7 @@
 	for _, w := range waiting {
 		if until, resting := c.restEnd(now, w.Request); resting {
 			c.dequeue(w)
-			out = append(out, Rejected{ID: w.ID, Reason: Resting, RetryIn: c.retryDelay(now, w.Request, until.Sub(now)), Wait: until.Sub(now)})
+			out = append(out, Rejected{ID: w.ID, Reason: Resting, RetryIn: c.retryDelay(now, w.Request, restDelay(now, until)), Wait: until.Sub(now)})
 		}
 	}
 	return out
--- a/internal/admit/rest_test.go
+++ b/internal/admit/rest_test.go
@@ -288,3 +288,21 @@
 	c.Rest(start, "i0", "s0", start.Add(time.Minute))
 	is.Equal(len(c.RestsUntil(start)), 0)
 }
+
+// Guards against callers that are told to come back only long after another instance could have served them.
+func TestRetryAfterARestIsShort(t *testing.T) {
+	is := is.New(t)
+	c := newController(server("s0", "north", 2))
+	for _, from := range []string{"i0", "i1"} {
+		c.Rest(start, from, "s0", start.Add(time.Hour))
+	}
+	for i, from := range []string{"i0", "i2"} {
+		for _, owner := range []string{"", "s0"} {
+			req := newRequest(uint64(i), start)
+			req.From, req.Server, req.Deadline = from, owner, start.Add(time.Minute)
+			d, rejected := c.Decide(start, req).(admit.Rejected)
+			is.True(rejected)
+			is.True(d.RetryIn <= time.Second/2)
+		}
+	}
+}
