Use one term for a rest for all instances, and say when a server is closed by rests

Found in the read-through: the table, the messages and the log lines said rest of all and rests for all; and restsForAll was false while a server that rests for all may get its occasional request.

--- a/internal/admit/rest.go
+++ b/internal/admit/rest.go
@@ -88,8 +88,9 @@
 	r.lastFrom, r.lastUntil, r.allUntil = "", time.Time{}, time.Time{}
 }
 
-// restsForAll reports whether all instances must leave a server alone now.
-func (s *server) restsForAll(now time.Time) bool {
+// closedByRests reports whether a server gets no request of any instance now. While it rests for all, it still gets one now
+// and then.
+func (s *server) closedByRests(now time.Time) bool {
 	return s.rests.allUntil.After(now) && (now.Before(s.rests.probeAt) || len(s.admissions) > 0)
 }
 
@@ -118,7 +119,7 @@
 // restCapacity returns what a server can run now, given what it could run if it had never asked for rest. Both are in slots.
 func (s *server) restCapacity(capacity float64, now time.Time) float64 {
 	switch {
-	case s.restsForAll(now):
+	case s.closedByRests(now):
 		return 0
 	case s.ramped(now):
 		return min(capacity, float64(s.rests.allowance))
@@ -161,7 +162,7 @@
 
 // restEndFor returns until when the server may get no request of an instance because of rests, and false if it may.
 func (s *server) restEndFor(from string, now time.Time) (time.Time, bool) {
-	if s.restsForAll(now) {
+	if s.closedByRests(now) {
 		return later(s.rests.allUntil, s.rests.until[from]), true
 	}
 	return s.rests.until[from], s.restsFor(from, now)
@@ -171,7 +172,7 @@
 // server if all rest for all instances.
 func (c *Controller) rejectResting(now time.Time, s *server) []Decision {
 	waiting := s.queue.inOrder()
-	if c.allRest(now) {
+	if c.allClosedByRests(now) {
 		for _, w := range c.queued {
 			if w.Server == "" {
 				waiting = append(waiting, w)
@@ -188,13 +189,13 @@
 	return out
 }
 
-// allRest reports whether all servers rest for all instances.
-func (c *Controller) allRest(now time.Time) bool {
+// allClosedByRests reports whether no server gets a request of any instance now.
+func (c *Controller) allClosedByRests(now time.Time) bool {
 	if len(c.resting) < len(c.servers) {
 		return false
 	}
 	for s := range c.resting {
-		if !s.restsForAll(now) {
+		if !s.closedByRests(now) {
 			return false
 		}
 	}
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -171,7 +171,7 @@
 
 // open reports whether a request may be sent now, to run or to wait for a slot at the server.
 func (s *server) open(now time.Time) bool {
-	return s.occupancy(now) < s.room(now) && !now.Before(s.fullUntil) && !now.Before(s.nextSendAt) && !s.restsForAll(now)
+	return s.occupancy(now) < s.room(now) && !now.Before(s.fullUntil) && !now.Before(s.nextSendAt) && !s.closedByRests(now)
 }
 
 // waitingForSlot returns how many admitted requests wait for a slot at the server.
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -118,13 +118,13 @@
 	case dgram.AskedSender:
 		n.admissions.rest(from.String(), m.Server, until)
 	case dgram.AskedAll:
-		n.restOfAll(m.Server, until)
+		n.restForAll(m.Server, until)
 	}
 }
 
-// restOfAll takes in that a server wants no requests of any instance until a time.
-func (n *Node) restOfAll(server string, until time.Time) {
-	if n.cluster.statements.ObserveRestOfAll(server, until, time.Now()) {
+// restForAll takes in that a server wants no requests of any instance until a time.
+func (n *Node) restForAll(server string, until time.Time) {
+	if n.cluster.statements.ObserveRestForAll(server, until, time.Now()) {
 		n.events.Record(event.StateChange, "server-rests-for-all", "server", server, "rest", time.Until(until))
 		n.applyStatement(server)
 	}
@@ -135,7 +135,7 @@
 	for server, until := range n.admissions.restsUntil(now) {
 		controllers := n.controllersOf(server, now)
 		if len(controllers) > 0 && controllers[0].Name == n.settings.Name {
-			n.restOfAll(server, until)
+			n.restForAll(server, until)
 			n.port.SendAll(n.otherAddresses(n.withLeader(nil, now)), restMessage(server, until, dgram.AskedAll)(now))
 		}
 	}
--- a/internal/stated/table.go
+++ b/internal/stated/table.go
@@ -39,9 +39,9 @@
 const unlistedTime = 10 * time.Minute
 
 const (
-	// restOfAllTime is for how long a rest for all instances counts that is not told again. The server may take requests
+	// restForAllTime is for how long a rest for all instances counts that is not told again. The server may take requests
 	// again before the rests that it has asked for are over.
-	restOfAllTime = 3 * time.Second
+	restForAllTime = 3 * time.Second
 	// minRestNews is by how much such a rest must be longer than what was known to be worth a change.
 	minRestNews = 500 * time.Millisecond
 	// minLeaveNews is by how much the time of a leave must be earlier to be worth a change. What others tell differs by the
@@ -67,9 +67,9 @@
 	middles map[string]struct{}
 	// restUntil is until when this instance sends the server no requests, zero if it has never asked for that.
 	restUntil time.Time
-	// restOfAllUntil is until when the server wants no requests of any instance, as far as its controllers know, zero if that
+	// restForAllUntil is until when the server wants no requests of any instance, as far as its controllers know, zero if that
 	// is not so.
-	restOfAllUntil time.Time
+	restForAllUntil time.Time
 	// dropAt is when the entry is dropped, zero while the server is listed in the directory.
 	dropAt time.Time
 }
@@ -144,17 +144,17 @@
 	return true
 }
 
-// ObserveRestOfAll takes in that a server wants no requests of any instance until a time, but no longer than
-// restOfAllTime if that is not told again. It reports whether what is known has changed by enough to matter.
-func (t *Table) ObserveRestOfAll(server string, until, now time.Time) bool {
+// ObserveRestForAll takes in that a server wants no requests of any instance until a time, but no longer than
+// restForAllTime if that is not told again. It reports whether what is known has changed by enough to matter.
+func (t *Table) ObserveRestForAll(server string, until, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(server)
-	until = clock.Earlier(until, now.Add(restOfAllTime))
-	if until.Sub(e.restOfAllUntil) <= minRestNews {
+	until = clock.Earlier(until, now.Add(restForAllTime))
+	if until.Sub(e.restForAllUntil) <= minRestNews {
 		return false
 	}
-	e.restOfAllUntil = until
+	e.restForAllUntil = until
 	return true
 }
 
@@ -189,7 +189,7 @@
 	if e == nil {
 		return s
 	}
-	s.RateLimit, s.RestsUntil = e.limit.rate, e.restOfAllUntil
+	s.RateLimit, s.RestsUntil = e.limit.rate, e.restForAllUntil
 	if !e.leaveBy.IsZero() {
 		s.Draining = true
 		if s.LeaveBy.IsZero() || e.leaveBy.Before(s.LeaveBy) {
@@ -221,8 +221,8 @@
 			out.Rests = append(out.Rests, server)
 			e.restUntil = time.Time{}
 		}
-		if !now.Before(e.restOfAllUntil) {
-			e.restOfAllUntil = time.Time{}
+		if !now.Before(e.restForAllUntil) {
+			e.restForAllUntil = time.Time{}
 		}
 		switch {
 		case isListed:
@@ -242,5 +242,5 @@
 
 // empty reports whether the entry states nothing.
 func (e *entry) empty() bool {
-	return e.limit == (limitEntry{}) && e.leaveBy.IsZero() && e.restUntil.IsZero() && e.restOfAllUntil.IsZero()
+	return e.limit == (limitEntry{}) && e.leaveBy.IsZero() && e.restUntil.IsZero() && e.restForAllUntil.IsZero()
 }
--- a/internal/stated/table_test.go
+++ b/internal/stated/table_test.go
@@ -163,18 +163,18 @@
 }
 
 // Checks for how long a rest for all instances counts, and which changes of it matter.
-func TestRestsOfAll(t *testing.T) {
+func TestRestsForAll(t *testing.T) {
 	is := is.New(t)
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	l := stated.NewTable()
 	restsUntil := func() time.Time { return l.Apply(rules.Server{ID: "s"}).RestsUntil }
-	is.True(l.ObserveRestOfAll("s", at(1000), at(0)))
+	is.True(l.ObserveRestForAll("s", at(1000), at(0)))
 	is.Equal(restsUntil(), at(1000))
-	is.True(!l.ObserveRestOfAll("s", at(1200), at(200))) // hardly longer
-	is.True(l.ObserveRestOfAll("s", at(3_000_000), at(400)))
+	is.True(!l.ObserveRestForAll("s", at(1200), at(200))) // hardly longer
+	is.True(l.ObserveRestForAll("s", at(3_000_000), at(400)))
 	is.Equal(restsUntil(), at(3400)) // counts only while it is told again
-	is.True(!l.ObserveRestOfAll("s", at(3_000_000), at(800)))
-	is.True(l.ObserveRestOfAll("s", at(3_000_000), at(1200)))
+	is.True(!l.ObserveRestForAll("s", at(3_000_000), at(800)))
+	is.True(l.ObserveRestForAll("s", at(3_000_000), at(1200)))
 	is.Equal(restsUntil(), at(4200))
 	l.Expire(func(string) bool { return true }, at(4200))
 	is.Equal(restsUntil(), time.Time{})
