Log the era that the store states

The store may come back from an older copy of its data. The header Store-Era says so, and nothing read it: the lines could not tell whether an offset belongs to the present history of a topic or to a lost one. The lines store-records-expired and store-era state it now.

Nothing is decided by it yet.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,6 +39,8 @@
 type Batch struct {
 	Records []Record
 	End     int64
+	// Era counts how often the store has come back from an older copy of its data, zero if the store does not state it.
+	Era uint64 `msgpack:"-"`
 }
 
 // Store is a client of the shared store, which holds topics of records with keys and offsets.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"example.org/mustardring/internal/clock"
@@ -20,6 +21,8 @@
 	calls  *expvar.Map
 	times  *edge.LatencyHistograms
 	events *event.Log
+	// era is the era of the last answer.
+	era atomic.Uint64
 }
 
 // Read implements follow.Store.
@@ -31,8 +34,9 @@
 	}
 	if errors.Is(err, follow.ErrExpired) {
 		s.calls.Add("read-expired "+topic, 1)
-		s.events.Record(event.StateChange, "store-records-expired", "topic", topic, "from", from)
+		s.events.Record(event.StateChange, "store-records-expired", "topic", topic, "from", from, "era", batch.Era)
 	}
+	s.observeEra(topic, batch)
 	return batch, err
 }
 
@@ -41,9 +45,17 @@
 	begun := clock.Boot{}.Now()
 	batch, err := s.Store.Newest(ctx, topic)
 	s.times.Record("newest "+topic, clock.Boot{}.Now().Sub(begun))
+	s.observeEra(topic, batch)
 	return batch, err
 }
 
+// observeEra logs that the store has come back from an older copy of its data.
+func (s *instrumentedStore) observeEra(topic string, batch follow.Batch) {
+	if known := s.era.Swap(batch.Era); known != batch.Era && batch.Era != 0 {
+		s.events.Record(event.StateChange, "store-era", "era", batch.Era, "known", known, "topic", topic, "end", batch.End)
+	}
+}
+
 // Append implements follow.Store. The kind of an append is the part of its first key before the first slash.
 func (s *instrumentedStore) Append(ctx context.Context, topic string, records []follow.Record, expectedEnd int64) (int64, error) {
 	key, size := records[0].Key, 0
