--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -13,6 +13,7 @@
 
 	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/pack"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/shard"
@@ -99,7 +100,7 @@
 	// owners before them. Offset is that of the first one; Records is their number, zero for one.
 	OwnerChange struct {
 		Service string
-		Offset  int64
+		Offset  logpos.Pos
 		Fence   uint64
 		Changes []shard.Range
 		Records int
@@ -111,11 +112,11 @@
 	Relay struct{ Data []byte }
 	// ViewRequest asks a peer for its view of the owners. The sender knows the records before End only,
 	// and cannot read the store.
-	ViewRequest struct{ End int64 }
+	ViewRequest struct{ End logpos.Pos }
 	// ViewSnapshot answers ViewRequest with the complete view of the sender: the encoded maps of owners by
 	// service, and the records of instances by name, as of offset End.
 	ViewSnapshot struct {
-		End       int64
+		End       logpos.Pos
 		Maps      map[string][]byte
 		Instances map[string][]byte
 	}
@@ -213,7 +214,7 @@
 func Encode(m Message) ([]byte, error) {
 	var out bytes.Buffer
 	out.WriteByte(m.kind())
-	if err := pack.Encode(&out, m); err != nil {
+	if err := pack.Encode(&out, toWire(m)); err != nil {
 		return nil, err
 	}
 	return deflate(out.Bytes())
@@ -228,6 +229,15 @@
 		}
 		data = inner
 	}
+	m, err := decodeKind(data)
+	if err != nil {
+		return nil, err
+	}
+	return fromWire(m), nil
+}
+
+// decodeKind returns the message in a datagram as it is transmitted.
+func decodeKind(data []byte) (Message, error) {
 	if len(data) == 0 {
 		return nil, ErrMessage
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/logpos"
 )
 
 // The errors of a Store. After any error other than ErrConflict and ErrNotDone the call may have been carried
@@ -25,31 +26,35 @@
 	ErrUnknown = errors.New("follow: outcome unknown")
 	// ErrExpired means that the store no longer keeps the requested records.
 	ErrExpired = errors.New("follow: records expired")
+	// ErrReturned means that the store has come back from an older copy, so that the stated position names no record of the
+	// present topic. The call has had no effect.
+	ErrReturned = errors.New("follow: store has returned from a copy")
 )
 
 // Record is one record of a topic. An empty value deletes the key.
 type Record struct {
 	Key    string
 	Value  []byte
-	Offset int64
+	Offset logpos.Pos
 }
 
-// Batch holds records of a topic in the order of their offsets, and the offset after the last record of the
-// topic when they were read.
+// Batch holds records of a topic in the order of their positions, all of one era, and the position after the last record of
+// the topic when they were read.
 type Batch struct {
 	Records []Record
-	End     int64
-	// Era counts how often the store has come back from an older copy of its data, zero if the store does not state it.
-	Era uint64 `msgpack:"-"`
+	End     logpos.Pos
+	// EraFault is why the era that the store stated was not believed; the last known one was used in its place.
+	EraFault error `msgpack:"-"`
 }
 
 // Store is a client of the shared store, which holds topics of records with keys and offsets.
 type Store interface {
 	// Append appends records, all or none, if the topic ends at expectedEnd, or in any case if that is negative. It
 	// returns the offset of the first one.
-	Append(ctx context.Context, topic string, records []Record, expectedEnd int64) (int64, error)
-	// Read returns the records from an offset on. If there are none it waits for some, at most for wait.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error)
+	Append(ctx context.Context, topic string, records []Record, expectedEnd logpos.Pos) (logpos.Pos, error)
+	// Read returns the records from an offset on. If there are none it waits for some, at most for wait. With ErrExpired and
+	// ErrReturned, the end of the batch is a position of the present era.
+	Read(ctx context.Context, topic string, from logpos.Pos, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic string) (Batch, error)
 }
@@ -63,6 +68,8 @@
 	// dropped the records that come next.
 	ReasonStarted Reason = "started"
 	ReasonExpired Reason = "records-gone"
+	// ReasonReturned is for a read after the store has come back from an older copy.
+	ReasonReturned Reason = "store-returned"
 	// ReasonReader is for reads of an instance that reads for the others.
 	ReasonReader Reason = "in-charge"
 	// ReasonOverdue is for a read because no confirmation came in time that the copy is complete, ReasonBehind
@@ -86,8 +93,11 @@
 	Reason Reason
 	// Snapshot means that Records holds the newest record of every key: other keys are deleted.
 	Snapshot bool
+	// Returned means that the store has come back from an older copy since the last update. What Snapshot lacks may be lost
+	// only there, and what it holds may be outdated.
+	Returned bool
 	// From is the offset from which the topic was read.
-	From int64
+	From logpos.Pos
 	// StartedAt is when the read started: no record that was acknowledged before is missing. It is zero for
 	// an update of another instance.
 	StartedAt clock.Instant
@@ -111,7 +121,7 @@
 // order of its fields must not change.
 type PeerUpdate struct {
 	// From is the offset from which the other instance read.
-	From int64
+	From logpos.Pos
 	// RecordAge is the maximum age of the oldest record, and Staleness the age of the sender's copy up to End,
 	// both when the update was sent and in milliseconds. A negative Staleness means unknown.
 	RecordAge int64
@@ -124,6 +134,16 @@
 	SentAt clock.Instant `msgpack:"-"`
 }
 
+// In returns an update of a release that does not know eras, whose positions are in that of the receiver.
+func (p PeerUpdate) In(era logpos.Era) PeerUpdate {
+	p.From, p.End = p.From.In(era), p.End.In(era)
+	p.Records = slices.Clone(p.Records)
+	for i := range p.Records {
+		p.Records[i].Offset = p.Records[i].Offset.In(era)
+	}
+	return p
+}
+
 // Watch delivers the records of one topic, by which the receiver of Out keeps its copy up to date. With many
 // instances calls to the store are expensive, so most instances do not read: they take the updates that others
 // have read, and read only when records are missing or another instance knows more.
@@ -183,11 +203,13 @@
 	// The fields up to nextAskAt are used by the goroutine of Run only. nextOffset is the offset after the last known
 	// record, peerEnd the end of the topic known to another instance. Until pauseUntil this instance reads only
 	// when asked to.
-	nextOffset int64
-	peerEnd    int64
+	nextOffset logpos.Pos
+	peerEnd    logpos.Pos
 	pauseUntil time.Time
 	// expiredEnd is the offset after the last record that the store is known to have dropped: an earlier snapshot lacks it.
-	expiredEnd int64
+	expiredEnd logpos.Pos
+	// snapshotsLost is the number of reads that found their records lost since the last one that did not.
+	snapshotsLost int
 	// needsSnapshot means that the next read is of a snapshot, lastReason is the reason of the last read. loaded means
 	// that the topic is known, startFailures is the number of reads that failed before.
 	needsSnapshot bool
@@ -204,7 +226,7 @@
 	// topic had no records from there on, zero if there is no known one. They are updated together: an end from
 	// before an update with a time from after it would state that the records of the update do not exist.
 	mu          sync.Mutex
-	appliedEnd  int64
+	appliedEnd  logpos.Pos
 	appliedAsOf clock.Instant
 	// changed is closed when appliedEnd or appliedAsOf changes, nil if nobody waits for that.
 	changed chan struct{}
@@ -237,7 +259,7 @@
 
 // Known returns the end of what the receiver of Out acts on, and a time up to which the topic had no records
 // from there on, zero if there is no known one.
-func (w *Watch) Known() (end int64, asOf clock.Instant) {
+func (w *Watch) Known() (end logpos.Pos, asOf clock.Instant) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.appliedEnd, w.appliedAsOf
@@ -251,7 +273,7 @@
 }
 
 // setApplied sets what the receiver of Out acts on, and wakes those that wait for a change. The lock is held.
-func (w *Watch) setApplied(end int64, asOf clock.Instant) {
+func (w *Watch) setApplied(end logpos.Pos, asOf clock.Instant) {
 	if end == w.appliedEnd && asOf == w.appliedAsOf {
 		return
 	}
@@ -274,7 +296,7 @@
 
 // ConfirmCurrent takes in the statement of another instance that up to asOf the topic had no records from end
 // on. It is ignored unless this instance acts on all records before end.
-func (w *Watch) ConfirmCurrent(end int64, asOf clock.Instant) {
+func (w *Watch) ConfirmCurrent(end logpos.Pos, asOf clock.Instant) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if end <= w.appliedEnd {
@@ -319,7 +341,9 @@
 
 // RequireEnd states that another instance knows the topic up to an offset: what other instances are asked for must reach
 // it. It makes no read due.
-func (w *Watch) RequireEnd(end int64) { w.requiredEnd.Store(max(w.requiredEnd.Load(), end)) }
+func (w *Watch) RequireEnd(end logpos.Pos) {
+	w.requiredEnd.Store(max(w.requiredEnd.Load(), int64(end)))
+}
 
 // Run keeps the topic up to date until ctx is done.
 func (w *Watch) Run(ctx context.Context) error {
@@ -334,9 +358,13 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case !done:
-		case errors.Is(u.Err, ErrExpired):
-			w.needsSnapshot, w.expiredEnd, w.peersFailed, reason = true, u.From+1, false, ReasonExpired
-			continue
+		case errors.Is(u.Err, ErrExpired), errors.Is(u.Err, ErrReturned):
+			reason = w.planSnapshot(u)
+			if w.snapshotsLost <= 1 {
+				continue
+			}
+			// The snapshot in between did not help.
+			w.pauseFor(w.RetryDelay(0))
 		default:
 			w.finishRead(ctx, u)
 		}
@@ -346,6 +374,19 @@
 	}
 }
 
+// planSnapshot makes the next read one of a snapshot because the records of a read are lost, and returns its reason.
+func (w *Watch) planSnapshot(u Update) Reason {
+	w.needsSnapshot, w.peersFailed = true, false
+	w.snapshotsLost++
+	w.expiredEnd = max(u.From+1, u.End)
+	w.lastReason = ReasonExpired
+	if errors.Is(u.Err, ErrReturned) {
+		w.expiredEnd = u.End
+		w.lastReason = ReasonReturned
+	}
+	return w.lastReason
+}
+
 // finishRead passes on the result of a read, and sets the time before which no other read is due.
 func (w *Watch) finishRead(ctx context.Context, u Update) {
 	w.peersFailed = false
@@ -363,6 +404,10 @@
 	}
 	w.stopFetch()
 	w.failures.Store(0)
+	if !u.Snapshot {
+		w.snapshotsLost = 0
+	}
+	u.Returned = u.Snapshot && w.loaded && u.End.Era() > w.nextOffset.Era()
 	w.loaded, w.startFailures = true, 0
 	u = w.dropKnown(u)
 	w.emit(ctx, u)
@@ -497,11 +542,12 @@
 	if awaited := p.Snapshot && w.needsSnapshot; p.End < w.nextOffset || p.End == w.nextOffset && !awaited {
 		return
 	}
-	if p.From > w.nextOffset {
+	if p.From > w.nextOffset && !p.Snapshot {
 		w.peerEnd, w.pauseUntil = max(w.peerEnd, p.End), time.Time{}
 		return
 	}
 	u := Update{Topic: w.Topic, Batch: Batch{End: p.End}, WrittenAfter: w.currentAsOf(), Snapshot: p.Snapshot}
+	u.Returned = p.Snapshot && w.loaded && p.End.Era() > w.nextOffset.Era()
 	if p.SentAt != 0 {
 		u.WrittenAfter = max(u.WrittenAfter, p.SentAt.Add(-time.Duration(p.RecordAge)*time.Millisecond))
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -13,6 +13,7 @@
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 )
 
 // fakeStore is a store with one topic, whose reads can hang or find their records expired.
@@ -28,7 +29,7 @@
 func (s *fakeStore) put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, follow.Record{Key: key, Value: []byte(value), Offset: int64(len(s.records))})
+	s.records = append(s.records, follow.Record{Key: key, Value: []byte(value), Offset: logpos.Pos(len(s.records))})
 }
 
 func (s *fakeStore) set(do func()) {
@@ -43,7 +44,7 @@
 	return n
 }
 
-func (s *fakeStore) Append(context.Context, string, []follow.Record, int64) (int64, error) {
+func (s *fakeStore) Append(context.Context, string, []follow.Record, logpos.Pos) (logpos.Pos, error) {
 	return 0, nil
 }
 
@@ -60,7 +61,7 @@
 	for i, r := range s.records {
 		last[r.Key] = i
 	}
-	b := follow.Batch{End: int64(len(s.records))}
+	b := follow.Batch{End: logpos.Pos(len(s.records))}
 	for i, r := range s.records {
 		if last[r.Key] == i {
 			b.Records = append(b.Records, r)
@@ -69,13 +70,13 @@
 	return b
 }
 
-func (s *fakeStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (follow.Batch, error) {
+func (s *fakeStore) Read(ctx context.Context, _ string, from logpos.Pos, wait time.Duration) (follow.Batch, error) {
 	deadline := time.Now().Add(wait)
 	s.set(func() { s.reads++ })
 	hung := false
 	for {
 		s.mu.Lock()
-		b := follow.Batch{End: int64(len(s.records)), Records: s.records[min(from, int64(len(s.records))):]}
+		b := follow.Batch{End: logpos.Pos(len(s.records)), Records: s.records[min(from, logpos.Pos(len(s.records))):]}
 		// A lost answer does not arrive later either.
 		hung = hung || s.hang
 		expired := s.expired
@@ -199,10 +200,12 @@
 		updates := make(chan follow.PeerUpdate, 4)
 		out := runWatch(t, &follow.Watch{Store: s, ReadsStore: never, PeerUpdates: updates})
 		<-out
-		record := func(offset int64) follow.Record { return follow.Record{Key: "a", Value: []byte("x"), Offset: offset} }
+		record := func(offset logpos.Pos) follow.Record {
+			return follow.Record{Key: "a", Value: []byte("x"), Offset: offset}
+		}
 		s.put("a", "1")
 		updates <- follow.PeerUpdate{From: 1, Batch: follow.Batch{Records: []follow.Record{record(1)}, End: 2}}
-		is.Equal((<-out).End, int64(2))
+		is.Equal((<-out).End, logpos.Pos(2))
 		updates <- follow.PeerUpdate{From: 0, Batch: follow.Batch{Records: []follow.Record{record(0), record(1)}, End: 2}}
 		time.Sleep(time.Minute)
 		is.Equal(len(out), 0) // nothing new
@@ -211,8 +214,8 @@
 		s.put("a", "3")
 		updates <- follow.PeerUpdate{From: 3, Batch: follow.Batch{Records: []follow.Record{record(3)}, End: 4}}
 		u := <-out
-		is.Equal(u.From, int64(2)) // the records in between were read
-		is.Equal(u.End, int64(4))
+		is.Equal(u.From, logpos.Pos(2)) // the records in between were read
+		is.Equal(u.End, logpos.Pos(4))
 	})
 }
 
@@ -345,7 +348,7 @@
 // failingStore is a store of which only snapshots can be read.
 type failingStore struct{ *fakeStore }
 
-func (*failingStore) Read(context.Context, string, int64, time.Duration) (follow.Batch, error) {
+func (*failingStore) Read(context.Context, string, logpos.Pos, time.Duration) (follow.Batch, error) {
 	return follow.Batch{}, follow.ErrNotDone
 }
 
@@ -446,7 +449,7 @@
 // slowStore is a store whose answers arrive 0.2 seconds late.
 type slowStore struct{ *fakeStore }
 
-func (s *slowStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (follow.Batch, error) {
+func (s *slowStore) Read(ctx context.Context, topic string, from logpos.Pos, wait time.Duration) (follow.Batch, error) {
 	b, err := s.fakeStore.Read(ctx, topic, from, wait)
 	time.Sleep(200 * time.Millisecond)
 	return b, err
@@ -462,11 +465,11 @@
 	watch.ConfirmCurrent(5, 150)
 	watch.ConfirmCurrent(6, 300) // an instance that knows more cannot confirm this copy
 	end, until := watch.Known()
-	is.Equal(end, int64(5))
+	is.Equal(end, logpos.Pos(5))
 	is.Equal(until, clock.Instant(150))
 	watch.MarkApplied(follow.Update{Batch: follow.Batch{End: 6}, CurrentAsOf: 120})
 	end, until = watch.Known()
-	is.Equal(end, int64(6))
+	is.Equal(end, logpos.Pos(6))
 	is.Equal(until, clock.Instant(150)) // the earlier confirmation still holds
 }
 
@@ -486,7 +489,7 @@
 		updates <- follow.PeerUpdate{From: 1, Batch: follow.Batch{Records: []follow.Record{{Key: "a", Value: []byte("2"), Offset: 1}}, End: 2}}
 		synctest.Wait()
 		is.Equal(len(out), 1)
-		is.Equal((<-out).End, int64(2))
+		is.Equal((<-out).End, logpos.Pos(2))
 	})
 }
 
@@ -508,7 +511,7 @@
 		updates <- follow.PeerUpdate{From: 1, Batch: follow.Batch{Records: []follow.Record{{Key: "a", Value: []byte("2"), Offset: 1}}, End: 2}}
 		synctest.Wait()
 		is.Equal(len(out), 1)
-		is.Equal((<-out).End, int64(2))
+		is.Equal((<-out).End, logpos.Pos(2))
 	})
 }
 
@@ -534,10 +537,10 @@
 				readNow <- struct{}{}
 				time.Sleep(500 * time.Millisecond) // the answer has been made and is in transit
 				updates <- follow.PeerUpdate{From: 1, Batch: follow.Batch{Records: []follow.Record{removed, again}, End: 3}}
-				is.Equal((<-out).End, int64(3))
+				is.Equal((<-out).End, logpos.Pos(3))
 				u := <-out
 				is.Equal(len(u.Records), 0)
-				is.Equal(u.End, int64(3))
+				is.Equal(u.End, logpos.Pos(3))
 				is.True(!u.Snapshot)
 			})
 		})
@@ -550,7 +553,7 @@
 	delay time.Duration
 }
 
-func (s *delayedStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (follow.Batch, error) {
+func (s *delayedStore) Read(ctx context.Context, topic string, from logpos.Pos, wait time.Duration) (follow.Batch, error) {
 	batch, err := s.fakeStore.Read(ctx, topic, from, wait)
 	s.hold()
 	return batch, err
@@ -592,7 +595,7 @@
 // truncatingStore is a store that answers with at most one record.
 type truncatingStore struct{ *fakeStore }
 
-func (s *truncatingStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (follow.Batch, error) {
+func (s *truncatingStore) Read(ctx context.Context, topic string, from logpos.Pos, wait time.Duration) (follow.Batch, error) {
 	batch, err := s.fakeStore.Read(ctx, topic, from, wait)
 	batch.Records = batch.Records[:min(len(batch.Records), 1)]
 	return batch, err
@@ -609,7 +612,7 @@
 		<-out
 		s.put("a", "2")
 		startedAt := time.Now()
-		is.Equal((<-out).End, int64(2))
+		is.Equal((<-out).End, logpos.Pos(2))
 		is.True(time.Since(startedAt) <= pause+10*time.Millisecond)
 	})
 }
@@ -631,7 +634,7 @@
 		s.put("a", "2")
 		startedAt := time.Now()
 		updates <- follow.PeerUpdate{From: 2, Batch: follow.Batch{End: 2}}
-		is.Equal((<-out).End, int64(2))
+		is.Equal((<-out).End, logpos.Pos(2))
 		is.True(time.Since(startedAt) < time.Second)
 	})
 }
@@ -671,7 +674,7 @@
 				s.set(func() { s.expired = true })
 				time.Sleep(1500 * time.Millisecond)
 				is.True(len(out) > 0)
-				is.Equal((<-out).End, int64(2))
+				is.Equal((<-out).End, logpos.Pos(2))
 				is.True(s.readCount() <= 5) // the first, the one that expires, and the poll and the overdue read after it
 			})
 		})
@@ -706,9 +709,9 @@
 		startedAt = time.Now()
 		updates <- follow.PeerUpdate{From: 3, Batch: follow.Batch{End: 3}} // announces both records without them
 		updates <- follow.PeerUpdate{From: 1, Batch: follow.Batch{Records: []follow.Record{{Key: "a", Value: []byte("2"), Offset: 1}}, End: 2}}
-		is.Equal((<-out).End, int64(2)) // messages are applied while other instances are asked
+		is.Equal((<-out).End, logpos.Pos(2)) // messages are applied while other instances are asked
 		is.Equal(time.Since(startedAt), time.Duration(0))
-		is.Equal((<-out).End, int64(3))
+		is.Equal((<-out).End, logpos.Pos(3))
 		is.Equal(time.Since(startedAt), storeTime)
 	})
 }
@@ -726,7 +729,7 @@
 		reads := s.readCount()
 		updates <- follow.PeerUpdate{From: 2, Batch: follow.Batch{End: 2}}
 		updates <- follow.PeerUpdate{From: 1, Batch: follow.Batch{Records: []follow.Record{{Key: "a", Value: []byte("2"), Offset: 1}}, End: 2}}
-		is.Equal((<-out).End, int64(2))
+		is.Equal((<-out).End, logpos.Pos(2))
 		time.Sleep(10 * time.Second)
 		is.Equal(s.readCount(), reads)
 	})
@@ -762,7 +765,7 @@
 // deadStore is a store that refuses all reads.
 type deadStore struct{ *fakeStore }
 
-func (*deadStore) Read(context.Context, string, int64, time.Duration) (follow.Batch, error) {
+func (*deadStore) Read(context.Context, string, logpos.Pos, time.Duration) (follow.Batch, error) {
 	return follow.Batch{}, follow.ErrNotDone
 }
 
--- a/internal/follow/peers.go
+++ b/internal/follow/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/logpos"
 )
 
 // PeerRequest asks another instance for what it knows of a topic.
@@ -12,11 +13,13 @@
 	Topic string
 	// From is the offset after the last record that the sender knows. It is negative if the sender knows nothing, or
 	// needs a snapshot.
-	From int64
+	From logpos.Pos
 	// MinEnd is the end of the topic that the answer must reach, if it is greater than From.
-	MinEnd int64
+	MinEnd logpos.Pos
 	// MaxStaleness is the maximum age of the answer; zero means any.
 	MaxStaleness time.Duration
+	// InForce asks for what the receiver acts on, which may be of an earlier era of the store than what it has read.
+	InForce bool
 	// Starting means that the sender has never known the topic. It is not transmitted.
 	Starting bool
 }
@@ -121,7 +124,7 @@
 
 // peerRequest returns a request for what this instance lacks.
 func (w *Watch) peerRequest() PeerRequest {
-	r := PeerRequest{Topic: w.Topic, From: w.nextOffset, MinEnd: max(w.peerEnd, w.requiredEnd.Load(), w.expiredEnd), Starting: !w.loaded}
+	r := PeerRequest{Topic: w.Topic, From: w.nextOffset, MinEnd: max(w.peerEnd, logpos.Pos(w.requiredEnd.Load()), w.expiredEnd), Starting: !w.loaded}
 	switch {
 	case w.needsSnapshot:
 		r.From = -1
--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 )
 
@@ -46,7 +47,7 @@
 	// Register asks the receiver to write the registration to the store.
 	Register bool `json:"register"`
 	// Known is the offset after the last record of the register that the sender knows.
-	Known int64 `json:"known"`
+	Known logpos.Pos `json:"known"`
 
 	// writeUntil is when the receiver gives up writing the registration.
 	writeUntil time.Time
@@ -81,7 +82,7 @@
 type writtenEntry struct {
 	incarnation uint64
 	// end is the offset after the record, zero if it is not known whether it was written.
-	end int64
+	end logpos.Pos
 	// until is until when the seed remembers it, but no longer than latest.
 	until  time.Time
 	latest time.Time
@@ -191,7 +192,7 @@
 }
 
 // Written records that registrations were written, and the offset after them, zero if it is not known whether they were.
-func (b *Book) Written(requests []Request, end int64, now time.Time) {
+func (b *Book) Written(requests []Request, end logpos.Pos, now time.Time) {
 	for _, r := range requests {
 		b.written[r.Name] = writtenEntry{incarnation: r.Entry.Incarnation, end: end, until: now.Add(WrittenTime), latest: now.Add(maxWrittenTime)}
 	}
--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/worker"
 
 	"github.com/charmbracelet/log"
@@ -42,22 +43,62 @@
 	mu     sync.Mutex
 	topics map[string][]follow.Record
 	down   bool
+	// era counts the returns of the store from copies, starting at one if it states them.
+	era logpos.Era
+	// written holds when the records of the owners were written.
+	written []time.Time
 }
 
-func (s *fakeStore) append(topic string, records []follow.Record, expectedEnd int64) (int64, error) {
+// returnFrom makes the store come back from a copy of some age.
+func (s *fakeStore) returnFrom(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	end := int64(len(s.topics[topic]))
-	if expectedEnd >= 0 && expectedEnd != end {
+	kept := 0
+	for kept < len(s.written) && time.Since(s.written[kept]) > age {
+		kept++
+	}
+	s.topics[ownersTopic], s.written = s.topics[ownersTopic][:kept:kept], s.written[:kept:kept]
+	s.era++
+	s.down = false
+}
+
+func (s *fakeStore) append(topic string, records []follow.Record, expectedEnd logpos.Pos) (logpos.Pos, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// The store compares offsets, whatever era they were given out in.
+	end := logpos.At(s.era, int64(len(s.topics[topic])))
+	if expectedEnd >= 0 && expectedEnd.Offset() != end.Offset() {
 		return 0, follow.ErrConflict
 	}
 	for i, r := range records {
-		r.Offset = end + int64(i)
+		r.Offset = end + logpos.Pos(i)
 		s.topics[topic] = append(s.topics[topic], r)
+		s.written = append(s.written, time.Now())
+	}
+	if expectedEnd >= 0 && expectedEnd.Era() != s.era {
+		return 0, follow.ErrUnknown
 	}
 	return end, nil
 }
 
+// records returns the records of a topic from a position on.
+func (s *fakeStore) records(topic string, from logpos.Pos) (follow.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.topics[topic]
+	batch := follow.Batch{End: logpos.At(s.era, int64(len(all)))}
+	if from != 0 && from.Era() != s.era {
+		batch.End = logpos.At(s.era, 0)
+		return batch, follow.ErrReturned
+	}
+	for i := min(from.Offset(), int64(len(all))); i < int64(len(all)); i++ {
+		r := all[i]
+		r.Offset = logpos.At(s.era, i)
+		batch.Records = append(batch.Records, r)
+	}
+	return batch, nil
+}
+
 // storeClient is the store as one instance reaches it, with delays and faults.
 type storeClient struct {
 	cluster *testCluster
@@ -74,7 +115,7 @@
 	return s.down
 }
 
-func (c *storeClient) Append(ctx context.Context, topic string, records []follow.Record, expectedEnd int64) (int64, error) {
+func (c *storeClient) Append(ctx context.Context, topic string, records []follow.Record, expectedEnd logpos.Pos) (logpos.Pos, error) {
 	c.cluster.delay()
 	if c.cut() {
 		worker.Sleep(ctx, c.cluster.appendTimeout)
@@ -91,17 +132,14 @@
 	return offset, err
 }
 
-func (c *storeClient) Read(_ context.Context, topic string, from int64, _ time.Duration) (follow.Batch, error) {
+func (c *storeClient) Read(_ context.Context, topic string, from logpos.Pos, _ time.Duration) (follow.Batch, error) {
 	c.cluster.delay()
 	if c.cut() {
 		return follow.Batch{}, follow.ErrNotDone
 	}
-	c.cluster.store.mu.Lock()
-	all := c.cluster.store.topics[topic]
-	batch := follow.Batch{End: int64(len(all)), Records: append([]follow.Record(nil), all[min(from, int64(len(all))):]...)}
-	c.cluster.store.mu.Unlock()
+	batch, err := c.cluster.store.records(topic, from)
 	c.cluster.delay()
-	return batch, nil
+	return batch, err
 }
 
 func (c *storeClient) Newest(ctx context.Context, topic string) (follow.Batch, error) {
@@ -145,13 +183,21 @@
 	directory     map[string]rules.Server
 	// endedFences holds the highest fences of the leases of ended incarnations, by name and checked key.
 	endedFences map[string][]uint64
-	violations  []string
-	moved       int
+	// topFences holds the highest fence with which any server has had each checked key, and that server.
+	topFences  [shard.NumKeys / keySpacing]topFence
+	violations []string
+	moved      int
 	// refusals counts the requests that servers without keys refused.
 	refusals int
 	guards   guards
 }
 
+// topFence is a fence and the incarnation of a server that had a key with it.
+type topFence struct {
+	fence  uint64
+	server string
+}
+
 // traceOutput returns where the instances log to: stderr if MUSTARDRING_TRACE is set, otherwise nowhere.
 func (tc *testCluster) traceOutput() io.Writer {
 	if os.Getenv("MUSTARDRING_TRACE") != "" {
@@ -259,6 +305,7 @@
 		},
 		BroadcastOwners: n.broadcastOwners, BroadcastRegister: n.broadcastRegister,
 		MoveCompleted: func(string, uint16, uint64) {},
+		EraChanged:    func() {}, FetchView: n.fetchView,
 	})
 	n.manager.guards = tc.guards
 	tc.mu.Lock()
@@ -290,7 +337,9 @@
 	}
 	watch := follow.Watch{
 		Store: client, Topic: ownersTopic, Clock: fakeClock{n.cluster.start}, Out: n.manager.StoreUpdates(), ReadNow: n.reread,
-		ReadsStore:   func() bool { return n.manager.Leads() || n.manager.Age() > 5*time.Second },
+		ReadsStore: func() bool {
+			return n.manager.Leads() || n.manager.ReadAge() > 5*time.Second || n.manager.LatestEra() > n.manager.Read().End.Era()
+		},
 		ReadInterval: func() time.Duration { return time.Second }, BatchDelay: func() time.Duration { return 0 }, RetryDelay: func(int) time.Duration { return 300 * time.Millisecond },
 	}
 	var loops sync.WaitGroup
@@ -316,7 +365,7 @@
 		for worker.Sleep(ctx, 100*time.Millisecond) {
 			b := roster.Heartbeat{
 				Name: n.name, Incarnation: incarnation, Confirmed: n.manager.ConfirmedOffset(), Known: n.manager.View().End,
-				StoreOK: n.manager.StoreOK(), Failing: n.manager.Failing(),
+				StoreOK: n.manager.StoreOK(), Failing: n.manager.Failing(), LatestEra: n.manager.LatestEra(),
 				SentAt: int64(n.manager.Clock.Now()), KnownAge: n.manager.Age().Milliseconds() + 1,
 			}
 			n.roster.RecordHeartbeat(b, time.Now())
@@ -342,6 +391,19 @@
 	}
 }
 
+// fetchView gets the view of another instance, if a message and its answer arrive.
+func (n *instance) fetchView(name string) {
+	for _, o := range n.cluster.others(n.name) {
+		if o.name != name || n.cluster.isCut(n.name, name) || n.cluster.isCut(name, n.name) || n.cluster.chance(n.cluster.lostMessages) {
+			continue
+		}
+		select {
+		case n.manager.PeerViews() <- o.manager.View():
+		default:
+		}
+	}
+}
+
 func (n *instance) broadcastOwners(c OwnerChange) {
 	n.toOthers(func(o *instance) {
 		select {
--- a/internal/lease/guards.go
+++ b/internal/lease/guards.go
@@ -24,11 +24,15 @@
 	// verifyConnection sends grants only on connections that were opened before the time as of which the grants
 	// are known to be current.
 	verifyConnection bool
+	// awaitKnowledge puts owners in force in a new era of the store only once all records on which a lease may rest are known.
+	awaitKnowledge bool
+	// renewFences gives all keys new fences in a new era if lost records may have given fences that are not known.
+	renewFences bool
 	// requireRegistration acts only while the view contains the registration of this instance.
 	requireRegistration bool
 }
 
 // allGuards has every guard on.
 var allGuards = guards{
-	conditionalAppend: true, endOldLeases: true, awaitConfirmation: true, awaitExpiry: true, requireFreshView: true, stopStaleGrants: true, requireRegistration: true, checkIncarnation: true, verifyConnection: true, requireMajority: true,
+	conditionalAppend: true, endOldLeases: true, awaitConfirmation: true, awaitExpiry: true, requireFreshView: true, stopStaleGrants: true, requireRegistration: true, checkIncarnation: true, verifyConnection: true, requireMajority: true, awaitKnowledge: true, renewFences: true,
 }
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -11,6 +11,7 @@
 
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
@@ -21,7 +22,13 @@
 func (lm *Manager) lead(ctx context.Context, now time.Time) {
 	leader, found := lm.Roster.Leader(now)
 	lm.logLeader(leader.Name)
-	leads := found && leader.Name == lm.Name && lm.storeReachable.Load() && lm.mayAct()
+	awaitsOpening := lm.view.awaitsOpening()
+	if awaitsOpening && now.Sub(lm.caughtUpAt) >= catchUpInterval {
+		lm.caughtUpAt = now
+		lm.updateRoster()
+		lm.catchUp(now)
+	}
+	leads := found && leader.Name == lm.Name && lm.storeReachable.Load() && (lm.mayAct() || awaitsOpening && lm.Registered())
 	if leads != lm.leads {
 		lm.leads = leads
 		lm.leading.Store(leads)
@@ -30,13 +37,22 @@
 		lm.Events.Record(event.StateChange, "leading", "leads", leads, "offset", lm.view.get().End)
 	}
 	lm.pruneMoves(lm.view.get())
-	if !leads {
+	switch {
+	case !leads:
+		return
+	case awaitsOpening:
+		lm.countServers(now)
+		lm.openEra(ctx, now)
 		return
 	}
 	lm.clear(ctx, now)
 	if now.Before(lm.nextWriteAt) {
 		return
 	}
+	if view := lm.view.get(); view.Opened == 0 && view.End.Era() != 0 {
+		lm.adoptEra(ctx, view.End.Era())
+		return
+	}
 	if !now.Before(lm.nextDecisionAt) {
 		for _, service := range lm.Services() {
 			if time.Now().Before(lm.nextWriteAt) {
@@ -96,7 +112,7 @@
 
 // append appends records directly behind the view and applies them. It reports whether they were appended.
 func (lm *Manager) append(ctx context.Context, records ...follow.Record) bool {
-	end := lm.view.get().End
+	end := lm.view.getRead().End
 	if !lm.guards.conditionalAppend {
 		end = -1
 	}
@@ -105,7 +121,7 @@
 	if err != nil {
 		lm.Events.Record(event.StateChange, "owners-not-written", "key", records[0].Key, "as-of", end, "error", err)
 		lm.nextWriteAt = time.Now().Add(writeRetryDelay)
-		if !errors.Is(err, follow.ErrConflict) {
+		if !errors.Is(err, follow.ErrConflict) && !errors.Is(err, follow.ErrReturned) {
 			lm.storeReachable.Store(false)
 			lm.SendHeartbeat()
 		}
@@ -113,11 +129,11 @@
 		return false
 	}
 	for i := range records {
-		records[i].Offset = offset + int64(i)
+		records[i].Offset = offset + logpos.Pos(i)
 	}
 	lm.applyUpdate(follow.Update{
 		Topic: lm.Topic, StartedAt: startedAt, CurrentAsOf: startedAt,
-		Batch: follow.Batch{End: offset + int64(len(records)), Records: records},
+		Batch: follow.Batch{End: offset + logpos.Pos(len(records)), Records: records},
 	})
 	return true
 }
@@ -129,6 +145,10 @@
 	if current == nil {
 		current = &shard.Map{}
 	}
+	if first := logpos.FirstFence(view.Opened); current.Fence < first {
+		current = current.Clone()
+		current.Fence = first
+	}
 	var next *shard.Map
 	completed := lm.withoutCompleted(service, current)
 	if completed != nil && !now.Before(lm.completionDueAt) {
@@ -177,6 +197,17 @@
 	return next
 }
 
+// countServers counts the servers of the services that have no owners, for readyToDivide.
+func (lm *Manager) countServers(now time.Time) {
+	counts := map[string]int{}
+	for _, s := range lm.Servers().All() {
+		counts[s.Service]++
+	}
+	for _, service := range lm.Services() {
+		lm.readyToDivide(service, counts[service], now)
+	}
+}
+
 // readyToDivide reports whether the number of servers of a new service has stopped changing, so that its
 // keys are divided among all of them at once. Otherwise the first server would get every key, and moving
 // them to the others range by range takes tens of seconds.
@@ -402,7 +433,7 @@
 
 // writeOwners appends the next owners of a service directly behind the view that they were decided from.
 func (lm *Manager) writeOwners(ctx context.Context, service string, from, to *shard.Map) {
-	records, to, err := ownersRecords(service, from, to)
+	records, to, err := ownersRecords(lm.view.get().ownersKey(service), from, to)
 	if err != nil || len(records) == 0 {
 		lm.Events.Record(event.StateChange, "owners-not-written", "service", service, "error", err)
 		return
@@ -412,7 +443,7 @@
 		return
 	}
 	lm.recordDecided(service, from, to)
-	offset := lm.view.get().End - int64(len(records))
+	offset := lm.view.get().End - logpos.Pos(len(records))
 	lm.BroadcastOwners(OwnerChange{Service: service, Offset: offset, Records: len(records), Fence: to.Fence, Changes: to.Changes(from)})
 	lm.Events.Record(event.StateChange, "owners-written", "service", service, "offset", offset, "fence", to.Fence,
 		"records", len(records), "ranges", len(to.Ranges), "changes", describeChanges(from, to))
--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -13,6 +13,7 @@
 
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
@@ -24,7 +25,7 @@
 	appends int
 }
 
-func (s *silentStore) Append(context.Context, string, []follow.Record, int64) (int64, error) {
+func (s *silentStore) Append(context.Context, string, []follow.Record, logpos.Pos) (logpos.Pos, error) {
 	s.appends++
 	time.Sleep(follow.AnswerTimeout)
 	return 0, follow.ErrUnknown
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -14,6 +14,9 @@
 //   - An instance renews only the leases in its newest record, and only while that record is known to
 //     have been the newest within the contact timeout of the roster, or within MaxViewAge while the
 //     instance is in contact with a majority of the others. Both are checked just before sending.
+//   - When the store comes back from an older copy, the owners in it are not acted on. Instances go on by what they know, as
+//     while the store is away, until one of them has put the owners in force in the new era: it does so once no lease can
+//     be left that is based on a lost record that it does not know. Fences of a later era are higher than all earlier ones.
 //   - The register of instances is in the same log. An instance that appends a move has thus read every
 //     registration before it, and an instance that reads its own registration reads every move before
 //     it. An instance without heartbeats is first marked as removed; its record is deleted only when its
@@ -31,6 +34,7 @@
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
@@ -169,8 +173,14 @@
 	// Maps holds the owners by service, Instances the register of instances by name.
 	Maps      map[string]*shard.Map
 	Instances map[string]roster.Entry
-	// End is the offset after the newest record.
-	End int64
+	// End is the position after the newest record.
+	End logpos.Pos
+	// Opened is the era of the store in which the owners are in force, zero if the store states no era or no record says so.
+	Opened logpos.Era
+	// shortKeys means that the records of owners have keys without an era, as releases that do not know eras write them.
+	shortKeys bool
+	// staged holds the owners of an era that is being opened, by service.
+	staged map[string]*stagedOwners
 	// parts holds the parts that are known of the owners of services of which not all are.
 	parts map[string][]*shard.Map
 }
@@ -218,6 +228,10 @@
 	Probe func(ctx context.Context, server shard.Owner) error
 	// RereadOwners asks for a read of Topic.
 	RereadOwners func()
+	// FetchView asks another instance for its view of the owners, which it passes to PeerViews. EraChanged is called when this
+	// instance has read the first records of a new era of the store, and when it has put the owners in force there.
+	FetchView  func(instance string)
+	EraChanged func()
 	// OwnersChanged is called when the view has changed. SendHeartbeat asks for a heartbeat at once, because
 	// the confirmed offset, or another state that heartbeats carry, has changed.
 	OwnersChanged func()
--- a/internal/lease/move.go
+++ b/internal/lease/move.go
@@ -9,6 +9,7 @@
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
 	"example.org/mustardring/internal/worker"
@@ -139,7 +140,7 @@
 	shard.Range
 	// offset is the offset of the record that asks for the move, or of a later one. firstSeen is when this
 	// instance first knew of the move.
-	offset    int64
+	offset    logpos.Pos
 	firstSeen clock.Instant
 	// decidedHere means that this instance decided the move and has not sent a grant with its fence yet.
 	decidedHere bool
--- /dev/null
+++ b/internal/lease/open.go
@@ -0,0 +1,326 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
+	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/shard"
+)
+
+const (
+	// maxLeaseTime is how long a lease may be valid after the last instance could send a grant.
+	maxLeaseTime = leaseDuration*102/100 + maxTransitTime
+	// catchUpInterval is the time between two checks what other instances know of an earlier era.
+	catchUpInterval = 200 * time.Millisecond
+	// maxOpeningSize is the maximum size in bytes of the records that one append of an opening takes, well below what the
+	// store takes.
+	maxOpeningSize = 1 << 20
+)
+
+// verdict is what is known of the records of owners that the store may have lost. It is one of the types below.
+type verdict interface{ isVerdict() }
+
+// undecided means that a lost record that this instance does not know may still be acted on. Reason says why.
+type undecided struct{ reason string }
+
+// complete means that this instance knows all records on which a valid lease may rest. NothingLost says that there cannot
+// have been others, so that no fence can have been given that it does not know.
+type complete struct{ nothingLost bool }
+
+func (undecided) isVerdict() {}
+func (complete) isVerdict()  {}
+
+// openEra puts the owners in force in the latest era of the store, if this instance knows enough of them.
+//
+// Whoever decided or granted something because of a lost record is an instance that was registered. It is still running, and
+// states by its heartbeats what it knows, or it has ended and its leases expire, or it is cut off, and its view gets too old
+// to act on.
+func (lm *Manager) openEra(ctx context.Context, now time.Time) {
+	current, read := lm.view.get(), lm.view.getRead()
+	v := lm.assess(current, read, now)
+	if !lm.guards.awaitKnowledge {
+		v = complete{}
+	}
+	switch v := v.(type) {
+	case undecided:
+		if v.reason != lm.undecidedReason {
+			lm.undecidedReason = v.reason
+			lm.Events.Record(event.StateChange, "era-awaits", "era", read.End.Era(), "known", current.End, "read", read.End, "reason", v.reason)
+		}
+	case complete:
+		if !now.Before(lm.nextWriteAt) {
+			lm.writeOpening(ctx, current, read, v.nothingLost)
+		}
+	}
+}
+
+// assess returns what is known of lost records, given what this instance acts on and what the store holds.
+func (lm *Manager) assess(current, read *View, now time.Time) verdict {
+	learnedAt, currentAsOf := lm.view.learned()
+	clockNow := lm.Clock.Now()
+	instant := func(at time.Time) clock.Instant { return clockNow.Add(-now.Sub(at)) }
+	silentUntil := lm.silentUntil(current, learnedAt, now, instant)
+	nothingLost := !hasNewer(read, current)
+	// A process that has just started does not know what the one before it has granted.
+	startedAt := instant(lm.startedAt)
+	nothingLost = nothingLost && currentAsOf >= startedAt
+	if clockNow < startedAt.Add(maxLeaseTime) && currentAsOf < startedAt {
+		return undecided{"started"}
+	}
+	for _, p := range lm.Roster.Others() {
+		h, since := p.Heartbeat, p.IncarnationSince
+		if !p.HeardSince.IsZero() {
+			since = clock.Earlier(since, p.HeardSince)
+		}
+		replacedSince := lm.Roster.ReplacedSince(p.Name)
+		switch {
+		case !replacedSince.IsZero():
+			nothingLost = false
+			if clockNow < instant(replacedSince).Add(maxLeaseTime) {
+				return undecided{"restarted: " + p.Name}
+			}
+		case p.HeartbeatAt.IsZero() || h.EchoAt < int64(learnedAt):
+			nothingLost = false
+			if clockNow < silentUntil {
+				return undecided{"silent: " + p.Name}
+			}
+		case h.Known.Era() >= read.End.Era():
+			return undecided{"opened already: " + p.Name}
+		case h.Known > current.End:
+			return undecided{"knows more: " + p.Name}
+		case currentAsOf < instant(since):
+			nothingLost = false
+			if clockNow < instant(since).Add(maxLeaseTime) {
+				return undecided{"restarted: " + p.Name}
+			}
+		}
+	}
+	if lm.Roster.HasRemoved() {
+		nothingLost = false
+		if clockNow < silentUntil {
+			return undecided{"removed"}
+		}
+	}
+	return complete{nothingLost}
+}
+
+// hasNewer reports whether the store holds owners that are newer than those that are known.
+func hasNewer(read, known *View) bool {
+	for service, m := range read.Maps {
+		if k := known.Maps[service]; k == nil || k.Fence < m.Fence {
+			return true
+		}
+	}
+	return false
+}
+
+// silentUntil returns until when leases may be valid that are based on what silent instances know. Such an instance acts on
+// its view until that is too old, or, if half of the instances do not agree with it, for the contact timeout only.
+func (lm *Manager) silentUntil(current *View, learnedAt clock.Instant, now time.Time, instant func(time.Time) clock.Instant) clock.Instant {
+	until := learnedAt.Add(MaxViewAge)
+	if !lm.Roster.HalfKnows(lm.LatestEra(), current.End) {
+		lm.agreedSince = time.Time{}
+	} else {
+		if lm.agreedSince.IsZero() {
+			lm.agreedSince = now
+		}
+		contactTimeout := time.Duration(float64(lm.Roster.ContactTimeout()) * maxClockDrift)
+		until = min(until, instant(lm.agreedSince).Add(contactTimeout))
+	}
+	return until.Add(maxLeaseTime)
+}
+
+// catchUp asks another instance for its view if that knows more records of an earlier era: the store has lost them. An
+// instance that has just started sends requests by that view until the owners are in force.
+func (lm *Manager) catchUp(now time.Time) {
+	known := lm.view.get().End
+	var ahead []string
+	for _, p := range lm.Roster.Alive(now) {
+		if p.Name != lm.Name && p.Heartbeat.Known > known {
+			ahead = append(ahead, p.Name)
+		}
+	}
+	if len(ahead) > 0 {
+		lm.FetchView(ahead[rand.N(len(ahead))])
+	}
+}
+
+// writeOpening writes the owners and the lost registrations behind what the store holds, and puts them in force.
+func (lm *Manager) writeOpening(ctx context.Context, current, read *View, nothingLost bool) {
+	era := read.End.Era()
+	owners := lm.openingOwners(current, read, nothingLost)
+	records, err := openingRecords(era, owners)
+	if err != nil {
+		lm.Events.Record(event.StateChange, "era-not-opened", "era", era, "error", err)
+		return
+	}
+	lost, err := lostRegistrations(lm.instances(), read.Instances)
+	if err != nil {
+		lm.Events.Record(event.StateChange, "era-not-opened", "era", era, "error", err)
+		return
+	}
+	value, err := opening{Era: era}.encode()
+	if err != nil {
+		lm.Events.Record(event.StateChange, "era-not-opened", "era", era, "error", err)
+		return
+	}
+	records = slices.Concat(lost, records, []follow.Record{{Key: keyEra, Value: value}})
+	for len(records) > 0 {
+		part := firstRecords(records, maxOpeningSize)
+		if !lm.append(ctx, records[:part]...) {
+			return
+		}
+		records = records[part:]
+	}
+	lm.Events.Record(event.StateChange, "era-opened", "era", era, "known", current.End, "read", read.End, "nothing-lost", nothingLost,
+		"services", len(owners), "registrations", len(lost))
+	lm.EraChanged()
+}
+
+// openingOwners returns the owners of all services as they are put in force in a new era. What is known is newer than what the
+// store holds, unless it is so old that all leases based on it have expired.
+//
+// If a lost record may have given fences that are not known, all ranges get new ones. No move is needed for that, since
+// nobody but the known owner can have a lease.
+func (lm *Manager) openingOwners(current, read *View, nothingLost bool) map[string]*shard.Map {
+	servers := lm.Servers()
+	out := map[string]*shard.Map{}
+	for service := range unionOfKeys(current.Maps, read.Maps) {
+		m := current.Maps[service]
+		if r := read.Maps[service]; m == nil || r != nil && r.Fence > m.Fence && lm.leasesExpired() {
+			m = r
+		}
+		next := m.Clone()
+		next.Fence = max(next.Fence, logpos.FirstFence(read.End.Era()))
+		if !nothingLost && lm.guards.renewFences {
+			renewFences(next, func(id string) string { return addressOf(servers, id) })
+		}
+		out[service] = next
+	}
+	return out
+}
+
+// leasesExpired reports whether all leases have expired that are based on the current view.
+func (lm *Manager) leasesExpired() bool {
+	_, currentAsOf := lm.view.learned()
+	return lm.Clock.Now() >= currentAsOf.Add(MaxViewAge+maxLeaseTime)
+}
+
+// renewFences gives each range a new fence, given the addresses of servers. A move that has not ended is decided anew.
+func renewFences(m *shard.Map, addressOf func(id string) string) {
+	for i, r := range m.Ranges {
+		var former []shard.Owner
+		if len(r.FormerOwners) > 0 {
+			former = append(slices.Clone(r.FormerOwners), shard.Owner{Server: r.Server, Address: addressOf(r.Server)})
+		}
+		m.Reassign(i, r.Server, former)
+	}
+}
+
+// openingRecords returns the records of all owners in an era.
+func openingRecords(era logpos.Era, owners map[string]*shard.Map) ([]follow.Record, error) {
+	var out []follow.Record
+	for _, service := range slices.Sorted(maps.Keys(owners)) {
+		records, _, err := ownersRecords(ownersKeyIn(era, service), &shard.Map{}, owners[service])
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, records...)
+	}
+	return out, nil
+}
+
+// lostRegistrations returns the records of the instances that the store lacks, or lists with an earlier state.
+func lostRegistrations(known, stored map[string]roster.Entry) ([]follow.Record, error) {
+	var out []follow.Record
+	for _, name := range slices.Sorted(maps.Keys(known)) {
+		e := known[name]
+		s, listed := stored[name]
+		if listed && s == e || !listed && e.Ended {
+			continue
+		}
+		value, err := e.Encode()
+		if err != nil {
+			return nil, errors.Join(errNotRegisterRecord, err)
+		}
+		out = append(out, follow.Record{Key: InstanceKey(name), Value: value})
+	}
+	return out, nil
+}
+
+// firstRecords returns how many records from the first on fit into a size in bytes, at least one.
+func firstRecords(records []follow.Record, size int) int {
+	for i, r := range records {
+		if size -= len(r.Key) + len(r.Value); size < 0 && i > 0 {
+			return i
+		}
+	}
+	return len(records)
+}
+
+// NewView returns the view that an update of another instance with a snapshot holds, and the errors of malformed records,
+// which are skipped.
+func NewView(p follow.PeerUpdate) (*View, []error) {
+	view, _, faults := newView().with(follow.Update{Batch: p.Batch, Snapshot: true})
+	return view, faults
+}
+
+// instances returns the register. While the owners are not in force in the latest era, that is what is known of earlier ones
+// and what the store holds. Of two incarnations of an instance the known one counts, unless the other one was heard last or
+// is this one.
+func (lm *Manager) instances() map[string]roster.Entry {
+	current, read := lm.view.get(), lm.view.getRead()
+	if current == read {
+		return current.Instances
+	}
+	out := maps.Clone(current.Instances)
+	for name, e := range read.Instances {
+		self := name == lm.Name && e.Incarnation == lm.Incarnation
+		if known, found := out[name]; !found || self || known.Incarnation != e.Incarnation && lm.Roster.LastHeard(name, e.Incarnation) {
+			out[name] = e
+		}
+	}
+	return out
+}
+
+// unionOfKeys returns the keys of two maps.
+func unionOfKeys[V any](a, b map[string]V) map[string]struct{} {
+	out := map[string]struct{}{}
+	for k := range a {
+		out[k] = struct{}{}
+	}
+	for k := range b {
+		out[k] = struct{}{}
+	}
+	return out
+}
+
+// adoptEra states in a record which era the owners are in force in that an instance of a release without eras has written.
+func (lm *Manager) adoptEra(ctx context.Context, era logpos.Era) {
+	value, err := opening{Era: era, ShortKeys: true}.encode()
+	if err == nil && lm.append(ctx, follow.Record{Key: keyEra, Value: value}) {
+		lm.Events.Record(event.StateChange, "era-adopted", "era", era, "offset", lm.view.get().End)
+	}
+}
+
+// logEra logs what an update has changed about the era, given the views before it.
+func (lm *Manager) logEra(current, read *View) {
+	nowCurrent, nowRead := lm.view.get(), lm.view.getRead()
+	if nowRead.End.Era() > read.End.Era() {
+		lm.Events.Record(event.StateChange, "owners-returned", "era", nowRead.End.Era(), "known", current.End, "read", nowRead.End,
+			"in-force", nowRead == nowCurrent, "instances", len(nowRead.Instances), "instances-known", len(current.Instances))
+		lm.EraChanged()
+	}
+	if nowCurrent.End.Era() > current.End.Era() && current.End > 0 {
+		lm.Events.Record(event.StateChange, "era-entered", "era", nowCurrent.End.Era(), "known", current.End, "offset", nowCurrent.End)
+	}
+}
--- a/internal/lease/parts_test.go
+++ b/internal/lease/parts_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"reflect"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/shard"
 )
 
@@ -32,9 +34,9 @@
 	end := v.current.End
 	v.mu.Unlock()
 	for i := range records {
-		records[i].Offset = end + int64(i)
+		records[i].Offset = end + logpos.Pos(i)
 	}
-	_, faults := v.applyUpdate(follow.Update{Snapshot: snapshot, Batch: follow.Batch{Records: records, End: end + int64(len(records))}})
+	_, faults := v.applyUpdate(follow.Update{Snapshot: snapshot, Batch: follow.Batch{Records: records, End: end + logpos.Pos(len(records))}})
 	return faults
 }
 
@@ -46,13 +48,13 @@
 			is := is.New(t)
 			v := newLocalView()
 			owners := manyOwners(servers, 0)
-			first, _, err := ownersRecords(service, &shard.Map{}, owners)
+			first, _, err := ownersRecords(keyService+service, &shard.Map{}, owners)
 			is.NoErr(err)
 			is.Equal(len(v.apply(first, false)), 0)
 			is.True(reflect.DeepEqual(v.get().Maps[service], owners))
 			next := owners.Clone()
 			next.Reassign(servers/2, "other", []shard.Owner{{Server: "former", Address: "10.0.0.1:8000"}})
-			second, next, err := ownersRecords(service, owners, next)
+			second, next, err := ownersRecords(keyService+service, owners, next)
 			is.NoErr(err)
 			is.True(len(second) <= 2) // a change costs its part, or two if it spans them
 			is.Equal(len(v.apply(second, false)), 0)
@@ -84,12 +86,12 @@
 	small, large := manyOwners(50, 0), manyOwners(20000, 0)
 	large.Fence += 100
 	for _, m := range []*shard.Map{small, large, small, large} {
-		records, _, err := ownersRecords(service, &shard.Map{}, m)
+		records, _, err := ownersRecords(keyService+service, &shard.Map{}, m)
 		is.NoErr(err)
 		is.Equal(len(v.apply(records, false)), 0)
 		is.True(reflect.DeepEqual(v.get().Maps[service].Ranges, m.Ranges))
 	}
-	broken := []follow.Record{{Key: partKey(service, 3), Value: []byte("x")}, {Key: partKey(service, 5)}}
+	broken := []follow.Record{{Key: keyService + service + partSeparator + strconv.Itoa(3), Value: []byte("x")}, {Key: keyService + service + partSeparator + strconv.Itoa(5)}}
 	is.Equal(len(v.apply(broken, false)), 2)
 	is.True(reflect.DeepEqual(v.get().Maps[service].Ranges, large.Ranges))
 }
--- a/internal/lease/register.go
+++ b/internal/lease/register.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 )
 
@@ -23,8 +25,12 @@
 
 // applyRegister applies records of the register that the leader broadcast.
 func (lm *Manager) applyRegister(records []follow.Record) {
-	before := lm.view.get()
-	if n := len(records); n == 0 || records[n-1].Offset < before.End {
+	before, read := lm.view.get(), lm.view.getRead()
+	records = slices.Clone(records)
+	for i := range records {
+		records[i].Offset = records[i].Offset.In(read.End.Era())
+	}
+	if n := len(records); n == 0 || records[n-1].Offset < read.End {
 		return
 	}
 	follows, err := lm.view.applyRegister(records)
@@ -33,6 +39,8 @@
 		lm.Events.Record(event.StateChange, "register-malformed", "offset", records[0].Offset, "error", err)
 	case !follows:
 		lm.RereadOwners()
+	case lm.view.get() == before:
+		lm.updateRoster()
 	default:
 		lm.viewChanged(before)
 	}
@@ -43,7 +51,7 @@
 
 // broadcastRegister sends the records of the register in an update to the other instances, starting at offset
 // from. It stops before a record of owners, which another instance wrote and which must be read.
-func (lm *Manager) broadcastRegister(from int64, u follow.Update) {
+func (lm *Manager) broadcastRegister(from logpos.Pos, u follow.Update) {
 	if u.Snapshot {
 		return
 	}
@@ -66,21 +74,38 @@
 	}
 }
 
-// updateRoster applies changes of the register to the roster.
-func (lm *Manager) updateRoster(before, after *View) {
+// passiveInstances returns the instances that may not act yet: while the owners are not in force in the latest era of the
+// store, those that are registered only there.
+func (lm *Manager) passiveInstances(instances map[string]roster.Entry) map[string]bool {
+	if !lm.view.awaitsOpening() {
+		return nil
+	}
+	current, out := lm.view.get(), map[string]bool{}
+	for name, e := range instances {
+		out[name] = !current.registered(name, e.Incarnation)
+	}
+	return out
+}
+
+// updateRoster applies changes of the register to the roster. While the owners are not in force, that is the register as it
+// will be put in force with them.
+func (lm *Manager) updateRoster() {
+	before, after := lm.rosterInstances, lm.instances()
+	lm.rosterInstances = after
 	changed := make(map[string]roster.Entry)
-	for name, e := range after.Instances {
-		if old, known := before.Instances[name]; !known || old != e {
+	for name, e := range after {
+		if old, known := before[name]; !known || old != e {
 			changed[name] = e
 		}
 	}
 	var deleted []string
-	for name := range before.Instances {
-		if _, found := after.Instances[name]; !found {
+	for name := range before {
+		if _, found := after[name]; !found {
 			deleted = append(deleted, name)
 		}
 	}
 	if len(changed)+len(deleted) > 0 {
 		lm.Roster.Update(changed, deleted, time.Now())
 	}
+	lm.Roster.SetPassive(lm.passiveInstances(after), time.Now())
 }
--- a/internal/lease/register_test.go
+++ b/internal/lease/register_test.go
@@ -13,12 +13,13 @@
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/shard"
 )
 
 // newTestView returns the view of an instance that has read the store up to an offset.
-func newTestView(end int64) *localView {
+func newTestView(end logpos.Pos) *localView {
 	v := newLocalView()
 	v.applyUpdate(follow.Update{StartedAt: clock.Instant(time.Second), CurrentAsOf: clock.Instant(time.Second), Batch: follow.Batch{End: end}, Snapshot: true})
 	return v
@@ -26,11 +27,11 @@
 
 // registerRecords returns records of the register with consecutive offsets. Each is given by a name and an
 // incarnation, or only by a name if the record was deleted.
-func registerRecords(offset int64, records ...string) []follow.Record {
+func registerRecords(offset logpos.Pos, records ...string) []follow.Record {
 	var out []follow.Record
 	for i, record := range records {
 		name, incarnation, found := strings.Cut(record, " ")
-		r := follow.Record{Key: InstanceKey(name), Offset: offset + int64(i)}
+		r := follow.Record{Key: InstanceKey(name), Offset: offset + logpos.Pos(i)}
 		if found {
 			r.Value = fmt.Appendf(nil, `{"incarnation":%s}`, incarnation)
 		}
@@ -53,7 +54,7 @@
 	follows, err := v.applyRegister(registerRecords(5, "i1 7", "i2 8", "i1"))
 	is.NoErr(err)
 	is.True(follows)
-	is.Equal(v.get().End, int64(8))
+	is.Equal(v.get().End, logpos.Pos(8))
 	is.Equal(len(v.get().Instances), 1)
 	is.True(v.applyOwnerChange(OwnerChange{Service: "books", Offset: 8, Fence: 1, Changes: []shard.Range{{From: 0, To: shard.NumKeys - 1, Server: "s", Fence: 1}}}))
 	is.True(!v.get().registered("i1", 7))
@@ -62,9 +63,9 @@
 
 func TestRegisterUpdateMustBeContiguous(t *testing.T) {
 	tests := map[string]struct {
-		offset int64
+		offset logpos.Pos
 		taken  bool
-		end    int64
+		end    logpos.Pos
 	}{
 		"follows":                     {5, true, 8},
 		"overlaps the view":           {3, true, 6},
@@ -96,7 +97,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	record := func(offset int64, key string, value []byte) follow.Record {
+	record := func(offset logpos.Pos, key string, value []byte) follow.Record {
 		return follow.Record{Offset: offset, Key: key, Value: value}
 	}
 	tests := map[string]struct {
@@ -140,7 +141,7 @@
 			v := newTestView(5)
 			_, err := v.applyRegister(append(registerRecords(5, "i1 1"), record))
 			is.True(err != nil)
-			is.Equal(v.get().End, int64(5))
+			is.Equal(v.get().End, logpos.Pos(5))
 			is.Equal(len(v.get().Instances), 0)
 		})
 	}
@@ -152,7 +153,7 @@
 	const before, later = clock.Instant(time.Second), clock.Instant(5 * time.Second)
 	v := newTestView(5)
 	v.applyUpdate(follow.Update{StartedAt: later, Batch: follow.Batch{Records: registerRecords(5, "i1 7"), End: 6}})
-	is.Equal(v.get().End, int64(6))
+	is.Equal(v.get().End, logpos.Pos(6))
 	is.True(v.currentAt(before))
 	is.True(!v.currentAt(later))
 }
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -11,6 +11,7 @@
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
@@ -39,7 +40,7 @@
 	// mu guards renewers, confirmedOffset and stopping.
 	mu              sync.Mutex
 	renewers        map[string]*renewer
-	confirmedOffset int64
+	confirmedOffset logpos.Pos
 	stopping        bool
 
 	// The fields below are used by the goroutine of Run only.
@@ -60,6 +61,14 @@
 	// knownLeader is the last known leader, empty for none.
 	knownLeader  string
 	serverCounts map[string]serverCount
+	// rosterInstances is the register that the roster has been given.
+	rosterInstances map[string]roster.Entry
+	// agreedSince is since when half of the instances agree with what is known of an earlier era, zero if they do not.
+	agreedSince time.Time
+	// undecidedReason is the last reason that was logged for which owners are not put in force.
+	undecidedReason string
+	// caughtUpAt is when this instance last took in what others know of an earlier era.
+	caughtUpAt time.Time
 	// nextDecisionAt is when owners are next decided about.
 	nextDecisionAt time.Time
 	// nextWriteAt delays the next write after a failed one.
@@ -91,7 +100,7 @@
 
 // ConfirmedOffset returns the offset up to which this instance acts on the records of owners: no grant that
 // is based on an older view is being sent any more. Heartbeats carry it.
-func (lm *Manager) ConfirmedOffset() int64 {
+func (lm *Manager) ConfirmedOffset() logpos.Pos {
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
 	return lm.confirmedOffset
@@ -173,7 +182,7 @@
 // number of its records; zero means one.
 type OwnerChange struct {
 	Service string
-	Offset  int64
+	Offset  logpos.Pos
 	Records int
 	Fence   uint64
 	Changes []shard.Range
@@ -185,6 +194,7 @@
 // applyOwnerChange applies a record of owners that another instance appended.
 func (lm *Manager) applyOwnerChange(c OwnerChange) {
 	before := lm.view.get()
+	c.Offset = c.Offset.In(before.End.Era())
 	if c.Offset < before.End {
 		return
 	}
@@ -199,7 +209,7 @@
 func (lm *Manager) viewChanged(before *View) {
 	after := lm.view.get()
 	lm.trackMoves(after)
-	lm.updateRoster(before, after)
+	lm.updateRoster()
 	lm.OwnersChanged()
 	lm.confirmView(before, after)
 }
@@ -273,21 +283,31 @@
 		return
 	}
 	before := lm.view.get()
+	read := lm.view.getRead()
 	changed, faults := lm.view.applyUpdate(u)
+	if lm.view.getRead().End.Era() > read.End.Era() {
+		lm.view.markLearned(lm.Clock.Now())
+	}
+	lm.logEra(before, read)
 	for _, err := range faults {
 		lm.Events.Record(event.StateChange, "owners-malformed", "error", err)
 	}
 	if !changed {
 		return
 	}
-	lm.viewChanged(before)
+	if lm.view.get() == before {
+		lm.updateRoster()
+	} else {
+		lm.viewChanged(before)
+	}
 	if lm.leads {
-		lm.broadcastRegister(before.End, u)
+		lm.broadcastRegister(read.End, u)
 	}
 }
 
 // HandleHeartbeat uses the statement of another instance that its view is the newest.
 func (lm *Manager) HandleHeartbeat(h roster.Heartbeat) {
+	lm.view.noteEra(h.LatestEra)
 	if h.KnownAge >= 0 && h.EchoAt > 0 {
 		lm.view.confirmCurrent(h.Known, clock.Instant(h.EchoAt), time.Duration(h.KnownAge)*time.Millisecond)
 	}
@@ -296,8 +316,18 @@
 // Age returns the age of the view.
 func (lm *Manager) Age() time.Duration { return time.Duration(lm.view.age(lm.Clock.Now())) }
 
+// ReadAge returns the age of what was read from the store, which may be of an era in which no owners are in force yet.
+func (lm *Manager) ReadAge() time.Duration { return time.Duration(lm.view.readAge(lm.Clock.Now())) }
+
+// Read returns what the store holds in its latest era, as far as it was read. It must not be modified.
+func (lm *Manager) Read() *View { return lm.view.getRead() }
+
 // Registered reports whether this incarnation of the instance is registered, according to the view.
-func (lm *Manager) Registered() bool { return lm.view.get().registered(lm.Name, lm.Incarnation) }
+// A registration that the store has lost does not count: instances that start know only what the store holds.
+func (lm *Manager) Registered() bool { return lm.view.getRead().registered(lm.Name, lm.Incarnation) }
+
+// LatestEra returns the latest era of the store that is known.
+func (lm *Manager) LatestEra() logpos.Era { return lm.view.noteEra(0) }
 
 // confirmView cancels the grants that the new view contradicts, and then raises the confirmed offset.
 func (lm *Manager) confirmView(before, after *View) {
--- a/internal/lease/schedule_test.go
+++ b/internal/lease/schedule_test.go
@@ -31,6 +31,11 @@
 // how many checked keys have an owner at the end. off turns guards off. With namedRestarts servers state their
 // start time, and keep their names when they restart.
 func playSchedule(t *testing.T, seed uint64, off func(*guards), namedRestarts bool) (violations []string, moved, served int) {
+	return playScheduleWith(t, seed, off, namedRestarts, false)
+}
+
+// playScheduleWith plays one random schedule. With returns the store comes back from older copies at times.
+func playScheduleWith(t *testing.T, seed uint64, off func(*guards), namedRestarts, returns bool) (violations []string, moved, served int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		tc := &testCluster{
@@ -40,6 +45,9 @@
 			namedRestarts: namedRestarts, directory: map[string]rules.Server{}, endedFences: map[string][]uint64{},
 		}
 		off(&tc.guards)
+		if returns {
+			tc.store.era = 1
+		}
 		for i := range 5 {
 			tc.addServer(tc.incarnationID(i, 0), fmt.Sprintf("server-%d", i), fmt.Sprintf("d%d", i%2))
 		}
@@ -48,6 +56,9 @@
 		}
 		time.Sleep(4 * time.Second)
 		for range 40 {
+			if returns && tc.chance(0.2) {
+				tc.returnStore()
+			}
 			tc.injectFault()
 			time.Sleep(tc.randomDuration(50*time.Millisecond, 2*time.Second))
 		}
@@ -62,6 +73,24 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{topics: map[string][]follow.Record{}} }
 
+// returnStore makes the store come back from an older copy after an outage, which may be short, and sometimes restarts
+// instances meanwhile.
+func (tc *testCluster) returnStore() {
+	tc.store.mu.Lock()
+	tc.store.down = true
+	tc.store.mu.Unlock()
+	age := tc.randomDuration(0, 5*time.Second)
+	outage := tc.randomDuration(0, 3*time.Second)
+	if tc.chance(0.4) {
+		for i := range tc.pick(5) {
+			name := fmt.Sprintf("i%d", i)
+			tc.stopInstance(name)
+			tc.after(tc.randomDuration(0, 2*time.Second), func() { tc.startInstance(name, "d"+string(name[1]%2+'0')) })
+		}
+	}
+	tc.after(outage, func() { tc.store.returnFrom(age) })
+}
+
 // injectFault injects one random fault.
 func (tc *testCluster) injectFault() {
 	node := fmt.Sprintf("i%d", tc.pick(4))
@@ -251,6 +280,25 @@
 // released, so that two servers hold them.
 func TestSchedulesWithNamedRestarts(t *testing.T) { checkSchedules(t, true) }
 
+// Guards against keys with two owners, fences that were given before, and keys that nobody is given any more, when the store
+// comes back from copies that are some seconds old while all other faults happen.
+func TestSchedulesWithReturningStore(t *testing.T) {
+	for name, namedRestarts := range map[string]bool{"new names": false, "restarts under a name": true} {
+		t.Run(name, func(t *testing.T) {
+			first, _ := strconv.ParseUint(os.Getenv("MUSTARDRING_SEED"), 10, 64)
+			for seed := first; seed < first+scheduleCount(); seed++ {
+				violations, _, served := playScheduleWith(t, seed, func(*guards) {}, namedRestarts, true)
+				if len(violations) > 0 {
+					t.Errorf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
+				}
+				if served != 256 {
+					t.Errorf("seed %d: %d of 256 keys have an owner 45 s after the last fault", seed, served)
+				}
+			}
+		})
+	}
+}
+
 // checkSchedules plays schedules, and expects no violation, and an owner of each key at the end.
 func checkSchedules(t *testing.T, namedRestarts bool) {
 	is := is.New(t)
@@ -283,9 +331,15 @@
 
 // expectViolation expects a key with two owners in one of the schedules that are played without a guard.
 func expectViolation(t *testing.T, off func(*guards), maxSchedules uint64, namedRestarts bool) {
+	t.Helper()
+	expectViolationWith(t, off, maxSchedules, namedRestarts, false)
+}
+
+// expectViolationWith does the same with a store that comes back from older copies, if returns is set.
+func expectViolationWith(t *testing.T, off func(*guards), maxSchedules uint64, namedRestarts, returns bool) {
 	t.Helper()
 	for seed := range maxSchedules {
-		if violations, _, _ := playSchedule(t, seed, off, namedRestarts); len(violations) > 0 {
+		if violations, _, _ := playScheduleWith(t, seed, off, namedRestarts, returns); len(violations) > 0 {
 			t.Logf("key with two owners after %d schedules: %s", seed+1, violations[0])
 			return
 		}
@@ -293,6 +347,16 @@
 	t.Errorf("no key with two owners in %d schedules", maxSchedules)
 }
 
+// The same with the guards that only matter when the store comes back from an older copy.
+func TestGuardsAreNeededWhenTheStoreReturns(t *testing.T) {
+	for name, off := range map[string]func(*guards){
+		"awaitKnowledge": func(g *guards) { g.awaitKnowledge = false },
+		"renewFences":    func(g *guards) { g.renewFences = false },
+	} {
+		t.Run(name, func(t *testing.T) { expectViolationWith(t, off, maxSearchedSchedules, false, true) })
+	}
+}
+
 // Each guard is turned off in turn, and some schedule must then have a key with two owners. Otherwise the guard
 // would not be needed, or the schedules would not cover what it is for.
 func TestGuardsAreNeeded(t *testing.T) {
--- a/internal/lease/server_test.go
+++ b/internal/lease/server_test.go
@@ -159,6 +159,7 @@
 	// The clock that measures the lease runs 2% slow.
 	expiresAt := arrivedAt.Add(time.Duration(float64(g.Lease) * 1.02))
 	s.eachKey(g.From, g.To, func(i int) {
+		tc.checkFence(i, s, g, expiresAt)
 		if s.leases[i].fence != g.Fence {
 			tc.moved++
 		}
@@ -180,6 +181,18 @@
 	}
 }
 
+// checkFence records a violation if another server has had a key that s gets with the same fence or a higher one.
+func (tc *testCluster) checkFence(i int, s *fakeServer, g Grant, expiresAt time.Time) {
+	top := &tc.topFences[i]
+	if renewed := s.leases[i].granted && s.leases[i].fence == g.Fence; !renewed && time.Now().Before(expiresAt) && top.server != s.ID && top.fence >= g.Fence {
+		tc.violations = append(tc.violations, fmt.Sprintf("%v key %d: %s got it with fence %d, %s had it with %d",
+			time.Since(tc.start), i*keySpacing, s.ID, g.Fence, top.server, top.fence))
+	}
+	if g.Fence > top.fence {
+		*top = topFence{g.Fence, s.ID}
+	}
+}
+
 // checkSingleOwner records a violation if another server holds a key that s got.
 func (tc *testCluster) checkSingleOwner(i int, s *fakeServer) {
 	now := time.Now()
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -11,6 +11,7 @@
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/shard"
 )
@@ -20,6 +21,14 @@
 type localView struct {
 	mu      sync.Mutex
 	current *View
+	// read is what the store holds in its latest era. It is current, unless the owners are not in force in that era yet.
+	// readAsOf is then a time at which no record after read had been acknowledged by the store.
+	read     *View
+	readAsOf clock.Instant
+	// latestEra is the latest era of the store that is known, from the store or another instance, and learnedAt when this
+	// instance read the first records of it.
+	latestEra logpos.Era
+	learnedAt clock.Instant
 	// currentAsOf is a time at which no record after current had been acknowledged by the store.
 	currentAsOf clock.Instant
 	// loaded is set once an update has given a value to currentAsOf.
@@ -27,7 +36,12 @@
 }
 
 func newLocalView() *localView {
-	return &localView{current: &View{Maps: map[string]*shard.Map{}, Instances: map[string]roster.Entry{}}}
+	empty := newView()
+	return &localView{current: empty, read: empty}
+}
+
+func newView() *View {
+	return &View{Maps: map[string]*shard.Map{}, Instances: map[string]roster.Entry{}}
 }
 
 // get returns the current view, which is replaced on changes and never modified.
@@ -48,7 +62,7 @@
 
 // confirmCurrent takes in the statement of another instance that, at some time not before echo, its view up to
 // offset known was of the given age. It counts only if this instance knows the same records.
-func (v *localView) confirmCurrent(known int64, echo clock.Instant, age time.Duration) {
+func (v *localView) confirmCurrent(known logpos.Pos, echo clock.Instant, age time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	asOf := echo.Add(-time.Duration(float64(age) * maxClockDrift))
@@ -73,12 +87,36 @@
 // InstanceKey returns the key of the record of an instance.
 func InstanceKey(name string) string { return keyInstance + name }
 
-// applyUpdate applies an update that was read from the store. It reports whether the view changed, and
-// returns the errors of malformed records, which are skipped.
+// applyUpdate applies an update that was read from the store. It reports whether a view changed, and returns the errors of
+// malformed records, which are skipped.
 func (v *localView) applyUpdate(u follow.Update) (changed bool, faults []error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	next := &View{Maps: maps.Clone(v.current.Maps), Instances: maps.Clone(v.current.Instances), parts: maps.Clone(v.current.parts), End: v.current.End}
+	base := v.read
+	if u.Snapshot && u.End.Era() > base.End.Era() {
+		// The records may be older than those that are known, and their positions do not compare.
+		base = newView()
+	}
+	next, changed, faults := base.with(u)
+	if !next.inForce() {
+		if u.End >= next.End && u.CurrentAsOf != 0 {
+			v.readAsOf = max(v.readAsOf, u.CurrentAsOf)
+		}
+		v.read = next
+		return changed, faults
+	}
+	v.current, v.read = next, next
+	// An update that ends before the view is outdated, and one that was cut short has no CurrentAsOf. Neither
+	// proves that the view is current.
+	if u.End >= next.End && u.CurrentAsOf > v.currentAsOf {
+		v.currentAsOf, v.loaded = u.CurrentAsOf, true
+	}
+	return changed, faults
+}
+
+// with returns the view after an update. It reports whether that differs, and returns the errors of malformed records.
+func (v *View) with(u follow.Update) (next *View, changed bool, faults []error) {
+	next = v.clone()
 	records := u.Records
 	if u.Snapshot {
 		// Of a record of all owners and those of parts, the later ones count.
@@ -86,7 +124,7 @@
 		slices.SortStableFunc(records, func(a, b follow.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	}
 	for _, r := range records {
-		if r.Offset < v.current.End {
+		if r.Offset < v.End {
 			continue
 		}
 		if err := next.put(r); err != nil {
@@ -101,25 +139,40 @@
 		next.End = u.End
 		changed = true
 	}
-	v.current = next
-	// An update that ends before the view is outdated, and one that was cut short has no CurrentAsOf. Neither
-	// proves that the view is current.
-	if u.End >= next.End && u.CurrentAsOf > v.currentAsOf {
-		v.currentAsOf, v.loaded = u.CurrentAsOf, true
-	}
-	return changed, faults
+	return next, changed, faults
+}
+
+// clone returns a copy of the view that can be modified by put.
+func (v *View) clone() *View {
+	next := *v
+	next.Maps, next.Instances, next.parts, next.staged = maps.Clone(v.Maps), maps.Clone(v.Instances), maps.Clone(v.parts), maps.Clone(v.staged)
+	return &next
+}
+
+// inForce reports whether the owners in the view may be acted on: they were put in force in the era of the store, or the
+// store has no eras. If no record says in which era they were, an instance of a release that does not know eras has
+// written them, and the store is taken not to have come back since.
+func (v *View) inForce() bool {
+	return v.End.Era() == v.Opened || v.Opened == 0 && len(v.Maps) > 0
 }
 
 // Records returns records that make up the view: the owners of each service and the register of instances. They have no
 // offsets.
 func (v *View) Records() ([]follow.Record, error) {
 	var out []follow.Record
+	if v.Opened != 0 {
+		opening, err := v.opening().encode()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, follow.Record{Key: keyEra, Value: opening})
+	}
 	for service, m := range v.Maps {
 		data, err := m.Encode()
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, follow.Record{Key: keyService + service, Value: data})
+		out = append(out, follow.Record{Key: v.ownersKey(service), Value: data})
 	}
 	for name, e := range v.Instances {
 		data, err := e.Encode()
@@ -128,7 +181,8 @@
 		}
 		out = append(out, follow.Record{Key: InstanceKey(name), Value: data})
 	}
-	return out, nil
+	staged, err := v.stagedRecords()
+	return append(out, staged...), err
 }
 
 // put applies one record: the owners of a service or the registration of an instance.
@@ -145,12 +199,26 @@
 		v.Instances[name] = e
 		return nil
 	}
-	return v.putOwners(r)
+	if r.Key == keyEra {
+		return v.putOpening(r)
+	}
+	era, key, known := parseOwnersKey(r.Key)
+	switch {
+	case !known:
+		return errUnknownKey
+	case era > v.Opened:
+		return v.stage(era, key, r)
+	case era == v.Opened && !v.shortKeys || era == 0 && (v.shortKeys || v.Opened == 0):
+		return v.putOwners(key, r)
+	default:
+		// It was decided in an earlier era and carried out in this one, or is left from that era.
+		return nil
+	}
 }
 
 // putOwners applies the record of the owners of a service, or of a part of them.
-func (v *View) putOwners(r follow.Record) error {
-	service, index, isPart := parsePartKey(strings.TrimPrefix(r.Key, keyService))
+func (v *View) putOwners(key string, r follow.Record) error {
+	service, index, isPart := parsePartKey(key)
 	if !isPart {
 		m, err := shard.Decode(r.Value)
 		if err != nil {
@@ -195,12 +263,7 @@
 // partSeparator separates the name of a service from the index of a part in the key of a record.
 const partSeparator = "#part/"
 
-// partKey returns the key of the record of a part of the owners of a service.
-func partKey(service string, index int) string {
-	return keyService + service + partSeparator + strconv.Itoa(index)
-}
-
-// parsePartKey splits the key of a record of owners, without keyService. It reports whether the record is of a part.
+// parsePartKey splits the key of a record of owners, without its prefix. It reports whether the record is of a part.
 func parsePartKey(key string) (service string, index int, isPart bool) {
 	at := strings.LastIndex(key, partSeparator)
 	if at < 0 {
@@ -219,13 +282,15 @@
 
 // ownersRecords returns the records that change the owners of a service from one map to another: one for all of them,
 // or those of the parts that differ if that is too large. It also returns the new owners as they are stored.
-func ownersRecords(service string, from, to *shard.Map) (out []follow.Record, stored *shard.Map, err error) {
+//
+// Key is the key of the record of all owners.
+func ownersRecords(key string, from, to *shard.Map) (out []follow.Record, stored *shard.Map, err error) {
 	whole, err := to.Encode()
 	if err != nil {
 		return nil, nil, err
 	}
 	if len(whole) <= maxOwnersRecord {
-		return []follow.Record{{Key: keyService + service, Value: whole}}, to, nil
+		return []follow.Record{{Key: key, Value: whole}}, to, nil
 	}
 	to = to.SplitMovesAtParts()
 	for index := range shard.NumParts {
@@ -236,7 +301,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		out = append(out, follow.Record{Key: partKey(service, index), Value: data})
+		out = append(out, follow.Record{Key: key + partSeparator + strconv.Itoa(index), Value: data})
 	}
 	return out, to, nil
 }
@@ -251,6 +316,16 @@
 	maps.DeleteFunc(v.Instances, func(name string, _ roster.Entry) bool { return !present[InstanceKey(name)] })
 }
 
+// readAge returns the age of what was read from the store.
+func (v *localView) readAge(now clock.Instant) clock.Instant {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.read == v.current {
+		return now - v.currentAsOf
+	}
+	return now - v.readAsOf
+}
+
 // registered reports whether an incarnation of an instance is registered, and neither removed nor ended.
 func (v *View) registered(name string, incarnation uint64) bool {
 	e, found := v.Instances[name]
@@ -276,7 +351,9 @@
 	}
 	all := maps.Clone(v.current.Maps)
 	all[c.Service] = next
-	v.current = &View{Maps: all, Instances: v.current.Instances, parts: v.current.parts, End: c.Offset + int64(max(c.Records, 1))}
+	changed := *v.current
+	changed.Maps, changed.End = all, c.Offset+logpos.Pos(max(c.Records, 1))
+	v.set(&changed)
 	return true
 }
 
@@ -285,10 +362,10 @@
 func (v *localView) applyRegister(records []follow.Record) (follows bool, err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.loaded {
+	if v.read == v.current && !v.loaded {
 		return false, nil
 	}
-	next := &View{Maps: v.current.Maps, Instances: maps.Clone(v.current.Instances), parts: v.current.parts, End: v.current.End}
+	next := v.read.clone()
 	for _, r := range records {
 		if r.Offset < next.End {
 			continue
@@ -304,7 +381,10 @@
 		}
 		next.End++
 	}
-	v.current = next
+	if v.read == v.current {
+		v.current = next
+	}
+	v.read = next
 	return true, nil
 }
 
@@ -316,6 +396,54 @@
 	if peer.End <= v.current.End {
 		return false
 	}
-	v.current = peer
+	v.set(peer)
 	return true
 }
+
+// set replaces the current view, and what is read unless that is of a later era. The lock is held.
+func (v *localView) set(view *View) {
+	v.current = view
+	if view.End >= v.read.End {
+		v.read = view
+	}
+}
+
+// getRead returns what the store holds in its latest era, the current view if the owners are in force there.
+func (v *localView) getRead() *View {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.read
+}
+
+// awaitsOpening reports whether the owners are not in force yet in the latest era that was read.
+func (v *localView) awaitsOpening() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.read != v.current
+}
+
+// noteEra takes in the latest era that another instance knows of. It returns the latest one that is known.
+func (v *localView) noteEra(era logpos.Era) logpos.Era {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.latestEra = max(v.latestEra, era, v.read.End.Era())
+	return v.latestEra
+}
+
+// markLearned records that the first records of the latest era were read.
+func (v *localView) markLearned(now clock.Instant) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.learnedAt = now
+}
+
+// learned returns when the first records of the latest era were read, and as of when the current view is known to have been
+// the newest, zero if it is not.
+func (v *localView) learned() (learnedAt, currentAsOf clock.Instant) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.loaded {
+		return v.learnedAt, 0
+	}
+	return v.learnedAt, v.currentAsOf
+}
--- a/internal/node/broadcast_test.go
+++ b/internal/node/broadcast_test.go
@@ -14,6 +14,7 @@
 	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/worker"
@@ -23,9 +24,9 @@
 func serverEntries(count int) follow.Update {
 	u := follow.Update{Topic: "servers", From: 40, StartedAt: 1, Overdue: true}
 	for i := range count {
-		u.Records = append(u.Records, follow.Record{Key: fmt.Sprint(i), Value: make([]byte, 250), Offset: int64(40 + i)})
+		u.Records = append(u.Records, follow.Record{Key: fmt.Sprint(i), Value: make([]byte, 250), Offset: logpos.Pos(40 + i)})
 	}
-	u.End = int64(40 + count)
+	u.End = logpos.Pos(40 + count)
 	return u
 }
 
@@ -48,7 +49,7 @@
 			is.Equal(part.End, next) // the next part starts where this one ends
 		}
 	}
-	is.Equal(next, int64(440))
+	is.Equal(next, logpos.Pos(440))
 	is.Equal(parts[len(parts)-1].End, u.End)
 }
 
--- a/internal/node/catchup.go
+++ b/internal/node/catchup.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"context"
 	"net/netip"
 	"slices"
+	"time"
 
 	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/event"
@@ -16,7 +18,7 @@
 // is newer than the sender's.
 func (n *Node) sendView(from netip.AddrPort, m dgram.ViewRequest) {
 	view := n.leases.View()
-	if view.End <= m.End {
+	if view.End <= m.End.In(view.End.Era()) {
 		return
 	}
 	snapshot := dgram.ViewSnapshot{End: view.End, Maps: map[string][]byte{}, Instances: map[string][]byte{}}
@@ -41,7 +43,7 @@
 
 // adoptView passes the view of a peer to the lease manager.
 func (n *Node) adoptView(m dgram.ViewSnapshot) {
-	view := &lease.View{End: m.End, Maps: map[string]*shard.Map{}, Instances: map[string]roster.Entry{}}
+	view := &lease.View{End: m.End.In(n.leases.View().End.Era()), Maps: map[string]*shard.Map{}, Instances: map[string]roster.Entry{}}
 	for service, data := range m.Maps {
 		ranges, err := shard.Decode(data)
 		if err != nil {
@@ -65,6 +67,54 @@
 	}
 }
 
+// requestView asks viewLoop to get the view of another instance, unless it is getting one.
+func (n *Node) requestView(instance string) {
+	select {
+	case n.viewRequests <- instance:
+	default:
+	}
+}
+
+// viewLoop gets the views of other instances that know records of owners that the store has lost, until the context ends.
+func (n *Node) viewLoop(ctx context.Context) error {
+	for {
+		select {
+		case instance := <-n.viewRequests:
+			n.fetchView(ctx, instance)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// fetchView gets the view of another instance and passes it to the lease manager.
+func (n *Node) fetchView(ctx context.Context, instance string) {
+	peer, known := n.roster.Peer(instance)
+	if !known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	request := follow.PeerRequest{Topic: n.platform.OwnersTopic, From: -1, InForce: true}
+	startedAt := n.leases.Clock.Now()
+	p, err := n.fetchFrom(ctx, peer.Address, request, func() {})
+	n.recordFetch(request, peer.Address, p, n.leases.Clock.Now().Sub(startedAt), err)
+	if err != nil || !p.Snapshot {
+		return
+	}
+	view, faults := lease.NewView(p)
+	for _, err := range faults {
+		n.events.Record(event.StateChange, "owners-malformed", "instance", instance, "error", err)
+	}
+	select {
+	case n.leases.PeerViews() <- view:
+	case <-ctx.Done():
+	}
+}
+
+// viewTimeout limits a request for the view of another instance.
+const viewTimeout = 2 * time.Second
+
 // maxRegisterRecords is the maximum number of records in a RegisterUpdate. Each has some 100 bytes.
 const maxRegisterRecords = 200
 
--- a/internal/node/digest.go
+++ b/internal/node/digest.go
@@ -49,8 +49,12 @@
 
 // newDigest returns a digest with the heartbeat of this instance.
 func (n *Node) newDigest(h roster.Heartbeat, now time.Time) (dgram.Digest, error) {
+	reports := n.roster.Reports(now, n.leases.Clock.Now())
+	for i, r := range reports {
+		reports[i] = r.ToWire()
+	}
 	var packed bytes.Buffer
-	err := pack.Encode(&packed, n.roster.Reports(now, n.leases.Clock.Now()))
+	err := pack.Encode(&packed, reports)
 	return dgram.Digest{Heartbeat: h, Reports: packed.Bytes()}, err
 }
 
@@ -88,6 +92,9 @@
 		n.events.Record(event.StateChange, "message-malformed", "from", m.Name, "error", err)
 		return
 	}
+	for i, r := range reports {
+		reports[i] = r.FromWire()
+	}
 	n.handleHeartbeat(m.Heartbeat)
 	n.roster.RecordDigest(m.Name, m.SentAt, reports, time.Now(), n.leases.Clock.Now())
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -8,6 +8,7 @@
 
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/rules"
 )
 
@@ -144,7 +145,7 @@
 
 // logJoined logs servers that joined together, in one line per service and failure domain that names some of them: all
 // servers would be most of what an instance logs at its start with a thousand servers.
-func (d *directory) logJoined(servers []rules.Server, offset int64) {
+func (d *directory) logJoined(servers []rules.Server, offset logpos.Pos) {
 	type place struct{ service, domain string }
 	ids := map[place][]string{}
 	for _, s := range servers {
--- a/internal/node/evacuate.go
+++ b/internal/node/evacuate.go
@@ -9,6 +9,7 @@
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/rules"
 )
 
@@ -55,7 +56,7 @@
 }
 
 // end ends the evacuation of a domain. It reports whether the domain was being evacuated.
-func (e *evacuations) end(domain string, now time.Time, offset int64) bool {
+func (e *evacuations) end(domain string, now time.Time, offset logpos.Pos) bool {
 	known, found := e.active[domain]
 	if !found {
 		return false
--- a/internal/node/evacuate_test.go
+++ b/internal/node/evacuate_test.go
@@ -12,6 +12,7 @@
 
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/rules"
 )
 
@@ -22,7 +23,7 @@
 func (c *clusterState) applyOperatorRecords(whole bool, age time.Duration, pairs ...string) bool {
 	u := follow.Update{Snapshot: whole}
 	for i := 0; i+1 < len(pairs); i += 2 {
-		u.Records = append(u.Records, follow.Record{Key: pairs[i], Value: []byte(pairs[i+1]), Offset: int64(i)})
+		u.Records = append(u.Records, follow.Record{Key: pairs[i], Value: []byte(pairs[i+1]), Offset: logpos.Pos(i)})
 	}
 	return c.applyEvacuations(u, age, evacuationOf)
 }
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -157,7 +157,7 @@
 // handleTopicUpdate passes on what a peer has read to the watch of the topic. If its queue is full, the update is
 // dropped, and heartbeats show later that this instance is behind.
 func (n *Node) handleTopicUpdate(m dgram.TopicUpdate) {
-	update := m.PeerUpdate
+	update := m.In(n.topicEra(m.Topic))
 	if sentAt, dated := n.roster.EarliestSendTime(m.Sender, m.SentAt, clock.Boot{}.Now()); dated {
 		update.SentAt = sentAt
 	}
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 )
 
@@ -27,7 +28,7 @@
 type heardPeer struct {
 	address string
 	// ends holds the ends of the topics that the instance knows, by topic.
-	ends    map[string]int64
+	ends    map[string]logpos.Pos
 	heardAt time.Time
 }
 
@@ -51,7 +52,7 @@
 
 // sources returns the addresses of the instances that know a topic up to an end, in random order: instances that start
 // together hear the same ones.
-func (hp *heardPeers) sources(topic string, minEnd int64, now time.Time) []string {
+func (hp *heardPeers) sources(topic string, minEnd logpos.Pos, now time.Time) []string {
 	hp.mu.Lock()
 	defer hp.mu.Unlock()
 	var out []string
@@ -69,7 +70,7 @@
 	if n.knowsAllTopics() {
 		return
 	}
-	n.heard.record(h.Name, heardPeer{address: from.String(), heardAt: time.Now(), ends: map[string]int64{
+	n.heard.record(h.Name, heardPeer{address: from.String(), heardAt: time.Now(), ends: map[string]logpos.Pos{
 		n.platform.OwnersTopic: h.Known, n.platform.ConfigTopic: h.ConfigEnd, n.platform.ServersTopic: h.ServersEnd,
 	}})
 }
--- a/internal/node/heard_test.go
+++ b/internal/node/heard_test.go
@@ -13,6 +13,7 @@
 
 	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/worker"
 )
@@ -62,7 +63,7 @@
 	is := is.New(t)
 	hp, now := newHeardPeers(), time.Now()
 	for i := range 2 * maxHeardPeers {
-		hp.record(fmt.Sprint(i), heardPeer{address: fmt.Sprint(i), ends: map[string]int64{"config": int64(i)}, heardAt: now.Add(time.Duration(i) * time.Millisecond)})
+		hp.record(fmt.Sprint(i), heardPeer{address: fmt.Sprint(i), ends: map[string]logpos.Pos{"config": logpos.Pos(i)}, heardAt: now.Add(time.Duration(i) * time.Millisecond)})
 	}
 	is.Equal(len(hp.peers), maxHeardPeers)
 	is.Equal(len(hp.sources("config", 0, now)), maxSources)
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -8,6 +8,7 @@
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 )
 
@@ -153,6 +154,7 @@
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.leases.ConfirmedOffset(),
 		Known: n.leases.View().End, StoreOK: reached.owners && reached.directory,
 		Stopping: n.isStopping(), Leads: n.leases.Leads(), ConfigEnd: configEnd, ServersEnd: serversEnd, Failing: n.failing(),
+		LatestEra: n.leases.LatestEra(),
 	}
 }
 
@@ -168,7 +170,7 @@
 // completeness returns the end offsets of the configuration and the directory that this instance acts on, and how long
 // before an instant they were last known to be the ends of their topics, in milliseconds; negative if that is too long
 // ago to be of use to peers.
-func (n *Node) completeness(at clock.Instant) (age, configEnd, serversEnd int64) {
+func (n *Node) completeness(at clock.Instant) (age int64, configEnd, serversEnd logpos.Pos) {
 	configEnd, configUntil := n.watches[n.platform.ConfigTopic].Known()
 	serversEnd, serversUntil := n.watches[n.platform.ServersTopic].Known()
 	return ageMillis(at, min(configUntil, serversUntil)), configEnd, serversEnd
@@ -199,13 +201,14 @@
 // handleHeartbeat processes the heartbeat of a peer, and reads the topics of which the peer knows more.
 func (n *Node) handleHeartbeat(h roster.Heartbeat) {
 	now := time.Now()
+	h = h.InEras(n.leases.View().End.Era(), n.topicEra(n.platform.ConfigTopic), n.topicEra(n.platform.ServersTopic))
 	n.roster.RecordHeartbeat(h, now)
 	n.roster.RecordEcho(h, clock.Boot{}.Now())
 	if h.ReplyNow {
 		n.replyWithHeartbeat(h.Name)
 	}
 	n.leases.HandleHeartbeat(h)
-	n.checkLag(n.platform.OwnersTopic, h.Name, h.Known, n.leases.View().End, now)
+	n.checkLag(n.platform.OwnersTopic, h.Name, max(h.Known, logpos.At(h.LatestEra, 0)), n.leases.Read().End, now)
 	configEnd, _ := n.watches[n.platform.ConfigTopic].Known()
 	serversEnd, _ := n.watches[n.platform.ServersTopic].Known()
 	n.checkLag(n.platform.ConfigTopic, h.Name, h.ConfigEnd, configEnd, now)
@@ -213,6 +216,15 @@
 	n.confirmCurrent(h)
 }
 
+// topicEra returns the era of the store of which this instance knows a topic.
+func (n *Node) topicEra(topic string) logpos.Era {
+	if topic == n.platform.OwnersTopic {
+		return n.leases.Read().End.Era()
+	}
+	end, _ := n.watches[topic].Known()
+	return end.Era()
+}
+
 // replyWithHeartbeat sends a heartbeat at once to the peer that asked for it.
 func (n *Node) replyWithHeartbeat(name string) {
 	if p, known := n.roster.Peer(name); known {
@@ -221,7 +233,7 @@
 }
 
 // checkLag requests a read of a topic, and logs it, if this instance has known less of the topic than a peer for too long.
-func (n *Node) checkLag(topic, peer string, peerEnd, ownEnd int64, now time.Time) {
+func (n *Node) checkLag(topic, peer string, peerEnd, ownEnd logpos.Pos, now time.Time) {
 	if n.lag[topic].observe(peerEnd, ownEnd, n.lagTimeout(), now) {
 		n.events.Record(event.StateChange, "behind", "topic", topic, "known", ownEnd, "known-elsewhere", peerEnd)
 		n.peersAhead.Store(topic, peer)
--- a/internal/node/heartbeat_test.go
+++ b/internal/node/heartbeat_test.go
@@ -8,6 +8,7 @@
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 )
 
 // Guards against ages that look too young. A process was throttled while it made a heartbeat: the age was from
@@ -36,7 +37,7 @@
 			servers.MarkApplied(follow.Update{Batch: follow.Batch{End: 9}, CurrentAsOf: test.servers})
 			age, configEnd, serversEnd := n.completeness(test.at)
 			is.Equal(age, test.want)
-			is.Equal(configEnd, int64(3))
+			is.Equal(configEnd, logpos.Pos(3))
 			is.Equal(serversEnd, int64(9))
 		})
 	}
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -15,6 +15,7 @@
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/join"
 	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -115,19 +116,17 @@
 	// smallDirectoryEnd is the number of records up to which the directory is small enough for every instance to read
 	// it from the store, which is faster than to wait for seeds that may be starting as well.
 	smallDirectoryEnd = 2000
-	// farOffset is an offset beyond the end of any topic: a read from there returns only the end.
-	farOffset = 1 << 40
 )
 
 // directoryIsSmall reports whether few records were ever written to the directory, so that the system is small, and how
 // long the store took to answer.
 func (n *Node) directoryIsSmall(ctx context.Context) (small bool, took time.Duration) {
 	askedAt := time.Now()
-	batch, err := n.platform.Store.Read(ctx, n.platform.ServersTopic, farOffset, 0)
+	batch, err := n.platform.Store.Read(ctx, n.platform.ServersTopic, logpos.EndOnly, 0)
 	took = time.Since(askedAt)
 	n.events.Record(event.StateChange, "store-read", "topic", n.platform.ServersTopic, "reason", "size", "end", batch.End, "took", took, "error", err)
 	n.storeCalls.Add("read "+n.platform.ServersTopic+" size", 1)
-	return err == nil && batch.End <= smallDirectoryEnd, took
+	return err == nil && batch.End.Offset() <= smallDirectoryEnd, took
 }
 
 // findLoadedSeed asks the other seeds at the same time. A seed uses the reply of one that has the state; seeds that start
@@ -164,7 +163,7 @@
 
 // joinRequest returns the request of this instance to a seed.
 func (n *Node) joinRequest(register bool) join.Request {
-	return join.Request{Name: n.settings.Name, Entry: n.entry(false), Register: register, Known: n.leases.View().End}
+	return join.Request{Name: n.settings.Name, Entry: n.entry(false), Register: register, Known: n.leases.Read().End}
 }
 
 // callSeed sends a join.Request to a seed.
@@ -259,7 +258,7 @@
 
 // finishRegistrations records the result of a write of registrations: the offset after them, or an error. If the outcome is
 // unknown they count as written: instances that find theirs missing in the register ask again.
-func (n *Node) finishRegistrations(batch []join.Request, end int64, err error, now time.Time) {
+func (n *Node) finishRegistrations(batch []join.Request, end logpos.Pos, err error, now time.Time) {
 	n.joinMu.Lock()
 	defer n.joinMu.Unlock()
 	if errors.Is(err, follow.ErrNotDone) {
@@ -281,7 +280,7 @@
 
 // registerStarters writes registrations to the register and returns the offset after them, zero with an error. A registration
 // that is written twice changes nothing.
-func (n *Node) registerStarters(ctx context.Context, batch []join.Request) (int64, error) {
+func (n *Node) registerStarters(ctx context.Context, batch []join.Request) (logpos.Pos, error) {
 	records := make([]follow.Record, 0, len(batch))
 	for _, r := range batch {
 		value, err := r.Entry.Encode()
@@ -301,5 +300,5 @@
 	if n.leases.Leads() {
 		n.requestRead(n.platform.OwnersTopic)
 	}
-	return offset + int64(len(records)), nil
+	return offset + logpos.Pos(len(records)), nil
 }
--- a/internal/node/lag.go
+++ b/internal/node/lag.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 )
 
@@ -20,7 +21,7 @@
 type lagDetector struct {
 	// ownEnd is the end of the topic that this instance knew when it fell behind. since is when that was, or when the
 	// lag was last reported.
-	ownEnd int64
+	ownEnd logpos.Pos
 	since  time.Time
 }
 
@@ -39,7 +40,7 @@
 //
 // Only progress of this instance restarts the timeout. Heartbeats of peers that know no more must not: while an
 // update is missing, most peers lack it, and their heartbeats arrive in between.
-func (d *lagDetector) observe(peerEnd, ownEnd int64, timeout time.Duration, now time.Time) bool {
+func (d *lagDetector) observe(peerEnd, ownEnd logpos.Pos, timeout time.Duration, now time.Time) bool {
 	if peerEnd <= ownEnd {
 		return false
 	}
--- a/internal/node/lag_test.go
+++ b/internal/node/lag_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/logpos"
 )
 
 // Guards against a lag that is never detected because most peers lag as well. Two of eleven instances read the newest
@@ -30,7 +32,7 @@
 	start := time.Unix(0, 0)
 	type heartbeat struct {
 		after           time.Duration
-		peerEnd, ownEnd int64
+		peerEnd, ownEnd logpos.Pos
 		read            bool
 	}
 	tests := map[string][]heartbeat{
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -189,6 +189,7 @@
 		progress()
 	}}
 	p, err := decodeTopic(response, sentAt)
+	p = p.In(max(r.From, r.MinEnd).Era())
 	if err != nil {
 		err = errors.Join(err, context.Cause(ctx))
 	}
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -17,6 +17,7 @@
 
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/worker"
 )
@@ -34,7 +35,7 @@
 func (s *pollStore) put(value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, follow.Record{Key: "config", Value: []byte(value), Offset: int64(len(s.records))})
+	s.records = append(s.records, follow.Record{Key: "config", Value: []byte(value), Offset: logpos.Pos(len(s.records))})
 }
 
 // count returns the number of calls so far.
@@ -45,14 +46,14 @@
 }
 
 // from returns the records from an offset on.
-func (s *pollStore) from(offset int64) follow.Batch {
+func (s *pollStore) from(offset logpos.Pos) follow.Batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	end := int64(len(s.records))
+	end := logpos.Pos(len(s.records))
 	return follow.Batch{Records: s.records[min(offset, end):end:end], End: end}
 }
 
-func (s *pollStore) Append(context.Context, string, []follow.Record, int64) (int64, error) {
+func (s *pollStore) Append(context.Context, string, []follow.Record, logpos.Pos) (logpos.Pos, error) {
 	return 0, follow.ErrNotDone
 }
 
@@ -64,7 +65,7 @@
 	return batch, err
 }
 
-func (s *pollStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (follow.Batch, error) {
+func (s *pollStore) Read(ctx context.Context, _ string, from logpos.Pos, wait time.Duration) (follow.Batch, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -204,13 +205,13 @@
 		n.lag = map[string]*lagDetector{"config": {}}
 		n.topics["servers"].apply(follow.Update{Snapshot: true, Batch: follow.Batch{End: 1}})
 		entry, _ := n.entry(false).Encode()
-		register = append(register, follow.Record{Key: lease.InstanceKey(n.settings.Name), Value: entry, Offset: int64(i)})
+		register = append(register, follow.Record{Key: lease.InstanceKey(n.settings.Name), Value: entry, Offset: logpos.Pos(i)})
 		c.nodes = append(c.nodes, n)
 	}
 	c.leader = c.nodes[leader]
 	for _, n := range c.nodes {
 		group.Go("leases", n.leases.Run)
-		n.leases.StoreUpdates() <- follow.Update{Topic: "owners", Snapshot: true, Batch: follow.Batch{Records: register, End: int64(instances)}}
+		n.leases.StoreUpdates() <- follow.Update{Topic: "owners", Snapshot: true, Batch: follow.Batch{Records: register, End: logpos.Pos(instances)}}
 		synctest.Wait()
 		watch := n.watches["config"]
 		watch.Store, watch.ReadsStore = c.store, func() bool { return n == c.leader }
@@ -249,7 +250,7 @@
 }
 
 // announce tells all instances the end of the topic.
-func (c *newsCluster) announce(sender *Node, end int64) {
+func (c *newsCluster) announce(sender *Node, end logpos.Pos) {
 	for _, n := range c.nodes {
 		if _, stands := c.fault(n); n == sender || stands > 0 {
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/join"
 	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/paths"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
@@ -111,7 +112,9 @@
 	// heartbeatLeaderNow and heartbeatAllNow ask for a heartbeat at once.
 	heartbeatLeaderNow chan struct{}
 	heartbeatAllNow    chan struct{}
-	watches            map[string]*follow.Watch
+	// viewRequests holds the instance whose view viewLoop gets next.
+	viewRequests chan string
+	watches      map[string]*follow.Watch
 	// storeAnsweredAt is when the store last answered a read of this instance, by the lease clock; zero for never.
 	storeAnsweredAt atomic.Int64
 	// lag holds the detectors of peers that know more, by topic.
@@ -166,7 +169,7 @@
 		meters: edge.NewMeters(), suspects: edge.NewCrashTracker(), incarnation: rand.Uint64() | 1,
 		unreachableLoggedAt: map[string]time.Time{}, storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(),
 		updates: map[string]chan follow.Update{}, readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, broadcasts: map[string]chan follow.Update{},
-		lag: map[string]*lagDetector{}, completedMoves: make(chan dgram.MovedRange, maxCompletedMoves), heartbeatLeaderNow: make(chan struct{}, 1), heartbeatAllNow: make(chan struct{}, 1), stopping: make(chan struct{}),
+		lag: map[string]*lagDetector{}, completedMoves: make(chan dgram.MovedRange, maxCompletedMoves), heartbeatLeaderNow: make(chan struct{}, 1), heartbeatAllNow: make(chan struct{}, 1), viewRequests: make(chan string, 1), stopping: make(chan struct{}),
 		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: newPeerClient(), joined: make(chan struct{}), heard: newHeardPeers(),
 	}
 	n.platform.Store = &instrumentedStore{Store: platform.Store, calls: n.storeCalls, times: n.storeTimes, events: events}
@@ -194,7 +197,7 @@
 		DirectoryAge: func() time.Duration { return n.watches[platform.ServersTopic].Age() },
 		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: func() { n.requestRead(platform.ServersTopic) },
 		LeadershipChanged: n.leadershipChanged, BroadcastOwners: n.broadcastOwnerChange, BroadcastRegister: n.broadcastRegister, MoveCompleted: n.moveCompleted,
-		OwnersChanged: n.ownersChanged, SendHeartbeat: n.sendHeartbeatToLeader,
+		FetchView: n.requestView, EraChanged: n.sendHeartbeatToAll, OwnersChanged: n.ownersChanged, SendHeartbeat: n.sendHeartbeatToLeader,
 	})
 	n.cluster.owners = n.leases.View
 	n.watches = n.newWatches()
@@ -323,6 +326,7 @@
 	}
 	group.Go("beats", n.heartbeatLoop)
 	group.Go("digests", n.digestLoop)
+	group.Go("views", n.viewLoop)
 	group.Go("settled", n.broadcastMovesLoop)
 	group.Go("holder", n.leases.Run)
 	group.Go("permits", n.admissions.run)
@@ -371,7 +375,7 @@
 
 // appendEntry writes the record of this instance to the register and returns its offset. Ended says that the instance
 // stops.
-func (n *Node) appendEntry(ctx context.Context, ended bool) (int64, error) {
+func (n *Node) appendEntry(ctx context.Context, ended bool) (logpos.Pos, error) {
 	value, err := n.entry(ended).Encode()
 	if err != nil {
 		return 0, err
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -17,6 +17,7 @@
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/worker"
 )
@@ -38,10 +39,10 @@
 func (s *hangingStore) put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, follow.Record{Key: key, Value: []byte(value), Offset: int64(len(s.records))})
+	s.records = append(s.records, follow.Record{Key: key, Value: []byte(value), Offset: logpos.Pos(len(s.records))})
 }
 
-func (s *hangingStore) Append(ctx context.Context, _ string, _ []follow.Record, _ int64) (int64, error) {
+func (s *hangingStore) Append(ctx context.Context, _ string, _ []follow.Record, _ logpos.Pos) (logpos.Pos, error) {
 	return 0, hang(ctx)
 }
 
@@ -57,11 +58,11 @@
 	return s.Read(ctx, topic, 0, 0)
 }
 
-func (s *hangingStore) Read(ctx context.Context, _ string, from int64, _ time.Duration) (follow.Batch, error) {
+func (s *hangingStore) Read(ctx context.Context, _ string, from logpos.Pos, _ time.Duration) (follow.Batch, error) {
 	s.mu.Lock()
 	s.calls++
 	hanging := s.hanging
-	all := follow.Batch{Records: s.records[min(from, int64(len(s.records))):], End: int64(len(s.records))}
+	all := follow.Batch{Records: s.records[min(from, logpos.Pos(len(s.records))):], End: logpos.Pos(len(s.records))}
 	s.mu.Unlock()
 	if !hanging {
 		return all, nil
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -10,6 +10,7 @@
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/join"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -45,7 +46,7 @@
 	// writtenBy is when the last record has been written if it ever is, zero if none was sent.
 	writtenBy time.Time
 	// end is the offset after the last record, zero if that is not known.
-	end int64
+	end logpos.Pos
 	// refusals is the number of records in a row that the store refused.
 	refusals int
 	// shared says that a seed is asked to write the record together with those of others. Each append takes the store as
@@ -60,7 +61,7 @@
 	// Registered says that the instance finds itself in the register.
 	Registered bool
 	// End is the offset after the last known record, AsOf a time at which no later one had been written.
-	End  int64
+	End  logpos.Pos
 	AsOf time.Time
 }
 
@@ -80,7 +81,7 @@
 }
 
 // attempted records the result of a write: the offset of the record, or an error.
-func (r *registration) attempted(offset int64, err error, now time.Time) {
+func (r *registration) attempted(offset logpos.Pos, err error, now time.Time) {
 	if errors.Is(err, follow.ErrNotDone) {
 		mean := min(registerInterval<<min(r.refusals, 8), maxRegisterDelay)
 		r.refusals++
@@ -143,7 +144,7 @@
 	lookupAt := time.Now().Add(lookupInterval)
 	for ; ctx.Err() == nil; worker.Sleep(ctx, registerInterval) {
 		now := time.Now()
-		known := ownersKnowledge{Registered: n.leases.Registered(), End: n.leases.View().End, AsOf: now.Add(-n.leases.Age())}
+		known := ownersKnowledge{Registered: n.leases.Registered(), End: n.leases.Read().End, AsOf: now.Add(-n.leases.ReadAge())}
 		switch {
 		case n.isStopping():
 		case r.due(known, now):
--- a/internal/node/register_test.go
+++ b/internal/node/register_test.go
@@ -9,6 +9,7 @@
 
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/join"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 )
 
@@ -59,7 +60,7 @@
 func TestSeedRemembersWhatItHasWritten(t *testing.T) {
 	const end = 7
 	tests := map[string]struct {
-		known int64
+		known logpos.Pos
 		after time.Duration
 		again bool
 	}{
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 )
 
 // Guards against news of one server that cost an instance as much as the whole directory: with 10,000 servers, the
@@ -22,9 +23,9 @@
 		n.admissions = newAdmissions(n)
 		topic := newTopicCopy()
 		apply := func(from, to int) {
-			u := follow.Update{Batch: follow.Batch{End: int64(to)}}
+			u := follow.Update{Batch: follow.Batch{End: logpos.Pos(to)}}
 			for i := from; i < to; i++ {
-				u.Records = append(u.Records, follow.Record{Key: fmt.Sprintf("s%d", i%size), Value: []byte("ready"), Offset: int64(i)})
+				u.Records = append(u.Records, follow.Record{Key: fmt.Sprintf("s%d", i%size), Value: []byte("ready"), Offset: logpos.Pos(i)})
 			}
 			topic.apply(u)
 			c.applyServers(u, 0, decodeServer)
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -22,6 +22,7 @@
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/join"
 	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/worker"
@@ -64,14 +65,14 @@
 	return until.Sub(now) + max(s.slowdown, 1)*storeAnswerTime, true
 }
 
-func (s *limitedStore) Append(ctx context.Context, topic string, records []follow.Record, _ int64) (int64, error) {
+func (s *limitedStore) Append(ctx context.Context, topic string, records []follow.Record, _ logpos.Pos) (logpos.Pos, error) {
 	s.mu.Lock()
 	s.appends++
 	wait, accepted := s.accept(&s.appendsUntil, max(s.slowdown, 1)*storeAppendTime)
-	offset := int64(len(s.topics[topic]))
+	offset := logpos.Pos(len(s.topics[topic]))
 	if accepted {
 		for i, r := range records {
-			r.Offset = offset + int64(i)
+			r.Offset = offset + logpos.Pos(i)
 			s.topics[topic] = append(s.topics[topic], r)
 		}
 	}
@@ -86,11 +87,11 @@
 }
 
 // read returns the records of a topic from an offset on. It fails if the answer takes too long.
-func (s *limitedStore) read(ctx context.Context, topic string, from int64) (follow.Batch, error) {
+func (s *limitedStore) read(ctx context.Context, topic string, from logpos.Pos) (follow.Batch, error) {
 	s.mu.Lock()
 	s.reads++
 	all := s.topics[topic]
-	batch := follow.Batch{End: int64(len(all)), Records: all[min(from, int64(len(all))):]}
+	batch := follow.Batch{End: logpos.Pos(len(all)), Records: all[min(from, logpos.Pos(len(all))):]}
 	size := 0
 	for _, r := range batch.Records {
 		size += len(r.Key) + len(r.Value)
@@ -106,7 +107,7 @@
 	return batch, nil
 }
 
-func (s *limitedStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (follow.Batch, error) {
+func (s *limitedStore) Read(ctx context.Context, topic string, from logpos.Pos, wait time.Duration) (follow.Batch, error) {
 	batch, err := s.read(ctx, topic, from)
 	if err == nil && len(batch.Records) == 0 {
 		worker.Sleep(ctx, wait)
@@ -243,7 +244,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}}, nodes: map[string]*Node{}}
 		for i := range servers {
-			sc.store.topics["servers"] = append(sc.store.topics["servers"], follow.Record{Key: fmt.Sprintf("s%05d", i), Value: make([]byte, 300), Offset: int64(i)})
+			sc.store.topics["servers"] = append(sc.store.topics["servers"], follow.Record{Key: fmt.Sprintf("s%05d", i), Value: make([]byte, 300), Offset: logpos.Pos(i)})
 		}
 		sc.store.topics["config"] = []follow.Record{{Key: "config", Value: make([]byte, 100e3)}}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -343,7 +344,7 @@
 		const instances, servers, slowdown = 75, 216, 50
 		sc := &startCluster{store: &limitedStore{topics: map[string][]follow.Record{}, slowdown: slowdown}, nodes: map[string]*Node{}}
 		for i := range servers {
-			sc.store.topics["servers"] = append(sc.store.topics["servers"], follow.Record{Key: fmt.Sprintf("s%05d", i), Value: make([]byte, 300), Offset: int64(i)})
+			sc.store.topics["servers"] = append(sc.store.topics["servers"], follow.Record{Key: fmt.Sprintf("s%05d", i), Value: make([]byte, 300), Offset: logpos.Pos(i)})
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		group := worker.New(ctx, 12*instances)
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -15,6 +15,7 @@
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/join"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/tunnel"
 	"example.org/mustardring/internal/upstr"
@@ -33,6 +34,10 @@
 	// headerStaleness is follow.PeerUpdate.Staleness, headerHeld how long the peer had the request when it answered.
 	headerStaleness = "Mustardring-Staleness-Ms"
 	headerHeld      = "Mustardring-Held-Ms"
+	// queryInForce asks for the owners on which the receiver acts.
+	queryInForce = "in-force"
+	// headerEra is the era of the positions in an answer. Instances that do not know eras state offsets only.
+	headerEra = "Mustardring-Era"
 )
 
 // The timeouts of calls between instances.
@@ -83,25 +88,52 @@
 
 // topicQuery returns the query of a request for a topic that the receiver may hold for a time.
 func topicQuery(r follow.PeerRequest, wait time.Duration) url.Values {
-	return url.Values{
-		"topic": {r.Topic}, "from": {strconv.FormatInt(r.From, 10)}, "min-end": {strconv.FormatInt(r.MinEnd, 10)},
+	q := url.Values{
+		"topic": {r.Topic}, "from": {formatOffset(r.From)}, "min-end": {formatOffset(r.MinEnd)},
+		"from-era": {formatEra(r.From)}, "min-end-era": {formatEra(r.MinEnd)},
 		"max-stale-ms": {strconv.FormatInt(r.MaxStaleness.Milliseconds(), 10)},
 		"wait-ms":      {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
+	if r.InForce {
+		q.Set(queryInForce, "1")
+	}
+	return q
+}
+
+func formatOffset(p logpos.Pos) string { return strconv.FormatInt(p.Offset(), 10) }
+
+func formatEra(p logpos.Pos) string { return strconv.FormatUint(uint64(p.Era()), 10) }
+
+// parsePos decodes the offset and the era of a position. The era may be missing.
+func parsePos(offset, era string) (logpos.Pos, error) {
+	o, err := strconv.ParseInt(offset, 10, 64)
+	if err != nil || o < 0 || era == "" {
+		return logpos.Pos(o), err
+	}
+	e, err := strconv.ParseUint(era, 10, 32)
+	if err != nil || e > uint64(logpos.MaxEra) || o > int64(logpos.EndOnly) {
+		return 0, errors.Join(errTopicFormat, err)
+	}
+	return logpos.At(logpos.Era(e), o), nil
 }
 
 // parseTopicQuery decodes the result of topicQuery. It reports whether it is complete.
 func parseTopicQuery(q url.Values) (r follow.PeerRequest, wait time.Duration, ok bool) {
 	numbers := map[string]int64{}
-	for _, name := range []string{"from", "min-end", "max-stale-ms", "wait-ms"} {
+	for _, name := range []string{"max-stale-ms", "wait-ms"} {
 		v, err := strconv.ParseInt(q.Get(name), 10, 64)
 		if err != nil {
 			return r, 0, false
 		}
 		numbers[name] = v
 	}
+	from, errFrom := parsePos(q.Get("from"), q.Get("from-era"))
+	minEnd, errEnd := parsePos(q.Get("min-end"), q.Get("min-end-era"))
+	if errFrom != nil || errEnd != nil {
+		return r, 0, false
+	}
 	r = follow.PeerRequest{
-		Topic: q.Get("topic"), From: numbers["from"], MinEnd: numbers["min-end"],
+		Topic: q.Get("topic"), From: from, MinEnd: minEnd,
 		MaxStaleness: time.Duration(numbers["max-stale-ms"]) * time.Millisecond,
 	}
 	return r, min(time.Duration(numbers["wait-ms"])*time.Millisecond, maxHoldTime), true
@@ -124,6 +156,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	era := n.topicEra(r.Topic)
+	r.From, r.MinEnd = r.From.In(era), r.MinEnd.In(era)
+	if request.URL.Query().Has(queryInForce) {
+		n.sendOwnersInForce(w)
+		return
+	}
 	arrivedAt := n.leases.Clock.Now()
 	if !n.awaitTopic(request.Context(), r, wait) {
 		w.WriteHeader(statusTopicPending)
@@ -137,10 +175,28 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	n.sendTopic(w, topic, staleness, held)
+}
+
+// sendOwnersInForce answers a peer that asks for the owners on which this instance acts, which may be of an earlier era of
+// the store than what it has read.
+func (n *Node) sendOwnersInForce(w http.ResponseWriter) {
+	topic, err := n.ownersCopy.of(n.leases.View())
+	if err != nil {
+		n.events.Record(event.StateChange, "topic-not-sent", "topic", n.platform.OwnersTopic, "error", err)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	n.sendTopic(w, topic, -1, 0)
+}
+
+// sendTopic sends a topic, given the age in milliseconds of what this instance knows and for how long it held the request.
+func (n *Node) sendTopic(w http.ResponseWriter, topic encodedTopic, staleness int64, held time.Duration) {
 	h := w.Header()
 	h.Set(headerFormat, formatTopics)
-	h.Set(headerFrom, strconv.FormatInt(topic.from, 10))
-	h.Set(headerEnd, strconv.FormatInt(topic.end, 10))
+	h.Set(headerFrom, formatOffset(topic.from))
+	h.Set(headerEnd, formatOffset(topic.end))
+	h.Set(headerEra, formatEra(topic.end))
 	h.Set(headerSnapshot, strconv.FormatBool(topic.snapshot))
 	h.Set(headerStaleness, strconv.FormatInt(staleness, 10))
 	h.Set(headerHeld, strconv.FormatInt(held.Milliseconds(), 10))
@@ -189,9 +245,9 @@
 }
 
 // topicEnd returns the end of what this instance knows of a topic, and whether it knows the topic at all.
-func (n *Node) topicEnd(topic string) (int64, bool) {
+func (n *Node) topicEnd(topic string) (logpos.Pos, bool) {
 	if topic == n.platform.OwnersTopic {
-		end := n.leases.View().End
+		end := n.leases.Read().End
 		return end, end > 0
 	}
 	return n.topics[topic].known()
@@ -200,7 +256,7 @@
 // topicStaleness returns the age in milliseconds of what this instance knows of a topic, negative if that is not known.
 func (n *Node) topicStaleness(topic string) int64 {
 	if topic == n.platform.OwnersTopic {
-		age := n.leases.Age()
+		age := n.leases.ReadAge()
 		if age > maxKnowledgeAge {
 			return -1
 		}
@@ -211,11 +267,11 @@
 }
 
 // encodeTopic returns what this instance knows of a topic from an offset on.
-func (n *Node) encodeTopic(topic string, from int64) (encodedTopic, error) {
+func (n *Node) encodeTopic(topic string, from logpos.Pos) (encodedTopic, error) {
 	if topic != n.platform.OwnersTopic {
 		return n.topics[topic].since(from)
 	}
-	view := n.leases.View()
+	view := n.leases.Read()
 	if view.End == from {
 		body, err := encodeRecords(nil)
 		return encodedTopic{from: from, end: from, body: body}, err
@@ -262,15 +318,15 @@
 // decodeTopic decodes the answer of a peer to a request that was sent at sentAt.
 func decodeTopic(response *http.Response, sentAt clock.Instant) (follow.PeerUpdate, error) {
 	h := response.Header
-	from, errFrom := strconv.ParseInt(h.Get(headerFrom), 10, 64)
-	end, errEnd := strconv.ParseInt(h.Get(headerEnd), 10, 64)
+	from, errFrom := parsePos(h.Get(headerFrom), h.Get(headerEra))
+	end, errEnd := parsePos(h.Get(headerEnd), h.Get(headerEra))
 	snapshot, errSnapshot := strconv.ParseBool(h.Get(headerSnapshot))
 	staleness, errStaleness := strconv.ParseInt(h.Get(headerStaleness), 10, 64)
 	held, errHeld := strconv.ParseInt(h.Get(headerHeld), 10, 64)
 	if err := errors.Join(errFrom, errEnd, errSnapshot, errStaleness, errHeld); err != nil || h.Get(headerFormat) != formatTopics {
 		return follow.PeerUpdate{}, errors.Join(errTopicFormat, err)
 	}
-	records, err := decodeRecords(response.Body)
+	records, err := decodeRecords(response.Body, end.Era())
 	if err != nil {
 		return follow.PeerUpdate{}, err
 	}
--- a/internal/node/topics.go
+++ b/internal/node/topics.go
@@ -12,6 +12,7 @@
 
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/pack"
 )
 
@@ -21,13 +22,13 @@
 	mu sync.Mutex
 	// records holds the newest record of each key before end, deletions included.
 	records map[string]follow.Record
-	end     int64
+	end     logpos.Pos
 	// completeFrom is the offset from which on no deletion is missing.
-	completeFrom int64
+	completeFrom logpos.Pos
 	loaded       bool
 	// snapshot is the encoded snapshot up to snapshotEnd.
 	snapshot    []byte
-	snapshotEnd int64
+	snapshotEnd logpos.Pos
 }
 
 // maxDeletions is the number of deletions that a copy keeps. Peers that know less get a snapshot.
@@ -84,14 +85,14 @@
 }
 
 // known returns the end of the copy, and false if the topic was never read.
-func (c *topicCopy) known() (int64, bool) {
+func (c *topicCopy) known() (logpos.Pos, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.end, c.loaded
 }
 
 // since returns the encoded records from an offset on, or a snapshot if from is negative or deletions are missing.
-func (c *topicCopy) since(from int64) (encodedTopic, error) {
+func (c *topicCopy) since(from logpos.Pos) (encodedTopic, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if from < 0 || from < c.completeFrom {
@@ -127,19 +128,23 @@
 
 // encodedTopic is a part of a topic as peers send it to each other.
 type encodedTopic struct {
-	from     int64
-	end      int64
+	from     logpos.Pos
+	end      logpos.Pos
 	snapshot bool
 	body     []byte
 }
 
-// encodeRecords encodes records in the order of their offsets, compressed.
+// encodeRecords encodes records in the order of their positions, compressed. All are of one era, which is stated beside them.
 func encodeRecords(records []follow.Record) ([]byte, error) {
 	slices.SortFunc(records, func(a, b follow.Record) int {
 		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Key, b.Key))
 	})
+	offsets := slices.Clone(records)
+	for i := range offsets {
+		offsets[i].Offset = logpos.At(0, offsets[i].Offset.Offset())
+	}
 	var packed, out bytes.Buffer
-	if err := pack.Encode(&packed, records); err != nil {
+	if err := pack.Encode(&packed, offsets); err != nil {
 		return nil, err
 	}
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
@@ -161,8 +166,8 @@
 // errTopicSize means that a peer sent more than maxTopicSize.
 var errTopicSize = errors.New("node: topic of a peer is too large")
 
-// decodeRecords decodes what encodeRecords returned. It fails if the data is cut short.
-func decodeRecords(data io.Reader) ([]follow.Record, error) {
+// decodeRecords decodes what encodeRecords returned, given the era of the records. It fails if the data is cut short.
+func decodeRecords(data io.Reader, era logpos.Era) ([]follow.Record, error) {
 	packed, err := io.ReadAll(io.LimitReader(flate.NewReader(data), maxTopicSize+1))
 	if err != nil {
 		return nil, fmt.Errorf("node: records of a peer: %w", err)
@@ -170,7 +175,11 @@
 	if len(packed) > maxTopicSize {
 		return nil, errTopicSize
 	}
-	return pack.Decode[[]follow.Record](packed)
+	records, err := pack.Decode[[]follow.Record](packed)
+	for i := range records {
+		records[i].Offset = records[i].Offset.In(era)
+	}
+	return records, err
 }
 
 // viewRecords returns the records of the topic of owners that make up a view. They get the offset of the last record
--- a/internal/node/topics_test.go
+++ b/internal/node/topics_test.go
@@ -11,12 +11,13 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 )
 
 func records(from, to int) []follow.Record {
 	var out []follow.Record
 	for i := from; i < to; i++ {
-		out = append(out, follow.Record{Key: fmt.Sprintf("k%d", i%50), Value: []byte("v"), Offset: int64(i)})
+		out = append(out, follow.Record{Key: fmt.Sprintf("k%d", i%50), Value: []byte("v"), Offset: logpos.Pos(i)})
 	}
 	return out
 }
@@ -29,7 +30,7 @@
 	c.apply(follow.Update{Batch: follow.Batch{Records: []follow.Record{{Key: "k3", Offset: 50}}, End: 51}})
 	update, err := c.since(50)
 	is.NoErr(err)
-	got, err := decodeRecords(bytes.NewReader(update.body))
+	got, err := decodeRecords(bytes.NewReader(update.body), 0)
 	is.NoErr(err)
 	is.Equal(len(got), 1)
 	is.Equal(got[0].Key, "k3")
@@ -37,7 +38,7 @@
 	update, err = c.since(10) // deletions before the snapshot are not known
 	is.NoErr(err)
 	is.True(update.snapshot)
-	got, err = decodeRecords(bytes.NewReader(update.body))
+	got, err = decodeRecords(bytes.NewReader(update.body), 0)
 	is.NoErr(err)
 	is.Equal(len(got), 49)
 }
@@ -48,7 +49,7 @@
 	c := newTopicCopy()
 	c.apply(follow.Update{Snapshot: true, Batch: follow.Batch{}})
 	for i := range 2*maxDeletions + 1 {
-		c.apply(follow.Update{Batch: follow.Batch{Records: []follow.Record{{Key: fmt.Sprint(i), Offset: int64(i)}}, End: int64(i + 1)}})
+		c.apply(follow.Update{Batch: follow.Batch{Records: []follow.Record{{Key: fmt.Sprint(i), Offset: logpos.Pos(i)}}, End: logpos.Pos(i + 1)}})
 	}
 	is.True(len(c.records) <= maxDeletions)
 	update, err := c.since(1)
--- a/internal/node/watches.go
+++ b/internal/node/watches.go
@@ -39,7 +39,7 @@
 	watches := map[string]*follow.Watch{
 		n.platform.ConfigTopic:  {ReadsStore: n.readsStore, PollTimeout: n.pollTimeout, BatchDelay: configDelay, CatchUpFromSnapshot: true, MaxStaleness: n.maxStaleness},
 		n.platform.ServersTopic: {ReadsStore: n.readsStore, PollTimeout: n.pollTimeout, BatchDelay: n.batchDelay, MaxStaleness: n.maxStaleness},
-		n.platform.OwnersTopic:  {ReadsStore: n.readsOwners, ReadInterval: n.ownersReadInterval, BatchDelay: configDelay, MaxStaleness: n.maxOwnersStaleness, Staleness: n.leases.Age},
+		n.platform.OwnersTopic:  {ReadsStore: n.readsOwners, ReadInterval: n.ownersReadInterval, BatchDelay: configDelay, MaxStaleness: n.maxOwnersStaleness, Staleness: n.leases.ReadAge},
 	}
 	for topic, w := range watches {
 		w.Store, w.Topic, w.Clock, w.Out = n.platform.Store, topic, clock.Boot{}, n.updates[topic]
--- a/internal/roster/digest.go
+++ b/internal/roster/digest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/logpos"
 )
 
 // In a failure domain with more than maxDirectDomain instances, heartbeats do not go from each instance to each other
@@ -32,12 +33,13 @@
 	AgeMs int64
 	Dated bool
 	// The other fields are those of the Heartbeat.
-	Confirmed     int64
-	Known         int64
+	Confirmed     logpos.Pos
+	Known         logpos.Pos
 	StoreOK       bool
 	StoreAnswered bool
 	Stopping      bool
 	Failing       []string
+	LatestEra     logpos.Era `msgpack:"-"`
 }
 
 // LargeDomain reports whether the instances of a failure domain exchange digests.
@@ -79,6 +81,7 @@
 		report := Report{
 			Name: p.Name, Incarnation: p.Incarnation, AgeMs: now.Sub(p.directAt).Milliseconds() + 1,
 			Confirmed: h.Confirmed, Known: h.Known, StoreOK: h.StoreOK, StoreAnswered: h.StoreAnswered, Stopping: h.Stopping, Failing: h.Failing,
+			LatestEra: h.LatestEra,
 		}
 		if sentAt, dated := p.clockOffset.earliestSendTime(clock.Instant(h.SentAt), clockNow); dated {
 			report.AgeMs, report.Dated = clockNow.Sub(sentAt).Milliseconds()+1, true
@@ -144,6 +147,7 @@
 	}
 	h.Name, h.Incarnation = report.Name, report.Incarnation
 	h.Confirmed, h.Known = max(h.Confirmed, report.Confirmed), max(h.Known, report.Known)
+	h.LatestEra = max(h.LatestEra, report.LatestEra)
 	h.StoreOK, h.StoreAnswered, h.Stopping, h.Failing = report.StoreOK, report.StoreAnswered, report.Stopping, report.Failing
 	p.Heartbeat, p.HeartbeatAt, p.suspected = h, heardAt, false
 	r.refreshPeer(p, now)
--- a/internal/roster/digest_test.go
+++ b/internal/roster/digest_test.go
@@ -112,6 +112,17 @@
 // encoded by position, with the number of their fields.
 func TestHeartbeatsKeepTheirFields(t *testing.T) {
 	is := is.New(t)
-	is.Equal(reflect.TypeFor[Heartbeat]().NumField(), 16)
-	is.Equal(reflect.TypeFor[Report]().NumField(), 10)
+	is.Equal(transmittedFields(reflect.TypeFor[Heartbeat]()), 16)
+	is.Equal(transmittedFields(reflect.TypeFor[Report]()), 10)
+}
+
+// transmittedFields returns the number of fields of a struct that are encoded.
+func transmittedFields(t reflect.Type) int {
+	count := 0
+	for i := range t.NumField() {
+		if t.Field(i).Tag.Get("msgpack") != "-" {
+			count++
+		}
+	}
+	return count
 }
--- a/internal/roster/liveness.go
+++ b/internal/roster/liveness.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"example.org/mustardring/internal/logpos"
 )
 
 // Suspect marks an instance as suspected, so that it does not count as alive until its next heartbeat.
@@ -145,7 +147,7 @@
 // Unconfirmed returns the names of the instances that may still act on a view without the record at an
 // offset: the registered ones that have not confirmed it, and those whose removal this instance learned of
 // after the given time.
-func (r *Roster) Unconfirmed(offset int64, removedAfter time.Time) []string {
+func (r *Roster) Unconfirmed(offset logpos.Pos, removedAfter time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
--- a/internal/roster/quorum.go
+++ b/internal/roster/quorum.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"example.org/mustardring/internal/logpos"
 )
 
 // The maximum age of a view on which an instance may act depends on whether a majority agrees with it, that
@@ -60,15 +62,40 @@
 // failure domain, agree that there is no record of owners at offset end or later. Another instance agrees if
 // it has said so after it received a heartbeat that this one sent at the time since or later. The time is
 // one of this instance's lease clock, in nanoseconds.
-func (r *Roster) MajorityAgrees(since, end int64) bool {
+func (r *Roster) MajorityAgrees(since int64, end logpos.Pos) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all, domain := r.countWhere(func(p *Peer) bool {
-		return p.Name == r.self || p.Heartbeat.EchoAt >= since && p.Heartbeat.Known <= end
+		return p.Name == r.self || p.Heartbeat.EchoAt >= since && p.agrees(end)
 	})
 	return all.majority() || domain.majority()
 }
 
+// HalfKnows reports whether at least half of all instances, and of those of each failure domain, know of an era of the store
+// and of no record of owners at offset end or later. They do not agree with views that hold such records.
+func (r *Roster) HalfKnows(era logpos.Era, end logpos.Pos) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total, domains := tally{}, map[string]tally{}
+	for _, p := range r.peers {
+		v := tally{total: 1}
+		if h := p.Heartbeat; p.Name == r.self || h.LatestEra >= era && h.Known <= end {
+			v.matching = 1
+		}
+		total, domains[p.Domain] = total.plus(v), domains[p.Domain].plus(v)
+	}
+	for _, m := range r.removed {
+		v := tally{total: 1}
+		total, domains[m.entry.Domain] = total.plus(v), domains[m.entry.Domain].plus(v)
+	}
+	for _, v := range domains {
+		if !v.atLeastHalf() {
+			return false
+		}
+	}
+	return total.atLeastHalf()
+}
+
 // MajorityAlive reports whether more than half of the instances of this instance's failure domain are alive,
 // including itself, or more than half of all instances if the domain has less than minMajorityDomain.
 // Instances of other domains send heartbeats too rarely for their loss to be detected in time.
@@ -141,7 +168,7 @@
 // HalfConfirmed reports whether the record at an offset is confirmed by at least half of all instances and
 // at least half of those of each failure domain. Instances that were registered at any time since the given
 // one count; only those that have been registered ever since count as confirming.
-func (r *Roster) HalfConfirmed(offset int64, since time.Time) bool {
+func (r *Roster) HalfConfirmed(offset logpos.Pos, since time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	total, domains := tally{}, map[string]tally{}
--- a/internal/roster/rank.go
+++ b/internal/roster/rank.go
@@ -184,7 +184,7 @@
 	if r.ranking.set(p, eligible) && eligible {
 		r.refreshAt = clock.Earlier(r.refreshAt, r.aliveUntil(p))
 	}
-	r.connected.set(p, eligible && !p.Heartbeat.ReachesNone())
+	r.connected.set(p, eligible && !p.passive && !p.Heartbeat.ReachesNone())
 }
 
 // maxRefreshInterval limits the time between two checks of all instances for missing heartbeats.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"example.org/mustardring/internal/logpos"
 )
 
 // Entry is the registration of an instance. It is stored in the shared store under the instance's name.
@@ -50,9 +52,9 @@
 	Incarnation uint64
 	// Confirmed is the offset after the newest record of owners that the instance acts on: no grant that
 	// it sent because of an older record is in transit any more.
-	Confirmed int64
+	Confirmed logpos.Pos
 	// Known is the offset after the newest record of owners that the instance knows.
-	Known int64
+	Known logpos.Pos
 	// StoreOK says that the last call of the instance to the shared store did not fail, StoreAnswered
 	// that the store answered one of its recent calls.
 	StoreOK       bool
@@ -76,14 +78,17 @@
 	CompleteAge int64
 	// ConfigEnd and ServersEnd are the offsets after the last records of the configuration and the
 	// directory that the instance acts on.
-	ConfigEnd  int64
-	ServersEnd int64
+	ConfigEnd  logpos.Pos
+	ServersEnd logpos.Pos
 	// ReplyNow asks the receiver to send a heartbeat at once. The shorter the time to the echo, the more
 	// closely the age of what the receiver sends can be determined.
 	ReplyNow bool
 	// Failing lists the ids of the servers that do not answer the instance's lease renewals. AllServers among them says
 	// that the instance has lost its own paths to all servers, as far as it can tell.
 	Failing []string
+	// LatestEra is the latest era of the store that the sender knows of. It may be later than that of Known: after the store
+	// has come back from a copy, instances act on what they know until the owners are in force in the new era.
+	LatestEra logpos.Era `msgpack:"-"`
 }
 
 // AllServers stands for all servers in Heartbeat.Failing. Instances of releases that do not know it take it for the id of a
@@ -103,6 +108,8 @@
 	IncarnationSince time.Time
 	RegisteredSince  time.Time
 	HeartbeatAt      time.Time
+	// HeardSince is the time of the first heartbeat of this incarnation, zero before.
+	HeardSince time.Time
 	// ResumedAt is the time at which heartbeats last resumed after the instance had reached its timeout.
 	ResumedAt time.Time
 	// Heartbeat is the last heartbeat received.
@@ -113,6 +120,8 @@
 	directAt time.Time
 	// clockOffset converts times of the instance's lease clock to those of the local one.
 	clockOffset clockOffset
+	// passive says that the instance does not renew leases yet.
+	passive bool
 	// suspected says that the instance has not answered a request since its last heartbeat.
 	suspected bool
 	// hash is the hash of the name.
@@ -134,7 +143,8 @@
 	// byAddress holds the registered instances by address. Of several with the same address it holds the
 	// last by name.
 	byAddress map[string]*Peer
-	// ranking holds the instances that are alive and not stopping, connected those of them that reach servers themselves.
+	// ranking holds the instances that are alive and not stopping, connected those of them that reach servers themselves and
+	// may renew leases.
 	ranking   ranking
 	connected ranking
 	// refreshAt is the earliest time at which an instance of the ranking may reach its timeout.
@@ -144,6 +154,9 @@
 	// unregistered holds, by name, the time of the last heartbeat of each sender that is not registered as
 	// far as this instance knows. Such senders may know records that this instance does not.
 	unregistered map[string]time.Time
+	// otherIncarnations holds, by name, the incarnation of the last heartbeat of a sender that is not registered in that
+	// incarnation as far as this instance knows.
+	otherIncarnations map[string]heardIncarnation
 	// departed holds, by name, the instances that are no longer registered.
 	departed map[string]departure
 	// domainSizes holds the number of registered instances of each failure domain.
@@ -152,6 +165,12 @@
 	leadingSince time.Time
 }
 
+// heardIncarnation is an incarnation of an instance from which heartbeats have come since a time.
+type heardIncarnation struct {
+	incarnation uint64
+	since       time.Time
+}
+
 // removal is an instance that was removed while it may still act.
 type removal struct {
 	entry Entry
@@ -163,7 +182,7 @@
 func New(self, domain string) *Roster {
 	return &Roster{
 		self: self, domain: domain, domainSizes: make(map[string]int), byAddress: make(map[string]*Peer), ranking: newRanking(MaxRanked), connected: newRanking(MaxConnected),
-		peers: make(map[string]*Peer), removed: make(map[string]removal), unregistered: make(map[string]time.Time), departed: make(map[string]departure),
+		peers: make(map[string]*Peer), removed: make(map[string]removal), unregistered: make(map[string]time.Time), otherIncarnations: make(map[string]heardIncarnation), departed: make(map[string]departure),
 	}
 }
 
@@ -245,7 +264,11 @@
 			since = known.RegisteredSince
 		}
 		known = &Peer{Name: name, IncarnationSince: now, RegisteredSince: since, hash: xxhash.Sum64String(name)}
+		if heard := r.otherIncarnations[name]; heard.incarnation == e.Incarnation {
+			known.HeardSince = heard.since
+		}
 	}
+	delete(r.otherIncarnations, name)
 	known.Entry = e
 	r.add(known)
 	r.registeredOnce = r.registeredOnce || name == r.self
@@ -266,6 +289,45 @@
 	}
 	delete(r.removed, name)
 	delete(r.unregistered, name)
+	delete(r.otherIncarnations, name)
+}
+
+// LastHeard reports whether the last heartbeat from an instance was of an incarnation, registered or not.
+func (r *Roster) LastHeard(name string, incarnation uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if other, found := r.otherIncarnations[name]; found {
+		return other.incarnation == incarnation
+	}
+	p := r.peers[name]
+	return p != nil && p.Incarnation == incarnation && !p.HeartbeatAt.IsZero()
+}
+
+// ReplacedSince returns since when heartbeats come from another incarnation of an instance than the registered one, zero if
+// they do not.
+func (r *Roster) ReplacedSince(name string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.otherIncarnations[name].since
+}
+
+// SetPassive sets which instances do not renew leases yet, by name. Others renew in their place.
+func (r *Roster) SetPassive(passive map[string]bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.sorted {
+		if p.passive != passive[p.Name] {
+			p.passive = passive[p.Name]
+			r.refreshPeer(p, now)
+		}
+	}
+}
+
+// HasRemoved reports whether there are instances that were removed and may still act.
+func (r *Roster) HasRemoved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.removed) > 0
 }
 
 // RemovedBefore returns the names of the instances whose removal this instance learned of before a time.
@@ -297,8 +359,15 @@
 	p := r.peers[h.Name]
 	if p == nil || p.Incarnation != h.Incarnation {
 		r.unregistered[h.Name] = now
+		if r.otherIncarnations[h.Name].incarnation != h.Incarnation {
+			r.otherIncarnations[h.Name] = heardIncarnation{h.Incarnation, now}
+		}
 		return false
 	}
+	if p.HeardSince.IsZero() {
+		p.HeardSince = now
+	}
+	delete(r.otherIncarnations, h.Name)
 	timeout := r.heartbeatTimeout(p)
 	changed := now.Sub(p.HeartbeatAt) > timeout || h.Confirmed != p.Heartbeat.Confirmed || len(h.Failing) != len(p.Heartbeat.Failing)
 	if !p.HeartbeatAt.IsZero() && now.Sub(p.HeartbeatAt) > timeout {
@@ -373,14 +442,28 @@
 // from reporting agreement. It is longer than an instance may act on its view.
 const unregisteredTimeout = 15 * time.Second
 
+// agrees reports whether an instance has stated that it knows no record of owners behind a position of this instance's view.
+// One that knows of a later era of the store agrees only with those that know the same records: what this one knows more
+// may be lost, and it may be the only one that acts on it.
+func (p *Peer) agrees(end logpos.Pos) bool {
+	h := &p.Heartbeat
+	return h.Known == end || h.Known < end && h.LatestEra <= end.Era()
+}
+
 // AllAgree reports whether all other instances that may decide about owners agree that there is no record of
 // owners at offset end or later. An instance agrees if it has said so after it received a heartbeat that this
 // one sent at the time since or later, by its lease clock, in nanoseconds. Instances that were removed but
 // may still act, and senders that are not registered, cannot agree.
-func (r *Roster) AllAgree(since, end int64, now time.Time) bool {
+func (r *Roster) AllAgree(since int64, end logpos.Pos, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.unregistered, func(_ string, last time.Time) bool { return now.Sub(last) > unregisteredTimeout })
+	maps.DeleteFunc(r.unregistered, func(name string, last time.Time) bool {
+		if now.Sub(last) <= unregisteredTimeout {
+			return false
+		}
+		delete(r.otherIncarnations, name)
+		return true
+	})
 	for _, p := range r.peers {
 		if p.Name != r.self && (p.Heartbeat.EchoAt < since || p.Heartbeat.Known > end) {
 			return false
