Keep what operators and servers have said although an older copy of the store lacks it

It may lack entries of live servers, list servers that are gone or draining as ready, hold an older configuration, or lack an evacuation, until all that is written again.

Update.Returned says that it comes from a copy.

Change: an entry that the copy lacks counts as missing, not as gone, for the time that entries take to come back, and the server goes on getting requests; a known incarnation that is gone, or whose entry in the copy is not newer, stays as it is known. Instances pass on the newest configuration by its version in place of an older one. An evacuation lasts for 10 s without its record, and one that has ended does not begin again by the copy.

--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -143,12 +143,23 @@
 		c.missingUntil = now.Add(entryReturnTime)
 		c.events.Record(event.StateChange, "directory-regained", "offset", u.End)
 	}
+	if u.Returned {
+		// Entries that only the lost records held are written again.
+		c.missingUntil = now.Add(entryReturnTime)
+	}
 	leaveBy := startedAt.Add(c.drainTime - age)
+	before := len(c.directory.missing)
 	c.directory.apply(u, entries, now, leaveBy)
+	if u.Returned {
+		c.events.Record(event.StateChange, "directory-returned", "offset", u.End, "entries", len(u.Records), "servers", len(c.directory.servers),
+			"missing", len(c.directory.missing)-before)
+	}
 	if !now.Before(c.missingUntil) {
 		c.directory.removeMissing()
 	}
-	c.directory.close(leaveBy)
+	if !u.Returned {
+		c.directory.close(leaveBy)
+	}
 	c.publishChanged()
 	return true
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -69,6 +69,9 @@
 			continue
 		}
 		listed[r.Key] = true
+		if u.Returned && d.outdatedByReturn(r.Key, entries[i].server) {
+			continue
+		}
 		s, err := entries[i].server, entries[i].err
 		if err != nil {
 			// Another writer stored this entry. It describes no usable server, and does not mean that the server of that
@@ -94,6 +97,25 @@
 	d.dropWithoutStart()
 }
 
+// outdatedByReturn reports whether an entry that the store lists after it has come back from an older copy states nothing
+// newer: the server is known to be gone, or the entry is the known one or an earlier one. A server that is not gone writes its
+// entry again.
+func (d *directory) outdatedByReturn(name string, s rules.Server) bool {
+	known, found := d.newest[name]
+	if !found || known.ID != s.ID {
+		return false
+	}
+	if _, present := d.servers[known.ID]; !present {
+		d.events.Record(event.StateChange, "entry-outdated", "server", s.ID, "reason", "gone before the store returned")
+		return true
+	}
+	if s.Sequence <= known.Sequence {
+		delete(d.missing, name)
+		return true
+	}
+	return false
+}
+
 // dropWithoutStart drops the servers without a start time if most servers state theirs: such an entry is from another
 // writer, or of an older incarnation that would pass for a server of its own.
 func (d *directory) dropWithoutStart() {
--- a/internal/node/evacuate.go
+++ b/internal/node/evacuate.go
@@ -21,6 +21,9 @@
 	// whether or not they own keys.
 	knownAt time.Time
 	closeAt time.Time
+	// listBy is when the evacuation ends unless a record asks for it again, zero if one does: the store has come back from an
+	// older copy, which lacks the record.
+	listBy time.Time
 	// empty is set once the domain has been seen without requests and keys.
 	empty bool
 }
@@ -45,7 +48,7 @@
 func (e *evacuations) begin(domain string, r follow.Record, now, closeAt time.Time) bool {
 	if known, found := e.active[domain]; found {
 		// A repeated record does not give the domain more time.
-		known.record = r
+		known.record, known.listBy = r, time.Time{}
 		known.closeAt = clock.Earlier(known.closeAt, closeAt)
 		e.active[domain] = known
 		return false
@@ -112,6 +115,8 @@
 		name, ok := domain(r.Key)
 		switch {
 		case !ok:
+		case u.Returned && c.evacuations.endedSince(name, now.Add(-operatorReturnTime)):
+			// It was ended in a record that the store has lost.
 		case len(r.Value) == 0:
 			changed = c.evacuations.end(name, now, r.Offset) || changed
 		default:
@@ -119,11 +124,39 @@
 			changed = c.evacuations.begin(name, r, now, now.Add(c.evacuationTime-age)) || changed
 		}
 	}
-	if u.Snapshot {
-		for name := range maps.Clone(c.evacuations.active) {
-			if !listed[name] {
-				changed = c.evacuations.end(name, now, u.End) || changed
-			}
+	for name, v := range maps.Clone(c.evacuations.active) {
+		switch {
+		case !u.Snapshot || listed[name]:
+		case u.Returned:
+			v.listBy = now.Add(operatorReturnTime)
+			c.evacuations.active[name] = v
+		case v.listBy.IsZero():
+			changed = c.evacuations.end(name, now, u.End) || changed
+		}
+	}
+	if changed {
+		c.publish()
+	}
+	return changed
+}
+
+// operatorReturnTime is how long what operators have written may be missing after the store has come back from an older copy.
+const operatorReturnTime = 10 * time.Second
+
+// endedSince reports whether the evacuation of a domain has ended after a time.
+func (e *evacuations) endedSince(domain string, since time.Time) bool {
+	at, found := e.ended[domain]
+	return found && at.After(since)
+}
+
+// endUnlisted ends the evacuations that the store has lost and that operators have not asked for again.
+func (c *clusterState) endUnlisted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, changed := time.Now(), false
+	for name, v := range maps.Clone(c.evacuations.active) {
+		if !v.listBy.IsZero() && now.After(v.listBy) {
+			changed = c.evacuations.end(name, now, v.record.Offset) || changed
 		}
 	}
 	if changed {
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"example.org/mustardring/internal/clock"
@@ -26,6 +27,10 @@
 		if n.cluster.removeMissing() {
 			n.serversChanged()
 		}
+		if n.cluster.endUnlisted() {
+			n.cluster.takeUnseen()
+			n.admissions.setServers()
+		}
 		n.logReach()
 		n.logSize()
 		n.logEmptied()
@@ -55,6 +60,9 @@
 		n.storeAnsweredAt.Store(int64(clock.Boot{}.Now()))
 	}
 	n.retryUnanswered(u)
+	if u.Topic == n.platform.ConfigTopic {
+		u = n.withNewestConfig(u)
+	}
 	if topic := n.topics[u.Topic]; topic != nil {
 		topic.apply(u)
 	}
@@ -167,6 +175,41 @@
 	}
 }
 
+// withNewestConfig returns an update of ConfigTopic in which an older configuration than the newest that is known is replaced
+// by that one: the store may hold it after it has come back from a copy, and other instances are to get the newest.
+func (n *Node) withNewestConfig(u follow.Update) follow.Update {
+	if u.Err != nil {
+		return u
+	}
+	u.Records = slices.Clone(u.Records)
+	for i, r := range u.Records {
+		if r.Key != n.platform.ConfigKey || len(r.Value) == 0 {
+			continue
+		}
+		c, err := n.platform.DecodeConfig(r.Value)
+		switch {
+		case err != nil:
+			// It is logged where it is applied.
+		case c.Version >= n.newestConfig.version:
+			n.newestConfig = configRecord{c.Version, r.Value}
+		default:
+			n.events.Record(event.StateChange, "configuration-outdated", "version", c.Version, "known", n.newestConfig.version, "offset", r.Offset,
+				"returned", u.Returned)
+			u.Records[i].Value = n.newestConfig.value
+		}
+	}
+	if u.Returned && n.newestConfig.value != nil && !slices.ContainsFunc(u.Records, func(r follow.Record) bool { return r.Key == n.platform.ConfigKey }) {
+		u.Records = append(u.Records, follow.Record{Key: n.platform.ConfigKey, Value: n.newestConfig.value, Offset: u.End - 1})
+	}
+	return u
+}
+
+// configRecord is a configuration with its version as the store holds it.
+type configRecord struct {
+	version uint64
+	value   []byte
+}
+
 // applyConfigTopic applies the evacuations and the configuration in an update of ConfigTopic.
 func (n *Node) applyConfigTopic(u follow.Update) {
 	if u.Err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,8 @@
 	// heartbeatLeaderNow and heartbeatAllNow ask for a heartbeat at once.
 	heartbeatLeaderNow chan struct{}
 	heartbeatAllNow    chan struct{}
+	// newestConfig is the newest configuration that is known. Only the worker that applies ConfigTopic uses it.
+	newestConfig configRecord
 	// viewRequests holds the instance whose view viewLoop gets next.
 	viewRequests chan string
 	watches      map[string]*follow.Watch
