Keep the record of an opening by its era, and delete those of eras that are over

An append that puts owners in force in one era may be carried out in the next one. The key holds the era now. An opening also deletes the records of the era before it, which would stay in the store for good.

An instance that knows no owners in force sends requests by those of the copy meanwhile: most still have their leases, and the others refuse.

--- a/internal/lease/era.go
+++ b/internal/lease/era.go
@@ -14,8 +14,8 @@
 
 // The keys of records that depend on the era of the store.
 const (
-	// keyEra is the key of the record that puts owners in force in an era.
-	keyEra = "era"
+	// keyEra, followed by the era, is the key of the record that puts owners in force in it.
+	keyEra = "era/"
 	// keyOwners, followed by the era, a slash and the name of a service, is the key of its owners in an era. A record that
 	// was decided in an earlier era, and is carried out after the return of the store, does not replace one of this era.
 	keyOwners = "owners/"
@@ -29,7 +29,11 @@
 	ShortKeys bool `json:"short-keys,omitempty"`
 }
 
-func (o opening) encode() ([]byte, error) { return json.Marshal(o) }
+// record returns the record of an opening.
+func (o opening) record() (follow.Record, error) {
+	value, err := json.Marshal(o)
+	return follow.Record{Key: keyEra + strconv.FormatUint(uint64(o.Era), 10), Value: value}, err
+}
 
 // opening returns the record that put the owners of the view in force.
 func (v *View) opening() opening { return opening{Era: v.Opened, ShortKeys: v.shortKeys} }
@@ -119,9 +123,13 @@
 
 // putOpening puts the staged owners in force.
 func (v *View) putOpening(r follow.Record) error {
+	if len(r.Value) == 0 {
+		// A later era is open.
+		return nil
+	}
 	var o opening
 	if err := json.Unmarshal(r.Value, &o); err != nil || o.Era == 0 || o.Era > logpos.MaxEra {
-		return fmt.Errorf("%w: %w", errMalformedOpening, errors.Join(err))
+		return fmt.Errorf("%w: %q", errMalformedOpening, r.Value)
 	}
 	if o.Era <= v.Opened {
 		return nil
--- a/internal/lease/open.go
+++ b/internal/lease/open.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"example.org/mustardring/internal/clock"
@@ -168,12 +169,12 @@
 		lm.Events.Record(event.StateChange, "era-not-opened", "era", era, "error", err)
 		return
 	}
-	value, err := opening{Era: era}.encode()
+	last, err := opening{Era: era}.record()
 	if err != nil {
 		lm.Events.Record(event.StateChange, "era-not-opened", "era", era, "error", err)
 		return
 	}
-	records = slices.Concat(lost, records, []follow.Record{{Key: keyEra, Value: value}})
+	records = slices.Concat(lost, records, []follow.Record{last}, read.deletions())
 	for len(records) > 0 {
 		part := firstRecords(records, maxOpeningSize)
 		if !lm.append(ctx, records[:part]...) {
@@ -239,6 +240,24 @@
 	return out, nil
 }
 
+// deletions returns the records that delete those of the era that was opened last, which a later one has replaced.
+func (v *View) deletions() []follow.Record {
+	if v.Opened == 0 || v.shortKeys {
+		return nil
+	}
+	out := []follow.Record{{Key: keyEra + strconv.FormatUint(uint64(v.Opened), 10)}}
+	for _, service := range slices.Sorted(maps.Keys(v.Maps)) {
+		stored, _, err := ownersRecords(v.ownersKey(service), &shard.Map{}, v.Maps[service])
+		if err != nil {
+			continue // it was not written either
+		}
+		for _, r := range stored {
+			out = append(out, follow.Record{Key: r.Key})
+		}
+	}
+	return out
+}
+
 // lostRegistrations returns the records of the instances that the store lacks, or lists with an earlier state.
 func lostRegistrations(known, stored map[string]roster.Entry) ([]follow.Record, error) {
 	var out []follow.Record
@@ -306,8 +325,8 @@
 
 // adoptEra states in a record which era the owners are in force in that an instance of a release without eras has written.
 func (lm *Manager) adoptEra(ctx context.Context, era logpos.Era) {
-	value, err := opening{Era: era, ShortKeys: true}.encode()
-	if err == nil && lm.append(ctx, follow.Record{Key: keyEra, Value: value}) {
+	r, err := opening{Era: era, ShortKeys: true}.record()
+	if err == nil && lm.append(ctx, r) {
 		lm.Events.Record(event.StateChange, "era-adopted", "era", era, "offset", lm.view.get().End)
 	}
 }
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -161,11 +161,11 @@
 func (v *View) Records() ([]follow.Record, error) {
 	var out []follow.Record
 	if v.Opened != 0 {
-		opening, err := v.opening().encode()
+		r, err := v.opening().record()
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, follow.Record{Key: keyEra, Value: opening})
+		out = append(out, r)
 	}
 	for service, m := range v.Maps {
 		data, err := m.Encode()
@@ -199,7 +199,7 @@
 		v.Instances[name] = e
 		return nil
 	}
-	if r.Key == keyEra {
+	if strings.HasPrefix(r.Key, keyEra) {
 		return v.putOpening(r)
 	}
 	era, key, known := parseOwnersKey(r.Key)
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -343,6 +343,10 @@
 func (n *Node) Owner(service string, key uint16) (shard.Range, bool, <-chan struct{}) {
 	changed := n.cluster.ownersChange()
 	m := n.leases.View().Maps[service]
+	if m == nil {
+		// The owners are not in force yet, but most of them may still have their leases, and the others refuse requests.
+		m = n.leases.Read().Maps[service]
+	}
 	if m == nil {
 		return shard.Range{}, false, changed
 	}
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,6 +28,16 @@
 	mu      sync.Mutex
 	records []follow.Record
 	calls   int
+	// era counts the returns of the store from copies.
+	era logpos.Era
+}
+
+// returnFrom makes the store come back from a copy with some of its records.
+func (s *pollStore) returnFrom(records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = s.records[:records:records]
+	s.era++
 }
 
 // pollAnswerTime is how long the store takes to answer.
@@ -49,8 +60,13 @@
 func (s *pollStore) from(offset logpos.Pos) follow.Batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	end := logpos.Pos(len(s.records))
-	return follow.Batch{Records: s.records[min(offset, end):end:end], End: end}
+	batch := follow.Batch{End: logpos.At(s.era, int64(len(s.records)))}
+	for i := offset.Offset(); i < int64(len(s.records)); i++ {
+		r := s.records[i]
+		r.Offset = logpos.At(s.era, i)
+		batch.Records = append(batch.Records, r)
+	}
+	return batch
 }
 
 func (s *pollStore) Append(context.Context, string, []follow.Record, logpos.Pos) (logpos.Pos, error) {
@@ -58,7 +74,7 @@
 }
 
 func (s *pollStore) Newest(ctx context.Context, topic string) (follow.Batch, error) {
-	batch, err := s.Read(ctx, topic, 0, 0)
+	batch, err := s.read(ctx, 0, 0)
 	if n := len(batch.Records); n > 0 {
 		batch.Records = batch.Records[n-1:]
 	}
@@ -66,6 +82,14 @@
 }
 
 func (s *pollStore) Read(ctx context.Context, _ string, from logpos.Pos, wait time.Duration) (follow.Batch, error) {
+	batch, err := s.read(ctx, from, wait)
+	if err == nil && batch.End.Era() != from.Era() {
+		return follow.Batch{End: logpos.At(batch.End.Era(), 0)}, follow.ErrReturned
+	}
+	return batch, err
+}
+
+func (s *pollStore) read(ctx context.Context, from logpos.Pos, wait time.Duration) (follow.Batch, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -304,6 +328,52 @@
 // stopHeartbeats loses all heartbeats from now on.
 func (c *newsCluster) stopHeartbeats() { c.silent.Store(true) }
 
+// Guards against instances that never take the next record after the store has come back from a copy, and against all of them
+// reading the store then.
+func TestReturnOfTheStoreReachesAllThroughFewReads(t *testing.T) {
+	const (
+		bound    = 2 * time.Second
+		maxCalls = 50 // in five seconds, of which the leader makes some six at rest
+	)
+	for _, instances := range []int{6, 72, 300} {
+		for name, kept := range map[string]int{"lower end": 1, "equal end with the next": 4} {
+			t.Run(fmt.Sprintf("%d, %s", instances, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					ctx, cancel := context.WithCancel(t.Context())
+					group := worker.New(ctx, 8*instances)
+					c := newNewsCluster(instances, 0, false, group)
+					for i := range 4 {
+						time.Sleep(3 * time.Second)
+						c.store.put(strconv.Itoa(i + 2))
+					}
+					time.Sleep(3 * time.Second)
+					calls := c.store.count()
+					c.store.returnFrom(kept)
+					time.Sleep(700 * time.Millisecond)
+					c.mu.Lock()
+					clear(c.knownAt)
+					c.mu.Unlock()
+					c.store.put("next")
+					putAt := time.Now()
+					time.Sleep(5 * time.Second)
+					cancel()
+					_ = group.Wait(0)
+					latest := time.Duration(0)
+					for _, n := range c.nodes {
+						end, _ := n.watches["config"].Known()
+						is.Equal(end, c.store.from(0).End)
+						latest = max(latest, c.knownAt[n].Sub(putAt))
+					}
+					t.Logf("in force everywhere after %v, %d calls", latest, c.store.count()-calls)
+					is.True(latest <= bound)
+					is.True(c.store.count()-calls <= maxCalls)
+				})
+			})
+		}
+	}
+}
+
 // inDomain returns the instance of a failure domain at an index in its tree.
 func (c *newsCluster) inDomain(domain, index int) *Node { return c.nodes[domain+6*index] }
 
