Split the verdict about lost records by instance, and count agreement from the return on

Half of the instances may agree with this one from before the return on, as one of two does with itself. A silent instance may act for the contact timeout after the return in any case, so the agreement counts from when the era was learned.

The assessment of all instances was one function; it is one for each case now.

--- a/internal/lease/open.go
+++ b/internal/lease/open.go
@@ -67,51 +67,86 @@
 // assess returns what is known of lost records, given what this instance acts on and what the store holds.
 func (lm *Manager) assess(current, read *View, now time.Time) verdict {
 	learnedAt, currentAsOf := lm.view.learned()
-	clockNow := lm.Clock.Now()
-	instant := func(at time.Time) clock.Instant { return clockNow.Add(-now.Sub(at)) }
-	silentUntil := lm.silentUntil(current, learnedAt, now, instant)
-	nothingLost := !hasNewer(read, current)
-	// A process that has just started does not know what the one before it has granted.
-	startedAt := instant(lm.startedAt)
-	nothingLost = nothingLost && currentAsOf >= startedAt
-	if clockNow < startedAt.Add(maxLeaseTime) && currentAsOf < startedAt {
-		return undecided{"started"}
+	a := assessment{
+		current: current.End, era: read.End.Era(), learnedAt: learnedAt, currentAsOf: currentAsOf, now: now, clockNow: lm.Clock.Now(),
 	}
+	a.silentUntil = lm.silentUntil(a)
+	out := complete{nothingLost: !hasNewer(read, current)}
+	// A process that has just started does not know what the one before it has granted.
+	verdicts := []verdict{a.ofStart("this one", lm.startedAt)}
 	for _, p := range lm.Roster.Others() {
-		h, since := p.Heartbeat, p.IncarnationSince
-		if !p.HeardSince.IsZero() {
-			since = clock.Earlier(since, p.HeardSince)
-		}
-		replacedSince := lm.Roster.ReplacedSince(p.Name)
-		switch {
-		case !replacedSince.IsZero():
-			nothingLost = false
-			if clockNow < instant(replacedSince).Add(maxLeaseTime) {
-				return undecided{"restarted: " + p.Name}
-			}
-		case p.HeartbeatAt.IsZero() || h.EchoAt < int64(learnedAt):
-			nothingLost = false
-			if clockNow < silentUntil {
-				return undecided{"silent: " + p.Name}
-			}
-		case h.Known.Era() >= read.End.Era():
-			return undecided{"opened already: " + p.Name}
-		case h.Known > current.End:
-			return undecided{"knows more: " + p.Name}
-		case currentAsOf < instant(since):
-			nothingLost = false
-			if clockNow < instant(since).Add(maxLeaseTime) {
-				return undecided{"restarted: " + p.Name}
-			}
-		}
+		verdicts = append(verdicts, a.ofPeer(p, lm.Roster.ReplacedSince(p.Name)))
 	}
 	if lm.Roster.HasRemoved() {
-		nothingLost = false
-		if clockNow < silentUntil {
-			return undecided{"removed"}
+		verdicts = append(verdicts, a.ofSilent("removed"))
+	}
+	for _, v := range verdicts {
+		switch v := v.(type) {
+		case undecided:
+			return v
+		case complete:
+			out.nothingLost = out.nothingLost && v.nothingLost
 		}
 	}
-	return complete{nothingLost}
+	return out
+}
+
+// assessment holds what the verdict about each instance depends on.
+type assessment struct {
+	// current is the end of the view that this instance acts on, currentAsOf a time at which it was the newest, zero if that
+	// is not known. era is the latest era of the store, of which this instance read the first records at learnedAt.
+	current     logpos.Pos
+	currentAsOf clock.Instant
+	era         logpos.Era
+	learnedAt   clock.Instant
+	// silentUntil is until when leases may be valid that are based on what silent instances know.
+	silentUntil clock.Instant
+	now         time.Time
+	clockNow    clock.Instant
+}
+
+// instant converts a time to one of the lease clock.
+func (a assessment) instant(at time.Time) clock.Instant { return a.clockNow.Add(-a.now.Sub(at)) }
+
+// ofPeer returns the verdict about another instance, given since when another incarnation of it is heard, zero for none.
+func (a assessment) ofPeer(p roster.Peer, replacedSince time.Time) verdict {
+	h, since := p.Heartbeat, p.IncarnationSince
+	if !p.HeardSince.IsZero() {
+		since = clock.Earlier(since, p.HeardSince)
+	}
+	switch {
+	case !replacedSince.IsZero():
+		return a.ofStart(p.Name, replacedSince)
+	case p.HeartbeatAt.IsZero() || h.EchoAt < int64(a.learnedAt):
+		return a.ofSilent(p.Name)
+	case h.Known.Era() >= a.era:
+		return undecided{"has entered the era: " + p.Name}
+	case h.Known > a.current:
+		return undecided{"knows more: " + p.Name}
+	default:
+		return a.ofStart(p.Name, since)
+	}
+}
+
+// ofStart returns the verdict about an instance that has started before a time: the process before it may have used a record
+// that was lost, unless the current view is known to have been the newest later.
+func (a assessment) ofStart(name string, since time.Time) verdict {
+	switch startedBy := a.instant(since); {
+	case a.currentAsOf >= startedBy && a.currentAsOf != 0:
+		return complete{nothingLost: true}
+	case a.clockNow < startedBy.Add(maxLeaseTime):
+		return undecided{"has just started: " + name}
+	default:
+		return complete{}
+	}
+}
+
+// ofSilent returns the verdict about an instance that does not state what it knows.
+func (a assessment) ofSilent(name string) verdict {
+	if a.clockNow < a.silentUntil {
+		return undecided{"is silent: " + name}
+	}
+	return complete{}
 }
 
 // hasNewer reports whether the store holds owners that are newer than those that are known.
@@ -126,18 +161,18 @@
 
 // silentUntil returns until when leases may be valid that are based on what silent instances know. Such an instance acts on
 // its view until that is too old, or, if half of the instances do not agree with it, for the contact timeout only.
-func (lm *Manager) silentUntil(current *View, learnedAt clock.Instant, now time.Time, instant func(time.Time) clock.Instant) clock.Instant {
-	until := learnedAt.Add(MaxViewAge)
-	if !lm.Roster.HalfKnows(lm.LatestEra(), current.End) {
+func (lm *Manager) silentUntil(a assessment) clock.Instant {
+	until := a.learnedAt.Add(MaxViewAge)
+	if !lm.Roster.HalfKnows(a.era, a.current) {
 		lm.agreedSince = time.Time{}
-	} else {
-		if lm.agreedSince.IsZero() {
-			lm.agreedSince = now
-		}
-		contactTimeout := time.Duration(float64(lm.Roster.ContactTimeout()) * maxClockDrift)
-		until = min(until, instant(lm.agreedSince).Add(contactTimeout))
+		return until.Add(maxLeaseTime)
+	}
+	if lm.agreedSince.IsZero() {
+		lm.agreedSince = a.now
 	}
-	return until.Add(maxLeaseTime)
+	contactTimeout := time.Duration(float64(lm.Roster.ContactTimeout()) * maxClockDrift)
+	agreedSince := max(a.instant(lm.agreedSince), a.learnedAt)
+	return min(until, agreedSince.Add(contactTimeout)).Add(maxLeaseTime)
 }
 
 // catchUp asks another instance for its view if that knows more records of an earlier era: the store has lost them. An
--- a/internal/node/heartbeat_test.go
+++ b/internal/node/heartbeat_test.go
@@ -38,7 +38,7 @@
 			age, configEnd, serversEnd := n.completeness(test.at)
 			is.Equal(age, test.want)
 			is.Equal(configEnd, logpos.Pos(3))
-			is.Equal(serversEnd, int64(9))
+			is.Equal(serversEnd, logpos.Pos(9))
 		})
 	}
 }
--- a/internal/node/news_test.go
+++ b/internal/node/news_test.go
@@ -73,7 +73,7 @@
 	return 0, follow.ErrNotDone
 }
 
-func (s *pollStore) Newest(ctx context.Context, topic string) (follow.Batch, error) {
+func (s *pollStore) Newest(ctx context.Context, _ string) (follow.Batch, error) {
 	batch, err := s.read(ctx, 0, 0)
 	if n := len(batch.Records); n > 0 {
 		batch.Records = batch.Records[n-1:]
