Ignore late heartbeats of a former incarnation, and read at once after each return

Two faults found by reading. A heartbeat of a process that has ended may arrive after those of the next one; the instance then counted as started again for a while, without being asked what it knows.

TestLateHeartbeatsOfAFormerIncarnation fails without the change; TestEachReturnIsReadAtOnce guards the second.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -208,8 +208,8 @@
 	pauseUntil time.Time
 	// expiredEnd is the offset after the last record that the store is known to have dropped: an earlier snapshot lacks it.
 	expiredEnd logpos.Pos
-	// snapshotsLost is the number of reads that found their records lost since the last one that did not.
-	snapshotsLost int
+	// lostAt is when a read last found its records lost.
+	lostAt time.Time
 	// needsSnapshot means that the next read is of a snapshot, lastReason is the reason of the last read. loaded means
 	// that the topic is known, startFailures is the number of reads that failed before.
 	needsSnapshot bool
@@ -232,6 +232,10 @@
 	changed chan struct{}
 }
 
+// lossInterval is the time between two reads that find their records lost within which the second one is not repeated at
+// once.
+const lossInterval = 2 * time.Second
+
 // checkInterval is the time between two checks whether a read is due.
 const checkInterval = 100 * time.Millisecond
 
@@ -359,8 +363,8 @@
 			return ctx.Err()
 		case !done:
 		case errors.Is(u.Err, ErrExpired), errors.Is(u.Err, ErrReturned):
-			reason = w.planSnapshot(u)
-			if w.snapshotsLost <= 1 {
+			repeated := time.Since(w.lostAt) < lossInterval
+			if reason = w.planSnapshot(u); !repeated {
 				continue
 			}
 			// The snapshot in between did not help.
@@ -377,7 +381,7 @@
 // planSnapshot makes the next read one of a snapshot because the records of a read are lost, and returns its reason.
 func (w *Watch) planSnapshot(u Update) Reason {
 	w.needsSnapshot, w.peersFailed = true, false
-	w.snapshotsLost++
+	w.lostAt = time.Now()
 	w.expiredEnd = max(u.From+1, u.End)
 	w.lastReason = ReasonExpired
 	if errors.Is(u.Err, ErrReturned) {
@@ -404,9 +408,6 @@
 	}
 	w.stopFetch()
 	w.failures.Store(0)
-	if !u.Snapshot {
-		w.snapshotsLost = 0
-	}
 	u.Returned = u.Snapshot && w.loaded && u.End.Era() > w.nextOffset.Era()
 	w.loaded, w.startFailures = true, 0
 	u = w.dropKnown(u)
--- a/internal/follow/return_test.go
+++ b/internal/follow/return_test.go
@@ -94,6 +94,29 @@
 	}
 }
 
+// Guards against an instance that waits after each return because one before it was followed by a snapshot from another instance.
+func TestEachReturnIsReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &returningStore{}
+		s.set(1, "a")
+		out := runWatch(t, &follow.Watch{Store: s, ReadsStore: always, PollTimeout: func() time.Duration { return 500 * time.Millisecond }})
+		<-out
+		for era := logpos.Era(2); era < 6; era++ {
+			time.Sleep(10 * time.Second)
+			for len(out) > 0 {
+				<-out
+			}
+			s.set(era, "a")
+			returnedAt := time.Now()
+			u := <-out
+			for ; u.End.Era() < era; u = <-out {
+			}
+			is.True(time.Since(returnedAt) < time.Second)
+		}
+	})
+}
+
 // Guards against calls without a pause to a store that loses each record before it can be read.
 func TestWatchPausesWhenSnapshotsDoNotHelp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -120,6 +120,8 @@
 	directAt time.Time
 	// clockOffset converts times of the instance's lease clock to those of the local one.
 	clockOffset clockOffset
+	// former is the incarnation that was registered before, zero for none.
+	former uint64
 	// passive says that the instance does not renew leases yet.
 	passive bool
 	// suspected says that the instance has not answered a request since its last heartbeat.
@@ -259,11 +261,11 @@
 	delete(r.removed, name)
 	delete(r.unregistered, name)
 	if known == nil || known.Incarnation != e.Incarnation {
-		since := now
+		since, former := now, uint64(0)
 		if known != nil {
-			since = known.RegisteredSince
+			since, former = known.RegisteredSince, known.Incarnation
 		}
-		known = &Peer{Name: name, IncarnationSince: now, RegisteredSince: since, hash: xxhash.Sum64String(name)}
+		known = &Peer{Name: name, IncarnationSince: now, RegisteredSince: since, former: former, hash: xxhash.Sum64String(name)}
 		if heard := r.otherIncarnations[name]; heard.incarnation == e.Incarnation {
 			known.HeardSince = heard.since
 		}
@@ -359,6 +361,10 @@
 	p := r.peers[h.Name]
 	if p == nil || p.Incarnation != h.Incarnation {
 		r.unregistered[h.Name] = now
+		if p != nil && h.Incarnation == p.former {
+			// It was on its way when the process ended.
+			return false
+		}
 		if r.otherIncarnations[h.Name].incarnation != h.Incarnation {
 			r.otherIncarnations[h.Name] = heardIncarnation{h.Incarnation, now}
 		}
