Do not take a leader that has ended for alive again once another one leads

What showed: after the end of a leader its successor led and did not lead in turn, each 50 ms, until the ended one was removed after 8 s. Reads for others, broadcasts and decisions paused in half of that time.

Cause: who becomes leader expects heartbeats at shorter intervals, and counts them from when it leads. That gave each other instance a new timeout, also those that had reached theirs, and among equals the ended leader may go first by its name.

An instance that does not count as alive when this one starts to lead stays so until its next heartbeat.

TestEndedLeaderDoesNotComeBack fails without the change.

--- a/internal/roster/heartbeat.go
+++ b/internal/roster/heartbeat.go
@@ -70,6 +70,12 @@
 	defer r.mu.Unlock()
 	r.refreshAt = time.Time{}
 	if leads {
+		// Those that have reached their timeout do not get another one.
+		for _, p := range r.sorted {
+			if !r.alive(p, now) {
+				p.suspected = true
+			}
+		}
 		r.leadingSince = now
 		return
 	}
--- a/internal/roster/replaced_test.go
+++ b/internal/roster/replaced_test.go
@@ -25,3 +25,36 @@
 	is.True(r.ReplacedSince("i").IsZero())
 	is.True(r.LastHeard("i", 2))
 }
+
+// Guards against two instances that take turns as leader: the former one, which has ended, counted as alive again for its
+// successor and went before it.
+func TestEndedLeaderDoesNotComeBack(t *testing.T) {
+	is := is.New(t)
+	r, now := New("i1", "d"), time.Now()
+	heartbeat := func(name string, at time.Time) {
+		r.RecordHeartbeat(Heartbeat{Name: name, Incarnation: 1, StoreOK: true, StoreAnswered: true}, at)
+	}
+	for _, name := range []string{"i0", "i1", "i2"} {
+		r.Put(name, Entry{Domain: "d", Incarnation: 1, Share: 1}, now)
+		heartbeat(name, now)
+	}
+	leader, _ := r.Leader(now)
+	is.Equal(leader.Name, "i0")
+	for at := now; at.Before(now.Add(5 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		heartbeat("i1", at)
+		heartbeat("i2", at)
+		if leader, _ = r.Leader(at); leader.Name == "i0" {
+			is.True(r.leadingSince.IsZero())
+			continue
+		}
+		if r.leadingSince.IsZero() {
+			r.SetLeading(true, at)
+		}
+		leader, _ = r.Leader(at)
+		is.Equal(leader.Name, "i1")
+	}
+	is.True(!r.leadingSince.IsZero())
+	heartbeat("i0", now.Add(5*time.Second))
+	leader, _ = r.Leader(now.Add(5 * time.Second))
+	is.Equal(leader.Name, "i0") // it is back
+}
