Reject offsets that would carry into the era, and keep a configuration in the era of its copy

Cause: a position holds the offset in its low 40 bits. An offset above that in an answer of the store, which no healthy store gives, would have made positions of a later era, behind which everything true seems outdated.

Change: the adapter takes such an answer for malformed, as peers' positions are already, and the record lies at the first position of its era.

--- a/internal/logpos/logpos.go
+++ b/internal/logpos/logpos.go
@@ -23,7 +23,10 @@
 // EndOnly is an offset beyond the end of any topic. It belongs to no era: a read from there returns the end in any.
 const EndOnly Pos = 1 << (offsetBits - 1)
 
-// At returns the position of an offset in an era.
+// Valid reports whether an offset can be part of a position: a larger one would seem to be of a later era.
+func Valid(offset int64) bool { return offset >= 0 && offset < int64(EndOnly) }
+
+// At returns the position of an offset, which must be valid, in an era.
 func At(era Era, offset int64) Pos { return Pos(int64(era)<<offsetBits | offset) }
 
 // Era returns the era of a position.
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -11,6 +11,7 @@
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/follow"
 	"example.org/mustardring/internal/lease"
+	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
 	"example.org/mustardring/internal/upstr"
@@ -199,7 +200,9 @@
 		}
 	}
 	if u.Returned && n.newestConfig.value != nil && !slices.ContainsFunc(u.Records, func(r follow.Record) bool { return r.Key == n.platform.ConfigKey }) {
-		u.Records = append(u.Records, follow.Record{Key: n.platform.ConfigKey, Value: n.newestConfig.value, Offset: u.End - 1})
+		// The copy may be empty, and the position before its end of the era before.
+		last := max(u.End-1, logpos.At(u.End.Era(), 0))
+		u.Records = append(u.Records, follow.Record{Key: n.platform.ConfigKey, Value: n.newestConfig.value, Offset: last})
 	}
 	return u
 }
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -101,8 +101,9 @@
 	older := update(true, logpos.At(2, 3), 22)
 	is.Equal(older.Records[0].Value, []byte{26})
 	is.Equal(older.Records[0].Offset, logpos.At(2, 2))
-	is.Equal(update(true, logpos.At(3, 2)).Records[0].Value, []byte{26}) // the copy has none
-	is.Equal(update(false, logpos.At(3, 3), 28).Records[0].Value, []byte{28})
+	is.Equal(update(true, logpos.At(3, 2)).Records[0].Value, []byte{26})       // the copy has none
+	is.Equal(update(true, logpos.At(4, 0)).Records[0].Offset, logpos.At(4, 0)) // it is empty
+	is.Equal(update(false, logpos.At(4, 3), 28).Records[0].Value, []byte{28})
 }
 
 // Guards against an evacuation that ends, or begins again, because an older copy of the store lacks or lists it.
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -111,7 +111,7 @@
 		return logpos.Pos(o), err
 	}
 	e, err := strconv.ParseUint(era, 10, 32)
-	if err != nil || e > uint64(logpos.MaxEra) || o > int64(logpos.EndOnly) {
+	if err != nil || e > uint64(logpos.MaxEra) || !logpos.Valid(o) {
 		return 0, errors.Join(errTopicFormat, err)
 	}
 	return logpos.At(logpos.Era(e), o), nil
