Ask for the view of another instance less and less often

Found by reading. An instance that has started again after a return asks a survivor for its view, each 200 ms until it has it, without end. With hundreds of such instances and one survivor, which serves 64 at a time, that is some 5,000 requests a second at 1,000 (worked out, not run).

The delay doubles with each request, up to 6.4 s, and varies by half; it starts anew once nobody knows more. TestViewsAreAskedForLessAndLess allows 12 requests in twenty seconds; it counted 100 before the change would have (one each 200 ms).

--- a/internal/lease/era_test.go
+++ b/internal/lease/era_test.go
@@ -4,6 +4,8 @@
 	"reflect"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -167,6 +169,24 @@
 	is.Equal(v.get().Maps[service].Ranges[0].Server, "b")
 }
 
+// Guards against hundreds of instances that have started again and ask the one that has not for its view five times a second.
+func TestViewsAreAskedForLessAndLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		asked := 0
+		r := roster.New("i1", "d0")
+		lm := New(Deps{Name: "i1", Roster: r, FetchView: func(string) { asked++ }})
+		r.Put("i0", roster.Entry{Domain: "d0", Incarnation: 1}, time.Now())
+		r.Put("i1", roster.Entry{Domain: "d0", Incarnation: 1}, time.Now())
+		for range 100 {
+			r.RecordHeartbeat(roster.Heartbeat{Name: "i0", Incarnation: 1, Known: logpos.At(1, 9)}, time.Now())
+			lm.catchUp(time.Now())
+			time.Sleep(catchUpInterval)
+		}
+		is.True(asked >= 5 && asked <= 12) // in twenty seconds
+	})
+}
+
 // Guards against instances that are registered again by nobody, or by many, and against ones that come back by the copy.
 func TestLostRegistrationsAreWrittenOnce(t *testing.T) {
 	entry := func(incarnation uint64) roster.Entry { return roster.Entry{Domain: "d0", Incarnation: incarnation} }
--- a/internal/lease/open.go
+++ b/internal/lease/open.go
@@ -20,8 +20,12 @@
 const (
 	// maxLeaseTime is how long a lease may be valid after the last instance could send a grant.
 	maxLeaseTime = leaseDuration*102/100 + maxTransitTime
-	// catchUpInterval is the time between two checks what other instances know of an earlier era.
+	// catchUpInterval is the time between two checks what other instances know of an earlier era. minViewDelay is the mean delay
+	// after the first request for the view of one; it doubles with each request up to maxViewDelay, since hundreds that have
+	// started again may ask the one that has not.
 	catchUpInterval = 200 * time.Millisecond
+	minViewDelay    = 200 * time.Millisecond
+	maxViewDelay    = 6400 * time.Millisecond
 	// maxOpeningSize is the maximum size in bytes of the records that one append of an opening takes, well below what the
 	// store takes.
 	maxOpeningSize = 1 << 20
@@ -178,6 +182,9 @@
 // catchUp asks another instance for its view if that knows more records of an earlier era: the store has lost them. An
 // instance that has just started sends requests by that view until the owners are in force.
 func (lm *Manager) catchUp(now time.Time) {
+	if now.Before(lm.nextViewAt) {
+		return
+	}
 	known := lm.view.get().End
 	var ahead []string
 	for _, p := range lm.Roster.Alive(now) {
@@ -185,11 +192,19 @@
 			ahead = append(ahead, p.Name)
 		}
 	}
-	if len(ahead) > 0 {
-		lm.FetchView(ahead[rand.N(len(ahead))])
+	if len(ahead) == 0 {
+		lm.viewRequests = 0
+		return
 	}
+	lm.FetchView(ahead[rand.N(len(ahead))])
+	delay := min(minViewDelay<<min(lm.viewRequests, maxViewDoublings), maxViewDelay)
+	lm.nextViewAt = now.Add(delay/2 + rand.N(delay))
+	lm.viewRequests++
 }
 
+// maxViewDoublings bounds the exponent of the delay between two requests for views.
+const maxViewDoublings = 8
+
 // writeOpening writes the owners and the lost registrations behind what the store holds, and puts them in force.
 func (lm *Manager) writeOpening(ctx context.Context, current, read *View, nothingLost bool) {
 	era := read.End.Era()
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -69,6 +69,9 @@
 	undecidedReason string
 	// caughtUpAt is when this instance last took in what others know of an earlier era.
 	caughtUpAt time.Time
+	// nextViewAt is when another instance may next be asked for its view, viewRequests the number of such requests in a row.
+	nextViewAt   time.Time
+	viewRequests int
 	// nextDecisionAt is when owners are next decided about.
 	nextDecisionAt time.Time
 	// nextWriteAt delays the next write after a failed one.
