State the offset and the era to a seed apart, as messages do

Found by reading. An instance that starts told a seed the last known position as one number. A seed of the release before took that for an offset beyond all that it had written, and wrote the registration again with each request; a seed of this release took an offset without an era for less than what it had written, and wrote a removed registration again only a minute later.

Cause and change: the one place where a position was sent without splitting it. 'known' is the offset again, 'known-era' the era; a request without an era is about that of the record it is compared with. TestSeedRemembersWhatItHasWritten keeps its cases and bounds and gains four; no run beside an earlier release was made.

--- a/internal/join/join.go
+++ b/internal/join/join.go
@@ -46,13 +46,24 @@
 	Entry roster.Entry `json:"entry"`
 	// Register asks the receiver to write the registration to the store.
 	Register bool `json:"register"`
-	// Known is the offset after the last record of the register that the sender knows.
-	Known logpos.Pos `json:"known"`
+	// KnownOffset is the offset after the last record of the register that the sender knows, KnownEra its era; zero if the
+	// sender is of a release that does not know eras.
+	KnownOffset int64      `json:"known"`
+	KnownEra    logpos.Era `json:"known-era,omitempty"`
 
 	// writeUntil is when the receiver gives up writing the registration.
 	writeUntil time.Time
 }
 
+// known returns the position after the last record of the register that the sender knows, which is in the given era if the
+// sender states none.
+func (r Request) known(era logpos.Era) logpos.Pos {
+	if r.KnownEra > logpos.MaxEra || !logpos.Valid(r.KnownOffset) {
+		return 0
+	}
+	return logpos.At(r.KnownEra, r.KnownOffset).In(era)
+}
+
 // Reply is the answer to a Request.
 type Reply struct {
 	// Parents holds the addresses of the instances to ask for the state, in the order of preference.
@@ -166,7 +177,7 @@
 // An instance that cannot read the register asks again although its registration has been written. It is written again only
 // if the instance knows later records than that.
 func (b *Book) Register(r Request, now time.Time) bool {
-	if w, found := b.written[r.Name]; found && w.incarnation == r.Entry.Incarnation && now.Before(w.until) && (w.end == 0 || r.Known < w.end) {
+	if w, found := b.written[r.Name]; found && w.incarnation == r.Entry.Incarnation && now.Before(w.until) && (w.end == 0 || r.known(w.end.Era()) < w.end) {
 		if w.end > 0 {
 			w.until = clock.Earlier(now.Add(WrittenTime), w.latest)
 			b.written[r.Name] = w
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -163,7 +163,8 @@
 
 // joinRequest returns the request of this instance to a seed.
 func (n *Node) joinRequest(register bool) join.Request {
-	return join.Request{Name: n.settings.Name, Entry: n.entry(false), Register: register, Known: n.leases.Read().End}
+	known := n.leases.Read().End
+	return join.Request{Name: n.settings.Name, Entry: n.entry(false), Register: register, KnownOffset: known.Offset(), KnownEra: known.Era()}
 }
 
 // callSeed sends a join.Request to a seed.
--- a/internal/node/register_test.go
+++ b/internal/node/register_test.go
@@ -63,19 +63,25 @@
 		known logpos.Pos
 		after time.Duration
 		again bool
+		// era is that of the written record.
+		era logpos.Era
 	}{
 		"not read yet":           {known: end - 1, after: 4 * join.WrittenTime},
 		"read, and not there":    {known: end, after: seedRenewInterval, again: true},
 		"not read for very long": {known: end - 1, after: 2 * time.Minute, again: true},
 		"of the release before":  {known: 0, after: 4 * join.WrittenTime},
+		"without an era":         {known: end - 1, after: 4 * join.WrittenTime, era: 2},
+		"without an era, later":  {known: end, after: seedRenewInterval, era: 2, again: true},
+		"lost by the store":      {known: logpos.At(3, 1), after: seedRenewInterval, era: 2, again: true},
+		"era not read yet":       {known: logpos.At(2, end-1), after: 4 * join.WrittenTime, era: 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Now()
-			request := join.Request{Name: "a", Entry: roster.Entry{Incarnation: 7}, Register: true, Known: test.known}
+			request := join.Request{Name: "a", Entry: roster.Entry{Incarnation: 7}, Register: true, KnownOffset: test.known.Offset(), KnownEra: test.known.Era()}
 			b := join.NewBook("seed")
-			b.Written([]join.Request{request}, end, now)
+			b.Written([]join.Request{request}, logpos.At(test.era, end), now)
 			for at := seedRenewInterval; at <= test.after; at += seedRenewInterval {
 				b.DropUnwritten(now.Add(at))
 				is.True(b.Register(request, now.Add(at)))
