Renew leases soon after a start of all instances

A renewal opened its connection only once the instance was registered, after a pause of 0.7 s, and a connection is verified a second after it is opened; the copy of the directory that verifies it came from a peer whose own read waited for records, so that it was 0.7 to 1.7 s old.

Change: the connection is opened before the view is checked, a renewal that was withheld is repeated after a tick, and the verification asks for a directory that is complete up to the instant that it needs. Its reason is logged once.

Result: TestLeasesAreRenewedSoonAfterAStartOfAll failed before.

--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -300,7 +300,7 @@
 		Load:          func(string) []float64 { return tc.loadAt(name) },
 		Capacities:    func(string) map[string]float64 { return nil },
 		Probe:         func(ctx context.Context, server shard.Owner) error { return tc.probe(ctx, name, server) },
-		DirectoryAge:  func() time.Duration { return 0 }, EntryDelay: time.Second, ReadDirectory: func() {},
+		DirectoryAge:  func() time.Duration { return 0 }, EntryDelay: time.Second, ReadDirectory: func(clock.Instant) {},
 		LeadershipChanged: func(bool) {}, OwnersChanged: func() {}, SendHeartbeat: func() {},
 		RereadOwners: func() {
 			select {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -208,10 +208,11 @@
 	// TargetLatency returns the time within which requests of a service should be answered.
 	TargetLatency func(service string) time.Duration
 	// DirectoryAge returns the age of the local copy of the directory. EntryDelay is how long after the start
-	// of a server its directory entry may be missing. ReadDirectory asks for a read of the directory.
+	// of a server its directory entry may be missing. ReadDirectory asks for a copy of the directory that is complete up to
+	// an instant.
 	DirectoryAge  func() time.Duration
 	EntryDelay    time.Duration
-	ReadDirectory func()
+	ReadDirectory func(asOf clock.Instant)
 	// Load returns the requests per second by key. Capacities returns the requests per second that each
 	// server can serve, by id.
 	Load       func(service string) []float64
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -33,6 +34,8 @@
 	fencedSince clock.Instant
 	// answeredAt is when the server last answered.
 	answeredAt time.Time
+	// withheldReason is the reason that was logged last for which no renewal was sent, empty after an answer.
+	withheldReason string
 }
 
 // failing reports whether the server does not answer. A server that gets no more renewals because it has lost
@@ -104,7 +107,7 @@
 }
 
 // errStaleView means that the view is too old to renew by, or that this instance is not registered.
-var errStaleView = errors.New("lease: view of the owners is too old")
+var errStaleView = fmt.Errorf("%w: view of the owners is too old", ErrUnverified)
 
 // renew renews the lease of one range.
 func (r *renewer) renew(ctx context.Context, service string, keyRange shard.Range) error {
@@ -125,13 +128,18 @@
 	if !current() {
 		return context.Canceled
 	}
-	if !r.manager.mayAct() {
-		return errStaleView
-	}
+	// The view is checked once there is a connection: how long ago that was opened decides when a grant counts as verified,
+	// and after a start of all instances the leases run out meanwhile.
 	check := func(ctx context.Context, openedAt clock.Instant) error {
+		if !r.manager.mayAct() {
+			return errStaleView
+		}
 		if err := r.manager.awaitVerified(ctx, r.server.ID, openedAt, firstGrant); err != nil {
 			return err
 		}
+		if !r.manager.mayAct() {
+			return errStaleView
+		}
 		if !current() {
 			return context.Canceled
 		}
@@ -201,14 +209,16 @@
 			lm.Events.Record(event.StateChange, "server-regained", "server", r.server.ID, "silent-for", time.Since(r.answeredAt))
 			lm.SendHeartbeat()
 		}
-		r.failures, r.fencedSince, r.answeredAt = 0, 0, time.Now()
+		r.failures, r.fencedSince, r.answeredAt, r.withheldReason = 0, 0, time.Now(), ""
 		return true
-	case errors.Is(err, errStaleView), errors.Is(err, ErrUnverified):
-		if errors.Is(err, ErrUnverified) {
-			r.dueAt = time.Now().Add(tickInterval)
+	case errors.Is(err, ErrUnverified):
+		// The lease continues to run out.
+		r.dueAt = time.Now().Add(tickInterval)
+		if reason := err.Error(); reason != r.withheldReason {
+			r.withheldReason = reason
+			lm.Events.Record(event.StateChange, "renewal-withheld", "server", r.server.ID, "reason", err,
+				"knowledge-age", time.Duration(lm.view.age(lm.Clock.Now())))
 		}
-		lm.Events.Record(event.StateChange, "renewal-withheld", "server", r.server.ID, "reason", err,
-			"knowledge-age", time.Duration(lm.view.age(lm.Clock.Now())))
 		return false
 	}
 	r.failures++
--- a/internal/lease/server_test.go
+++ b/internal/lease/server_test.go
@@ -73,6 +73,8 @@
 			return Reply{}, err
 		}
 		server = c.server
+	} else if err := check(ctx, fakeClock{lc.cluster.start}.Now()); err != nil {
+		return Reply{}, err
 	}
 	arrivedAt := time.Now()
 	if lc.cluster.chance(lc.cluster.delayedGrants) {
--- a/internal/lease/verify.go
+++ b/internal/lease/verify.go
@@ -37,7 +37,7 @@
 			reread = true
 			lm.RereadOwners()
 			if !firstGrant {
-				lm.ReadDirectory()
+				lm.ReadDirectory(openedAt.Add(lm.EntryDelay))
 			}
 		}
 		if !worker.Sleep(ctx, verifyInterval) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,7 +197,7 @@
 		Servers:      n.cluster.servers, DirectoryVersion: n.cluster.snapshotVersion.Load, Services: n.cluster.dividedServices, TargetLatency: n.cluster.shortestTarget, Load: n.loadTracker.load, Capacities: n.loadTracker.capacities,
 		Probe: n.probeServer, RereadOwners: func() { n.requestRead(platform.OwnersTopic) },
 		DirectoryAge: func() time.Duration { return n.watches[platform.ServersTopic].Age() },
-		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: func() { n.requestRead(platform.ServersTopic) },
+		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: n.requireDirectory,
 		LeadershipChanged: n.leadershipChanged, BroadcastOwners: n.broadcastOwnerChange, BroadcastRegister: n.broadcastRegister, MoveCompleted: n.moveCompleted,
 		FetchView: n.requestView, EraChanged: n.sendHeartbeatToAll, OwnersChanged: n.ownersChanged, SendHeartbeat: n.sendHeartbeatToLeader,
 	})
@@ -288,6 +288,13 @@
 // requestRead asks the watch of a topic to read the store at once.
 func (n *Node) requestRead(topic string) { signalOnce(n.readRequests[topic]) }
 
+// requireDirectory asks for a copy of the directory that is complete up to an instant. Without the instant another instance
+// would answer with an older copy while its own read waits for records.
+func (n *Node) requireDirectory(asOf clock.Instant) {
+	n.watches[n.platform.ServersTopic].Require(asOf)
+	n.requestRead(n.platform.ServersTopic)
+}
+
 // sendHeartbeatToLeader asks heartbeatLoop for a heartbeat to the leader at once.
 func (n *Node) sendHeartbeatToLeader() { signalOnce(n.heartbeatLeaderNow) }
 
