End overtaken moves on an instance that is stopping

Cause: a leader that stops no longer prunes its moves.

Change: moves are pruned while an instance stops, a canceled first grant is no failure and is repeated only as often as moves are pruned if a later record has overtaken it.

--- a/internal/lease/move.go
+++ b/internal/lease/move.go
@@ -314,7 +314,7 @@
 			lm.Events.Record(event.StateChange, "moved", "service", service, "from", r.From, "to", r.To, "server", r.Server,
 				"fence", r.Fence, "handover", handover != "", "took", time.Since(startedAt))
 			lm.completions <- completedMove{service: service, from: r.From, fence: r.Fence}
-		case err != nil:
+		case err != nil && !errors.Is(err, context.Canceled):
 			lm.Events.Record(event.StateChange, "first-grant-failed", "server", r.Server, "fence", r.Fence, "error", err)
 		}
 		if errors.Is(err, ErrNoAnswer) && !errors.Is(err, context.Canceled) {
@@ -330,8 +330,13 @@
 		}
 		if errors.Is(err, context.Canceled) {
 			// A later record that changed other keys of the server canceled the grant. The move is still
-			// right, and its keys have no owner until it is granted, so retry without orderRetryDelay.
-			worker.Sleep(ctx, verifyInterval)
+			// right, and its keys have no owner until it is granted, so retry without orderRetryDelay. If a later
+			// record has overtaken the move itself, pruneMoves will end it.
+			if lm.isCurrent(service, r) {
+				worker.Sleep(ctx, verifyInterval)
+			} else {
+				worker.Sleep(ctx, tickInterval)
+			}
 			continue
 		}
 		worker.Sleep(ctx, delay)
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -172,6 +172,7 @@
 		case <-ticker.C:
 		}
 		if lm.isStopping() {
+			lm.pruneMoves(lm.view.get())
 			continue
 		}
 		now := time.Now()
