--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -248,7 +248,6 @@
 	case info.NotRun && info.Misdirected:
 		completion.Outcome = admit.NotOwner
 		q.reason = endNoOwner
-		worker.Sleep(ctx, misdirectedDelay)
 		return errorReply(http.StatusServiceUnavailable, retryAfterNoOwner), true
 	case info.NotRun:
 		completion.Outcome = admit.Full
