Share full servers between callers and reserve capacity for returns

Change: the controller orders requests by start tags, with floors by priority, rejects at once those that would miss their target behind lighter callers, recognizes returns by their origin, and reserves what new requests leave over. Options turn each part on; without them order and rejections are as before.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -64,6 +64,12 @@
 	// Standby reports whether another instance is in charge of the servers, and may be admitting
 	// requests to them at the same time for instances that reach it.
 	Standby bool
+	// Caller is a digest of the identity of the caller, and Origin one of the caller and its request,
+	// which is the same when the caller sends the request again. Both are zero if they are not known.
+	Caller uint32
+	Origin uint64
+	// Retry reports whether the router, not the caller, sends the request again.
+	Retry bool
 }
 
 // Outcome is how an attempt ended.
@@ -118,6 +124,17 @@
 type Admitted struct {
 	ID
 	Server string
+	Earlier
+}
+
+// Earlier is what the controller knows of earlier tries of a request.
+type Earlier struct {
+	// Returns is how often the caller has come back with the request after a rejection.
+	Returns int
+	// LastTry reports whether the caller is not expected to come back if this try is rejected.
+	LastTry bool
+	// Kept reports whether capacity was reserved for this return.
+	Kept bool
 }
 
 // Queued means that the request waits. Another decision follows that admits or rejects it.
@@ -129,6 +146,8 @@
 	Reason Reason
 	// RetryIn is the delay after which the caller should come back.
 	RetryIn time.Duration
+	// Kept reports whether capacity is reserved for the caller after RetryIn.
+	Kept bool
 	// Wait is the predicted time in the queue.
 	Wait time.Duration
 	// Pool is the name of the pool that rejected the request. The instance that asked sets it, not
@@ -156,6 +175,8 @@
 	PoolBusy Reason = "pool-busy"
 	// OwnerGone means that the owner of the key, or the last server of the pool, is gone.
 	OwnerGone Reason = "owner-gone"
+	// PushedOut means that the request waited, and would miss its target behind those of callers that have had less.
+	PushedOut Reason = "pushed-out"
 	// Resting means that the owner of the key, or all servers of the pool, have asked for rest.
 	Resting Reason = "resting"
 )
--- a/internal/admit/cluster_test.go
+++ b/internal/admit/cluster_test.go
@@ -38,7 +38,7 @@
 		for j := range size {
 			r.Put(c.name(j), roster.Entry{Address: c.name(j), Domain: c.domain(j), Incarnation: 1, Share: 1}, start)
 		}
-		ctl := admit.New(rand.New(rand.NewPCG(seed, uint64(i))))
+		ctl := admit.New(rand.New(rand.NewPCG(seed, uint64(i))), admit.Options{})
 		ctl.SetServers(start, servers)
 		c.rosters, c.controllers = append(c.rosters, r), append(c.controllers, ctl)
 	}
@@ -180,7 +180,7 @@
 	}
 	atServer := map[string]int{}
 	for i := range instances {
-		ctl := admit.New(rand.New(rand.NewPCG(7, uint64(i))))
+		ctl := admit.New(rand.New(rand.NewPCG(7, uint64(i))), admit.Options{})
 		ctl.SetServers(start, all)
 		for serial := range uint64(2) {
 			d := ctl.Decide(start, admit.Request{
--- a/internal/admit/cold_test.go
+++ b/internal/admit/cold_test.go
@@ -196,7 +196,7 @@
 		work[cold.ID], work[warm.ID] = 40*time.Millisecond, 40*time.Millisecond
 	}
 	s := newSimulator(4, work, 2)
-	s.controller = admit.New(rand.New(rand.NewPCG(4, 3)))
+	s.controller = admit.New(rand.New(rand.NewPCG(4, 3)), admit.Options{})
 	s.controller.SetServers(start, servers)
 	s.sendTimes = map[string][]time.Time{}
 	s.addArrivals(workload{"read", 700, 1, 500 * time.Millisecond, 2 * time.Second}, 0, coldTime)
--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"example.org/mustardring/internal/fair"
+	"example.org/mustardring/internal/resv"
 	"example.org/mustardring/internal/rules"
 )
 
@@ -93,6 +95,16 @@
 	undelivered []Decision
 	// answered holds the servers with answers that ReportCapacity has not reported yet.
 	answered map[string]*server
+	options Options
+	// shares are those of the callers of a pool, nil until there is one; owners have shares of their own.
+	shares *shares
+	// book holds the reservations, nil if there are none, and rejections the latest rejections. asked is what new requests
+	// ask of the pool, in slots of mean speed.
+	book       *resv.Book
+	rejections rejections
+	asked      demand
+	// pushedOut is the number of requests that pushOut has rejected.
+	pushedOut int
 	// lastSequence is the sequence number of the newest request.
 	lastSequence uint64
 	random       *rand.Rand
@@ -103,13 +115,28 @@
 	inspected int
 }
 
+// Options turns features of a controller on.
+type Options struct {
+	// FairShares shares the time of full servers between callers.
+	FairShares bool
+	// Floors is the share of a full server's time, by priority, that waiting requests get even if more urgent ones wait.
+	Floors fair.Floors
+	// KeptReturns reserves capacity for callers that come back.
+	KeptReturns bool
+}
+
 // New returns a controller without servers.
-func New(random *rand.Rand) *Controller {
-	return &Controller{
+func New(random *rand.Rand, options Options) *Controller {
+	c := &Controller{
+		options: options,
 		random: random, servers: map[string]*server{}, routes: map[string]*routeStats{},
 		admitted: map[ID]*server{}, queued: map[ID]*waiter{}, domainQueues: map[string]*queue{},
 		recent: map[string][]recentServer{}, demands: map[int]*demand{}, answered: map[string]*server{}, awaitingRate: map[*server]struct{}{}, resting: map[*server]struct{}{},
 	}
+	if options.KeptReturns {
+		c.book = resv.NewBook()
+	}
+	return c
 }
 
 // SetServers replaces the set of servers that may be used. The caller leaves out draining servers,
@@ -163,7 +190,7 @@
 func (c *Controller) rejectAll() []Decision {
 	var out []Decision
 	for _, w := range c.queued {
-		c.dequeue(w)
+		c.drop(w)
 		out = append(out, Rejected{ID: w.ID, Reason: OwnerGone})
 	}
 	return out
@@ -204,7 +231,7 @@
 	}
 	var out []Decision
 	for w := s.queue.head(); w != nil; w = s.queue.head() {
-		c.dequeue(w)
+		c.drop(w)
 		out = append(out, Rejected{ID: w.ID, Reason: OwnerGone})
 	}
 	return out
@@ -221,7 +248,10 @@
 	if req.Server != "" && c.servers[req.Server] == nil {
 		return Rejected{ID: req.ID, Reason: OwnerGone}
 	}
-	w := c.newWaiter(now, req)
+	if rejected, known := c.rejections.byID[req.ID]; known {
+		return rejected
+	}
+	earlier := c.recognize(now, &req)
 	if len(c.servers) == 0 {
 		return c.reject(now, req, NoServer, 0)
 	}
@@ -231,6 +261,9 @@
 	if until, resting := c.restEnd(now, req); resting {
 		return c.reject(now, req, Resting, restDelay(now, until))
 	}
+	w := c.newWaiter(now, req, earlier)
+	c.recordAsked(now, w)
+	c.arrive(now, w)
 	s := c.chooseServer(now, w)
 	if s != nil && s.free(now) && c.precedesQueue(now, w, s) {
 		c.recordDemand(now, w)
@@ -239,6 +272,7 @@
 	crossDomainIn := w.crossDomainAt.Sub(now)
 	wait, fits := c.checkWait(now, w)
 	if !fits || req.HasFallback && wait > crossDomainIn {
+		w.reject()
 		return c.reject(now, req, Overload, wait)
 	}
 	c.recordDemand(now, w)
@@ -282,7 +316,7 @@
 	if req.HasFallback {
 		return Rejected{ID: req.ID, Reason: PoolBusy, Wait: wait}
 	}
-	return Rejected{ID: req.ID, Reason: reason, RetryIn: c.retryDelay(now, req, wait), Wait: wait}
+	return c.rejection(now, req, reason, wait)
 }
 
 // currentDecision returns the decision in force on a request, nil if it is neither queued nor
@@ -292,14 +326,21 @@
 		return Queued{ID: id}
 	}
 	if s := c.admitted[id]; s != nil {
-		return Admitted{ID: id, Server: s.ID}
+		return Admitted{ID: id, Server: s.ID, Earlier: s.admissions[id].earlier}
 	}
 	return nil
 }
 
 // admit records the admission of a request to a server and sets its timers.
 func (c *Controller) admit(now time.Time, s *server, w *waiter) Decision {
-	a := admission{admittedAt: now, expectedTime: s.expectedTime(c.route(w.Route, 0), now), coldFactor: s.coldFactor(now), startedAt: now}
+	a := admission{
+		admittedAt: now, expectedTime: s.expectedTime(c.route(w.Route, 0), now), coldFactor: s.coldFactor(now), startedAt: now,
+		origin: w.Origin, earlier: w.earlier,
+	}
+	w.serve()
+	if len(c.options.Floors) > 0 {
+		s.usage.Record(now, w.Priority, a.expectedTime)
+	}
 	if len(s.admissions) >= s.Slots {
 		a.startedAt = time.Time{}
 		a.expectedTime += s.timeToFreeSlot(now)
@@ -320,7 +361,7 @@
 	c.nextRelease() // drops the timers of ended admissions
 	c.expectedReleases.add(now.Add(a.expectedTime), expectedRelease(expiry))
 	c.refresh(now, s)
-	return Admitted{ID: w.ID, Server: s.ID}
+	return Admitted{ID: w.ID, Server: s.ID, Earlier: w.earlier}
 }
 
 // release ends an admission. It returns false if there is no such admission.
@@ -342,7 +383,7 @@
 // Cancel removes a request from the queue, or ends its admission before there is an answer.
 func (c *Controller) Cancel(now time.Time, id ID) []Decision {
 	if w := c.queued[id]; w != nil {
-		c.dequeue(w)
+		c.drop(w)
 	}
 	out := c.Tick(now)
 	if s, used := c.release(now, id); used {
@@ -360,6 +401,7 @@
 	}
 	a := s.admissions[done.ID]
 	c.release(now, done.ID)
+	c.recordOutcome(now, a, done)
 	r := c.route(done.Route, 0)
 	c.learn(now, s, done, a, r.meanTime)
 	if done.Outcome == Answered {
--- a/internal/admit/controller_test.go
+++ b/internal/admit/controller_test.go
@@ -14,7 +14,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newController(servers ...rules.Server) *admit.Controller {
-	c := admit.New(rand.New(rand.NewPCG(1, 2)))
+	c := admit.New(rand.New(rand.NewPCG(1, 2)), admit.Options{})
 	c.SetServers(start, servers)
 	return c
 }
--- a/internal/admit/demand.go
+++ b/internal/admit/demand.go
@@ -28,8 +28,13 @@
 		d = &demand{at: now}
 		c.demands[w.Priority] = d
 	}
+	d.add(now, w.expectedTime)
+}
+
+// add adds some work.
+func (d *demand) add(now time.Time, work time.Duration) {
 	d.decay(now)
-	d.rate += w.expectedTime.Seconds() / demandWindow.Seconds()
+	d.rate += work.Seconds() / demandWindow.Seconds()
 }
 
 // leftoverShare returns the share of the servers' time that more urgent requests leave over. More
@@ -44,7 +49,7 @@
 			taken += d.rate
 		}
 	}
-	return max(1-taken/float64(max(c.slots, 1)), minLeftoverShare)
+	return max(1-taken/float64(max(c.slots, 1)), minLeftoverShare, c.floor(priority))
 }
 
 // minLeftoverShare bounds the factor by which a predicted wait grows.
--- a/internal/admit/dispatch.go
+++ b/internal/admit/dispatch.go
@@ -4,18 +4,20 @@
 	"time"
 
 	"example.org/mustardring/internal/clock"
+	"example.org/mustardring/internal/fair"
 )
 
 // newWaiter returns the state of a new request.
-func (c *Controller) newWaiter(now time.Time, req Request) *waiter {
+func (c *Controller) newWaiter(now time.Time, req Request, earlier Earlier) *waiter {
 	r := c.route(req.Route, req.TargetAt.Sub(now))
 	c.lastSequence++
-	w := &waiter{Request: req, sequence: c.lastSequence, expectedTime: r.meanTime}
+	w := &waiter{Request: req, expectedTime: r.meanTime, earlier: earlier}
 	if s := c.servers[req.Server]; s != nil {
 		w.expectedTime = s.expectedTime(r, now)
 	}
+	w.item = fair.Item[*waiter]{Value: w, Sequence: c.lastSequence, Work: w.expectedTime}
 	w.queueDeadline = req.Deadline.Add(-w.expectedTime / 2)
-	if req.TargetAt.Sub(now) < w.expectedTime {
+	if req.TargetAt.Sub(now) < w.expectedTime && !earlier.Kept {
 		w.markLate(now)
 	}
 	if req.Server != "" {
@@ -75,6 +77,13 @@
 	if w.Server == "" && now.Before(w.crossDomainAt) {
 		c.timers.add(w.crossDomainAt, crossDomainAllowed{w})
 	}
+	c.pushOut(now, w.rankQueue)
+}
+
+// drop removes a request that is not admitted from its queue.
+func (c *Controller) drop(w *waiter) {
+	c.dequeue(w)
+	w.reject()
 }
 
 func (c *Controller) dequeue(w *waiter) {
@@ -87,16 +96,21 @@
 // can serve.
 func (c *Controller) nextWaiter(now time.Time, s *server) *waiter {
 	c.inspected++
-	best := s.queue.head()
-	if !s.listed {
-		return best
-	}
-	for _, q := range []*queue{c.domainQueues[s.Domain], &c.anyDomainQueue} {
-		if q == nil {
-			continue
+	queues := []*queue{&s.queue}
+	if s.listed {
+		queues = append(queues, &c.anyDomainQueue)
+		if q := c.domainQueues[s.Domain]; q != nil {
+			queues = append(queues, q)
 		}
+	}
+	owed, isOwed := c.owedPriority(now, s, queues)
+	var best *waiter
+	for _, q := range queues {
 		w := q.head()
-		if w != nil && s.restsFor(w.From, now) {
+		if isOwed {
+			w = q.headOf(owed)
+		}
+		if w != nil && q != &s.queue && s.restsFor(w.From, now) {
 			w = s.firstAccepted(q, now)
 		}
 		if w != nil && (best == nil || w.precedes(best)) {
--- a/internal/admit/load_test.go
+++ b/internal/admit/load_test.go
@@ -95,7 +95,7 @@
 		random: rand.New(rand.NewPCG(seed, 2)), serviceTimes: serviceTimes, slots: slots, servers: map[string]*simServer{}, tallies: map[string]*tally{}, pending: map[admit.ID]*simRequest{},
 		domain: func() string { return "north" },
 	}
-	s.controller = admit.New(rand.New(rand.NewPCG(seed, 3)))
+	s.controller = admit.New(rand.New(rand.NewPCG(seed, 3)), admit.Options{})
 	var servers []rules.Server
 	for id := range serviceTimes {
 		servers = append(servers, server(id, "north", slots))
--- a/internal/admit/pool_test.go
+++ b/internal/admit/pool_test.go
@@ -80,7 +80,7 @@
 	s.pools, s.pickers = map[string]*admit.Controller{}, map[string]*admit.Picker{}
 	pools := admit.SplitIntoPools("books", servers)
 	for i, pool := range pools {
-		c := admit.New(rand.New(rand.NewPCG(seed, uint64(10+i))))
+		c := admit.New(rand.New(rand.NewPCG(seed, uint64(10+i))), admit.Options{})
 		c.SetServers(start, pool.Servers)
 		s.pools[pool.Name] = c
 	}
--- a/internal/admit/predict.go
+++ b/internal/admit/predict.go
@@ -4,12 +4,12 @@
 	"time"
 )
 
-// workAhead returns the expected service time of the waiting requests of the same or a better rank
-// that are not bound to one server.
-func (c *Controller) workAhead(r rank) time.Duration {
-	work, _ := c.anyDomainQueue.ahead(r)
+// workAhead returns the expected service time of the waiting requests that go before another one and
+// are not bound to one server.
+func (c *Controller) workAhead(w *waiter) time.Duration {
+	work, _ := c.anyDomainQueue.ahead(w)
 	for _, q := range c.domainQueues {
-		domainWork, _ := q.ahead(r)
+		domainWork, _ := q.ahead(w)
 		work += domainWork
 	}
 	return work
@@ -19,12 +19,13 @@
 func (c *Controller) predictWait(now time.Time, w *waiter) time.Duration {
 	if w.Server != "" {
 		s := c.servers[w.Server]
-		work, count := s.queue.ahead(w.rank())
+		work, count := s.queue.ahead(w)
 		work += time.Duration(s.waitingForSlot()) * w.expectedTime
 		wait := time.Duration(float64(s.timeToFreeSlot(now)+work/time.Duration(max(s.Slots, 1))) / c.leftoverShare(now, w.Priority))
+		wait += c.reservedWait(now, s, w, wait)
 		return max(wait, s.sendTime(now, count).Sub(now))
 	}
-	work := c.workAhead(w.rank()) + time.Duration(c.waitingAtServers)*w.expectedTime
+	work := c.workAhead(w) + time.Duration(c.waitingAtServers)*w.expectedTime
 	wait := time.Duration((float64(c.timeToFreeSlot(now)) + float64(work)/max(c.capacity, 0.1)) / c.leftoverShare(now, w.Priority))
 	return max(wait, w.crossDomainAt.Sub(now))
 }
@@ -72,6 +73,9 @@
 // back are served.
 func (c *Controller) checkWait(now time.Time, w *waiter) (time.Duration, bool) {
 	wait := c.predictWait(now, w)
+	if w.earlier.Kept {
+		return wait, true
+	}
 	fits := c.fits(now, w, wait)
 	if fits || w.late {
 		return wait, fits
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
+
+	"example.org/mustardring/internal/fair"
 )
 
 // rank orders waiting requests: by priority, then those that can meet their target before those
@@ -37,8 +38,12 @@
 // waiter is a request on which the controller decides, with its state while it waits in a queue.
 type waiter struct {
 	Request
-	// sequence is the position in the order of arrival.
-	sequence uint64
+	// item has the start tag of the request and its position in the order of arrival. Without shares all tags are equal.
+	item fair.Item[*waiter]
+	// shares are those that the request counts for, nil if there are none.
+	shares *shares
+	// earlier is what is known of earlier tries.
+	earlier Earlier
 	// crossDomainAt is when the request may use servers of other domains.
 	crossDomainAt time.Time
 	// expectedTime is the expected service time.
@@ -48,65 +53,34 @@
 	late          bool
 	queueDeadline time.Time
 
-	// rankQueue is where the request waits, nil if it does not wait, and index its position in the
-	// heap.
+	// rankQueue is where the request waits, nil if it does not wait.
 	rankQueue *rankQueue
-	index     int
 }
 
 func (w *waiter) rank() rank { return rank{w.Priority, w.late} }
 
 // precedes reports whether the request goes before another one.
 func (w *waiter) precedes(o *waiter) bool {
-	return cmp.Or(w.rank().compare(o.rank()), cmp.Compare(w.sequence, o.sequence)) < 0
+	return cmp.Or(w.rank().compare(o.rank()), cmp.Compare(w.item.Tag, o.item.Tag), cmp.Compare(w.item.Sequence, o.item.Sequence)) < 0
 }
 
-// rankQueue holds the waiting requests of one rank in order of arrival.
+// rankQueue holds the waiting requests of one rank in order of start tags, then of arrival.
 type rankQueue struct {
 	rank    rank
-	waiters waiterHeap
-	// work is the sum of their expected service times.
-	work time.Duration
+	waiters fair.Queue[*waiter]
 }
 
 func (rq *rankQueue) push(w *waiter) {
 	w.rankQueue = rq
-	rq.work += w.expectedTime
-	heap.Push(&rq.waiters, w)
+	rq.waiters.Push(&w.item)
 }
 
 // remove removes the request from the queue in which it waits.
 func (w *waiter) remove() {
-	w.rankQueue.work -= w.expectedTime
-	heap.Remove(&w.rankQueue.waiters, w.index)
+	w.rankQueue.waiters.Remove(&w.item)
 	w.rankQueue = nil
 }
 
-// waiterHeap implements heap.Interface.
-type waiterHeap []*waiter
-
-func (h waiterHeap) Len() int           { return len(h) }
-func (h waiterHeap) Less(i, j int) bool { return h[i].sequence < h[j].sequence }
-
-func (h waiterHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-func (h *waiterHeap) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*h)
-	*h = append(*h, w)
-}
-
-func (h *waiterHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return last
-}
-
 // queue holds the requests that wait for the same servers, sorted by rank.
 type queue struct {
 	ranks []*rankQueue
@@ -123,8 +97,18 @@
 // head returns the request that goes first, nil if none waits.
 func (q *queue) head() *waiter {
 	for _, rq := range q.ranks {
-		if len(rq.waiters) > 0 {
-			return rq.waiters[0]
+		if first := rq.waiters.First(); first != nil {
+			return first.Value
+		}
+	}
+	return nil
+}
+
+// headOf returns the request of a priority that goes first, nil if none waits.
+func (q *queue) headOf(priority int) *waiter {
+	for _, rq := range q.ranks {
+		if first := rq.waiters.First(); first != nil && rq.rank.priority == priority {
+			return first.Value
 		}
 	}
 	return nil
@@ -134,20 +118,27 @@
 func (q *queue) inOrder() []*waiter {
 	var out []*waiter
 	for _, rq := range q.ranks {
-		out = append(out, slices.SortedFunc(slices.Values(rq.waiters), func(a, b *waiter) int { return cmp.Compare(a.sequence, b.sequence) })...)
+		for item := range rq.waiters.All() {
+			out = append(out, item.Value)
+		}
 	}
 	return out
 }
 
-// ahead returns the expected service time of all requests of the same or a better rank, and their
-// number.
-func (q *queue) ahead(r rank) (work time.Duration, count int) {
+// ahead returns the expected service time of all requests that go before another one, and their number.
+func (q *queue) ahead(w *waiter) (work time.Duration, count int) {
 	for _, rq := range q.ranks {
-		if rq.rank.compare(r) > 0 {
-			break
+		switch order := rq.rank.compare(w.rank()); {
+		case order > 0:
+			return work, count
+		case order < 0:
+			work += rq.waiters.Work()
+			count += rq.waiters.Len()
+		default:
+			rankWork, rankCount := rq.waiters.Ahead(w.item.Tag, w.item.Sequence)
+			work += rankWork
+			count += rankCount
 		}
-		work += rq.work
-		count += len(rq.waiters)
 	}
 	return work, count
 }
--- a/internal/admit/ratelimit.go
+++ b/internal/admit/ratelimit.go
@@ -96,8 +96,8 @@
 			ahead++
 			continue
 		}
-		c.dequeue(w)
-		out = append(out, Rejected{ID: w.ID, Reason: Overload, RetryIn: c.retryDelay(now, w.Request, wait), Wait: wait})
+		c.drop(w)
+		out = append(out, c.rejection(now, w.Request, Overload, wait))
 	}
 	return out
 }
--- a/internal/admit/rest.go
+++ b/internal/admit/rest.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"cmp"
 	"time"
 )
 
@@ -182,8 +181,10 @@
 	var out []Decision
 	for _, w := range waiting {
 		if until, resting := c.restEnd(now, w.Request); resting {
-			c.dequeue(w)
-			out = append(out, Rejected{ID: w.ID, Reason: Resting, RetryIn: c.retryDelay(now, w.Request, restDelay(now, until)), Wait: until.Sub(now)})
+			c.drop(w)
+			rejected := c.rejection(now, w.Request, Resting, restDelay(now, until))
+			rejected.Wait = until.Sub(now)
+			out = append(out, rejected)
 		}
 	}
 	return out
@@ -227,17 +228,13 @@
 func (s *server) firstAccepted(q *queue, now time.Time) *waiter {
 	left := maxPassedOver
 	for _, rq := range q.ranks {
-		var best *waiter
-		for _, w := range rq.waiters[:min(len(rq.waiters), left)] {
-			if !s.restsFor(w.From, now) && (best == nil || cmp.Less(w.sequence, best.sequence)) {
-				best = w
+		for item := range rq.waiters.All() {
+			if left--; left < 0 {
+				return nil
+			}
+			if !s.restsFor(item.Value.From, now) {
+				return item.Value
 			}
-		}
-		if best != nil {
-			return best
-		}
-		if left -= len(rq.waiters); left <= 0 {
-			return nil
 		}
 	}
 	return nil
--- a/internal/admit/scaling_test.go
+++ b/internal/admit/scaling_test.go
@@ -16,7 +16,7 @@
 // busyController returns a controller whose servers are all busy, with requests that wait, and the
 // current admissions.
 func busyController(servers, waiting int) (*Controller, []Admitted) {
-	c := New(rand.New(rand.NewPCG(1, 2)))
+	c := New(rand.New(rand.NewPCG(1, 2)), Options{})
 	var all []rules.Server
 	for i := range servers {
 		all = append(all, rules.Server{ID: fmt.Sprintf("s%04d", i), Service: "books", Domain: fmt.Sprintf("d%d", i%6), Slots: 2})
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"example.org/mustardring/internal/fair"
 	"example.org/mustardring/internal/rules"
 )
 
@@ -64,6 +65,8 @@
 	// startedAt is when the server started on the request, as far as is known, zero while the
 	// request waits there.
 	startedAt time.Time
+	origin    uint64
+	earlier   Earlier
 }
 
 // serviceTime returns how long the server worked on a request that has been answered, at least a
@@ -100,6 +103,11 @@
 	nextEjectionTime time.Duration
 	// fullUntil is the end of the backoff after the server has said that it is full.
 	fullUntil time.Time
+	// shares are those of the callers of the requests that only this server may run, nil until there is one. usage is the
+	// time that each priority had, and asked what new requests ask of the server, in slots of mean speed.
+	shares *shares
+	usage  fair.Usage
+	asked  demand
 	// rests is what the server wants of instances that it has asked for rest.
 	rests rests
 	// untracked is the number of requests at the server that this controller did not admit, as of
--- /dev/null
+++ b/internal/admit/share.go
@@ -0,0 +1,120 @@
+package admit
+
+import (
+	"time"
+
+	"example.org/mustardring/internal/fair"
+)
+
+// The load that this file answers: callers that ask for more of a full server than their part. Requests of one rank that wait
+// for the same servers go in the order of start tags, so that each caller gets an equal share of the servers' time and what
+// the others leave over. A caller that comes new to a full server goes before those that have had their share. Those that
+// would miss their target behind it are rejected at once.
+
+const (
+	// callerEntitlement is how much of a slot a caller can have however much it has had before. Without it a caller that
+	// comes again would wait behind all that come for the first time for as long as the server is full.
+	callerEntitlement = 0.25
+	// keptTag is the start tag of requests for which capacity is reserved. They go before all others of their rank.
+	keptTag = -1
+)
+
+// shares are the shares of the callers of a server, or of the servers of a pool.
+type shares struct {
+	fair.Shares
+	advancedAt time.Time
+}
+
+// advance raises the virtual time by what every caller is entitled to in the time that has passed.
+func (s *shares) advance(now time.Time) {
+	if !s.advancedAt.IsZero() && now.After(s.advancedAt) {
+		s.Advance(time.Duration(callerEntitlement * float64(now.Sub(s.advancedAt))))
+	}
+	s.advancedAt = now
+}
+
+// sharesOf returns the shares of the servers that a request may use, nil if they are not shared between callers.
+func (c *Controller) sharesOf(w *waiter) *shares {
+	if !c.options.FairShares {
+		return nil
+	}
+	if s := c.servers[w.Server]; s != nil {
+		if s.shares == nil {
+			s.shares = newShares()
+		}
+		return s.shares
+	}
+	if c.shares == nil {
+		c.shares = newShares()
+	}
+	return c.shares
+}
+
+func newShares() *shares { return &shares{Shares: *fair.NewShares()} }
+
+// arrive gives a new request its start tag. Serve or reject has to follow.
+func (c *Controller) arrive(now time.Time, w *waiter) {
+	if w.earlier.Kept {
+		w.item.Tag = keptTag
+		return
+	}
+	if s := c.sharesOf(w); s != nil {
+		s.advance(now)
+		w.item.Tag, w.shares = s.Arrive(w.Caller, w.expectedTime), s
+	}
+}
+
+// serve counts a request that is admitted as a part of its caller's share.
+func (w *waiter) serve() {
+	if w.shares != nil {
+		w.shares.Serve(w.item.Tag)
+	}
+}
+
+// reject charges the caller of a request that is not admitted a part of its work.
+func (w *waiter) reject() {
+	if w.shares != nil {
+		w.shares.Reject(w.Caller, w.expectedTime)
+	}
+}
+
+// pushOut rejects the last requests of a rank that would miss their target behind those that go before them. Only a request
+// with an early start tag makes them wait longer than predicted.
+func (c *Controller) pushOut(now time.Time, rq *rankQueue) {
+	if !c.options.FairShares || rq.rank.late {
+		return
+	}
+	for last := rq.waiters.Last(); last != nil && last != rq.waiters.First(); last = rq.waiters.Last() {
+		w := last.Value
+		if w.earlier.Kept || !now.Add(c.predictWait(now, w)+w.expectedTime).After(w.TargetAt) {
+			return
+		}
+		c.drop(w)
+		c.pushedOut++
+		c.undelivered = append(c.undelivered, c.rejection(now, w.Request, PushedOut, 0))
+	}
+}
+
+// owedPriority returns the priority of the waiting requests that is furthest below its floor at a server, and false if none is.
+func (c *Controller) owedPriority(now time.Time, s *server, queues []*queue) (int, bool) {
+	if len(c.options.Floors) == 0 {
+		return 0, false
+	}
+	var waiting []int
+	for _, q := range queues {
+		for _, rq := range q.ranks {
+			if rq.waiters.Len() > 0 {
+				waiting = append(waiting, rq.rank.priority)
+			}
+		}
+	}
+	return s.usage.Owed(now, c.options.Floors, waiting)
+}
+
+// floor returns the share of a full server's time that waiting requests of a priority get.
+func (c *Controller) floor(priority int) float64 {
+	if priority < 0 || priority >= len(c.options.Floors) {
+		return 0
+	}
+	return c.options.Floors[priority]
+}
--- a/internal/admit/tick.go
+++ b/internal/admit/tick.go
@@ -65,8 +65,8 @@
 	if w.rankQueue == nil {
 		return nil
 	}
-	c.dequeue(w)
-	return []Decision{Rejected{ID: w.ID, Reason: Overload, RetryIn: c.retryDelay(now, w.Request, 0)}}
+	c.drop(w)
+	return []Decision{c.rejection(now, w.Request, Overload, 0)}
 }
 
 // LongRunning returns the IDs of admissions that last longer than expected while their server has
--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -33,6 +33,8 @@
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool   `json:"first-start"`
 	Bounds     Bounds `json:"bounds"`
+	// Overload is the table for operation under load.
+	Overload Overload `json:"load"`
 }
 
 // Bounds are the limits that the users of the system require of it.
@@ -75,5 +77,6 @@
 			c.fail(field, "no number above zero", "give a number above zero")
 		}
 	}
+	s.Overload.check(&c)
 	return c.err()
 }
--- a/internal/config/serve_test.go
+++ b/internal/config/serve_test.go
@@ -19,6 +19,11 @@
   "bounds": {"drain-seconds": 2, "stop-seconds": 6, "retry-ratio": 0.2, "retry-window-seconds": 10, "retry-slack": 50}
 }`
 
+// withLoad returns a case with settings in the table "load". Field is that of the expected fault.
+func withLoad(settings, field string) struct{ from, to, field string } {
+	return struct{ from, to, field string }{`"first-start": true,`, `"first-start": true, "load": {` + settings + `},`, field}
+}
+
 func TestServe(t *testing.T) {
 	tests := map[string]struct{ from, to, field string }{
 		"valid":                    {"", "", ""},
@@ -29,6 +34,18 @@
 		"no CPU share":             {`"cpu-share": 0.5`, `"cpu-share": 0`, "cpu-share"},
 		"unknown field":            {`"name"`, `"colour": 1, "name"`, "colour"},
 		"wrong type":               {`"memory-mb": 200`, `"memory-mb": "much"`, "memory-mb"},
+		"load settings":            withLoad(`"caller-identity": "address", "fair-shares": true, "kept-returns": true, "priority-floors": [0, 0.2]`, ""),
+		"identity by header":       withLoad(`"caller-identity": "header", "caller-header": "X-Tenant", "fair-shares": true`, ""),
+		"unknown identity":         withLoad(`"caller-identity": "cookie"`, "load.caller-identity"),
+		"no header":                withLoad(`"caller-identity": "header"`, "load.caller-header"),
+		"header is not used":       withLoad(`"caller-identity": "address", "caller-header": "X-Tenant"`, "load.caller-header"),
+		"shares without identity":  withLoad(`"fair-shares": true`, "load.fair-shares"),
+		"returns without identity": withLoad(`"kept-returns": true`, "load.kept-returns"),
+		"floor too high":           withLoad(`"priority-floors": [0, 0.6]`, "load.priority-floors"),
+		"floor below zero":         withLoad(`"priority-floors": [-0.1]`, "load.priority-floors"),
+		"floors take everything":   withLoad(`"priority-floors": [0.5, 0.5]`, "load.priority-floors"),
+		"bodies take too much":     withLoad(`"body-memory-share": 0.6`, "load.body-memory-share"),
+		"flag of another type":     withLoad(`"repeat-rejected": "yes"`, "load.repeat-rejected"),
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/internal/edge/caller.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"encoding/binary"
+	"net"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Identity says what tells callers apart: AnyCaller, CallerAddress or CallerHeader.
+type Identity interface{ identity() }
+
+type (
+	// AnyCaller takes all requests for those of one caller.
+	AnyCaller struct{}
+	// CallerAddress identifies a caller by the IP address of its connection.
+	CallerAddress struct{}
+	// CallerHeader identifies a caller by a request header. Requests without it belong to nobody in particular.
+	CallerHeader struct{ Name string }
+)
+
+func (AnyCaller) identity()     {}
+func (CallerAddress) identity() {}
+func (CallerHeader) identity()  {}
+
+// callerOf returns a digest of the identity of the caller of a request, zero if it is not known.
+func callerOf(id Identity, r *http.Request) uint32 {
+	text := ""
+	switch id := id.(type) {
+	case CallerAddress:
+		host, _, err := net.SplitHostPort(r.RemoteAddr)
+		if err != nil {
+			return 0
+		}
+		text = host
+	case CallerHeader:
+		text = r.Header.Get(id.Name)
+	case AnyCaller, nil:
+	}
+	if text == "" {
+		return 0
+	}
+	return max(uint32(xxhash.Sum64String(text)), 1)
+}
+
+// originOf returns a digest of a caller and the fingerprint of its request, which recognizes a request that the caller sends
+// again, zero if the caller is not known.
+func originOf(caller uint32, print uint64) uint64 {
+	if caller == 0 {
+		return 0
+	}
+	var data [12]byte
+	binary.BigEndian.PutUint32(data[:4], caller)
+	binary.BigEndian.PutUint64(data[4:], print)
+	return max(xxhash.Sum64(data[:]), 1)
+}
--- a/internal/fair/shares.go
+++ b/internal/fair/shares.go
@@ -74,6 +74,12 @@
 	s.prune(maxPruned)
 }
 
+// Advance raises the virtual time by some work, to which every caller that has had more than the others is entitled.
+func (s *Shares) Advance(work time.Duration) {
+	s.virtualTime += seconds(work)
+	s.prune(maxPruned)
+}
+
 // Reject takes in that a request that arrived is not served. Its caller gets back the work except
 // for a quarter, or all of it if its latest requests were rejected as well: it keeps half of its
 // share however often it asks.
--- a/internal/node/admission_client_test.go
+++ b/internal/node/admission_client_test.go
@@ -31,7 +31,7 @@
 
 func newRemoteController(port uint16, requestDelay, replyDelay time.Duration, slots int) *remoteController {
 	rc := &remoteController{address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), requestDelay: requestDelay, replyDelay: replyDelay}
-	rc.controller = admit.New(rand.New(rand.NewPCG(1, 2)))
+	rc.controller = admit.New(rand.New(rand.NewPCG(1, 2)), admit.Options{})
 	rc.controller.SetServers(time.Now(), []rules.Server{{ID: "s", Service: "books", Slots: slots}})
 	return rc
 }
--- a/internal/resv/book.go
+++ b/internal/resv/book.go
@@ -161,6 +161,20 @@
 	}
 }
 
+// Retried takes in that the router itself sends a request again whose try was recorded as rejected.
+func (b *Book) Retried(id uint64) {
+	e := b.origins.get(id)
+	if e == nil {
+		return
+	}
+	o := &e.value
+	o.rejected = false
+	b.release(o)
+	if o.try != nil {
+		o.try.void, o.try = true, nil
+	}
+}
+
 // Served forgets an origin whose request was answered.
 func (b *Book) Served(id uint64) {
 	if e := b.origins.get(id); e != nil {
--- a/internal/resv/learn.go
+++ b/internal/resv/learn.go
@@ -38,6 +38,8 @@
 	route    *route
 	returns  int
 	returned bool
+	// void means that the caller was not asked to return.
+	void bool
 }
 
 func newLessons() lessons { return lessons{routes: newRecent[string, route]()} }
@@ -60,6 +62,9 @@
 func (l *lessons) resolve(now time.Time) {
 	for len(l.tries) > 0 && !now.Before(l.tries[0].at.Add(returnTime)) {
 		t := l.pop()
+		if t.void {
+			continue
+		}
 		a, outcome := &t.route[t.returns], float32(0)
 		if t.returned {
 			outcome = 1
