Read event logs in package event, for more than one command

Cause: the account of overload reads the same lines as explain, but cannot hold a log in memory as explain does.

Change: event.Lines is a sequence of lines, event.ParseFields fills a map that may be used again. explain keeps its functions and uses them; its test is unchanged.

--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -1,12 +1,13 @@
 package cmds
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"os"
 	"slices"
 	"strings"
+
+	"example.org/mustardring/internal/event"
 )
 
 // ExplainCmd shows the log lines about one request and the server that it went to, from the logs of
@@ -22,9 +23,6 @@
 	"first-grant-failed", "first-grant-delegated", "server-lost-in-request", "server-unreachable", "path-lost", "path-regained", "tunnel-refused",
 }
 
-// maxLineLength is the maximum length of a log line, in bytes. A longer one fails the command.
-const maxLineLength = 1 << 20
-
 // logLine is a line of a log with its parsed fields.
 type logLine struct {
 	text   string
@@ -56,44 +54,22 @@
 	return nil
 }
 
-// readLog reads the lines of an event log. Text before "time=" is cut off, and lines without it are
-// ignored.
+// readLog reads the lines of an event log and parses their fields.
 func readLog(r io.Reader) ([]logLine, error) {
 	var out []logLine
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxLineLength)
-	for s.Scan() {
-		if at := strings.Index(s.Text(), "time="); at >= 0 {
-			text := s.Text()[at:]
-			out = append(out, logLine{text, parseFields(text)})
+	for text, err := range event.Lines(r) {
+		if err != nil {
+			return nil, err
 		}
+		out = append(out, logLine{text, parseFields(text)})
 	}
-	return out, s.Err()
+	return out, nil
 }
 
-// parseFields splits a line of key=value pairs. Quoted values may contain spaces; escape sequences
-// in them are kept as they are.
+// parseFields returns the fields of a log line.
 func parseFields(text string) map[string]string {
 	out := map[string]string{}
-	for text != "" {
-		key, rest, found := strings.Cut(text, "=")
-		if !found {
-			break
-		}
-		var value string
-		if strings.HasPrefix(rest, `"`) {
-			end := 1
-			for end < len(rest) && (rest[end] != '"' || rest[end-1] == '\\') {
-				end++
-			}
-			value, rest = rest[1:min(end, len(rest))], rest[min(end+1, len(rest)):]
-		} else {
-			value, rest, _ = strings.Cut(rest, " ")
-			rest = " " + rest
-		}
-		out[strings.TrimSpace(key)] = value
-		text = strings.TrimLeft(rest, " ")
-	}
+	event.ParseFields(text, out)
 	return out
 }
 
