Add the command bounds: what no router can serve

Cause: without a bound nobody can tell a loss that a router may avoid from one that follows from hot keys, rejecting servers, a partition or demand.

--- a/cmd/mustardring/main.go
+++ b/cmd/mustardring/main.go
@@ -23,6 +23,7 @@
 	Serve       cmds.ServeCmd       `cmd:"" help:"Run an instance on the users' platform."`
 	Explain     cmds.ExplainCmd     `cmd:"" help:"Show the lines about one request from the logs of instances."`
 	Account     cmds.AccountCmd     `cmd:"" help:"Show who was rejected and why from the logs of instances."`
+	Bounds      cmds.BoundsCmd      `cmd:"" help:"Show the largest share of requests that any router could serve under overload."`
 	StandIn     cmds.StandInCmd     `cmd:"" name:"stand-in" help:"Run stand-ins of the platform and of backend servers."`
 	Load        cmds.LoadCmd        `cmd:"" help:"Send load to instances on this machine and check the responses."`
 	Ask         cmds.AskCmd         `cmd:"" help:"Send one request and show its outcome."`
