Repeat rejected requests at the owner of their key, within a budget over a sliding window

Change: a request that the owner of its key rejects with room by its own figures is sent there again, if the settings say so; those whose callers are not expected to come back go first. The budget is what the requests of the last ten seconds have earned, and is given back when nothing is sent. Callers are identified by their address or a header; the controller recognizes returns.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -146,8 +146,9 @@
 	Reason Reason
 	// RetryIn is the delay after which the caller should come back.
 	RetryIn time.Duration
-	// Kept reports whether capacity is reserved for the caller after RetryIn.
-	Kept bool
+	// Reserved reports whether capacity is reserved for the caller after RetryIn.
+	Reserved bool
+	Earlier
 	// Wait is the predicted time in the queue.
 	Wait time.Duration
 	// Pool is the name of the pool that rejected the request. The instance that asked sets it, not
--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -95,7 +95,7 @@
 	undelivered []Decision
 	// answered holds the servers with answers that ReportCapacity has not reported yet.
 	answered map[string]*server
-	options Options
+	options  Options
 	// shares are those of the callers of a pool, nil until there is one; owners have shares of their own.
 	shares *shares
 	// book holds the reservations, nil if there are none, and rejections the latest rejections. asked is what new requests
@@ -129,7 +129,7 @@
 func New(random *rand.Rand, options Options) *Controller {
 	c := &Controller{
 		options: options,
-		random: random, servers: map[string]*server{}, routes: map[string]*routeStats{},
+		random:  random, servers: map[string]*server{}, routes: map[string]*routeStats{},
 		admitted: map[ID]*server{}, queued: map[ID]*waiter{}, domainQueues: map[string]*queue{},
 		recent: map[string][]recentServer{}, demands: map[int]*demand{}, answered: map[string]*server{}, awaitingRate: map[*server]struct{}{}, resting: map[*server]struct{}{},
 	}
@@ -253,13 +253,13 @@
 	}
 	earlier := c.recognize(now, &req)
 	if len(c.servers) == 0 {
-		return c.reject(now, req, NoServer, 0)
+		return c.reject(now, req, earlier, NoServer, 0)
 	}
 	if wait, bounded := c.allBounded(now, req); bounded {
-		return c.reject(now, req, Overload, wait)
+		return c.reject(now, req, earlier, Overload, wait)
 	}
 	if until, resting := c.restEnd(now, req); resting {
-		return c.reject(now, req, Resting, restDelay(now, until))
+		return c.reject(now, req, earlier, Resting, restDelay(now, until))
 	}
 	w := c.newWaiter(now, req, earlier)
 	c.recordAsked(now, w)
@@ -273,7 +273,7 @@
 	wait, fits := c.checkWait(now, w)
 	if !fits || req.HasFallback && wait > crossDomainIn {
 		w.reject()
-		return c.reject(now, req, Overload, wait)
+		return c.reject(now, req, earlier, Overload, wait)
 	}
 	c.recordDemand(now, w)
 	if s != nil && !req.HasFallback && !now.Before(w.crossDomainAt) && c.precedesQueue(now, w, s) {
@@ -312,11 +312,11 @@
 
 // reject returns the rejection of a request with a predicted wait. A request that can ask another
 // pool is rejected with PoolBusy, whatever the reason.
-func (c *Controller) reject(now time.Time, req Request, reason Reason, wait time.Duration) Decision {
+func (c *Controller) reject(now time.Time, req Request, earlier Earlier, reason Reason, wait time.Duration) Decision {
 	if req.HasFallback {
 		return Rejected{ID: req.ID, Reason: PoolBusy, Wait: wait}
 	}
-	return c.rejection(now, req, reason, wait)
+	return c.rejection(now, req, earlier, reason, wait)
 }
 
 // currentDecision returns the decision in force on a request, nil if it is neither queued nor
--- a/internal/admit/ratelimit.go
+++ b/internal/admit/ratelimit.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		c.drop(w)
-		out = append(out, c.rejection(now, w.Request, Overload, wait))
+		out = append(out, c.rejection(now, w.Request, w.earlier, Overload, wait))
 	}
 	return out
 }
--- a/internal/admit/rest.go
+++ b/internal/admit/rest.go
@@ -182,7 +182,7 @@
 	for _, w := range waiting {
 		if until, resting := c.restEnd(now, w.Request); resting {
 			c.drop(w)
-			rejected := c.rejection(now, w.Request, Resting, restDelay(now, until))
+			rejected := c.rejection(now, w.Request, w.earlier, Resting, restDelay(now, until))
 			rejected.Wait = until.Sub(now)
 			out = append(out, rejected)
 		}
--- a/internal/admit/returning.go
+++ b/internal/admit/returning.go
@@ -70,15 +70,15 @@
 }
 
 // rejection returns the rejection of a request with a predicted wait, and when its caller should come back.
-func (c *Controller) rejection(now time.Time, req Request, reason Reason, wait time.Duration) Rejected {
-	r := Rejected{ID: req.ID, Reason: reason, Wait: wait, RetryIn: c.retryDelay(now, req, wait)}
+func (c *Controller) rejection(now time.Time, req Request, earlier Earlier, reason Reason, wait time.Duration) Rejected {
+	r := Rejected{ID: req.ID, Reason: reason, Wait: wait, RetryIn: c.retryDelay(now, req, wait), Earlier: earlier}
 	if c.book == nil || req.Origin == 0 {
 		return r
 	}
 	c.book.Rejected(now, req.Origin, req.Route)
 	if reason == Overload || reason == PushedOut {
 		if at, kept := c.reserve(now, req, wait); kept {
-			r.RetryIn, r.Kept = at.Sub(now), true
+			r.RetryIn, r.Reserved = at.Sub(now), true
 		}
 	}
 	c.rejections.add(r)
--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -91,7 +91,7 @@
 		}
 		c.drop(w)
 		c.pushedOut++
-		c.undelivered = append(c.undelivered, c.rejection(now, w.Request, PushedOut, 0))
+		c.undelivered = append(c.undelivered, c.rejection(now, w.Request, w.earlier, PushedOut, 0))
 	}
 }
 
--- a/internal/admit/tick.go
+++ b/internal/admit/tick.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	c.drop(w)
-	return []Decision{c.rejection(now, w.Request, Overload, 0)}
+	return []Decision{c.rejection(now, w.Request, w.earlier, Overload, 0)}
 }
 
 // LongRunning returns the IDs of admissions that last longer than expected while their server has
--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -44,6 +44,10 @@
 		Avoid string
 		// HasFallback is set if the sender can ask another pool.
 		HasFallback bool
+		// Caller, Origin and Retry are those of admit.Request. Instances of the previous release do not state them.
+		Caller uint32
+		Origin uint64
+		Retry  bool
 	}
 	// AdmissionDecision is the controller's answer. Server is set if the request is admitted, Reason if
 	// it is rejected; if both are empty, the request is queued.
@@ -54,6 +58,11 @@
 		RetryInMs int
 		// WaitMs is the predicted wait that a rejection rests on.
 		WaitMs int
+		// Returns, LastTry and Kept are those of admit.Earlier, Reserved that of admit.Rejected.
+		Returns  int
+		LastTry  bool
+		Kept     bool
+		Reserved bool
 	}
 	// Completion ends an admission and reports how the request went.
 	Completion struct {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,12 +9,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
 	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/inlet"
+	"example.org/mustardring/internal/retry"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
 	"example.org/mustardring/internal/stated"
@@ -73,6 +75,8 @@
 type Admission interface {
 	// Server returns the ID of the server.
 	Server() string
+	// Earlier returns what the controller knows of earlier tries of the request.
+	Earlier() admit.Earlier
 	// Complete reports the end of the request and frees the slot of the server. It must be
 	// called exactly once.
 	Complete(d admit.Completion)
@@ -109,9 +113,14 @@
 	Cluster     Cluster
 	Admitter    Admitter
 	ConnPool    *ConnPool
-	RetryBudget *RetryBudget
+	RetryBudget *retry.Budget
 	Events      *event.Log
 	Meters      *Meters
+	// Identity tells callers apart. LogCallers adds its digest to the lines of requests.
+	Identity   Identity
+	LogCallers bool
+	// RepeatRejected allows repeats at the owner of a key that has rejected a request although it had room.
+	RepeatRejected bool
 }
 
 // Edge handles the requests of the callers that are connected to this instance.
@@ -154,8 +163,12 @@
 	}
 	took := time.Since(q.arrivedAt)
 	e.Meters.RecordRequest(q.route.Name, q.reason, took)
-	e.Events.Record(class, "request", "id", q.info.ID, "route", q.route.Name, "config", q.configVersion, "service", q.service,
+	pairs := []any{"id", q.info.ID, "route", q.route.Name, "config", q.configVersion, "service", q.service,
 		"status", status, "why", q.reason, "server", q.server, "through", q.through, "attempts", q.attempts, "took", took,
 		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
-		"error", q.err)
+		"repeats", q.repeats, "origin-return", q.earlier.Returns > 0, "kept", q.earlier.Kept, "error", q.err}
+	if e.LogCallers && q.caller != 0 {
+		pairs = append(pairs, "caller", fmt.Sprintf("%08x", q.caller))
+	}
+	e.Events.Record(class, "request", pairs...)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -21,6 +21,7 @@
 	"example.org/mustardring/internal/edge"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/inlet"
+	"example.org/mustardring/internal/retry"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
 	"example.org/mustardring/internal/stated"
@@ -132,6 +133,7 @@
 type fakeAdmitter struct {
 	ids       []string
 	rejection *admit.Rejected
+	earlier   admit.Earlier
 	// mu guards next and outcomes.
 	mu       sync.Mutex
 	next     int
@@ -144,7 +146,8 @@
 	server   string
 }
 
-func (a *fakeAdmission) Server() string { return a.server }
+func (a *fakeAdmission) Server() string         { return a.server }
+func (a *fakeAdmission) Earlier() admit.Earlier { return a.admitter.earlier }
 func (a *fakeAdmission) Complete(d admit.Completion) {
 	a.admitter.mu.Lock()
 	defer a.admitter.mu.Unlock()
@@ -190,7 +193,7 @@
 	}
 	f.edge = edge.New(edge.Deps{
 		Codec: headerCodec{}, Cluster: f.cluster, Admitter: f.admitter, ConnPool: edge.NewConnPool(func(string) int { return 10 }, nil),
-		RetryBudget: edge.NewRetryBudget(0.2, 10*time.Second, func() (float64, bool) { return 100, true }, time.Now),
+		RetryBudget: retry.NewBudget(0.2, 10*time.Second, func() (float64, bool) { return 100, true }, time.Now),
 		Events:      event.New(io.Discard, log.ErrorLevel), Meters: edge.NewMeters(),
 	})
 	return f
@@ -371,48 +374,6 @@
 	}
 }
 
-// Retries stay within the ratio plus the fixed number, and the fixed number is refilled with time.
-func TestRetryBudget(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(0, 0)
-	b := edge.NewRetryBudget(0.2, 10*time.Second, func() (float64, bool) { return 10, true }, func() time.Time { return now })
-	spent := 0
-	for range 100 {
-		b.Earn("books")
-		if b.Spend("books") {
-			spent++
-		}
-	}
-	is.True(spent <= 20+10) // a fifth of the requests plus the fixed number
-	is.True(spent >= 10)
-	now = now.Add(time.Minute)
-	is.True(b.Spend("books"))
-}
-
-// Guards against instances that start together and each use the whole fixed number of retries.
-func TestRetryBudgetWithoutSlack(t *testing.T) {
-	is := is.New(t)
-	now, known := time.Unix(0, 0), false
-	b := edge.NewRetryBudget(0.2, 10*time.Second, func() (float64, bool) { return 10, known }, func() time.Time { return now })
-	is.True(!b.Spend("books"))
-	spent := 0
-	for range 100 {
-		b.Earn("books")
-		if b.Spend("books") {
-			spent++
-		}
-	}
-	is.True(spent <= 20) // a fifth of the requests
-	is.True(spent >= 10)
-	for range 100 {
-		b.Earn("books")
-	}
-	now = now.Add(10 * time.Second)
-	is.True(!b.Spend("books")) // earned in an earlier window
-	known = true
-	is.True(b.Spend("books"))
-}
-
 // A request that crashes each server that runs it is quarantined after two servers. Another request
 // that ran on the same servers, but got a response in between, is not.
 func TestCrashTracker(t *testing.T) {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/event"
 	"example.org/mustardring/internal/inlet"
 	"example.org/mustardring/internal/rules"
@@ -48,6 +49,20 @@
 	endServerRests    endReason = "server-rests"
 )
 
+// rejection says whether and how a server has rejected a request without running it.
+type rejection int
+
+// The rejections.
+const (
+	notRejected rejection = iota
+	// misdirected means that the server does not own the key.
+	misdirected
+	// full means that the server has no room, or does not say.
+	full
+	// withRoom means that it has room by its own figures.
+	withRoom
+)
+
 // request is a request of a caller in progress.
 type request struct {
 	*http.Request
@@ -69,9 +84,22 @@
 	// returning says that the caller was probably rejected before and tries again.
 	returning bool
 
-	// attempts is the number of attempts so far, and server the server of the last one.
+	// caller and origin are digests of the caller, and of the caller and its request, zero if they are not known. earlier is
+	// what the controller knows of earlier tries.
+	caller  uint32
+	origin  uint64
+	earlier admit.Earlier
+
+	// attempts is the number of attempts so far, and server the server of the last one. sentTo holds all of them. repeats is
+	// the number of attempts that repeated one which the owner of the key had rejected.
 	attempts int
 	server   string
+	sentTo   []string
+	repeats  int
+	// retryOpen says that a retry was taken from the budget and has not been sent.
+	retryOpen bool
+	// rejection says how the server has rejected the last attempt.
+	rejection rejection
 
 	// The fields from here to leavesIn are only logged.
 
@@ -133,6 +161,8 @@
 		q.body = data
 	}
 	q.print = fingerprintOf(r, q.body)
+	q.caller = callerOf(e.Identity, r)
+	q.origin = originOf(q.caller, q.print)
 	if e.Cluster.Quarantined(q.print) {
 		return nil, e.reject(q, endCrashesServers, errorReply(http.StatusBadGateway, 0))
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"example.org/mustardring/internal/admit"
@@ -43,6 +44,7 @@
 	for range maxAdmissionRequests {
 		a, s, rejection := q.acquire(ctx)
 		if rejection != nil {
+			q.refundRetry()
 			return q.finalReply(ctx, rejection)
 		}
 		if a == nil {
@@ -56,10 +58,14 @@
 			continue
 		}
 		q.fallback = reply
-		if q.attempts >= q.route.MaxAttempts || time.Until(q.deadline) < minAttemptTime || q.ownerRests() || !q.edge.RetryBudget.Spend(q.service) {
+		if !q.spendRetry() {
 			return q.finalReply(ctx, reply)
 		}
+		if q.rejection == misdirected {
+			worker.Sleep(ctx, misdirectedDelay)
+		}
 	}
+	q.refundRetry()
 	return q.finalReply(ctx, q.fallback)
 }
 
@@ -93,7 +99,7 @@
 	defer func() { q.waited += time.Since(startedAt) }()
 	req := admit.Request{
 		Service: q.service, Route: q.route.Name, Priority: q.route.Priority, Returning: q.returning || q.attempts > 0,
-		TargetAt: q.targetAt, Deadline: q.deadline, Avoid: q.avoid,
+		TargetAt: q.targetAt, Deadline: q.deadline, Avoid: q.avoid, Caller: q.caller, Origin: q.origin, Retry: q.attempts > 0,
 	}
 	domain := ""
 	if q.divided {
@@ -101,6 +107,9 @@
 		if reply != nil {
 			return nil, rules.Server{}, reply
 		}
+		if !q.mayUse(r.Server) {
+			return nil, rules.Server{}, q.fallback
+		}
 		owner, found := q.edge.Cluster.Server(r.Server)
 		req.Server, domain = r.Server, owner.Domain
 		q.server, q.fence, q.leavesIn = r.Server, r.Fence, owner.LeavesIn(time.Now())
@@ -117,6 +126,7 @@
 	if rejected != nil {
 		return nil, rules.Server{}, q.handleRejection(ctx, rejected)
 	}
+	q.earlier = a.Earlier()
 	s, found := q.edge.Cluster.Server(a.Server())
 	if !found || s.Closed(q.divided, time.Now()) || q.serverRests(s.ID) {
 		a.Complete(admit.Completion{Outcome: admit.Unsent})
@@ -170,7 +180,7 @@
 	default:
 		q.reason = endOverload
 	}
-	q.predictedWait, q.pool = rejected.Wait, rejected.Pool
+	q.predictedWait, q.pool, q.earlier = rejected.Wait, rejected.Pool, rejected.Earlier
 	return errorReply(http.StatusServiceUnavailable, rejected.RetryIn)
 }
 
@@ -209,7 +219,10 @@
 // no retry after all, or nil if the request was not sent and the attempt does not count.
 func (q *request) attempt(ctx context.Context, a Admission, s rules.Server) (*inlet.Reply, bool) {
 	q.attempts++
-	q.server, q.through = s.ID, ""
+	q.server, q.through, q.rejection = s.ID, "", notRejected
+	if !slices.Contains(q.sentTo, s.ID) {
+		q.sentTo = append(q.sentTo, s.ID)
+	}
 	q.edge.inFlight.add(s.Domain, 1)
 	defer q.edge.inFlight.add(s.Domain, -1)
 	startedAt := time.Now()
@@ -222,6 +235,7 @@
 	if err != nil {
 		return q.handleFailure(ctx, &completion, s, err)
 	}
+	q.retryOpen = false
 	info := q.edge.Codec.DecodeResponse(response, time.Now())
 	completion.Load, completion.Limit = info.Load, info.Limit
 	q.edge.logMalformed(s.ID, info)
@@ -247,11 +261,14 @@
 	switch {
 	case info.NotRun && info.Misdirected:
 		completion.Outcome = admit.NotOwner
-		q.reason = endNoOwner
+		q.reason, q.rejection = endNoOwner, misdirected
 		return errorReply(http.StatusServiceUnavailable, retryAfterNoOwner), true
 	case info.NotRun:
 		completion.Outcome = admit.Full
-		q.reason, q.avoid = endServerFull, s.ID
+		q.reason, q.avoid, q.rejection = endServerFull, s.ID, full
+		if l := info.Load; l.Known && l.Running+l.Waiting < s.Slots {
+			q.rejection = withRoom
+		}
 		return errorReply(http.StatusServiceUnavailable, q.rejectionDelay(s.ID)), true
 	case reply.Status >= http.StatusInternalServerError:
 		completion.Outcome = admit.Failed
@@ -279,6 +296,7 @@
 	case errors.Is(err, errServerClosed):
 		completion.Outcome = admit.Unsent
 		q.attempts--
+		q.sentTo = slices.DeleteFunc(q.sentTo, func(id string) bool { return id == s.ID })
 		q.reason, q.avoid = endNoOwner, s.ID
 		return nil, true
 	case unsent:
@@ -289,7 +307,7 @@
 		q.reason, q.avoid = endUnsent, s.ID
 		return errorReply(http.StatusServiceUnavailable, retryAfterNoOwner), true
 	}
-	q.mayHaveRun = true
+	q.mayHaveRun, q.retryOpen = true, false
 	if ctx.Err() != nil || errors.Is(err, upstr.ErrDeadline) {
 		q.reason = endTimeout
 		return errorReply(http.StatusGatewayTimeout, 0), false
--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -127,6 +127,7 @@
 			c.reject(err)
 			return
 		}
+		r.RemoteAddr = c.raw.RemoteAddr().String()
 		if status := c.readBody(r, l); status != 0 {
 			c.enqueueError(status)
 			return
--- a/internal/node/admission_client.go
+++ b/internal/node/admission_client.go
@@ -207,6 +207,7 @@
 		Serial: r.Serial, Pool: r.Pool, Server: r.Server, Domain: r.Domain, Route: r.Route, Priority: r.Priority,
 		Returning: r.Returning, Avoid: r.Avoid, HasFallback: r.HasFallback,
 		TargetInMs: int(time.Until(r.TargetAt).Milliseconds()), DeadlineInMs: int(time.Until(r.Deadline).Milliseconds()),
+		Caller: r.Caller, Origin: r.Origin, Retry: r.Retry,
 	}
 }
 
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -118,7 +118,7 @@
 	ad.refreshPools(ad.pools.serviceOf(pool))
 	c := ad.controllers[pool]
 	if c == nil {
-		c = admit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		c = admit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), ad.node.controllerOptions())
 		ad.controllers[pool] = c
 		ad.deliver(c.SetServers(time.Now(), ad.pools.serversOf(pool, ad.node.cluster.servers(), ad.node.cluster.config.Load())))
 	}
@@ -221,9 +221,11 @@
 	switch d := d.(type) {
 	case admit.Admitted:
 		m.Server = d.Server
+		m.Returns, m.LastTry, m.Kept = d.Returns, d.LastTry, d.Kept
 	case admit.Rejected:
 		m.Reason = string(d.Reason)
 		m.RetryInMs, m.WaitMs = int(d.RetryIn.Milliseconds()), int(d.Wait.Milliseconds())
+		m.Returns, m.LastTry, m.Kept, m.Reserved = d.Returns, d.LastTry, d.Kept, d.Reserved
 	case admit.Queued:
 	}
 	return m
@@ -239,6 +241,7 @@
 		Route: m.Route, Priority: m.Priority, Returning: m.Returning, Avoid: m.Avoid, HasFallback: m.HasFallback,
 		TargetAt: now.Add(time.Duration(m.TargetInMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.DeadlineInMs) * time.Millisecond),
+		Caller:   m.Caller, Origin: m.Origin, Retry: m.Retry,
 	}
 	r.NonExclusive = ad.isolated
 	ad.setCharge(&r, now)
@@ -345,8 +348,12 @@
 	server     string
 	// controller is the address of the instance that admitted the request; the zero value stands for this one.
 	controller netip.AddrPort
+	earlier    admit.Earlier
 }
 
+// Earlier returns what the controller knows of earlier tries of the request.
+func (a *admission) Earlier() admit.Earlier { return a.earlier }
+
 // Server returns the id of the server to send the request to.
 func (a *admission) Server() string { return a.server }
 
@@ -453,8 +460,9 @@
 
 // result converts a final decision to an admission or a rejection.
 func (ad *admissions) result(r admit.Request, m dgram.AdmissionDecision, controller netip.AddrPort) (edge.Admission, *admit.Rejected) {
+	earlier := admit.Earlier{Returns: m.Returns, LastTry: m.LastTry, Kept: m.Kept}
 	if m.Server != "" {
-		return &admission{admissions: ad, serial: m.Serial, pool: r.Pool, route: r.Route, server: m.Server, controller: controller}, nil
+		return &admission{admissions: ad, serial: m.Serial, pool: r.Pool, route: r.Route, server: m.Server, controller: controller, earlier: earlier}, nil
 	}
 	reason := admit.Reason(m.Reason)
 	if reason == "" {
@@ -462,6 +470,7 @@
 	}
 	return nil, &admit.Rejected{
 		Pool: r.Pool, Reason: reason, RetryIn: time.Duration(m.RetryInMs) * time.Millisecond, Wait: time.Duration(m.WaitMs) * time.Millisecond,
+		Reserved: m.Reserved, Earlier: earlier,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"example.org/mustardring/internal/lease"
 	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/paths"
+	"example.org/mustardring/internal/retry"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/stated"
@@ -205,12 +206,13 @@
 	n.watches = n.newWatches()
 	n.tunnels.opened = map[*tunnel.Conn]string{}
 	n.dialer = n.newDialer()
-	budget := edge.NewRetryBudget(settings.Bounds.RetryRatio,
+	budget := retry.NewBudget(settings.Bounds.RetryRatio,
 		time.Duration(settings.Bounds.RetryWindowSeconds*float64(time.Second)),
 		func() (float64, bool) { return n.shareOf(settings.Bounds.RetrySlack) }, time.Now)
 	n.edge = edge.New(edge.Deps{
 		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections, n.dialer), RetryBudget: budget,
-		Events: events, Meters: n.meters,
+		Events: events, Meters: n.meters, Identity: identityOf(settings.Overload), LogCallers: settings.Overload.LogCallers,
+		RepeatRejected: settings.Overload.RepeatRejected,
 	})
 	n.inlet = inlet.New(n.edge.Handle, n.limits)
 	return n, nil
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -151,6 +151,7 @@
 	for server, until := range n.cluster.statements.Rests(now) {
 		lines = append(lines, fmt.Sprintf("server_rest_seconds{server=%q} %.1f\n", server, until.Sub(now).Seconds()))
 	}
+	lines = append(lines, n.overloadMetrics()...)
 	sort.Strings(lines)
 	for _, l := range lines {
 		_, _ = w.Write([]byte(l))
