--- a/internal/edge/repeat.go
+++ b/internal/edge/repeat.go
@@ -10,7 +10,7 @@
 // themselves. A repeat at the same server does not count against the number of servers that one request may be sent to.
 
 // firstTryReserve is the part of the budget that requests leave whose callers are expected to come back after a rejection.
-const firstTryReserve = 0.5
+const firstTryReserve = 0.7
 
 // spendRetry reports whether the request is sent once more after its last attempt, and if so takes the retry from the budget.
 func (q *request) spendRetry() bool {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -126,7 +126,7 @@
 	if rejected != nil {
 		return nil, rules.Server{}, q.handleRejection(ctx, rejected)
 	}
-	q.earlier = a.Earlier()
+	q.noteEarlier(a.Earlier())
 	s, found := q.edge.Cluster.Server(a.Server())
 	if !found || s.Closed(q.divided, time.Now()) || q.serverRests(s.ID) {
 		a.Complete(admit.Completion{Outcome: admit.Unsent})
@@ -136,6 +136,13 @@
 	return a, s, nil
 }
 
+// noteEarlier takes in what a controller knows of earlier tries. It knows nothing when the router itself sends a request again.
+func (q *request) noteEarlier(e admit.Earlier) {
+	if q.attempts == 0 {
+		q.earlier = e
+	}
+}
+
 // serverRests reports whether a server wants no requests of this instance now.
 func (q *request) serverRests(server string) bool {
 	return time.Now().Before(q.edge.Cluster.RestUntil(server))
@@ -180,7 +187,8 @@
 	default:
 		q.reason = endOverload
 	}
-	q.predictedWait, q.pool, q.earlier = rejected.Wait, rejected.Pool, rejected.Earlier
+	q.predictedWait, q.pool = rejected.Wait, rejected.Pool
+	q.noteEarlier(rejected.Earlier)
 	return errorReply(http.StatusServiceUnavailable, rejected.RetryIn)
 }
 
