Test shares, floors and reservations of a controller under load

Cause: predicted waits ignored floors, so that requests with a floor were rejected before they waited; capacity that new requests leave over was taken from an average over one second, in which a burst leaves nothing. Change: a request waits at most as long as its floor makes it, and what new requests ask for is averaged over five seconds.

--- a/internal/admit/cold_test.go
+++ b/internal/admit/cold_test.go
@@ -199,7 +199,7 @@
 	s.controller = admit.New(rand.New(rand.NewPCG(4, 3)), admit.Options{})
 	s.controller.SetServers(start, servers)
 	s.sendTimes = map[string][]time.Time{}
-	s.addArrivals(workload{"read", 700, 1, 500 * time.Millisecond, 2 * time.Second}, 0, coldTime)
+	s.addArrivals(workload{name: "read", rate: 700, priority: 1, target: 500 * time.Millisecond, limit: 2 * time.Second}, 0, coldTime)
 	s.runFor(coldTime + time.Second)
 	got := s.tallies["read"]
 	t.Logf("%+v", *got)
--- a/internal/admit/demand.go
+++ b/internal/admit/demand.go
@@ -12,12 +12,18 @@
 	at   time.Time
 }
 
-// demandWindow is the time constant of the average: about ten requests of a busy route.
-const demandWindow = time.Second
+// The time constants of the averages.
+const (
+	// demandWindow is that of what is admitted: about ten requests of a busy route.
+	demandWindow = time.Second
+	// askedWindow is that of what new requests ask for, from which capacity for returns is left over. A burst ends before it
+	// makes up most of the average, while a key that stays busy does so within some seconds.
+	askedWindow = 5 * time.Second
+)
 
 // decay ages the average up to now.
-func (d *demand) decay(now time.Time) {
-	d.rate *= math.Exp(-now.Sub(d.at).Seconds() / demandWindow.Seconds())
+func (d *demand) decay(now time.Time, window time.Duration) {
+	d.rate *= math.Exp(-now.Sub(d.at).Seconds() / window.Seconds())
 	d.at = now
 }
 
@@ -28,13 +34,13 @@
 		d = &demand{at: now}
 		c.demands[w.Priority] = d
 	}
-	d.add(now, w.expectedTime)
+	d.add(now, w.expectedTime, demandWindow)
 }
 
 // add adds some work.
-func (d *demand) add(now time.Time, work time.Duration) {
-	d.decay(now)
-	d.rate += work.Seconds() / demandWindow.Seconds()
+func (d *demand) add(now time.Time, work, window time.Duration) {
+	d.decay(now, window)
+	d.rate += work.Seconds() / window.Seconds()
 }
 
 // leftoverShare returns the share of the servers' time that more urgent requests leave over. More
@@ -45,7 +51,7 @@
 	taken := 0.0
 	for p, d := range c.demands {
 		if p < priority {
-			d.decay(now)
+			d.decay(now, demandWindow)
 			taken += d.rate
 		}
 	}
--- a/internal/admit/dispatch.go
+++ b/internal/admit/dispatch.go
@@ -96,12 +96,13 @@
 // can serve.
 func (c *Controller) nextWaiter(now time.Time, s *server) *waiter {
 	c.inspected++
-	queues := []*queue{&s.queue}
-	if s.listed {
-		queues = append(queues, &c.anyDomainQueue)
-		if q := c.domainQueues[s.Domain]; q != nil {
-			queues = append(queues, q)
-		}
+	sources := [...]*queue{&s.queue, &c.anyDomainQueue, c.domainQueues[s.Domain]}
+	queues := sources[:]
+	switch {
+	case !s.listed:
+		queues = sources[:1]
+	case sources[2] == nil:
+		queues = sources[:2]
 	}
 	owed, isOwed := c.owedPriority(now, s, queues)
 	var best *waiter
--- a/internal/admit/load_test.go
+++ b/internal/admit/load_test.go
@@ -39,11 +39,17 @@
 	priority int
 	target   time.Duration
 	limit    time.Duration
+	// caller is the one from which all requests come, zero if each comes from a caller that is not known.
+	caller uint32
+	// known reports whether each request comes from a caller of its own that is known.
+	known bool
 }
 
 // tally counts how the callers of one workload were served.
 type tally struct {
 	requested, inTarget, late, rejected, rejectedTwice int
+	// told counts the callers for which capacity was reserved, toldTwice those of them that were rejected again.
+	told, toldTwice int
 	// maxWait is the longest time after which a caller was rejected.
 	maxWait time.Duration
 }
@@ -86,6 +92,9 @@
 	firstAt     time.Time
 	requestedAt time.Time
 	retry       bool
+	reserved    bool
+	caller      uint32
+	origin      uint64
 	request     admit.Request
 	controller  *admit.Controller
 }
@@ -120,13 +129,15 @@
 }
 
 func (s *simulator) request(now time.Time, req *simRequest) {
+	s.serial++
 	if !req.retry {
 		s.tallies[req.workload.name].requested++
+		s.identify(req)
 	}
-	s.serial++
 	req.requestedAt = now
 	req.request = admit.Request{
 		ID: admit.ID{Serial: s.serial}, Service: "books", Domain: s.domain(), Route: req.workload.name, Priority: req.workload.priority,
+		Caller: req.caller, Origin: req.origin,
 		Returning: req.retry, TargetAt: req.firstAt.Add(req.workload.target), Deadline: req.firstAt.Add(req.workload.limit),
 	}
 	s.pending[req.request.ID] = req
@@ -141,6 +152,17 @@
 	s.handle(now, []admit.Decision{s.controller.Decide(now, req.request)})
 }
 
+// identify gives a request its caller and its origin.
+func (s *simulator) identify(req *simRequest) {
+	req.caller = req.workload.caller
+	if req.workload.known {
+		req.caller = uint32(s.serial)
+	}
+	if req.caller != 0 {
+		req.origin = s.serial
+	}
+}
+
 // requestFromPools asks the pools that an instance of the request's domain would ask.
 func (s *simulator) requestFromPools(now time.Time, req *simRequest) {
 	picker := s.pickers[req.request.Domain]
@@ -233,12 +255,20 @@
 	t.maxWait = max(t.maxWait, now.Sub(req.requestedAt))
 	if req.retry {
 		t.rejectedTwice++
+		if req.reserved {
+			t.toldTwice++
+		}
 		return
 	}
 	t.rejected++
+	if rejected.Reserved {
+		t.told++
+	}
 	left := req.firstAt.Add(req.workload.limit).Sub(now)
 	s.schedule(now.Add(min(rejected.RetryIn, left/3)), func(now time.Time) {
-		s.request(now, &simRequest{workload: req.workload, firstAt: req.firstAt, retry: true})
+		s.request(now, &simRequest{
+			workload: req.workload, firstAt: req.firstAt, retry: true, reserved: rejected.Reserved, caller: req.caller, origin: req.origin,
+		})
 	})
 }
 
@@ -267,7 +297,7 @@
 
 // Eight servers with two slots and 200 ms a request can run 80 requests a second.
 func TestOverload(t *testing.T) {
-	read := workload{"read", 0, 1, 800 * time.Millisecond, 3 * time.Second}
+	read := workload{name: "read", rate: 0, priority: 1, target: 800 * time.Millisecond, limit: 3 * time.Second}
 	tests := map[string]struct {
 		rate float64
 		// minInTarget is the smallest number of requests a second that must meet their target,
@@ -306,8 +336,8 @@
 func TestUrgentGoesFirst(t *testing.T) {
 	is := is.New(t)
 	s := newSimulator(2, uniformServers(8, 200*time.Millisecond), 2)
-	s.addArrivals(workload{"submit", 40, 1, 800 * time.Millisecond, 3 * time.Second}, 0, 20*time.Second)
-	s.addArrivals(workload{"browse", 80, 2, 800 * time.Millisecond, 3 * time.Second}, 0, 20*time.Second)
+	s.addArrivals(workload{name: "submit", rate: 40, priority: 1, target: 800 * time.Millisecond, limit: 3 * time.Second}, 0, 20*time.Second)
+	s.addArrivals(workload{name: "browse", rate: 80, priority: 2, target: 800 * time.Millisecond, limit: 3 * time.Second}, 0, 20*time.Second)
 	s.runFor(25 * time.Second)
 	submit, browse := s.tallies["submit"], s.tallies["browse"]
 	t.Logf("submit %+v browse %+v", *submit, *browse)
@@ -322,7 +352,7 @@
 	work := uniformServers(8, 200*time.Millisecond)
 	work["s3"] = time.Second
 	s := newSimulator(3, work, 2)
-	s.addArrivals(workload{"read", 50, 1, 800 * time.Millisecond, 3 * time.Second}, 0, 20*time.Second)
+	s.addArrivals(workload{name: "read", rate: 50, priority: 1, target: 800 * time.Millisecond, limit: 3 * time.Second}, 0, 20*time.Second)
 	s.runFor(25 * time.Second)
 	got := s.tallies["read"]
 	t.Logf("%+v", *got)
@@ -493,7 +523,7 @@
 			s := newSimulator(5, uniformServers(8, 100*time.Millisecond), 2)
 			s.delay = 6 * time.Millisecond
 			s.byKey = keyed
-			s.addArrivals(workload{"read", 220, 1, 600 * time.Millisecond, 2500 * time.Millisecond}, 0, 20*time.Second)
+			s.addArrivals(workload{name: "read", rate: 220, priority: 1, target: 600 * time.Millisecond, limit: 2500 * time.Millisecond}, 0, 20*time.Second)
 			s.runFor(24 * time.Second)
 			got := s.tallies["read"]
 			t.Logf("%+v", *got)
--- a/internal/admit/pool_test.go
+++ b/internal/admit/pool_test.go
@@ -100,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			all := serversInDomains(276, domains, 2)
-			w := workload{"read", load * 276 * 2 / 0.2, 1, 800 * time.Millisecond, 3 * time.Second}
+			w := workload{name: "read", rate: load * 276 * 2 / 0.2, priority: 1, target: 800 * time.Millisecond, limit: 3 * time.Second}
 			run := func(s *simulator) *tally {
 				random := rand.New(rand.NewPCG(5, 6))
 				s.domain = func() string { return fmt.Sprintf("d%d", shares[random.IntN(len(shares))]) }
--- a/internal/admit/predict.go
+++ b/internal/admit/predict.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 )
 
@@ -24,6 +25,7 @@
 		// Requests that the server rejects take none of its time.
 		work = time.Duration(float64(work) * (1 - s.rejectRate))
 		wait := time.Duration(float64(s.timeToFreeSlot(now)+work/time.Duration(max(s.Slots, 1))) / c.leftoverShare(now, w.Priority))
+		wait = min(wait, c.floorWait(now, s, w))
 		wait += c.reservedWait(now, s, w, wait)
 		return max(wait, s.sendTime(now, count).Sub(now))
 	}
@@ -32,6 +34,17 @@
 	return max(wait, w.crossDomainAt.Sub(now))
 }
 
+// floorWait returns how long a request would wait at its owner if its priority got no more than its floor.
+func (c *Controller) floorWait(now time.Time, s *server, w *waiter) time.Duration {
+	floor := c.floor(w.Priority)
+	if floor == 0 {
+		return math.MaxInt64
+	}
+	slots := float64(max(s.Slots, 1))
+	atServer := time.Duration(float64(s.waitingForSlot()) * float64(w.expectedTime) / slots)
+	return s.timeToFreeSlot(now) + atServer + time.Duration(float64(s.queue.aheadOfPriority(w))/(floor*slots))
+}
+
 // timeToFreeSlot returns the time until any server may get a request.
 func (c *Controller) timeToFreeSlot(now time.Time) time.Duration {
 	for _, o := range c.openByDomain {
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -142,3 +142,19 @@
 	}
 	return work, count
 }
+
+// aheadOfPriority returns the expected service time of the requests of the same priority that go before another one.
+func (q *queue) aheadOfPriority(w *waiter) (work time.Duration) {
+	for _, rq := range q.ranks {
+		if rq.rank.priority != w.Priority || rq.rank.compare(w.rank()) > 0 {
+			continue
+		}
+		if rq.rank == w.rank() {
+			rankWork, _ := rq.waiters.Ahead(w.item.Tag, w.item.Sequence)
+			work += rankWork
+			continue
+		}
+		work += rq.waiters.Work()
+	}
+	return work
+}
--- a/internal/admit/returning.go
+++ b/internal/admit/returning.go
@@ -58,7 +58,7 @@
 	if c.book == nil || w.earlier.Returns > 0 || w.Retry {
 		return
 	}
-	c.askedOf(w.Server).add(now, c.route(w.Route, 0).meanTime)
+	c.askedOf(w.Server).add(now, c.route(w.Route, 0).meanTime, askedWindow)
 }
 
 // askedOf returns what new requests ask of a server, or of the pool if the name is empty.
@@ -97,7 +97,7 @@
 		capacity = c.capacityOf(now, s)
 	}
 	asked := c.askedOf(req.Server)
-	asked.decay(now)
+	asked.decay(now, askedWindow)
 	return c.book.Reserve(now, resv.Reservation{
 		Origin: req.Origin, Server: req.Server, Work: c.route(req.Route, 0).meanTime, Slots: capacity, Demand: asked.rate, Wait: wait,
 		Earliest: now.Add(max(wait, minRetryDelay)),
--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -100,7 +100,7 @@
 	if len(c.options.Floors) == 0 {
 		return 0, false
 	}
-	var waiting []int
+	waiting := make([]int, 0, 8)
 	for _, q := range queues {
 		for _, rq := range q.ranks {
 			if rq.waiters.Len() > 0 {
