--- a/internal/admit/predict.go
+++ b/internal/admit/predict.go
@@ -22,8 +22,6 @@
 		s := c.servers[w.Server]
 		work, count := s.queue.ahead(w)
 		work += time.Duration(s.waitingForSlot()) * w.expectedTime
-		// Requests that the server rejects take none of its time.
-		work = time.Duration(float64(work) * (1 - s.rejectRate))
 		wait := time.Duration(float64(s.timeToFreeSlot(now)+work/time.Duration(max(s.Slots, 1))) / c.leftoverShare(now, w.Priority))
 		wait = min(wait, c.floorWait(now, s, w))
 		wait += c.reservedWait(now, s, w, wait)
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -17,9 +17,6 @@
 	maxTimeRatio = 20
 	// failureWeight is the weight of the newest outcome in the failure rate.
 	failureWeight = 0.2
-	// rejectWeight is the weight of the newest outcome in the reject rate: about ten outcomes show that a server rejects
-	// requests although it has room.
-	rejectWeight = 0.1
 	// maxFailureRate is the failure rate above which a server is ejected: three failures in a row
 	// reach it, one failure in four requests over time does not.
 	maxFailureRate = 0.45
@@ -96,8 +93,6 @@
 	// timeRatio is the ratio of the server's service times to the means of their routes; above 1
 	// the server is slow.
 	timeRatio float64
-	// rejectRate is the moving average, from 0 to 1, of requests that the server rejected although it had room.
-	rejectRate float64
 	// failureRate is the moving average of failures, from 0 to 1. evidence says whether they are the server's.
 	failureRate float64
 	evidence    failureEvidence
@@ -231,7 +226,6 @@
 		ratio := min(max(float64(a.serviceTime(done))/a.coldFactor/float64(max(mean, time.Millisecond)), minTimeRatio), maxTimeRatio)
 		s.timeRatio += (ratio - s.timeRatio) * timeRatioWeight
 		s.failureRate -= s.failureRate * failureWeight
-		s.rejectRate -= s.rejectRate * rejectWeight
 		s.rests.answered(a.admittedAt)
 		s.answers++
 		if s.failureRate < failureWeight {
@@ -243,8 +237,6 @@
 	case Full:
 		if !done.Load.Known || done.Load.Running+done.Load.Waiting >= s.Slots {
 			s.fullUntil = now.Add(fullBackoff)
-		} else {
-			s.rejectRate += (1 - s.rejectRate) * rejectWeight
 		}
 	case NotOwner, Unsent, Cancelled:
 	}
