Bound the memory for request bodies and replies

The edge also copied each body, so that twice of what could be counted was held.

Change: inlet.Memory counts both. A body that does not fit is answered 503 with Retry-After and Connection: close before its request runs; what the caller still sends is read and discarded until the end of the linger. The edge uses the buffer that is counted. New takes the Memory; nil bounds nothing. An entry of the pipeline no longer keeps the request, and so its body, until the reply is written.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -126,7 +126,7 @@
 	q.divided = service.Divided && q.info.HasKey
 	q.setDeadlines(&e.returns)
 	if r.Body != nil && r.Body != http.NoBody {
-		data, err := io.ReadAll(r.Body)
+		data, err := inlet.ReadBody(r)
 		if err != nil {
 			return nil, e.reject(q, endCallerLeft, &inlet.Reply{Abort: true})
 		}
--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -34,9 +34,10 @@
 // pipelineEntry is a request whose reply has not been written. Entries are in the order of the
 // requests, which is also the order of the replies.
 type pipelineEntry struct {
-	// request is nil if the request was rejected before its handler was started.
-	request *http.Request
-	reply   chan *Reply
+	// method is the method of the request, empty if the request was rejected before its handler was started. The request
+	// itself would keep its body in memory until the reply has been written.
+	method string
+	reply  chan *Reply
 }
 
 // conn is a connection of a caller. One goroutine reads requests, one writes replies, and each
@@ -52,6 +53,8 @@
 	// connection has ended.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// unreadBody says that the last request was rejected before the end of its body. Only the reader uses it.
+	unreadBody bool
 
 	mu sync.Mutex
 	// pending is the number of requests that have been read and whose reply has not been written.
@@ -100,9 +103,29 @@
 	}()
 	c.readRequests()
 	close(c.pipeline)
+	if c.unreadBody {
+		c.discardInput(written)
+	}
 	<-written
 }
 
+// discardInput reads and discards what the caller still sends after a rejected body, until the end of the linger that
+// begins with its last reply, or until the caller leaves. Written is closed after the last reply.
+func (c *conn) discardInput(written <-chan struct{}) {
+	for {
+		if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.cancel()
+			return
+		}
+		select {
+		case <-written:
+			return
+		default:
+			_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+		}
+	}
+}
+
 // readRequests reads requests and starts their handlers until the caller leaves or the connection
 // is closing.
 func (c *conn) readRequests() {
@@ -127,11 +150,12 @@
 			c.reject(err)
 			return
 		}
-		if status := c.readBody(r, l); status != 0 {
-			c.enqueueError(status)
+		body, rejection := c.readBody(r, l)
+		if rejection != nil {
+			c.enqueueLast(rejection)
 			return
 		}
-		if !c.startHandler(r) {
+		if !c.startHandler(r, body) {
 			return
 		}
 	}
@@ -195,17 +219,47 @@
 	}
 }
 
-// readBody reads the body of a request into memory. It returns zero, or the status of the error
-// reply if the body is too large or cannot be read.
-func (c *conn) readBody(r *http.Request, l Limits) int {
+// readBody reads the body of a request into memory. It returns the buffer, nil if there is no body, or else the reply if
+// the body is too large, cannot be read or does not fit into the memory for bodies.
+func (c *conn) readBody(r *http.Request, l Limits) (*bodyBuffer, *Reply) {
 	c.head.remaining = 1 << 30
 	if r.ContentLength == 0 {
 		r.Body = http.NoBody
-		return 0
+		return nil, nil
 	}
 	if r.ContentLength > l.BodyBytes {
-		return http.StatusRequestEntityTooLarge
+		return nil, errorReply(http.StatusRequestEntityTooLarge)
 	}
+	b, fits := newBodyBuffer(c.server.memory, r.ContentLength)
+	if !fits {
+		return nil, c.rejectBody(r, b)
+	}
+	switch status := c.fillBody(b, r, l); status {
+	case 0:
+	case http.StatusServiceUnavailable:
+		return nil, c.rejectBody(r, b)
+	default:
+		b.release()
+		return nil, errorReply(status)
+	}
+	data := b.data
+	r.Body = memoryBody{Reader: bytes.NewReader(data), data: data}
+	r.ContentLength = int64(len(data))
+	r.TransferEncoding = nil
+	r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(data)), nil }
+	return b, nil
+}
+
+// rejectBody returns the reply to a request whose body does not fit into the memory for bodies.
+func (c *conn) rejectBody(r *http.Request, b *bodyBuffer) *Reply {
+	defer b.discard()
+	c.unreadBody = true
+	return c.server.memory.reject(r, int64(len(b.data)))
+}
+
+// fillBody reads the body of a request into a buffer. It returns zero or the status of the error reply, which is 503 if the
+// body does not fit.
+func (c *conn) fillBody(b *bodyBuffer, r *http.Request, l Limits) int {
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		r.Header.Del("Expect")
 		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -216,20 +270,18 @@
 			return http.StatusBadRequest
 		}
 	}
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(min(r.ContentLength, writeBufferSize)))
-	}
 	chunk := make([]byte, min(readBufferSize, max(r.ContentLength, 512)))
 	for {
 		_ = c.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 		n, err := r.Body.Read(chunk)
-		body.Write(chunk[:n])
-		if int64(body.Len()) > l.BodyBytes {
+		if int64(len(b.data)+n) > l.BodyBytes {
 			return http.StatusRequestEntityTooLarge
 		}
+		if !b.write(chunk[:n]) {
+			return http.StatusServiceUnavailable
+		}
 		if errors.Is(err, io.EOF) {
-			break
+			return 0
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return http.StatusRequestTimeout
@@ -238,20 +290,15 @@
 			return http.StatusBadRequest
 		}
 	}
-	data := body.Bytes()
-	r.Body = io.NopCloser(bytes.NewReader(data))
-	r.ContentLength = int64(len(data))
-	r.TransferEncoding = nil
-	r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(data)), nil }
-	return 0
 }
 
-// startHandler starts the handler of a request. It returns false if no further request should be
+// startHandler starts the handler of a request and takes over its body. It returns false if no further request should be
 // read, because the connection is closing or the request asks for it to be closed.
-func (c *conn) startHandler(r *http.Request) bool {
+func (c *conn) startHandler(r *http.Request, body *bodyBuffer) bool {
 	c.mu.Lock()
 	if c.closing {
 		c.mu.Unlock()
+		body.release()
 		return false
 	}
 	c.pending++
@@ -260,9 +307,14 @@
 		c.closing = true
 	}
 	c.mu.Unlock()
-	e := pipelineEntry{request: r, reply: make(chan *Reply, 1)}
+	e := pipelineEntry{method: r.Method, reply: make(chan *Reply, 1)}
 	c.server.inFlight.Add(1)
-	go func() { e.reply <- c.server.handler(c.ctx, r) }()
+	go func() {
+		reply := c.server.handler(c.ctx, r)
+		c.server.memory.add(replySize(reply))
+		body.release()
+		e.reply <- reply
+	}()
 	c.pipeline <- e
 	if last {
 		c.watchForClose()
@@ -286,15 +338,21 @@
 	}
 }
 
+// errorReply returns a reply without a body.
+func errorReply(status int) *Reply { return &Reply{Status: status, Header: http.Header{}} }
+
 // enqueueError enqueues an error reply and makes it the last one of the connection.
-func (c *conn) enqueueError(status int) {
+func (c *conn) enqueueError(status int) { c.enqueueLast(errorReply(status)) }
+
+// enqueueLast enqueues the reply to a request without a handler and makes it the last one of the connection.
+func (c *conn) enqueueLast(reply *Reply) {
 	c.mu.Lock()
 	c.pending++
 	c.closing = true
 	c.mu.Unlock()
 	c.server.inFlight.Add(1)
 	e := pipelineEntry{reply: make(chan *Reply, 1)}
-	e.reply <- &Reply{Status: status, Header: http.Header{}}
+	e.reply <- reply
 	c.pipeline <- e
 }
 
@@ -316,16 +374,16 @@
 	for e := range c.pipeline {
 		reply := <-e.reply
 		if broken {
-			c.replyDone()
+			c.replyDone(reply)
 			continue
 		}
 		last := c.isLastReply()
 		if reply == nil || reply.Abort {
 			broken = true
-		} else if err := c.writeReply(e.request, reply, last); err != nil {
+		} else if err := c.writeReply(e.method, reply, last); err != nil {
 			broken = true
 		}
-		c.replyDone()
+		c.replyDone(reply)
 		if broken || last {
 			c.shutdown(broken)
 			broken = true
@@ -333,9 +391,10 @@
 	}
 }
 
-// replyDone counts a request as done. That must not happen before its reply has been written: if
+// replyDone counts a request as done and releases its reply. That must not happen before its reply has been written: if
 // the process ended after the handler but before the last byte, the reply would be cut short.
-func (c *conn) replyDone() {
+func (c *conn) replyDone(reply *Reply) {
+	c.server.memory.add(-replySize(reply))
 	c.mu.Lock()
 	c.pending--
 	c.mu.Unlock()
@@ -366,9 +425,8 @@
 	_ = c.raw.Close()
 }
 
-// writeReply writes the reply to a request, with "Connection: close" if it is the last one. R is nil
-// if the request was rejected before its handler was started.
-func (c *conn) writeReply(r *http.Request, reply *Reply, last bool) error {
+// writeReply writes the reply to a request with a method, see pipelineEntry, with "Connection: close" if it is the last one.
+func (c *conn) writeReply(method string, reply *Reply, last bool) error {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := c.out
 	_, _ = w.WriteString("HTTP/1.1 ")
@@ -388,7 +446,7 @@
 		_, _ = w.WriteString("Connection: close\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
-	if r == nil || r.Method != http.MethodHead {
+	if method != http.MethodHead {
 		if _, err := w.Write(reply.Body); err != nil {
 			return err
 		}
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -49,6 +49,7 @@
 type Server struct {
 	handler Handler
 	limits  func() Limits
+	memory  *Memory
 	// draining says that connections are closed after the reply to their last pending request.
 	draining atomic.Bool
 	// inFlight is the number of requests whose reply has not been written.
@@ -60,9 +61,12 @@
 	connsDone sync.WaitGroup
 }
 
-// New returns a server. Limits is called for each request.
-func New(handler Handler, limits func() Limits) *Server {
-	return &Server{handler: handler, limits: limits, conns: map[*conn]struct{}{}}
+// New returns a server. Limits is called for each request. If memory is nil, the bodies are not bounded together.
+func New(handler Handler, limits func() Limits, memory *Memory) *Server {
+	if memory == nil {
+		memory = NewMemory(0, MemoryDeps{})
+	}
+	return &Server{handler: handler, limits: limits, memory: memory, conns: map[*conn]struct{}{}}
 }
 
 // acceptRetryDelay is the delay after a failure to accept a connection, for example because the
--- a/internal/inlet/inlet_test.go
+++ b/internal/inlet/inlet_test.go
@@ -23,6 +23,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	serveOn(t, s, l)
+	return l.Addr().String()
+}
+
+// serveOn serves a listener until the end of the test.
+func serveOn(t *testing.T, s *inlet.Server, l net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -34,7 +40,6 @@
 		<-ended
 		s.Close()
 	})
-	return l.Addr().String()
 }
 
 // defaultLimits returns the limits that hold without a configuration.
@@ -82,7 +87,7 @@
 			<-first
 		}
 		return okReply(r.URL.Path)
-	}, defaultLimits)
+	}, defaultLimits, nil)
 	c, in := dial(t, serve(t, s))
 	_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
 	for range 3 {
@@ -104,7 +109,7 @@
 		<-ctx.Done()
 		close(left)
 		return nil
-	}, defaultLimits)
+	}, defaultLimits, nil)
 	c, _ := dial(t, serve(t, s))
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-running
@@ -126,7 +131,7 @@
 	s := inlet.New(func(context.Context, *http.Request) *inlet.Reply {
 		defer close(returned)
 		return okReply(download)
-	}, defaultLimits)
+	}, defaultLimits, nil)
 	c, in := dial(t, serve(t, s))
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-returned
@@ -147,7 +152,7 @@
 		running <- struct{}{}
 		<-release
 		return okReply("done")
-	}, defaultLimits)
+	}, defaultLimits, nil)
 	c, in := dial(t, serve(t, s))
 	_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-running
@@ -173,7 +178,7 @@
 		running <- release
 		<-release
 		return okReply(r.URL.Path)
-	}, defaultLimits)
+	}, defaultLimits, nil)
 	c, in := dial(t, serve(t, s))
 	_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
 	first, second := <-running, <-running
@@ -216,7 +221,7 @@
 			s := inlet.New(func(_ context.Context, r *http.Request) *inlet.Reply {
 				body, _ := io.ReadAll(r.Body)
 				return okReply(string(body))
-			}, tight)
+			}, tight, nil)
 			c, in := dial(t, serve(t, s))
 			_, _ = io.WriteString(c, test.send)
 			response, err := http.ReadResponse(in, nil)
@@ -230,7 +235,7 @@
 // An aborted reply must not look complete to the caller.
 func TestAbort(t *testing.T) {
 	is := is.New(t)
-	s := inlet.New(func(context.Context, *http.Request) *inlet.Reply { return &inlet.Reply{Abort: true} }, defaultLimits)
+	s := inlet.New(func(context.Context, *http.Request) *inlet.Reply { return &inlet.Reply{Abort: true} }, defaultLimits, nil)
 	c, in := dial(t, serve(t, s))
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	_, err := in.ReadByte()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -212,7 +212,7 @@
 		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections, n.dialer), RetryBudget: budget,
 		Events: events, Meters: n.meters,
 	})
-	n.inlet = inlet.New(n.edge.Handle, n.limits)
+	n.inlet = inlet.New(n.edge.Handle, n.limits, nil)
 	return n, nil
 }
 
