Log rejected bodies and report the memory that bodies take

Cause: requests that the inlet rejects never reach the edge, so that no line or metric would show them.

Change: the node creates the Memory, with a limit of 0 until the settings have the table load, and connects it to the event log (line body-rejected) and to the metrics (bodies{what}).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,7 @@
 	suspects      *edge.CrashTracker
 	meters        *edge.Meters
 	inlet         *inlet.Server
+	bodyMemory    *inlet.Memory
 	// storeCalls counts appends by topic and kind of record, and reads by topic and reason.
 	storeCalls *expvar.Map
 	// storeTimes records the latencies of calls to the store, except for reads that wait for new records.
@@ -212,7 +213,8 @@
 		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections, n.dialer), RetryBudget: budget,
 		Events: events, Meters: n.meters,
 	})
-	n.inlet = inlet.New(n.edge.Handle, n.limits, nil)
+	n.bodyMemory = inlet.NewMemory(0, inlet.MemoryDeps{Rejected: n.recordBodyRejection})
+	n.inlet = inlet.New(n.edge.Handle, n.limits, n.bodyMemory)
 	return n, nil
 }
 
@@ -277,6 +279,13 @@
 	return inlet.Limits(c.Limits)
 }
 
+// recordBodyRejection logs a request that was rejected because its body did not fit into the memory for bodies.
+func (n *Node) recordBodyRejection(r inlet.BodyRejection) {
+	info := n.platform.Codec.DecodeRequest(r.Request.Header)
+	n.events.Record(event.Failure, "body-rejected", "id", info.ID, "status", http.StatusServiceUnavailable, "host", r.Request.Host,
+		"path", r.Request.URL.Path, "length", r.Length, "read", r.Read, "held", r.Held, "limit", r.Limit, "retry-after", r.RetryAfter)
+}
+
 // signalOnce sends on a channel of capacity one, unless a signal is already pending.
 func signalOnce(c chan<- struct{}) {
 	select {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -128,6 +128,9 @@
 	})
 	lines = append(lines, fmt.Sprintf("paths_lost %d\n", n.dialer.Table.LostCount()),
 		fmt.Sprintf("tunnels{side=\"opened\"} %d\n", n.tunnels.openedCount()), fmt.Sprintf("tunnels{side=\"carried\"} %d\n", n.tunnels.carriedCount()))
+	bodies := n.bodyMemory.Snapshot()
+	lines = append(lines, fmt.Sprintf("bodies{what=\"held-bytes\"} %d\n", bodies.Held),
+		fmt.Sprintf("bodies{what=\"peak-bytes\"} %d\n", bodies.Peak), fmt.Sprintf("bodies{what=\"rejected\"} %d\n", bodies.Rejected))
 	for call, l := range n.storeTimes.Snapshot() {
 		lines = append(lines, fmt.Sprintf("store_time_us{call=%q,quantile=\"0.5\"} %d\n", call, l.P50),
 			fmt.Sprintf("store_time_us{call=%q,quantile=\"0.99\"} %d\n", call, l.P99),
