--- a/internal/node/overload.go
+++ b/internal/node/overload.go
@@ -27,6 +27,11 @@
 	}
 }
 
+// bodyMemory returns how many bytes bodies and replies may take according to the settings, zero for no limit.
+func bodyMemory(s config.Serve) int64 {
+	return int64(s.Overload.BodyMemoryShare * float64(s.MemoryMB) * (1 << 20))
+}
+
 // loadCounts returns what the controllers of this instance did under load since they were made.
 func (ad *admissions) loadCounts() (out admit.LoadCounts) {
 	ad.mu.Lock()
