Add queries for idle connections, own paths and the first instance

Cause: a request may go over a connection of another instance only if this one has no idle connection to the server and both have a path of their own, and the instance in charge of a server may open more connections. Change: upstr.Client.HasIdle, paths.Table.HasOwnPath and roster.Roster.First, which take one lock and do no I/O. Client.SetMaxConns takes connections beyond the client's part; its callers in the test pass none, as before. OwnConns is exported so that the sum over instances can be computed.

--- a/internal/paths/table.go
+++ b/internal/paths/table.go
@@ -203,6 +203,14 @@
 	return p != nil && p.confirmed || t.reachesNone()
 }
 
+// HasOwnPath reports whether this instance connects to a server itself now, as far as it knows.
+func (t *Table) HasOwnPath(server string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.paths[server]
+	return (p == nil || !p.lost) && !t.reachesNone()
+}
+
 // ReachesNone reports whether this instance seems to have lost its paths to all servers.
 func (t *Table) ReachesNone() bool {
 	t.mu.Lock()
--- a/internal/roster/rank.go
+++ b/internal/roster/rank.go
@@ -220,6 +220,17 @@
 	return out
 }
 
+// First returns the name of the first instance that Rank returns, empty if there is none.
+func (r *Roster) First(name, domain string, now time.Time) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refreshAll(now)
+	for _, c := range r.ranking.topFor(name, domain) {
+		return c.peer.Name
+	}
+	return ""
+}
+
 // RankConnected returns up to MaxConnected instances in the order of Rank, of those that reach servers themselves. If there
 // are none it returns the same as Rank.
 func (r *Roster) RankConnected(name, domain string, now time.Time) []Peer {
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -136,16 +136,17 @@
 	return s
 }
 
-// ownConns returns how many of the connections that the server accepts the client may open: a third, or one more than
-// the server has slots if that is more. The rest is left for the instance that takes over the server, and for heartbeats.
-func (s Settings) ownConns(maxConns int) int { return max(maxConns/maxConnsDivisor, s.Slots+1) }
+// OwnConns returns how many of maxConns connections that a server with some slots accepts a client may open: a third, or
+// one more than the server has slots if that is more. The rest is left for the instance that takes over the server, and for
+// heartbeats.
+func OwnConns(maxConns, slots int) int { return max(maxConns/maxConnsDivisor, slots+1) }
 
 // NewClient returns a client without connections. Close ends the client.
 func NewClient(settings Settings) *Client {
 	settings = settings.withDefaults()
 	cl := &Client{
 		settings: settings,
-		maxConns: settings.ownConns(settings.MaxConns),
+		maxConns: OwnConns(settings.MaxConns, settings.Slots),
 		dialer:   net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: UserTimeout(settings.UserTimeout)},
 		open:     make(map[*conn]struct{}),
 	}
@@ -286,6 +287,14 @@
 	return len(cl.open) + cl.dialing
 }
 
+// HasIdle reports whether a request would reuse a connection. It does not check whether the server has closed that one.
+func (cl *Client) HasIdle() bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	last := len(cl.idle) - 1
+	return last >= 0 && time.Since(cl.idle[last].idleSince) < cl.idleTimeout()
+}
+
 // acquireConn returns a connection for a request: the one that became idle last if it is usable,
 // otherwise a new one. It returns ErrConnLimit if all connections are in use.
 func (cl *Client) acquireConn(ctx context.Context, o SendOptions) (*conn, error) {
@@ -348,10 +357,11 @@
 	return c
 }
 
-// SetMaxConns changes Settings.MaxConns. Connections beyond the new limit are closed once they are idle.
-func (cl *Client) SetMaxConns(maxConns int) {
+// SetMaxConns changes Settings.MaxConns, and sets how many connections the client may open beyond its part of them.
+// Connections beyond the new limit are closed once they are idle.
+func (cl *Client) SetMaxConns(maxConns, extra int) {
 	cl.mu.Lock()
-	cl.maxConns = cl.settings.ownConns(maxConns)
+	cl.maxConns = OwnConns(maxConns, cl.settings.Slots) + extra
 	excess := min(len(cl.open)+cl.dialing-cl.maxConns, len(cl.idle))
 	var closing []*conn
 	if excess > 0 {
--- a/internal/upstr/client_test.go
+++ b/internal/upstr/client_test.go
@@ -304,7 +304,7 @@
 				<-begun
 			}
 			if !test.idleAtChange {
-				client.SetMaxConns(3)
+				client.SetMaxConns(3, 0)
 			}
 			close(release)
 			for range 8 {
@@ -313,7 +313,7 @@
 				<-got.serverDone
 			}
 			if test.idleAtChange {
-				client.SetMaxConns(3)
+				client.SetMaxConns(3, 0)
 			}
 			is.Equal(client.OpenConns(), 3)
 		})
