Send keyed idempotent requests through the instance that admitted them

Cause: each pair of instance and server is used about once in ten seconds, after which servers close idle connections, so that nearly every second keyed request opens one. Change: edge.Carrier sends a request over a connection of the instance that admitted it. If nothing was sent, the same attempt goes directly; without a complete answer the request is in doubt, and retries go directly. No Carrier is set yet, so nothing differs.

--- /dev/null
+++ b/internal/edge/carry_test.go
@@ -0,0 +1,109 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/admit"
+	"example.org/mustardring/internal/edge"
+	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
+	"example.org/mustardring/internal/upstr"
+)
+
+// fakeCarrier implements edge.Carrier. It returns an error, or a response if that is nil.
+type fakeCarrier struct {
+	err   error
+	calls int
+}
+
+func (c *fakeCarrier) Carry(o edge.Carriage) (*http.Response, string, error) {
+	c.calls++
+	if c.err != nil {
+		return nil, "i1", c.err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")), o.Request)
+	return response, "i1", err
+}
+
+// newCarryFixture returns a fixture with a service that is divided by key, its carrier and server, and a request for a key.
+func newCarryFixture(t *testing.T, kind rules.Kind, err error) (*fixture, *fakeCarrier, *fakeServer, *http.Request) {
+	b := newFakeServer(t, respondOK)
+	f, c := newFixture(kind, b), &fakeCarrier{err: err}
+	f.cluster.config.Services["books"] = rules.Service{Name: "books", Divided: true}
+	f.cluster.owner, f.edge.Carrier = shard.Range{To: 100, Server: "s0"}, c
+	r := httptest.NewRequest(http.MethodGet, "http://a.example/x", nil)
+	r.Header = http.Header{"Id": {"id-1"}, "Left": {"900"}, "Key": {"5"}}
+	return f, c, b, r
+}
+
+// Guards against a request that is carried although it must not run twice, or although no connection is saved.
+func TestWhatIsCarried(t *testing.T) {
+	tests := map[string]struct {
+		kind    rules.Kind
+		prepare func(f *fixture, r *http.Request)
+		calls   int
+	}{
+		"idempotent":     {rules.Idempotent, func(*fixture, *http.Request) {}, 1},
+		"non-idempotent": {rules.NonIdempotent, func(*fixture, *http.Request) {}, 0},
+		"body":           {rules.Idempotent, func(_ *fixture, r *http.Request) { r.Body = io.NopCloser(strings.NewReader("b")) }, 0},
+		"no key":         {rules.Idempotent, func(_ *fixture, r *http.Request) { r.Header.Del("Key") }, 0},
+		"near deadline":  {rules.Idempotent, func(_ *fixture, r *http.Request) { r.Header.Set("Left", "70") }, 0},
+		"bounded rate": {rules.Idempotent, func(f *fixture, _ *http.Request) {
+			f.cluster.servers["s0"] = rules.Server{ID: "s0", Service: "books", Address: f.cluster.servers["s0"].Address, RateLimit: 5}
+		}, 0},
+		"idle connection": {rules.Idempotent, func(f *fixture, r *http.Request) {
+			c := f.edge.Carrier
+			f.edge.Carrier = nil
+			f.edge.Handle(t.Context(), r)
+			f.edge.Carrier = c
+		}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, c, _, r := newCarryFixture(t, test.kind, nil)
+			test.prepare(f, r)
+			f.edge.Handle(t.Context(), r)
+			is.Equal(c.calls, test.calls)
+		})
+	}
+}
+
+// Guards against 503 for a request that may have run, retries beyond the budget, and a server that is blamed for a lost peer.
+func TestCarriedRequestFails(t *testing.T) {
+	inDoubt := fmt.Errorf("%w: peer lost", upstr.ErrInDoubt)
+	tests := map[string]struct {
+		err     error
+		retries float64
+		status  int
+		runs    int32
+		outcome admit.Outcome
+		crashed int32
+	}{
+		"not sent":              {upstr.ErrNotSent, 0, http.StatusOK, 1, admit.Answered, 0},
+		"in doubt":              {inDoubt, 0, http.StatusBadGateway, 0, admit.Cancelled, 0},
+		"in doubt, with budget": {inDoubt, 100, http.StatusOK, 1, admit.Cancelled, 0},
+		"server lost":           {fmt.Errorf("%w: %w", upstr.ErrInDoubt, upstr.ErrLost), 0, http.StatusBadGateway, 0, admit.Lost, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, c, b, r := newCarryFixture(t, rules.Idempotent, test.err)
+			f.edge.RetryBudget = edge.NewRetryBudget(0, 10*time.Second, func() (float64, bool) { return test.retries, true }, time.Now)
+			is.Equal(f.edge.Handle(t.Context(), r).Status, test.status)
+			is.Equal(b.runs.Load(), test.runs)
+			is.Equal(f.admitter.outcomes[0], test.outcome)
+			is.Equal(f.cluster.crashed.Load(), test.crashed)
+			is.Equal(c.calls, 1)
+		})
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,9 +105,11 @@
 
 // Deps holds the dependencies of an Edge.
 type Deps struct {
-	Codec       HeaderCodec
-	Cluster     Cluster
-	Admitter    Admitter
+	Codec    HeaderCodec
+	Cluster  Cluster
+	Admitter Admitter
+	// Carrier is nil if requests are sent over connections of this instance only.
+	Carrier     Carrier
 	ConnPool    *ConnPool
 	RetryBudget *RetryBudget
 	Events      *event.Log
@@ -155,7 +157,7 @@
 	took := time.Since(q.arrivedAt)
 	e.Meters.RecordRequest(q.route.Name, q.reason, took)
 	e.Events.Record(class, "request", "id", q.info.ID, "route", q.route.Name, "config", q.configVersion, "service", q.service,
-		"status", status, "why", q.reason, "server", q.server, "through", q.through, "attempts", q.attempts, "took", took,
+		"status", status, "why", q.reason, "server", q.server, "through", q.through, "carried", q.carried, "attempts", q.attempts, "took", took,
 		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
 		"error", q.err)
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -72,6 +72,12 @@
 	// attempts is the number of attempts so far, and server the server of the last one.
 	attempts int
 	server   string
+	// carried is the instance over whose connection the last attempt was sent, empty if it was one of this instance.
+	// carryLost says that an attempt through another instance got no complete response, so that the rest go directly.
+	carried   string
+	carryLost bool
+	// ownPath says that the request must not go through another instance.
+	ownPath bool
 
 	// The fields from here to leavesIn are only logged.
 
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -32,9 +32,8 @@
 // noUserAgent keeps net/http from adding its own User-Agent.
 var noUserAgent = []string{""}
 
-// send sends the request to a server and returns the response once its head has arrived. The
-// caller must read and close the body.
-func (q *request) send(ctx context.Context, s rules.Server) (*http.Response, error) {
+// outgoing returns the request as it is sent on, but for what HeaderCodec.EncodeTarget sets.
+func (q *request) outgoing(ctx context.Context) *http.Request {
 	out := (&http.Request{
 		Method: q.Method, URL: q.URL, Host: q.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: make(http.Header, len(q.Header)+2), ContentLength: int64(len(q.body)),
@@ -46,15 +45,24 @@
 	if _, found := out.Header["User-Agent"]; !found {
 		out.Header["User-Agent"] = noUserAgent
 	}
+	return out
+}
+
+// send sends the request, which was admitted at a time, to a server and returns the response once its head has arrived. The
+// caller must read and close the body.
+func (q *request) send(ctx context.Context, s rules.Server, admittedAt time.Time) (*http.Response, error) {
+	out := q.outgoing(ctx)
 	client := q.edge.ConnPool.clientFor(s)
-	startedAt := time.Now()
 	return client.Send(out, upstr.SendOptions{
 		Deadline: q.deadline, InMemory: true, Done: func(bool) {},
 		BeforeWrite: func(c net.Conn) error {
 			q.through = paths.Via(c)
+			if q.through != "" && q.ownPath {
+				return errNoOwnPath
+			}
 			// The time left does not include that for the connection.
 			q.edge.Codec.EncodeTarget(out.Header, s.ID, time.Until(q.deadline))
-			return q.checkServer(s.ID, time.Since(startedAt))
+			return q.checkServer(s.ID, time.Since(admittedAt))
 		},
 	})
 }
@@ -125,6 +133,9 @@
 	// Connections returns the connection limit of one server of a service, which may change with the
 	// number of instances. It is called for each request and becomes upstr.Settings.MaxConns.
 	Connections func(service string) int
+	// Extra, if not nil, returns how many more connections this instance may open to a server. It is called for each
+	// request.
+	Extra func(s rules.Server) int
 	// Dialer opens the connections; nil means that they are opened directly.
 	Dialer upstr.Dialer
 
@@ -136,6 +147,7 @@
 type pooledClient struct {
 	*upstr.Client
 	maxConns int
+	extra    int
 }
 
 // NewConnPool returns a pool without connections. The arguments become ConnPool.Connections and ConnPool.Dialer.
@@ -147,7 +159,10 @@
 func (p *ConnPool) clientFor(s rules.Server) *upstr.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maxConns := p.Connections(s.Service)
+	maxConns, extra := p.Connections(s.Service), 0
+	if p.Extra != nil {
+		extra = p.Extra(s)
+	}
 	client := p.clients[s.ID]
 	if client == nil {
 		client = &pooledClient{maxConns: maxConns, Client: upstr.NewClient(upstr.Settings{
@@ -157,13 +172,21 @@
 		})}
 		p.clients[s.ID] = client
 	}
-	if client.maxConns != maxConns {
-		client.maxConns = maxConns
-		client.SetMaxConns(maxConns)
+	if client.maxConns != maxConns || client.extra != extra {
+		client.maxConns, client.extra = maxConns, extra
+		client.SetMaxConns(maxConns, extra)
 	}
 	return client.Client
 }
 
+// hasIdle reports whether a request to a server would reuse a connection.
+func (p *ConnPool) hasIdle(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[server]
+	return c != nil && c.HasIdle()
+}
+
 // CloseIdle closes the idle connections to all servers.
 func (p *ConnPool) CloseIdle() {
 	p.mu.Lock()
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -209,11 +209,11 @@
 // no retry after all, or nil if the request was not sent and the attempt does not count.
 func (q *request) attempt(ctx context.Context, a Admission, s rules.Server) (*inlet.Reply, bool) {
 	q.attempts++
-	q.server, q.through = s.ID, ""
+	q.server, q.through, q.carried = s.ID, "", ""
 	q.edge.inFlight.add(s.Domain, 1)
 	defer q.edge.inFlight.add(s.Domain, -1)
 	startedAt := time.Now()
-	response, err := q.send(ctx, s)
+	response, err := q.dispatch(ctx, a, s, startedAt)
 	completion := admit.Completion{}
 	defer func() {
 		completion.Took = time.Since(startedAt)
@@ -225,7 +225,7 @@
 	info := q.edge.Codec.DecodeResponse(response, time.Now())
 	completion.Load, completion.Limit = info.Load, info.Limit
 	q.edge.logMalformed(s.ID, info)
-	if !info.Statement.Empty() {
+	if !info.Statement.Empty() && q.carried == "" {
 		q.edge.Cluster.ObserveStatement(s.ID, info.Statement, stated.Source{Request: q.info.ID, Through: q.through, Status: response.StatusCode})
 	}
 	reply, err := readWhole(response)
@@ -296,7 +296,7 @@
 		return errorReply(http.StatusGatewayTimeout, 0), false
 	}
 	q.reason, q.avoid = endInDoubt, s.ID
-	if q.through != "" {
+	if q.through != "" || q.carried != "" && !errors.Is(err, upstr.ErrLost) {
 		// The instance in the middle may have failed, or its path.
 		completion.Outcome = admit.Cancelled
 	}
