Carry requests between instances, and bound connections in charge

Change: POST /requests of the peer address takes a request as application/http and answers with the response, or says that nothing was sent or that the request is in doubt. Peers that do not know the path, stop, are not reached or lose a request are given up for a time, by incarnation. The instance in charge of a server may open slots + 2 more connections if the sum stays within MaxConns. All of this only with config.Serve.ShareConnections, which no setting enables yet. Result: tests of node pass. The checks of the new code were each removed in turn, and a test failed each time, after cases for the address, a third instance and the pause of a peer had been added.

--- a/internal/config/serve.go
+++ b/internal/config/serve.go
@@ -33,6 +33,8 @@
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool   `json:"first-start"`
 	Bounds     Bounds `json:"bounds"`
+	// ShareConnections lets requests go over connections of the instances that admitted them. No setting enables it yet.
+	ShareConnections bool `json:"-"`
 }
 
 // Bounds are the limits that the users of the system require of it.
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -343,8 +343,10 @@
 	pool       string
 	route      string
 	server     string
-	// controller is the address of the instance that admitted the request; the zero value stands for this one.
-	controller netip.AddrPort
+	// controller is the address of the instance that admitted the request, and controllerName its name; the zero values
+	// stand for this one.
+	controller     netip.AddrPort
+	controllerName string
 }
 
 // Server returns the id of the server to send the request to.
@@ -441,20 +443,22 @@
 		}
 		if to, ok := peerAddress(controller); ok {
 			if m, answered := ad.client.request(ctx, r, controller, to); answered {
-				return ad.result(r, m, to)
+				return ad.result(r, m, to, controller.Name)
 			}
 		}
 		if ctx.Err() != nil {
 			return nil, &admit.Rejected{Reason: admit.Overload}
 		}
 	}
-	return ad.result(r, ad.requestLocally(ctx, r), netip.AddrPort{})
+	return ad.result(r, ad.requestLocally(ctx, r), netip.AddrPort{}, "")
 }
 
-// result converts a final decision to an admission or a rejection.
-func (ad *admissions) result(r admit.Request, m dgram.AdmissionDecision, controller netip.AddrPort) (edge.Admission, *admit.Rejected) {
+// result converts a final decision of a controller to an admission or a rejection.
+func (ad *admissions) result(r admit.Request, m dgram.AdmissionDecision, controller netip.AddrPort, name string) (edge.Admission, *admit.Rejected) {
 	if m.Server != "" {
-		return &admission{admissions: ad, serial: m.Serial, pool: r.Pool, route: r.Route, server: m.Server, controller: controller}, nil
+		return &admission{
+			admissions: ad, serial: m.Serial, pool: r.Pool, route: r.Route, server: m.Server, controller: controller, controllerName: name,
+		}, nil
 	}
 	reason := admit.Reason(m.Reason)
 	if reason == "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,6 +82,9 @@
 	admissions *admissions
 	dialer     *paths.Dialer
 	tunnels    tunnels
+	carrier    *carrier
+	// carried is the number of requests of other instances that this one is sending to servers.
+	carried atomic.Int64
 	// loggedNothing is whether it was logged last that no server is reached. Only tunnelLoop uses it.
 	loggedNothing bool
 	loadTracker   *loadTracker
@@ -208,10 +211,15 @@
 	budget := edge.NewRetryBudget(settings.Bounds.RetryRatio,
 		time.Duration(settings.Bounds.RetryWindowSeconds*float64(time.Second)),
 		func() (float64, bool) { return n.shareOf(settings.Bounds.RetrySlack) }, time.Now)
-	n.edge = edge.New(edge.Deps{
+	deps := edge.Deps{
 		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections, n.dialer), RetryBudget: budget,
 		Events: events, Meters: n.meters,
-	})
+	}
+	n.carrier = newCarrier(n)
+	if settings.ShareConnections {
+		deps.Carrier, deps.ConnPool.Extra = n.carrier, n.extraConnections
+	}
+	n.edge = edge.New(deps)
 	n.inlet = inlet.New(n.edge.Handle, n.limits)
 	return n, nil
 }
@@ -256,18 +264,39 @@
 
 // connections returns how many connections this instance may open to each server of a service.
 func (n *Node) connections(service string) int {
-	c := n.cluster.config.Load()
-	limit := 100
-	if c != nil && c.Services[service].MaxConns > 0 {
-		limit = c.Services[service].MaxConns
-	}
-	share, known := n.shareOf(math.Floor(float64(limit) * connectionShare))
+	size, known := n.roster.Size().(roster.Known)
 	if !known {
 		return minConnections
 	}
+	return ownConnections(n.maxConnections(service), size.Instances)
+}
+
+// ownConnections returns the part of maxConns connections that one of some instances may use.
+func ownConnections(maxConns, instances int) int {
+	share := math.Floor(float64(maxConns)*connectionShare) / float64(instances)
 	return max(int(share), minConnections)
 }
 
+// defaultMaxConnections is the number of connections that a server accepts if its service does not state it.
+const defaultMaxConnections = 100
+
+// maxConnections returns how many connections a server of a service accepts from all instances together.
+func (n *Node) maxConnections(service string) int {
+	if c := n.cluster.config.Load(); c != nil && c.Services[service].MaxConns > 0 {
+		return c.Services[service].MaxConns
+	}
+	return defaultMaxConnections
+}
+
+// extraConnections returns how many connections this instance may open to a server in addition because it is in charge of it.
+func (n *Node) extraConnections(s rules.Server) int {
+	size, known := n.roster.Size().(roster.Known)
+	if !known || n.roster.First(s.ID, s.Domain, time.Now()) != n.settings.Name {
+		return 0
+	}
+	return extraConnections(n.maxConnections(s.Service), size.Instances, s.Slots)
+}
+
 // limits returns the limits of the configuration on requests of callers, or the defaults before it is known.
 func (n *Node) limits() inlet.Limits {
 	c := n.cluster.config.Load()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -50,8 +50,9 @@
 	}
 	_ = listener.Close()
 	n.inlet.Finish()
-	// A connection stays open until the caller has read the last reply from it, a tunnel until its sender closes it.
-	for n.inlet.Conns()+n.tunnels.carriedCount() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+	// A connection stays open until the caller has read the last reply from it, a tunnel until its sender closes it. Requests
+	// of other instances end with their answers.
+	for n.inlet.Conns()+n.tunnels.carriedCount()+int(n.carried.Load()) > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		time.Sleep(stopPollInterval)
 		n.inlet.Finish()
 	}
@@ -126,6 +127,9 @@
 	n.dialer.Counts().Do(func(v expvar.KeyValue) {
 		lines = append(lines, fmt.Sprintf("server_connections{how=%q} %s\n", v.Key, v.Value))
 	})
+	n.carrier.counts.Do(func(v expvar.KeyValue) {
+		lines = append(lines, fmt.Sprintf("shared_connections{result=%q} %s\n", v.Key, v.Value))
+	})
 	lines = append(lines, fmt.Sprintf("paths_lost %d\n", n.dialer.Table.LostCount()),
 		fmt.Sprintf("tunnels{side=\"opened\"} %d\n", n.tunnels.openedCount()), fmt.Sprintf("tunnels{side=\"carried\"} %d\n", n.tunnels.carriedCount()))
 	for call, l := range n.storeTimes.Snapshot() {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -77,13 +77,19 @@
 
 // servePeers returns the worker that answers the calls of other instances at an address.
 func (n *Node) servePeers(address string) func(ctx context.Context) error {
-	return func(ctx context.Context) error {
-		mux := http.NewServeMux()
-		mux.HandleFunc("POST "+pathJoin, n.handleJoin)
-		mux.HandleFunc("GET "+pathTopics, n.handleTopic)
-		mux.HandleFunc("POST "+tunnel.Path, func(w http.ResponseWriter, r *http.Request) { n.handleTunnel(ctx, w, r) })
-		return serveHTTP(ctx, address, mux)
+	return func(ctx context.Context) error { return serveHTTP(ctx, address, n.peerHandler(ctx)) }
+}
+
+// peerHandler returns the handler of the calls of other instances. The tunnels that it carries end with the context.
+func (n *Node) peerHandler(ctx context.Context) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathJoin, n.handleJoin)
+	mux.HandleFunc("GET "+pathTopics, n.handleTopic)
+	mux.HandleFunc("POST "+tunnel.Path, func(w http.ResponseWriter, r *http.Request) { n.handleTunnel(ctx, w, r) })
+	if n.settings.ShareConnections {
+		mux.HandleFunc("POST "+pathRequests, n.handleCarry)
 	}
+	return mux
 }
 
 // topicQuery returns the query of a request for a topic that the receiver may hold for a time.
