--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -346,9 +346,11 @@
 	pool       string
 	route      string
 	server     string
-	// controller is the address of the instance that admitted the request; the zero value stands for this one.
-	controller netip.AddrPort
-	earlier    admit.Earlier
+	// controller is the address of the instance that admitted the request, and controllerName its name; the zero values
+	// stand for this one.
+	controller     netip.AddrPort
+	controllerName string
+	earlier        admit.Earlier
 }
 
 // Earlier returns what the controller knows of earlier tries of the request.
@@ -448,21 +450,24 @@
 		}
 		if to, ok := peerAddress(controller); ok {
 			if m, answered := ad.client.request(ctx, r, controller, to); answered {
-				return ad.result(r, m, to)
+				return ad.result(r, m, to, controller.Name)
 			}
 		}
 		if ctx.Err() != nil {
 			return nil, &admit.Rejected{Reason: admit.Overload}
 		}
 	}
-	return ad.result(r, ad.requestLocally(ctx, r), netip.AddrPort{})
+	return ad.result(r, ad.requestLocally(ctx, r), netip.AddrPort{}, "")
 }
 
-// result converts a final decision to an admission or a rejection.
-func (ad *admissions) result(r admit.Request, m dgram.AdmissionDecision, controller netip.AddrPort) (edge.Admission, *admit.Rejected) {
+// result converts a final decision of a controller to an admission or a rejection.
+func (ad *admissions) result(r admit.Request, m dgram.AdmissionDecision, controller netip.AddrPort, name string) (edge.Admission, *admit.Rejected) {
 	earlier := admit.Earlier{Returns: m.Returns, LastTry: m.LastTry, Kept: m.Kept}
 	if m.Server != "" {
-		return &admission{admissions: ad, serial: m.Serial, pool: r.Pool, route: r.Route, server: m.Server, controller: controller, earlier: earlier}, nil
+		return &admission{
+			admissions: ad, serial: m.Serial, pool: r.Pool, route: r.Route, server: m.Server, controller: controller, controllerName: name,
+			earlier: earlier,
+		}, nil
 	}
 	reason := admit.Reason(m.Reason)
 	if reason == "" {
