Tell callers after a start when the owners are settled

Change: until then a request whose key has no owner is told to return when the owners are settled, spread over 0.6 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,6 +91,9 @@
 	// Owner returns the range that contains a key, whether there is one, and a channel that is
 	// closed when owners change.
 	Owner(service string, key uint16) (shard.Range, bool, <-chan struct{})
+	// OwnersSettleAt returns until when keys may have no owner because this instance has started, and perhaps the others with
+	// it, a time in the past if none is expected to.
+	OwnersSettleAt() time.Time
 	// CountRequest counts a request for a key.
 	CountRequest(service string, key uint16)
 	// Quarantined reports whether the request with a fingerprint is suspected to crash servers.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -108,6 +108,7 @@
 	changed     chan struct{}
 	crashed     atomic.Int32
 	quarantined bool
+	settleAt    time.Time
 	statements  *stated.Table
 }
 
@@ -119,6 +120,7 @@
 func (c *fakeCluster) Owner(string, uint16) (shard.Range, bool, <-chan struct{}) {
 	return c.owner, c.owner.Server != "", c.changed
 }
+func (c *fakeCluster) OwnersSettleAt() time.Time        { return c.settleAt }
 func (c *fakeCluster) CountRequest(string, uint16)      {}
 func (c *fakeCluster) Quarantined(uint64) bool          { return c.quarantined }
 func (c *fakeCluster) ReportCrash(uint64, rules.Server) { c.crashed.Add(1) }
@@ -319,6 +321,27 @@
 	is.Equal(f.send(t.Context(), "Key", "5").Status, 200)
 }
 
+// Guards against callers that use up their returns before the owners are settled after a start of all instances.
+func TestReturnsAfterOwnersAreSettled(t *testing.T) {
+	tests := map[string]struct{ settleIn, min, max time.Duration }{
+		"just started": {time.Minute, 59 * time.Second, 61 * time.Second},
+		"long running": {-time.Minute, 400 * time.Millisecond, 400 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(rules.Idempotent, newFakeServer(t, respondOK))
+			f.cluster.config.Services["books"] = rules.Service{Name: "books", Divided: true}
+			f.cluster.settleAt = time.Now().Add(test.settleIn)
+			reply := f.send(t.Context(), "Key", "5")
+			seconds, err := strconv.ParseFloat(reply.Header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			after := time.Duration(seconds * float64(time.Second))
+			is.True(after >= test.min && after <= test.max)
+		})
+	}
+}
+
 // If the caller leaves, closing the connection to the server cancels the request there.
 func TestCallerLeaves(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -21,6 +22,8 @@
 	// retryAfterNoOwner is the Retry-After of a request whose key has no owner. Moving a key takes
 	// about 0.3 seconds, the expiry of a lease about 2.3.
 	retryAfterNoOwner = 400 * time.Millisecond
+	// maxSettleSpread is the time over which callers come back that were rejected before the owners were settled.
+	maxSettleSpread = 600 * time.Millisecond
 	// retryAfterServerFull is the Retry-After of a request that its server rejected. By then the
 	// queue of a full server is shorter by a request or two, and a server that rejects requests
 	// at random does not do so twice.
@@ -88,7 +91,7 @@
 	case q.reason == endServerFull:
 		return errorReply(http.StatusServiceUnavailable, retryAfterServerFull)
 	default:
-		return errorReply(http.StatusServiceUnavailable, retryAfterNoOwner)
+		return errorReply(http.StatusServiceUnavailable, q.noOwnerDelay())
 	}
 }
 
@@ -115,7 +118,7 @@
 		q.server, q.fence, q.leavesIn = r.Server, r.Fence, owner.LeavesIn(time.Now())
 		if !found || owner.Closed(true, time.Now()) {
 			q.reason = endNoOwner
-			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, retryAfterNoOwner)
+			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, q.noOwnerDelay())
 		}
 		if q.serverRests(r.Server) {
 			q.reason = endServerRests
@@ -168,6 +171,16 @@
 	return min(rest, retryAfterNoOwner)
 }
 
+// noOwnerDelay returns the Retry-After of a request whose key has no owner. After a start of this instance it may take until
+// the owners of all keys are settled; callers that were rejected until then come back spread over some time.
+func (q *request) noOwnerDelay() time.Duration {
+	left := time.Until(q.edge.Cluster.OwnersSettleAt())
+	if left <= retryAfterNoOwner {
+		return retryAfterNoOwner
+	}
+	return left + rand.N(maxSettleSpread)
+}
+
 // handleRejection returns the reply to a rejection by the admission controller, or nil if the
 // admission should be requested again.
 func (q *request) handleRejection(ctx context.Context, rejected *admit.Rejected) *inlet.Reply {
@@ -175,7 +188,7 @@
 	case rejected.Reason == admit.OwnerGone:
 		if !worker.Sleep(ctx, misdirectedDelay) {
 			q.reason = endNoOwner
-			return errorReply(http.StatusServiceUnavailable, retryAfterNoOwner)
+			return errorReply(http.StatusServiceUnavailable, q.noOwnerDelay())
 		}
 		return nil
 	case rejected.Reason == admit.Resting:
@@ -215,7 +228,7 @@
 			timer.Stop()
 		}
 		q.reason = endNoOwner
-		return shard.Range{}, errorReply(http.StatusServiceUnavailable, retryAfterNoOwner)
+		return shard.Range{}, errorReply(http.StatusServiceUnavailable, q.noOwnerDelay())
 	}
 }
 
@@ -270,7 +283,7 @@
 	case info.NotRun && info.Misdirected:
 		completion.Outcome = admit.NotOwner
 		q.reason, q.rejection = endNoOwner, misdirected
-		return errorReply(http.StatusServiceUnavailable, retryAfterNoOwner), true
+		return errorReply(http.StatusServiceUnavailable, q.noOwnerDelay()), true
 	case info.NotRun:
 		completion.Outcome = admit.Full
 		q.reason, q.avoid, q.rejection = endServerFull, s.ID, full
--- a/internal/node/overload.go
+++ b/internal/node/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/config"
@@ -27,6 +28,16 @@
 	}
 }
 
+// settleSlack is how much longer than the entries of servers take the leases may after a start: the instance registers, and
+// reads the entries.
+const settleSlack = 450 * time.Millisecond
+
+// OwnersSettleAt returns when the leases are renewed again if all instances have started together with this one: a renewal
+// waits until the entry of its server is newer than the connection.
+func (n *Node) OwnersSettleAt() time.Time {
+	return n.startedAt.Add(entryTime(n.settings.EntrySeconds) + settleSlack)
+}
+
 // bodyMemory returns how many bytes bodies and replies may take according to the settings, zero for no limit.
 func bodyMemory(s config.Serve) int64 {
 	return int64(s.Overload.BodyMemoryShare * float64(s.MemoryMB) * (1 << 20))
