Draw schedules that need the guards of a return of the store

Cause: the schedules of TestGuardsAreNeededWhenTheStoreReturns rarely need its guards: all faults are drawn, of which few leave an instance that acts on records which the store has lost. Change: schedules in which a server restarts, the leader or all instances are killed meanwhile and the store returns from a copy that may lack the moves. The two cases of TestSchedulesWithReturningStore play them as well.

--- a/internal/lease/schedule_test.go
+++ b/internal/lease/schedule_test.go
@@ -31,11 +31,22 @@
 // how many checked keys have an owner at the end. off turns guards off. With namedRestarts servers state their
 // start time, and keep their names when they restart.
 func playSchedule(t *testing.T, seed uint64, off func(*guards), namedRestarts bool) (violations []string, moved, served int) {
-	return playScheduleWith(t, seed, off, namedRestarts, false)
+	return playScheduleOf(t, seed, off, namedRestarts, allFaults)
 }
 
-// playScheduleWith plays one random schedule. With returns the store comes back from older copies at times.
-func playScheduleWith(t *testing.T, seed uint64, off func(*guards), namedRestarts, returns bool) (violations []string, moved, served int) {
+// faults decides which faults a schedule plays.
+type faults int
+
+const (
+	// allFaults are those of injectFault. With returnsToo, the store also comes back from older copies at times, with
+	// onlyReturns it does so each time while servers restart and instances are killed.
+	allFaults faults = iota
+	returnsToo
+	onlyReturns
+)
+
+// playScheduleOf plays one random schedule of some faults.
+func playScheduleOf(t *testing.T, seed uint64, off func(*guards), namedRestarts bool, f faults) (violations []string, moved, served int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		tc := &testCluster{
@@ -45,9 +56,13 @@
 			namedRestarts: namedRestarts, directory: map[string]rules.Server{}, endedFences: map[string][]uint64{},
 		}
 		off(&tc.guards)
-		if returns {
+		if f != allFaults {
 			tc.store.era = 1
 		}
+		if f == onlyReturns {
+			// Fewer instances know the records that are lost.
+			tc.lostMessages = 0.6
+		}
 		for i := range 5 {
 			tc.addServer(tc.incarnationID(i, 0), fmt.Sprintf("server-%d", i), fmt.Sprintf("d%d", i%2))
 		}
@@ -56,7 +71,11 @@
 		}
 		time.Sleep(4 * time.Second)
 		for range 40 {
-			if returns && tc.chance(0.2) {
+			if f == onlyReturns {
+				tc.returnDuringMoves()
+				continue
+			}
+			if f == returnsToo && tc.chance(0.2) {
 				tc.returnStore()
 			}
 			tc.injectFault()
@@ -91,6 +110,22 @@
 	tc.after(outage, func() { tc.store.returnFrom(age) })
 }
 
+// returnDuringMoves restarts a server, so that its keys move, kills the leader or all instances meanwhile, and makes the store
+// come back from a copy that may lack the moves.
+func (tc *testCluster) returnDuringMoves() {
+	tc.restartServer(tc.randomServer().ID)
+	time.Sleep(tc.randomDuration(0, 4*time.Second))
+	all := tc.chance(0.5)
+	for _, n := range tc.others("") {
+		if all || n.manager.Leads() {
+			tc.stopInstance(n.name)
+			tc.after(tc.randomDuration(0, time.Second), func() { tc.startInstance(n.name, "d"+string(n.name[1]%2+'0')) })
+		}
+	}
+	tc.store.returnFrom(tc.randomDuration(0, 5*time.Second))
+	time.Sleep(tc.randomDuration(time.Second, 8*time.Second))
+}
+
 // injectFault injects one random fault.
 func (tc *testCluster) injectFault() {
 	node := fmt.Sprintf("i%d", tc.pick(4))
@@ -283,11 +318,20 @@
 // Guards against keys with two owners, fences that were given before, and keys that nobody is given any more, when the store
 // comes back from copies that are some seconds old while all other faults happen.
 func TestSchedulesWithReturningStore(t *testing.T) {
-	for name, namedRestarts := range map[string]bool{"new names": false, "restarts under a name": true} {
+	tests := map[string]struct {
+		namedRestarts bool
+		faults        faults
+	}{
+		"new names":                                 {false, returnsToo},
+		"restarts under a name":                     {true, returnsToo},
+		"returns during moves":                      {false, onlyReturns},
+		"returns during moves, restarts under name": {true, onlyReturns},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			first, _ := strconv.ParseUint(os.Getenv("MUSTARDRING_SEED"), 10, 64)
 			for seed := first; seed < first+scheduleCount(); seed++ {
-				violations, _, served := playScheduleWith(t, seed, func(*guards) {}, namedRestarts, true)
+				violations, _, served := playScheduleOf(t, seed, func(*guards) {}, test.namedRestarts, test.faults)
 				if len(violations) > 0 {
 					t.Errorf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
 				}
@@ -332,14 +376,14 @@
 // expectViolation expects a key with two owners in one of the schedules that are played without a guard.
 func expectViolation(t *testing.T, off func(*guards), maxSchedules uint64, namedRestarts bool) {
 	t.Helper()
-	expectViolationWith(t, off, maxSchedules, namedRestarts, false)
+	expectViolationOf(t, off, maxSchedules, namedRestarts, allFaults)
 }
 
-// expectViolationWith does the same with a store that comes back from older copies, if returns is set.
-func expectViolationWith(t *testing.T, off func(*guards), maxSchedules uint64, namedRestarts, returns bool) {
+// expectViolationOf does the same with schedules of some faults.
+func expectViolationOf(t *testing.T, off func(*guards), maxSchedules uint64, namedRestarts bool, f faults) {
 	t.Helper()
 	for seed := range maxSchedules {
-		if violations, _, _ := playScheduleWith(t, seed, off, namedRestarts, returns); len(violations) > 0 {
+		if violations, _, _ := playScheduleOf(t, seed, off, namedRestarts, f); len(violations) > 0 {
 			t.Logf("key with two owners after %d schedules: %s", seed+1, violations[0])
 			return
 		}
@@ -353,7 +397,7 @@
 		"awaitKnowledge": func(g *guards) { g.awaitKnowledge = false },
 		"renewFences":    func(g *guards) { g.renewFences = false },
 	} {
-		t.Run(name, func(t *testing.T) { expectViolationWith(t, off, maxSearchedSchedules, false, true) })
+		t.Run(name, func(t *testing.T) { expectViolationOf(t, off, maxSearchedSchedules, false, onlyReturns) })
 	}
 }
 
