Tell callers of unreachable servers to come back as late as they can be served

Change: if the server of a key is not reached or has left the directory, the caller returns after three tenths of the time that it still waits: a cut lasts for seconds, and the keys of a server that crashed get an owner when its lease of 2.2 s has ended.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -118,7 +118,7 @@
 		q.server, q.fence, q.leavesIn = r.Server, r.Fence, owner.LeavesIn(time.Now())
 		if !found || owner.Closed(true, time.Now()) {
 			q.reason = endNoOwner
-			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, q.noOwnerDelay())
+			return nil, rules.Server{}, errorReply(http.StatusServiceUnavailable, q.unreachableDelay())
 		}
 		if q.serverRests(r.Server) {
 			q.reason = endServerRests
@@ -181,6 +181,21 @@
 	return left + rand.N(maxSettleSpread)
 }
 
+// maxPatienceShare is the part of the time that a caller still waits after which it may be told to come back, so that there is
+// time left to serve it.
+const maxPatienceShare = 0.3
+
+// unreachableDelay returns the Retry-After of a request whose server is not reached or has left the directory. Either its
+// failure domain is cut off, for seconds, or its keys get another owner when its leases have ended. So the caller comes back
+// as late as it can still be served.
+func (q *request) unreachableDelay() time.Duration {
+	if !q.divided || !q.info.HasTimeout {
+		return retryAfterNoOwner
+	}
+	left := q.info.Timeout - time.Since(q.arrivedAt)
+	return max(time.Duration(maxPatienceShare*float64(left)), retryAfterNoOwner)
+}
+
 // handleRejection returns the reply to a rejection by the admission controller, or nil if the
 // admission should be requested again.
 func (q *request) handleRejection(ctx context.Context, rejected *admit.Rejected) *inlet.Reply {
@@ -326,7 +341,7 @@
 			completion.Outcome = admit.Unsent
 		}
 		q.reason, q.avoid = endUnsent, s.ID
-		return errorReply(http.StatusServiceUnavailable, retryAfterNoOwner), true
+		return errorReply(http.StatusServiceUnavailable, q.unreachableDelay()), true
 	}
 	q.mayHaveRun, q.retryOpen = true, false
 	if ctx.Err() != nil || errors.Is(err, upstr.ErrDeadline) {
