--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -22,8 +22,10 @@
 	// retryAfterNoOwner is the Retry-After of a request whose key has no owner. Moving a key takes
 	// about 0.3 seconds, the expiry of a lease about 2.3.
 	retryAfterNoOwner = 400 * time.Millisecond
-	// maxSettleSpread is the time over which callers come back that were rejected before the owners were settled.
-	maxSettleSpread = 600 * time.Millisecond
+	// minSettleSpread is the time over which callers come back that were rejected before the owners were settled and can
+	// still meet their target, maxSettleSpread that of the others.
+	minSettleSpread = 150 * time.Millisecond
+	maxSettleSpread = 500 * time.Millisecond
 	// retryAfterServerFull is the Retry-After of a request that its server rejected. By then the
 	// queue of a full server is shorter by a request or two, and a server that rejects requests
 	// at random does not do so twice.
@@ -172,13 +174,19 @@
 }
 
 // noOwnerDelay returns the Retry-After of a request whose key has no owner. After a start of this instance it may take until
-// the owners of all keys are settled; callers that were rejected until then come back spread over some time.
+// the owners of all keys are settled. Callers that can still meet their target come back first then, the others after them,
+// spread over some time.
 func (q *request) noOwnerDelay() time.Duration {
-	left := time.Until(q.edge.Cluster.OwnersSettleAt())
-	if left <= retryAfterNoOwner {
+	settleAt := q.edge.Cluster.OwnersSettleAt()
+	left := time.Until(settleAt)
+	switch {
+	case left <= retryAfterNoOwner:
 		return retryAfterNoOwner
+	case q.targetAt.After(settleAt.Add(minSettleSpread)):
+		return left + rand.N(minSettleSpread)
+	default:
+		return left + minSettleSpread + rand.N(maxSettleSpread)
 	}
-	return left + rand.N(maxSettleSpread)
 }
 
 // maxPatienceShare is the part of the time that a caller still waits after which it may be told to come back, so that there is
