Mend what the review of shares, returns and repeats found

Cause: a review by one who had not written the code showed, each with a small test: a request that went to more servers than its route allows when a server closed before a repeat was sent; an origin without the key, so that one key's request was taken for the return of another's; retries that were not sent and not given back, and a refund that removed another retry; a request that could ask another pool and was pushed out for good; a kept return that was rejected before its reservation was looked at; returns counted without a bound for a caller that asks for the same thing from time to time; kept returns that cost their caller nothing; 70% of the budget out of reach without kept returns; a repeated message that was charged again; a Book of up to 1.8 MB. Change: each of these. Refunds remove the oldest retry, so that no other stops counting early. Result: tests of edge, admit, retry, resv and config pass. Left: charges of unknown callers are taken back by the number of known ones at that time; a digest of an address can be reversed, so that the template does not log it.

--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -248,10 +248,10 @@
 	if req.Server != "" && c.servers[req.Server] == nil {
 		return Rejected{ID: req.ID, Reason: OwnerGone}
 	}
-	if rejected, known := c.rejections.byID[req.ID]; known {
+	if rejected, known := c.rejections.get(now, req.ID); known {
 		return rejected
 	}
-	earlier := c.recognize(now, &req)
+	earlier := Earlier{}
 	if len(c.servers) == 0 {
 		return c.reject(now, req, earlier, NoServer, 0)
 	}
@@ -261,6 +261,7 @@
 	if until, resting := c.restEnd(now, req); resting {
 		return c.reject(now, req, earlier, Resting, restDelay(now, until))
 	}
+	earlier = c.recognize(now, &req)
 	w := c.newWaiter(now, req, earlier)
 	c.recordAsked(now, w)
 	c.arrive(now, w)
--- a/internal/admit/returning.go
+++ b/internal/admit/returning.go
@@ -16,14 +16,27 @@
 
 // rejections holds the latest rejections, the oldest of which has the index next in order.
 type rejections struct {
-	byID  map[ID]Rejected
+	byID  map[ID]pastRejection
 	order []ID
 	next  int
 }
 
-func (r *rejections) add(rejected Rejected) {
+// pastRejection is a rejection and when it was made.
+type pastRejection struct {
+	Rejected
+	at time.Time
+}
+
+// get returns the rejection of a request, as it is to be told now, and false if there is none.
+func (r *rejections) get(now time.Time, id ID) (Rejected, bool) {
+	past, known := r.byID[id]
+	past.RetryIn = max(past.RetryIn-now.Sub(past.at), 0)
+	return past.Rejected, known
+}
+
+func (r *rejections) add(now time.Time, rejected Rejected) {
 	if r.byID == nil {
-		r.byID = map[ID]Rejected{}
+		r.byID = map[ID]pastRejection{}
 	}
 	if len(r.order) < maxRememberedRejections {
 		r.order = append(r.order, rejected.ID)
@@ -32,7 +45,7 @@
 		r.order[r.next] = rejected.ID
 		r.next = (r.next + 1) % maxRememberedRejections
 	}
-	r.byID[rejected.ID] = rejected
+	r.byID[rejected.ID] = pastRejection{rejected, now}
 }
 
 // recognize returns what is known of earlier tries of a request, and dates its target from the first one. A request that can
@@ -72,16 +85,17 @@
 // rejection returns the rejection of a request with a predicted wait, and when its caller should come back.
 func (c *Controller) rejection(now time.Time, req Request, earlier Earlier, reason Reason, wait time.Duration) Rejected {
 	r := Rejected{ID: req.ID, Reason: reason, Wait: wait, RetryIn: c.retryDelay(now, req, wait), Earlier: earlier}
-	if c.book == nil || req.Origin == 0 {
-		return r
-	}
-	c.book.Rejected(now, req.Origin, req.Route)
-	if reason == Overload || reason == PushedOut {
-		if at, kept := c.reserve(now, req, wait); kept {
-			r.RetryIn, r.Reserved = at.Sub(now), true
+	if c.book != nil && req.Origin != 0 && !req.HasFallback {
+		c.book.Rejected(now, req.Origin, req.Route)
+		if reason == Overload || reason == PushedOut {
+			if at, kept := c.reserve(now, req, wait); kept {
+				r.RetryIn, r.Reserved = at.Sub(now), true
+			}
 		}
 	}
-	c.rejections.add(r)
+	if c.book != nil || c.options.FairShares {
+		c.rejections.add(now, r)
+	}
 	return r
 }
 
--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -54,14 +54,13 @@
 
 // arrive gives a new request its start tag. Serve or reject has to follow.
 func (c *Controller) arrive(now time.Time, w *waiter) {
-	if w.earlier.Kept {
-		w.item.Tag = keptTag
-		return
-	}
 	if s := c.sharesOf(w); s != nil {
 		s.advance(now)
 		w.item.Tag, w.shares = s.Arrive(w.Caller, w.expectedTime), s
 	}
+	if w.earlier.Kept {
+		w.item.Tag = keptTag
+	}
 }
 
 // serve counts a request that is admitted as a part of its caller's share.
@@ -91,7 +90,7 @@
 		}
 		c.drop(w)
 		c.pushedOut++
-		c.undelivered = append(c.undelivered, c.rejection(now, w.Request, w.earlier, PushedOut, 0))
+		c.undelivered = append(c.undelivered, c.reject(now, w.Request, w.earlier, PushedOut, 0))
 	}
 }
 
--- a/internal/config/overload.go
+++ b/internal/config/overload.go
@@ -1,6 +1,9 @@
 package config
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Overload holds the settings for operation under load. Each feature is off unless its field turns it on.
 type Overload struct {
@@ -50,6 +53,10 @@
 		c.fail("load.caller-header", "nothing", "name the header that identifies a caller")
 	case o.CallerIdentity != CallerHeader && o.CallerHeader != "":
 		c.fail("load.caller-header", o.CallerHeader, "remove it, or set load.caller-identity to header")
+	case strings.ContainsAny(o.CallerHeader, " :\t\r\n"):
+		c.fail("load.caller-header", o.CallerHeader, "give the name of a header")
+	case o.LogCallers && !identified:
+		c.fail("load.log-callers", "no identity of callers", "set load.caller-identity, or turn it off")
 	case o.FairShares && !identified:
 		c.fail("load.fair-shares", "no identity of callers", "set load.caller-identity, or turn it off")
 	case o.KeptReturns && !identified:
--- a/internal/config/serve_test.go
+++ b/internal/config/serve_test.go
@@ -41,6 +41,8 @@
 		"header is not used":       withLoad(`"caller-identity": "address", "caller-header": "X-Tenant"`, "load.caller-header"),
 		"shares without identity":  withLoad(`"fair-shares": true`, "load.fair-shares"),
 		"returns without identity": withLoad(`"kept-returns": true`, "load.kept-returns"),
+		"header with a space":      withLoad(`"caller-identity": "header", "caller-header": "X Tenant"`, "load.caller-header"),
+		"log without identity":     withLoad(`"log-callers": true`, "load.log-callers"),
 		"floor too high":           withLoad(`"priority-floors": [0, 0.6]`, "load.priority-floors"),
 		"floor below zero":         withLoad(`"priority-floors": [-0.1]`, "load.priority-floors"),
 		"floors take everything":   withLoad(`"priority-floors": [0.5, 0.5]`, "load.priority-floors"),
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -44,14 +44,15 @@
 	return max(uint32(xxhash.Sum64String(text)), 1)
 }
 
-// originOf returns a digest of a caller and the fingerprint of its request, which recognizes a request that the caller sends
-// again, zero if the caller is not known.
-func originOf(caller uint32, print uint64) uint64 {
+// originOf returns a digest of a caller, the key and the fingerprint of its request, which recognizes a request that the caller
+// sends again, zero if the caller is not known.
+func originOf(caller uint32, key uint16, print uint64) uint64 {
 	if caller == 0 {
 		return 0
 	}
-	var data [12]byte
+	var data [14]byte
 	binary.BigEndian.PutUint32(data[:4], caller)
-	binary.BigEndian.PutUint64(data[4:], print)
+	binary.BigEndian.PutUint16(data[4:6], key)
+	binary.BigEndian.PutUint64(data[6:], print)
 	return max(xxhash.Sum64(data[:]), 1)
 }
--- a/internal/edge/repeat.go
+++ b/internal/edge/repeat.go
@@ -17,17 +17,14 @@
 	if time.Until(q.deadline) < minAttemptTime || q.ownerRests() {
 		return false
 	}
-	if q.retryOpen {
-		// The attempt for which it was taken was not sent.
-		return true
-	}
 	if q.divided && q.edge.RepeatRejected && (q.rejection == withRoom || q.rejection == full) {
 		return q.spendRepeat()
 	}
 	if q.attempts-q.repeats >= q.route.MaxAttempts {
 		return false
 	}
-	q.retryOpen = q.edge.RetryBudget.Spend(q.service)
+	// The attempt for which a retry was taken may not have been sent.
+	q.retryOpen = q.retryOpen || q.edge.RetryBudget.Spend(q.service)
 	return q.retryOpen
 }
 
@@ -38,7 +35,7 @@
 		return false
 	}
 	reserved := firstTryReserve
-	if q.earlier.LastTry || q.origin == 0 && q.returning {
+	if q.earlier.LastTry || q.returning && q.earlier.Returns == 0 {
 		reserved = 0
 	}
 	q.retryOpen = q.edge.RetryBudget.SpendAbove(q.service, reserved)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -116,6 +116,8 @@
 	// that it was predicted for.
 	predictedWait time.Duration
 	pool          string
+	// reserved says that capacity is reserved for the caller when it comes back.
+	reserved bool
 	// waited is the total time spent waiting for admissions.
 	waited time.Duration
 	// dispatchDelay is the time that the last attempt took, once admitted, to get a connection.
@@ -168,7 +170,7 @@
 	}
 	q.print = fingerprintOf(r, q.body)
 	q.caller = callerOf(e.Identity, r)
-	q.origin = originOf(q.caller, q.print)
+	q.origin = originOf(q.caller, q.info.Key, q.print)
 	if e.Cluster.Quarantined(q.print) {
 		return nil, e.reject(q, endCrashesServers, errorReply(http.StatusBadGateway, 0))
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -46,10 +46,10 @@
 		// Rejected requests count too: they show which keys need more capacity.
 		q.edge.Cluster.CountRequest(q.service, q.info.Key)
 	}
+	defer q.refundRetry()
 	for range maxAdmissionRequests {
 		a, s, rejection := q.acquire(ctx)
 		if rejection != nil {
-			q.refundRetry()
 			return q.finalReply(ctx, rejection)
 		}
 		if a == nil {
@@ -70,7 +70,6 @@
 			worker.Sleep(ctx, misdirectedDelay)
 		}
 	}
-	q.refundRetry()
 	return q.finalReply(ctx, q.fallback)
 }
 
@@ -223,7 +222,7 @@
 	default:
 		q.reason = endOverload
 	}
-	q.predictedWait, q.pool = rejected.Wait, rejected.Pool
+	q.predictedWait, q.pool, q.reserved = rejected.Wait, rejected.Pool, rejected.Reserved
 	q.noteEarlier(rejected.Earlier)
 	return errorReply(http.StatusServiceUnavailable, rejected.RetryIn)
 }
@@ -264,7 +263,8 @@
 func (q *request) attempt(ctx context.Context, a Admission, s rules.Server) (*inlet.Reply, bool) {
 	q.attempts++
 	q.server, q.through, q.carried, q.rejection = s.ID, "", "", notRejected
-	if !slices.Contains(q.sentTo, s.ID) {
+	isNew := !slices.Contains(q.sentTo, s.ID)
+	if isNew {
 		q.sentTo = append(q.sentTo, s.ID)
 	}
 	q.edge.inFlight.add(s.Domain, 1)
@@ -277,6 +277,9 @@
 		a.Complete(completion)
 	}()
 	if err != nil {
+		if isNew && errors.Is(err, errServerClosed) {
+			q.sentTo = q.sentTo[:len(q.sentTo)-1]
+		}
 		return q.handleFailure(ctx, &completion, s, err)
 	}
 	q.retryOpen = false
@@ -296,12 +299,12 @@
 	}
 	completion.Bytes = len(reply.Body)
 	q.edge.Cluster.ClearSuspicion(q.print)
-	return q.handleResponse(ctx, &completion, s, info, reply)
+	return q.handleResponse(&completion, s, info, reply)
 }
 
 // handleResponse decides what a complete response means for the caller and for the admission. It sets
 // the outcome of the completion and returns the results of attempt.
-func (q *request) handleResponse(ctx context.Context, completion *admit.Completion, s rules.Server, info ResponseInfo, reply *inlet.Reply) (*inlet.Reply, bool) {
+func (q *request) handleResponse(completion *admit.Completion, s rules.Server, info ResponseInfo, reply *inlet.Reply) (*inlet.Reply, bool) {
 	switch {
 	case info.NotRun && info.Misdirected:
 		completion.Outcome = admit.NotOwner
@@ -340,7 +343,6 @@
 	case errors.Is(err, errServerClosed):
 		completion.Outcome = admit.Unsent
 		q.attempts--
-		q.sentTo = slices.DeleteFunc(q.sentTo, func(id string) bool { return id == s.ID })
 		q.reason, q.avoid = endNoOwner, s.ID
 		return nil, true
 	case unsent:
--- a/internal/resv/book.go
+++ b/internal/resv/book.go
@@ -14,7 +14,7 @@
 const (
 	// maxOrigins is the number of origins in a Book. lifetime is how long an origin is known after
 	// its last try, and how far ahead capacity is reserved.
-	maxOrigins = 4096
+	maxOrigins = 2048
 	lifetime   = 5 * time.Second
 	// grace is how long after its time a reservation ends. A return may be early by tolerance, as
 	// Retry-After is rounded to milliseconds and clocks differ in speed.
@@ -117,6 +117,10 @@
 	}
 	o := b.use(now, id)
 	var known Known
+	if now.Sub(o.firstAt) > lifetime {
+		// A caller that asks for the same thing from time to time begins anew.
+		o.firstAt, o.returns, o.rejected = now, 0, false
+	}
 	if o.rejected {
 		o.rejected = false
 		o.returns++
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -17,7 +17,8 @@
 	slackShare = 0.5
 )
 
-// Budget limits retries. In any window, all instances together may retry a fraction of the requests plus a fixed number.
+// Budget limits retries. In any window, all instances together may retry a fraction of the requests plus a fixed number. The
+// requests are those of that window, of the one before it, or of the one half a window before it, whichever are most.
 //
 // Each instance retries at most that fraction of the requests that it received in the window that ends now, so that the limit
 // holds without messages and those that get many requests may retry many. Only the fixed number is divided evenly. While an
@@ -125,8 +126,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.ledger(service)
-	if n := len(l.retries); n > 0 {
-		l.retries = l.retries[:n-1]
+	if len(l.retries) > 0 {
+		// With the oldest one removed, no other retry stops counting before it leaves the window.
+		l.retries = l.retries[1:]
 	}
 	c := b.counts[service]
 	c.Sent--
