--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -48,6 +48,9 @@
 	info := edge.ResponseInfo{
 		ID: r.Header.Get("Id"), NotRun: r.Header.Get("Not-Run") != "" || r.StatusCode == 421, Misdirected: r.StatusCode == 421,
 	}
+	if running, err := strconv.Atoi(r.Header.Get("Running")); err == nil {
+		info.Load = admit.Load{Running: running, Known: true}
+	}
 	if millis, err := strconv.Atoi(r.Header.Get("Rest")); err == nil {
 		info.Statement.RestUntil = receivedAt.Add(time.Duration(millis) * time.Millisecond)
 	}
