--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -59,7 +59,7 @@
 	n := carryNode{&Node{
 		settings: config.Serve{Name: name, Domain: "d0", Overload: config.Overload{ShareConnections: true}}, roster: roster.New(name, "d0"), port: port, incarnation: 1,
 		events: event.New(io.Discard, log.ErrorLevel), stopping: make(chan struct{}), cluster: newTestState(),
-		loadTracker: newLoadTracker(), suspects: edge.NewCrashTracker(), platform: Platform{DialServer: new(net.Dialer).DialContext},
+		loadTracker: newLoadTracker(false), suspects: edge.NewCrashTracker(), platform: Platform{DialServer: new(net.Dialer).DialContext},
 	}}
 	n.tunnels.opened = map[*tunnel.Conn]string{}
 	n.admissions, n.carrier, n.dialer = newAdmissions(n.Node), newCarrier(n.Node), n.newDialer()
