Send what admissions have gained as a second value of their datagrams

Cause: msgpack encodes the number of fields of a struct, and a message with another number is not decoded. Admissions had got three fields more and decisions four, so that instances of the previous release and of this one understood none of each other's admissions: during an upgrade all requests that need one from the other side would have failed.

Change: the new fields follow the message as a second value, which the previous release does not read; a message without it has zeros. TestAdmissionsBesideThePreviousRelease decodes both directions with the structs of that release and fails on the code before with 'msgpack: number of fields in array-encoded struct has changed'.

--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -44,10 +44,10 @@
 		Avoid string
 		// HasFallback is set if the sender can ask another pool.
 		HasFallback bool
-		// Caller, Origin and Retry are those of admit.Request. Instances of the previous release do not state them.
-		Caller uint32
-		Origin uint64
-		Retry  bool
+		// Caller, Origin and Retry are those of admit.Request. They are encoded in an addition, see additionOf.
+		Caller uint32 `msgpack:"-"`
+		Origin uint64 `msgpack:"-"`
+		Retry  bool   `msgpack:"-"`
 	}
 	// AdmissionDecision is the controller's answer. Server is set if the request is admitted, Reason if
 	// it is rejected; if both are empty, the request is queued.
@@ -58,11 +58,11 @@
 		RetryInMs int
 		// WaitMs is the predicted wait that a rejection rests on.
 		WaitMs int
-		// Returns, LastTry and Kept are those of admit.Earlier, Reserved that of admit.Rejected.
-		Returns  int
-		LastTry  bool
-		Kept     bool
-		Reserved bool
+		// Returns, LastTry and Kept are those of admit.Earlier, Reserved that of admit.Rejected. They are encoded in an addition.
+		Returns  int  `msgpack:"-"`
+		LastTry  bool `msgpack:"-"`
+		Kept     bool `msgpack:"-"`
+		Reserved bool `msgpack:"-"`
 	}
 	// Completion ends an admission and reports how the request went.
 	Completion struct {
@@ -237,6 +237,11 @@
 	if err := pack.Encode(&out, toWire(m)); err != nil {
 		return nil, err
 	}
+	if a := additionOf(m); a != nil {
+		if err := pack.Encode(&out, a); err != nil {
+			return nil, err
+		}
+	}
 	return deflate(out.Bytes())
 }
 
@@ -253,6 +258,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if m, err = addTo(m, data[1:]); err != nil {
+		return nil, err
+	}
 	return fromWire(m), nil
 }
 
--- a/internal/dgram/dgram_test.go
+++ b/internal/dgram/dgram_test.go
@@ -1,12 +1,14 @@
 package dgram
 
 import (
+	"bytes"
 	"errors"
 	"reflect"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"example.org/mustardring/internal/pack"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/shard"
 )
@@ -29,6 +31,52 @@
 	is.True(errors.Is(err, ErrMessage)) // as that release answers to a ServerReport
 }
 
+// Guards against admissions that fail beside instances of the previous release, which decodes no message with other fields
+// than its own and states none of the new ones.
+func TestAdmissionsBesideThePreviousRelease(t *testing.T) {
+	type previousRequest struct {
+		Serial                      uint64
+		Pool, Server, Domain, Route string
+		Priority                    int
+		Returning                   bool
+		TargetInMs, DeadlineInMs    int
+		Avoid                       string
+		HasFallback                 bool
+	}
+	type previousDecision struct {
+		Serial            uint64
+		Server, Reason    string
+		RetryInMs, WaitMs int
+	}
+	is := is.New(t)
+	request := AdmissionRequest{Serial: 7, Pool: "p", Route: "r", TargetInMs: 9, HasFallback: true, Caller: 1 << 31, Origin: 1 << 63, Retry: true}
+	decision := AdmissionDecision{Serial: 7, Reason: "overload", RetryInMs: 5, WaitMs: 6, Returns: 2, LastTry: true, Kept: true, Reserved: true}
+	for _, sent := range []Message{request, decision} {
+		data, err := Encode(sent)
+		is.NoErr(err)
+		got, err := Decode(data)
+		is.NoErr(err)
+		is.Equal(got, sent)
+	}
+
+	data, _ := Encode(request)
+	known, err := pack.Decode[previousRequest](data[1:])
+	is.NoErr(err)
+	is.Equal(known, previousRequest{Serial: 7, Pool: "p", Route: "r", TargetInMs: 9, HasFallback: true})
+	data, _ = Encode(decision)
+	answer, err := pack.Decode[previousDecision](data[1:])
+	is.NoErr(err)
+	is.Equal(answer, previousDecision{Serial: 7, Reason: "overload", RetryInMs: 5, WaitMs: 6})
+
+	var out bytes.Buffer
+	out.WriteByte(AdmissionRequest{}.kind())
+	is.NoErr(pack.Encode(&out, known))
+	got, err := Decode(out.Bytes())
+	is.NoErr(err)
+	request.Caller, request.Origin, request.Retry = 0, 0, false
+	is.Equal(got, request)
+}
+
 // Checks that Decode returns either a message or an error for any bytes.
 func FuzzDecode(f *testing.F) {
 	for _, m := range []Message{
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -39,6 +39,9 @@
 	return value, nil
 }
 
+// Rest returns the data after its first value.
+func Rest(data []byte) ([]byte, error) { return skip(data, maxDepth) }
+
 // maxDepth limits how deep arrays and maps may be nested. The encoded types are nested four
 // deep.
 const maxDepth = 16
