Plan by slow and rejecting servers, and spread busy groups within a second

Cause: played in virtual time with 140 servers of speeds 0.6, 1.0 and 1.6 and groups of 60 or 200 busy keys that change every five seconds, plans lost 16% of the requests, and groups were not level when the next one came. Ranges that were split for one group stayed split, so that after four groups the number of ranges was at its limit and nothing was split any more; the load of each key alone rises too little to be noticed for seconds; and plans knew no losses but those of full servers.

Change, with Input.SpeedRanges: losses count requests that exceed the target by their service time alone (WorkTimes) and those that a server rejects or fails (RejectRate, Rejects); NewGroupRates counts 32 neighbouring keys together and derives the rate after a sudden rise from two averages; adjacent idle ranges are joined under one fencing token when ranges become scarce; moves must gain a request and 2% of the moved load; keys are taken from up to 40 servers at once. PlanWithReport returns the reasons of moves. Sorted servers are kept as indices.

--- /dev/null
+++ b/internal/shard/groups.go
@@ -0,0 +1,100 @@
+package shard
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the rates of groups of keys.
+const (
+	// groupKeys is the number of neighbouring keys whose requests are counted together to detect a change. A key of a
+	// run of 200 busy ones gets two requests a second, which alone is no significant rise for seconds.
+	groupKeys = 32
+	// burstHalfLife is short enough that a run of busy keys shows most of its load half a second after its rise.
+	burstHalfLife = recentHalfLife / 2
+	// A group has changed if a rate over a shorter period differs from the steady rate by groupDeviations standard
+	// deviations and minGroupChange requests per second.
+	groupDeviations = 3
+	minGroupChange  = 4
+	// evenRequests is the number of requests within the half-life of the rate that each key of a group that has changed is
+	// taken to have had besides: the few requests since the change tell little of single keys.
+	evenRequests = 0.1
+	// maxRise bounds how much higher a risen rate is than its average over burstHalfLife.
+	maxRise = 8
+	// minRatesAge is the shortest period that rates are taken to rest on.
+	minRatesAge = 500 * time.Millisecond
+)
+
+// NewGroupRates returns rates like those of NewRates, which in addition detect changes of groups of neighbouring keys
+// within half a second, and are not too low when they are new.
+func NewGroupRates(now time.Time) *Rates {
+	r := NewRates(now)
+	r.burst = &window{burstHalfLife, make([]float64, NumKeys)}
+	r.startedAt = now
+	return r
+}
+
+// groupLoad returns the estimated requests per second for each key.
+func (r *Rates) groupLoad(now time.Time) []float64 {
+	since := now.Sub(r.weightsSince)
+	steady, recent, burst := r.fullScale(&r.steady, now), r.fullScale(&r.recent, now), r.fullScale(r.burst, now)
+	baseline := r.baseline.scale(since)
+	out := make([]float64, NumKeys)
+	for first := 0; first < NumKeys; first += groupKeys {
+		usual := r.steady.sum(first) * steady
+		if usual == 0 {
+			continue
+		}
+		w, scale := r.burst, burst
+		rate := w.sum(first) * scale
+		if !w.significant(rate, usual) {
+			w, scale = &r.recent, recent
+			rate = w.sum(first) * scale
+		}
+		shown, even := rate, evenRequests/w.halfLife.Seconds()
+		changed := w.significant(rate, usual)
+		if w == r.burst {
+			rate = max(rate, risenRate(rate, r.recent.sum(first)*recent, r.baseline.sum(first)*baseline))
+		}
+		for key := first; key < first+groupKeys; key++ {
+			if changed {
+				out[key] = rate * (w.sums[key]*scale + even) / (shown + groupKeys*even)
+				continue
+			}
+			out[key] = chooseRate(r.steady.sums[key]*steady, r.recent.sums[key]*recent, r.baseline.sums[key]*baseline)
+		}
+	}
+	return out
+}
+
+// risenRate returns the rate to which a rate has risen at once, given its averages over burstHalfLife, over twice that and
+// over a long time before. A time t after the rise, they show the parts 1-x^2 and 1-x of it, with x = 2^(-t/recentHalfLife).
+func risenRate(burst, recent, usual float64) float64 {
+	short, long := burst-usual, recent-usual
+	if long <= 0 || short <= long {
+		return burst
+	}
+	return usual + min(long*long/max(2*long-short, 0.001), maxRise*short)
+}
+
+// fullScale returns the factor that converts the sums of a window to requests per second, given that there were none before
+// the rates began.
+func (r *Rates) fullScale(w *window, now time.Time) float64 {
+	age := max(now.Sub(r.startedAt), minRatesAge)
+	return w.scale(now.Sub(r.weightsSince)) / (1 - math.Exp2(-age.Seconds()/w.halfLife.Seconds()))
+}
+
+// sum returns the sum of a group of keys.
+func (w *window) sum(first int) float64 {
+	sum := 0.0
+	for _, s := range w.sums[first : first+groupKeys] {
+		sum += s
+	}
+	return sum
+}
+
+// significant reports whether a rate of the window shows that the usual rate, in requests per second, has changed.
+func (w *window) significant(rate, usual float64) bool {
+	deviation := math.Sqrt(usual * math.Ln2 / w.halfLife.Seconds() / 2)
+	return math.Abs(rate-usual) > groupDeviations*deviation+minGroupChange
+}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -15,6 +15,8 @@
 	// Capped says that the server rejects requests beyond Capacity instead of queueing them. If it
 	// has been restarted, it therefore gets its former keys back only up to Capacity.
 	Capped bool
+	// RejectRate is the share of requests that the server rejects while it has free slots, or fails.
+	RejectRate float64
 }
 
 // Input is the state of a service from which a plan is made.
@@ -31,6 +33,10 @@
 	// Restarted maps the id of each incarnation that ended with a restart of its server to the id of
 	// the current incarnation.
 	Restarted map[string]string
+	// SpeedRanges says that losses at servers that are slow or reject requests count, and that the ranges of former
+	// busy keys are joined again. Work is the distribution of service times; if nil, no request is slow.
+	SpeedRanges bool
+	Work        *WorkTimes
 }
 
 // Limits and weights of the planner.
@@ -60,6 +66,18 @@
 	// moves that gain little not worthwhile, because operators want little churn: a move of a sixtieth
 	// of the keys must gain a quarter of a request.
 	churnCost = 15
+	// moveCost is the cost of any move with Input.SpeedRanges, as a number of requests: it takes two calls to servers and
+	// a part of a record. minGainShare is the share of the moved load whose loss a move must prevent, so that small
+	// errors of measured speeds and rejections move nothing.
+	moveCost     = 1
+	minGainShare = 0.02
+	// With Input.SpeedRanges, moves are considered from more servers, up to a number that bounds the time of a plan: while
+	// the load does not match the speeds yet, a third of the servers is too slow for its keys.
+	// A plan then makes at most busyMoveShare times the number of usable servers moves: two plans must be enough for the
+	// pieces of a run of busy keys.
+	slowSourcesShare = 0.2
+	maxSlowSources   = 40
+	busyMoveShare    = 0.5
 	// maxMeanRanges is the mean number of ranges per usable server from which on ranges are not split
 	// further to balance the load: the lease of each range is renewed up to twice a second.
 	maxMeanRanges = 8
@@ -81,22 +99,35 @@
 
 // Plan returns the map that should replace the current one, or nil if that should stay.
 func Plan(in Input) *Map {
+	next, _ := PlanWithReport(in)
+	return next
+}
+
+// PlanWithReport returns the result of Plan and what it rests on.
+func PlanWithReport(in Input) (*Map, Report) {
+	if in.SpeedRanges {
+		// Joined ranges become one when their moves are complete.
+		in.Map = in.Map.Clone()
+		in.Map.MergeAdjacent()
+	}
 	p := newPlanner(in)
 	if len(p.usable) == 0 {
-		return nil
+		return nil, Report{}
 	}
+	report := p.report()
 	if len(in.Map.Ranges) == 0 {
 		p.divide()
-		return p.result()
-	}
-	changed := p.reassignLost()
-	if p.rebalance() {
-		changed = true
+		return p.result(), report
 	}
-	if !changed {
-		return nil
+	before := p.fence
+	p.reassignLost()
+	p.joinRanges()
+	p.rebalance()
+	if p.fence == before {
+		return nil, report
 	}
-	return p.result()
+	report.Moves = p.moves
+	return p.result(), report
 }
 
 // ServerLoad is the load and the capacity of a server, both in requests per second.
--- a/internal/shard/planner.go
+++ b/internal/shard/planner.go
@@ -10,22 +10,35 @@
 // server is the state of a server while a plan is made.
 type server struct {
 	ServerState
-	// capacity is ServerState.Capacity, but at least 0.01 for a usable server and 0 for any other.
+	// capacity is ServerState.Capacity, but at least minCapacity for a usable server and 0 for any other.
 	// load is the load of the server's keys, lossRate the part of it that is lost or late. All are in
 	// requests per second.
 	capacity float64
 	load     float64
 	lossRate float64
+	// slow is the share of requests whose service time alone exceeds the target, accepted that of requests that the server
+	// does not reject, and penalty that of requests that are lost to either. Without Input.SpeedRanges none are.
+	slow     float64
+	accepted float64
+	penalty  float64
+	// places and partialPlace are the result of waitingPlaces.
+	places       int
+	partialPlace float64
 	// owned holds the ranges of the server, in no particular order.
 	owned []Range
-	// version counts the moves to and from the server.
-	version int
+	// version counts the moves to and from the server, position is its index in planner.usable.
+	version  int
+	position int32
 }
 
 // headroom returns the capacity that is left, in requests per second. It is negative if the server is
 // overloaded.
 func (s *server) headroom() float64 { return s.capacity - s.load }
 
+// utilization returns the utilization of the server under an additional load. One that loses requests is not preferred for
+// being idle.
+func (s *server) utilization(added float64) float64 { return (s.load+added)/s.capacity + s.penalty }
+
 // planner holds the working state of one plan.
 type planner struct {
 	in Input
@@ -40,29 +53,48 @@
 	// leastUtilized and mostHeadroom hold the usable servers, sorted by utilization and by headroom.
 	leastUtilized sortedServers
 	mostHeadroom  sortedServers
+	// targets and candidates are the results of candidateTargets and pieces, reused between calls.
+	targets    []*server
+	candidates []piece
 	// rangeCount is the number of ranges of all servers, meanCapacity the mean of the usable ones.
 	rangeCount   int
 	meanCapacity float64
+	// moves holds the number of moved ranges by reason.
+	moves [reasons]int
 	// comparisons counts the targets that were compared for moves. Tests check it.
 	comparisons int
 }
 
+// minCapacity is the capacity of a server that is usable, at least, in requests per second.
+const minCapacity = 0.01
+
 // newPlanner returns a planner that starts from the map of the input.
 func newPlanner(in Input) *planner {
 	p := &planner{in: in, fence: in.Map.Fence, servers: map[string]*server{}}
-	p.leastUtilized.key = func(s *server) float64 { return s.load / s.capacity }
-	p.mostHeadroom.key = func(s *server) float64 { return -s.headroom() }
-	total := 0.0
+	p.leastUtilized.key = func(s *server) float64 { return s.utilization(0) }
+	p.mostHeadroom.key = func(s *server) float64 { return -s.headroom() * (1 - s.penalty) }
+	total, work := 0.0, in.Work.mean()
 	for _, st := range in.Servers {
 		if !st.Usable || st.Lost {
 			continue
 		}
-		s := &server{ServerState: st, capacity: max(st.Capacity, 0.01)}
+		s := &server{ServerState: st, capacity: max(st.Capacity, minCapacity)}
+		if s.accepted = 1; in.SpeedRanges {
+			s.accepted, s.slow = 1-st.RejectRate, p.slowShare(s)
+			s.penalty = 1 - s.accepted*(1-s.slow)
+			if !s.Capped {
+				s.capacity /= work
+			}
+		}
+		s.places, s.partialPlace = p.waitingPlaces(s)
 		p.servers[st.ID] = s
 		p.usable = append(p.usable, s)
 		total += s.capacity
 	}
 	slices.SortFunc(p.usable, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	for i, s := range p.usable {
+		s.position = int32(i)
+	}
 	p.meanCapacity = total / float64(max(len(p.usable), 1))
 	p.loadBelow = make([]float64, NumKeys+1)
 	base := total * baseLoadShare / NumKeys
@@ -102,11 +134,7 @@
 
 // result returns the planned map.
 func (p *planner) result() *Map {
-	out := &Map{Fence: p.fence, Ranges: make([]Range, 0, p.rangeCount)}
-	for _, s := range p.servers {
-		out.Ranges = append(out.Ranges, s.owned...)
-	}
-	slices.SortFunc(out.Ranges, func(a, b Range) int { return cmp.Compare(a.From, b.From) })
+	out := &Map{Fence: p.fence, Ranges: p.sortedRanges()}
 	out.MergeAdjacent()
 	return out
 }
@@ -142,13 +170,23 @@
 	if len(p.usable) <= 2*maxTargets {
 		return p.usable
 	}
-	return append(slices.Clone(p.leastUtilized.servers[:maxTargets]), p.mostHeadroom.servers[:maxTargets]...)
+	out := p.targets[:0]
+	for i := range maxTargets {
+		out = append(out, p.leastUtilized.at(i))
+	}
+	for i := range maxTargets {
+		if s := p.mostHeadroom.at(i); !slices.Contains(out[:maxTargets], s) {
+			out = append(out, s)
+		}
+	}
+	p.targets = out
+	return out
 }
 
 // leastUtilizedAfter returns the candidate target with the lowest utilization after taking a load.
 func (p *planner) leastUtilizedAfter(load float64) *server {
 	return slices.MinFunc(p.candidateTargets(), func(a, b *server) int {
-		return cmp.Compare((a.load+load)/a.capacity, (b.load+load)/b.capacity)
+		return cmp.Compare(a.utilization(load), b.utilization(load))
 	})
 }
 
@@ -171,6 +209,7 @@
 		from := p.servers[id]
 		to, restarted := p.servers[p.in.Restarted[id]]
 		for len(from.owned) > 0 {
+			p.moves[Lost]++
 			if restarted && to.eligible() && (!to.Capped || to.load+p.loadOf(from.owned[0]) <= to.capacity) {
 				p.moveRange(from, 0, to)
 				continue
@@ -217,10 +256,15 @@
 
 // moveRange moves the range with index i from one server to another, with a new fencing token.
 func (p *planner) moveRange(from *server, i int, to *server) {
+	p.fence++
+	p.moveWithFence(from, i, to)
+}
+
+// moveWithFence moves the range with index i from one server to another, with the newest fencing token.
+func (p *planner) moveWithFence(from *server, i int, to *server) {
 	r := from.owned[i]
 	load := p.loadOf(r)
 	from.owned = slices.Delete(from.owned, i, i+1)
-	p.fence++
 	r.FormerOwners = append(slices.Clone(r.FormerOwners), Owner{Server: r.Server, Address: p.in.Addresses[r.Server]})
 	r.Server, r.Fence = to.ID, p.fence
 	to.owned = append(to.owned, r)
@@ -251,27 +295,35 @@
 }
 
 // sortedServers holds servers in ascending order of a key. A server must be removed before its key
-// changes and added again afterwards.
+// changes and added again afterwards. The order holds their positions in all, which is sorted by id: moving
+// pointers costs several times as much while the garbage collector runs.
 type sortedServers struct {
-	key     func(s *server) float64
-	servers []*server
+	key   func(s *server) float64
+	all   []*server
+	order []int32
 }
 
-func (l *sortedServers) compare(a, b *server) int {
-	return cmp.Or(cmp.Compare(l.key(a), l.key(b)), cmp.Compare(a.ID, b.ID))
+func (l *sortedServers) compare(a, b int32) int {
+	return cmp.Or(cmp.Compare(l.key(l.all[a]), l.key(l.all[b])), cmp.Compare(a, b))
 }
 
 func (l *sortedServers) fill(servers []*server) {
-	l.servers = slices.Clone(servers)
-	slices.SortFunc(l.servers, l.compare)
+	l.all, l.order = servers, make([]int32, len(servers))
+	for i := range l.order {
+		l.order[i] = int32(i)
+	}
+	slices.SortFunc(l.order, l.compare)
 }
 
+// at returns the server at a position.
+func (l *sortedServers) at(i int) *server { return l.all[l.order[i]] }
+
 func (l *sortedServers) remove(s *server) {
-	at, _ := slices.BinarySearchFunc(l.servers, s, l.compare)
-	l.servers = slices.Delete(l.servers, at, at+1)
+	at, _ := slices.BinarySearchFunc(l.order, s.position, l.compare)
+	l.order = slices.Delete(l.order, at, at+1)
 }
 
 func (l *sortedServers) add(s *server) {
-	at, _ := slices.BinarySearchFunc(l.servers, s, l.compare)
-	l.servers = slices.Insert(l.servers, at, s)
+	at, _ := slices.BinarySearchFunc(l.order, s.position, l.compare)
+	l.order = slices.Insert(l.order, at, s.position)
 }
--- a/internal/shard/rates.go
+++ b/internal/shard/rates.go
@@ -36,6 +36,9 @@
 	steady   window
 	recent   window
 	baseline window
+	// burst is nil unless changes of groups of keys are detected. startedAt is the time of the first request then.
+	burst     *window
+	startedAt time.Time
 	// weightsSince is the time from which on weights grow.
 	weightsSince time.Time
 }
@@ -77,7 +80,13 @@
 	}
 }
 
-func (r *Rates) windows() [3]*window { return [...]*window{&r.steady, &r.recent, &r.baseline} }
+func (r *Rates) windows() []*window {
+	all := [...]*window{&r.steady, &r.recent, &r.baseline, r.burst}
+	if r.burst == nil {
+		return all[:3]
+	}
+	return all[:]
+}
 
 // rescale converts all sums to rates and lets weights grow from the given time on, so that neither
 // overflows.
@@ -94,6 +103,9 @@
 
 // Load returns the estimated requests per second for each key.
 func (r *Rates) Load(now time.Time) []float64 {
+	if r.burst != nil {
+		return r.groupLoad(now)
+	}
 	since := now.Sub(r.weightsSince)
 	steady, recent, baseline := r.steady.scale(since), r.recent.scale(since), r.baseline.scale(since)
 	out := make([]float64, NumKeys)
--- a/internal/shard/rebalance.go
+++ b/internal/shard/rebalance.go
@@ -11,13 +11,26 @@
 // lost. A slow server, where no request can wait, therefore loses many requests at a utilization at
 // which a fast one loses none.
 func (p *planner) lossRate(load float64, s *server) float64 {
+	if p.in.SpeedRanges {
+		return load * (1 - (1-p.blockedShare(load*s.accepted, s))*s.accepted*(1-s.slow))
+	}
+	return load * p.blockedShare(load, s)
+}
+
+// blockedShare returns the share of requests that find no place at a server under a load in requests per second.
+func (p *planner) blockedShare(load float64, s *server) float64 {
+	low, high := blockingProbability(load/s.capacity, max(s.Slots, 1), s.places)
+	return low*(1-s.partialPlace) + high*s.partialPlace
+}
+
+// waitingPlaces returns the number of requests that can wait at a server and still be answered within the target latency:
+// a whole number, and the share of one more place.
+func (p *planner) waitingPlaces(s *server) (int, float64) {
 	slots := max(s.Slots, 1)
 	serviceTime := float64(slots) / s.capacity
 	places := max(0, (p.in.TargetLatency-serviceTimeFactor*serviceTime)/serviceTime*float64(slots))
 	whole := min(math.Floor(places), maxPlaces)
-	low, high := blockingProbability(load/s.capacity, slots, int(whole))
-	fraction := min(places-whole, 1)
-	return load * (low*(1-fraction) + high*fraction)
+	return int(whole), min(places-whole, 1)
 }
 
 const (
@@ -75,11 +88,15 @@
 	for _, s := range p.sourceServers() {
 		candidates.pushIfGain(p.bestMove(s))
 	}
-	limit := max(minMoveLimit, int(moveLimitShare*float64(len(p.usable))))
-	moves := 0
+	share := moveLimitShare
+	if p.in.SpeedRanges {
+		share = busyMoveShare
+	}
+	limit, moves := max(minMoveLimit, int(share*float64(len(p.usable)))), 0
 	for moves < limit && len(candidates) > 0 {
 		m := heap.Pop(&candidates).(move)
 		if m.current() {
+			p.moves[p.reasonFor(m.load, m.source)]++
 			p.moveRange(m.source, p.splitOff(m), m.target)
 			moves++
 		}
@@ -114,6 +131,9 @@
 func (p *planner) sourceServers() []*server {
 	servers := p.byLoss()
 	limit := max(minSources, int(sourcesShare*float64(len(servers))))
+	if p.in.SpeedRanges {
+		limit = max(limit, min(int(slowSourcesShare*float64(len(servers))), maxSlowSources))
+	}
 	return servers[:min(len(servers), limit)]
 }
 
@@ -135,9 +155,9 @@
 // it. With halves alone, splitting a run of busy keys into single ones would take a plan for each
 // halving. Ranges that are being moved are left out.
 func (p *planner) pieces(s *server) []piece {
-	var out []piece
+	out := p.candidates[:0]
 	canSplit := p.rangeCount < maxMeanRanges*len(p.usable)
-	headroom := headroomShare * p.mostHeadroom.servers[0].headroom()
+	headroom := headroomShare * p.mostHeadroom.at(0).headroom()
 	for i, r := range s.owned {
 		if len(r.FormerOwners) > 0 {
 			continue
@@ -160,6 +180,7 @@
 			add(at, r.To)
 		}
 	}
+	p.candidates = out
 	return out
 }
 
@@ -180,6 +201,9 @@
 	best := move{piece: c, source: source, sourceVersion: source.version}
 	keys := (float64(c.to) - float64(c.from) + 1) / NumKeys
 	cost := moveCostSeconds*c.load + churnCost*keys
+	if p.in.SpeedRanges {
+		cost += moveCost + minGainShare*gainSeconds*c.load
+	}
 	saved := source.lossRate - p.lossRate(source.load-c.load, source)
 	if gainSeconds*saved <= cost {
 		return best
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -308,6 +311,40 @@
 	}
 }
 
+// A plan of this size must take less than 10 ms.
+func BenchmarkLargePlan(b *testing.B) {
+	in := hotKeys(1000, 260)
+	in.SpeedRanges, in.Work = true, workTimes(1)
+	for i := range in.Servers {
+		in.Servers[i].Slots = 3
+	}
+	b.ResetTimer()
+	for range b.N {
+		shard.Plan(in)
+	}
+}
+
+// workTimes returns a log-normal distribution with a spread of 0.65, 3% of which take seven times as long.
+func workTimes(seed uint64) *shard.WorkTimes {
+	random, out := rand.New(rand.NewPCG(seed, 5)), &shard.WorkTimes{}
+	counts := make([]uint16, shard.WorkBuckets)
+	for range 10000 {
+		counts[shard.WorkBucket(drawWork(random))]++
+	}
+	out.Add(counts, time.Unix(0, 0))
+	return out
+}
+
+// drawWork returns a service time as a multiple of the mean.
+func drawWork(random *rand.Rand) float64 {
+	const spread, longShare, long = 0.65, 0.03, 7
+	work := math.Exp(spread*random.NormFloat64()-spread*spread/2) / (1 + longShare*(long-1))
+	if random.Float64() < longShare {
+		work *= long
+	}
+	return work
+}
+
 // hotKeys returns the state of a service at half of its capacity in which neighbouring keys suddenly get
 // two fifths of the requests.
 func hotKeys(servers, hot int) shard.Input {
