Learn speeds from the first answers, and not from single long requests

Cause: the time ratio of a server moves by a tenth per answer and is reported from ten answers on, so that slow servers keep too many keys for the first seconds; and one of the 3% of requests that take seven times as long moves it by 0.6, so that the owner of the key rejects others and plans move its keys.

Change, with Options.SpeedRanges: the first answers count as a plain average with one answer of mean speed before them, later ones a twentieth, none for more than three times the present ratio; capacities are reported from three answers on. Controllers count requests that servers reject with free slots or fail, and service times by bucket. Without the option nothing changes.

--- a/internal/admit/capacity.go
+++ b/internal/admit/capacity.go
@@ -3,14 +3,19 @@
 import "time"
 
 // Capacity is the number of requests that a server can run in a second, and the number of answers
-// since the last report that it is based on.
+// since the last report that it is based on. Rejected is the number of requests since the last report that it rejected
+// while it had free slots, or failed.
 type Capacity struct {
-	Rate    float64
-	Answers int
+	Rate     float64
+	Answers  int
+	Rejected int
 }
 
 // ReportCapacity returns the capacity of each server with answers since the last report.
 func (c *Controller) ReportCapacity() map[string]Capacity {
+	if c.options.SpeedRanges {
+		return c.reportSpeeds()
+	}
 	mean := c.main()
 	if mean <= 0 {
 		return nil
--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -7,6 +7,7 @@
 	"example.org/mustardring/internal/fair"
 	"example.org/mustardring/internal/resv"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
 )
 
 // Parameters of queueing and rejection.
@@ -95,7 +96,9 @@
 	undelivered []Decision
 	// answered holds the servers with answers that ReportCapacity has not reported yet.
 	answered map[string]*server
-	options  Options
+	// work counts the answers since the last report by bucket of their service times.
+	work    [shard.WorkBuckets]uint16
+	options Options
 	// shares are those of the callers of a pool, nil until there is one; owners have shares of their own.
 	shares *shares
 	// book holds the reservations, nil if there are none, and rejections the latest rejections. asked is what new requests
@@ -123,6 +126,8 @@
 	Floors fair.Floors
 	// KeptReturns reserves capacity for callers that come back.
 	KeptReturns bool
+	// SpeedRanges learns the speeds of servers from few answers, and measures what plans of owners need besides.
+	SpeedRanges bool
 }
 
 // New returns a controller without servers.
@@ -403,9 +408,11 @@
 	c.release(now, done.ID)
 	c.recordOutcome(now, a, done)
 	r := c.route(done.Route, 0)
-	c.learn(now, s, done, a, r.meanTime)
+	c.countWork(s, done, a, r)
+	took := c.countedTime(s, done, a, r.meanTime)
+	c.learn(now, s, done, a, took, r.meanTime)
 	if done.Outcome == Answered {
-		mean := float64(a.serviceTime(done)) / s.timeRatio / a.coldFactor
+		mean := float64(took) / s.timeRatio / a.coldFactor
 		r.meanTime += time.Duration((mean - float64(r.meanTime)) * meanWeight)
 		r.meanBytes += (float64(done.Bytes) - r.meanBytes) * meanWeight
 		r.answers++
@@ -424,8 +431,9 @@
 
 // learn updates what is known of a server with the outcome of a request, and ejects the server if
 // it fails too often.
-func (c *Controller) learn(now time.Time, s *server, done Completion, a admission, mean time.Duration) {
-	s.learn(done, a, mean, now)
+func (c *Controller) learn(now time.Time, s *server, done Completion, a admission, took, mean time.Duration) {
+	s.learn(done, a, took, mean, c.ratioWeight(s), now)
+	c.countLosses(now, s, done)
 	if done.Outcome == Answered {
 		c.answered[s.ID] = s
 	}
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -132,6 +132,8 @@
 	// at the last report.
 	answers         int
 	reportedAnswers int
+	// rejected is the number of requests since the last report that the server rejected while it had free slots, or failed.
+	rejected int
 
 	// listing is the server's entry among the open servers of listedDomain, if it is listed there.
 	listing      listing
@@ -218,13 +220,14 @@
 	return max(least, s.fullUntil.Sub(now), s.nextSendAt.Sub(now))
 }
 
-// learn updates what is known of the server with the outcome of a request.
-func (s *server) learn(done Completion, a admission, mean time.Duration, now time.Time) {
+// learn updates what is known of the server with the outcome of a request, which counts for a service time. The weight is
+// that of the answer in the time ratio.
+func (s *server) learn(done Completion, a admission, took, mean time.Duration, weight float64, now time.Time) {
 	s.evidence.observe(done.From, done.Outcome, now)
 	switch done.Outcome {
 	case Answered:
-		ratio := min(max(float64(a.serviceTime(done))/a.coldFactor/float64(max(mean, time.Millisecond)), minTimeRatio), maxTimeRatio)
-		s.timeRatio += (ratio - s.timeRatio) * timeRatioWeight
+		ratio := min(max(float64(took)/a.coldFactor/float64(max(mean, time.Millisecond)), minTimeRatio), maxTimeRatio)
+		s.timeRatio += (ratio - s.timeRatio) * weight
 		s.failureRate -= s.failureRate * failureWeight
 		s.rests.answered(a.admittedAt)
 		s.answers++
