Report rejections and service times, and plan from early speeds

Cause: plans know neither what servers reject with free slots nor how service times are spread, and reports and plans come at one pace however much is lost.

Change, with the setting load.speed-ranges: a ServerReport states rejections and service times; load reports come twice as often for three seconds after the first request of a service and after each rejection, in systems of up to 500 instances; capacities of few answers are drawn to the mean; plans are made each 350 ms and count if 3% of the requests are expected to be lost. The line planned states the moves by reason, the metric plan_servers the slow and rejecting servers. ServerReport is a message of its own: msgpack encodes the number of fields of a message, and the previous release decodes no LoadReport with more.

--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -105,6 +105,16 @@
 		Capacities []float64
 		Answers    []uint16
 	}
+	// ServerReport reports to the leader what its LoadReport of a service does not say, since instances of the previous release
+	// decode no message with another number of fields: the requests that servers rejected while they had free slots, or
+	// failed, and the number of answers by bucket of shard.WorkTimes. Those instances ignore it.
+	ServerReport struct {
+		Service string
+		// Servers and Rejected are parallel slices.
+		Servers  []string
+		Rejected []uint16
+		Work     []uint16
+	}
 	// OwnerChange announces records of owners that were written to the store, as the difference to the
 	// owners before them. Offset is that of the first one; Records is their number, zero for one.
 	OwnerChange struct {
@@ -209,6 +219,7 @@
 func (ServerLimit) kind() byte       { return 18 }
 func (ServerLeave) kind() byte       { return 19 }
 func (ServerRest) kind() byte        { return 20 }
+func (ServerReport) kind() byte      { return 21 }
 
 // Received is a message and the address of its sender.
 type Received struct {
@@ -289,6 +300,8 @@
 		return decode[ServerLeave](data[1:])
 	case 20:
 		return decode[ServerRest](data[1:])
+	case 21:
+		return decode[ServerReport](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/dgram/dgram_test.go
+++ b/internal/dgram/dgram_test.go
@@ -1,6 +1,8 @@
 package dgram
 
 import (
+	"errors"
+	"reflect"
 	"testing"
 
 	"github.com/matryer/is"
@@ -19,12 +21,20 @@
 	is.Equal(got, sent)
 }
 
+// Guards against reports that instances of the previous release cannot decode: the number of fields of a message is encoded.
+func TestLoadReportKeepsItsFields(t *testing.T) {
+	is := is.New(t)
+	is.Equal(reflect.TypeFor[LoadReport]().NumField(), 7)
+	_, err := decodeKind([]byte{99, 0x90})
+	is.True(errors.Is(err, ErrMessage)) // as that release answers to a ServerReport
+}
+
 // Checks that Decode returns either a message or an error for any bytes.
 func FuzzDecode(f *testing.F) {
 	for _, m := range []Message{
 		Heartbeat{Heartbeat: roster.Heartbeat{Name: "i1", Failing: []string{"s1"}}}, AdmissionRequest{}, AdmissionDecision{}, Completion{}, Cancel{}, LoadReport{Name: "i1", Keys: []uint16{1}},
 		CrashReport{}, OwnerChange{Service: "s", Changes: []shard.Range{{From: 1, To: 9, Server: "a", FormerOwners: []shard.Owner{{Server: "b"}}}}},
-		CompletedMoves{}, TopicUpdate{}, AdmissionCheck{}, ViewRequest{}, ViewSnapshot{Maps: map[string][]byte{"s": {1}}},
+		CompletedMoves{}, TopicUpdate{}, AdmissionCheck{}, ViewRequest{}, ViewSnapshot{Maps: map[string][]byte{"s": {1}}}, ServerReport{Servers: []string{"s"}, Work: []uint16{1}},
 	} {
 		if data, err := Encode(m); err == nil {
 			f.Add(data)
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -166,7 +166,7 @@
 	urgent := len(current.Ranges) == 0 || slices.ContainsFunc(in.Servers, func(m shard.ServerState) bool {
 		return m.Lost && len(current.RangesOf(m.ID)) > 0
 	}) || lm.hasOrphans(in, current)
-	if urgent || now.Sub(lm.plannedAt) >= balanceInterval {
+	if urgent || lm.balanceDue(service, now) {
 		if completed != nil {
 			in.Map = completed
 		}
@@ -174,7 +174,7 @@
 			lm.plannedAt = now
 		}
 		in.Load = lm.Load(service)
-		if planned := lm.plan(service, in); planned != nil {
+		if planned := lm.plan(service, in, urgent, now); planned != nil {
 			next = planned
 		}
 	}
@@ -186,18 +186,53 @@
 // maxLoggedServers is the number of servers, the most overloaded ones, in the log line of a plan.
 const maxLoggedServers = 6
 
-// plan returns the next owners of a service, or nil if they stay, and logs the loads that it used.
-func (lm *Manager) plan(service string, in shard.Input) *shard.Map {
+// balanceDue reports whether a plan is due that only balances load.
+func (lm *Manager) balanceDue(service string, now time.Time) bool {
+	if lm.SpeedRanges {
+		return now.Sub(lm.checkedAt[service]) >= balanceInterval/2
+	}
+	return now.Sub(lm.plannedAt) >= balanceInterval
+}
+
+// plan returns the next owners of a service, or nil if they stay, and logs the loads that it used. With Deps.SpeedRanges
+// every second plan counts only if it is urgent or many requests are expected to be lost.
+func (lm *Manager) plan(service string, in shard.Input, urgent bool, now time.Time) *shard.Map {
 	startedAt := time.Now()
-	next := shard.Plan(in)
-	if next != nil {
-		took, uses := time.Since(startedAt), shard.ServerLoads(in)
-		lm.Events.Record(event.StateChange, "planned", "service", service, "took", took, "servers", len(uses),
-			"uses", fmt.Sprintf("%.3v", uses[:min(len(uses), maxLoggedServers)]))
+	next, report := shard.PlanWithReport(in)
+	if lm.SpeedRanges {
+		lm.Planned(service, report)
+		lm.checkedAt[service] = now
+		if !urgent && report.LossShare < urgentLossShare && now.Sub(lm.balancedAt[service]) < balanceInterval {
+			return nil
+		}
+		lm.balancedAt[service] = now
+	}
+	if next == nil {
+		return nil
 	}
+	took, uses := time.Since(startedAt), report.Servers
+	var more []any
+	if lm.SpeedRanges {
+		more = []any{"lost-share", fmt.Sprintf("%.3f", report.LossShare), "moves", describeMoves(report)}
+	} else {
+		uses = shard.ServerLoads(in)
+	}
+	lm.Events.Record(event.StateChange, "planned", append([]any{"service", service, "took", took, "servers", len(uses),
+		"uses", fmt.Sprintf("%.3v", uses[:min(len(uses), maxLoggedServers)])}, more...)...)
 	return next
 }
 
+// describeMoves lists the numbers of moves by reason for the log.
+func describeMoves(report shard.Report) string {
+	var out []string
+	for reason, n := range report.Moves {
+		if n > 0 {
+			out = append(out, fmt.Sprintf("%v:%d", shard.Reason(reason), n))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
 // countServers counts the servers of the services that have no owners, for readyToDivide.
 func (lm *Manager) countServers(now time.Time) {
 	counts := map[string]int{}
@@ -267,6 +302,12 @@
 	in := shard.Input{
 		Map: m, TargetLatency: lm.TargetLatency(service).Seconds(), Addresses: map[string]string{}, Restarted: restarted(servers, m),
 	}
+	var rejects map[string]float64
+	usualRejects := 0.0
+	if lm.SpeedRanges {
+		in.SpeedRanges, in.Work = true, lm.Work(service)
+		rejects, usualRejects = lm.RejectRates(service)
+	}
 	average, n := 0.0, 0
 	for _, c := range capacities {
 		average, n = average+c, n+1
@@ -307,8 +348,12 @@
 		if usable && (unproven || lm.contacts.isSuspected(id)) {
 			usable = lm.contacts.reachable(shard.Owner{Server: id, Address: s.Address}, now)
 		}
+		rejectRate, known := rejects[id]
+		if !known {
+			rejectRate = usualRejects
+		}
 		in.Servers = append(in.Servers, shard.ServerState{
-			ID: id, Address: s.Address, Capacity: capacity, Slots: s.Slots, Usable: usable, Lost: lost, Capped: capped,
+			ID: id, Address: s.Address, Capacity: capacity, Slots: s.Slots, Usable: usable, Lost: lost, Capped: capped, RejectRate: rejectRate,
 		})
 		in.Addresses[id] = s.Address
 	}
--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -107,3 +107,35 @@
 		is.Equal(s.Capacity, 20.0)
 	}
 }
+
+// Guards against plans that ignore what servers reject, and against moves at twice the pace while little is lost.
+func TestPlansFollowLosses(t *testing.T) {
+	is := is.New(t)
+	servers, now := map[string]rules.Server{}, time.Now()
+	for i := range 20 {
+		id := fmt.Sprintf("s%02d", i)
+		servers[id] = rules.Server{ID: id, Service: "books", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: "d0", Slots: 3}
+	}
+	lm := New(Deps{
+		Name: "i0", Domain: "d0", Clock: fakeClock{now}, Roster: roster.New("i0", "d0"), Incarnation: 1, Events: event.New(io.Discard, log.InfoLevel),
+		Servers:       func() *rules.ServerSet { return rules.NewServerSet(servers) },
+		TargetLatency: func(string) time.Duration { return time.Second },
+		Capacities:    func(string) map[string]float64 { return map[string]float64{"s00": 15} },
+		SpeedRanges:   true, Work: func(string) *shard.WorkTimes { return nil }, Planned: func(string, shard.Report) {},
+		RejectRates: func(string) (map[string]float64, float64) { return map[string]float64{"s01": 0.2}, 0.01 },
+	})
+	in := lm.planInput("books", &shard.Map{}, now)
+	for _, s := range in.Servers {
+		is.Equal(s.RejectRate, map[bool]float64{true: 0.2, false: 0.01}[s.ID == "s01"])
+	}
+	in.Map, in.Load = shard.Plan(in), make([]float64, shard.NumKeys)
+	for key := range in.Load {
+		in.Load[key] = 100.0 / shard.NumKeys
+	}
+	for after, moves := range map[time.Duration]bool{0: false, balanceInterval / 2: false, balanceInterval: true} {
+		lm.balancedAt["books"] = now
+		is.Equal(lm.plan("books", in, false, now.Add(after)) != nil, moves) // 2% of the requests are lost
+		is.Equal(lm.balanceDue("books", now.Add(after)), false)
+		is.Equal(lm.balanceDue("books", now.Add(after+balanceInterval/2)), true)
+	}
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -100,6 +100,9 @@
 	probeTimeout = 1200 * time.Millisecond
 	// balanceInterval is the minimum time between two plans that only balance load.
 	balanceInterval = 700 * time.Millisecond
+	// urgentLossShare is the share of the requests of a service that are expected to be lost from which on plans follow each
+	// other after half of balanceInterval, with Deps.SpeedRanges.
+	urgentLossShare = 0.03
 	// maxCompletionDelay is how long the record of completed moves may wait for further ones, or for a
 	// plan that goes into the same record. Meanwhile the other instances know the completion from a message,
 	// and the leader renews the leases. If the leader is lost, the next one ends the old leases and grants
@@ -217,6 +220,13 @@
 	// server can serve, by id.
 	Load       func(service string) []float64
 	Capacities func(service string) map[string]float64
+	// SpeedRanges lets plans follow rejections and service times, and each other sooner while much is lost. With it,
+	// RejectRates returns the shares of requests that servers reject, of some servers by id and of all others; Work
+	// returns the distribution of service times, nil if it is not known; Planned is called for each plan.
+	SpeedRanges bool
+	RejectRates func(service string) (byServer map[string]float64, others float64)
+	Work        func(service string) *shard.WorkTimes
+	Planned     func(service string, r shard.Report)
 	// LeadershipChanged is called when this instance starts or stops deciding about owners.
 	LeadershipChanged func(leads bool)
 	// BroadcastRegister sends records of the register to the other instances, BroadcastOwners a change of
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -57,7 +57,11 @@
 	startedAt         time.Time
 	registerCheckedAt time.Time
 	plannedAt         time.Time
-	leads             bool
+	// checkedAt and balancedAt hold, by service, when a plan was last made that only balances load, and one that counted
+	// whatever the loss. They are used with Deps.SpeedRanges only.
+	checkedAt  map[string]time.Time
+	balancedAt map[string]time.Time
+	leads      bool
 	// knownLeader is the last known leader, empty for none.
 	knownLeader  string
 	serverCounts map[string]serverCount
@@ -90,7 +94,7 @@
 	return &Manager{
 		Deps: d, guards: allGuards, view: newLocalView(), storeUpdates: make(chan follow.Update, 16),
 		ownerChanges: make(chan OwnerChange, 64), registerUpdates: make(chan []follow.Record, 64), peerViews: make(chan *View, 4), completions: make(chan completedMove, 256), renewers: map[string]*renewer{},
-		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{},
+		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, checkedAt: map[string]time.Time{}, balancedAt: map[string]time.Time{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{},
 		contacts: newContacts(connect, grantTimeout), anyPath: newContacts(d.Probe, probeTimeout),
 	}
 }
--- a/internal/node/admissions.go
+++ b/internal/node/admissions.go
@@ -118,7 +118,7 @@
 	ad.refreshPools(ad.pools.serviceOf(pool))
 	c := ad.controllers[pool]
 	if c == nil {
-		c = admit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), ad.node.controllerOptions())
+		c = admit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), ad.node.controllerOptions(ad.pools.serviceOf(pool)))
 		ad.controllers[pool] = c
 		ad.deliver(c.SetServers(time.Now(), ad.pools.serversOf(pool, ad.node.cluster.servers(), ad.node.cluster.config.Load())))
 	}
@@ -200,6 +200,17 @@
 	return c.ReportCapacity()
 }
 
+// workReport returns the number of answers of a service since the last call by bucket of their service times, nil if there
+// are none.
+func (ad *admissions) workReport(service string) []uint16 {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	if c := ad.controllers[service]; c != nil {
+		return c.ReportWork()
+	}
+	return nil
+}
+
 // deliver sends decisions to the instances that requested them, or passes them to the own client. The lock is held.
 func (ad *admissions) deliver(decisions []admit.Decision) {
 	for _, d := range decisions {
@@ -362,6 +373,9 @@
 func (a *admission) Complete(d admit.Completion) {
 	defer a.admissions.client.close(a.serial)
 	d.ID, d.Server, d.Route = admit.ID{Serial: a.serial}, a.server, a.route
+	if d.Outcome == admit.Full || d.Outcome == admit.Failed {
+		a.admissions.node.loadTracker.rejected(a.pool)
+	}
 	a.restateRest(d.Outcome)
 	if !a.controller.IsValid() {
 		a.admissions.complete(a.pool, d)
@@ -468,6 +482,7 @@
 	if reason == "" {
 		reason = admit.Overload
 	}
+	ad.node.loadTracker.rejected(r.Service)
 	return nil, &admit.Rejected{
 		Pool: r.Pool, Reason: reason, RetryIn: time.Duration(m.RetryInMs) * time.Millisecond, Wait: time.Duration(m.WaitMs) * time.Millisecond,
 		Reserved: m.Reserved, Earlier: earlier,
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -284,6 +284,8 @@
 		n.admissions.client.handleCheck(r.From, m)
 	case dgram.LoadReport:
 		n.loadTracker.add(m, time.Now())
+	case dgram.ServerReport:
+		n.loadTracker.learn(m, time.Now())
 	case dgram.OwnerChange:
 		n.handleOwnerChange(m)
 	case dgram.RegisterUpdate:
@@ -310,6 +312,7 @@
 func (n *Node) leadershipChanged(leading bool) {
 	n.sendHeartbeatToAll()
 	if !leading {
+		n.plans.Clear()
 		return
 	}
 	n.requestRead(n.platform.ConfigTopic)
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -30,12 +30,31 @@
 	// reported to this one as the leader.
 	counts   map[string]map[uint16]uint16
 	services map[string]*serviceLoad
+	// speedRanges is the setting load.speed-ranges. hurryUntil holds, by service, until when this instance reports more
+	// often with it.
+	speedRanges bool
+	hurryUntil  map[string]time.Time
 }
 
 // serviceLoad is the load of one service and the capacity of its servers, by id, as the leader knows them.
 type serviceLoad struct {
 	rates      *shard.Rates
 	capacities map[string]capacityEstimates
+	// rejects holds the rejections by server, work the distribution of service times. The reports began at since, and the
+	// last one came at reportedAt.
+	rejects    *shard.Rejects
+	work       shard.WorkTimes
+	since      time.Time
+	reportedAt time.Time
+}
+
+// newServiceLoad returns the load of a service that is reported for the first time.
+func newServiceLoad(speedRanges bool, now time.Time) *serviceLoad {
+	s := &serviceLoad{rates: shard.NewRates(now), capacities: map[string]capacityEstimates{}, rejects: shard.NewRejects(), since: now}
+	if speedRanges {
+		s.rates = shard.NewGroupRates(now)
+	}
+	return s
 }
 
 // capacityEstimates holds the last estimate of the capacity of one server by each instance, weighted by the number of
@@ -76,7 +95,12 @@
 // rate returns the weighted mean of the estimates in requests per second, and whether enough answers are known for
 // it.
 func (es capacityEstimates) rate(now time.Time) (float64, bool) {
-	sum, answers := 0.0, 0.0
+	sum, answers := es.weigh(now)
+	return sum / max(answers, minCapacityAnswers), answers >= minCapacityAnswers
+}
+
+// weigh returns the sum of the estimates, weighted by the number of answers, and that number. It drops old estimates.
+func (es capacityEstimates) weigh(now time.Time) (sum, answers float64) {
 	for name, e := range es {
 		if e.decay(now); e.answers < minEstimateAnswers {
 			delete(es, name)
@@ -85,11 +109,13 @@
 		sum += e.rate * e.answers
 		answers += e.answers
 	}
-	return sum / max(answers, minCapacityAnswers), answers >= minCapacityAnswers
+	return sum, answers
 }
 
-func newLoadTracker() *loadTracker {
-	return &loadTracker{counts: map[string]map[uint16]uint16{}, services: map[string]*serviceLoad{}}
+func newLoadTracker(speedRanges bool) *loadTracker {
+	return &loadTracker{
+		counts: map[string]map[uint16]uint16{}, services: map[string]*serviceLoad{}, speedRanges: speedRanges, hurryUntil: map[string]time.Time{},
+	}
 }
 
 // count counts a request for a key.
@@ -98,16 +124,22 @@
 	defer l.mu.Unlock()
 	if l.counts[service] == nil {
 		l.counts[service] = map[uint16]uint16{}
+		if _, known := l.hurryUntil[service]; !known {
+			l.hurry(service, time.Now())
+		}
 	}
 	l.counts[service][key]++
 }
 
-// flush returns the counts since the last call by service, as reports of the named instance.
-func (l *loadTracker) flush(name string) map[string]dgram.LoadReport {
+// flush returns the counts since the last call by service, as reports of the named instance, of the services that are due.
+func (l *loadTracker) flush(name string, due func(service string) bool) map[string]dgram.LoadReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]dgram.LoadReport, len(l.counts))
 	for service, counts := range l.counts {
+		if !due(service) {
+			continue
+		}
 		m := dgram.LoadReport{Name: name, Service: service}
 		for key, count := range counts {
 			m.Keys = append(m.Keys, key)
@@ -123,11 +155,7 @@
 func (l *loadTracker) add(m dgram.LoadReport, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.services[m.Service]
-	if s == nil {
-		s = &serviceLoad{rates: shard.NewRates(now), capacities: map[string]capacityEstimates{}}
-		l.services[m.Service] = s
-	}
+	s := l.reported(m.Service, now)
 	for i, key := range m.Keys {
 		if i < len(m.Counts) {
 			s.rates.Add(key, int(m.Counts[i]), now)
@@ -141,18 +169,32 @@
 			s.capacities[id] = capacityEstimates{}
 		}
 		s.capacities[id].add(m.Name, m.Capacities[i], int(m.Answers[i]), now)
+		if l.speedRanges {
+			s.rejects.Add(id, 0, int(m.Answers[i]), now)
+		}
 	}
 }
 
+// reported returns the load of a service that is reported. The lock is held.
+func (l *loadTracker) reported(service string, now time.Time) *serviceLoad {
+	s := l.services[service]
+	if s == nil || l.speedRanges && now.Sub(s.reportedAt) > maxReportGap {
+		s = newServiceLoad(l.speedRanges, now)
+		l.services[service] = s
+	}
+	s.reportedAt = now
+	return s
+}
+
 // load returns the requests per second of a service by key, nil if nothing is known.
 func (l *loadTracker) load(service string) []float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.services[service]
-	if s == nil {
+	now, s := time.Now(), l.services[service]
+	if s == nil || l.speedRanges && now.Sub(s.since) < minLoadAge {
 		return nil
 	}
-	return s.rates.Load(time.Now())
+	return s.rates.Load(now)
 }
 
 // capacities returns the known capacities of the servers of a service in requests per second.
@@ -164,6 +206,9 @@
 		return nil
 	}
 	now := time.Now()
+	if l.speedRanges {
+		return s.speeds(now)
+	}
 	out := make(map[string]float64, len(s.capacities))
 	for id, es := range s.capacities {
 		if rate, known := es.rate(now); known {
@@ -186,20 +231,41 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if lost, failed := n.port.Dropped.Swap(0), n.port.Failed.Swap(0); lost+failed > 0 {
-			n.events.Record(event.StateChange, "messages-lost", "lost", lost, "failed", failed)
+		n.logLostMessages()
+		n.sendLoadReports(func(string) bool { return true })
+	}
+}
+
+// logLostMessages logs how many messages were lost since the last call, if any.
+func (n *Node) logLostMessages() {
+	if lost, failed := n.port.Dropped.Swap(0), n.port.Failed.Swap(0); lost+failed > 0 {
+		n.events.Record(event.StateChange, "messages-lost", "lost", lost, "failed", failed)
+	}
+}
+
+// sendLoadReports sends the reports of the services that are due.
+func (n *Node) sendLoadReports(due func(service string) bool) {
+	reports := n.loadTracker.flush(n.settings.Name, due)
+	for _, service := range n.cluster.dividedServices() {
+		if !due(service) {
+			continue
 		}
-		reports := n.loadTracker.flush(n.settings.Name)
-		for _, service := range n.cluster.dividedServices() {
-			m := reports[service]
-			m.Name, m.Service = n.settings.Name, service
-			for id, capacity := range n.admissions.capacityReport(service) {
+		m := reports[service]
+		m.Name, m.Service = n.settings.Name, service
+		more := dgram.ServerReport{Service: service}
+		for id, capacity := range n.admissions.capacityReport(service) {
+			if capacity.Answers > 0 {
 				m.Servers = append(m.Servers, id)
 				m.Capacities = append(m.Capacities, capacity.Rate)
 				m.Answers = append(m.Answers, uint16(min(capacity.Answers, math.MaxUint16)))
 			}
-			n.sendLoadReport(m)
+			if capacity.Rejected > 0 {
+				more.Servers = append(more.Servers, id)
+				more.Rejected = append(more.Rejected, uint16(min(capacity.Rejected, math.MaxUint16)))
+			}
 		}
+		n.sendLoadReport(m)
+		n.sendServerReport(more)
 	}
 }
 
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -15,7 +15,7 @@
 func TestCapacityIsWeightedByAnswers(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
-	l := newLoadTracker()
+	l := newLoadTracker(false)
 	for range 20 {
 		now = now.Add(reportInterval)
 		l.add(dgram.LoadReport{Name: "a", Service: "books", Servers: []string{"s"}, Capacities: []float64{12}, Answers: []uint16{6}}, now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	"example.org/mustardring/internal/retry"
 	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
+	"example.org/mustardring/internal/shard"
 	"example.org/mustardring/internal/stated"
 	"example.org/mustardring/internal/tunnel"
 	"example.org/mustardring/internal/upstr"
@@ -152,6 +153,10 @@
 	// loggedReach is what was logged last, sizeLogged says that the number of instances was. Only checkLoop uses them.
 	loggedReach storeReach
 	sizeLogged  bool
+	// plans holds the shard.Report of the last plan of each service that this instance made as the leader.
+	plans sync.Map
+	// workReportedAt holds, by service, when the last ServerReport was sent. Only reportSpeedsLoop uses it.
+	workReportedAt map[string]time.Time
 }
 
 // storeReach states for which topics the last calls to the store succeeded.
@@ -170,7 +175,7 @@
 		settings: settings, platform: platform, events: events, port: port,
 		roster: roster.New(settings.Name, settings.Domain),
 		meters: edge.NewMeters(), suspects: edge.NewCrashTracker(), incarnation: rand.Uint64() | 1,
-		unreachableLoggedAt: map[string]time.Time{}, storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(),
+		unreachableLoggedAt: map[string]time.Time{}, workReportedAt: map[string]time.Time{}, storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(),
 		updates: map[string]chan follow.Update{}, readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, broadcasts: map[string]chan follow.Update{},
 		lag: map[string]*lagDetector{}, completedMoves: make(chan dgram.MovedRange, maxCompletedMoves), heartbeatLeaderNow: make(chan struct{}, 1), heartbeatAllNow: make(chan struct{}, 1), viewRequests: make(chan string, 1), stopping: make(chan struct{}),
 		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: newPeerClient(), joined: make(chan struct{}), heard: newHeardPeers(),
@@ -189,14 +194,16 @@
 		n.topics[topic] = newTopicCopy()
 		n.broadcasts[topic] = make(chan follow.Update, maxQueuedBroadcasts)
 	}
-	n.loadTracker = newLoadTracker()
+	n.loadTracker = newLoadTracker(settings.Overload.SpeedRanges)
 	n.admissions = newAdmissions(n)
 	n.leases = lease.New(lease.Deps{
 		Name: settings.Name, Domain: settings.Domain, LeaseClient: platform.LeaseClient, Store: n.platform.Store,
 		Topic: platform.OwnersTopic, Incarnation: n.incarnation, Clock: clock.Boot{}, Roster: n.roster, Events: events,
 		ServerLeaves: func(server string) { n.observeLeave(server, stated.Source{}) },
 		Servers:      n.cluster.servers, DirectoryVersion: n.cluster.snapshotVersion.Load, Services: n.cluster.dividedServices, TargetLatency: n.cluster.shortestTarget, Load: n.loadTracker.load, Capacities: n.loadTracker.capacities,
-		Probe: n.probeServer, RereadOwners: func() { n.requestRead(platform.OwnersTopic) },
+		SpeedRanges: settings.Overload.SpeedRanges, RejectRates: n.loadTracker.rejectRates, Work: n.loadTracker.workTimes,
+		Planned: func(service string, r shard.Report) { n.plans.Store(service, r) },
+		Probe:   n.probeServer, RereadOwners: func() { n.requestRead(platform.OwnersTopic) },
 		DirectoryAge: func() time.Duration { return n.watches[platform.ServersTopic].Age() },
 		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: n.requireDirectory,
 		LeadershipChanged: n.leadershipChanged, BroadcastOwners: n.broadcastOwnerChange, BroadcastRegister: n.broadcastRegister, MoveCompleted: n.moveCompleted,
@@ -341,7 +348,11 @@
 	group.Go("settled", n.broadcastMovesLoop)
 	group.Go("holder", n.leases.Run)
 	group.Go("permits", n.admissions.run)
-	group.Go("loads", n.reportLoop)
+	if n.settings.Overload.SpeedRanges {
+		group.Go("loads", n.reportSpeedsLoop)
+	} else {
+		group.Go("loads", n.reportLoop)
+	}
 	group.Go("statements", n.statementLoop)
 	group.Go("tunnels", n.tunnelLoop)
 	group.Go("ready", n.serveReady)
--- a/internal/node/overload.go
+++ b/internal/node/overload.go
@@ -9,10 +9,14 @@
 	"example.org/mustardring/internal/fair"
 )
 
-// controllerOptions returns what the settings turn on in the controllers of this instance.
-func (n *Node) controllerOptions() admit.Options {
+// controllerOptions returns what the settings turn on in the controllers of a service of this instance. Keys move with the
+// speeds of servers; requests without a key just go elsewhere, so that their controllers follow each change at once.
+func (n *Node) controllerOptions(service string) admit.Options {
 	o := n.settings.Overload
-	return admit.Options{FairShares: o.FairShares, Floors: fair.Floors(o.PriorityFloors), KeptReturns: o.KeptReturns}
+	return admit.Options{
+		FairShares: o.FairShares, Floors: fair.Floors(o.PriorityFloors), KeptReturns: o.KeptReturns,
+		SpeedRanges: o.SpeedRanges && isDivided(n.cluster.config.Load(), service),
+	}
 }
 
 // identityOf returns what tells callers apart according to the settings.
@@ -50,6 +54,9 @@
 		fmt.Sprintf("returns{result=\"missed\"} %d\n", c.Missed), fmt.Sprintf("returns{result=\"refused\"} %d\n", c.Refused),
 		fmt.Sprintf("share_rejects{reason=\"pushed-out\"} %d\n", c.PushedOut),
 	}
+	if n.settings.Overload.SpeedRanges {
+		lines = append(lines, n.planMetrics()...)
+	}
 	for service, counts := range n.edge.RetryBudget.Counts() {
 		lines = append(lines, fmt.Sprintf("repeats{service=%q,result=\"sent\"} %d\n", service, counts.Sent),
 			fmt.Sprintf("repeats{service=%q,result=\"refused\"} %d\n", service, counts.Refused),
