Show admissions and carried requests that have not ended

Cause: no metric shows whether an instance still holds an admission, or sends a request of another one, after all requests have ended. Change: metrics admissions{state} with admitted, waiting and requested, and carried_requests.

--- a/internal/admit/tick.go
+++ b/internal/admit/tick.go
@@ -103,3 +103,6 @@
 // Idle reports whether no request waits and all decisions have been returned, so that Tick need not
 // be called.
 func (c *Controller) Idle() bool { return len(c.queued) == 0 && len(c.undelivered) == 0 }
+
+// Outstanding returns the number of admissions that have not ended, and that of waiting requests.
+func (c *Controller) Outstanding() (admitted, waiting int) { return len(c.admitted), len(c.queued) }
--- a/internal/node/admission_client.go
+++ b/internal/node/admission_client.go
@@ -89,6 +89,13 @@
 	delete(c.decisions, serial)
 }
 
+// openCount returns the number of serial numbers in use.
+func (c *admissionClient) openCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.decisions)
+}
+
 // handleDecision passes a decision to the request that waits for it. An admission that nobody waits for is cancelled
 // at once.
 func (c *admissionClient) handleDecision(from netip.AddrPort, m dgram.AdmissionDecision) {
--- a/internal/node/overload.go
+++ b/internal/node/overload.go
@@ -58,10 +58,26 @@
 	return out
 }
 
+// outstanding returns the admissions that the controllers of this instance have granted and that have not ended, and the
+// requests that wait there.
+func (ad *admissions) outstanding() (admitted, waiting int) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	for _, c := range ad.controllers {
+		a, w := c.Outstanding()
+		admitted, waiting = admitted+a, waiting+w
+	}
+	return admitted, waiting
+}
+
 // overloadMetrics returns the lines of the metrics of operation under load.
 func (n *Node) overloadMetrics() []string {
 	c := n.admissions.loadCounts()
+	admitted, waiting := n.admissions.outstanding()
 	lines := []string{
+		fmt.Sprintf("admissions{state=\"admitted\"} %d\n", admitted), fmt.Sprintf("admissions{state=\"waiting\"} %d\n", waiting),
+		fmt.Sprintf("admissions{state=\"requested\"} %d\n", n.admissions.client.openCount()),
+		fmt.Sprintf("carried_requests %d\n", n.carried.Load()),
 		fmt.Sprintf("returns{result=\"kept\"} %d\n", c.Kept), fmt.Sprintf("returns{result=\"met\"} %d\n", c.Met),
 		fmt.Sprintf("returns{result=\"missed\"} %d\n", c.Missed), fmt.Sprintf("returns{result=\"refused\"} %d\n", c.Refused),
 		fmt.Sprintf("share_rejects{reason=\"pushed-out\"} %d\n", c.PushedOut),
