--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -111,31 +111,41 @@
 // Guards against plans that ignore what servers reject, and against moves at twice the pace while little is lost.
 func TestPlansFollowLosses(t *testing.T) {
 	is := is.New(t)
-	servers, now := map[string]rules.Server{}, time.Now()
+	servers, capacities := map[string]rules.Server{}, map[string]float64{}
 	for i := range 20 {
 		id := fmt.Sprintf("s%02d", i)
 		servers[id] = rules.Server{ID: id, Service: "books", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: "d0", Slots: 3}
+		capacities[id] = 15
 	}
+	now, rejected := time.Now(), 0.2
 	lm := New(Deps{
 		Name: "i0", Domain: "d0", Clock: fakeClock{now}, Roster: roster.New("i0", "d0"), Incarnation: 1, Events: event.New(io.Discard, log.InfoLevel),
 		Servers:       func() *rules.ServerSet { return rules.NewServerSet(servers) },
 		TargetLatency: func(string) time.Duration { return time.Second },
-		Capacities:    func(string) map[string]float64 { return map[string]float64{"s00": 15} },
+		Capacities:    func(string) map[string]float64 { return capacities },
 		SpeedRanges:   true, Work: func(string) *shard.WorkTimes { return nil }, Planned: func(string, shard.Report) {},
-		RejectRates: func(string) (map[string]float64, float64) { return map[string]float64{"s01": 0.2}, 0.01 },
+		RejectRates: func(string) (map[string]float64, float64) { return map[string]float64{"s01": rejected}, 0.01 },
 	})
-	in := lm.planInput("books", &shard.Map{}, now)
-	for _, s := range in.Servers {
-		is.Equal(s.RejectRate, map[bool]float64{true: 0.2, false: 0.01}[s.ID == "s01"])
-	}
-	in.Map, in.Load = shard.Plan(in), make([]float64, shard.NumKeys)
-	for key := range in.Load {
-		in.Load[key] = 100.0 / shard.NumKeys
+	plan := func(after time.Duration) *shard.Map {
+		in := lm.planInput("books", &shard.Map{}, now)
+		in.Map = shard.Plan(in)
+		in.Load = make([]float64, shard.NumKeys)
+		for key := range in.Load {
+			in.Load[key] = 100.0 / shard.NumKeys
+		}
+		at := now.Add(after)
+		if !lm.balanceDue("books", at) {
+			return nil
+		}
+		return lm.plan("books", in, false, at)
 	}
-	for after, moves := range map[time.Duration]bool{0: false, balanceInterval / 2: false, balanceInterval: true} {
-		lm.balancedAt["books"] = now
-		is.Equal(lm.plan("books", in, false, now.Add(after)) != nil, moves) // 2% of the requests are lost
-		is.Equal(lm.balanceDue("books", now.Add(after)), false)
-		is.Equal(lm.balanceDue("books", now.Add(after+balanceInterval/2)), true)
+	for _, s := range lm.planInput("books", &shard.Map{}, now).Servers {
+		is.Equal(s.RejectRate, map[bool]float64{true: rejected, false: 0.01}[s.ID == "s01"])
 	}
+	is.True(plan(0) != nil)
+	is.Equal(plan(balanceInterval/4), nil)
+	is.Equal(plan(balanceInterval/2), nil) // 2% of the requests are lost
+	is.True(plan(balanceInterval) != nil)
+	rejected = 0.9
+	is.True(plan(balanceInterval*3/2) != nil)
 }
