--- a/internal/fair/shares.go
+++ b/internal/fair/shares.go
@@ -16,7 +16,7 @@
 	// maxRejectedShare is the largest part of a caller's share that goes to such charges, and
 	// maxRejectedBurst the largest sum of them at once, in requests. Without these bounds the
 	// charges of a caller that is rejected four times as often as served grow faster than the
-	// virtual time, and it is never served again (TestRejectedCallersKeepHalf).
+	// virtual time, and it is never served again.
 	rejectedShare    = 0.25
 	maxRejectedShare = 0.5
 	maxRejectedBurst = 1
