Keep leases on new connections while the store is down

Cause: a renewal on a new connection waits until the directory would list a server that has started again under its name.

Change: an answer on a verified connection shows that the incarnation still runs, and so verifies the connections that were opened before the grant was sent. Each instance keeps a second connection to the servers that it renews, and asks the likely former renewers of a server it takes over, who renew once and answer.

Safety: a connection reaches one incarnation only, and a restart ends it, so the new connection reaches the incarnation that answered or one that has ended.

--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -172,6 +172,16 @@
 		RestMs int64
 		Asked  RestAsked
 	}
+	// IncarnationQuery asks an instance that may have renewed the leases of a server whether its incarnation still runs.
+	IncarnationQuery struct {
+		Server string
+		Serial uint64
+	}
+	// IncarnationAnswer says that the incarnation still ran after the query with the same serial number was received.
+	IncarnationAnswer struct {
+		Server string
+		Serial uint64
+	}
 	// CrashReport announces that a server was lost while it ran the request with a fingerprint, or, if
 	// Cleared is set, that such a request had an answer.
 	CrashReport struct {
@@ -220,6 +230,8 @@
 func (ServerLeave) kind() byte       { return 19 }
 func (ServerRest) kind() byte        { return 20 }
 func (ServerReport) kind() byte      { return 21 }
+func (IncarnationQuery) kind() byte  { return 22 }
+func (IncarnationAnswer) kind() byte { return 23 }
 
 // Received is a message and the address of its sender.
 type Received struct {
@@ -310,6 +322,10 @@
 		return decode[ServerRest](data[1:])
 	case 21:
 		return decode[ServerReport](data[1:])
+	case 22:
+		return decode[IncarnationQuery](data[1:])
+	case 23:
+		return decode[IncarnationAnswer](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/dgram/dgram_test.go
+++ b/internal/dgram/dgram_test.go
@@ -83,6 +83,7 @@
 		Heartbeat{Heartbeat: roster.Heartbeat{Name: "i1", Failing: []string{"s1"}}}, AdmissionRequest{}, AdmissionDecision{}, Completion{}, Cancel{}, LoadReport{Name: "i1", Keys: []uint16{1}},
 		CrashReport{}, OwnerChange{Service: "s", Changes: []shard.Range{{From: 1, To: 9, Server: "a", FormerOwners: []shard.Owner{{Server: "b"}}}}},
 		CompletedMoves{}, TopicUpdate{}, AdmissionCheck{}, ViewRequest{}, ViewSnapshot{Maps: map[string][]byte{"s": {1}}}, ServerReport{Servers: []string{"s"}, Work: []uint16{1}},
+		IncarnationQuery{Server: "s", Serial: 1}, IncarnationAnswer{Server: "s", Serial: 1},
 	} {
 		if data, err := Encode(m); err == nil {
 			f.Add(data)
--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -172,6 +173,8 @@
 	delayedGrants float64
 	lostAppends   float64
 	lostMessages  float64
+	// closedConns is the share of the grants after whose answer the server closes the connection.
+	closedConns float64
 	// appendTimeout is how long an append blocks while the store is down.
 	appendTimeout time.Duration
 	// viewSharing is the probability that an instance with a newer view sends it along with a heartbeat.
@@ -186,6 +189,10 @@
 	expiredIn map[string]bool
 	// endedFences holds the highest fences of the leases of ended incarnations, by name and checked key.
 	endedFences map[string][]uint64
+	// directoryAsOf is the time as of which the instances know the directory, and oldDirectory what it was then; zero and nil
+	// while they know it as it is.
+	directoryAsOf time.Time
+	oldDirectory  map[string]rules.Server
 	// topFences holds the highest fence with which any server has had each checked key, and that server.
 	topFences  [shard.NumKeys / keySpacing]topFence
 	violations []string
@@ -259,6 +266,9 @@
 func (tc *testCluster) directoryServers(domain string) map[string]rules.Server {
 	tc.mu.Lock()
 	defer tc.mu.Unlock()
+	if tc.oldDirectory != nil {
+		return tc.oldDirectory
+	}
 	out := map[string]rules.Server{}
 	for _, s := range tc.directory {
 		out[s.ID] = s
@@ -272,6 +282,16 @@
 	return out
 }
 
+// directoryAge returns the age of the directory as the instances know it.
+func (tc *testCluster) directoryAge() time.Duration {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	if tc.directoryAsOf.IsZero() {
+		return 0
+	}
+	return time.Since(tc.directoryAsOf)
+}
+
 // instance is an instance of the system.
 type instance struct {
 	cluster *testCluster
@@ -293,14 +313,15 @@
 	}
 	client := &storeClient{tc, name}
 	n.manager = New(Deps{
-		Name: name, Domain: domain, LeaseClient: &fakeLeaseClient{cluster: tc, name: name, conns: map[string]*fakeConn{}}, Store: client, Topic: ownersTopic, Incarnation: incarnation,
+		Name: name, Domain: domain, LeaseClient: &fakeLeaseClient{cluster: tc, name: name, conns: map[string][]*fakeConn{}}, Store: client, Topic: ownersTopic, Incarnation: incarnation,
 		Clock: fakeClock{tc.start}, Roster: n.roster, Events: event.New(tc.traceOutput(), log.InfoLevel),
 		Servers: func() *rules.ServerSet { return rules.NewServerSet(tc.directoryServers(domain)) }, DirectoryVersion: func() uint64 { return uint64(time.Since(tc.start)) }, Services: func() []string { return []string{service} },
 		TargetLatency: func(string) time.Duration { return time.Second },
 		Load:          func(string) []float64 { return tc.loadAt(name) },
 		Capacities:    func(string) map[string]float64 { return nil },
 		Probe:         func(ctx context.Context, server shard.Owner) error { return tc.probe(ctx, name, server) },
-		DirectoryAge:  func() time.Duration { return 0 }, EntryDelay: time.Second, ReadDirectory: func(clock.Instant) {},
+		DirectoryAge:  func() time.Duration { return tc.directoryAge() }, EntryDelay: time.Second, ReadDirectory: func(clock.Instant) {},
+		QueryIncarnation:  n.queryIncarnation,
 		LeadershipChanged: func(bool) {}, OwnersChanged: func() {}, SendHeartbeat: func() {},
 		RereadOwners: func() {
 			select {
@@ -370,7 +391,7 @@
 		for worker.Sleep(ctx, 100*time.Millisecond) {
 			b := roster.Heartbeat{
 				Name: n.name, Incarnation: incarnation, Confirmed: n.manager.ConfirmedOffset(), Known: n.manager.View().End,
-				StoreOK: n.manager.StoreOK(), Failing: n.manager.Failing(), LatestEra: n.manager.LatestEra(),
+				Stopping: n.manager.isStopping(), StoreOK: n.manager.StoreOK(), Failing: n.manager.Failing(), LatestEra: n.manager.LatestEra(),
 				SentAt: int64(n.manager.Clock.Now()), KnownAge: n.manager.Age().Milliseconds() + 1,
 			}
 			n.roster.RecordHeartbeat(b, time.Now())
@@ -418,6 +439,25 @@
 	})
 }
 
+// queryIncarnation asks the instances that have probably renewed the leases of a server. Messages may be lost.
+func (n *instance) queryIncarnation(s rules.Server, serial uint64) {
+	asked := n.roster.LikelyRenewers(s.ID, s.Domain, time.Now())
+	n.toOthers(func(o *instance) {
+		if !slices.ContainsFunc(asked, func(p roster.Peer) bool { return p.Name == o.name }) {
+			return
+		}
+		reply := func() {
+			if !n.cluster.isCut(o.name, n.name) && !n.cluster.chance(n.cluster.lostMessages) {
+				n.manager.IncarnationRuns(s.ID, serial)
+			}
+		}
+		select {
+		case o.manager.IncarnationQueries() <- IncarnationQuery{Server: s.ID, Reply: reply}:
+		default:
+		}
+	})
+}
+
 // toOthers calls do for each other instance that a message reaches.
 func (n *instance) toOthers(do func(o *instance)) {
 	for _, o := range n.cluster.others(n.name) {
--- a/internal/lease/grant_test.go
+++ b/internal/lease/grant_test.go
@@ -31,7 +31,8 @@
 	return Reply{}, nil
 }
 
-func (o *cancelFirstGrant) Connect(context.Context, shard.Owner) error { return nil }
+func (o *cancelFirstGrant) Connect(context.Context, shard.Owner) error   { return nil }
+func (o *cancelFirstGrant) KeepSpare(context.Context, shard.Owner) error { return nil }
 
 // Guards against keys without an owner after a canceled grant. When plans followed closely, the next record changed
 // other keys of the same server and so canceled the grants of one move in eight. Their keys then waited
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -168,6 +168,8 @@
 	Release(ctx context.Context, to shard.Owner, g Grant) (Reply, error)
 	// Connect opens a connection to a server, which the next grant uses. It sends nothing.
 	Connect(ctx context.Context, to shard.Owner) error
+	// KeepSpare opens a second connection to a server unless there is one. Grants take turns on both.
+	KeepSpare(ctx context.Context, to shard.Owner) error
 }
 
 // View is what an instance believes about the owners of all services and the registered instances.
@@ -216,6 +218,9 @@
 	DirectoryAge  func() time.Duration
 	EntryDelay    time.Duration
 	ReadDirectory func(asOf clock.Instant)
+	// QueryIncarnation asks the instances that have probably renewed the leases of a server whether its incarnation still
+	// runs. Their answers are passed to IncarnationRuns.
+	QueryIncarnation func(server rules.Server, serial uint64)
 	// Load returns the requests per second by key. Capacities returns the requests per second that each
 	// server can serve, by id.
 	Load       func(service string) []float64
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -36,6 +36,10 @@
 	answeredAt time.Time
 	// withheldReason is the reason that was logged last for which no renewal was sent, empty after an answer.
 	withheldReason string
+	// proof is what is known about the incarnation of the server.
+	proof incarnationProof
+	// spareError is the error of the last try to open a second connection, empty after a success.
+	spareError string
 }
 
 // failing reports whether the server does not answer. A server that gets no more renewals because it has lost
@@ -88,6 +92,25 @@
 		if !r.recordResult(err) {
 			return
 		}
+		r.keepSpare(ctx)
+	}
+}
+
+// keepSpare opens a second connection to the server unless there is one. The answers on one show that the other reaches the same
+// incarnation, so that leases do not run out while the store is down if the server closes one.
+func (r *renewer) keepSpare(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	message := ""
+	if err := r.manager.LeaseClient.KeepSpare(ctx, r.owner()); err != nil {
+		message = err.Error()
+	}
+	r.mu.Lock()
+	changed := message != r.spareError
+	r.spareError = message
+	r.mu.Unlock()
+	if changed && message != "" {
+		r.manager.Events.Record(event.StateChange, "spare-connection-not-opened", "server", r.server.ID, "error", message)
 	}
 }
 
@@ -118,6 +141,14 @@
 // send sends a grant if current, which is checked just before sending, reports that it is still right. With
 // firstGrant no instance can have sent a grant with this fence before.
 func (r *renewer) send(ctx context.Context, g Grant, firstGrant bool, current func() bool) error {
+	verify := func(ctx context.Context, openedAt clock.Instant) error {
+		return r.awaitVerified(ctx, openedAt, firstGrant)
+	}
+	return r.sendVerified(ctx, g, verify, current)
+}
+
+// sendVerified does the same if verify passes.
+func (r *renewer) sendVerified(ctx context.Context, g Grant, verify GrantCheck, current func() bool) error {
 	r.sending <- struct{}{}
 	defer func() { <-r.sending }()
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
@@ -130,11 +161,13 @@
 	}
 	// The view is checked once there is a connection: how long ago that was opened decides when a grant counts as verified,
 	// and after a start of all instances the leases run out meanwhile.
+	// provenAt is when the grant was sent, if it was sent on a connection that is known to reach the incarnation.
+	var provenAt clock.Instant
 	check := func(ctx context.Context, openedAt clock.Instant) error {
 		if !r.manager.mayAct() {
 			return errStaleView
 		}
-		if err := r.manager.awaitVerified(ctx, r.server.ID, openedAt, firstGrant); err != nil {
+		if err := verify(ctx, openedAt); err != nil {
 			return err
 		}
 		if !r.manager.mayAct() {
@@ -143,13 +176,24 @@
 		if !current() {
 			return context.Canceled
 		}
+		if r.verify(openedAt, false) == nil {
+			provenAt = r.manager.Clock.Now()
+		}
 		return nil
 	}
-	reply, err := r.manager.LeaseClient.Grant(ctx, shard.Owner{Server: r.server.ID, Address: r.server.Address}, g, check)
+	reply, err := r.manager.LeaseClient.Grant(ctx, r.owner(), g, check)
 	r.manager.observeReply(r.server.ID, reply)
+	if err == nil && provenAt != 0 {
+		r.recordRun(provenAt)
+	}
 	return err
 }
 
+// owner returns the server as the owner of keys.
+func (r *renewer) owner() shard.Owner {
+	return shard.Owner{Server: r.server.ID, Address: r.server.Address}
+}
+
 // observeReply passes on what the answer of a server states about it.
 func (lm *Manager) observeReply(server string, reply Reply) {
 	if reply.Leaving {
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -29,6 +29,10 @@
 	peerViews       chan *View
 	// completions takes the moves whose new owner has its first grant.
 	completions chan completedMove
+	// queries takes the queries of other instances about incarnations of servers, answers holds an element for each that is
+	// being answered.
+	queries chan IncarnationQuery
+	answers chan struct{}
 	// jobs counts the goroutines that Run waits for.
 	jobs sync.WaitGroup
 
@@ -93,7 +97,7 @@
 	connect := func(ctx context.Context, server shard.Owner) error { return d.LeaseClient.Connect(ctx, server) }
 	return &Manager{
 		Deps: d, guards: allGuards, view: newLocalView(), storeUpdates: make(chan follow.Update, 16),
-		ownerChanges: make(chan OwnerChange, 64), registerUpdates: make(chan []follow.Record, 64), peerViews: make(chan *View, 4), completions: make(chan completedMove, 256), renewers: map[string]*renewer{},
+		ownerChanges: make(chan OwnerChange, 64), registerUpdates: make(chan []follow.Record, 64), peerViews: make(chan *View, 4), completions: make(chan completedMove, 256), queries: make(chan IncarnationQuery, 64), answers: make(chan struct{}, maxAnswers), renewers: map[string]*renewer{},
 		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, checkedAt: map[string]time.Time{}, balancedAt: map[string]time.Time{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{},
 		contacts: newContacts(connect, grantTimeout), anyPath: newContacts(d.Probe, probeTimeout),
 	}
@@ -173,6 +177,8 @@
 			lm.applyPeerView(peer)
 		case m := <-lm.completions:
 			lm.recordCompletion(m)
+		case q := <-lm.queries:
+			lm.answerQuery(ctx, q)
 		case <-ticker.C:
 		}
 		if lm.isStopping() {
--- a/internal/lease/server_test.go
+++ b/internal/lease/server_test.go
@@ -43,8 +43,9 @@
 	cluster *testCluster
 	name    string
 
-	mu    sync.Mutex
-	conns map[string]*fakeConn
+	mu sync.Mutex
+	// conns holds up to two connections by incarnation, the least recently used first.
+	conns map[string][]*fakeConn
 }
 
 // fakeConn is a connection to one incarnation of a server, and is useless after that has ended.
@@ -95,18 +96,36 @@
 	lc.mu.Lock()
 	defer lc.mu.Unlock()
 	// Incarnations at the same address have different ids, as in the requests.
-	c := lc.conns[to.Server]
+	cs := lc.conns[to.Server]
 	switch {
-	case server == nil || c != nil && c.server != server:
+	case server == nil || len(cs) > 0 && cs[0].server != server:
 		delete(lc.conns, to.Server)
 		return nil, errCut
-	case c == nil:
-		c = &fakeConn{server: server, openedAt: fakeClock{lc.cluster.start}.Now()}
-		lc.conns[to.Server] = c
+	case len(cs) == 0:
+		cs = []*fakeConn{{server: server, openedAt: fakeClock{lc.cluster.start}.Now()}}
+	}
+	c := cs[0]
+	if lc.conns[to.Server] = append(cs[1:], c); lc.cluster.closedConns > 0 && lc.cluster.chance(lc.cluster.closedConns) {
+		lc.conns[to.Server] = cs[1:] // the server closes it after the answer
 	}
 	return c, nil
 }
 
+func (lc *fakeLeaseClient) KeepSpare(_ context.Context, to shard.Owner) error {
+	if !lc.cluster.namedRestarts || lc.cluster.isCut(lc.name, to.Address) {
+		return nil
+	}
+	lc.cluster.mu.Lock()
+	server := lc.cluster.serverAt(to.Address)
+	lc.cluster.mu.Unlock()
+	lc.mu.Lock()
+	defer lc.mu.Unlock()
+	if cs := lc.conns[to.Server]; server != nil && len(cs) < 2 {
+		lc.conns[to.Server] = append(cs, &fakeConn{server: server, openedAt: fakeClock{lc.cluster.start}.Now()})
+	}
+	return nil
+}
+
 func (lc *fakeLeaseClient) Connect(ctx context.Context, to shard.Owner) error {
 	lc.cluster.delay()
 	if lc.cluster.isCut(lc.name, to.Address) {
--- a/internal/lease/verify.go
+++ b/internal/lease/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"example.org/mustardring/internal/clock"
@@ -23,16 +24,19 @@
 // Second, the server crashes, and by a renewal with the old fence the new incarnation gets the keys of the old
 // one. So a renewal also waits until the directory would list a new incarnation.
 //
+// While the store is down, neither can be known of a new connection. Then it counts that the incarnation still ran after
+// the connection was opened, as its answer on a connection shows that was verified earlier, of this instance or of another
+// one: the new connection reaches the same incarnation, or an earlier one that has ended.
+//
 // If each incarnation has a name of its own there is nothing to verify: it rejects requests to another one.
-func (lm *Manager) awaitVerified(ctx context.Context, server string, openedAt clock.Instant, firstGrant bool) error {
-	if !lm.guards.verifyConnection || rules.NameOf(server) == server {
-		return nil
-	}
+func (r *renewer) awaitVerified(ctx context.Context, openedAt clock.Instant, firstGrant bool) error {
+	lm := r.manager
 	rereadAt := openedAt
 	if !firstGrant {
 		rereadAt = openedAt.Add(lm.EntryDelay)
 	}
-	for reread := false; !lm.viewCurrentAt(openedAt) || !firstGrant && !lm.directoryCurrentAt(openedAt); {
+	err := r.verify(openedAt, firstGrant)
+	for reread := false; errors.Is(err, ErrUnverified); err = r.verify(openedAt, firstGrant) {
 		if !reread && lm.Clock.Now() >= rereadAt {
 			reread = true
 			lm.RereadOwners()
@@ -40,14 +44,39 @@
 				lm.ReadDirectory(openedAt.Add(lm.EntryDelay))
 			}
 		}
+		if lm.storeSeemsDown(openedAt) {
+			r.queryIncarnation(time.Now())
+		}
 		if !worker.Sleep(ctx, verifyInterval) {
 			return ErrUnverified
 		}
 	}
-	if !lm.Servers().Has(server) {
+	return err
+}
+
+// verify returns nil if a grant is known to be current on a connection to the server that was opened at openedAt,
+// ErrServerGone if the directory lists another incarnation, and ErrUnverified if neither is known.
+func (r *renewer) verify(openedAt clock.Instant, firstGrant bool) error {
+	lm := r.manager
+	switch {
+	case !lm.guards.verifyConnection || rules.NameOf(r.server.ID) == r.server.ID:
+		return nil
+	case !r.runsSince(openedAt) && (!lm.viewCurrentAt(openedAt) || !firstGrant && !lm.directoryCurrentAt(openedAt)):
+		return ErrUnverified
+	case !lm.Servers().Has(r.server.ID):
 		return ErrServerGone
+	default:
+		return nil
 	}
-	return nil
+}
+
+// queryAfter is the time after which other instances are asked about an incarnation although the copy of the directory is
+// recent, in addition to the delay of directory entries. A read of the store takes a fraction of it.
+const queryAfter = 100 * time.Millisecond
+
+// storeSeemsDown reports whether a connection that was opened at openedAt is not going to be verified by the store soon.
+func (lm *Manager) storeSeemsDown(openedAt clock.Instant) bool {
+	return lm.DirectoryAge() > lm.EntryDelay || lm.Clock.Now() >= openedAt.Add(lm.EntryDelay+queryAfter)
 }
 
 // viewCurrentAt reports whether the view is known to have been the newest at an instant: from the store, or
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -304,6 +304,10 @@
 		n.handleLeave(m)
 	case dgram.ServerRest:
 		n.handleRest(r.From, m)
+	case dgram.IncarnationQuery:
+		n.handleIncarnationQuery(r.From, m)
+	case dgram.IncarnationAnswer:
+		n.leases.IncarnationRuns(m.Server, m.Serial)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,7 +210,7 @@
 		Planned: func(service string, r shard.Report) { n.plans.Store(service, r) },
 		Probe:   n.probeServer, RereadOwners: func() { n.requestRead(platform.OwnersTopic) },
 		DirectoryAge: func() time.Duration { return n.watches[platform.ServersTopic].Age() },
-		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: n.requireDirectory,
+		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: n.requireDirectory, QueryIncarnation: n.queryIncarnation,
 		LeadershipChanged: n.leadershipChanged, BroadcastOwners: n.broadcastOwnerChange, BroadcastRegister: n.broadcastRegister, MoveCompleted: n.moveCompleted,
 		FetchView: n.requestView, EraChanged: n.sendHeartbeatToAll, OwnersChanged: n.ownersChanged, SendHeartbeat: n.sendHeartbeatToLeader,
 	})
--- a/internal/roster/rank.go
+++ b/internal/roster/rank.go
@@ -271,6 +271,35 @@
 	return false
 }
 
+// maxRenewers is the maximum number of instances that LikelyRenewers returns.
+const maxRenewers = 3
+
+// LikelyRenewers returns the other instances that have most probably renewed the leases of a server lately: the first of those
+// that are in charge of it or are stopping.
+func (r *Roster) LikelyRenewers(server, domain string, now time.Time) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refreshAll(now)
+	key := subject{server, domain}
+	var first ranked
+	for _, c := range r.connectedFor(server, domain) {
+		if c.peer.Name != r.self {
+			first.insert(c, maxRenewers)
+		}
+	}
+	hash := xxhash.Sum64String(server)
+	for _, p := range r.sorted {
+		if p.Heartbeat.Stopping && p.Name != r.self && r.alive(p, now) {
+			first.insert(r.connected.newCandidate(p, key, hash), maxRenewers)
+		}
+	}
+	out := make([]Peer, 0, maxRenewers)
+	for _, c := range first.top {
+		out = append(out, *c.peer)
+	}
+	return out
+}
+
 // RankVersion returns a number that changes whenever the results of Rank, RankConnected and Responsible may have changed.
 func (r *Roster) RankVersion(now time.Time) uint64 {
 	r.mu.Lock()
