Give capped servers no keys beyond their capacity

When all other servers are overloaded, a cold server was the least utilized target for the keys of a lost one, and a move to it gained something up to far beyond the rate that it may get. With a tenth of the servers idle and cold, all candidate targets were cold ones.

A capped server is now a target only for a load that fits below its capacity, and capped servers are candidates beside the others instead of in their place. If all servers are capped, keys of lost ones still go to the least utilized of them.

--- a/internal/shard/planner.go
+++ b/internal/shard/planner.go
@@ -50,9 +50,11 @@
 	// the latter, sorted by id.
 	servers map[string]*server
 	usable  []*server
-	// leastUtilized and mostHeadroom hold the usable servers, sorted by utilization and by headroom.
+	// leastUtilized and mostHeadroom hold the usable servers that are not capped, sorted by utilization and by headroom.
+	// capped holds the others, sorted by headroom.
 	leastUtilized sortedServers
 	mostHeadroom  sortedServers
+	capped        sortedServers
 	// targets and candidates are the results of candidateTargets and pieces, reused between calls.
 	targets    []*server
 	candidates []piece
@@ -73,6 +75,7 @@
 	p := &planner{in: in, fence: in.Map.Fence, servers: map[string]*server{}}
 	p.leastUtilized.key = func(s *server) float64 { return s.utilization(0) }
 	p.mostHeadroom.key = func(s *server) float64 { return -s.headroom() * (1 - s.penalty) }
+	p.capped.key = p.mostHeadroom.key
 	total, work := 0.0, in.Work.mean()
 	for _, st := range in.Servers {
 		if !st.Usable || st.Lost {
@@ -114,8 +117,12 @@
 	for _, s := range p.usable {
 		s.lossRate = p.lossRate(s.load, s)
 	}
-	p.leastUtilized.fill(p.usable)
-	p.mostHeadroom.fill(p.usable)
+	for _, list := range p.lists() {
+		list.all = p.usable
+	}
+	for _, s := range p.usable {
+		p.list(s)
+	}
 	return p
 }
 
@@ -129,6 +136,9 @@
 	return s
 }
 
+// hasRoom reports whether the server may be given a load: a capped one rejects what exceeds its capacity.
+func (s *server) hasRoom(load float64) bool { return !s.Capped || s.load+load <= s.capacity }
+
 // eligible reports whether the server may get keys.
 func (s *server) eligible() bool { return s.capacity > 0 }
 
@@ -165,31 +175,76 @@
 }
 
 // candidateTargets returns the servers with the lowest utilization and those with the most headroom. One
-// of them is the best target, or close to it, for a load of any size.
+// of them is the best target, or close to it, for a load of any size. Idle capped servers have room for little, and must not
+// be the only candidates.
 func (p *planner) candidateTargets() []*server {
 	if len(p.usable) <= 2*maxTargets {
 		return p.usable
 	}
 	out := p.targets[:0]
-	for i := range maxTargets {
-		out = append(out, p.leastUtilized.at(i))
-	}
-	for i := range maxTargets {
-		if s := p.mostHeadroom.at(i); !slices.Contains(out[:maxTargets], s) {
-			out = append(out, s)
+	for _, list := range p.lists() {
+		first := out
+		for i := range min(maxTargets, len(list.order)) {
+			if s := list.at(i); !slices.Contains(first, s) {
+				out = append(out, s)
+			}
 		}
 	}
 	p.targets = out
 	return out
 }
 
-// leastUtilizedAfter returns the candidate target with the lowest utilization after taking a load.
+// leastUtilizedAfter returns the candidate target with the lowest utilization after taking a load. A capped server that has no
+// room for the load is the target only if all servers are capped.
 func (p *planner) leastUtilizedAfter(load float64) *server {
 	return slices.MinFunc(p.candidateTargets(), func(a, b *server) int {
-		return cmp.Compare(a.utilization(load), b.utilization(load))
+		switch aHasRoom := a.hasRoom(load); {
+		case aHasRoom == b.hasRoom(load):
+			return cmp.Compare(a.utilization(load), b.utilization(load))
+		case aHasRoom:
+			return -1
+		default:
+			return 1
+		}
 	})
 }
 
+// lists returns the lists of usable servers.
+func (p *planner) lists() [3]*sortedServers {
+	return [...]*sortedServers{&p.leastUtilized, &p.mostHeadroom, &p.capped}
+}
+
+// list adds a usable server to the lists that it belongs to.
+func (p *planner) list(s *server) {
+	if s.Capped {
+		p.capped.add(s)
+		return
+	}
+	p.leastUtilized.add(s)
+	p.mostHeadroom.add(s)
+}
+
+// unlist removes a usable server from the lists that it is in.
+func (p *planner) unlist(s *server) {
+	if s.Capped {
+		p.capped.remove(s)
+		return
+	}
+	p.leastUtilized.remove(s)
+	p.mostHeadroom.remove(s)
+}
+
+// greatestHeadroom returns the headroom of the usable server with the most of it.
+func (p *planner) greatestHeadroom() float64 {
+	greatest := math.Inf(-1)
+	for _, list := range []*sortedServers{&p.mostHeadroom, &p.capped} {
+		if len(list.order) > 0 {
+			greatest = max(greatest, list.at(0).headroom())
+		}
+	}
+	return greatest
+}
+
 // reassignLost gives the keys of lost servers to others, and reports whether there were any. A server
 // that was restarted gets its former keys back with a higher fencing token: callers are spared a second
 // move, and the server is as fast as before. A capped one gets them only up to its capacity.
@@ -210,7 +265,7 @@
 		to, restarted := p.servers[p.in.Restarted[id]]
 		for len(from.owned) > 0 {
 			p.moves[Lost]++
-			if restarted && to.eligible() && (!to.Capped || to.load+p.loadOf(from.owned[0]) <= to.capacity) {
+			if restarted && to.eligible() && to.hasRoom(p.loadOf(from.owned[0])) {
 				p.moveRange(from, 0, to)
 				continue
 			}
@@ -279,12 +334,10 @@
 		s.load += load
 		return
 	}
-	p.leastUtilized.remove(s)
-	p.mostHeadroom.remove(s)
+	p.unlist(s)
 	s.load += load
 	s.lossRate = p.lossRate(s.load, s)
-	p.leastUtilized.add(s)
-	p.mostHeadroom.add(s)
+	p.list(s)
 }
 
 // byLoss returns the usable servers in descending order of the loss rate.
@@ -307,14 +360,6 @@
 	return cmp.Or(cmp.Compare(l.key(l.all[a]), l.key(l.all[b])), cmp.Compare(a, b))
 }
 
-func (l *sortedServers) fill(servers []*server) {
-	l.all, l.order = servers, make([]int32, len(servers))
-	for i := range l.order {
-		l.order[i] = int32(i)
-	}
-	slices.SortFunc(l.order, l.compare)
-}
-
 // at returns the server at a position.
 func (l *sortedServers) at(i int) *server { return l.all[l.order[i]] }
 
--- a/internal/shard/rebalance.go
+++ b/internal/shard/rebalance.go
@@ -157,7 +157,7 @@
 func (p *planner) pieces(s *server) []piece {
 	out := p.candidates[:0]
 	canSplit := p.rangeCount < maxMeanRanges*len(p.usable)
-	headroom := headroomShare * p.mostHeadroom.at(0).headroom()
+	headroom := headroomShare * p.greatestHeadroom()
 	for i, r := range s.owned {
 		if len(r.FormerOwners) > 0 {
 			continue
@@ -211,7 +211,7 @@
 	for _, t := range targets {
 		// If the piece exceeds the capacity of the target, a part of it may be moved instead, and the
 		// rest to other servers in the same plan.
-		if t == source || c.divisible && t.load+c.load > t.capacity {
+		if t == source || !t.hasRoom(c.load) || c.divisible && t.load+c.load > t.capacity {
 			continue
 		}
 		p.comparisons++
