Only replace lost servers while the load is unknown

A leader that has just taken over knows no load for 0.75 s. If a server was lost, its plan also joined ranges: without a load all of them seem idle, so that runs of busy ranges went to one server each.

--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -121,8 +121,10 @@
 	}
 	before := p.fence
 	p.reassignLost()
-	p.joinRanges()
-	p.rebalance()
+	if !p.blind() {
+		p.joinRanges()
+		p.rebalance()
+	}
 	if p.fence == before {
 		return nil, report
 	}
