Infer speeds from the owners in force while nothing is measured

A leader that has just taken over knows neither load nor speeds. It took all servers and keys for equal, so that the keys of a lost server went to those with the fewest keys: the slow ones, and those with the busiest keys. A cold server got back all of its former keys, whatever its rate.

With load.speed-ranges a plan without a load now takes the load of each server for its capacity, and both in proportion to its keys for the most part.

--- a/internal/shard/blind_test.go
+++ b/internal/shard/blind_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -25,3 +26,29 @@
 		is.New(t).True(r.Server == was || was == "s00")
 	}
 }
+
+// Guards against a leader that has just taken over and gives the keys of lost servers to slow ones, or to cold ones beyond
+// their rates.
+func TestLeaderWithoutMeasurementsSparesSlowServers(t *testing.T) {
+	for name, servers := range map[string]int{"30 servers": 30, "300 servers": 300} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			in := overloaded(servers, 1.3)
+			known := in
+			in.SpeedRanges, in.Load = true, nil
+			in.Servers = slices.Clone(in.Servers[servers/10:])
+			for i := range in.Servers {
+				in.Servers[i].Capacity = 2
+			}
+			cold := shard.ServerState{ID: "s00~2", Capacity: 1, Slots: 2, Usable: true, Capped: true}
+			in.Servers, in.Restarted = append(in.Servers, cold), map[string]string{"s00": cold.ID}
+			known.Map = shard.Plan(in)
+			is.Equal(len(known.Map.RangesOf(cold.ID)), 0)
+			known.Servers = known.Servers[servers/10:]
+			is.True(unevenness(known) <= 1.25)
+			is.Equal(shard.Plan(shard.Input{
+				Map: completeMoves(known.Map), Servers: in.Servers, Addresses: in.Addresses, TargetLatency: in.TargetLatency, SpeedRanges: true,
+			}), nil)
+		})
+	}
+}
--- a/internal/shard/losses.go
+++ b/internal/shard/losses.go
@@ -62,7 +62,9 @@
 			out.Rejecting++
 		}
 	}
-	out.LossShare = lost / max(load, minCapacity)
+	if !p.blind() {
+		out.LossShare = lost / max(load, minCapacity)
+	}
 	return out
 }
 
--- a/internal/shard/overload_test.go
+++ b/internal/shard/overload_test.go
@@ -53,3 +53,12 @@
 		}
 	}
 }
+
+// unevenness returns the highest utilization of a server that is not capped as a multiple of that of all of them.
+func unevenness(in shard.Input) float64 {
+	load, capacity, highest := 0.0, 0.0, 0.0
+	for _, s := range shard.ServerLoads(in) {
+		load, capacity, highest = load+s.Load, capacity+s.Capacity, max(highest, s.Load/s.Capacity)
+	}
+	return highest * capacity / load
+}
--- a/internal/shard/planner.go
+++ b/internal/shard/planner.go
@@ -100,11 +100,14 @@
 	}
 	p.meanCapacity = total / float64(max(len(p.usable), 1))
 	p.loadBelow = make([]float64, NumKeys+1)
-	base := total * baseLoadShare / NumKeys
+	base, loads := total*baseLoadShare/NumKeys, in.Load
+	if p.blind() {
+		base, loads = 0, p.inferredLoad()
+	}
 	for key := range NumKeys {
 		load := base
-		if len(in.Load) == NumKeys {
-			load += in.Load[key]
+		if len(loads) == NumKeys {
+			load += loads[key]
 		}
 		p.loadBelow[key+1] = p.loadBelow[key] + load
 	}
@@ -114,6 +117,9 @@
 		s.load += p.loadOf(r)
 		p.rangeCount++
 	}
+	if p.blind() {
+		p.inferCapacities()
+	}
 	for _, s := range p.usable {
 		s.lossRate = p.lossRate(s.load, s)
 	}
@@ -136,8 +142,10 @@
 	return s
 }
 
-// hasRoom reports whether the server may be given a load: a capped one rejects what exceeds its capacity.
-func (s *server) hasRoom(load float64) bool { return !s.Capped || s.load+load <= s.capacity }
+// hasRoom reports whether a server may be given a load: a capped one rejects what exceeds its capacity.
+func (p *planner) hasRoom(s *server, load float64) bool {
+	return !s.Capped || s.load+load <= s.capacity && !p.blind()
+}
 
 // eligible reports whether the server may get keys.
 func (s *server) eligible() bool { return s.capacity > 0 }
@@ -198,8 +206,8 @@
 // room for the load is the target only if all servers are capped.
 func (p *planner) leastUtilizedAfter(load float64) *server {
 	return slices.MinFunc(p.candidateTargets(), func(a, b *server) int {
-		switch aHasRoom := a.hasRoom(load); {
-		case aHasRoom == b.hasRoom(load):
+		switch aHasRoom := p.hasRoom(a, load); {
+		case aHasRoom == p.hasRoom(b, load):
 			return cmp.Compare(a.utilization(load), b.utilization(load))
 		case aHasRoom:
 			return -1
@@ -265,7 +273,7 @@
 		to, restarted := p.servers[p.in.Restarted[id]]
 		for len(from.owned) > 0 {
 			p.moves[Lost]++
-			if restarted && to.eligible() && to.hasRoom(p.loadOf(from.owned[0])) {
+			if restarted && to.eligible() && p.hasRoom(to, p.loadOf(from.owned[0])) {
 				p.moveRange(from, 0, to)
 				continue
 			}
@@ -277,13 +285,16 @@
 }
 
 // splitLarge splits the range with index i of a server if its load is more than a quarter of the mean
-// capacity: the first part has about that quarter.
+// capacity, or a smaller part if plans are blind: the first part has about that load.
 func (p *planner) splitLarge(s *server, i int) {
-	r := s.owned[i]
-	if p.loadOf(r) <= p.meanCapacity/4 {
+	r, load := s.owned[i], p.meanCapacity/4
+	if p.blind() {
+		load = p.meanCapacity * blindPieceShare
+	}
+	if p.loadOf(r) <= load {
 		return
 	}
-	if at, ok := p.splitPoint(r, p.meanCapacity/4); ok {
+	if at, ok := p.splitPoint(r, load); ok {
 		p.split(s, i, at)
 	}
 }
--- a/internal/shard/rebalance.go
+++ b/internal/shard/rebalance.go
@@ -211,7 +211,7 @@
 	for _, t := range targets {
 		// If the piece exceeds the capacity of the target, a part of it may be moved instead, and the
 		// rest to other servers in the same plan.
-		if t == source || !t.hasRoom(c.load) || c.divisible && t.load+c.load > t.capacity {
+		if t == source || !p.hasRoom(t, c.load) || c.divisible && t.load+c.load > t.capacity {
 			continue
 		}
 		p.comparisons++
