Spread an overload of a whole service evenly

A plan weighs losses only. When all servers are overloaded, a request is lost wherever its key moves, and a divisible piece was not moved to any server whose capacity it exceeds, which then are all. Servers kept up to twice the mean relative load, whatever had joined, left or become faster.

With load.speed-ranges, and only while the load of a service exceeds its capacity, the part of a server's utilization above 1.05 times that of the service has a cost of its own; moves between overloaded servers are allowed if the target stays the less utilized one; and the 20 most utilized servers are considered as sources besides those with the greatest losses.

--- /dev/null
+++ b/internal/shard/even.go
@@ -0,0 +1,64 @@
+package shard
+
+import "slices"
+
+// When a whole service is overloaded, a request is lost wherever its key moves, and the losses alone leave servers with
+// several times the relative load of others. With Input.SpeedRanges an uneven overload therefore has a cost of its own.
+
+const (
+	// evenOverload is the utilization above which a server of an overloaded service has too much of the load, as a multiple
+	// of that of the service. Smaller differences are mostly errors of the measured load.
+	evenOverload = 1.05
+	// unevenCost is the cost of an excess in lost requests: multiplied by the capacity of the server and by the square of the
+	// excess of its utilization.
+	unevenCost = 0.7
+	// maxUneven is the number of the most utilized servers from which moves are considered besides those that lose the most
+	// requests: slow servers lose few.
+	maxUneven = 20
+)
+
+// evenUtilization returns the utilization above which servers have too much of the load, zero if the service is not
+// overloaded.
+func (p *planner) evenUtilization() float64 {
+	load, capacity := p.loadBelow[NumKeys], 0.0
+	for _, s := range p.usable {
+		if s.Capped {
+			load -= s.load
+		} else {
+			capacity += s.capacity
+		}
+	}
+	if !p.in.SpeedRanges || p.blind() || load <= capacity {
+		return 0
+	}
+	return evenOverload * load / max(capacity, minCapacity)
+}
+
+// cost returns the requests per second that are lost or late at a server under a load, and the cost of its excess.
+func (p *planner) cost(load float64, s *server) float64 {
+	cost := p.lossRate(load, s)
+	if excess := load/s.capacity - p.maxEven; p.maxEven > 0 && excess > 0 {
+		cost += unevenCost * s.capacity * excess * excess
+	}
+	return cost
+}
+
+// relieves reports whether a move may overload its target further, as it leaves the target no more utilized than the source.
+func (p *planner) relieves(source *server, load float64, target *server) bool {
+	return p.maxEven > 0 && target.utilization(load) <= source.utilization(-load)
+}
+
+// addUneven adds the servers that have too much of the load of an overloaded service to others.
+func (p *planner) addUneven(sources []*server) []*server {
+	if p.maxEven == 0 {
+		return sources
+	}
+	order := p.leastUtilized.order
+	for i := range min(maxUneven, len(order)) {
+		s := p.leastUtilized.at(len(order) - 1 - i)
+		if s.load > p.maxEven*s.capacity && !slices.Contains(sources, s) {
+			sources = append(sources, s)
+		}
+	}
+	return sources
+}
--- a/internal/shard/planner.go
+++ b/internal/shard/planner.go
@@ -16,6 +16,8 @@
 	capacity float64
 	load     float64
 	lossRate float64
+	// cost is lossRate and what is added to it for an uneven overload.
+	cost float64
 	// slow is the share of requests whose service time alone exceeds the target, accepted that of requests that the server
 	// does not reject, and penalty that of requests that are lost to either. Without Input.SpeedRanges none are.
 	slow     float64
@@ -61,6 +63,8 @@
 	// rangeCount is the number of ranges of all servers, meanCapacity the mean of the usable ones.
 	rangeCount   int
 	meanCapacity float64
+	// maxEven is the result of evenUtilization before any move.
+	maxEven float64
 	// moves holds the number of moved ranges by reason.
 	moves [reasons]int
 	// comparisons counts the targets that were compared for moves. Tests check it.
@@ -120,8 +124,9 @@
 	if p.blind() {
 		p.inferCapacities()
 	}
+	p.maxEven = p.evenUtilization()
 	for _, s := range p.usable {
-		s.lossRate = p.lossRate(s.load, s)
+		s.lossRate, s.cost = p.lossRate(s.load, s), p.cost(s.load, s)
 	}
 	for _, list := range p.lists() {
 		list.all = p.usable
@@ -347,7 +352,7 @@
 	}
 	p.unlist(s)
 	s.load += load
-	s.lossRate = p.lossRate(s.load, s)
+	s.lossRate, s.cost = p.lossRate(s.load, s), p.cost(s.load, s)
 	p.list(s)
 }
 
--- a/internal/shard/rebalance.go
+++ b/internal/shard/rebalance.go
@@ -134,7 +134,7 @@
 	if p.in.SpeedRanges {
 		limit = max(limit, min(int(slowSourcesShare*float64(len(servers))), maxSlowSources))
 	}
-	return servers[:min(len(servers), limit)]
+	return p.addUneven(servers[:min(len(servers), limit)])
 }
 
 // bestMove returns the move from a server with the highest gain. The gain is 0 if no move has a positive
@@ -204,18 +204,18 @@
 	if p.in.SpeedRanges {
 		cost += moveCost + minGainShare*gainSeconds*c.load
 	}
-	saved := source.lossRate - p.lossRate(source.load-c.load, source)
+	saved := source.cost - p.cost(source.load-c.load, source)
 	if gainSeconds*saved <= cost {
 		return best
 	}
 	for _, t := range targets {
 		// If the piece exceeds the capacity of the target, a part of it may be moved instead, and the
 		// rest to other servers in the same plan.
-		if t == source || !p.hasRoom(t, c.load) || c.divisible && t.load+c.load > t.capacity {
+		if t == source || !p.hasRoom(t, c.load) || c.divisible && t.load+c.load > t.capacity && !p.relieves(source, c.load, t) {
 			continue
 		}
 		p.comparisons++
-		added := p.lossRate(t.load+c.load, t) - t.lossRate
+		added := p.cost(t.load+c.load, t) - t.cost
 		if gain := gainSeconds*(saved-added) - cost; gain > best.gain {
 			best.gain, best.target, best.targetVersion = gain, t, t.version
 		}
