Move keys away from capped servers that have too many

A capped server rejects what exceeds its rate. While all others are overloaded, too, its losses weighed no more than theirs, and it kept the keys: after a server had stated a limit, or when the load of a cold one turned out higher than estimated.

With load.speed-ranges the load of a capped server beyond its capacity has a cost of its own, and may move to servers that are overloaded.

--- a/internal/shard/even.go
+++ b/internal/shard/even.go
@@ -3,17 +3,19 @@
 import "slices"
 
 // When a whole service is overloaded, a request is lost wherever its key moves, and the losses alone leave servers with
-// several times the relative load of others. With Input.SpeedRanges an uneven overload therefore has a cost of its own.
+// several times the relative load of others. With Input.SpeedRanges an uneven overload therefore has a cost of its own, and
+// so has the load of a capped server beyond its capacity.
 
 const (
 	// evenOverload is the utilization above which a server of an overloaded service has too much of the load, as a multiple
 	// of that of the service. Smaller differences are mostly errors of the measured load.
 	evenOverload = 1.05
 	// unevenCost is the cost of an excess in lost requests: multiplied by the capacity of the server and by the square of the
-	// excess of its utilization.
+	// excess of its utilization. cappedCost is that of a capped server.
 	unevenCost = 0.7
+	cappedCost = 5
 	// maxUneven is the number of the most utilized servers from which moves are considered besides those that lose the most
-	// requests: slow servers lose few.
+	// requests: slow servers lose few. It is also that of the most utilized capped servers.
 	maxUneven = 20
 )
 
@@ -37,28 +39,43 @@
 // cost returns the requests per second that are lost or late at a server under a load, and the cost of its excess.
 func (p *planner) cost(load float64, s *server) float64 {
 	cost := p.lossRate(load, s)
-	if excess := load/s.capacity - p.maxEven; p.maxEven > 0 && excess > 0 {
-		cost += unevenCost * s.capacity * excess * excess
+	limit, weight := p.maxEven, unevenCost
+	if s.Capped && p.in.SpeedRanges {
+		limit, weight = 1, cappedCost
+	}
+	if excess := load/s.capacity - limit; limit > 0 && excess > 0 {
+		cost += weight * s.capacity * excess * excess
 	}
 	return cost
 }
 
-// relieves reports whether a move may overload its target further, as it leaves the target no more utilized than the source.
+// relieves reports whether a move may overload its target further: it leaves the target no more utilized than the source, or
+// the source is capped and has more than its capacity.
 func (p *planner) relieves(source *server, load float64, target *server) bool {
-	return p.maxEven > 0 && target.utilization(load) <= source.utilization(-load)
+	switch {
+	case !p.in.SpeedRanges:
+		return false
+	case source.Capped:
+		return source.load > source.capacity
+	default:
+		return p.maxEven > 0 && target.utilization(load) <= source.utilization(-load)
+	}
 }
 
-// addUneven adds the servers that have too much of the load of an overloaded service to others.
+// addUneven adds the servers that have too much of the load to others.
 func (p *planner) addUneven(sources []*server) []*server {
-	if p.maxEven == 0 {
+	if !p.in.SpeedRanges {
 		return sources
 	}
-	order := p.leastUtilized.order
-	for i := range min(maxUneven, len(order)) {
-		s := p.leastUtilized.at(len(order) - 1 - i)
-		if s.load > p.maxEven*s.capacity && !slices.Contains(sources, s) {
-			sources = append(sources, s)
+	add := func(list *sortedServers, limit float64) {
+		for i := range min(maxUneven, len(list.order)) {
+			s := list.at(len(list.order) - 1 - i)
+			if limit > 0 && s.load > limit*s.capacity && !slices.Contains(sources, s) {
+				sources = append(sources, s)
+			}
 		}
 	}
+	add(&p.leastUtilized, p.maxEven)
+	add(&p.capped, 1)
 	return sources
 }
--- a/internal/shard/even_test.go
+++ b/internal/shard/even_test.go
@@ -41,3 +41,13 @@
 		}
 	}
 }
+
+// Guards against keys that stay with a server which has stated that it takes few requests, because all others are overloaded.
+func TestCappedServerIsRelieved(t *testing.T) {
+	is := is.New(t)
+	in := overloaded(30, 1.3)
+	in.SpeedRanges = true
+	in.Servers[3].Capacity, in.Servers[3].Capped = 2, true
+	in.Map, _ = planUntilStable(in)
+	is.True(utilization(in)["s03"] <= 1.1)
+}
