Estimate a steady load over a longer period

The load of keys whose rate has not changed was averaged with a half-life of 3 s, which is an error of 12% for a server that gets 8 requests a second. Near and above the capacity of a service each such error moved keys, and cold servers got keys while they seemed to have less than their share.

--- a/internal/shard/groups.go
+++ b/internal/shard/groups.go
@@ -21,6 +21,8 @@
 	evenRequests = 0.1
 	// maxRise bounds how much higher a risen rate is than its average over burstHalfLife.
 	maxRise = 8
+	// minGroupsRate is a rate of all groups together, in requests per second, below which it counts as zero.
+	minGroupsRate = 0.001
 	// minRatesAge is the shortest period that rates are taken to rest on.
 	minRatesAge = 500 * time.Millisecond
 )
@@ -38,7 +40,9 @@
 func (r *Rates) groupLoad(now time.Time) []float64 {
 	since := now.Sub(r.weightsSince)
 	steady, recent, burst := r.fullScale(&r.steady, now), r.fullScale(&r.recent, now), r.fullScale(r.burst, now)
-	baseline := r.baseline.scale(since)
+	baseline, long := r.baseline.scale(since), r.fullScale(&r.baseline, now)
+	calm := r.calmGroups(steady, long)
+	calmScale := long * calm.rate / max(calm.average, minGroupsRate)
 	out := make([]float64, NumKeys)
 	for first := 0; first < NumKeys; first += groupKeys {
 		usual := r.steady.sum(first) * steady
@@ -56,12 +60,35 @@
 		if w == r.burst {
 			rate = max(rate, risenRate(rate, r.recent.sum(first)*recent, r.baseline.sum(first)*baseline))
 		}
+		settled, settledScale := &r.steady, steady
+		if !r.steady.significant(usual, r.baseline.sum(first)*long) {
+			settled, settledScale = &r.baseline, calmScale
+		}
 		for key := first; key < first+groupKeys; key++ {
 			if changed {
 				out[key] = rate * (w.sums[key]*scale + even) / (shown + groupKeys*even)
 				continue
 			}
-			out[key] = chooseRate(r.steady.sums[key]*steady, r.recent.sums[key]*recent, r.baseline.sums[key]*baseline)
+			out[key] = chooseRate(settled.sums[key]*settledScale, r.recent.sums[key]*recent, r.baseline.sums[key]*baseline)
+		}
+	}
+	return out
+}
+
+// calmGroups is the sum of the groups of keys whose rates have not changed for some time, as averages over steadyHalfLife
+// and over baselineHalfLife. The latter shows better how the load is spread, the former how much there is of it.
+type calmGroups struct {
+	rate    float64
+	average float64
+}
+
+// calmGroups returns the sum of the groups whose rates have not changed, given the scales of their averages.
+func (r *Rates) calmGroups(steady, long float64) calmGroups {
+	var out calmGroups
+	for first := 0; first < NumKeys; first += groupKeys {
+		rate, average := r.steady.sum(first)*steady, r.baseline.sum(first)*long
+		if !r.steady.significant(rate, average) {
+			out.rate, out.average = out.rate+rate, out.average+average
 		}
 	}
 	return out
