Take a new load for even unless it shows otherwise

Three quarters of a second after a leader has taken over, its load rests on some ten requests per server. Their number by chance moved keys between servers, a second after those of lost servers had been moved without any measurement.

A half-life of 3 s moved fewer keys, but runs of busy keys within the first seconds of a service took up to 2 s (TestBusyGroupsAreSpread failed).

--- a/internal/shard/groups.go
+++ b/internal/shard/groups.go
@@ -21,6 +21,9 @@
 	evenRequests = 0.1
 	// maxRise bounds how much higher a risen rate is than its average over burstHalfLife.
 	maxRise = 8
+	// evenHalfLife is the age of new rates at which half of a usual load is still taken to be even: the few requests of a
+	// server within the first second would move keys by their number alone.
+	evenHalfLife = time.Second
 	// minGroupsRate is a rate of all groups together, in requests per second, below which it counts as zero.
 	minGroupsRate = 0.001
 	// minRatesAge is the shortest period that rates are taken to rest on.
@@ -43,10 +46,18 @@
 	baseline, long := r.baseline.scale(since), r.fullScale(&r.baseline, now)
 	calm := r.calmGroups(steady, long)
 	calmScale := long * calm.rate / max(calm.average, minGroupsRate)
+	even, newness := calm.rate/max(calm.keys, 1), math.Exp2(-now.Sub(r.startedAt).Seconds()/evenHalfLife.Seconds())
 	out := make([]float64, NumKeys)
 	for first := 0; first < NumKeys; first += groupKeys {
 		usual := r.steady.sum(first) * steady
+		evenShare := newness
+		if r.steady.significant(usual, groupKeys*even) {
+			evenShare = 0
+		}
 		if usual == 0 {
+			for key := first; key < first+groupKeys; key++ {
+				out[key] = evenShare * even
+			}
 			continue
 		}
 		w, scale := r.burst, burst
@@ -55,7 +66,7 @@
 			w, scale = &r.recent, recent
 			rate = w.sum(first) * scale
 		}
-		shown, even := rate, evenRequests/w.halfLife.Seconds()
+		shown, floor := rate, evenRequests/w.halfLife.Seconds()
 		changed := w.significant(rate, usual)
 		if w == r.burst {
 			rate = max(rate, risenRate(rate, r.recent.sum(first)*recent, r.baseline.sum(first)*baseline))
@@ -66,10 +77,13 @@
 		}
 		for key := first; key < first+groupKeys; key++ {
 			if changed {
-				out[key] = rate * (w.sums[key]*scale + even) / (shown + groupKeys*even)
+				out[key] = rate * (w.sums[key]*scale + floor) / (shown + groupKeys*floor)
 				continue
 			}
 			out[key] = chooseRate(settled.sums[key]*settledScale, r.recent.sums[key]*recent, r.baseline.sums[key]*baseline)
+			if out[key] <= even+minGroupChange {
+				out[key] += evenShare * (even - out[key])
+			}
 		}
 	}
 	return out
@@ -80,6 +94,7 @@
 type calmGroups struct {
 	rate    float64
 	average float64
+	keys    float64
 }
 
 // calmGroups returns the sum of the groups whose rates have not changed, given the scales of their averages.
@@ -88,7 +103,7 @@
 	for first := 0; first < NumKeys; first += groupKeys {
 		rate, average := r.steady.sum(first)*steady, r.baseline.sum(first)*long
 		if !r.steady.significant(rate, average) {
-			out.rate, out.average = out.rate+rate, out.average+average
+			out.rate, out.average, out.keys = out.rate+rate, out.average+average, out.keys+groupKeys
 		}
 	}
 	return out
--- a/internal/shard/groups_test.go
+++ b/internal/shard/groups_test.go
@@ -48,3 +48,18 @@
 	is.True(math.Abs(total-6000) < 200)
 	is.True(after < 4700)
 }
+
+// Guards against moves for the chance of the first requests that a new leader knows of, and against busy keys that it misses.
+func TestNewLoadIsEven(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 7))
+	r := shard.NewGroupRates(at(0))
+	addEven(r, random, 0, 0.75, 6000)
+	spread, _ := spanError(r.Load(at(0.75)), 6000)
+	for i := range 6 {
+		r.Add(700, 1, at(0.1+0.1*float64(i)))
+	}
+	t.Logf("error %.3f, busy key %.1f", spread, r.Load(at(0.75))[700])
+	is.True(spread < 0.25)
+	is.True(r.Load(at(0.75))[700] > 6)
+}
