Move keys of an even overload less often

The measured load of a slow server is off by a tenth. From 1.05 times the utilization of the service on, which was taken for an uneven overload, such errors alone moved 0.6 to 0.8% of the keys a second at 1.3 times the capacity. The limit is now 1.15, below the 1.25 that servers may differ by.

--- a/internal/shard/even.go
+++ b/internal/shard/even.go
@@ -9,7 +9,7 @@
 const (
 	// evenOverload is the utilization above which a server of an overloaded service has too much of the load, as a multiple
 	// of that of the service. Smaller differences are mostly errors of the measured load.
-	evenOverload = 1.05
+	evenOverload = 1.15
 	// unevenCost is the cost of an excess in lost requests: multiplied by the capacity of the server and by the square of the
 	// excess of its utilization. cappedCost is that of a capped server.
 	unevenCost = 0.7
