--- a/internal/shard/play_test.go
+++ b/internal/shard/play_test.go
@@ -28,28 +28,38 @@
 	reportPace, planPace float64
 	requests, lost       int
 	moves                [5]int
+	rate                 float64 // requests per second
 }
 
 const (
-	playStep = 0.01
-	playRate = 1074.0 // requests per second
-	playWork = 0.195  // seconds at a server of mean speed
+	playStep  = 0.01
+	playRate  = 1074.0 // requests per second
+	playWork  = 0.195  // seconds at a server of mean speed
+	playSlots = 3
 )
 
 func newPlay(seed uint64, speedRanges bool) *play {
+	var speeds []float64
+	for i := range 140 {
+		speeds = append(speeds, []float64{0.6, 1, 1.6}[i%3])
+	}
+	return newPlayOf(seed, speedRanges, speeds, playRate)
+}
+
+// newPlayOf returns a play of servers with the given speeds and a number of requests per second.
+func newPlayOf(seed uint64, speedRanges bool, speeds []float64, rate float64) *play {
 	p := &play{
 		random: rand.New(rand.NewPCG(seed, 1)), index: map[string]int{}, movedAt: map[uint64]float64{}, reported: map[int][]uint16{},
-		rates: shard.NewRates(time.Unix(0, 0)), reportPace: 0.5, planPace: 0.7,
+		rates: shard.NewRates(time.Unix(0, 0)), reportPace: 0.5, planPace: 0.7, speeds: speeds, rate: rate,
 	}
 	var capacities []float64
-	for i := range 140 {
-		p.speeds = append(p.speeds, []float64{0.6, 1, 1.6}[i%3])
-		capacities = append(capacities, 3*p.speeds[i]/playWork)
-		p.freeAt = append(p.freeAt, make([]float64, 3))
+	for _, speed := range speeds {
+		capacities = append(capacities, playSlots*speed/playWork)
+		p.freeAt = append(p.freeAt, make([]float64, playSlots))
 	}
 	p.in = input(&shard.Map{}, nil, testServers(capacities...))
 	for i, s := range p.in.Servers {
-		p.in.Servers[i].Slots, p.index[s.ID] = 3, i
+		p.in.Servers[i].Slots, p.index[s.ID] = playSlots, i
 	}
 	p.in.TargetLatency = 0.7
 	if speedRanges {
@@ -104,25 +114,31 @@
 	p.in.Map = next
 }
 
+// step plays one step in which a run of keys gets a share of the requests.
+func (p *play) step(step int, first uint16, keys int, share float64) {
+	now := float64(step) * playStep
+	for n := p.rate * playStep; n > p.random.Float64(); n-- {
+		key := uint16(p.random.IntN(shard.NumKeys))
+		if p.random.Float64() < share {
+			key = first + uint16(p.random.IntN(keys))
+		}
+		p.request(now, key)
+	}
+	for _, key := range p.reported[step] {
+		p.rates.Add(key, 1, at(now))
+	}
+	if step%int(p.planPace/playStep) == 0 && now > 1 {
+		p.plan(now)
+	}
+}
+
 // run plays five seconds in which a run of keys gets a share of the requests beside the others. It returns the time until less
 // than 3% of the requests exceed the capacities of servers.
 func (p *play) run(from float64, first uint16, keys int, share float64) float64 {
 	level := math.Inf(1)
 	for step := int(from / playStep); step < int((from+5)/playStep); step++ {
 		now := float64(step) * playStep
-		for n := playRate * playStep; n > p.random.Float64(); n-- {
-			key := uint16(p.random.IntN(shard.NumKeys))
-			if p.random.Float64() < share {
-				key = first + uint16(p.random.IntN(keys))
-			}
-			p.request(now, key)
-		}
-		for _, key := range p.reported[step] {
-			p.rates.Add(key, 1, at(now))
-		}
-		if step%int(p.planPace/playStep) == 0 && now > 1 {
-			p.plan(now)
-		}
+		p.step(step, first, keys, share)
 		if math.IsInf(level, 1) && p.excess(int(first), keys, share) < 0.03 {
 			level = now - from
 		}
@@ -139,7 +155,7 @@
 	}
 	out := 0.0
 	for i, load := range loads {
-		out += max(0, load-p.in.Servers[i].Capacity/playRate)
+		out += max(0, load-p.in.Servers[i].Capacity/p.rate)
 	}
 	return out
 }
