Compute the losses of a server once after each move

The cost of a server repeated the computation of its losses, and the lists of servers grew one by one.

--- a/internal/shard/even.go
+++ b/internal/shard/even.go
@@ -38,15 +38,19 @@
 
 // cost returns the requests per second that are lost or late at a server under a load, and the cost of its excess.
 func (p *planner) cost(load float64, s *server) float64 {
-	cost := p.lossRate(load, s)
+	return p.lossRate(load, s) + p.excessCost(load, s)
+}
+
+// excessCost returns the cost of the part of a load that is too much for a server, in requests per second.
+func (p *planner) excessCost(load float64, s *server) float64 {
 	limit, weight := p.maxEven, unevenCost
 	if s.Capped && p.in.SpeedRanges {
 		limit, weight = 1, cappedCost
 	}
 	if excess := load/s.capacity - limit; limit > 0 && excess > 0 {
-		cost += weight * s.capacity * excess * excess
+		return weight * s.capacity * excess * excess
 	}
-	return cost
+	return 0
 }
 
 // relieves reports whether a move may overload its target further: it leaves the target no more utilized than the source, or
--- a/internal/shard/planner.go
+++ b/internal/shard/planner.go
@@ -126,10 +126,10 @@
 	}
 	p.maxEven = p.evenUtilization()
 	for _, s := range p.usable {
-		s.lossRate, s.cost = p.lossRate(s.load, s), p.cost(s.load, s)
+		p.updateCost(s)
 	}
 	for _, list := range p.lists() {
-		list.all = p.usable
+		list.all, list.order = p.usable, make([]int32, 0, len(p.usable))
 	}
 	for _, s := range p.usable {
 		p.list(s)
@@ -359,10 +359,16 @@
 	}
 	p.unlist(s)
 	s.load += load
-	s.lossRate, s.cost = p.lossRate(s.load, s), p.cost(s.load, s)
+	p.updateCost(s)
 	p.list(s)
 }
 
+// updateCost computes the losses and the cost of a usable server whose load has changed.
+func (p *planner) updateCost(s *server) {
+	s.lossRate = p.lossRate(s.load, s)
+	s.cost = s.lossRate + p.excessCost(s.load, s)
+}
+
 // byLoss returns the usable servers in descending order of the loss rate.
 func (p *planner) byLoss() []*server {
 	servers := slices.Clone(p.usable)
