Test that the rate of a cold server bounds its capacity in plans

Nothing checked that planInput takes the stated rate for the capacity of a cold server and drops it once the server is warm. Without that, plans give a cold server what it handles when it is warm. The product is unchanged.

--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -149,3 +149,31 @@
 	rejected = 0.9
 	is.True(plan(balanceInterval*3/2) != nil)
 }
+
+// Guards against keys for a cold server beyond its rate, and against a bound that outlasts the cold start.
+func TestColdRateCountsAsCapacity(t *testing.T) {
+	now, rate := time.Now(), 7.4
+	tests := map[string]struct {
+		warmIn   time.Duration
+		capacity float64
+		capped   bool
+	}{
+		"cold": {time.Second, boundedLoadFactor * rate, true},
+		"warm": {-time.Second, 20, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := rules.Server{ID: "s0", Service: "books", Address: "127.0.0.1:1", Domain: "d0", Slots: 2, ColdRate: rate, WarmAt: now.Add(test.warmIn)}
+			lm := New(Deps{
+				Name: "i0", Domain: "d0", Clock: fakeClock{now}, Roster: roster.New("i0", "d0"), Incarnation: 1, Events: event.New(io.Discard, log.InfoLevel),
+				Servers:       func() *rules.ServerSet { return rules.NewServerSet(map[string]rules.Server{"s0": s}) },
+				TargetLatency: func(string) time.Duration { return time.Second },
+				Capacities:    func(string) map[string]float64 { return map[string]float64{"s0": 20} },
+			})
+			got := lm.planInput("books", &shard.Map{}, now).Servers[0]
+			is.Equal(got.Capacity, test.capacity)
+			is.Equal(got.Capped, test.capped)
+		})
+	}
+}
