--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -83,7 +83,8 @@
 	}
 }
 
-// Guards against keys that are left with, or given to, a server that has stated that it takes few requests.
+// Guards against keys that are left with, or given to, a server that has stated that it takes few requests, or beyond the rate
+// of a cold one.
 func TestLimitCountsAsCapacity(t *testing.T) {
 	is := is.New(t)
 	servers := map[string]rules.Server{}
@@ -91,6 +92,8 @@
 		id := fmt.Sprintf("s%d", i)
 		servers[id] = rules.Server{ID: id, Service: "books", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: "d0", Slots: 2, RateLimit: limit}
 	}
+	servers["s3"] = rules.Server{ID: "s3", Service: "books", Domain: "d0", Slots: 2, ColdRate: 2, WarmAt: time.Now().Add(time.Minute)}
+	servers["s4"] = rules.Server{ID: "s4", Service: "books", Domain: "d0", Slots: 2, ColdRate: 2, WarmAt: time.Now().Add(-time.Minute)}
 	lm := New(Deps{
 		Name: "i0", Domain: "d0", Clock: fakeClock{time.Now()}, Roster: roster.New("i0", "d0"), Incarnation: 1, Events: event.New(io.Discard, log.InfoLevel),
 		Servers:       func() *rules.ServerSet { return rules.NewServerSet(servers) },
@@ -99,7 +102,7 @@
 	})
 	in := lm.planInput("books", &shard.Map{}, time.Now())
 	for _, s := range in.Servers {
-		if s.ID == "s2" {
+		if s.ID == "s2" || s.ID == "s3" {
 			is.True(s.Capped)
 			is.Equal(s.Capacity, boundedLoadFactor*2)
 			continue
@@ -149,31 +152,3 @@
 	rejected = 0.9
 	is.True(plan(balanceInterval*3/2) != nil)
 }
-
-// Guards against keys for a cold server beyond its rate, and against a bound that outlasts the cold start.
-func TestColdRateCountsAsCapacity(t *testing.T) {
-	now, rate := time.Now(), 7.4
-	tests := map[string]struct {
-		warmIn   time.Duration
-		capacity float64
-		capped   bool
-	}{
-		"cold": {time.Second, boundedLoadFactor * rate, true},
-		"warm": {-time.Second, 20, false},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			s := rules.Server{ID: "s0", Service: "books", Address: "127.0.0.1:1", Domain: "d0", Slots: 2, ColdRate: rate, WarmAt: now.Add(test.warmIn)}
-			lm := New(Deps{
-				Name: "i0", Domain: "d0", Clock: fakeClock{now}, Roster: roster.New("i0", "d0"), Incarnation: 1, Events: event.New(io.Discard, log.InfoLevel),
-				Servers:       func() *rules.ServerSet { return rules.NewServerSet(map[string]rules.Server{"s0": s}) },
-				TargetLatency: func(string) time.Duration { return time.Second },
-				Capacities:    func(string) map[string]float64 { return map[string]float64{"s0": 20} },
-			})
-			got := lm.planInput("books", &shard.Map{}, now).Servers[0]
-			is.Equal(got.Capacity, test.capacity)
-			is.Equal(got.Capped, test.capped)
-		})
-	}
-}
