Lower the cost of a decision of an admission controller

Cause: each change of a server, three for a request and its completion, moved the server within the sorted list of open servers of its domain: two binary searches that compare costs and IDs, although requests for the owners of keys use no list. Each timer was allocated when it was added and again when it was removed, and the servers that an instance used were copied twice.

Change: the lists are brought up to date when one is read. The timers of an admission share one allocation, and their heap takes the entries as they are.

--- a/internal/admit/choose.go
+++ b/internal/admit/choose.go
@@ -106,6 +106,33 @@
 	return !s.restsFor(w.From, now) && (!w.NonExclusive || !s.bounded(now))
 }
 
+// openLists returns the lists of open servers, by domain.
+func (c *Controller) openLists() []*openServers {
+	c.updateLists()
+	return c.openByDomain
+}
+
+// updateLists enters the changes since the last call into the lists of open servers. Requests for one particular server need
+// no list, and several changes of a server lie between two requests for any server.
+func (c *Controller) updateLists() {
+	for _, s := range c.unentered {
+		s.unentered = false
+		if s.entered && s.listed && s.entry == s.listing && s.entryDomain == s.Domain {
+			continue
+		}
+		if s.entered {
+			c.openIn(s.entryDomain).remove(s.entry)
+		}
+		s.entered = s.listed
+		if s.listed {
+			s.entry, s.entryDomain = s.listing, s.Domain
+			c.openIn(s.Domain).add(s.listing)
+		}
+	}
+	clear(c.unentered) // for the garbage collector
+	c.unentered = c.unentered[:0]
+}
+
 // openIn returns the list of open servers of a domain.
 func (c *Controller) openIn(name string) *openServers {
 	at, found := slices.BinarySearchFunc(c.openByDomain, name, func(o *openServers, name string) int { return cmp.Compare(o.domain, name) })
@@ -119,16 +146,18 @@
 // over all servers, its entry in the list of open servers, and the timer for the next change that
 // comes with time alone.
 func (c *Controller) refresh(now time.Time, s *server) {
-	if s.listed {
-		c.openIn(s.listedDomain).remove(s.listing)
-		s.listed = false
+	if !s.unentered {
+		s.unentered = true
+		c.unentered = append(c.unentered, s)
 	}
+	s.listed = false
 	c.capacity -= s.countedCapacity
 	c.waitingAtServers -= s.countedWaiting
 	s.countedCapacity, s.countedWaiting = 0, 0
 	if c.servers[s.ID] != s {
 		delete(c.awaitingRate, s)
 		delete(c.resting, s)
+		c.updateLists() // drops the server
 		return
 	}
 	c.refreshRests(now, s)
@@ -150,8 +179,7 @@
 		c.ejected--
 	}
 	if s.open(now) && !s.ejected {
-		s.listing, s.listed, s.listedDomain = listing{s.cost(now), s}, true, s.Domain
-		c.openIn(s.Domain).add(s.listing)
+		s.listing, s.listed = listing{s.cost(now), s}, true
 	}
 	if at, changes := s.nextChange(now); changes && (s.nextTimerAt.Before(now) || at.Before(s.nextTimerAt)) {
 		s.nextTimerAt = at
@@ -237,7 +265,7 @@
 		}
 		consider(s, true)
 	}
-	for _, o := range c.openByDomain {
+	for _, o := range c.openLists() {
 		if !anyDomain && o.domain != w.Domain {
 			continue
 		}
@@ -271,10 +299,19 @@
 
 // recordUse records that an instance is sent to a server.
 func (c *Controller) recordUse(from, server string, now time.Time) {
-	kept := slices.DeleteFunc(c.recentServers(from, now), func(r recentServer) bool { return r.server == server })
-	kept = append(kept, recentServer{server, now})
-	if len(kept) > maxRecentServers {
-		kept = slices.Delete(kept, 0, 1)
+	recent, kept, expiredAt := c.recent[from], 0, now.Add(-connIdleTimeout)
+	for i := range recent {
+		if r := &recent[i]; r.server == server || !r.at.After(expiredAt) {
+			continue
+		}
+		if kept < i {
+			recent[kept] = recent[i]
+		}
+		kept++
 	}
-	c.recent[from] = kept
+	recent = recent[:kept]
+	if kept == maxRecentServers {
+		recent = slices.Delete(recent, 0, 1)
+	}
+	c.recent[from] = append(recent, recentServer{server, now})
 }
--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -68,8 +68,9 @@
 	domainQueues   map[string]*queue
 	anyDomainQueue queue
 	// openByDomain holds the servers that are open to requests, by domain, sorted by the name of
-	// the domain.
+	// the domain. unentered holds the servers that have changed since these lists were updated.
 	openByDomain []*openServers
+	unentered    []*server
 	// recent holds the servers that each instance was sent to recently, the latest one last.
 	recent map[string][]recentServer
 	// slots and capacity are the sums over all servers; capacity is in slots of a server of mean
@@ -361,11 +362,11 @@
 	s.recordProbe(now)
 	c.admitted[w.ID] = s
 	c.recordUse(w.From, s.ID, now)
-	expiry := admissionExpiry{w.ID, s}
-	c.timers.add(w.Deadline.Add(expiryDelay), expiry)
-	c.checks.add(now.Add(time.Duration(checkFactor*float64(a.expectedTime))+checkMargin), admissionCheck(expiry))
+	held := &heldAdmission{w.ID, s}
+	c.timers.add(w.Deadline.Add(expiryDelay), admissionExpiry{held})
+	c.checks.add(now.Add(time.Duration(checkFactor*float64(a.expectedTime))+checkMargin), admissionCheck{held})
 	c.nextRelease() // drops the timers of ended admissions
-	c.expectedReleases.add(now.Add(a.expectedTime), expectedRelease(expiry))
+	c.expectedReleases.add(now.Add(a.expectedTime), expectedRelease{held})
 	c.refresh(now, s)
 	return Admitted{ID: w.ID, Server: s.ID, Earlier: w.earlier}
 }
--- a/internal/admit/predict.go
+++ b/internal/admit/predict.go
@@ -45,7 +45,7 @@
 
 // timeToFreeSlot returns the time until any server may get a request.
 func (c *Controller) timeToFreeSlot(now time.Time) time.Duration {
-	for _, o := range c.openByDomain {
+	for _, o := range c.openLists() {
 		if len(o.listings) > 0 && o.listings[0].server.free(now) {
 			return 0
 		}
--- a/internal/admit/scaling_test.go
+++ b/internal/admit/scaling_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -127,3 +128,39 @@
 		})
 	}
 }
+
+// Guards against costs of a decision that no request needs: each change of a server moved it within the sorted list of open
+// servers, which requests for the owners of keys do not use, and each timer took memory of its own.
+func TestDecisionsForOwnersAreCheap(t *testing.T) {
+	const (
+		servers = 279
+		// maxAllocations is for the request while it is decided on, its timers, the decision, its shares and its origin.
+		maxAllocations = 10
+	)
+	is := is.New(t)
+	c := New(rand.New(rand.NewPCG(1, 2)), Options{FairShares: true, KeptReturns: true})
+	var all []rules.Server
+	for i := range servers {
+		all = append(all, rules.Server{ID: fmt.Sprintf("s%04d", i), Service: "books", Domain: "d0", Slots: 4})
+	}
+	c.SetServers(scalingStart, all)
+	c.updateLists()
+	lists := slices.Clone(c.openByDomain[0].listings)
+	now, serial := scalingStart, uint64(0)
+	allocations := testing.AllocsPerRun(2000, func() {
+		serial++
+		now = now.Add(time.Millisecond)
+		req := scalingRequest(serial, now)
+		req.Server, req.Caller, req.Origin = all[serial%servers].ID, uint32(serial), serial
+		g := c.Decide(now, req).(Admitted)
+		c.Complete(now, Completion{ID: g.ID, Server: g.Server, Route: "read", Took: 200 * time.Millisecond})
+	})
+	t.Logf("%v allocations", allocations)
+	is.True(allocations <= maxAllocations)
+	is.True(slices.Equal(c.openByDomain[0].listings, lists)) // nothing has moved
+	is.Equal(len(c.unentered), servers)                      // each server waits once for its place
+	first := c.openLists()[0].listings
+	is.True(slices.IsSortedFunc(first, listing.compare) && len(first) == servers)
+	c.RemoveServer(now, all[0].ID)
+	is.Equal(len(c.unentered), 0) // no removed server is kept
+}
--- a/internal/admit/server.go
+++ b/internal/admit/server.go
@@ -135,10 +135,14 @@
 	// rejected is the number of requests since the last report that the server rejected while it had free slots, or failed.
 	rejected int
 
-	// listing is the server's entry among the open servers of listedDomain, if it is listed there.
-	listing      listing
-	listed       bool
-	listedDomain string
+	// listed reports whether the server is to be in the list of open servers of its domain, as listing. entered reports
+	// whether it is in that of entryDomain, as entry, and unentered whether the two may differ.
+	listing     listing
+	listed      bool
+	entry       listing
+	entryDomain string
+	entered     bool
+	unentered   bool
 	// nextTimerAt is when the next serverChange timer of the server is due, or in the past if none
 	// is pending.
 	nextTimerAt time.Time
