Serve callers of instances of the previous release like others

Cause: caller 0, which stands for all unknown callers, is charged as many parts as there are known callers, so that it should have half of a full server beside them. But it was also charged a quarter of each rejected request, up to half of its share, like one caller that asks again and again, although each request may come from another one.

Change: Shares compares the work that unknown and known callers had lately or wait for. While the unknown ones had less, each of their requests starts at the virtual time, as one of a caller of its own, and is not charged for a rejection; otherwise they are ordered as before. So neither kind can starve the other, and a flood of unknown requests still has no more than half beside known callers that want theirs.

Weighed: the virtual time for all unknown requests, as if each came from a caller of its own, gives a flood of them nearly all of the server (docs/design/fair-shares.md); parts by the number of requests do so too.

TestShares of internal/fair is unchanged and passes.

--- a/internal/admit/share_test.go
+++ b/internal/admit/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -57,6 +58,60 @@
 	is.True(unknown.served()+known.served() >= 20*18)
 }
 
+// Guards against unknown callers that are charged for rejections as one caller that asks again and again: they had 0.35 of a
+// full server beside as many requests of known callers that ask once each, and 0.29 if they were three times as many.
+func TestUnknownCallersAreServedLikeOthers(t *testing.T) {
+	tests := map[string]struct {
+		unknown, known float64
+		// callers is the number of known callers, zero if each asks once.
+		callers int
+		// unknownShare is the share of unknown callers in what is served.
+		unknownShare float64
+	}{
+		"as many requests":             {30, 30, 0, 0.5},
+		"more unknown ones":            {45, 15, 0, 0.5},
+		"a flood of unknown ones":      {120, 30, 0, 0.5},
+		"few unknown ones":             {15, 45, 0, 0.25},
+		"few known ones":               {54, 6, 0, 0.7},
+		"one heavy caller":             {30, 30, 1, 0.5},
+		"ten heavy callers":            {30, 30, 10, 0.5},
+		"ten heavy callers, fewer":     {45, 15, 10, 0.5},
+		"light callers beside a flood": {60, 8, 10, 0.6},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			unknown, known := 0, 0
+			for seed := range uint64(3) {
+				s := newOwnerSimulator(seed, admit.Options{FairShares: true})
+				w := workload{name: "unknown", rate: test.unknown, priority: 1, target: 800 * time.Millisecond, limit: 3 * time.Second}
+				s.addArrivals(w, 0, 20*time.Second)
+				names := []string{"known"}
+				w.name, w.rate, w.known = names[0], test.known, true
+				if test.callers == 0 {
+					s.addArrivals(w, 0, 20*time.Second)
+				}
+				for i := range test.callers {
+					w.name, w.rate, w.caller, w.known = fmt.Sprint(i), test.known/float64(test.callers), uint32(i+1), false
+					s.addArrivals(w, 0, 20*time.Second)
+					names = append(names, w.name)
+				}
+				s.runFor(24 * time.Second)
+				unknown += s.tallies["unknown"].served()
+				for _, name := range names {
+					if got := s.tallies[name]; got != nil {
+						known += got.served()
+					}
+				}
+			}
+			share := float64(unknown) / float64(unknown+known)
+			t.Logf("%d and %d served, share %.2f", unknown, known, share)
+			is.True(math.Abs(share-test.unknownShare) <= 0.06)
+			is.True(unknown+known >= 3*20*18)
+		})
+	}
+}
+
 // Guards against a caller that alone asks for much and is rejected with room free.
 func TestOneCallerMayUseAnIdleServer(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -172,7 +172,7 @@
 		"status", status, "why", q.reason, "server", q.server, "through", q.through, "carried", q.carried, "attempts", q.attempts, "took", took,
 		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
 		"repeats", q.repeats, "origin-return", q.earlier.Returns > 0, "returns", q.earlier.Returns, "last-try", q.earlier.LastTry, "kept", q.earlier.Kept, "reserved", q.reserved, "error", q.err}
-	if e.LogCallers && q.caller != 0 {
+	if e.LogCallers && q.caller > unidentified {
 		pairs = append(pairs, "caller", fmt.Sprintf("%08x", q.caller))
 	}
 	e.Events.Record(class, "request", pairs...)
--- a/internal/fair/shares.go
+++ b/internal/fair/shares.go
@@ -20,6 +20,9 @@
 	rejectedShare    = 0.25
 	maxRejectedShare = 0.5
 	maxRejectedBurst = 1
+	// latestWeight is the weight of a request that is served in the work that known and unknown
+	// callers had lately.
+	latestWeight = 1. / 32
 )
 
 // Shares assigns start tags to the requests of callers. The unit of tags is a second of work.
@@ -31,6 +34,8 @@
 // Caller 0 stands for all unknown callers, as requests from instances of the previous release
 // have no identity. Together they count as much as all callers that have an account, so that
 // neither kind starves the other: each can have half of the server, and what the other kind leaves.
+// While unknown callers have had less than the others, each of their requests counts as one of a
+// caller of its own, which starts at once and is not charged for a rejection.
 type Shares struct {
 	// virtualTime is the largest tag served so far.
 	virtualTime float64
@@ -39,6 +44,8 @@
 	shared []account
 	// unknown is the account of caller 0.
 	unknown account
+	// knownWork and unknownWork are the work, in seconds, that known and unknown callers had lately or wait for.
+	knownWork, unknownWork float64
 }
 
 // account is the state of a caller.
@@ -63,6 +70,10 @@
 	tag = max(s.virtualTime, a.finish)
 	a.finish = tag + s.amount(caller, work)
 	s.put(a)
+	if caller == 0 && s.unknownIsBehind() {
+		tag = s.virtualTime
+	}
+	*s.workOf(caller) += seconds(work)
 	return tag
 }
 
@@ -71,6 +82,8 @@
 	if tag > s.virtualTime {
 		s.virtualTime = tag
 	}
+	s.knownWork *= 1 - latestWeight
+	s.unknownWork *= 1 - latestWeight
 	s.prune(maxPruned)
 }
 
@@ -82,14 +95,19 @@
 
 // Reject takes in that a request that arrived is not served. Its caller gets back the work except
 // for a quarter, or all of it if its latest requests were rejected as well: it keeps half of its
-// share however often it asks.
+// share however often it asks. Unknown callers that have had less than the others get back all.
 func (s *Shares) Reject(caller uint32, work time.Duration) {
+	had := s.workOf(caller)
+	*had = max(*had-seconds(work), 0)
 	a, found := s.account(caller)
 	if !found {
 		return
 	}
 	amount := s.amount(caller, work)
 	charge := rejectedShare * amount
+	if caller == 0 && s.unknownIsBehind() {
+		charge = 0
+	}
 	a.finish -= amount
 	a.chargedUntil = max(a.chargedUntil, s.virtualTime)
 	if a.chargedUntil+charge/maxRejectedShare <= s.virtualTime+maxRejectedBurst*amount/maxRejectedShare {
@@ -114,6 +132,17 @@
 	return seconds(work)
 }
 
+// unknownIsBehind reports whether unknown callers have had less than the known ones.
+func (s *Shares) unknownIsBehind() bool { return s.unknownWork < s.knownWork }
+
+// workOf returns what callers like this one, known or unknown, had lately or wait for.
+func (s *Shares) workOf(caller uint32) *float64 {
+	if caller == 0 {
+		return &s.unknownWork
+	}
+	return &s.knownWork
+}
+
 // account returns the account of a caller, false and an empty one if it has none.
 func (s *Shares) account(caller uint32) (account, bool) {
 	if caller == 0 {
