Serve priorities that are owed their floor when a server rests

Cause: a server looks for the waiting request of the priority that is furthest below its floor. If the instance of that one was asked for rest by the server, firstAccepted took the next request of any priority, so that a more urgent one went before a request of the owed priority that the server would have accepted.

Change: the search is within the owed priority first. Only if none of its requests is accepted do the others go, as before.

Test: TestRestDoesNotTakeTheFloor; two of its four cases fail on the old code, where the urgent request is admitted. The other tests of internal/admit pass.

--- a/internal/admit/controller.go
+++ b/internal/admit/controller.go
@@ -236,7 +236,7 @@
 		delete(c.admitted, id)
 	}
 	var out []Decision
-	for w := s.queue.head(); w != nil; w = s.queue.head() {
+	for w := s.queue.head(anyRank); w != nil; w = s.queue.head(anyRank) {
 		c.drop(w)
 		out = append(out, Rejected{ID: w.ID, Reason: OwnerGone})
 	}
--- a/internal/admit/dispatch.go
+++ b/internal/admit/dispatch.go
@@ -104,15 +104,21 @@
 	case sources[2] == nil:
 		queues = sources[:2]
 	}
-	owed, isOwed := c.owedPriority(now, s, queues)
+	if owed, isOwed := c.owedPriority(now, s, queues); isOwed {
+		if w := s.firstOf(now, queues, func(r rank) bool { return r.priority == owed }); w != nil {
+			return w
+		}
+	}
+	return s.firstOf(now, queues, anyRank)
+}
+
+// firstOf returns the request that goes first to a server among those of some ranks, nil if there is none.
+func (s *server) firstOf(now time.Time, queues []*queue, counts func(rank) bool) *waiter {
 	var best *waiter
 	for _, q := range queues {
-		w := q.head()
-		if isOwed {
-			w = q.headOf(owed)
-		}
+		w := q.head(counts)
 		if w != nil && q != &s.queue && s.restsFor(w.From, now) {
-			w = s.firstAccepted(q, now)
+			w = s.firstAccepted(q, counts, now)
 		}
 		if w != nil && (best == nil || w.precedes(best)) {
 			best = w
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -23,6 +23,9 @@
 	return cmp.Or(cmp.Compare(r.priority, o.priority), trueFirst(o.late, r.late))
 }
 
+// anyRank counts all ranks.
+func anyRank(rank) bool { return true }
+
 // trueFirst compares two booleans; true sorts before false.
 func trueFirst(a, b bool) int {
 	switch {
@@ -94,20 +97,10 @@
 	q.ranks[at].push(w)
 }
 
-// head returns the request that goes first, nil if none waits.
-func (q *queue) head() *waiter {
-	for _, rq := range q.ranks {
-		if first := rq.waiters.First(); first != nil {
-			return first.Value
-		}
-	}
-	return nil
-}
-
-// headOf returns the request of a priority that goes first, nil if none waits.
-func (q *queue) headOf(priority int) *waiter {
+// head returns the request that goes first among those of some ranks, nil if none of them waits.
+func (q *queue) head(counts func(rank) bool) *waiter {
 	for _, rq := range q.ranks {
-		if first := rq.waiters.First(); first != nil && rq.rank.priority == priority {
+		if first := rq.waiters.First(); first != nil && counts(rq.rank) {
 			return first.Value
 		}
 	}
--- a/internal/admit/rest.go
+++ b/internal/admit/rest.go
@@ -223,11 +223,14 @@
 // maxPassedOver is the number of waiting requests that a server looks at for one whose instance it has not asked for rest.
 const maxPassedOver = 8
 
-// firstAccepted returns a request near the head of a queue whose instance the server has not asked for rest, nil if there is
-// none.
-func (s *server) firstAccepted(q *queue, now time.Time) *waiter {
+// firstAccepted returns a request near the head of some ranks of a queue whose instance the server has not asked for rest, nil
+// if there is none.
+func (s *server) firstAccepted(q *queue, counts func(rank) bool, now time.Time) *waiter {
 	left := maxPassedOver
 	for _, rq := range q.ranks {
+		if !counts(rq.rank) {
+			continue
+		}
 		for item := range rq.waiters.All() {
 			if left--; left < 0 {
 				return nil
--- a/internal/admit/rest_test.go
+++ b/internal/admit/rest_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/admit"
+	"example.org/mustardring/internal/fair"
 	"example.org/mustardring/internal/rules"
 )
 
@@ -241,6 +242,64 @@
 	is.Equal(admitted, map[string]int{"i1": 1})
 }
 
+// Guards against a request of a priority that is owed its floor and waits behind more urgent ones, because the one before it is
+// of an instance that the only free server has asked for rest. If only such ones wait, the others go on.
+func TestRestDoesNotTakeTheFloor(t *testing.T) {
+	type waiting struct {
+		from     string
+		priority int
+	}
+	tests := map[string]struct {
+		waiting []waiting
+		want    waiting
+	}{
+		"owed behind one that rests": {[]waiting{{"i1", 0}, {"i0", 1}, {"i2", 1}, {"i1", 0}}, waiting{"i2", 1}},
+		"owed behind many that rest": {[]waiting{{"i1", 0}, {"i0", 1}, {"i0", 1}, {"i0", 1}, {"i0", 1}, {"i0", 1}, {"i2", 1}}, waiting{"i2", 1}},
+		"all that are owed rest":     {[]waiting{{"i0", 0}, {"i0", 1}, {"i0", 1}, {"i1", 0}}, waiting{"i1", 0}},
+		"nothing rests":              {[]waiting{{"i1", 0}, {"i2", 1}, {"i1", 0}}, waiting{"i2", 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := admit.New(rand.New(rand.NewPCG(1, 2)), admit.Options{Floors: fair.Floors{0, 0.2}})
+			c.SetServers(start, []rules.Server{server("s0", "north", 1), server("s1", "north", 1)})
+			serial := uint64(0)
+			decide := func(w waiting) admit.Decision {
+				req := newRequest(serial, start)
+				req.From, req.Priority, req.Deadline = w.from, w.priority, start.Add(2*time.Hour)
+				if serial > 0 { // the target of the first request sets the expected service time
+					req.TargetAt = start.Add(time.Hour)
+				}
+				serial++
+				return c.Decide(start, req)
+			}
+			var running []admit.Admitted
+			for g, admitted := decide(waiting{"i1", 0}).(admit.Admitted); admitted; g, admitted = decide(waiting{"i1", 0}).(admit.Admitted) {
+				running = append(running, g)
+			}
+			c.Cancel(start, admit.ID{From: "i1", Serial: serial - 1}) // the first one that waits
+			byID := map[admit.ID]waiting{}
+			for _, w := range test.waiting {
+				q, queued := decide(w).(admit.Queued)
+				is.True(queued)
+				byID[q.ID] = w
+			}
+			c.Rest(start, "i0", "s0", start.Add(time.Minute))
+			var first []waiting
+			for _, g := range running {
+				if g.Server != "s0" {
+					continue
+				}
+				for _, d := range c.Complete(start.Add(workTime), admit.Completion{ID: g.ID, Server: "s0", Route: "read", Took: workTime}) {
+					first = append(first, byID[d.(admit.Admitted).ID])
+				}
+			}
+			is.True(len(first) > 0)
+			is.Equal(first[0], test.want)
+		})
+	}
+}
+
 // Guards against a limit, a cold start or a rest that is forgotten beside the others.
 func TestRestBesideOtherBounds(t *testing.T) {
 	servers := map[string]rules.Server{
