Remove resv.Known.Early, which only tests read

Cause: Book.Arrive reported whether a return came before its reservation was due. The controller has no use for it: such a return is decided on like any other, and its reservation stays.

Change: the field is gone. Two tests read it; they now observe what the caller gets. TestReservationsEnd checks that the time of an early return is still reserved, and, as before, that the caller finds it when it comes in time. The test of the size of a Book checks that the newest of 100,000 origins is recognized and that its reservation is met when it is due.

--- a/internal/resv/book.go
+++ b/internal/resv/book.go
@@ -69,10 +69,9 @@
 	Returns int
 	// FirstAt is when the first try arrived, zero for a first try.
 	FirstAt time.Time
-	// Kept reports whether this return has a reservation that is due now, and Early whether it has
-	// one that is not due yet. An early return keeps its reservation.
-	Kept  bool
-	Early bool
+	// Kept reports whether this return has a reservation that is due now. One that is not due yet
+	// stays, for the next return.
+	Kept bool
 }
 
 // Reservation asks for capacity for the return of a rejected request.
@@ -124,7 +123,7 @@
 	if o.rejected {
 		o.rejected = false
 		o.returns++
-		known.Kept, known.Early = b.meet(now, o.reservation)
+		known.Kept = b.meet(now, o.reservation)
 	}
 	if o.try != nil {
 		o.try.returned, o.try = true, nil
@@ -135,22 +134,20 @@
 	return known
 }
 
-// meet ends a reservation if it is due. Its time stays reserved, as the request now uses it.
-func (b *Book) meet(now time.Time, r *reservation) (kept, early bool) {
+// meet ends a reservation if it is due, and reports whether it is. Its time stays reserved, as the
+// request now uses it.
+func (b *Book) meet(now time.Time, r *reservation) (kept bool) {
 	if r == nil {
-		return false, false
+		return false
 	}
 	b.expireServer(now, r.server)
-	if r.origin.reservation == nil {
-		return false, false
-	}
-	if b.tag(now.Add(tolerance)) < r.item.Tag {
-		return false, true
+	if r.origin.reservation == nil || b.tag(now.Add(tolerance)) < r.item.Tag {
+		return false
 	}
 	b.counts.Met++
 	r.server.pending.Remove(&r.item)
 	r.origin.reservation = nil
-	return true, false
+	return true
 }
 
 // Rejected records that a try ended rejected, so that its caller may return. The route names the
--- a/internal/resv/book_test.go
+++ b/internal/resv/book_test.go
@@ -145,7 +145,8 @@
 	is.Equal(b.Pending(start, "s", at), time.Duration(0)) // due before the time
 	is.Equal(b.Pending(start, "s", at.Add(1)), 100*time.Millisecond)
 	early := at.Add(-50 * time.Millisecond)
-	is.Equal(b.Arrive(early, 1), resv.Known{Returns: 1, FirstAt: start, Early: true})
+	is.Equal(b.Arrive(early, 1), resv.Known{Returns: 1, FirstAt: start})
+	is.Equal(b.Pending(early, "s", at.Add(1)), 100*time.Millisecond)     // it stays
 	is.Equal(b.Arrive(early, 1), resv.Known{Returns: 1, FirstAt: start}) // a retry of the router
 	b.Rejected(early, 1, "read")
 	is.Equal(b.Arrive(at, 1), resv.Known{Returns: 2, FirstAt: start, Kept: true})
@@ -188,18 +189,21 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	b := resv.NewBook()
+	var last time.Time
 	for i := range uint64(100_000) {
 		b.Arrive(start, i+1)
 		b.Rejected(start, i+1, string(rune('a'+i%1000)))
-		b.Reserve(start, reservation(start, i+1, 0, 1000))
+		last, _ = b.Reserve(start, reservation(start, i+1, 0, 1000))
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&full)
 	t.Logf("%d bytes", full.HeapAlloc-before.HeapAlloc)
 	_ = b
 	is.True(full.HeapAlloc-before.HeapAlloc < 2<<20)
-	is.Equal(b.Arrive(start, 1), resv.Known{})                                              // the oldest are dropped
-	is.Equal(b.Arrive(start, 100_000), resv.Known{Returns: 1, FirstAt: start, Early: true}) // the newest are known
+	is.Equal(b.Arrive(start, 1), resv.Known{})                                 // the oldest are dropped
+	is.Equal(b.Arrive(start, 100_000), resv.Known{Returns: 1, FirstAt: start}) // the newest are known
+	b.Rejected(start, 100_000, "a")
+	is.Equal(b.Arrive(last, 100_000), resv.Known{Returns: 2, FirstAt: start, Kept: true}) // with their reservations
 }
 
 // Guards against a last try that is recognized too early, too late or before anything is known.
