Name callers in request lines under a key of the process

Cause: with log-callers, request lines had the 32-bit digest by which controllers know a caller. It has no key, so that the address behind it can be found by trying all IPv4 addresses.

Change: lines have caller=KEY-DIGEST. The digest is an HMAC of the one of controllers, under a key that each process draws when it starts; KEY is a random name of that key. Instances share no secret without a new setting or message: their settings on the platform have no token, and what is in topics, messages and lines (such as incarnations) is readable to whoever has the lines. What controllers use is unchanged and the same at all instances. An account over the lines of several processes has a row for each process that a caller reached. Its counts are exact, and it says above the table that what a caller had in all is not known; with one process nothing changes.

Tests: TestLinesNameCallersUnderAKey (on the old code, with its setting instead of the names, it fails: two processes wrote the same digest), TestNamesOfSeveralProcesses and TestNamingsAreBounded. The expected account of the existing test is unchanged. Tests of internal/edge, internal/acct and internal/config pass.

--- a/internal/acct/acct.go
+++ b/internal/acct/acct.go
@@ -33,6 +33,8 @@
 	maxKeys      = 131_072
 	// maxServers is above the largest deployment, which has 10,001 servers.
 	maxServers = 16_384
+	// maxNamings is the number of processes that are told apart by how they name callers.
+	maxNamings = 16_384
 )
 
 // The range in microseconds and the precision of the times of a server.
@@ -64,7 +66,9 @@
 	// recognized, and those that only the instance took for returns by their timeouts.
 	kept, recognized, guessed tally
 
-	reasons                                             map[string]string
+	reasons map[string]string
+	// namings holds the names of the keys under which callers are named. Each process has its own, and an earlier release none.
+	namings                                             map[string]struct{}
 	services, routes, intervals, callers, keys, servers *table
 	// fields holds the fields of the current line.
 	fields map[string]string
@@ -75,7 +79,7 @@
 // rejections.
 func New(interval time.Duration, service string) *Account {
 	return &Account{
-		interval: interval, service: service, reasons: map[string]string{}, fields: map[string]string{},
+		interval: interval, service: service, reasons: map[string]string{}, namings: map[string]struct{}{}, fields: map[string]string{},
 		services: newTable(maxServices), routes: newTable(maxRoutes), intervals: newTable(maxIntervals),
 		callers: newTable(maxCallers), keys: newTable(maxKeys), servers: newTable(maxServers),
 	}
@@ -152,10 +156,23 @@
 	a.intervals.at(id{service, at.UTC().Truncate(a.interval).Format(timeFormat)}).add(o, reason)
 	a.addKey(service, reason, o)
 	a.addServer(service, o)
-	if caller := a.fields["caller"]; caller != "" {
-		a.callers.at(id{"", caller}).tally[o]++
-	} else {
+	a.addCaller(o)
+}
+
+// addCaller counts the request by its caller. A name is "KEY-DIGEST", that of an earlier release only a digest.
+func (a *Account) addCaller(o outcome) {
+	caller := a.fields["caller"]
+	if caller == "" {
 		a.anonymous++
+		return
+	}
+	a.callers.at(id{"", caller}).tally[o]++
+	key, _, keyed := strings.Cut(caller, "-")
+	if !keyed {
+		key = ""
+	}
+	if _, known := a.namings[key]; !known && len(a.namings) < maxNamings {
+		a.namings[strings.Clone(key)] = struct{}{}
 	}
 }
 
--- a/internal/acct/acct_test.go
+++ b/internal/acct/acct_test.go
@@ -100,3 +100,49 @@
 	is.True(len(a.services.entries) <= maxServices)
 	is.Equal(a.total[rejected], 1000)
 }
+
+// Guards against figures that take the names of a caller at several processes for several callers and do not say so: each
+// process names callers under a key of its own.
+func TestNamesOfSeveralProcesses(t *testing.T) {
+	const note = "Callers are named in 2 ways"
+	line := func(caller string) string {
+		return "time=2026-01-01T00:00:00Z msg=request status=200 why=answered service=books caller=" + caller + "\n"
+	}
+	tests := map[string]struct {
+		callers []string
+		rows    int
+		noted   bool
+	}{
+		"one process":         {[]string{"AAAA-01", "AAAA-02", "AAAA-01"}, 2, false},
+		"two processes":       {[]string{"AAAA-01", "BBBB-01", "AAAA-01"}, 2, true},
+		"an earlier release":  {[]string{"01", "02", "01"}, 2, false},
+		"and one of this one": {[]string{"01", "AAAA-02", "01"}, 2, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(time.Second, "")
+			for _, caller := range test.callers {
+				is.NoErr(a.Read(strings.NewReader(line(caller))))
+			}
+			var out strings.Builder
+			is.NoErr(a.WriteText(&out))
+			is.Equal(strings.Contains(out.String(), note), test.noted)
+			is.Equal(len(a.callers.entries), test.rows)
+			is.Equal(a.callers.entries[id{"", test.callers[0]}].requests(), 2)
+		})
+	}
+}
+
+// Guards against memory that grows with the number of processes.
+func TestNamingsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var lines strings.Builder
+	for i := range maxNamings + 10 {
+		_, _ = fmt.Fprintf(&lines, "time=2026-01-01T00:00:00Z msg=request status=200 service=s caller=%d-1\n", i)
+	}
+	a := New(time.Second, "")
+	is.NoErr(a.Read(strings.NewReader(lines.String())))
+	is.Equal(len(a.namings), maxNamings)
+	is.Equal(a.total[answered], maxNamings+10)
+}
--- a/internal/acct/text.go
+++ b/internal/acct/text.go
@@ -142,6 +142,10 @@
 	}
 	sum := busy.plus(rest)
 	t.note("\nWho pays: callers by number of tries")
+	if n := len(a.namings); n > 1 {
+		t.note("Callers are named in %d ways, as each process has its own: a row is a caller at one process, and one that reached", n)
+		t.note("several has a row for each. What a caller had in all is not known.")
+	}
 	t.row("caller", "tries", "share of tries", "answered", "share of answers", "answered per try", "rejected")
 	row := func(name string, n tally) {
 		t.row(name, n.requests(), share(n.requests(), sum.requests()), n[answered], share(n[answered], sum[answered]),
--- a/internal/config/overload.go
+++ b/internal/config/overload.go
@@ -11,7 +11,7 @@
 	CallerIdentity string `json:"caller-identity"`
 	// CallerHeader is the header that identifies a caller with CallerHeader.
 	CallerHeader string `json:"caller-header"`
-	// LogCallers adds a digest of the identity to the lines of requests.
+	// LogCallers adds a keyed digest of the identity to the lines of requests.
 	LogCallers bool `json:"log-callers"`
 	// FairShares shares the time of full servers between callers.
 	FairShares bool `json:"fair-shares"`
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -121,9 +120,9 @@
 	RetryBudget *retry.Budget
 	Events      *event.Log
 	Meters      *Meters
-	// Identity tells callers apart. LogCallers adds its digest to the lines of requests.
-	Identity   Identity
-	LogCallers bool
+	// Identity tells callers apart. CallerNames names them in the lines of requests, nil if these name none.
+	Identity    Identity
+	CallerNames *CallerNames
 	// RepeatRejected allows repeats at the owner of a key that has rejected a request although it had room.
 	RepeatRejected bool
 }
@@ -172,8 +171,8 @@
 		"status", status, "why", q.reason, "server", q.server, "through", q.through, "carried", q.carried, "attempts", q.attempts, "took", took,
 		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
 		"repeats", q.repeats, "origin-return", q.earlier.Returns > 0, "returns", q.earlier.Returns, "last-try", q.earlier.LastTry, "kept", q.earlier.Kept, "reserved", q.reserved, "error", q.err}
-	if e.LogCallers && q.caller > unidentified {
-		pairs = append(pairs, "caller", fmt.Sprintf("%08x", q.caller))
+	if e.CallerNames != nil && q.caller > unidentified {
+		pairs = append(pairs, "caller", e.CallerNames.of(q.caller))
 	}
 	e.Events.Record(class, "request", pairs...)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -440,3 +440,35 @@
 	is.Equal(reply.Status, http.StatusServiceUnavailable)
 	is.True(reply.Header.Get("Retry-After") != "")
 }
+
+// Guards against lines from which the address of a caller can be found by trying all addresses: their names of callers have a
+// key that only the process knows. Within its life the name of a caller stays the same.
+func TestLinesNameCallersUnderAKey(t *testing.T) {
+	is := is.New(t)
+	name := func(names *edge.CallerNames) string {
+		var lines strings.Builder
+		events := event.New(&lines, log.InfoLevel)
+		f := newFixture(rules.Idempotent, newFakeServer(t, respondOK))
+		f.edge.Events, f.edge.Identity, f.edge.CallerNames = events, edge.CallerAddress{}, names
+		is.Equal(f.send(t.Context()).Status, 200) // from 192.0.2.1
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		_ = events.Run(ended)
+		fields := map[string]string{}
+		for line, err := range event.Lines(strings.NewReader(lines.String())) {
+			is.NoErr(err)
+			event.ParseFields(line, fields)
+		}
+		is.Equal(fields["msg"], "request")
+		return fields["caller"]
+	}
+	const digest = "0a221c61" // the one by which controllers know the caller, which is the same everywhere
+	first, second := edge.NewCallerNames(), edge.NewCallerNames()
+	is.Equal(name(first), name(first))
+	key, caller, _ := strings.Cut(name(first), "-")
+	otherKey, otherCaller, _ := strings.Cut(name(second), "-")
+	is.True(key != otherKey)
+	is.True(caller != otherCaller)
+	is.True(caller != "" && !strings.Contains(caller+otherCaller, digest))
+	is.Equal(name(nil), "")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -223,7 +223,7 @@
 		func() (float64, bool) { return n.shareOf(settings.Bounds.RetrySlack) }, time.Now)
 	deps := edge.Deps{
 		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections, n.dialer), RetryBudget: budget,
-		Events: events, Meters: n.meters, Identity: identityOf(settings.Overload), LogCallers: settings.Overload.LogCallers,
+		Events: events, Meters: n.meters, Identity: identityOf(settings.Overload), CallerNames: callerNames(settings.Overload),
 		RepeatRejected: settings.Overload.RepeatRejected,
 	}
 	n.carrier = newCarrier(n)
--- a/internal/node/overload.go
+++ b/internal/node/overload.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// callerNames returns what names callers in the lines of requests, nil if the settings want no names.
+func callerNames(o config.Overload) *edge.CallerNames {
+	if !o.LogCallers {
+		return nil
+	}
+	return edge.NewCallerNames()
+}
+
 // settleSlack is how much longer than the entries of servers take the leases may after a start: the instance registers, and
 // reads the entries.
 const settleSlack = 450 * time.Millisecond
