Give each link of the test cluster its own random numbers

Cause: the schedules of internal/lease run on the fake clock of testing/synctest, but the delays and losses of messages, store calls and grants came from one random source that all goroutines share, so the order of goroutines decided who got which number. Instances were visited in the order of a map, and the duties of an instance started at the same instant, so that their timers fired in the random order that synctest gives to equal times. The first differing event of two plays of a seed changed all that followed.

Change: each link and each duty draws from a sequence that only the seed and its name decide, instances are visited by name, and the duties of an instance start at different instants. Test files only. Servers are picked from a sorted list also after more than 50 restarts of one.

TestSchedules, TestSchedulesWithNamedRestarts and six other tests pass.

--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -7,12 +7,14 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
 	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/worker"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"example.org/mustardring/internal/clock"
@@ -117,29 +119,29 @@
 }
 
 func (c *storeClient) Append(ctx context.Context, topic string, records []follow.Record, expectedEnd logpos.Pos) (logpos.Pos, error) {
-	c.cluster.delay()
+	c.cluster.delay(c.name + " append")
 	if c.cut() {
 		worker.Sleep(ctx, c.cluster.appendTimeout)
 		return 0, follow.ErrNotDone
 	}
-	if topic == ownersTopic && c.cluster.chance(c.cluster.lostAppends) {
+	if topic == ownersTopic && c.cluster.chance(c.name+" append", c.cluster.lostAppends) {
 		// The answer is lost, and the record may be written seconds later.
-		later := c.cluster.randomDuration(0, 6*time.Second)
+		later := c.cluster.randomDuration(c.name+" append", 0, 6*time.Second)
 		c.cluster.after(later, func() { _, _ = c.cluster.store.append(topic, records, expectedEnd) })
 		return 0, follow.ErrUnknown
 	}
 	offset, err := c.cluster.store.append(topic, records, expectedEnd)
-	c.cluster.delay()
+	c.cluster.delay(c.name + " append")
 	return offset, err
 }
 
 func (c *storeClient) Read(_ context.Context, topic string, from logpos.Pos, _ time.Duration) (follow.Batch, error) {
-	c.cluster.delay()
+	c.cluster.delay(c.name + " read")
 	if c.cut() {
 		return follow.Batch{}, follow.ErrNotDone
 	}
 	batch, err := c.cluster.store.records(topic, from)
-	c.cluster.delay()
+	c.cluster.delay(c.name + " read")
 	return batch, err
 }
 
@@ -161,7 +163,8 @@
 // testCluster holds the state of the cluster, guarded by mu.
 type testCluster struct {
 	mu            sync.Mutex
-	random        *rand.Rand
+	seed          uint64
+	sequences     map[string]*rand.Rand
 	ctx           context.Context
 	pending       sync.WaitGroup
 	store         *fakeStore
@@ -220,20 +223,30 @@
 	return load(name)
 }
 
-func (tc *testCluster) chance(p float64) bool {
+// random returns a number from 0 to n-1, the next one of the sequence that the seed gives to key. Each link and each duty of an
+// instance has a key of its own, so that the order of goroutines does not decide who gets which number.
+func (tc *testCluster) random(key string, n int64) int64 {
 	tc.mu.Lock()
 	defer tc.mu.Unlock()
-	return tc.random.Float64() < p
+	if tc.sequences == nil {
+		tc.sequences = map[string]*rand.Rand{}
+	}
+	if tc.sequences[key] == nil {
+		tc.sequences[key] = rand.New(rand.NewPCG(tc.seed, xxhash.Sum64String(key)))
+	}
+	return tc.sequences[key].Int64N(n)
 }
 
-func (tc *testCluster) randomDuration(minDelay, maxDelay time.Duration) time.Duration {
-	tc.mu.Lock()
-	defer tc.mu.Unlock()
-	return minDelay + time.Duration(tc.random.Int64N(int64(maxDelay-minDelay)+1))
+func (tc *testCluster) chance(key string, p float64) bool {
+	return float64(tc.random(key, 1<<53)) < p*(1<<53)
 }
 
-func (tc *testCluster) delay() {
-	time.Sleep(tc.randomDuration(100*time.Microsecond, 3*time.Millisecond))
+func (tc *testCluster) randomDuration(key string, minDelay, maxDelay time.Duration) time.Duration {
+	return minDelay + time.Duration(tc.random(key, int64(maxDelay-minDelay)+1))
+}
+
+func (tc *testCluster) delay(key string) {
+	time.Sleep(tc.randomDuration(key, 100*time.Microsecond, 3*time.Millisecond))
 }
 
 // after calls do after a delay, unless the cluster is shut down before.
@@ -349,7 +362,13 @@
 	}
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context) error{n.manager.Events.Run, n.manager.Run, watch.Run, n.heartbeatLoop(entry.Incarnation), enroll} {
-		loops.Go(func() { _ = loop(ctx) })
+		// Duties that start at the same instant would always be due at the same instant, in an order that the seed does not decide.
+		offset := n.cluster.randomDuration(n.name+" start", 0, 10*time.Millisecond)
+		loops.Go(func() {
+			if worker.Sleep(ctx, offset) {
+				_ = loop(ctx)
+			}
+		})
 	}
 	loops.Wait()
 }
@@ -379,11 +398,11 @@
 				echoes[p.Name] = p.Heartbeat.SentAt
 			}
 			for _, o := range n.cluster.others(n.name) {
-				if !n.cluster.isCut(n.name, o.name) && !n.cluster.chance(n.cluster.lostMessages) {
+				if !n.cluster.isCut(n.name, o.name) && !n.cluster.chance(n.name+" heartbeat "+o.name, n.cluster.lostMessages) {
 					b.EchoAt = echoes[o.name]
 					o.roster.RecordHeartbeat(b, time.Now())
 					o.manager.HandleHeartbeat(b)
-					if view := n.manager.View(); view.End > o.manager.View().End && n.cluster.chance(n.cluster.viewSharing) {
+					if view := n.manager.View(); view.End > o.manager.View().End && n.cluster.chance(n.name+" view "+o.name, n.cluster.viewSharing) {
 						select {
 						case o.manager.PeerViews() <- view:
 						default:
@@ -399,7 +418,7 @@
 // fetchView gets the view of another instance, if a message and its answer arrive.
 func (n *instance) fetchView(name string) {
 	for _, o := range n.cluster.others(n.name) {
-		if o.name != name || n.cluster.isCut(n.name, name) || n.cluster.isCut(name, n.name) || n.cluster.chance(n.cluster.lostMessages) {
+		if o.name != name || n.cluster.isCut(n.name, name) || n.cluster.isCut(name, n.name) || n.cluster.chance(n.name+" fetch", n.cluster.lostMessages) {
 			continue
 		}
 		select {
@@ -421,7 +440,7 @@
 // toOthers calls do for each other instance that a message reaches.
 func (n *instance) toOthers(do func(o *instance)) {
 	for _, o := range n.cluster.others(n.name) {
-		if !n.cluster.isCut(n.name, o.name) && !n.cluster.chance(n.cluster.lostMessages) {
+		if !n.cluster.isCut(n.name, o.name) && !n.cluster.chance(n.name+" send "+o.name, n.cluster.lostMessages) {
 			do(o)
 		}
 	}
@@ -431,9 +450,9 @@
 	tc.mu.Lock()
 	defer tc.mu.Unlock()
 	var out []*instance
-	for _, n := range tc.instances {
-		if n.name != name {
-			out = append(out, n)
+	for _, other := range slices.Sorted(maps.Keys(tc.instances)) {
+		if other != name {
+			out = append(out, tc.instances[other])
 		}
 	}
 	return out
--- a/internal/lease/contact_test.go
+++ b/internal/lease/contact_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +22,7 @@
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				tc := &testCluster{
-					random: rand.New(rand.NewPCG(1, 1)), ctx: ctx, start: time.Now(), store: newFakeStore(),
+					seed: 1, ctx: ctx, start: time.Now(), store: newFakeStore(),
 					servers: map[string]*fakeServer{}, instances: map[string]*instance{}, cuts: map[string]bool{}, guards: allGuards,
 					directory: map[string]rules.Server{}, endedFences: map[string][]uint64{},
 				}
--- a/internal/lease/faults_test.go
+++ b/internal/lease/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,7 +19,7 @@
 // newTestCluster starts two failure domains with two instances and three servers each, without faults.
 func newTestCluster(ctx context.Context) *testCluster {
 	tc := &testCluster{
-		random: rand.New(rand.NewPCG(1, 1)), ctx: ctx, start: time.Now(), store: newFakeStore(),
+		seed: 1, ctx: ctx, start: time.Now(), store: newFakeStore(),
 		servers: map[string]*fakeServer{}, instances: map[string]*instance{}, cuts: map[string]bool{}, guards: allGuards,
 	}
 	for i := range 6 {
--- a/internal/lease/paths_test.go
+++ b/internal/lease/paths_test.go
@@ -14,7 +14,7 @@
 
 // probe reports whether an instance reaches a server itself or by way of another instance.
 func (tc *testCluster) probe(ctx context.Context, name string, server shard.Owner) error {
-	tc.delay()
+	tc.delay(name + " probe " + server.Address)
 	tc.mu.Lock()
 	up := tc.serverAt(server.Address) != nil
 	tc.mu.Unlock()
--- a/internal/lease/recovery_test.go
+++ b/internal/lease/recovery_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,7 +94,7 @@
 // newTestClusterOf starts a newTestCluster with a seed whose servers keep their names when they restart.
 func newTestClusterOf(ctx context.Context, seed uint64) *testCluster {
 	tc := &testCluster{
-		random: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, start: time.Now(), store: newFakeStore(), servers: map[string]*fakeServer{},
+		seed: seed, ctx: ctx, start: time.Now(), store: newFakeStore(), servers: map[string]*fakeServer{},
 		instances: map[string]*instance{}, cuts: map[string]bool{}, guards: allGuards, namedRestarts: true,
 		directory: map[string]rules.Server{}, endedFences: map[string][]uint64{},
 	}
--- a/internal/lease/schedule_test.go
+++ b/internal/lease/schedule_test.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -50,7 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		tc := &testCluster{
-			random: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, start: time.Now(), store: newFakeStore(),
+			seed: seed, ctx: ctx, start: time.Now(), store: newFakeStore(),
 			servers: map[string]*fakeServer{}, instances: map[string]*instance{}, cuts: map[string]bool{},
 			delayedGrants: 0.05, lostAppends: 0.1, lostMessages: 0.1, viewSharing: 0.2, guards: allGuards,
 			namedRestarts: namedRestarts, directory: map[string]rules.Server{}, endedFences: map[string][]uint64{},
@@ -75,11 +76,11 @@
 				tc.returnDuringMoves()
 				continue
 			}
-			if f == returnsToo && tc.chance(0.2) {
+			if f == returnsToo && tc.chance("schedule", 0.2) {
 				tc.returnStore()
 			}
 			tc.injectFault()
-			time.Sleep(tc.randomDuration(50*time.Millisecond, 2*time.Second))
+			time.Sleep(tc.randomDuration("schedule", 50*time.Millisecond, 2*time.Second))
 		}
 		tc.stopFaults()
 		time.Sleep(45 * time.Second)
@@ -98,13 +99,13 @@
 	tc.store.mu.Lock()
 	tc.store.down = true
 	tc.store.mu.Unlock()
-	age := tc.randomDuration(0, 5*time.Second)
-	outage := tc.randomDuration(0, 3*time.Second)
-	if tc.chance(0.4) {
+	age := tc.randomDuration("schedule", 0, 5*time.Second)
+	outage := tc.randomDuration("schedule", 0, 3*time.Second)
+	if tc.chance("schedule", 0.4) {
 		for i := range tc.pick(5) {
 			name := fmt.Sprintf("i%d", i)
 			tc.stopInstance(name)
-			tc.after(tc.randomDuration(0, 2*time.Second), func() { tc.startInstance(name, "d"+string(name[1]%2+'0')) })
+			tc.after(tc.randomDuration("schedule", 0, 2*time.Second), func() { tc.startInstance(name, "d"+string(name[1]%2+'0')) })
 		}
 	}
 	tc.after(outage, func() { tc.store.returnFrom(age) })
@@ -114,16 +115,16 @@
 // come back from a copy that may lack the moves.
 func (tc *testCluster) returnDuringMoves() {
 	tc.restartServer(tc.randomServer().ID)
-	time.Sleep(tc.randomDuration(0, 4*time.Second))
-	all := tc.chance(0.5)
+	time.Sleep(tc.randomDuration("schedule", 0, 4*time.Second))
+	all := tc.chance("schedule", 0.5)
 	for _, n := range tc.others("") {
 		if all || n.manager.Leads() {
 			tc.stopInstance(n.name)
-			tc.after(tc.randomDuration(0, time.Second), func() { tc.startInstance(n.name, "d"+string(n.name[1]%2+'0')) })
+			tc.after(tc.randomDuration("schedule", 0, time.Second), func() { tc.startInstance(n.name, "d"+string(n.name[1]%2+'0')) })
 		}
 	}
-	tc.store.returnFrom(tc.randomDuration(0, 5*time.Second))
-	time.Sleep(tc.randomDuration(time.Second, 8*time.Second))
+	tc.store.returnFrom(tc.randomDuration("schedule", 0, 5*time.Second))
+	time.Sleep(tc.randomDuration("schedule", time.Second, 8*time.Second))
 }
 
 // injectFault injects one random fault.
@@ -133,22 +134,22 @@
 	switch tc.pick(9) {
 	case 0:
 		tc.stopInstance(node)
-		tc.after(tc.randomDuration(0, 3*time.Second), func() { tc.startInstance(node, "d"+string(node[1]%2+'0')) })
+		tc.after(tc.randomDuration("schedule", 0, 3*time.Second), func() { tc.startInstance(node, "d"+string(node[1]%2+'0')) })
 	case 1:
-		tc.cut(node, "store", tc.randomDuration(time.Second, 14*time.Second))
+		tc.cut(node, "store", tc.randomDuration("schedule", time.Second, 14*time.Second))
 	case 2:
-		tc.cut(node, server.Address, tc.randomDuration(time.Second, 8*time.Second))
+		tc.cut(node, server.Address, tc.randomDuration("schedule", time.Second, 8*time.Second))
 	case 3:
 		// A server that no instance reaches continues to serve.
 		for i := range 4 {
-			tc.cut(fmt.Sprintf("i%d", i), server.Address, tc.randomDuration(3*time.Second, 20*time.Second))
+			tc.cut(fmt.Sprintf("i%d", i), server.Address, tc.randomDuration("schedule", 3*time.Second, 20*time.Second))
 		}
 	case 4:
 		other := fmt.Sprintf("i%d", tc.pick(4))
-		tc.cut(node, other, tc.randomDuration(time.Second, 9*time.Second))
-		tc.cut(other, node, tc.randomDuration(time.Second, 9*time.Second))
+		tc.cut(node, other, tc.randomDuration("schedule", time.Second, 9*time.Second))
+		tc.cut(other, node, tc.randomDuration("schedule", time.Second, 9*time.Second))
 	case 5:
-		tc.outage(tc.randomDuration(time.Second, 12*time.Second))
+		tc.outage(tc.randomDuration("schedule", time.Second, 12*time.Second))
 	case 6:
 		tc.drain(server.ID)
 	case 7:
@@ -166,27 +167,14 @@
 	}
 }
 
-func (tc *testCluster) pick(n int) int {
-	tc.mu.Lock()
-	defer tc.mu.Unlock()
-	return tc.random.IntN(n)
-}
+func (tc *testCluster) pick(n int) int { return int(tc.random("schedule", int64(n))) }
 
 func (tc *testCluster) randomServer() fakeServer {
 	tc.mu.Lock()
-	defer tc.mu.Unlock()
-	ids := make([]string, 0, len(tc.servers))
-	for i := range 100 {
-		for incarnation := range 50 {
-			if id := tc.incarnationID(i, incarnation); tc.servers[id] != nil {
-				ids = append(ids, id)
-			}
-		}
-		if len(ids) == len(tc.servers) {
-			break
-		}
-	}
-	return *tc.servers[ids[tc.random.IntN(len(ids))]]
+	servers := maps.Clone(tc.servers)
+	tc.mu.Unlock()
+	ids := slices.Sorted(maps.Keys(servers))
+	return *servers[ids[tc.pick(len(ids))]]
 }
 
 func serverID(i, incarnation int) string {
@@ -289,10 +277,10 @@
 	tc.mu.Unlock()
 	next := rules.IncarnationID(name, s.StartedAt+1)
 	address := s.Address
-	if tc.chance(0.2) {
+	if tc.chance("restart "+name, 0.2) {
 		address += "'"
 	}
-	tc.after(tc.randomDuration(5*time.Millisecond, 500*time.Millisecond), func() { tc.addServer(next, address, s.Domain) })
+	tc.after(tc.randomDuration("restart "+name, 5*time.Millisecond, 500*time.Millisecond), func() { tc.addServer(next, address, s.Domain) })
 }
 
 func (tc *testCluster) stopFaults() {
--- a/internal/lease/server_test.go
+++ b/internal/lease/server_test.go
@@ -55,7 +55,8 @@
 
 func (lc *fakeLeaseClient) Grant(ctx context.Context, to shard.Owner, g Grant, check GrantCheck) (Reply, error) {
 	address := to.Address
-	lc.cluster.delay()
+	link := fmt.Sprint(lc.name, " grant ", address, " ", g.From)
+	lc.cluster.delay(link)
 	if ctx.Err() != nil {
 		return Reply{}, errCut
 	}
@@ -77,13 +78,13 @@
 		return Reply{}, err
 	}
 	arrivedAt := time.Now()
-	if lc.cluster.chance(lc.cluster.delayedGrants) {
-		lc.cluster.after(lc.cluster.randomDuration(2*time.Second, 12*time.Second), func() { _ = lc.cluster.grant(to, g, arrivedAt, server) })
+	if lc.cluster.chance(link, lc.cluster.delayedGrants) {
+		lc.cluster.after(lc.cluster.randomDuration(link, 2*time.Second, 12*time.Second), func() { _ = lc.cluster.grant(to, g, arrivedAt, server) })
 		<-ctx.Done()
 		return Reply{}, errCut
 	}
 	err := lc.cluster.grant(to, g, arrivedAt, server)
-	lc.cluster.delay()
+	lc.cluster.delay(link)
 	return Reply{}, err
 }
 
@@ -108,7 +109,7 @@
 }
 
 func (lc *fakeLeaseClient) Connect(ctx context.Context, to shard.Owner) error {
-	lc.cluster.delay()
+	lc.cluster.delay(lc.name + " connect " + to.Address)
 	if lc.cluster.isCut(lc.name, to.Address) {
 		<-ctx.Done()
 		return errCut
@@ -123,7 +124,8 @@
 
 func (lc *fakeLeaseClient) Release(ctx context.Context, to shard.Owner, g Grant) (Reply, error) {
 	address := to.Address
-	lc.cluster.delay()
+	link := fmt.Sprint(lc.name, " release ", address, " ", g.From)
+	lc.cluster.delay(link)
 	if lc.cluster.isCut(lc.name, address) {
 		<-ctx.Done()
 		return Reply{}, errCut
@@ -132,7 +134,7 @@
 	if err := lc.cluster.release(to, g); err != nil {
 		return Reply{}, err
 	}
-	time.Sleep(lc.cluster.randomDuration(0, 300*time.Millisecond))
+	time.Sleep(lc.cluster.randomDuration(link, 0, 300*time.Millisecond))
 	return Reply{Handover: "handover"}, nil
 }
 
@@ -262,6 +264,7 @@
 
 // addServer starts a server.
 func (tc *testCluster) addServer(id, address, domain string) {
+	delay := tc.randomDuration("directory "+id, 0, time.Second)
 	tc.mu.Lock()
 	defer tc.mu.Unlock()
 	s := &fakeServer{
@@ -271,7 +274,7 @@
 	tc.servers[id] = s
 	if tc.namedRestarts {
 		// The directory lists the previous incarnation until the entry of the new one is read.
-		tc.after(tc.directoryDelay(), func() {
+		tc.after(delay, func() {
 			tc.mu.Lock()
 			defer tc.mu.Unlock()
 			if tc.servers[id] == s {
@@ -281,11 +284,6 @@
 	}
 }
 
-// directoryDelay returns how long it takes until the entry of a new incarnation is read; tc.mu must be held.
-func (tc *testCluster) directoryDelay() time.Duration {
-	return time.Duration(tc.random.Int64N(int64(time.Second)))
-}
-
 // startTimeOf returns the start time in the id of an incarnation, zero if there is none.
 func startTimeOf(id string) int64 {
 	_, start, _ := strings.Cut(id, "~")
