Check the fence of a lease that is given again after it expired

Cause: the fake servers did not compare fences when a server got the fence that it already had, also if that lease had expired long before and another server had had the key since with a higher fence. A server that was cut off, lost its keys by expiry and got them back by its old lease was thus no violation, so that the guard renewFences seemed not to be needed in this case.

Change: only the renewal of a lease that has not expired is exempt.

--- a/internal/lease/server_test.go
+++ b/internal/lease/server_test.go
@@ -188,7 +188,10 @@
 // checkFence records a violation if another server has had a key that s gets with the same fence or a higher one.
 func (tc *testCluster) checkFence(i int, s *fakeServer, g Grant, expiresAt time.Time) {
 	top := &tc.topFences[i]
-	if renewed := s.leases[i].granted && s.leases[i].fence == g.Fence; !renewed && time.Now().Before(expiresAt) && top.server != s.ID && top.fence >= g.Fence {
+	now := time.Now()
+	// A lease that has expired is not renewed but given again.
+	renewed := s.leases[i].granted && s.leases[i].fence == g.Fence && now.Before(s.leases[i].expiresAt)
+	if !renewed && now.Before(expiresAt) && top.server != s.ID && top.fence >= g.Fence {
 		tc.violations = append(tc.violations, fmt.Sprintf("%v key %d: %s got it with fence %d, %s had it with %d",
 			time.Since(tc.start), i*keySpacing, s.ID, g.Fence, top.server, top.fence))
 	}
