Keep an instance that has started again as the last heard

While an era waits to be opened, of two incarnations of an instance that one counts which was heard last. Once the new one was registered, the first heartbeat after that had to arrive within 200 ms, or else the register went back to the former one. All heartbeats of the new one were then taken for late ones of a former incarnation, so that it counted as silent for good, and the era was opened after the wait for silent instances. The time of its first heartbeat, which is kept at the registration, says now that it was heard.

Safety: the incarnation that counts is that of the process that was heard last, as before. It only stops changing back.

Traces of TestOwnersAfterTheStoreReturnsFromACopy (one starts again, a server crashes) and of the same with a server lost before the outage show it: "is silent: i0" from 1.2 s after the return to 6 s after it while i0 sends heartbeats, and the opening writes the registration of the ended process (registrations=1). The new test fails without the change.

--- a/internal/roster/replaced_test.go
+++ b/internal/roster/replaced_test.go
@@ -58,3 +58,16 @@
 	leader, _ = r.Leader(now.Add(5 * time.Second))
 	is.Equal(leader.Name, "i0") // it is back
 }
+
+// Guards against an instance that has started again and counts as silent from then on: it was registered, and before its next
+// heartbeat taken for the process before it again.
+func TestHeardIncarnationStaysTheLastHeard(t *testing.T) {
+	is := is.New(t)
+	r, now := New("self", "d"), time.Now()
+	r.Put("i", Entry{Domain: "d", Incarnation: 1}, now)
+	r.RecordHeartbeat(Heartbeat{Name: "i", Incarnation: 1}, now)
+	r.RecordHeartbeat(Heartbeat{Name: "i", Incarnation: 2}, now.Add(time.Second))
+	r.Put("i", Entry{Domain: "d", Incarnation: 2}, now.Add(time.Second))
+	is.True(r.LastHeard("i", 2)) // although it has sent no heartbeat since it was registered
+	is.True(!r.LastHeard("i", 1))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -302,7 +302,7 @@
 		return other.incarnation == incarnation
 	}
 	p := r.peers[name]
-	return p != nil && p.Incarnation == incarnation && !p.HeartbeatAt.IsZero()
+	return p != nil && p.Incarnation == incarnation && !p.HeardSince.IsZero()
 }
 
 // ReplacedSince returns since when heartbeats come from another incarnation of an instance than the registered one, zero if
