Do not count the wait for the store in the pause between decisions

After a decision about owners the next one waits four times as long as the last one took, to leave the processor to other work. The time in which an append waits for the store was counted as well: after an append without an answer for 1.5 s nothing was decided for 4.5 s. Only the rest of the time counts now.

In a trace in which the store holds appends back over its return, the era was opened 0.8 s after the return and the keys of the lost server were moved 4.05 s later, 6.0 s after the append began. The extended test fails without the change.

--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -55,13 +55,15 @@
 		return
 	}
 	if !now.Before(lm.nextDecisionAt) {
+		lm.appendTime = 0
 		for _, service := range lm.Services() {
 			if time.Now().Before(lm.nextWriteAt) {
 				break
 			}
 			lm.decideOwners(ctx, service, now)
 		}
-		lm.nextDecisionAt = now.Add(decisionPause * time.Since(now))
+		// The processor is not used while an append waits for the store.
+		lm.nextDecisionAt = now.Add(lm.appendTime + decisionPause*(time.Since(now)-lm.appendTime))
 	}
 	lm.startContactChecks(ctx, now)
 	lm.startMoves(ctx)
@@ -119,6 +121,7 @@
 	}
 	startedAt := lm.Clock.Now()
 	offset, err := lm.Store.Append(ctx, lm.Topic, records, end)
+	lm.appendTime += lm.Clock.Now().Sub(startedAt)
 	if err != nil {
 		lm.Events.Record(event.StateChange, "owners-not-written", "key", records[0].Key, "as-of", end, "error", err)
 		lm.nextWriteAt = time.Now().Add(writeRetryDelay)
--- a/internal/lease/lead_test.go
+++ b/internal/lease/lead_test.go
@@ -60,6 +60,7 @@
 		lm.Roster.RecordHeartbeat(roster.Heartbeat{Name: "i0", Incarnation: 1, StoreOK: true}, time.Now())
 		lm.lead(t.Context(), time.Now())
 		is.Equal(s.appends, 1)
+		is.True(!lm.nextDecisionAt.After(time.Now())) // the wait for the store does not delay the next decision
 	})
 }
 
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -80,8 +80,9 @@
 	// nextViewAt is when another instance may next be asked for its view, viewRequests the number of such requests in a row.
 	nextViewAt   time.Time
 	viewRequests int
-	// nextDecisionAt is when owners are next decided about.
+	// nextDecisionAt is when owners are next decided about, appendTime how long appends have taken since the last decision began.
 	nextDecisionAt time.Time
+	appendTime     time.Duration
 	// nextWriteAt delays the next write after a failed one.
 	nextWriteAt time.Time
 	// presentServers holds the servers of the directory at the last decision, leftServers those that have left it.
