Read the register until an era is open, and say how far

An instance that starts again while the store is away is registered only after the return. The leader read the register every 1.5 s, and the others every 3 s or not at all before the owners are 6 s old, since records are broadcast only by an instance that already leads. Until they knew the registration, its heartbeats did not count and its instance was silent to them, two instances led, and the record of the opening was refused because it was not written behind the registration.

While the owners are not in force, the leader now reads the register every 0.2 s, and heartbeats state the end of what was read in the new era, so that an instance that has read less reads as well, by the means that exist for it. The statement is an element beside the failing servers, as the eras are, which older releases pass over.

Safety: more is read, and nothing that was waited for is no longer waited for.

--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -43,6 +43,7 @@
 		return
 	case awaitsOpening:
 		lm.countServers(now)
+		lm.rereadRegister(now)
 		lm.openEra(ctx, now)
 		return
 	}
--- a/internal/lease/open.go
+++ b/internal/lease/open.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// rereadRegister asks for reads of the register at short intervals, so that instances that have started again are known, and
+// their statements count, before the owners are put in force.
+func (lm *Manager) rereadRegister(now time.Time) {
+	if now.Sub(lm.registerReadAt) >= catchUpInterval {
+		lm.registerReadAt = now
+		lm.RereadOwners()
+	}
+}
+
 // assess returns what is known of lost records, given what this instance acts on and what the store holds.
 func (lm *Manager) assess(current, read *View, now time.Time) verdict {
 	learnedAt, currentAsOf := lm.view.learned()
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -77,6 +77,8 @@
 	undecidedReason string
 	// caughtUpAt is when this instance last took in what others know of an earlier era.
 	caughtUpAt time.Time
+	// registerReadAt is when the register was last read while the owners were not in force.
+	registerReadAt time.Time
 	// nextViewAt is when another instance may next be asked for its view, viewRequests the number of such requests in a row.
 	nextViewAt   time.Time
 	viewRequests int
@@ -333,6 +335,15 @@
 // Read returns what the store holds in its latest era, as far as it was read. It must not be modified.
 func (lm *Manager) Read() *View { return lm.view.getRead() }
 
+// UnopenedEnd returns the end of what the store holds in its latest era, as far as it was read, zero if the owners are in
+// force there.
+func (lm *Manager) UnopenedEnd() logpos.Pos {
+	if !lm.view.awaitsOpening() {
+		return 0
+	}
+	return lm.Read().End
+}
+
 // Registered reports whether this incarnation of the instance is registered, according to the view.
 // A registration that the store has lost does not count: instances that start know only what the store holds.
 func (lm *Manager) Registered() bool { return lm.view.getRead().registered(lm.Name, lm.Incarnation) }
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -154,7 +154,7 @@
 		Name: n.settings.Name, Incarnation: n.incarnation, Confirmed: n.leases.ConfirmedOffset(),
 		Known: n.leases.View().End, StoreOK: reached.owners && reached.directory,
 		Stopping: n.isStopping(), Leads: n.leases.Leads(), ConfigEnd: configEnd, ServersEnd: serversEnd, Failing: n.failing(),
-		LatestEra: n.leases.LatestEra(),
+		LatestEra: n.leases.LatestEra(), ReadEnd: n.leases.UnopenedEnd(),
 	}
 }
 
@@ -208,7 +208,7 @@
 		n.replyWithHeartbeat(h.Name)
 	}
 	n.leases.HandleHeartbeat(h)
-	n.checkLag(n.platform.OwnersTopic, h.Name, max(h.Known, logpos.At(h.LatestEra, 0)), n.leases.Read().End, now)
+	n.checkLag(n.platform.OwnersTopic, h.Name, max(h.Known, logpos.At(h.LatestEra, 0), h.ReadEnd), n.leases.Read().End, now)
 	configEnd, _ := n.watches[n.platform.ConfigTopic].Known()
 	serversEnd, _ := n.watches[n.platform.ServersTopic].Known()
 	n.checkLag(n.platform.ConfigTopic, h.Name, h.ConfigEnd, configEnd, now)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -89,6 +89,9 @@
 	// LatestEra is the latest era of the store that the sender knows of. It may be later than that of Known: after the store
 	// has come back from a copy, instances act on what they know until the owners are in force in the new era.
 	LatestEra logpos.Era `msgpack:"-"`
+	// ReadEnd is the position up to which the sender has read the owners and the register in the latest era, zero unless the
+	// owners are not in force there yet.
+	ReadEnd logpos.Pos `msgpack:"-"`
 }
 
 // AllServers stands for all servers in Heartbeat.Failing. Instances of releases that do not know it take it for the id of a
--- a/internal/roster/wire.go
+++ b/internal/roster/wire.go
@@ -15,19 +15,48 @@
 // a server that is not listed, and could not decode a further field.
 const eraTag = "@"
 
+// readEndTag begins an element of Failing that states Heartbeat.ReadEnd, as a number.
+const readEndTag = "="
+
 // ToWire returns a heartbeat as it is transmitted.
 func (h Heartbeat) ToWire() Heartbeat {
 	h.Failing = tagEras(h.Failing, h.LatestEra, &h.Confirmed, &h.Known, &h.ConfigEnd, &h.ServersEnd)
 	h.LatestEra = 0
+	if h.ReadEnd > 0 {
+		h.Failing = append(slices.Clone(h.Failing), readEndTag+strconv.FormatInt(int64(h.ReadEnd), 10))
+		h.ReadEnd = 0
+	}
 	return h
 }
 
-// FromWire reverses ToWire. A malformed statement of eras counts as none.
+// FromWire reverses ToWire. A malformed statement counts as none.
 func (h Heartbeat) FromWire() Heartbeat {
 	h.Failing, h.LatestEra = untagEras(h.Failing, &h.Confirmed, &h.Known, &h.ConfigEnd, &h.ServersEnd)
+	h.ReadEnd = 0
+	h.Failing = takeTagged(h.Failing, readEndTag, func(statement string) {
+		if end, err := strconv.ParseInt(statement, 10, 64); err == nil && end > 0 {
+			h.ReadEnd = logpos.Pos(end)
+		}
+	})
 	return h
 }
 
+// takeTagged passes the elements that begin with a tag on, without it, and returns the others.
+func takeTagged(failing []string, tag string, statement func(string)) (rest []string) {
+	tagged := func(id string) bool { return strings.HasPrefix(id, tag) }
+	if !slices.ContainsFunc(failing, tagged) {
+		return failing
+	}
+	for _, id := range failing {
+		if tagged(id) {
+			statement(id[len(tag):])
+			continue
+		}
+		rest = append(rest, id)
+	}
+	return rest
+}
+
 // ToWire returns a report as it is transmitted.
 func (r Report) ToWire() Report {
 	r.Failing = tagEras(r.Failing, r.LatestEra, &r.Confirmed, &r.Known)
