--- a/review/_world/main.go
+++ b/review/_world/main.go
@@ -429,6 +429,9 @@
 	}
 	go w.balance()
 	time.Sleep(8 * time.Second) // traffic starts 8 s after the machines do
+	for wait := 0; wait < 5 && w.readyCount() < len(w.instances); wait++ {
+		time.Sleep(time.Second) // on a slow machine
+	}
 	if n := w.readyCount(); n < len(w.instances) {
 		fmt.Fprintf(os.Stderr, "only %d of %d instances are ready\n", n, len(w.instances))
 		return exitNotRun
