Log each sending of a request and what was concluded from its answer

Two sendings of one request share its ID, and no line told which connection carried which of them, so that the logs could not show which sending an answer was taken for.

The line `sending` tells the sendings of a request apart: attempt, server, number of the connection and of the request on it, whether the connection carried the request before, whose ID the response states, and the conclusion. `request` has the same for a single sending that was answered, and a metric counts the responses by whose ID they state.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -90,6 +90,14 @@
 	Cancelled
 )
 
+// outcomeNames holds the names of the outcomes in logs.
+var outcomeNames = [...]string{
+	Answered: "answered", Failed: "failed", Lost: "lost", Full: "full", NotOwner: "not-owner", Unsent: "unsent", Cancelled: "cancelled",
+}
+
+// String returns the name of the outcome in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Load is the load that a server reports of itself.
 type Load struct {
 	// Running and Waiting are the numbers of requests that the server runs and that wait for a slot
--- a/internal/edge/meters.go
+++ b/internal/edge/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
@@ -60,13 +61,15 @@
 	mu sync.Mutex
 	// counts holds the number of requests by route and end reason. The route is empty for
 	// requests that were rejected before their first attempt.
-	counts  map[string]map[endReason]int64
+	counts map[string]map[endReason]int64
+	// answers holds the number of responses by the ID that they state.
+	answers map[statedID]int64
 	latency *LatencyHistograms
 }
 
 // NewMeters returns meters at zero.
 func NewMeters() *Meters {
-	return &Meters{counts: map[string]map[endReason]int64{}, latency: NewLatencyHistograms()}
+	return &Meters{counts: map[string]map[endReason]int64{}, answers: map[statedID]int64{}, latency: NewLatencyHistograms()}
 }
 
 // RecordRequest counts a request that ended and records how long it took.
@@ -85,6 +88,13 @@
 	m.latency.Record(string(reason), took)
 }
 
+// recordAnswer counts a response by the ID that it states.
+func (m *Meters) recordAnswer(s statedID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answers[s]++
+}
+
 // LatencySummary holds the number of operations, and quantiles of their latency in microseconds.
 type LatencySummary struct {
 	Count int64 `json:"count"`
@@ -96,14 +106,16 @@
 // Snapshot is a copy of the state of the meters, encoded as JSON.
 type Snapshot struct {
 	Requests map[string]map[endReason]int64 `json:"requests"`
-	Latency  map[string]LatencySummary      `json:"latency"`
+	// Answers holds the responses of servers by whose ID they state: "own", "other" or "none".
+	Answers map[statedID]int64        `json:"answers"`
+	Latency map[string]LatencySummary `json:"latency"`
 }
 
 // Snapshot returns a copy of the current state.
 func (m *Meters) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Requests: map[string]map[endReason]int64{}, Latency: m.latency.Snapshot()}
+	s := Snapshot{Requests: map[string]map[endReason]int64{}, Answers: maps.Clone(m.answers), Latency: m.latency.Snapshot()}
 	for route, counts := range m.counts {
 		s.Requests[route] = map[endReason]int64{}
 		for reason, n := range counts {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -100,6 +100,9 @@
 	retryOpen bool
 	// rejection says how the server has rejected the last attempt.
 	rejection rejection
+	// sending is the last sending, and usedConns holds the numbers of the connections of this instance that were used so far.
+	sending   sending
+	usedConns []uint64
 	// carried is the instance over whose connection the last attempt was sent, empty if it was one of this instance.
 	// carryLost says that an attempt through another instance got no complete response, so that the rest go directly.
 	carried   string
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -50,19 +49,20 @@
 
 // send sends the request, which was admitted at a time, to a server and returns the response once its head has arrived. The
 // caller must read and close the body.
-func (q *request) send(ctx context.Context, s rules.Server, admittedAt time.Time) (*http.Response, error) {
+func (q *request) send(ctx context.Context, to rules.Server, admittedAt time.Time) (*http.Response, error) {
 	out := q.outgoing(ctx)
-	client := q.edge.ConnPool.clientFor(s)
+	client := q.edge.ConnPool.clientFor(to)
 	return client.Send(out, upstr.SendOptions{
 		Deadline: q.deadline, InMemory: true, Done: func(bool) {},
-		BeforeWrite: func(c net.Conn) error {
-			q.through = paths.Via(c)
+		BeforeWrite: func(s upstr.Sending) error {
+			q.beginSending(s)
+			q.through = paths.Via(s.Conn)
 			if q.through != "" && q.ownPath {
 				return errNoOwnPath
 			}
 			// The time left does not include that for the connection.
-			q.edge.Codec.EncodeTarget(out.Header, s.ID, time.Until(q.deadline))
-			return q.checkServer(s.ID, time.Since(admittedAt))
+			q.edge.Codec.EncodeTarget(out.Header, to.ID, time.Until(q.deadline))
+			return q.checkServer(to.ID, time.Since(admittedAt))
 		},
 	})
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -262,7 +262,7 @@
 // no retry after all, or nil if the request was not sent and the attempt does not count.
 func (q *request) attempt(ctx context.Context, a Admission, s rules.Server) (*inlet.Reply, bool) {
 	q.attempts++
-	q.server, q.through, q.carried, q.rejection = s.ID, "", "", notRejected
+	q.server, q.through, q.carried, q.rejection, q.sending = s.ID, "", "", notRejected, sending{}
 	isNew := !slices.Contains(q.sentTo, s.ID)
 	if isNew {
 		q.sentTo = append(q.sentTo, s.ID)
@@ -275,6 +275,7 @@
 	defer func() {
 		completion.Took = time.Since(startedAt)
 		a.Complete(completion)
+		q.recordSending(completion)
 	}()
 	if err != nil {
 		if isNew && errors.Is(err, errServerClosed) {
@@ -284,6 +285,7 @@
 	}
 	q.retryOpen = false
 	info := q.edge.Codec.DecodeResponse(response, time.Now())
+	q.observeAnswer(response, info)
 	completion.Load, completion.Limit = info.Load, info.Limit
 	q.edge.logMalformed(s.ID, info)
 	if !info.Statement.Empty() && q.carried == "" {
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -269,11 +268,11 @@
 // instance may cease to be the gate meanwhile. If it sent the request nevertheless, the server
 // might not notice: two gates would then send requests for one key to two servers, or send one
 // request twice.
-func (g *gateRequest) authorizeWrite(t route.Target, work *Work) func(net.Conn) error {
+func (g *gateRequest) authorizeWrite(t route.Target, work *Work) func(upstr.Sending) error {
 	if g.front.deps.Authorizer == nil {
 		return nil
 	}
-	return func(net.Conn) error {
+	return func(upstr.Sending) error {
 		begun, err := g.front.deps.Authorizer.Begin(Attempt{
 			Service:      g.request.service,
 			Server:       t.Server.Name,
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -167,7 +167,7 @@
 	connected := false
 	response, err := p.Send(outer, upstr.SendOptions{
 		Deadline: o.Deadline, InMemory: true, Done: func(bool) {},
-		BeforeWrite: func(net.Conn) error {
+		BeforeWrite: func(upstr.Sending) error {
 			connected = true
 			outer.Header.Set(headerLeft, strconv.FormatInt(time.Until(o.Deadline).Milliseconds(), 10))
 			return o.BeforeWrite()
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -167,20 +167,29 @@
 	InMemory bool
 	// NewConn makes Send open a new connection instead of reusing one.
 	NewConn bool
-	// BeforeWrite, if not nil, is called with the connection when one is available, immediately before
-	// the first byte is written. If it returns an error, the request is not sent.
-	BeforeWrite func(c net.Conn) error
+	// BeforeWrite, if not nil, is called when a connection is available, immediately before the first byte is written. If
+	// it returns an error, the request is not sent.
+	BeforeWrite func(s Sending) error
 	// Done is called exactly once, when the server has finished or dropped the request. Only then
 	// its slot is free. Sent says whether bytes of the request may have been sent.
 	Done func(sent bool)
 }
 
+// Sending is one sending of a request on a connection.
+type Sending struct {
+	Conn net.Conn
+	// ConnNumber is the number of the connection among those of this process, and Use that of the request among those that
+	// were sent on it, both from 1.
+	ConnNumber uint64
+	Use        int
+}
+
 // runBeforeWrite calls BeforeWrite if it is set.
-func (o *SendOptions) runBeforeWrite(c net.Conn) error {
+func (o *SendOptions) runBeforeWrite(c *conn) error {
 	if o.BeforeWrite == nil {
 		return nil
 	}
-	return o.BeforeWrite(c)
+	return o.BeforeWrite(Sending{Conn: c.Conn, ConnNumber: c.number, Use: c.uses + 1})
 }
 
 // Send sends a request and returns when the head of the response has arrived. The context of the
@@ -195,7 +204,7 @@
 		o.Done(false)
 		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, cl.settings.Name, err)
 	}
-	if err := o.runBeforeWrite(c.Conn); err != nil {
+	if err := o.runBeforeWrite(c); err != nil {
 		cl.putIdle(c)
 		o.Done(false)
 		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, cl.settings.Name, err)
--- a/internal/upstr/conn.go
+++ b/internal/upstr/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,9 @@
 type conn struct {
 	net.Conn
 	client *Client
+	// number is that of the connection among those of this process, uses how many attempts have begun on it.
+	number uint64
+	uses   int
 	peeker *peeker
 	in     *bufio.Reader
 	out    *bufio.Writer
@@ -52,9 +56,12 @@
 	interrupted bool
 }
 
+// lastConnNumber is the number of the connection that was opened last.
+var lastConnNumber atomic.Uint64
+
 // newConn returns a connection of a client that carries no attempt yet.
 func newConn(raw net.Conn, cl *Client) *conn {
-	c := &conn{Conn: raw, client: cl, peeker: newPeeker(raw)}
+	c := &conn{Conn: raw, client: cl, number: lastConnNumber.Add(1), peeker: newPeeker(raw)}
 	c.in = bufio.NewReaderSize(c, readBufferSize)
 	c.out = bufio.NewWriterSize(c, writeBufferSize)
 	return c
@@ -88,6 +95,7 @@
 
 // begin prepares the connection for an attempt.
 func (c *conn) begin(serial uint64, deadline time.Time) {
+	c.uses++
 	c.mayHaveWritten = false
 	c.headRemaining = maxHeadBytes
 	if deadline != c.writeDeadline {
