Never send a request again on a connection that has carried it

Cause: a request that the owner of its key has rejected with room is sent to it again, with the same ID. The pool returned the connection that had become idle last, which was that of the rejection. A server may send a response once more when the next one is expected on its connection; the copy of the rejection then arrived before the answer to the second sending, has the same ID, and passed for it.

Change: a request keeps the numbers of the connections that it was sent on and is sent again on others only. A connection carries each request at most once, so that a copy can't meet another sending of its request. A request that was sent over the connection of another instance isn't sent that way again, since its connection there isn't known.

Why not a new connection for each repeat, or a memory of IDs in each connection: the first opens one where others are idle, the second has to forget.

--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -46,7 +46,7 @@
 		})
 		unsent := errors.Is(err, upstr.ErrNotSent)
 		if !unsent {
-			q.carried, q.carryLost = instance, err != nil
+			q.carried, q.carryUsed = instance, true
 		}
 		if !unsent || ctx.Err() != nil {
 			return response, err
@@ -58,7 +58,7 @@
 // mayCarry reports whether the request may go through another instance, and a connection is saved if it does. A server with
 // a bounded rate gets its requests directly: the way through another instance delays them, see maxBoundedDispatchDelay.
 func (q *request) mayCarry(s rules.Server, now time.Time) bool {
-	return q.edge.Carrier != nil && q.divided && q.route.Kind.Idempotent() && len(q.body) == 0 && !q.carryLost &&
+	return q.edge.Carrier != nil && q.divided && q.route.Kind.Idempotent() && len(q.body) == 0 && !q.carryUsed &&
 		!s.Cold(now) && s.RateLimit == 0 && q.deadline.Sub(now) >= minAttemptTime && !q.edge.ConnPool.hasIdle(s.ID)
 }
 
--- a/internal/edge/carry_test.go
+++ b/internal/edge/carry_test.go
@@ -20,10 +20,12 @@
 	"example.org/mustardring/internal/upstr"
 )
 
-// fakeCarrier implements edge.Carrier. It returns an error, or a response if that is nil.
+// fakeCarrier implements edge.Carrier. It returns an error, or a response if that is nil: one with status 200 and the ID of
+// the request unless another one is set.
 type fakeCarrier struct {
-	err   error
-	calls int
+	err      error
+	response string
+	calls    int
 }
 
 func (c *fakeCarrier) Carry(o edge.Carriage) (*http.Response, string, error) {
@@ -31,7 +33,11 @@
 	if c.err != nil {
 		return nil, "i1", c.err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")), o.Request)
+	text := c.response
+	if text == "" {
+		text = responseTo(o.Request.Header.Get("Id"), "200 OK", "", "")
+	}
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), o.Request)
 	return response, "i1", err
 }
 
@@ -108,3 +114,22 @@
 		})
 	}
 }
+
+// Guards against a second sending over a connection that this instance does not know.
+func TestSendingsAfterACarriedOneGoDirectly(t *testing.T) {
+	for name, response := range map[string]string{
+		"rejected": responseTo("id-1", "503 X", "Not-Run: 1\r\nRunning: 0\r\n", ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, c, b, r := newCarryFixture(t, rules.Idempotent, nil)
+			f.admitter.earlier, f.edge.RepeatRejected = admit.Earlier{LastTry: true}, true
+			c.response = response
+			reply := f.edge.Handle(t.Context(), r)
+			is.Equal(reply.Status, http.StatusOK)
+			is.Equal(string(reply.Body), "fine")
+			is.Equal(c.calls, 1)
+			is.Equal(b.runs.Load(), int32(1))
+		})
+	}
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -100,13 +100,14 @@
 	retryOpen bool
 	// rejection says how the server has rejected the last attempt.
 	rejection rejection
-	// sending is the last sending, and usedConns holds the numbers of the connections of this instance that were used so far.
-	sending   sending
+	sending   sending // the last one
+	// usedConns holds the numbers of the connections that were used so far. A server may send a response once more at any
+	// later time on its connection, where it could not be told from the response to a second sending.
 	usedConns []uint64
 	// carried is the instance over whose connection the last attempt was sent, empty if it was one of this instance.
-	// carryLost says that an attempt through another instance got no complete response, so that the rest go directly.
+	// carryUsed says that an attempt was sent that way. The rest go directly, as usedConns lacks that connection.
 	carried   string
-	carryLost bool
+	carryUsed bool
 	// ownPath says that the request must not go through another instance.
 	ownPath bool
 
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -53,16 +53,19 @@
 	out := q.outgoing(ctx)
 	client := q.edge.ConnPool.clientFor(to)
 	return client.Send(out, upstr.SendOptions{
-		Deadline: q.deadline, InMemory: true, Done: func(bool) {},
+		Deadline: q.deadline, InMemory: true, Done: func(bool) {}, AvoidConns: q.usedConns,
 		BeforeWrite: func(s upstr.Sending) error {
-			q.beginSending(s)
 			q.through = paths.Via(s.Conn)
 			if q.through != "" && q.ownPath {
 				return errNoOwnPath
 			}
 			// The time left does not include that for the connection.
 			q.edge.Codec.EncodeTarget(out.Header, to.ID, time.Until(q.deadline))
-			return q.checkServer(to.ID, time.Since(admittedAt))
+			if err := q.checkServer(to.ID, time.Since(admittedAt)); err != nil {
+				return err
+			}
+			q.beginSending(s)
+			return nil
 		},
 	})
 }
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -167,6 +167,8 @@
 	InMemory bool
 	// NewConn makes Send open a new connection instead of reusing one.
 	NewConn bool
+	// AvoidConns holds the numbers of connections that must not be reused for this request, see Sending.ConnNumber.
+	AvoidConns []uint64
 	// BeforeWrite, if not nil, is called when a connection is available, immediately before the first byte is written. If
 	// it returns an error, the request is not sent.
 	BeforeWrite func(s Sending) error
@@ -304,11 +306,11 @@
 	return last >= 0 && time.Since(cl.idle[last].idleSince) < cl.idleTimeout()
 }
 
-// acquireConn returns a connection for a request: the one that became idle last if it is usable,
+// acquireConn returns a connection for a request: the one that became idle last and need not be avoided if it is usable,
 // otherwise a new one. It returns ErrConnLimit if all connections are in use.
 func (cl *Client) acquireConn(ctx context.Context, o SendOptions) (*conn, error) {
 	for !o.NewConn {
-		c := cl.takeIdle()
+		c := cl.takeIdle(o.AvoidConns)
 		if c == nil {
 			break
 		}
@@ -344,7 +346,7 @@
 			return true
 		}
 		cl.mu.Unlock()
-		c := cl.takeIdle()
+		c := cl.takeIdle(nil)
 		if c == nil {
 			return false
 		}
@@ -352,18 +354,17 @@
 	}
 }
 
-// takeIdle returns the connection that became idle last, nil if there is none.
-func (cl *Client) takeIdle() *conn {
+// takeIdle returns the connection that became idle last, but for those with some numbers, nil if there is none.
+func (cl *Client) takeIdle(avoid []uint64) *conn {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	last := len(cl.idle) - 1
-	if last < 0 {
-		return nil
+	for i, c := range slices.Backward(cl.idle) {
+		if !slices.Contains(avoid, c.number) {
+			cl.idle = slices.Delete(cl.idle, i, i+1)
+			return c
+		}
 	}
-	c := cl.idle[last]
-	cl.idle[last] = nil
-	cl.idle = cl.idle[:last]
-	return c
+	return nil
 }
 
 // SetMaxConns changes Settings.MaxConns, and sets how many connections the client may open beyond its part of them.
@@ -446,7 +447,7 @@
 
 // closeIdle closes all idle connections.
 func (cl *Client) closeIdle() {
-	for c := cl.takeIdle(); c != nil; c = cl.takeIdle() {
+	for c := cl.takeIdle(nil); c != nil; c = cl.takeIdle(nil) {
 		c.discard()
 	}
 }
