Believe a response only if it states the ID of its request

Cause: a response that stated another ID was refused only after it had been read, and its connection went back to the pool, where the right answer met the next request. One that stated no ID was believed. An instance that sends a request for another did not look at the ID at all. A response that was refused could state a load, a limit or a leave of the server all the same.

Change: the ID is checked when the head of the response is there (upstr.SendOptions.Verify). Any other response is not read further, closes its connection, and leaves the request in doubt: 502 if it is not idempotent, else it may be sent again. This holds for both hops between instances. A request without an ID goes over a new connection, the only one on which a response without an ID can't belong to another request.

TestSendingsAfterACarriedOneGoDirectly ("another request", "no request") and TestSentForAnotherInstance failed before.

--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -48,6 +48,9 @@
 		if !unsent {
 			q.carried, q.carryUsed = instance, true
 		}
+		if err == nil {
+			err = q.verify(response)
+		}
 		if !unsent || ctx.Err() != nil {
 			return response, err
 		}
@@ -63,7 +66,7 @@
 }
 
 // SendFor sends a request of another instance to the server with an ID at an address, over a connection of this instance,
-// and returns the complete response. Errors wrap upstr.ErrNotSent or upstr.ErrInDoubt.
+// and returns the complete response, which states the ID of the request. Errors wrap upstr.ErrNotSent or upstr.ErrInDoubt.
 //
 // What the response states about its server concerns this instance, from which the server got the request.
 func (e *Edge) SendFor(r *http.Request, server, address string, deadline time.Time) (*inlet.Reply, error) {
@@ -71,14 +74,13 @@
 	if !found || s.Address != address {
 		return nil, fmt.Errorf("%w: %w", upstr.ErrNotSent, errServerClosed)
 	}
-	q := &request{Request: r, edge: e, divided: true, ownPath: true, deadline: deadline}
+	q := &request{Request: r, edge: e, info: e.Codec.DecodeRequest(r.Header), divided: true, ownPath: true, deadline: deadline}
 	response, err := q.send(r.Context(), s, time.Now())
 	if err != nil {
 		return nil, err
 	}
-	if info := e.Codec.DecodeResponse(response, time.Now()); !info.Statement.Empty() {
-		id := e.Codec.DecodeRequest(r.Header).ID
-		e.Cluster.ObserveStatement(server, info.Statement, stated.Source{Request: id, Status: response.StatusCode})
+	if !q.answer.Statement.Empty() {
+		e.Cluster.ObserveStatement(server, q.answer.Statement, stated.Source{Request: q.info.ID, Status: response.StatusCode})
 	}
 	return readWhole(response)
 }
--- a/internal/edge/carry_test.go
+++ b/internal/edge/carry_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -115,10 +118,13 @@
 	}
 }
 
-// Guards against a second sending over a connection that this instance does not know.
+// Guards against a second sending over a connection that this instance does not know, and against the answer to another
+// request that came through an instance.
 func TestSendingsAfterACarriedOneGoDirectly(t *testing.T) {
 	for name, response := range map[string]string{
-		"rejected": responseTo("id-1", "503 X", "Not-Run: 1\r\nRunning: 0\r\n", ""),
+		"rejected":        responseTo("id-1", "503 X", "Not-Run: 1\r\nRunning: 0\r\n", ""),
+		"another request": responseTo("id-0", "200 OK", "", "other"),
+		"no request":      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -133,3 +139,28 @@
 		})
 	}
 }
+
+// Guards against an instance that passes on the answer to another request, and then uses the connection again, on which
+// the right answer comes next.
+func TestSentForAnotherInstance(t *testing.T) {
+	is := is.New(t)
+	b := newFakeServer(t, func(run int, c net.Conn, r *http.Request) {
+		if run == 2 {
+			_, _ = io.WriteString(c, responseTo("id-0", "503 X", "Not-Run: 1\r\n", ""))
+		}
+		respondOK(run, c, r)
+	})
+	f, _, _, r := newCarryFixture(t, rules.Idempotent, nil)
+	s := rules.Server{ID: "s0", Service: "books", Address: b.listener.Addr().String(), Slots: 2}
+	f.cluster.servers["s0"] = s
+	for number := 1; number <= 3; number++ {
+		r.Header.Set("Id", "id-"+strconv.Itoa(number))
+		reply, err := f.edge.SendFor(r, s.ID, s.Address, time.Now().Add(time.Second))
+		is.Equal(err != nil, number == 2)
+		if err != nil {
+			is.True(errors.Is(err, upstr.ErrInDoubt))
+			continue
+		}
+		is.Equal(reply.Header.Get("Id"), r.Header.Get("Id"))
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,7 +35,8 @@
 
 // ResponseInfo is what the headers of a server's response state.
 type ResponseInfo struct {
-	// ID is the RequestInfo.ID of the request that the response belongs to. It may be empty.
+	// ID is the RequestInfo.ID of the request that the response belongs to. A response without it belongs to no request that
+	// has one.
 	ID string
 	// NotRun says that the server did not run the request. Misdirected says that the server is
 	// not the one that was addressed, or does not own the key.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -100,7 +100,9 @@
 	retryOpen bool
 	// rejection says how the server has rejected the last attempt.
 	rejection rejection
-	sending   sending // the last one
+	// sending is the last sending, and answer what the response to it states.
+	sending sending
+	answer  ResponseInfo
 	// usedConns holds the numbers of the connections that were used so far. A server may send a response once more at any
 	// later time on its connection, where it could not be told from the response to a second sending.
 	usedConns []uint64
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -16,8 +16,10 @@
 )
 
 var (
-	// errMismatchedResponse is the error of a response that states the ID of another request.
-	errMismatchedResponse = errors.New("edge: response belongs to another request")
+	// errMismatchedResponse is the error of a response that states the ID of another request, errUnidentifiedResponse that of
+	// one that states none.
+	errMismatchedResponse   = errors.New("edge: response belongs to another request")
+	errUnidentifiedResponse = errors.New("edge: response states no request")
 	// errServerClosed is the error of a request that was not sent because the server does not
 	// accept it any more.
 	errServerClosed = errors.New("edge: server no longer accepts the request")
@@ -53,7 +55,9 @@
 	out := q.outgoing(ctx)
 	client := q.edge.ConnPool.clientFor(to)
 	return client.Send(out, upstr.SendOptions{
-		Deadline: q.deadline, InMemory: true, Done: func(bool) {}, AvoidConns: q.usedConns,
+		Deadline: q.deadline, InMemory: true, Done: func(bool) {}, Verify: q.verify,
+		// A response without an ID belongs to a request without one only if the connection has carried no other.
+		NewConn: q.info.ID == "", AvoidConns: q.usedConns,
 		BeforeWrite: func(s upstr.Sending) error {
 			q.through = paths.Via(s.Conn)
 			if q.through != "" && q.ownPath {
--- a/internal/edge/sending.go
+++ b/internal/edge/sending.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"example.org/mustardring/internal/admit"
 	"example.org/mustardring/internal/event"
@@ -42,11 +43,19 @@
 	q.usedConns = append(q.usedConns, s.ConnNumber)
 }
 
-// observeAnswer takes in the head of the response to the last sending.
-func (q *request) observeAnswer(r *http.Response, info ResponseInfo) {
-	q.sending.status, q.sending.notRun = r.StatusCode, info.NotRun
-	q.sending.statedID = statedIDOf(q.info.ID, info)
+// verify takes in the head of the response to the last sending, and returns an error unless it states the ID of the request.
+func (q *request) verify(r *http.Response) error {
+	q.answer = q.edge.Codec.DecodeResponse(r, time.Now())
+	q.sending.status, q.sending.notRun, q.sending.statedID = r.StatusCode, q.answer.NotRun, statedIDOf(q.info.ID, q.answer)
 	q.edge.Meters.recordAnswer(q.sending.statedID)
+	switch q.sending.statedID {
+	case noID:
+		return errUnidentifiedResponse
+	case otherID:
+		return errMismatchedResponse
+	default:
+		return nil
+	}
 }
 
 // statedIDOf returns whose ID a response states, given the ID of the request.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -284,17 +284,13 @@
 		return q.handleFailure(ctx, &completion, s, err)
 	}
 	q.retryOpen = false
-	info := q.edge.Codec.DecodeResponse(response, time.Now())
-	q.observeAnswer(response, info)
+	info := q.answer
 	completion.Load, completion.Limit = info.Load, info.Limit
 	q.edge.logMalformed(s.ID, info)
 	if !info.Statement.Empty() && q.carried == "" {
 		q.edge.Cluster.ObserveStatement(s.ID, info.Statement, stated.Source{Request: q.info.ID, Through: q.through, Status: response.StatusCode})
 	}
 	reply, err := readWhole(response)
-	if err == nil && info.ID != q.info.ID && info.ID != "" {
-		err = errMismatchedResponse
-	}
 	if err != nil {
 		q.mayHaveRun = true
 		return q.handleFailure(ctx, &completion, s, err)
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -35,6 +35,8 @@
 	ErrSilent = errors.New("upstr: connection went silent")
 	// ErrDeadline accompanies ErrInDoubt if the server did not respond in time.
 	ErrDeadline = errors.New("upstr: no response by the deadline")
+	// ErrForeign accompanies ErrInDoubt if SendOptions.Verify has rejected the response.
+	ErrForeign = errors.New("upstr: response does not belong to the request")
 	// ErrNotPassedOn accompanies ErrNotSent if the bytes of the request were written to a connection that goes through
 	// another instance, and that one passed none of them on. A connection returns it from Read.
 	ErrNotPassedOn = errors.New("upstr: request not passed on to the server")
@@ -169,6 +171,9 @@
 	NewConn bool
 	// AvoidConns holds the numbers of connections that must not be reused for this request, see Sending.ConnNumber.
 	AvoidConns []uint64
+	// Verify, if not nil, is called with the head of the response, without its body. If it returns an error, that is the
+	// cause of ErrForeign, nothing more is read, and the connection is closed.
+	Verify func(r *http.Response) error
 	// BeforeWrite, if not nil, is called when a connection is available, immediately before the first byte is written. If
 	// it returns an error, the request is not sent.
 	BeforeWrite func(s Sending) error
@@ -194,6 +199,17 @@
 	return o.BeforeWrite(Sending{Conn: c.Conn, ConnNumber: c.number, Use: c.uses + 1})
 }
 
+// runVerify calls Verify if it is set.
+func (o *SendOptions) runVerify(r *http.Response) error {
+	if o.Verify == nil {
+		return nil
+	}
+	if err := o.Verify(r); err != nil {
+		return fmt.Errorf("%w: %w", ErrForeign, err)
+	}
+	return nil
+}
+
 // Send sends a request and returns when the head of the response has arrived. The context of the
 // request can cancel it at any time. The caller must close the body of the response. Errors wrap
 // ErrNotSent or ErrInDoubt. Send never retries.
@@ -224,6 +240,9 @@
 		return nil, cl.failAttempt(a, c, err)
 	}
 	response, err := a.awaitResponse(c)
+	if err == nil {
+		err = o.runVerify(response)
+	}
 	if err != nil {
 		return nil, cl.failAttempt(a, c, err)
 	}
@@ -264,6 +283,7 @@
 		err = context.Cause(a.request.Context())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = fmt.Errorf("%w: %w", ErrDeadline, err)
+	case errors.Is(err, ErrForeign):
 	default:
 		err = fmt.Errorf("%w: %w", ErrLost, err)
 	}
