Take only its own response for the answer to a grant or a release

Neither call has an ID that its response states.

What could happen: the response to a release comes once more and passes for the answer to the next release on its connection. The keys then count as released while their server is still at work on them, and get a second owner. A late copy, or other bytes, on a kept connection for grants shifted all further answers on it by one: a copy of a 409 ended the first grant of another move, whose keys had no owner until the next plan. An informational response passed for a refusal.

Informational responses are skipped. A copied 200 delays the renewal by its interval; a 409 to the first grant of a move counts when it comes twice in a row.

--- a/internal/lease/move.go
+++ b/internal/lease/move.go
@@ -296,7 +296,7 @@
 func (lm *Manager) grantFirst(ctx context.Context, p pendingMove, handover string, startedAt time.Time) {
 	service, r, firstGrant := p.service, p.Range, p.decidedHere
 	g := Grant{From: r.From, To: r.To, Fence: r.Fence, Lease: leaseDuration, Handover: handover}
-	granted, failures := false, 0
+	granted, fenced, failures := false, false, 0
 	delay := orderRetryDelay
 	for ctx.Err() == nil {
 		s, found := lm.Servers().Get(r.Server)
@@ -329,9 +329,11 @@
 				lm.completions <- completedMove{service: service, from: r.From, fence: r.Fence, delegated: true}
 			}
 		}
-		if errors.Is(err, ErrFenced) {
+		// The server may have sent the answer to an earlier grant once more. A second refusal is its answer to this one.
+		if errors.Is(err, ErrFenced) && fenced {
 			return
 		}
+		fenced = errors.Is(err, ErrFenced)
 		if errors.Is(err, context.Canceled) {
 			// A later record that changed other keys of the server canceled the grant. The move is still
 			// right, and its keys have no owner until it is granted, so retry without orderRetryDelay. If a later
--- a/internal/upstr/conn.go
+++ b/internal/upstr/conn.go
@@ -136,22 +136,31 @@
 	}
 }
 
-// hasHead reports whether the head of the response has been received completely.
+// informational begins a response with status 1xx.
+var informational = []byte("HTTP/1.1 1")
+
+// hasHead reports whether the head of the response, which is not informational, has been received completely.
 func (c *conn) hasHead() bool {
 	head, _ := c.in.Peek(c.in.Buffered())
-	return bytes.Contains(head, []byte("\r\n\r\n"))
+	return bytes.Contains(head, []byte("\r\n\r\n")) && !bytes.HasPrefix(head, informational)
 }
 
-// readHead reads the head of the response. It skips informational responses (status 1xx).
+// readHead reads the head of the response.
 func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	response, err := ReadResponse(c.in, r)
+	if err == nil {
+		c.headRemaining = -1
+	}
+	return response, err
+}
+
+// ReadResponse reads the head of the response to a request. It skips informational responses (status 1xx), as many as the
+// reader lets through.
+func ReadResponse(in *bufio.Reader, r *http.Request) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(c.in, r)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			c.headRemaining = -1
-			return response, nil
+		response, err := http.ReadResponse(in, r)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("upstr: unexpected status 101 Switching Protocols")
--- a/internal/upstr/silence.go
+++ b/internal/upstr/silence.go
@@ -65,6 +65,9 @@
 	return response.Body.Close()
 }
 
+// Quiet reports whether a connection is open and has nothing to read, as one must be before a request is sent on it.
+func Quiet(c net.Conn) bool { return newPeeker(c).usable() }
+
 // Configure sets the options of a connection that a DialFunc has opened. It sends no keep-alive probes: with a user timeout
 // the first one that stays unanswered would end the connection, while a server may be at work on a request.
 func Configure(c net.Conn, userTimeout time.Duration) error {
