Bound what is read of an answer, in time and bytes

What could happen: a body without end was kept in memory until the request's deadline. Responses to grants and releases, and answers of the store and of other instances, had no bound in bytes. After a request that was given up, an instance read on until one second after its deadline. A byte on the connection that detects the death of a server counted as its death.

Change: responses of servers are read into a ReplyMemory of an eighth of the instance's memory. One above 64 KB may take as much as it leaves free, so that any number of them leave room for others; one that states more than fits is given up at once. What does not fit closes its connection and is in doubt: 502, or sent again if it is idempotent. This holds for both instances when one sends for another. A request for another instance ends at its deadline by itself.

--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -75,12 +75,14 @@
 		return nil, fmt.Errorf("%w: %w", upstr.ErrNotSent, errServerClosed)
 	}
 	q := &request{Request: r, edge: e, info: e.Codec.DecodeRequest(r.Header), divided: true, ownPath: true, deadline: deadline}
-	response, err := q.send(r.Context(), s, time.Now())
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	response, err := q.send(ctx, s, time.Now())
 	if err != nil {
 		return nil, err
 	}
 	if !q.answer.Statement.Empty() {
 		e.Cluster.ObserveStatement(server, q.answer.Statement, stated.Source{Request: q.info.ID, Status: response.StatusCode})
 	}
-	return readWhole(response)
+	return e.readWhole(response)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -118,6 +118,7 @@
 	// Carrier is nil if requests are sent over connections of this instance only.
 	Carrier     Carrier
 	ConnPool    *ConnPool
+	ReplyMemory *ReplyMemory
 	RetryBudget *retry.Budget
 	Events      *event.Log
 	Meters      *Meters
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -198,6 +198,7 @@
 	}
 	f.edge = edge.New(edge.Deps{
 		Codec: headerCodec{}, Cluster: f.cluster, Admitter: f.admitter, ConnPool: edge.NewConnPool(func(string) int { return 10 }, nil),
+		ReplyMemory: edge.NewReplyMemory(4 << 20),
 		RetryBudget: retry.NewBudget(0.2, 10*time.Second, func() (float64, bool) { return 100, true }, time.Now),
 		Events:      event.New(io.Discard, log.ErrorLevel), Meters: edge.NewMeters(),
 	})
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -106,20 +106,17 @@
 	}
 }
 
-// readWhole reads a response to its end. A response that was cut short returns an error, so that
+// readWhole reads a response to its end. A response that was cut short or is too large returns an error, so that
 // the caller never gets a part of a response as if it were complete.
-func readWhole(r *http.Response) (*inlet.Reply, error) {
+func (e *Edge) readWhole(r *http.Response) (*inlet.Reply, error) {
 	defer r.Body.Close()
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(min(r.ContentLength, 1<<20)) + bytes.MinRead)
-	}
-	if _, err := body.ReadFrom(r.Body); err != nil {
+	body, err := e.ReplyMemory.ReadAll(r.Body, r.ContentLength)
+	if err != nil {
 		return nil, err
 	}
 	h := make(http.Header, len(r.Header))
 	copyEndToEndHeaders(h, r.Header)
-	return &inlet.Reply{Status: r.StatusCode, Header: h, Body: body.Bytes()}, nil
+	return &inlet.Reply{Status: r.StatusCode, Header: h, Body: body}, nil
 }
 
 // The settings of connections to servers.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -290,7 +290,7 @@
 	if !info.Statement.Empty() && q.carried == "" {
 		q.edge.Cluster.ObserveStatement(s.ID, info.Statement, stated.Source{Request: q.info.ID, Through: q.through, Status: response.StatusCode})
 	}
-	reply, err := readWhole(response)
+	reply, err := q.edge.readWhole(response)
 	if err != nil {
 		q.mayHaveRun = true
 		return q.handleFailure(ctx, &completion, s, err)
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -7,7 +7,6 @@
 	"errors"
 	"expvar"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -180,7 +179,7 @@
 		return nil, lostPeer(err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
+	data, err := c.node.replyMemory.ReadAll(response.Body, response.ContentLength)
 	if err != nil {
 		return nil, lostPeer(err)
 	}
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -62,6 +62,7 @@
 		loadTracker: newLoadTracker(false), suspects: edge.NewCrashTracker(), platform: Platform{DialServer: new(net.Dialer).DialContext},
 	}}
 	n.tunnels.opened = map[*tunnel.Conn]string{}
+	n.replyMemory = edge.NewReplyMemory(4 << 20)
 	n.admissions, n.carrier, n.dialer = newAdmissions(n.Node), newCarrier(n.Node), n.newDialer()
 	route := &rules.Route{Kind: rules.Idempotent, Timeout: timeout, MaxAttempts: 2, Services: []rules.WeightedService{{Service: "books"}}}
 	n.cluster.config.Store(&rules.Config{
@@ -69,7 +70,7 @@
 	})
 	n.cluster.snapshot.Store(rules.NewServerSet(map[string]rules.Server{"s1": {ID: "s1", Service: "books", Address: server, Slots: 2}}))
 	n.edge = edge.New(edge.Deps{
-		Codec: carryCodec{}, Cluster: n, Admitter: n, Carrier: n.carrier, ConnPool: edge.NewConnPool(n.connections, n.dialer),
+		Codec: carryCodec{}, Cluster: n, Admitter: n, Carrier: n.carrier, ConnPool: edge.NewConnPool(n.connections, n.dialer), ReplyMemory: n.replyMemory,
 		RetryBudget: retry.NewBudget(0, time.Second, func() (float64, bool) { return 0, true }, time.Now),
 		Events:      n.events, Meters: edge.NewMeters(),
 	})
@@ -180,8 +181,16 @@
 	})
 }
 
+// writeWithoutEnd writes a head and a body until that fails.
+func writeWithoutEnd(w io.Writer, head string) {
+	_, err := io.WriteString(w, head)
+	for block := strings.Repeat("x", 4096); err == nil; {
+		_, err = io.WriteString(w, block)
+	}
+}
+
 // Guards against requests that run twice or not at all, or are said not to have run when they may have, when the second
-// instance or the server does not answer as usual, and against instances that are asked again and again in vain.
+// instance or the server does not answer as usual, against instances that are asked again and again in vain, and against responses without end.
 func TestCarriedThroughAnUnusualInstance(t *testing.T) {
 	stops := roster.Heartbeat{Name: "i1", Incarnation: 1, Stopping: true}
 	tests := map[string]struct {
@@ -216,6 +225,15 @@
 		"breaks at once": {func(p *carryPair) { p.cut(0) }, `502 200 2 1 {"lost": 1}`},
 		"breaks in head": {func(p *carryPair) { p.cut(20) }, `502 200 2 1 {"lost": 1}`},
 		"breaks in body": {func(p *carryPair) { p.cut(99) }, `502 200 2 1 {"lost": 1}`},
+		"server sends no end": {func(p *carryPair) {
+			p.server = func(c net.Conn, _ *http.Request) { writeWithoutEnd(c, "HTTP/1.1 200 OK\r\n\r\n") }
+		}, `502 502 2 2 {"lost": 2}`},
+		"sends no end": {func(p *carryPair) {
+			p.peers = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(headerOutcome, outcomeSent)
+				writeWithoutEnd(w, "HTTP/1.1 200 OK\r\n\r\n")
+			})
+		}, `502 502 0 2 {"lost": 2}`},
 		"server breaks off": {func(p *carryPair) {
 			p.server = func(c net.Conn, r *http.Request) {
 				respondWith("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfin")(c, r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	meters        *edge.Meters
 	inlet         *inlet.Server
 	bodyMemory    *inlet.Memory
+	replyMemory   *edge.ReplyMemory
 	// storeCalls counts appends by topic and kind of record, and reads by topic and reason.
 	storeCalls *expvar.Map
 	// storeTimes records the latencies of calls to the store, except for reads that wait for new records.
@@ -221,8 +222,9 @@
 	budget := retry.NewBudget(settings.Bounds.RetryRatio,
 		time.Duration(settings.Bounds.RetryWindowSeconds*float64(time.Second)),
 		func() (float64, bool) { return n.shareOf(settings.Bounds.RetrySlack) }, time.Now)
+	n.replyMemory = edge.NewReplyMemory(replyMemory(settings))
 	deps := edge.Deps{
-		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections, n.dialer), RetryBudget: budget,
+		Codec: platform.Codec, Cluster: n, Admitter: n.admissions, ConnPool: edge.NewConnPool(n.connections, n.dialer), ReplyMemory: n.replyMemory, RetryBudget: budget,
 		Events: events, Meters: n.meters, Identity: identityOf(settings.Overload), CallerNames: callerNames(settings.Overload),
 		RepeatRejected: settings.Overload.RepeatRejected,
 	}
--- a/internal/node/overload.go
+++ b/internal/node/overload.go
@@ -55,6 +55,19 @@
 	return int64(s.Overload.BodyMemoryShare * float64(s.MemoryMB) * (1 << 20))
 }
 
+const (
+	// replyMemoryShare is the part of the memory of an instance that responses take while they are read. The heap grows to
+	// about twice that.
+	replyMemoryShare = 0.125
+	// minReplyMemory is the size in bytes of that part if the settings state less, or no memory.
+	minReplyMemory = 16 << 20
+)
+
+// replyMemory returns how many bytes responses may take while they are read, according to the settings.
+func replyMemory(s config.Serve) int64 {
+	return max(int64(replyMemoryShare*float64(s.MemoryMB)*(1<<20)), minReplyMemory)
+}
+
 // loadCounts returns what the controllers of this instance did under load since they were made.
 func (ad *admissions) loadCounts() (out admit.LoadCounts) {
 	ad.mu.Lock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -135,6 +135,11 @@
 	bodies := n.bodyMemory.Snapshot()
 	lines = append(lines, fmt.Sprintf("bodies{what=\"held-bytes\"} %d\n", bodies.Held),
 		fmt.Sprintf("bodies{what=\"peak-bytes\"} %d\n", bodies.Peak), fmt.Sprintf("bodies{what=\"rejected\"} %d\n", bodies.Rejected))
+	replyBytes, repliesRejected := n.replyMemory.Snapshot()
+	lines = append(lines, fmt.Sprintf("replies{what=\"held-bytes\"} %d\n", replyBytes), fmt.Sprintf("replies{what=\"rejected\"} %d\n", repliesRejected))
+	for id, count := range s.Answers {
+		lines = append(lines, fmt.Sprintf("answers{stated-id=%q} %d\n", id, count))
+	}
 	for call, l := range n.storeTimes.Snapshot() {
 		lines = append(lines, fmt.Sprintf("store_time_us{call=%q,quantile=\"0.5\"} %d\n", call, l.P50),
 			fmt.Sprintf("store_time_us{call=%q,quantile=\"0.99\"} %d\n", call, l.P99),
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -53,6 +53,8 @@
 	topicReadInterval = 200 * time.Millisecond
 	// maxTopicCalls is the number of peers that may be waiting for topics at the same time.
 	maxTopicCalls = 64
+	// maxPeerHead bounds the head of an answer of another instance in bytes.
+	maxPeerHead = 64 << 10
 	// peerIdleTimeout is how long idle connections between instances are kept.
 	peerIdleTimeout = 3 * time.Second
 )
@@ -67,6 +69,7 @@
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: newPeerDialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxPeerHead,
 	}}
 }
 
--- a/internal/tunnel/open.go
+++ b/internal/tunnel/open.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +15,9 @@
 // Path is the path of requests for a tunnel.
 const Path = "/servers"
 
+// maxAnswerSize bounds the response to a request for a tunnel in bytes.
+const maxAnswerSize = 8 << 10
+
 // protocol is the protocol that a request for a tunnel upgrades to.
 const protocol = "mustardring-tunnel"
 
@@ -109,7 +113,7 @@
 	if err := request.Write(c); err != nil {
 		return fmt.Errorf("tunnel: %w", err)
 	}
-	in := bufio.NewReader(c)
+	in := bufio.NewReader(io.LimitReader(c, maxAnswerSize))
 	response, err := http.ReadResponse(in, request)
 	if err != nil {
 		return fmt.Errorf("tunnel: %w", err)
--- a/internal/upstr/conn.go
+++ b/internal/upstr/conn.go
@@ -19,6 +19,9 @@
 	writeBufferSize = 8 << 10
 )
 
+// maxDiscarded is how many bytes are read of the response to a request that was cancelled.
+const maxDiscarded = 1 << 20
+
 // errHeadTooLarge is the error of a response head of more than maxHeadBytes.
 var errHeadTooLarge = errors.New("upstr: response head too large")
 
@@ -192,22 +195,23 @@
 // has passed, and then calls done.
 //
 // If the kernel ends the connection because of a timeout, the server may still be running the
-// request at the other end of a silent connection. So done is called at the drop deadline then.
+// request at the other end of a silent connection. So done is called at the drop deadline then, as it is if the server sends
+// more than maxDiscarded bytes.
 func (c *conn) awaitServerClose(a *attempt) {
 	defer a.done(true)
 	_ = c.SetReadDeadline(a.dropDeadline)
 	var discarded [4 << 10]byte
-	for {
+	for left := maxDiscarded; ; {
 		n, err := c.Conn.Read(discarded[:])
 		if n > 0 {
 			c.client.observeLatency(time.Since(a.startedAt))
 		}
-		if err == nil {
+		if left -= n; err == nil && left > 0 {
 			continue
 		}
 		c.discard()
 		var netErr net.Error
-		if errors.As(err, &netErr) && netErr.Timeout() {
+		if err == nil || errors.As(err, &netErr) && netErr.Timeout() {
 			time.Sleep(time.Until(a.dropDeadline))
 		}
 		return
--- a/internal/upstr/monitor.go
+++ b/internal/upstr/monitor.go
@@ -91,9 +91,10 @@
 func (m *monitor) awaitBreak(ctx context.Context, c net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	_, _ = c.Read(make([]byte, 1))
+	n, _ := c.Read(make([]byte, 1))
 	_ = c.Close()
-	if ctx.Err() == nil {
+	// A server that sends something has not died.
+	if n == 0 && ctx.Err() == nil {
 		m.recordBreak()
 	}
 }
--- a/internal/upstr/silence.go
+++ b/internal/upstr/silence.go
@@ -52,7 +52,7 @@
 func (cl *Client) Probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	transport := &http.Transport{DialContext: cl.dialer.DialContext, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: cl.dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	url := "http://" + cl.settings.Address + grant.LoadPath
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
