Do not use a connection again on which a server has refused a request

What could happen: a server sends a refusal once more, when the next request on its connection has arrived. The next request, of any caller, then counts as "not run" and may be sent again while it runs.

Change: SendOptions.LastUse; the connection of a refusal carries no other request.

TestCopyOfARefusalIsNotTheNextAnswer failed before: outcome "not-run" with one run. Not covered: a late copy of another response, which nothing in that protocol tells from the next one.

Measured: tests of front and upstr pass.

--- a/internal/front/fault_test.go
+++ b/internal/front/fault_test.go
@@ -334,3 +334,29 @@
 		is.Equal(got.status, status)
 	}
 }
+
+// Guards against a server that sends a refusal once more, late: it would say of the next request that it did not run.
+func TestCopyOfARefusalIsNotTheNextAnswer(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	i := start(t, "one", nil)
+	i.finder.set(here(testService(), backend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(caller.HeaderRequest) != "first" {
+			runs.Add(1)
+			return
+		}
+		c, in, err := http.NewResponseController(w).Hijack()
+		is.NoErr(err)
+		defer c.Close()
+		refusal := "HTTP/1.1 421 X\r\n" + caller.HeaderOutcome + ": not-run\r\nContent-Length: 0\r\n\r\n"
+		_, _ = io.WriteString(c, refusal)
+		if _, err := http.ReadRequest(in.Reader); err == nil {
+			runs.Add(1)
+			_, _ = io.WriteString(c, refusal)
+		}
+	})))
+	is.Equal(do(t, post(is, i.callers.URL+"/oddaja/x", "text", caller.HeaderRequestID, "first")).outcome(), caller.NotRun)
+	got := do(t, post(is, i.callers.URL+"/oddaja/x", "text", caller.HeaderRequestID, "second"))
+	is.Equal(got.outcome() == caller.NotRun, runs.Load() == 0)
+	is.Equal(got.outcome(), caller.Ran)
+}
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -237,6 +237,8 @@
 	var work Work
 	response, err := g.service.client(t.Server).Send(out, upstr.SendOptions{
 		Deadline: f.wallTime(g.deadline), InMemory: g.body.complete, NewConn: g.newConn, BeforeWrite: g.authorizeWrite(t, &work),
+		// Responses do not say whose they are. A copy of this one would say of the next request that it did not run.
+		LastUse: refusedBeforeRunning,
 		Done: func(sent bool) {
 			if work != nil {
 				work.End()
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -171,6 +171,8 @@
 	NewConn bool
 	// AvoidConns holds the numbers of connections that must not be reused for this request, see Sending.ConnNumber.
 	AvoidConns []uint64
+	// LastUse, if not nil, reports whether the connection must not carry another request after a response.
+	LastUse func(r *http.Response) bool
 	// Verify, if not nil, is called with the head of the response, without its body. If it returns an error, that is the
 	// cause of ErrForeign, nothing more is read, and the connection is closed.
 	Verify func(r *http.Response) error
@@ -251,7 +253,7 @@
 	if cl.settings.Dialer != nil {
 		cl.settings.Dialer.Answered(c.Conn)
 	}
-	b := &responseBody{ReadCloser: response.Body, conn: c, attempt: a, reusable: !response.Close && !r.Close}
+	b := &responseBody{ReadCloser: response.Body, conn: c, attempt: a, reusable: !response.Close && !r.Close && (o.LastUse == nil || !o.LastUse(response))}
 	response.Body = b
 	if b.ReadCloser == http.NoBody {
 		b.finish()
--- a/internal/upstr/conn.go
+++ b/internal/upstr/conn.go
@@ -229,7 +229,7 @@
 	io.ReadCloser
 	conn    *conn
 	attempt *attempt
-	// reusable says that neither the request nor the response asks for the connection to be closed.
+	// reusable says that neither the request, the response nor SendOptions.LastUse asks for the connection to be closed.
 	reusable bool
 	ended    bool
 }
