Refuse a success without the signature of a server

Callers got a 200 that no server gave for their request if only it stated their ID.

Cause: the signature that a server gives with each response of a request that it has run was not looked at.

Change: a success (2xx) that states the ID of the request but lacks the signature is refused like one with another ID: its connection is closed and the request is in doubt. The log and the metric call it own-unsigned.

TestHostileAnswers ("success without a signature") failed before: 200 for 502.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,6 +38,8 @@
 	// ID is the RequestInfo.ID of the request that the response belongs to. A response without it belongs to no request that
 	// has one.
 	ID string
+	// Signed says that the response bears the signature of a server that has run the request. A success without it is none.
+	Signed bool
 	// NotRun says that the server did not run the request. Misdirected says that the server is
 	// not the one that was addressed, or does not own the key.
 	NotRun      bool
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -46,7 +46,7 @@
 
 func (headerCodec) DecodeResponse(r *http.Response, receivedAt time.Time) edge.ResponseInfo {
 	info := edge.ResponseInfo{
-		ID: r.Header.Get("Id"), NotRun: r.Header.Get("Not-Run") != "" || r.StatusCode == 421, Misdirected: r.StatusCode == 421,
+		ID: r.Header.Get("Id"), Signed: r.Header.Get("Unsigned") == "", NotRun: r.Header.Get("Not-Run") != "" || r.StatusCode == 421, Misdirected: r.StatusCode == 421,
 	}
 	if running, err := strconv.Atoi(r.Header.Get("Running")); err == nil {
 		info.Load = admit.Load{Running: running, Known: true}
--- a/internal/edge/hostile_test.go
+++ b/internal/edge/hostile_test.go
@@ -49,6 +49,7 @@
 	"no ID":                         {write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"), http.StatusBadGateway},
 	"no ID, not run":                {write("HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), http.StatusBadGateway},
 	"no ID, not the owner":          {write("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"), http.StatusBadGateway},
+	"success without a signature":   {write("HTTP/1.1 200 OK\r\nId: ID\r\nUnsigned: 1\r\nContent-Length: 2\r\n\r\nno"), http.StatusBadGateway},
 	"two lengths":                   {write("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nno!"), http.StatusBadGateway},
 	"length that is too large":      {write("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9000000000000\r\n\r\nno"), http.StatusBadGateway},
 	"endless line":                  {writeEndlessly("HTTP/1.1 200 OK\r\nId: ID\r\n", "x", 0), http.StatusBadGateway},
--- a/internal/edge/meters.go
+++ b/internal/edge/meters.go
@@ -106,7 +106,7 @@
 // Snapshot is a copy of the state of the meters, encoded as JSON.
 type Snapshot struct {
 	Requests map[string]map[endReason]int64 `json:"requests"`
-	// Answers holds the responses of servers by whose ID they state: "own", "other" or "none".
+	// Answers holds the responses of servers by the ID that they state.
 	Answers map[statedID]int64        `json:"answers"`
 	Latency map[string]LatencySummary `json:"latency"`
 }
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -16,10 +16,6 @@
 )
 
 var (
-	// errMismatchedResponse is the error of a response that states the ID of another request, errUnidentifiedResponse that of
-	// one that states none.
-	errMismatchedResponse   = errors.New("edge: response belongs to another request")
-	errUnidentifiedResponse = errors.New("edge: response states no request")
 	// errServerClosed is the error of a request that was not sent because the server does not
 	// accept it any more.
 	errServerClosed = errors.New("edge: server no longer accepts the request")
--- a/internal/edge/sending.go
+++ b/internal/edge/sending.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -22,8 +23,17 @@
 	otherID statedID = "other"
 	// noID means that it states none.
 	noID statedID = "none"
+	// unsignedID means that it states the ID of the request and success, without the signature of a server.
+	unsignedID statedID = "own-unsigned"
 )
 
+// identityErrors holds the errors of responses that are not believed to belong to their request, by the ID that they state.
+var identityErrors = map[statedID]error{
+	otherID:    errors.New("edge: response belongs to another request"),
+	noID:       errors.New("edge: response states no request"),
+	unsignedID: errors.New("edge: success without a signature"),
+}
+
 // sending tells one sending of a request from the others, and holds what came back.
 type sending struct {
 	// conn is the number of the connection, zero if nothing was sent on a connection of this instance. use is the number of
@@ -43,30 +53,26 @@
 	q.usedConns = append(q.usedConns, s.ConnNumber)
 }
 
-// verify takes in the head of the response to the last sending, and returns an error unless it states the ID of the request.
+// verify takes in the head of the response to the last sending, and returns an error unless it states the ID of the request
+// and, if it is a success, is signed.
 func (q *request) verify(r *http.Response) error {
 	q.answer = q.edge.Codec.DecodeResponse(r, time.Now())
-	q.sending.status, q.sending.notRun, q.sending.statedID = r.StatusCode, q.answer.NotRun, statedIDOf(q.info.ID, q.answer)
+	q.sending.status, q.sending.notRun, q.sending.statedID = r.StatusCode, q.answer.NotRun, q.statedID(r.StatusCode)
 	q.edge.Meters.recordAnswer(q.sending.statedID)
-	switch q.sending.statedID {
-	case noID:
-		return errUnidentifiedResponse
-	case otherID:
-		return errMismatchedResponse
-	default:
-		return nil
-	}
+	return identityErrors[q.sending.statedID]
 }
 
-// statedIDOf returns whose ID a response states, given the ID of the request.
-func statedIDOf(id string, info ResponseInfo) statedID {
-	switch info.ID {
-	case id:
-		return ownID
-	case "":
+// statedID returns whose ID the response to the last sending states.
+func (q *request) statedID(status int) statedID {
+	switch {
+	case q.answer.ID == "" && q.info.ID != "":
 		return noID
-	default:
+	case q.answer.ID != q.info.ID:
 		return otherID
+	case status >= http.StatusOK && status < http.StatusMultipleChoices && !q.answer.Signed:
+		return unsignedID
+	default:
+		return ownID
 	}
 }
 
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -39,7 +39,7 @@
 	h.Set("Target", server)
 }
 func (carryCodec) DecodeResponse(r *http.Response, _ time.Time) edge.ResponseInfo {
-	return edge.ResponseInfo{NotRun: r.Header.Get("Not-Run") != ""}
+	return edge.ResponseInfo{Signed: true, NotRun: r.Header.Get("Not-Run") != ""}
 }
 
 // carryNode is an instance in front of server s1, which owns all keys. As an edge.Admitter it has i1 admit all requests.
