State that the time was up when a context's deadline ended a request

The error then named the context, not ErrDeadline, and the other instance took it for a lost answer: 502 instead of 504 to the caller if its own deadline came a moment later.

Change: a context that ended by its deadline is ErrDeadline, wherever a request is sent.

--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -281,6 +281,8 @@
 	switch {
 	case a.connSilent:
 		err = ErrSilent
+	case errors.Is(a.request.Context().Err(), context.DeadlineExceeded):
+		err = fmt.Errorf("%w: %w", ErrDeadline, context.Cause(a.request.Context()))
 	case a.request.Context().Err() != nil:
 		err = context.Cause(a.request.Context())
 	case errors.Is(err, os.ErrDeadlineExceeded):
