Read no length from responses without a body

A response to HEAD, or with status 304, states the length of a body that does not follow. Since one that stated more than fits into the memory for responses was refused.

TestLengthOfABodyThatDoesNotFollow ("head") failed before: 502 for 200. From the read-through as well: the target of a request is worked out once, and an outcome that is not known has no name instead of a panic in a log line.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -91,7 +91,7 @@
 )
 
 // outcomeNames holds the names of the outcomes in logs.
-var outcomeNames = [...]string{
+var outcomeNames = map[Outcome]string{
 	Answered: "answered", Failed: "failed", Lost: "lost", Full: "full", NotOwner: "not-owner", Unsent: "unsent", Cancelled: "cancelled",
 }
 
--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -77,10 +77,13 @@
 	if !found || s.Address != address {
 		return nil, fmt.Errorf("%w: %w", upstr.ErrNotSent, errServerClosed)
 	}
-	if _, ok := targetOf(r); !ok {
+	target, ok := targetOf(r)
+	if !ok {
 		return nil, fmt.Errorf("%w: %w", upstr.ErrNotSent, errTarget)
 	}
-	q := &request{Request: r, edge: e, info: e.Codec.DecodeRequest(r.Header), divided: true, ownPath: true, deadline: deadline}
+	q := &request{
+		Request: r, edge: e, info: e.Codec.DecodeRequest(r.Header), target: target, divided: true, ownPath: true, deadline: deadline,
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	response, err := q.send(ctx, s, time.Now())
--- a/internal/edge/hostile_test.go
+++ b/internal/edge/hostile_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -137,3 +139,20 @@
 		})
 	}
 }
+
+// Guards against a response without a body that is refused because of the length of the body that it stands for.
+func TestLengthOfABodyThatDoesNotFollow(t *testing.T) {
+	for name, test := range map[string]struct{ method, status string }{
+		"head": {http.MethodHead, "200 OK"}, "not modified": {http.MethodGet, "304 Not Modified"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(rules.Idempotent, newFakeServer(t, func(_ int, c net.Conn, r *http.Request) {
+				_, _ = io.WriteString(c, "HTTP/1.1 "+test.status+"\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 9000000000000\r\n\r\n")
+			}))
+			r := httptest.NewRequest(test.method, "http://a.example/x", nil)
+			r.Header = http.Header{"Id": {"id-1"}, "Left": {"900"}}
+			is.Equal(strconv.Itoa(f.edge.Handle(t.Context(), r).Status), test.status[:3])
+		})
+	}
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -74,7 +75,9 @@
 	service       string
 	// divided says that only the server that owns the key may run the request.
 	divided bool
-	body    []byte
+	// target is the URL as it is sent on, see targetOf.
+	target *url.URL
+	body   []byte
 	// print is the fingerprint of the request, see fingerprintOf.
 	print uint64
 
@@ -151,9 +154,11 @@
 	if c == nil {
 		return nil, e.reject(q, endNoConfig, errorReply(http.StatusServiceUnavailable, retryAfterNoConfig))
 	}
-	if _, ok := targetOf(r); !ok {
+	target, ok := targetOf(r)
+	if !ok {
 		return nil, e.reject(q, endMalformed, errorReply(http.StatusBadRequest, 0))
 	}
+	q.target = target
 	host := r.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -31,9 +31,8 @@
 
 // outgoing returns the request as it is sent on, but for what HeaderCodec.EncodeTarget sets.
 func (q *request) outgoing(ctx context.Context) *http.Request {
-	target, _ := targetOf(q.Request)
 	out := (&http.Request{
-		Method: q.Method, URL: target, Host: q.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: q.Method, URL: q.target, Host: q.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: make(http.Header, len(q.Header)+2), ContentLength: int64(len(q.body)),
 	}).WithContext(ctx)
 	if len(q.body) > 0 {
@@ -107,7 +106,11 @@
 // the caller never gets a part of a response as if it were complete.
 func (e *Edge) readWhole(r *http.Response) (*inlet.Reply, error) {
 	defer r.Body.Close()
-	body, err := e.ReplyMemory.ReadAll(r.Body, r.ContentLength)
+	length := r.ContentLength
+	if r.Request.Method == http.MethodHead || r.StatusCode == http.StatusNotModified {
+		length = 0 // what is stated is the length of a body that does not follow
+	}
+	body, err := e.ReplyMemory.ReadAll(r.Body, length)
 	if err != nil {
 		return nil, err
 	}
