--- a/internal/edge/sending.go
+++ b/internal/edge/sending.go
@@ -11,13 +11,11 @@
 	"example.org/mustardring/internal/upstr"
 )
 
-// statedID says whose ID a response states.
+// statedID says whose ID a response states. It is empty if no head of a response was received.
 type statedID string
 
 // The stated IDs.
 const (
-	// noResponse means that no head of a response was received.
-	noResponse statedID = ""
 	// ownID means that the response states the ID of the request, otherID that of another one.
 	ownID   statedID = "own"
 	otherID statedID = "other"
--- a/internal/upstr/hostile_test.go
+++ b/internal/upstr/hostile_test.go
@@ -33,10 +33,13 @@
 	deadline := time.Now().Add(200 * time.Millisecond)
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://a/", nil)
 	is.NoErr(err)
-	_, err = cl.Send(r, SendOptions{
+	response, err := cl.Send(r, SendOptions{
 		Deadline: deadline, InMemory: true, Done: func(bool) { done <- time.Now() },
 		Verify: func(*http.Response) error { return errNotOurs },
 	})
+	if response != nil {
+		_ = response.Body.Close()
+	}
 	is.True(errors.Is(err, ErrInDoubt) && errors.Is(err, ErrForeign) && errors.Is(err, errNotOurs))
 	is.True((<-ended).Before(deadline))
 	is.True(!(<-done).Before(deadline.Add(dropGrace))) // the server may still be at work
@@ -85,6 +88,7 @@
 		is.NoErr(err)
 		_, err = io.Copy(io.Discard, response.Body)
 		is.NoErr(err)
+		is.NoErr(response.Body.Close())
 		cancel()
 	}
 }
@@ -111,6 +115,7 @@
 		is.NoErr(err)
 		_, err = io.Copy(io.Discard, response.Body)
 		is.NoErr(err)
+		is.NoErr(response.Body.Close())
 		return used
 	}
 	first := send()
