Show the error of a sending in its own line only

From the read-through: the line `sending` of a later sending repeated the error of an earlier one, and so did the line of a request that was served in the end.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,9 @@
 // server, or if the server itself said so; the edge itself replies with status 429 or 503 only in
 // this case. "Ran" means that the server sent a response, which is passed on unchanged. Everything
 // else is in doubt: a non-idempotent request is then not retried, and the caller gets 502 or 504.
+//
+// All sendings of a request have one ID. A response is that of a sending only if it states the ID,
+// on a connection that has carried the request once.
 package edge
 
 import (
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -262,7 +262,7 @@
 // no retry after all, or nil if the request was not sent and the attempt does not count.
 func (q *request) attempt(ctx context.Context, a Admission, s rules.Server) (*inlet.Reply, bool) {
 	q.attempts++
-	q.server, q.through, q.carried, q.rejection, q.sending = s.ID, "", "", notRejected, sending{}
+	q.server, q.through, q.carried, q.rejection, q.sending, q.err = s.ID, "", "", notRejected, sending{}, nil
 	isNew := !slices.Contains(q.sentTo, s.ID)
 	if isNew {
 		q.sentTo = append(q.sentTo, s.ID)
