State in the lines and metrics on what a promise that a request has not run rests

Now "request" has the number of sendings and the proof (nothing-sent, declined, none), "sending" is written for each answer whose status promises something, "unread" for requests that could not be read, and promises{proof} counts. No answer is changed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -151,6 +151,7 @@
 	arrivedAt := time.Now()
 	q, rejection := e.prepare(r, arrivedAt)
 	if rejection != nil {
+		e.Meters.recordPromise(ledger{}.proofOf(rejection))
 		return rejection
 	}
 	e.RetryBudget.Earn(q.service)
@@ -173,9 +174,11 @@
 		e.returns.recordRejection(q.route.Name, time.Now())
 	}
 	took := time.Since(q.arrivedAt)
+	proof := q.sendings.proofOf(reply)
 	e.Meters.RecordRequest(q.route.Name, q.reason, took)
+	e.Meters.recordPromise(proof)
 	pairs := []any{"id", q.info.ID, "route", q.route.Name, "config", q.configVersion, "service", q.service,
-		"status", status, "why", q.reason, "server", q.server, "through", q.through, "carried", q.carried, "attempts", q.attempts, "took", took,
+		"status", status, "why", q.reason, "server", q.server, "through", q.through, "carried", q.carried, "attempts", q.attempts, "sendings", len(q.sendings), "proof", proof, "took", took,
 		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "conn", q.sending.conn, "use", q.sending.use, "stated-id", q.sending.statedID, "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
 		"repeats", q.repeats, "origin-return", q.earlier.Returns > 0, "returns", q.earlier.Returns, "last-try", q.earlier.LastTry, "kept", q.earlier.Kept, "reserved", q.reserved, "error", q.err}
 	if e.CallerNames != nil && q.caller > unidentified {
--- a/internal/edge/meters.go
+++ b/internal/edge/meters.go
@@ -64,12 +64,14 @@
 	counts map[string]map[endReason]int64
 	// answers holds the number of responses by the ID that they state.
 	answers map[statedID]int64
-	latency *LatencyHistograms
+	// promises holds the number of replies that promise that the request has not run, by the proof.
+	promises map[proof]int64
+	latency  *LatencyHistograms
 }
 
 // NewMeters returns meters at zero.
 func NewMeters() *Meters {
-	return &Meters{counts: map[string]map[endReason]int64{}, answers: map[statedID]int64{}, latency: NewLatencyHistograms()}
+	return &Meters{counts: map[string]map[endReason]int64{}, answers: map[statedID]int64{}, promises: map[proof]int64{}, latency: NewLatencyHistograms()}
 }
 
 // RecordRequest counts a request that ended and records how long it took.
@@ -95,6 +97,16 @@
 	m.answers[s]++
 }
 
+// recordPromise counts the proof of a reply that promises something.
+func (m *Meters) recordPromise(p proof) {
+	if p == notPromised {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.promises[p]++
+}
+
 // LatencySummary holds the number of operations, and quantiles of their latency in microseconds.
 type LatencySummary struct {
 	Count int64 `json:"count"`
@@ -107,15 +119,17 @@
 type Snapshot struct {
 	Requests map[string]map[endReason]int64 `json:"requests"`
 	// Answers holds the responses of servers by the ID that they state.
-	Answers map[statedID]int64        `json:"answers"`
-	Latency map[string]LatencySummary `json:"latency"`
+	Answers map[statedID]int64 `json:"answers"`
+	// Promises holds the replies that promise that the request has not run, by the proof.
+	Promises map[proof]int64           `json:"promises"`
+	Latency  map[string]LatencySummary `json:"latency"`
 }
 
 // Snapshot returns a copy of the current state.
 func (m *Meters) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Requests: map[string]map[endReason]int64{}, Answers: maps.Clone(m.answers), Latency: m.latency.Snapshot()}
+	s := Snapshot{Requests: map[string]map[endReason]int64{}, Answers: maps.Clone(m.answers), Promises: maps.Clone(m.promises), Latency: m.latency.Snapshot()}
 	for route, counts := range m.counts {
 		s.Requests[route] = map[endReason]int64{}
 		for reason, n := range counts {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -107,6 +107,8 @@
 	// sending is the last sending, and answer what the response to it states.
 	sending sending
 	answer  ResponseInfo
+	// sendings holds what is known of all sendings so far.
+	sendings ledger
 	// usedConns holds the numbers of the connections that were used so far. A server may send a response once more at any
 	// later time on its connection, where it could not be told from the response to a second sending.
 	usedConns []uint64
--- a/internal/edge/sending.go
+++ b/internal/edge/sending.go
@@ -49,6 +49,7 @@
 func (q *request) beginSending(s upstr.Sending) {
 	q.sending = sending{conn: s.ConnNumber, use: s.Use, sameConn: slices.Contains(q.usedConns, s.ConnNumber)}
 	q.usedConns = append(q.usedConns, s.ConnNumber)
+	q.sendings.begin()
 }
 
 // verify takes in the head of the response to the last sending, and returns an error unless it states the ID of the request
@@ -75,9 +76,9 @@
 }
 
 // recordSending logs a sending, what came back and what was concluded. The line of the request says the same of its only
-// sending if that was answered.
+// sending if that was answered by a status that promises nothing.
 func (q *request) recordSending(c admit.Completion) {
-	if q.attempts <= 1 && c.Outcome == admit.Answered {
+	if q.attempts <= 1 && c.Outcome == admit.Answered && !promises(q.sending.status) {
 		return
 	}
 	q.edge.Events.Record(event.Failure, "sending", "id", q.info.ID, "attempt", q.attempts, "server", q.server,
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -269,8 +269,11 @@
 	}
 	q.edge.inFlight.add(s.Domain, 1)
 	defer q.edge.inFlight.add(s.Domain, -1)
-	startedAt := time.Now()
+	startedAt, first := time.Now(), len(q.sendings)
 	response, err := q.dispatch(ctx, a, s, startedAt)
+	if errors.Is(err, upstr.ErrNotSent) {
+		q.sendings.settle(first, unwritten)
+	}
 	completion := admit.Completion{}
 	defer func() {
 		completion.Took = time.Since(startedAt)
@@ -296,6 +299,9 @@
 		return q.handleFailure(ctx, &completion, s, err)
 	}
 	completion.Bytes = len(reply.Body)
+	if info.NotRun {
+		q.sendings.settle(first, declined)
+	}
 	q.edge.Cluster.ClearSuspicion(q.print)
 	return q.handleResponse(&completion, s, info, reply)
 }
--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -210,13 +210,13 @@
 func (c *conn) reject(err error) {
 	switch {
 	case errors.Is(err, errHeadTooLarge):
-		c.enqueueError(http.StatusRequestHeaderFieldsTooLarge)
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.enqueueError(http.StatusRequestTimeout)
+		c.refuse(http.StatusRequestTimeout, err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		c.cancel()
 	default:
-		c.enqueueError(http.StatusBadRequest)
+		c.refuse(http.StatusBadRequest, err)
 	}
 }
 
@@ -229,7 +229,7 @@
 		return nil, nil
 	}
 	if r.ContentLength > l.BodyBytes {
-		return nil, errorReply(http.StatusRequestEntityTooLarge)
+		return nil, c.refuseBody(r, http.StatusRequestEntityTooLarge)
 	}
 	b, fits := newBodyBuffer(c.server.memory, r.ContentLength)
 	if !fits {
@@ -241,7 +241,7 @@
 		return nil, c.rejectBody(r, b)
 	default:
 		b.release()
-		return nil, errorReply(status)
+		return nil, c.refuseBody(r, status)
 	}
 	data := b.data
 	r.Body = memoryBody{Reader: bytes.NewReader(data), data: data}
@@ -342,8 +342,28 @@
 // errorReply returns a reply without a body.
 func errorReply(status int) *Reply { return &Reply{Status: status, Header: http.Header{}} }
 
-// enqueueError enqueues an error reply and makes it the last one of the connection.
-func (c *conn) enqueueError(status int) { c.enqueueLast(errorReply(status)) }
+// refuse enqueues an error reply and makes it the last one of the connection.
+func (c *conn) refuse(status int, err error) {
+	c.report(nil, status, err)
+	c.enqueueLast(errorReply(status))
+}
+
+// refuseBody returns an error reply to a request whose body could not be read.
+func (c *conn) refuseBody(r *http.Request, status int) *Reply {
+	c.report(r, status, nil)
+	return errorReply(status)
+}
+
+// report calls Server.Refused.
+func (c *conn) report(r *http.Request, status int, err error) {
+	if c.server.Refused == nil {
+		return
+	}
+	c.mu.Lock()
+	pending := c.pending
+	c.mu.Unlock()
+	c.server.Refused(Refusal{Request: r, Status: status, Pending: pending, Err: err})
+}
 
 // enqueueLast enqueues the reply to a request without a handler and makes it the last one of the connection.
 func (c *conn) enqueueLast(reply *Reply) {
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -45,8 +45,23 @@
 	HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 }
 
+// Refusal is an error reply of the server itself to a request that could not be read. The request has reached no handler.
+type Refusal struct {
+	// Request is the head of the request, nil if that could not be read. Its body must not be read.
+	Request *http.Request
+	Status  int
+	// Pending is how many requests of the connection are answered before.
+	Pending int
+	// Err is why the head could not be read.
+	Err error
+}
+
 // Server accepts the connections of callers.
 type Server struct {
+	// Refused is called for each refusal. It must not block; nil means that nothing is called. It must not be changed once
+	// the server has been started.
+	Refused func(Refusal)
+
 	handler Handler
 	limits  func() Limits
 	memory  *Memory
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -235,6 +235,7 @@
 	n.edge = edge.New(deps)
 	n.bodyMemory = inlet.NewMemory(bodyMemory(settings), inlet.MemoryDeps{Rejected: n.recordBodyRejection})
 	n.inlet = inlet.New(n.edge.Handle, n.limits, n.bodyMemory)
+	n.inlet.Refused = n.recordRefusal
 	return n, nil
 }
 
@@ -327,6 +328,15 @@
 		"path", r.Request.URL.Path, "length", r.Length, "read", r.Read, "held", r.Held, "limit", r.Limit, "retry-after", r.RetryAfter)
 }
 
+// recordRefusal logs a request that could not be read.
+func (n *Node) recordRefusal(r inlet.Refusal) {
+	var id string
+	if r.Request != nil {
+		id = n.platform.Codec.DecodeRequest(r.Request.Header).ID
+	}
+	n.events.Record(event.Failure, "unread", "id", id, "status", r.Status, "pending", r.Pending, "error", r.Err)
+}
+
 // signalOnce sends on a channel of capacity one, unless a signal is already pending.
 func signalOnce(c chan<- struct{}) {
 	select {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -140,6 +140,9 @@
 	for id, count := range s.Answers {
 		lines = append(lines, fmt.Sprintf("answers{stated-id=%q} %d\n", id, count))
 	}
+	for proof, count := range s.Promises {
+		lines = append(lines, fmt.Sprintf("promises{proof=%q} %d\n", proof, count))
+	}
 	for call, l := range n.storeTimes.Snapshot() {
 		lines = append(lines, fmt.Sprintf("store_time_us{call=%q,quantile=\"0.5\"} %d\n", call, l.P50),
 			fmt.Sprintf("store_time_us{call=%q,quantile=\"0.99\"} %d\n", call, l.P99),
