Promise that a request has not run only with proof for each attempt

What callers saw: 503, 429 or 408, of which they may take that their request has not run and never will, for requests that had run or ran later. A server had answered so without stating "not run", which no status but 421 states by itself.

Cause: the check of a promise was one case of one way to the caller (503 after an attempt in doubt becomes 502). A response of a server that is final went by another way, and 429 and 408 were not looked at in either.

Now each reply passes through deliver, which asks the ledger of the request: an entry for each attempt, opened before anything is done that may write a byte and closed only by ErrNotSent or by the server's own statement in a response with the ID, on a connection that has carried the request once. Without proof the caller gets 502, or 504 if the time is up, without the server's headers; a request that is idempotent may be sent again, as after 500. The flag mayHaveRun, which each place set for itself, is gone.

--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -43,21 +43,12 @@
 // saves one, otherwise over one of this instance. If the other instance sends nothing, the same attempt goes directly.
 func (q *request) dispatch(ctx context.Context, a Admission, s rules.Server, admittedAt time.Time) (*http.Response, error) {
 	if q.mayCarry(s, admittedAt) {
-		first := len(q.sendings)
 		response, instance, err := q.edge.Carrier.Carry(Carriage{
 			Request: q.outgoing(ctx), Admission: a, Server: s, Deadline: q.deadline,
-			BeforeWrite: func() error {
-				err := q.checkServer(s.ID, time.Since(admittedAt))
-				if err == nil {
-					q.sendings.begin()
-				}
-				return err
-			},
+			BeforeWrite: func() error { return q.checkServer(s.ID, time.Since(admittedAt)) },
 		})
 		unsent := errors.Is(err, upstr.ErrNotSent)
-		if unsent {
-			q.sendings.settle(first, unwritten)
-		} else {
+		if !unsent {
 			q.carried, q.carryUsed = instance, true
 		}
 		if err == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,9 +2,10 @@
 // admission, sends the request, and turns the outcome into a reply.
 //
 // An attempt has one of three outcomes. "Not run" is claimed only if no byte was written to a
-// server, or if the server itself said so; the edge itself replies with status 429 or 503 only in
-// this case. "Ran" means that the server sent a response, which is passed on unchanged. Everything
-// else is in doubt: a non-idempotent request is then not retried, and the caller gets 502 or 504.
+// server, or if the server itself said so. "Ran" means that the server sent a response, which is
+// passed on unchanged. Everything else is in doubt: a non-idempotent request is then not retried,
+// and the caller gets 502 or 504. Statuses 408, 421, 429 and 503 tell a caller that its request has
+// not run and never will, so they are passed on only if that is the outcome of each attempt.
 //
 // All sendings of a request have one ID. A response is that of a sending only if it states the ID,
 // on a connection that has carried the request once.
@@ -151,13 +152,12 @@
 	arrivedAt := time.Now()
 	q, rejection := e.prepare(r, arrivedAt)
 	if rejection != nil {
-		e.Meters.recordPromise(ledger{}.proofOf(rejection))
-		return rejection
+		return q.deliver(ctx, rejection)
 	}
 	e.RetryBudget.Earn(q.service)
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	reply := q.serve(ctx)
+	reply := q.deliver(ctx, q.serve(ctx))
 	e.recordEnd(q, reply)
 	return reply
 }
@@ -174,11 +174,9 @@
 		e.returns.recordRejection(q.route.Name, time.Now())
 	}
 	took := time.Since(q.arrivedAt)
-	proof := q.sendings.proofOf(reply)
 	e.Meters.RecordRequest(q.route.Name, q.reason, took)
-	e.Meters.recordPromise(proof)
 	pairs := []any{"id", q.info.ID, "route", q.route.Name, "config", q.configVersion, "service", q.service,
-		"status", status, "why", q.reason, "server", q.server, "through", q.through, "carried", q.carried, "attempts", q.attempts, "sendings", len(q.sendings), "proof", proof, "took", took,
+		"status", status, "why", q.reason, "server", q.server, "through", q.through, "carried", q.carried, "attempts", q.attempts, "sendings", q.sendings.sent(), "proof", q.sendings.proofOf(reply), "took", took,
 		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "conn", q.sending.conn, "use", q.sending.use, "stated-id", q.sending.statedID, "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
 		"repeats", q.repeats, "origin-return", q.earlier.Returns > 0, "returns", q.earlier.Returns, "last-try", q.earlier.LastTry, "kept", q.earlier.Kept, "reserved", q.reserved, "error", q.err}
 	if e.CallerNames != nil && q.caller > unidentified {
--- a/internal/edge/meters.go
+++ b/internal/edge/meters.go
@@ -64,7 +64,8 @@
 	counts map[string]map[endReason]int64
 	// answers holds the number of responses by the ID that they state.
 	answers map[statedID]int64
-	// promises holds the number of replies that promise that the request has not run, by the proof.
+	// promises holds the number of replies that promise that the request has not run, by the proof, including those that were
+	// withheld for want of one.
 	promises map[proof]int64
 	latency  *LatencyHistograms
 }
@@ -120,7 +121,7 @@
 	Requests map[string]map[endReason]int64 `json:"requests"`
 	// Answers holds the responses of servers by the ID that they state.
 	Answers map[statedID]int64 `json:"answers"`
-	// Promises holds the replies that promise that the request has not run, by the proof.
+	// Promises holds the replies that promise that the request has not run, by the proof. Those without one were withheld.
 	Promises map[proof]int64           `json:"promises"`
 	Latency  map[string]LatencySummary `json:"latency"`
 }
--- a/internal/edge/promise.go
+++ b/internal/edge/promise.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"slices"
 
@@ -20,21 +21,29 @@
 	declined
 )
 
-// ledger holds the evidence of all sendings of a request in their order. It is not used by several goroutines at a time.
+// ledger holds the evidence of all attempts to send a request in their order. It is not used by several goroutines at a time.
 type ledger []evidence
 
-// begin adds a sending. It is called before the first byte is written.
+// begin adds an attempt. It is called before anything is done that may write a byte.
 func (l *ledger) begin() { *l = append(*l, mayRun) }
 
-// settle records the evidence of the sendings from an index on that is not known yet.
-func (l ledger) settle(first int, e evidence) {
-	for i := first; i < len(l); i++ {
-		if l[i] == mayRun {
-			l[i] = e
+// settle records the evidence of the last attempt.
+func (l ledger) settle(e evidence) { l[len(l)-1] = e }
+
+// sent returns the number of attempts that may have written a byte.
+func (l ledger) sent() int {
+	n := 0
+	for _, e := range l {
+		if e != unwritten {
+			n++
 		}
 	}
+	return n
 }
 
+// mayHaveRun reports whether a server may have run the request or may run it later.
+func (l ledger) mayHaveRun() bool { return slices.Contains(l, mayRun) }
+
 // proof says on what the promise of a reply rests.
 type proof string
 
@@ -64,7 +73,7 @@
 	switch {
 	case reply == nil || reply.Abort || !promises(reply.Status):
 		return notPromised
-	case slices.Contains(l, mayRun):
+	case l.mayHaveRun():
 		return noProof
 	case slices.Contains(l, declined):
 		return allDeclined
@@ -72,3 +81,18 @@
 		return nothingSent
 	}
 }
+
+// deliver returns the reply for the caller, given the one that was decided on. Each reply passes here on its way: one that
+// promises what is not proved is replaced by one that promises nothing and has no header of a server.
+func (q *request) deliver(ctx context.Context, reply *inlet.Reply) *inlet.Reply {
+	proof := q.sendings.proofOf(reply)
+	if proof == noProof {
+		status := http.StatusBadGateway
+		if q.reason = endInDoubt; ctx.Err() != nil {
+			q.reason, status = endTimeout, http.StatusGatewayTimeout
+		}
+		reply = errorReply(status, 0)
+	}
+	q.edge.Meters.recordPromise(proof)
+	return reply
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -107,7 +107,7 @@
 	// sending is the last sending, and answer what the response to it states.
 	sending sending
 	answer  ResponseInfo
-	// sendings holds what is known of all sendings so far.
+	// sendings holds what is known of all attempts to send the request.
 	sendings ledger
 	// usedConns holds the numbers of the connections that were used so far. A server may send a response once more at any
 	// later time on its connection, where it could not be told from the response to a second sending.
@@ -140,8 +140,6 @@
 	// reason is why the request ended or the last attempt failed, err the error of that attempt.
 	reason endReason
 	err    error
-	// mayHaveRun says that a server may have run the request.
-	mayHaveRun bool
 	// avoid is the server of the last failed attempt; retries should go to another one.
 	avoid string
 	// fallback is the reply of the last failed attempt. It is returned if no retry does better.
@@ -149,16 +147,16 @@
 }
 
 // prepare finds the route and service of a request, sets its deadlines and reads its body. If the
-// request cannot be sent it returns the reply instead.
+// request cannot be sent it also returns the reply.
 func (e *Edge) prepare(r *http.Request, arrivedAt time.Time) (*request, *inlet.Reply) {
 	q := &request{Request: r, edge: e, info: e.Codec.DecodeRequest(r.Header), arrivedAt: arrivedAt}
 	c := e.Cluster.Config()
 	if c == nil {
-		return nil, e.reject(q, endNoConfig, errorReply(http.StatusServiceUnavailable, retryAfterNoConfig))
+		return q, e.reject(q, endNoConfig, errorReply(http.StatusServiceUnavailable, retryAfterNoConfig))
 	}
 	target, ok := targetOf(r)
 	if !ok {
-		return nil, e.reject(q, endMalformed, errorReply(http.StatusBadRequest, 0))
+		return q, e.reject(q, endMalformed, errorReply(http.StatusBadRequest, 0))
 	}
 	q.target = target
 	host := r.Host
@@ -169,19 +167,19 @@
 	q.configVersion = c.Version
 	q.route = c.Match(strings.ToLower(host), path)
 	if q.route == nil {
-		return nil, e.reject(q, endNoRoute, errorReply(http.StatusNotFound, 0))
+		return q, e.reject(q, endNoRoute, errorReply(http.StatusNotFound, 0))
 	}
 	q.service = q.route.Pick()
 	service, found := c.Services[q.service]
 	if !found {
-		return nil, e.reject(q, endNoService, errorReply(http.StatusServiceUnavailable, retryAfterNoConfig))
+		return q, e.reject(q, endNoService, errorReply(http.StatusServiceUnavailable, retryAfterNoConfig))
 	}
 	q.divided = service.Divided && q.info.HasKey
 	q.setDeadlines(&e.returns)
 	if r.Body != nil && r.Body != http.NoBody {
 		data, err := inlet.ReadBody(r)
 		if err != nil {
-			return nil, e.reject(q, endCallerLeft, &inlet.Reply{Abort: true})
+			return q, e.reject(q, endCallerLeft, &inlet.Reply{Abort: true})
 		}
 		q.body = data
 	}
@@ -189,7 +187,7 @@
 	q.caller = callerOf(e.Identity, r)
 	q.origin = originOf(q.caller, q.info.Key, q.print)
 	if e.Cluster.Quarantined(q.print) {
-		return nil, e.reject(q, endCrashesServers, errorReply(http.StatusBadGateway, 0))
+		return q, e.reject(q, endCrashesServers, errorReply(http.StatusBadGateway, 0))
 	}
 	return q, nil
 }
--- a/internal/edge/sending.go
+++ b/internal/edge/sending.go
@@ -49,7 +49,6 @@
 func (q *request) beginSending(s upstr.Sending) {
 	q.sending = sending{conn: s.ConnNumber, use: s.Use, sameConn: slices.Contains(q.usedConns, s.ConnNumber)}
 	q.usedConns = append(q.usedConns, s.ConnNumber)
-	q.sendings.begin()
 }
 
 // verify takes in the head of the response to the last sending, and returns an error unless it states the ID of the request
@@ -84,5 +83,5 @@
 	q.edge.Events.Record(event.Failure, "sending", "id", q.info.ID, "attempt", q.attempts, "server", q.server,
 		"conn", q.sending.conn, "use", q.sending.use, "same-conn", q.sending.sameConn, "through", q.through, "carried", q.carried,
 		"status", q.sending.status, "stated-id", q.sending.statedID, "not-run", q.sending.notRun,
-		"outcome", c.Outcome, "why", q.reason, "may-have-run", q.mayHaveRun, "took", c.Took, "error", q.err)
+		"outcome", c.Outcome, "why", q.reason, "may-have-run", q.sendings.mayHaveRun(), "took", c.Took, "error", q.err)
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -50,7 +50,7 @@
 	for range maxAdmissionRequests {
 		a, s, rejection := q.acquire(ctx)
 		if rejection != nil {
-			return q.finalReply(ctx, rejection)
+			return q.finalReply(rejection)
 		}
 		if a == nil {
 			continue
@@ -64,31 +64,24 @@
 		}
 		q.fallback = reply
 		if !q.spendRetry() {
-			return q.finalReply(ctx, reply)
+			return q.finalReply(reply)
 		}
 		if q.rejection == misdirected {
 			worker.Sleep(ctx, misdirectedDelay)
 		}
 	}
-	return q.finalReply(ctx, q.fallback)
+	return q.finalReply(q.fallback)
 }
 
 // finalReply returns the reply of a request that is not retried any more. Reply is the reply of its
-// last attempt, or nil. Once a server may have run the request, the caller must not be told that it
-// was not run, so a status 503 becomes 502 or 504.
-func (q *request) finalReply(ctx context.Context, reply *inlet.Reply) *inlet.Reply {
-	if q.fallback != nil && (reply == nil || q.mayHaveRun) {
+// last attempt, or nil.
+func (q *request) finalReply(reply *inlet.Reply) *inlet.Reply {
+	if q.fallback != nil && (reply == nil || q.sendings.mayHaveRun()) {
 		reply = q.fallback
 	}
 	switch {
-	case reply != nil && (!q.mayHaveRun || reply.Status != http.StatusServiceUnavailable):
+	case reply != nil:
 		return reply
-	case ctx.Err() != nil && q.mayHaveRun:
-		q.reason = endTimeout
-		return errorReply(http.StatusGatewayTimeout, 0)
-	case q.mayHaveRun:
-		q.reason = endInDoubt
-		return errorReply(http.StatusBadGateway, 0)
 	case q.reason == endServerFull:
 		return errorReply(http.StatusServiceUnavailable, retryAfterServerFull)
 	default:
@@ -269,10 +262,11 @@
 	}
 	q.edge.inFlight.add(s.Domain, 1)
 	defer q.edge.inFlight.add(s.Domain, -1)
-	startedAt, first := time.Now(), len(q.sendings)
+	startedAt := time.Now()
+	q.sendings.begin()
 	response, err := q.dispatch(ctx, a, s, startedAt)
 	if errors.Is(err, upstr.ErrNotSent) {
-		q.sendings.settle(first, unwritten)
+		q.sendings.settle(unwritten)
 	}
 	completion := admit.Completion{}
 	defer func() {
@@ -295,12 +289,11 @@
 	}
 	reply, err := q.edge.readWhole(response)
 	if err != nil {
-		q.mayHaveRun = true
 		return q.handleFailure(ctx, &completion, s, err)
 	}
 	completion.Bytes = len(reply.Body)
-	if info.NotRun {
-		q.sendings.settle(first, declined)
+	if info.NotRun && !q.sending.sameConn {
+		q.sendings.settle(declined)
 	}
 	q.edge.Cluster.ClearSuspicion(q.print)
 	return q.handleResponse(&completion, s, info, reply)
@@ -321,9 +314,9 @@
 			q.rejection = withRoom
 		}
 		return errorReply(http.StatusServiceUnavailable, q.rejectionDelay(s.ID)), true
-	case reply.Status >= http.StatusInternalServerError:
+	case reply.Status >= http.StatusInternalServerError, promises(reply.Status):
 		completion.Outcome = admit.Failed
-		q.reason, q.avoid, q.mayHaveRun = endAnswered, s.ID, true
+		q.reason, q.avoid = endAnswered, s.ID
 		return reply, q.route.Kind.Idempotent()
 	default:
 		completion.Outcome = admit.Answered
@@ -341,7 +334,6 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		completion.Outcome = admit.Cancelled
-		q.mayHaveRun = q.mayHaveRun || !unsent
 		q.reason = endCallerLeft
 		return &inlet.Reply{Abort: true}, false
 	case errors.Is(err, errServerClosed):
@@ -357,7 +349,7 @@
 		q.reason, q.avoid = endUnsent, s.ID
 		return errorReply(http.StatusServiceUnavailable, q.unreachableDelay()), true
 	}
-	q.mayHaveRun, q.retryOpen = true, false
+	q.retryOpen = false
 	if ctx.Err() != nil || errors.Is(err, upstr.ErrDeadline) {
 		q.reason = endTimeout
 		return errorReply(http.StatusGatewayTimeout, 0), false
