Believe "not run" only beside a status by which a server may decline a request

What callers saw: 503 for requests that had run, and requests that are not idempotent ran at two servers. Their server had answered 500, 504, 302 or 200 and stated "not run" besides.

Cause: the header alone decided, whatever the status. Of two words that contradict each other neither is proof now: 408, 421, 429, 503 and 400 can decline; beside any other status the statement counts for nothing and the answer is passed on as it is, but a success that says "not run" is refused like one without a signature.

--- a/internal/edge/promise.go
+++ b/internal/edge/promise.go
@@ -68,6 +68,10 @@
 	}
 }
 
+// mayDecline reports whether a server may decline a request with a status. Any other status says that it has run the request,
+// or leaves that open.
+func mayDecline(status int) bool { return status == http.StatusBadRequest || promises(status) }
+
 // proofOf returns the proof of what a reply promises. The reply may be nil.
 func (l ledger) proofOf(reply *inlet.Reply) proof {
 	switch {
--- a/internal/edge/sending.go
+++ b/internal/edge/sending.go
@@ -23,6 +23,8 @@
 	noID statedID = "none"
 	// unsignedID means that it states the ID of the request and success, without the signature of a server.
 	unsignedID statedID = "own-unsigned"
+	// contraryID means that it states the ID of the request and success, and also that the request did not run.
+	contraryID statedID = "own-not-run"
 )
 
 // identityErrors holds the errors of responses that are not believed to belong to their request, by the ID that they state.
@@ -30,6 +32,7 @@
 	otherID:    errors.New("edge: response belongs to another request"),
 	noID:       errors.New("edge: response states no request"),
 	unsignedID: errors.New("edge: success without a signature"),
+	contraryID: errors.New("edge: success that states that the request did not run"),
 }
 
 // sending tells one sending of a request from the others, and holds what came back.
@@ -42,7 +45,8 @@
 	sameConn bool
 	status   int
 	statedID statedID
-	notRun   bool
+	// notRun says that the response states that the server did not run the request, whatever its status says.
+	notRun bool
 }
 
 // beginSending is called before the first byte of a sending is written.
@@ -52,23 +56,28 @@
 }
 
 // verify takes in the head of the response to the last sending, and returns an error unless it states the ID of the request
-// and, if it is a success, is signed.
+// and, if it is a success, is signed and does not state that the request did not run. Beside another status by which the request
+// may have run, that statement counts for nothing.
 func (q *request) verify(r *http.Response) error {
 	q.answer = q.edge.Codec.DecodeResponse(r, time.Now())
 	q.sending.status, q.sending.notRun, q.sending.statedID = r.StatusCode, q.answer.NotRun, q.statedID(r.StatusCode)
+	q.answer.NotRun = q.answer.NotRun && mayDecline(r.StatusCode)
 	q.edge.Meters.recordAnswer(q.sending.statedID)
 	return identityErrors[q.sending.statedID]
 }
 
 // statedID returns whose ID the response to the last sending states.
 func (q *request) statedID(status int) statedID {
+	success := status >= http.StatusOK && status < http.StatusMultipleChoices
 	switch {
 	case q.answer.ID == "" && q.info.ID != "":
 		return noID
 	case q.answer.ID != q.info.ID:
 		return otherID
-	case status >= http.StatusOK && status < http.StatusMultipleChoices && !q.answer.Signed:
+	case success && !q.answer.Signed:
 		return unsignedID
+	case success && q.answer.NotRun:
+		return contraryID
 	default:
 		return ownID
 	}
