Let the end of a process not drop the one that runs under its name by then

Cause: a stopping process appends that it has ended, without a condition, and the store may carry that out up to 6 s later, behind the registration of the next process. All who read the record dropped the running instance: nobody held the keys of its domain or waited for it, while it went on renewing leases.

Now the record goes only to an end of the topic that was known while the process ran, and a view and a roster drop only the incarnation that the record names. An instance that reads such a record about an earlier process registers again and says so.

--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -368,6 +368,7 @@
 		EraChanged:    func() {}, FetchView: n.fetchView,
 	})
 	n.manager.guards = tc.guards
+	n.manager.view.current.believesFormerEnds = !tc.guards.ignoreFormerEnds
 	tc.mu.Lock()
 	running := tc.instances[name] != nil
 	if !running {
--- a/internal/lease/guards.go
+++ b/internal/lease/guards.go
@@ -28,11 +28,16 @@
 	awaitKnowledge bool
 	// renewFences gives all keys new fences in a new era if lost records may have given fences that are not known.
 	renewFences bool
+	// conditionalEnd appends the record of the end of an instance only behind records that were known while it ran. Only the
+	// tests' instances read it: the record is written by package node.
+	conditionalEnd bool
+	// ignoreFormerEnds keeps an instance registered when a record says that another incarnation of it has ended.
+	ignoreFormerEnds bool
 	// requireRegistration acts only while the view contains the registration of this instance.
 	requireRegistration bool
 }
 
 // allGuards has every guard on.
 var allGuards = guards{
-	conditionalAppend: true, endOldLeases: true, awaitConfirmation: true, awaitExpiry: true, requireFreshView: true, stopStaleGrants: true, requireRegistration: true, checkIncarnation: true, verifyConnection: true, requireMajority: true, awaitKnowledge: true, renewFences: true,
+	conditionalAppend: true, endOldLeases: true, awaitConfirmation: true, awaitExpiry: true, requireFreshView: true, stopStaleGrants: true, requireRegistration: true, checkIncarnation: true, verifyConnection: true, requireMajority: true, awaitKnowledge: true, renewFences: true, conditionalEnd: true, ignoreFormerEnds: true,
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -188,6 +188,10 @@
 	staged map[string]*stagedOwners
 	// parts holds the parts that are known of the owners of services of which not all are.
 	parts map[string][]*shard.Map
+	// supersededNames holds the names of the registered instances whose newest record is about an earlier incarnation.
+	supersededNames map[string]struct{}
+	// believesFormerEnds turns guards.ignoreFormerEnds off.
+	believesFormerEnds bool
 }
 
 // Deps holds the settings and dependencies of a Manager.
--- a/internal/lease/register.go
+++ b/internal/lease/register.go
@@ -92,13 +92,15 @@
 func (lm *Manager) updateRoster() {
 	before, after := lm.rosterInstances, lm.instances()
 	lm.rosterInstances = after
-	changed := make(map[string]roster.Entry)
+	changed, deleted := make(map[string]roster.Entry), []string(nil)
 	for name, e := range after {
 		if old, known := before[name]; !known || old != e {
 			changed[name] = e
+			if e.Ended && !lm.guards.ignoreFormerEnds {
+				deleted = append(deleted, name)
+			}
 		}
 	}
-	var deleted []string
 	for name := range before {
 		if _, found := after[name]; !found {
 			deleted = append(deleted, name)
--- a/internal/lease/register_test.go
+++ b/internal/lease/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -157,3 +158,31 @@
 	is.True(v.currentAt(before))
 	is.True(!v.currentAt(later))
 }
+
+// Guards against two owners: the store carries out late the record of the end of a process, and the process of the same name that
+// runs by then is no longer waited for.
+func TestEndOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	ended := func(offset logpos.Pos, incarnation int) follow.Record {
+		return follow.Record{Key: InstanceKey("i1"), Offset: offset, Value: fmt.Appendf(nil, `{"incarnation":%d,"ended":true}`, incarnation)}
+	}
+	tests := map[string]struct {
+		records                []follow.Record
+		registered, superseded bool
+	}{
+		"end of the earlier one":      {append(registerRecords(5, "i1 7", "i1 8"), ended(7, 7)), true, true},
+		"end of its own":              {append(registerRecords(5, "i1 7", "i1 8"), ended(7, 8)), false, false},
+		"registered again after that": {slices.Concat(registerRecords(5, "i1 7", "i1 8"), []follow.Record{ended(7, 7)}, registerRecords(8, "i1 8")), true, false},
+		"removed as the earlier one": {append(registerRecords(5, "i1 7", "i1 8"),
+			follow.Record{Key: InstanceKey("i1"), Offset: 7, Value: []byte(`{"incarnation":7,"removed":true}`)}), true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := newTestView(5)
+			_, err := v.applyRegister(test.records)
+			is.NoErr(err)
+			is.Equal(v.get().registered("i1", 8), test.registered)
+			is.Equal(v.get().superseded("i1"), test.superseded)
+		})
+	}
+}
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -348,6 +348,10 @@
 // A registration that the store has lost does not count: instances that start know only what the store holds.
 func (lm *Manager) Registered() bool { return lm.view.getRead().registered(lm.Name, lm.Incarnation) }
 
+// Superseded reports whether the newest record of this instance in the store is about an earlier incarnation: those who read
+// only the newest records take this one for unregistered.
+func (lm *Manager) Superseded() bool { return lm.view.getRead().superseded(lm.Name) }
+
 // LatestEra returns the latest era of the store that is known.
 func (lm *Manager) LatestEra() logpos.Era { return lm.view.noteEra(0) }
 
--- a/internal/lease/schedule_test.go
+++ b/internal/lease/schedule_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 )
 
@@ -45,11 +46,14 @@
 	returnsToo
 	onlyReturns
 	lostMoves
+	// lateEnds are those of restartWithLateEnds.
+	lateEnds
 )
 
-// rounds returns the number of faults that a schedule plays. One round of lostMoves mostly is enough for a violation.
+// rounds returns the number of faults that a schedule plays. One round of lostMoves mostly is enough for a violation, and of
+// lateEnds only the first one finds keys in the failure domain that is cut off.
 func (f faults) rounds() int {
-	if f == lostMoves {
+	if f == lostMoves || f == lateEnds {
 		return 1
 	}
 	return 40
@@ -66,7 +70,7 @@
 			namedRestarts: namedRestarts, directory: map[string]rules.Server{}, endedFences: map[string][]uint64{},
 		}
 		off(&tc.guards)
-		if f != allFaults {
+		if f != allFaults && f != lateEnds {
 			tc.store.era = 1
 		}
 		if f == onlyReturns {
@@ -89,6 +93,10 @@
 				tc.loseMoves()
 				continue
 			}
+			if f == lateEnds {
+				tc.restartWithLateEnds()
+				continue
+			}
 			if f == returnsToo && tc.chance("schedule", 0.2) {
 				tc.returnStore()
 			}
@@ -162,6 +170,51 @@
 	tc.store.returnFrom(age)
 }
 
+// restartWithLateEnds restarts the instances of failure domain d1, each of which writes that it ends. The store carries most of
+// these records out 1 to 6 s late. Then the domain is cut off. With an even seed the domain has one instance, otherwise two.
+func (tc *testCluster) restartWithLateEnds() {
+	names := []string{"i1", "i3"}
+	if tc.seed%2 == 0 {
+		// Late registrations would bring the other one back.
+		tc.lostAppends = 0
+		tc.endInstance("i3", false)
+		names = names[:1]
+	}
+	for _, name := range names {
+		tc.endInstance(name, tc.chance("schedule", 0.9))
+		tc.after(tc.randomDuration("schedule", 100*time.Millisecond, 800*time.Millisecond), func() { tc.startInstance(name, "d1") })
+	}
+	time.Sleep(tc.randomDuration("schedule", 1500*time.Millisecond, 3*time.Second))
+
+	tc.cutDomain(tc.randomDuration("schedule", 8*time.Second, 14*time.Second))
+	time.Sleep(tc.randomDuration("schedule", 18*time.Second, 24*time.Second))
+}
+
+// endInstance stops an instance, which writes that it ends. If late is set the store carries that out 1 to 6 s later.
+func (tc *testCluster) endInstance(name string, late bool) {
+	tc.mu.Lock()
+	n := tc.instances[name]
+	tc.mu.Unlock()
+	if n == nil {
+		return
+	}
+	end := n.manager.Read().End
+	if !tc.guards.conditionalEnd {
+		end = -1
+	}
+	entry := roster.Entry{Address: name, Domain: "d1", Incarnation: n.manager.Incarnation, Share: 1, Ended: true}
+	value, _ := entry.Encode()
+	tc.stopInstance(name)
+	write := func() {
+		_, _ = tc.store.append(ownersTopic, []follow.Record{{Key: InstanceKey(name), Value: value}}, end)
+	}
+	if late {
+		tc.after(tc.randomDuration("schedule", time.Second, 6*time.Second), write)
+		return
+	}
+	write()
+}
+
 // lastHeldBy returns the number of checked keys that no other server has had since a server.
 func (tc *testCluster) lastHeldBy(server string) int {
 	tc.mu.Lock()
@@ -426,6 +479,40 @@
 // maxLostMoves bounds the search among schedules of lostMoves: half of them need awaitKnowledge, and nearly all need renewFences.
 const maxLostMoves = 20
 
+// Guards against two owners after a restart: the record of the end of a process is carried out late by the store, behind the
+// registration of the next one, and the failure domain is cut off.
+func TestSchedulesWithLateEnds(t *testing.T) {
+	for seed := range scheduleCount() {
+		violations, _, served := playScheduleOf(t, seed, func(*guards) {}, false, lateEnds)
+		if len(violations) > 0 {
+			t.Errorf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
+		}
+		if served != 256 {
+			t.Errorf("seed %d: %d of 256 keys have an owner 45 s after the last fault", seed, served)
+		}
+	}
+}
+
+// Shows that the guards against late ends are needed: either one keeps each key with one owner, and neither does not.
+func TestGuardsAreNeededForLateEnds(t *testing.T) {
+	play := func(seed uint64, conditional, ignored bool) []string {
+		violations, _, _ := playScheduleOf(t, seed, func(g *guards) { g.conditionalEnd, g.ignoreFormerEnds = conditional, ignored }, false, lateEnds)
+		return violations
+	}
+	for seed := range uint64(maxSearchedSchedules) {
+		for name, violations := range map[string][]string{"conditionalEnd": play(seed, true, false), "ignoreFormerEnds": play(seed, false, true)} {
+			if len(violations) > 0 {
+				t.Fatalf("seed %d with %s alone: %s", seed, name, violations[0])
+			}
+		}
+		if violations := play(seed, false, false); len(violations) > 0 {
+			t.Logf("seed %d: %s", seed, violations[0])
+			return
+		}
+	}
+	t.Errorf("no violation in %d schedules", maxSearchedSchedules)
+}
+
 // Guards against guards for a store that comes back from an older copy that are not needed, or do not suffice: each is turned
 // off until a schedule breaks a rule, and none of the same schedules may break one with all guards on.
 func TestGuardsAreNeededWhenTheStoreReturns(t *testing.T) {
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -146,6 +146,7 @@
 func (v *View) clone() *View {
 	next := *v
 	next.Maps, next.Instances, next.parts, next.staged = maps.Clone(v.Maps), maps.Clone(v.Instances), maps.Clone(v.parts), maps.Clone(v.staged)
+	next.supersededNames = maps.Clone(v.supersededNames)
 	return &next
 }
 
@@ -188,16 +189,7 @@
 // put applies one record: the owners of a service or the registration of an instance.
 func (v *View) put(r follow.Record) error {
 	if name, found := strings.CutPrefix(r.Key, keyInstance); found {
-		if len(r.Value) == 0 {
-			delete(v.Instances, name)
-			return nil
-		}
-		e, err := roster.Decode(r.Value)
-		if err != nil {
-			return err
-		}
-		v.Instances[name] = e
-		return nil
+		return v.putInstance(name, r)
 	}
 	if strings.HasPrefix(r.Key, keyEra) {
 		return v.putOpening(r)
@@ -216,6 +208,37 @@
 	}
 }
 
+// putInstance applies the registration of an instance. That an earlier incarnation has ended or was removed says nothing about
+// the registered one: the store may carry out an append seconds later.
+func (v *View) putInstance(name string, r follow.Record) error {
+	delete(v.supersededNames, name)
+	if len(r.Value) == 0 {
+		delete(v.Instances, name)
+		return nil
+	}
+	e, err := roster.Decode(r.Value)
+	if err != nil {
+		return err
+	}
+	known, found := v.Instances[name]
+	if (e.Ended || e.Removed) && found && known.Acts() && known.Incarnation != e.Incarnation && !v.believesFormerEnds {
+		if v.supersededNames == nil {
+			v.supersededNames = map[string]struct{}{}
+		}
+		v.supersededNames[name] = struct{}{}
+		return nil
+	}
+	v.Instances[name] = e
+	return nil
+}
+
+// superseded reports whether the newest record of a registered instance is about an earlier incarnation, so that those who read
+// only the newest records do not know of the registration.
+func (v *View) superseded(name string) bool {
+	_, found := v.supersededNames[name]
+	return found
+}
+
 // putOwners applies the record of the owners of a service, or of a part of them.
 func (v *View) putOwners(key string, r follow.Record) error {
 	service, index, isPart := parsePartKey(key)
@@ -329,7 +352,7 @@
 // registered reports whether an incarnation of an instance is registered, and neither removed nor ended.
 func (v *View) registered(name string, incarnation uint64) bool {
 	e, found := v.Instances[name]
-	return found && e.Incarnation == incarnation && !e.Removed && !e.Ended
+	return found && e.Incarnation == incarnation && e.Acts()
 }
 
 // applyOwnerChange applies records of owners that another instance appended, ahead of the next read. It
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -447,13 +447,13 @@
 }
 
 // appendEntry writes the record of this instance to the register and returns its offset. Ended says that the instance
-// stops.
-func (n *Node) appendEntry(ctx context.Context, ended bool) (logpos.Pos, error) {
+// stops. If expectedEnd is not negative, the record is written only there.
+func (n *Node) appendEntry(ctx context.Context, ended bool, expectedEnd logpos.Pos) (logpos.Pos, error) {
 	value, err := n.entry(ended).Encode()
 	if err != nil {
 		return 0, err
 	}
-	offset, err := n.platform.Store.Append(ctx, n.platform.OwnersTopic, []follow.Record{{Key: lease.InstanceKey(n.settings.Name), Value: value}}, -1)
+	offset, err := n.platform.Store.Append(ctx, n.platform.OwnersTopic, []follow.Record{{Key: lease.InstanceKey(n.settings.Name), Value: value}}, expectedEnd)
 	if err == nil {
 		n.leases.RecordAnswer()
 	}
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -58,7 +58,7 @@
 
 // ownersKnowledge is what an instance knows of the topic that contains the register.
 type ownersKnowledge struct {
-	// Registered says that the instance finds itself in the register.
+	// Registered says that the instance finds itself in the register, as everyone does who reads it now.
 	Registered bool
 	// End is the offset after the last known record, AsOf a time at which no later one had been written.
 	End  logpos.Pos
@@ -116,7 +116,7 @@
 	if n.start.storeSlow && time.Since(n.start.begunAt) < seedPatience {
 		return
 	}
-	offset, err := n.appendEntry(ctx, false)
+	offset, err := n.appendEntry(ctx, false, -1)
 	if err != nil {
 		n.events.Record(event.StateChange, "not-registered", "error", err)
 	}
@@ -141,10 +141,15 @@
 	if n.start.Registers {
 		r.delegated(time.Now())
 	}
-	lookupAt := time.Now().Add(lookupInterval)
+	lookupAt, wasSuperseded := time.Now().Add(lookupInterval), false
 	for ; ctx.Err() == nil; worker.Sleep(ctx, registerInterval) {
 		now := time.Now()
-		known := ownersKnowledge{Registered: n.leases.Registered(), End: n.leases.Read().End, AsOf: now.Add(-n.leases.ReadAge())}
+		superseded := n.leases.Superseded()
+		if superseded && !wasSuperseded {
+			n.events.Record(event.StateChange, "registration-superseded", "instance", n.settings.Name, "incarnation", n.incarnation, "end", n.leases.Read().End)
+		}
+		wasSuperseded = superseded
+		known := ownersKnowledge{Registered: n.leases.Registered() && !superseded, End: n.leases.Read().End, AsOf: now.Add(-n.leases.ReadAge())}
 		switch {
 		case n.isStopping():
 		case r.due(known, now):
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/follow"
+	"example.org/mustardring/internal/logpos"
 )
 
 const (
@@ -60,13 +62,31 @@
 	n.events.Record(event.StateChange, "stopped", "instance", n.settings.Name, "busy", n.inlet.InFlight(), "took", time.Since(began))
 }
 
+// maxEndAppends is how often the record of the end of an instance is tried to be written. Instances that end together refuse
+// each other's.
+const maxEndAppends = 3
+
 // recordEnd writes to the register that this instance ends. It gives up at a deadline, soon after which the process
 // is killed.
+//
+// The record goes only to an end of the topic that was known while this process ran. The store may carry it out seconds later,
+// and it must not follow the registration of the next process of the same name.
 func (n *Node) recordEnd(ctx context.Context, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if _, err := n.appendEntry(ctx, true); err != nil {
-		n.events.Record(event.StateChange, "end-not-recorded", "error", err)
+	end, err := n.leases.Read().End, error(nil)
+	for range maxEndAppends {
+		if _, err = n.appendEntry(ctx, true, end); !errors.Is(err, follow.ErrConflict) && !errors.Is(err, follow.ErrReturned) {
+			break
+		}
+		var batch follow.Batch
+		if batch, err = n.platform.Store.Read(ctx, n.platform.OwnersTopic, logpos.EndOnly, 0); err != nil {
+			break
+		}
+		end = batch.End
+	}
+	if err != nil {
+		n.events.Record(event.StateChange, "end-not-recorded", "as-of", end, "error", err)
 	}
 }
 
--- a/internal/roster/replaced_test.go
+++ b/internal/roster/replaced_test.go
@@ -71,3 +71,22 @@
 	is.True(r.LastHeard("i", 2)) // although it has sent no heartbeat since it was registered
 	is.True(!r.LastHeard("i", 1))
 }
+
+// Guards against two owners: a process that runs is dropped because of the end of the one before it, and is not waited for.
+func TestEndOfAFormerIncarnationDropsNobody(t *testing.T) {
+	for name, e := range map[string]Entry{"ended": {Domain: "d", Incarnation: 1, Ended: true}, "removed": {Domain: "d", Incarnation: 1, Removed: true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, now := New("self", "d"), time.Now()
+			r.Put("i", Entry{Domain: "d", Incarnation: 1}, now)
+			r.Put("i", Entry{Domain: "d", Incarnation: 2}, now)
+			r.Put("i", e, now)
+			is.Equal(r.Unconfirmed(5, now.Add(-time.Minute)), []string{"i"})
+			is.True(!r.HasRemoved())
+			e.Incarnation = 2
+			r.Put("i", e, now)
+			_, found := r.Peer("i")
+			is.True(!found)
+		})
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -32,6 +32,9 @@
 	Removed bool `json:"removed,omitempty"`
 }
 
+// Acts reports whether the process runs, as far as the registration says.
+func (e Entry) Acts() bool { return !e.Ended && !e.Removed }
+
 // Decode decodes a registration from its JSON form.
 func Decode(data []byte) (Entry, error) {
 	var e Entry
@@ -249,10 +252,14 @@
 // put adds or updates an instance. The lock is held.
 func (r *Roster) put(name string, e Entry, now time.Time) {
 	known := r.peers[name]
+	if known != nil && !e.Acts() && e.Incarnation != known.Incarnation {
+		// Another process of the same name has ended. The registered one may act until its own end is known.
+		return
+	}
 	if known != nil {
 		r.drop(known)
 	}
-	if e.Ended || e.Removed {
+	if !e.Acts() {
 		if known != nil {
 			r.departed[name] = departure{known.Domain, now}
 		}
