Word the doc comments of promises and statements more exactly

Found in the read-through: evidence is kept for an attempt, not for a sending; ResponseInfo.NotRun is what a response states, not what is believed. No change of logic; the tests of package edge pass.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,8 +44,9 @@
 	ID string
 	// Signed says that the response bears the signature of a server that has run the request. A success without it is none.
 	Signed bool
-	// NotRun says that the server did not run the request. Misdirected says that the server is
-	// not the one that was addressed, or does not own the key.
+	// NotRun says that the response states that the server did not run the request, which is believed only beside a status
+	// with which a server may decline it. Misdirected says that the server is not the one that was addressed, or does not own
+	// the key.
 	NotRun      bool
 	Misdirected bool
 	Load        admit.Load
--- a/internal/edge/promise.go
+++ b/internal/edge/promise.go
@@ -8,7 +8,7 @@
 	"example.org/mustardring/internal/inlet"
 )
 
-// evidence is what is known of one sending of a request.
+// evidence is what is known of one attempt to send a request.
 type evidence int
 
 // The kinds of evidence.
@@ -51,7 +51,8 @@
 const (
 	// notPromised means that the reply promises nothing.
 	notPromised proof = ""
-	// nothingSent means that nothing was sent to a server, allDeclined that the server of each sending has declined the request.
+	// nothingSent means that nothing was sent to a server, allDeclined that the server of each attempt that may have
+	// written a byte has declined the request.
 	nothingSent proof = "nothing-sent"
 	allDeclined proof = "declined"
 	// noProof means that a server may have run the request or may run it later.
@@ -89,14 +90,14 @@
 // deliver returns the reply for the caller, given the one that was decided on. Each reply passes here on its way: one that
 // promises what is not proved is replaced by one that promises nothing and has no header of a server.
 func (q *request) deliver(ctx context.Context, reply *inlet.Reply) *inlet.Reply {
-	proof := q.sendings.proofOf(reply)
-	if proof == noProof {
+	p := q.sendings.proofOf(reply)
+	if p == noProof {
 		status := http.StatusBadGateway
 		if q.reason = endInDoubt; ctx.Err() != nil {
 			q.reason, status = endTimeout, http.StatusGatewayTimeout
 		}
 		reply = errorReply(status, 0)
 	}
-	q.edge.Meters.recordPromise(proof)
+	q.edge.Meters.recordPromise(p)
 	return reply
 }
