Log an end that others refuse three times

Found in the read-through: the error of the last append was replaced by that of the read behind it, nil, so the line end-not-recorded was missing. The read now comes before each repeat, and none behind the last. TestEndThatOthersRefuseIsLogged failed before.

--- a/internal/node/end_test.go
+++ b/internal/node/end_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,6 +23,8 @@
 type lateStore struct {
 	mu      sync.Mutex
 	late    bool
+	// crowded makes others append just before each conditional append.
+	crowded bool
 	pending []func()
 	records []follow.Record
 	appends int
@@ -31,6 +34,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appends++
+	if s.crowded {
+		s.records = append(s.records, follow.Record{})
+	}
 	if s.late {
 		s.pending = append(s.pending, func() { _, _ = s.append(records, expectedEnd) })
 		return 0, follow.ErrUnknown
@@ -102,3 +108,20 @@
 		is.Equal(s.appends, 2)
 	})
 }
+
+// Guards against an end that is not recorded without a line that says so.
+func TestEndThatOthersRefuseIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var lines strings.Builder
+		s := &lateStore{crowded: true}
+		n := newFollower(s, 0)
+		n.events = event.New(&lines, log.InfoLevel)
+		n.recordEnd(t.Context(), time.Now().Add(time.Second))
+		is.Equal(s.appends, maxEndAppends)
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		_ = n.events.Run(ended)
+		is.True(strings.Contains(lines.String(), "msg=end-not-recorded"))
+	})
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -75,15 +75,17 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	end, err := n.leases.Read().End, error(nil)
-	for range maxEndAppends {
-		if _, err = n.appendEntry(ctx, true, end); !errors.Is(err, follow.ErrConflict) && !errors.Is(err, follow.ErrReturned) {
-			break
+	for i := range maxEndAppends {
+		if i > 0 {
+			var batch follow.Batch
+			if batch, err = n.platform.Store.Read(ctx, n.platform.OwnersTopic, logpos.EndOnly, 0); err != nil {
+				break
+			}
+			end = batch.End
 		}
-		var batch follow.Batch
-		if batch, err = n.platform.Store.Read(ctx, n.platform.OwnersTopic, logpos.EndOnly, 0); err != nil {
+		if _, err = n.appendEntry(ctx, true, end); !errors.Is(err, follow.ErrConflict) && !errors.Is(err, follow.ErrReturned) {
 			break
 		}
-		end = batch.End
 	}
 	if err != nil {
 		n.events.Record(event.StateChange, "end-not-recorded", "as-of", end, "error", err)
