--- a/internal/node/end_test.go
+++ b/internal/node/end_test.go
@@ -21,8 +21,8 @@
 
 // lateStore is a topic of a store. It carries appends out when told to while late is set, and leaves them without an answer.
 type lateStore struct {
-	mu      sync.Mutex
-	late    bool
+	mu   sync.Mutex
+	late bool
 	// crowded makes others append just before each conditional append.
 	crowded bool
 	pending []func()
