--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,7 +45,7 @@
 	// Signed says that the response bears the signature of a server that has run the request. A success without it is none.
 	Signed bool
 	// NotRun says that the response states that the server did not run the request, which is believed only beside a status
-	// with which a server may decline it. Misdirected says that the server is not the one that was addressed, or does not own
+	// with which a server may reject it. Misdirected says that the server is not the one that was addressed, or does not own
 	// the key.
 	NotRun      bool
 	Misdirected bool
--- a/internal/edge/promise.go
+++ b/internal/edge/promise.go
@@ -17,8 +17,8 @@
 	mayRun evidence = iota
 	// unwritten means that no byte of the request has reached the server, and none will.
 	unwritten
-	// declined means that the server has stated in its response that it has not run the request.
-	declined
+	// rejectedByServer means that the server has stated in its response that it has not run the request.
+	rejectedByServer
 )
 
 // ledger holds the evidence of all attempts to send a request in their order. It is not used by several goroutines at a time.
@@ -51,10 +51,10 @@
 const (
 	// notPromised means that the reply promises nothing.
 	notPromised proof = ""
-	// nothingSent means that nothing was sent to a server, allDeclined that the server of each attempt that may have
-	// written a byte has declined the request.
+	// nothingSent means that nothing was sent to a server, allRejected that the server of each attempt that may have
+	// written a byte has rejected the request.
 	nothingSent proof = "nothing-sent"
-	allDeclined proof = "declined"
+	allRejected proof = "rejected"
 	// noProof means that a server may have run the request or may run it later.
 	noProof proof = "none"
 )
@@ -69,9 +69,9 @@
 	}
 }
 
-// mayDecline reports whether a server may decline a request with a status. Any other status says that it has run the request,
+// mayReject reports whether a server may reject a request with a status without running it. Any other status says that it has run the request,
 // or leaves that open.
-func mayDecline(status int) bool { return status == http.StatusBadRequest || promises(status) }
+func mayReject(status int) bool { return status == http.StatusBadRequest || promises(status) }
 
 // proofOf returns the proof of what a reply promises. The reply may be nil.
 func (l ledger) proofOf(reply *inlet.Reply) proof {
@@ -80,8 +80,8 @@
 		return notPromised
 	case l.mayHaveRun():
 		return noProof
-	case slices.Contains(l, declined):
-		return allDeclined
+	case slices.Contains(l, rejectedByServer):
+		return allRejected
 	default:
 		return nothingSent
 	}
--- a/internal/edge/promise_test.go
+++ b/internal/edge/promise_test.go
@@ -24,7 +24,7 @@
 		backends        int
 		sendings, proof string
 	}{
-		"nothing sent": {0, "0", "nothing-sent"}, "rejected": {1, "1", "declined"}, "rejected by both": {2, "2", "declined"},
+		"nothing sent": {0, "0", "nothing-sent"}, "rejected": {1, "1", "rejected"}, "rejected by both": {2, "2", "rejected"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/edge/sending.go
+++ b/internal/edge/sending.go
@@ -61,7 +61,7 @@
 func (q *request) verify(r *http.Response) error {
 	q.answer = q.edge.Codec.DecodeResponse(r, time.Now())
 	q.sending.status, q.sending.notRun, q.sending.statedID = r.StatusCode, q.answer.NotRun, q.statedID(r.StatusCode)
-	q.answer.NotRun = q.answer.NotRun && mayDecline(r.StatusCode)
+	q.answer.NotRun = q.answer.NotRun && mayReject(r.StatusCode)
 	q.edge.Meters.recordAnswer(q.sending.statedID)
 	return identityErrors[q.sending.statedID]
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -293,7 +293,7 @@
 	}
 	completion.Bytes = len(reply.Body)
 	if info.NotRun && !q.sending.sameConn {
-		q.sendings.settle(declined)
+		q.sendings.settle(rejectedByServer)
 	}
 	q.edge.Cluster.ClearSuspicion(q.print)
 	return q.handleResponse(&completion, s, info, reply)
--- a/internal/lease/schedule_test.go
+++ b/internal/lease/schedule_test.go
@@ -185,7 +185,6 @@
 		tc.after(tc.randomDuration("schedule", 100*time.Millisecond, 800*time.Millisecond), func() { tc.startInstance(name, "d1") })
 	}
 	time.Sleep(tc.randomDuration("schedule", 1500*time.Millisecond, 3*time.Second))
-
 	tc.cutDomain(tc.randomDuration("schedule", 8*time.Second, 14*time.Second))
 	time.Sleep(tc.randomDuration("schedule", 18*time.Second, 24*time.Second))
 }
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -221,7 +221,7 @@
 		return err
 	}
 	known, found := v.Instances[name]
-	if (e.Ended || e.Removed) && found && known.Acts() && known.Incarnation != e.Incarnation && !v.believesFormerEnds {
+	if !e.Acts() && found && known.Acts() && known.Incarnation != e.Incarnation && !v.believesFormerEnds {
 		if v.supersededNames == nil {
 			v.supersededNames = map[string]struct{}{}
 		}
