Tell crashes again to instances that missed them

Each instance now asks another one at a time, soon after its start and then each second, and gets the crashes and responses that it does not know, with their age, at most 500. A response keeps its time, so that an instance that missed it does not bring the crashes before it back.

--- a/internal/dgram/dgram.go
+++ b/internal/dgram/dgram.go
@@ -189,6 +189,13 @@
 		Server      string
 		Cleared     bool
 	}
+	// CrashQuery asks for the crashes that the receiver knows, unless their digest is the one that the sender knows.
+	CrashQuery struct{ Known uint64 }
+	// CrashHistory answers CrashQuery. Reports and AgesMs are parallel slices.
+	CrashHistory struct {
+		Reports []CrashReport
+		AgesMs  []int
+	}
 )
 
 // RestAsked says which instances a server wants no requests of.
@@ -232,6 +239,8 @@
 func (ServerReport) kind() byte      { return 21 }
 func (IncarnationQuery) kind() byte  { return 22 }
 func (IncarnationAnswer) kind() byte { return 23 }
+func (CrashQuery) kind() byte        { return 24 }
+func (CrashHistory) kind() byte      { return 25 }
 
 // Received is a message and the address of its sender.
 type Received struct {
@@ -326,6 +335,10 @@
 		return decode[IncarnationQuery](data[1:])
 	case 23:
 		return decode[IncarnationAnswer](data[1:])
+	case 24:
+		return decode[CrashQuery](data[1:])
+	case 25:
+		return decode[CrashHistory](data[1:])
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, data[0])
 	}
--- a/internal/dgram/dgram_test.go
+++ b/internal/dgram/dgram_test.go
@@ -84,6 +84,7 @@
 		CrashReport{}, OwnerChange{Service: "s", Changes: []shard.Range{{From: 1, To: 9, Server: "a", FormerOwners: []shard.Owner{{Server: "b"}}}}},
 		CompletedMoves{}, TopicUpdate{}, AdmissionCheck{}, ViewRequest{}, ViewSnapshot{Maps: map[string][]byte{"s": {1}}}, ServerReport{Servers: []string{"s"}, Work: []uint16{1}},
 		IncarnationQuery{Server: "s", Serial: 1}, IncarnationAnswer{Server: "s", Serial: 1},
+		CrashQuery{Known: 1}, CrashHistory{Reports: []CrashReport{{Fingerprint: 1, Server: "s"}}, AgesMs: []int{1}},
 	} {
 		if data, err := Encode(m); err == nil {
 			f.Add(data)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -110,6 +110,7 @@
 	owner       shard.Range
 	changed     chan struct{}
 	crashed     atomic.Int32
+	cleared     atomic.Int32
 	quarantined bool
 	settleAt    time.Time
 	statements  *stated.Table
@@ -131,7 +132,7 @@
 	c.statements.ObserveRest(server, s.RestUntil)
 }
 func (c *fakeCluster) RestUntil(server string) time.Time { return c.statements.RestUntil(server) }
-func (c *fakeCluster) ClearSuspicion(uint64)             {}
+func (c *fakeCluster) ClearSuspicion(uint64)             { c.cleared.Add(1) }
 
 // fakeAdmitter implements edge.Admitter. It admits each request to the server that it names, or to
 // the servers in turn, unless rejection is set.
@@ -411,7 +412,7 @@
 	s.RecordCrash(1, "a", now) // two instances report the same crash
 	s.RecordCrash(2, "a", now)
 	is.True(!s.Quarantined(1, now))
-	s.Clear(2)
+	s.Clear(2, now)
 	s.RecordCrash(1, "b", now)
 	s.RecordCrash(2, "b", now)
 	is.True(s.Quarantined(1, now))
@@ -419,6 +420,55 @@
 	is.True(!s.Quarantined(1, now.Add(time.Hour)))
 }
 
+// Checks what a tracker takes from another one: crashes with their age, but none from before a response.
+func TestCrashesOfAnotherTracker(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	told := func(d time.Duration) []edge.Crash {
+		return []edge.Crash{{Fingerprint: 1, Server: "a", At: at(d)}, {Fingerprint: 1, Server: "b", At: at(d)}}
+	}
+	for name, test := range map[string]struct {
+		record      func(s *edge.CrashTracker)
+		quarantined bool
+	}{
+		"crashes":                       {func(s *edge.CrashTracker) { s.Merge(told(0), at(time.Minute)) }, true},
+		"crashes that have expired":     {func(s *edge.CrashTracker) { s.Merge(told(-time.Hour), at(0)) }, false},
+		"crashes that expire meanwhile": {func(s *edge.CrashTracker) { s.Merge(told(-time.Minute), at(0)) }, false},
+		"crashes before a response, told late": {func(s *edge.CrashTracker) {
+			s.Merge(told(0), at(0))
+			s.Clear(1, at(100*time.Millisecond))
+			s.Merge(told(200*time.Millisecond), at(200*time.Millisecond))
+		}, false},
+		"crashes after a response": {func(s *edge.CrashTracker) {
+			s.Merge(told(0), at(0))
+			s.Clear(1, at(100*time.Millisecond))
+			s.Merge(told(5*time.Second), at(5*time.Second))
+		}, true},
+		"crashes that come back again and again": {func(s *edge.CrashTracker) {
+			s.Merge(told(0), at(0))
+			for d := time.Duration(0); d < 2*time.Minute; d += time.Second {
+				s.Merge(told(500*time.Millisecond), at(d))
+			}
+		}, true},
+		"more requests than are told, of one crash each": {func(s *edge.CrashTracker) {
+			other := edge.NewCrashTracker()
+			other.Merge(told(time.Second), at(time.Second))
+			for print := range uint64(900) {
+				other.RecordCrash(print+2, "a", at(2*time.Second))
+			}
+			s.Merge(other.Recent(at(3*time.Second)), at(3*time.Second))
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := edge.NewCrashTracker()
+			test.record(s)
+			is.Equal(s.Quarantined(1, at(90*time.Second)), test.quarantined)
+			is.True(!s.Quarantined(1, at(4*time.Minute)))
+		})
+	}
+}
+
 // A request was admitted to a server that was about to leave, waited 0.2 seconds for a connection on a
 // busy instance and reached the server after it had left, because the server was checked only at the
 // admission. The first byte can follow the admission by up to 235 ms. The server must be checked again
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -14,7 +13,6 @@
 	"example.org/mustardring/internal/logpos"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
-	"example.org/mustardring/internal/upstr"
 	"example.org/mustardring/internal/worker"
 )
 
@@ -298,6 +296,10 @@
 		n.cluster.markMovesComplete(m.Ranges)
 	case dgram.CrashReport:
 		n.handleCrashReport(m)
+	case dgram.CrashQuery:
+		n.handleCrashQuery(r.From, m)
+	case dgram.CrashHistory:
+		n.handleCrashHistory(r.From, m)
 	case dgram.ServerLimit:
 		n.handleLimit(m)
 	case dgram.ServerLeave:
@@ -371,47 +373,3 @@
 
 // CountRequest implements edge.Cluster. It counts a request for the load report.
 func (n *Node) CountRequest(service string, key uint16) { n.loadTracker.count(service, key) }
-
-// Quarantined implements edge.Cluster.
-func (n *Node) Quarantined(print uint64) bool {
-	return n.suspects.Quarantined(print, time.Now())
-}
-
-// crashProbeTimeout limits the check whether a server that lost a connection still accepts new ones.
-const crashProbeTimeout = time.Second
-
-// ReportCrash implements edge.Cluster. Servers also break off single responses, and this instance may have lost its path,
-// so a lost connection counts as a crash only if no instance that is asked can open a new one.
-func (n *Node) ReportCrash(print uint64, s rules.Server) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-		defer cancel()
-		c, err := n.dialer.DialServer(ctx, s.ID, s.Address)
-		if err == nil {
-			_ = c.Close()
-			return
-		}
-		if !errors.Is(err, upstr.ErrUnreachable) {
-			return
-		}
-		n.events.Record(event.StateChange, "server-lost-in-request", "print", print, "server", s.ID, "error", err)
-		n.suspects.RecordCrash(print, s.ID, time.Now())
-		n.broadcast(dgram.CrashReport{Fingerprint: print, Server: s.ID})
-	}()
-}
-
-// ClearSuspicion implements edge.Cluster.
-func (n *Node) ClearSuspicion(print uint64) {
-	if n.suspects.Clear(print) {
-		n.broadcast(dgram.CrashReport{Fingerprint: print, Cleared: true})
-	}
-}
-
-// handleCrashReport records what another instance has seen of a request that may crash servers.
-func (n *Node) handleCrashReport(m dgram.CrashReport) {
-	if m.Cleared {
-		n.suspects.Clear(m.Fingerprint)
-		return
-	}
-	n.suspects.RecordCrash(m.Fingerprint, m.Server, time.Now())
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -397,6 +397,7 @@
 	group.Go("digests", n.digestLoop)
 	group.Go("views", n.viewLoop)
 	group.Go("settled", n.broadcastMovesLoop)
+	group.Go("crashes", n.queryCrashesLoop)
 	group.Go("holder", n.leases.Run)
 	group.Go("permits", n.admissions.run)
 	if n.settings.Overload.SpeedRanges {
