Clear no suspicion because a server rejected the request

Cause: any response cleared the request during which servers were lost, also "not run" of a busy server, which says nothing of whether a server survives it. The allowance of a request that crashes servers began anew.

Measured: TestRejectionClearsNoSuspicion failed in five of nine cases before (503, 429, 421, 400 with "not run", and 503 without), none now.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -469,6 +469,25 @@
 	}
 }
 
+// Guards against a request that crashes servers and is sent on, because a busy server has rejected it in between.
+func TestRejectionClearsNoSuspicion(t *testing.T) {
+	for name, test := range map[string]struct {
+		status, headers string
+		clears          int32
+	}{
+		"success": {"200 OK", "", 1}, "error": {"500 X", "", 1}, "not found": {"404 X", "", 1},
+		"not run": {"503 X", "Not-Run: 1\r\n", 0}, "busy": {"429 X", "Not-Run: 1\r\n", 0}, "misdirected": {"421 X", "", 0},
+		"busy without proof": {"503 X", "", 0}, "malformed and not run": {"400 X", "Not-Run: 1\r\n", 0}, "malformed": {"400 X", "", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(rules.NonIdempotent, newFakeServer(t, func(_ int, c net.Conn, r *http.Request) { respond(c, r, test.status, test.headers, "") }))
+			f.cluster.config.Hosts["a.example"][0].MaxAttempts = 1
+			f.send(t.Context())
+			is.New(t).Equal(f.cluster.cleared.Load(), test.clears)
+		})
+	}
+}
+
 // A request was admitted to a server that was about to leave, waited 0.2 seconds for a connection on a
 // busy instance and reached the server after it had left, because the server was checked only at the
 // admission. The first byte can follow the admission by up to 235 ms. The server must be checked again
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -295,7 +295,10 @@
 	if info.NotRun && !q.sending.sameConn {
 		q.sendings.settle(rejectedByServer)
 	}
-	q.edge.Cluster.ClearSuspicion(q.print)
+	if !info.NotRun && !promises(reply.Status) {
+		// A server that rejects the request has not shown that it survives it.
+		q.edge.Cluster.ClearSuspicion(q.print)
+	}
 	return q.handleResponse(&completion, s, info, reply)
 }
 
