Give light callers their share of servers that become slow

Of requests that wait while it becomes slower, the first ones counted a twentieth of the later ones; and the entitlement of a quarter of a slot for each caller was more than an equal share, so that requests went in the order of arrival.

--- a/internal/admit/dispatch.go
+++ b/internal/admit/dispatch.go
@@ -11,7 +11,7 @@
 func (c *Controller) newWaiter(now time.Time, req Request, earlier Earlier) *waiter {
 	r := c.route(req.Route, req.TargetAt.Sub(now))
 	c.lastSequence++
-	w := &waiter{Request: req, expectedTime: r.meanTime, earlier: earlier}
+	w := &waiter{Request: req, expectedTime: r.meanTime, meanTime: r.meanTime, earlier: earlier}
 	if s := c.servers[req.Server]; s != nil {
 		w.expectedTime = s.expectedTime(r, now)
 	}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -49,8 +49,8 @@
 	earlier Earlier
 	// crossDomainAt is when the request may use servers of other domains.
 	crossDomainAt time.Time
-	// expectedTime is the expected service time.
-	expectedTime time.Duration
+	// expectedTime is the expected service time, meanTime the mean of the route's when the request arrived.
+	expectedTime, meanTime time.Duration
 	// late reports whether the request cannot meet its target. queueDeadline is when the request is
 	// rejected if it still waits; a late one is rejected earlier.
 	late          bool
--- a/internal/admit/share_test.go
+++ b/internal/admit/share_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,66 @@
 	is.True(light.served()+medium.served()+heavy.served() >= 30*18)
 }
 
+// Guards against light callers that are crowded out, at a server that has just become slow or that more callers use than it has
+// slots for a quarter each: those who ask most came first.
+func TestLightCallersKeepTheirShare(t *testing.T) {
+	for name, test := range map[string]struct {
+		slots int
+		work  time.Duration
+		// light and heavy are the numbers of callers, lightRate and heavyRate those of the requests a second of each.
+		light, heavy         int
+		lightRate, heavyRate float64
+	}{
+		"few callers":       {2, 167 * time.Millisecond, 2, 3, 4.5, 40},
+		"few that ask more": {2, 167 * time.Millisecond, 2, 3, 4.5, 80},
+		"four slots":        {4, 200 * time.Millisecond, 4, 4, 4, 40},
+		"many callers":      {2, 167 * time.Millisecond, 10, 10, 1, 20},
+	} {
+		for _, slowAt := range []time.Duration{0, 10 * time.Second} {
+			t.Run(fmt.Sprintf("%s, slow at %v", name, slowAt), func(t *testing.T) {
+				served := make([]int, test.light+test.heavy)
+				for seed := range uint64(12) {
+					s := newSimulator(seed, nil, test.slots)
+					s.controller = admit.New(rand.New(rand.NewPCG(seed, 3)), admit.Options{FairShares: true, KeptReturns: true})
+					s.controller.SetServers(start, []rules.Server{server("s0", "north", test.slots)})
+					s.byKey, s.serviceTimes = true, uniformServers(1, 8*time.Millisecond)
+					for i := range served {
+						w := workload{name: fmt.Sprint(i), rate: test.lightRate, caller: uint32(i + 1), priority: 1, target: time.Second, limit: 2 * time.Second, route: "read"}
+						if i >= test.light {
+							w.rate = test.heavyRate
+						}
+						s.addArrivals(w, 0, 20*time.Second)
+					}
+					count := func(sign int) func(time.Time) {
+						return func(time.Time) {
+							for i := range served {
+								served[i] += sign * s.tallies[fmt.Sprint(i)].served()
+							}
+						}
+					}
+					s.schedule(start.Add(slowAt), func(time.Time) { s.serviceTimes["s0"] = test.work })
+					s.schedule(start.Add(11*time.Second), count(-1))
+					s.schedule(start.Add(15*time.Second), count(1))
+					s.runFor(24 * time.Second)
+				}
+				t.Logf("served %v", served)
+				asked := 12 * 4 * test.lightRate
+				light, heavy := mean(served[:test.light]), mean(served[test.light:])
+				is := is.New(t)
+				is.True(light >= 0.8*min(asked, heavy))
+				is.True(float64(slices.Min(served[:test.light])) >= 0.6*min(asked, heavy))
+			})
+		}
+	}
+}
+
+func mean(counts []int) (m float64) {
+	for _, n := range counts {
+		m += float64(n) / float64(len(counts))
+	}
+	return m
+}
+
 // Guards against callers of instances of the previous release, which are not known, and that starve others or are starved.
 func TestUnknownCallersKeepAPart(t *testing.T) {
 	is := is.New(t)
