Let instances that told each other of crashes become silent

An instance that had never heard of a request did not keep a response to it, and a crash within a second of a response counted at one instance and not at another, so that their digests differed and the history was sent each second for up to two minutes.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -73,7 +73,10 @@
 
 // Clear drops the crashes of the request with a fingerprint because it got a response. It reports whether there were any.
 func (c *CrashTracker) Clear(print uint64, now time.Time) bool {
-	return c.Merge([]Crash{{Fingerprint: print, Cleared: true, At: now}}, now) > 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[print]
+	return r != nil && r.clear(now)
 }
 
 // Merge adds crashes and responses that this or another instance has seen, and returns how many of them changed something.
@@ -97,7 +100,7 @@
 		r = nil
 	}
 	if r == nil {
-		if k.Cleared || now.Sub(k.At) > crashRetention {
+		if now.Sub(k.At) > crashRetention {
 			return false
 		}
 		c.evict(now)
@@ -116,11 +119,11 @@
 	return true
 }
 
-// clear drops the crashes up to a response, and reports whether there were any.
+// clear drops the crashes that a response shows to have had another cause. It reports whether that changed something.
 func (r *trackedRequest) clear(at time.Time) bool {
 	known := len(r.crashedAt)
-	maps.DeleteFunc(r.crashedAt, func(_ string, crashedAt time.Time) bool { return !crashedAt.After(at) })
-	if len(r.crashedAt) == known {
+	maps.DeleteFunc(r.crashedAt, func(_ string, crashedAt time.Time) bool { return crashedAt.Sub(at) <= mergeSlack })
+	if len(r.crashedAt) == known && !r.clearedAt.IsZero() {
 		return false
 	}
 	r.clearedAt, r.lastAt = later(r.clearedAt, at), later(r.lastAt, at)
--- a/internal/node/crashes_test.go
+++ b/internal/node/crashes_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -40,11 +39,6 @@
 	return cc
 }
 
-// addressOf returns the address of an instance.
-func (cc *crashCluster) addressOf(name string) netip.AddrPort {
-	return netip.MustParseAddrPort(cc.nodes[name].port.Address())
-}
-
 // join lets an instance hear those in touch from now on, and them it.
 func (cc *crashCluster) join(names ...string) {
 	cc.running = append(cc.running, names...)
@@ -114,21 +108,34 @@
 	is.True(!cc.nodes["i0"].Quarantined(7))
 }
 
-// Checks that all instances know the same crashes after a time, and then are silent.
+// Checks that instances that have learned from each other know the same crashes and responses, and are silent then.
 func TestEqualCrashesAreNotTold(t *testing.T) {
 	is := is.New(t)
 	cc := newCrashCluster(t, 2)
-	cc.nodes["i0"].suspects.RecordCrash(7, "s0", time.Now())
-	cc.nodes["i1"].suspects.RecordCrash(7, "s0", time.Now())
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	cc.group.Go("messages", func(context.Context) error { return cc.nodes["i0"].receiveLoop(ctx) })
-	cc.nodes["i1"].port.Send(cc.addressOf("i0"), dgram.CrashQuery{Known: digestOf(cc.nodes["i1"].suspects.Recent(time.Now()))})
-	select {
-	case m := <-cc.nodes["i1"].port.Messages():
-		t.Fatalf("got %+v", m)
-	case <-time.After(200 * time.Millisecond):
+	i0, i1 := cc.nodes["i0"], cc.nodes["i1"]
+	start := time.Now().Add(-10 * time.Second)
+	for i, n := range []*Node{i0, i1} {
+		n.suspects.RecordCrash(7, fmt.Sprint("s", i), start)
+		n.suspects.RecordCrash(uint64(i), "s", start)
+		n.suspects.Clear(uint64(i), start.Add(time.Second))
+	}
+	i0.suspects.RecordCrash(8, "s", start)
+	i0.suspects.Clear(8, start.Add(5*time.Second))
+	i1.suspects.RecordCrash(8, "s", start.Add(5500*time.Millisecond))
+	ask := func(from, to *Node) (told bool) {
+		from.port.Send(netip.MustParseAddrPort(to.port.Address()), dgram.CrashQuery{Known: digestOf(from.suspects.Recent(time.Now()))})
+		to.handleMessage(<-to.port.Messages())
+		select {
+		case m := <-from.port.Messages():
+			from.handleMessage(m)
+			return true
+		case <-time.After(100 * time.Millisecond):
+			return false
+		}
 	}
-	cc.nodes["i1"].port.Send(cc.addressOf("i0"), dgram.CrashQuery{})
-	is.Equal(len((<-cc.nodes["i1"].port.Messages()).Message.(dgram.CrashHistory).Reports), 1)
+	is.True(ask(i0, i1))
+	is.True(ask(i1, i0))
+	is.True(!ask(i0, i1))
+	is.True(!ask(i1, i0))
+	is.Equal(len(i0.suspects.Recent(time.Now())), 5) // two crashes of 7, and responses to the three others
 }
