--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -29,7 +29,7 @@
 type shares struct {
 	fair.Shares
 	advancedAt time.Time
-	// waiting holds the number of requests of each caller that has any waiting.
+	// waiting holds how many requests of a caller wait, by caller.
 	waiting map[uint32]int
 }
 
