Bound the servers that are kept of a request

Cause: read-through; what instances tell each other of one request was bounded in requests and age, but not in servers.

Measured: TestCrashTracker keeps 16 of 100 servers; the package's tests of crashes pass.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -18,6 +18,8 @@
 	crashRetention = 2 * time.Minute
 	// maxTrackedRequests bounds the memory; beyond it, the request that expires first is dropped.
 	maxTrackedRequests = 1024
+	// maxTrackedServers bounds the lost servers of a request.
+	maxTrackedServers = 16
 	// maxRecentCrashes is the maximum number of crashes that Recent returns. Each has some 30 bytes in a message.
 	maxRecentCrashes = 500
 	// mergeSlack is how much later a crash must be than the known one of the same server, or than a response, to count. Times
@@ -114,8 +116,11 @@
 	if k.At.Sub(r.clearedAt) <= mergeSlack || found && k.At.Sub(known) <= mergeSlack {
 		return false
 	}
-	r.crashedAt[k.Server] = k.At
 	r.lastAt = later(r.lastAt, k.At)
+	if !found && len(r.crashedAt) >= maxTrackedServers {
+		return false
+	}
+	r.crashedAt[k.Server] = k.At
 	return true
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -427,6 +427,10 @@
 	is.True(s.Quarantined(1, now))
 	is.True(!s.Quarantined(2, now))
 	is.True(!s.Quarantined(1, now.Add(time.Hour)))
+	for i := range 100 {
+		s.RecordCrash(3, strconv.Itoa(i), now)
+	}
+	is.Equal(len(s.Recent(now)), 2+1+16) // crashes of 1, the response of 2, and what is kept of 3
 }
 
 // Checks what a tracker takes from another one: crashes with their age, but none from before a response.
