--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,9 +13,8 @@
 	// ratioShare is the part of the allowed ratio that is used. The limit holds in a window that may contain a retry but
 	// not all of the requests that earned it.
 	ratioShare = 0.85
-	// slackShare is the part of the fixed number that is used, and that an instance gets in its first window bit by bit. However
-	// often an instance starts again within a window, its earlier processes used one such part in it, and the later ones together
-	// get no more than another.
+	// slackShare is the part of the fixed number that is used. In a window the process that ran at its beginning may use that
+	// part, and those that started since as much again, however many they are: each gets it in proportion to its age.
 	slackShare = 0.5
 )
 
@@ -24,7 +23,8 @@
 //
 // Each instance retries at most that fraction of the requests that it received in the window that ends now, so that the limit
 // holds without messages and those that get many requests may retry many. Only the fixed number is divided evenly. While an
-// instance's part of it is not known, it uses none. Budget is safe for concurrent use.
+// instance's part of it is not known, it uses none, and in its first window only as much of it as has passed of the window.
+// Budget is safe for concurrent use.
 type Budget struct {
 	// ratio is the number of retries that each request earns. slack returns this instance's part of the fixed number, which
 	// may change with the number of instances, and false while that number is not known.
