Send no grants once the end of an instance is written

A stopping instance goes on with the first grants of its moves, and answers queries about incarnations by grants. Its end was written while it did: if the store carries that out and the answer is lost, the process runs for up to 1.5 s more, though the others do not wait for its leases beyond one of them. Read in the code; two owners because of it were not shown. All grants end now before the record is sent. TestNoGrantsAfterAnInstanceCeases: no lease is left one lease later.

--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -201,9 +201,12 @@
 	}
 }
 
-// mayAct reports whether the instance may act on its view of the owners: it is registered, and the
+// mayAct reports whether the instance may act on its view of the owners: it is registered, has not ceased, and the
 // view is fresh.
 func (lm *Manager) mayAct() bool {
+	if lm.ceased.Load() {
+		return false
+	}
 	if lm.guards.requireRegistration && !lm.view.get().registered(lm.Name, lm.Incarnation) {
 		return false
 	}
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,8 @@
 	// instance decides about owners.
 	storeReachable atomic.Bool
 	leading        atomic.Bool
+	// ceased is set once this instance sends no more grants.
+	ceased atomic.Bool
 
 	// mu guards renewers, confirmedOffset and stopping.
 	mu              sync.Mutex
@@ -98,12 +101,13 @@
 // New returns a Manager that is not running.
 func New(d Deps) *Manager {
 	connect := func(ctx context.Context, server shard.Owner) error { return d.LeaseClient.Connect(ctx, server) }
-	return &Manager{
+	lm := &Manager{
 		Deps: d, guards: allGuards, view: newLocalView(), storeUpdates: make(chan follow.Update, 16),
 		ownerChanges: make(chan OwnerChange, 64), registerUpdates: make(chan []follow.Record, 64), peerViews: make(chan *View, 4), completions: make(chan completedMove, 256), queries: make(chan IncarnationQuery, 64), answers: make(chan struct{}, maxAnswers), renewers: map[string]*renewer{},
 		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, checkedAt: map[string]time.Time{}, balancedAt: map[string]time.Time{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{},
 		contacts: newContacts(connect, grantTimeout), anyPath: newContacts(d.Probe, probeTimeout),
 	}
+	return lm
 }
 
 // StoreUpdates takes the updates of Deps.Topic that were read from the store.
@@ -151,6 +155,18 @@
 	lm.stopping = true
 }
 
+// Cease ends all grants: none is sent after it has returned, apart from those on their way. Once the end of an instance is in the
+// register, the others wait for its leases only as long as that.
+func (lm *Manager) Cease() {
+	lm.ceased.Store(true)
+	lm.mu.Lock()
+	all := slices.Collect(maps.Values(lm.renewers))
+	lm.mu.Unlock()
+	for _, r := range all {
+		r.cancelAndWait()
+	}
+}
+
 func (lm *Manager) isStopping() bool {
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -74,6 +74,7 @@
 func (n *Node) recordEnd(ctx context.Context, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	n.leases.Cease()
 	end, err := n.leases.Read().End, error(nil)
 	for i := range maxEndAppends {
 		if i > 0 {
