Let the leader write a superseded registration again

If the newest record of a name is the late end of an earlier process, an instance that starts and reads only the newest records does not know of the process that runs. That one writes its registration again once it has read the end, but not while it is cut off: its domain then has no instances for those who start meanwhile, and they do not wait for its leases. The leader, which has read the registration, writes it again behind all that it has read.

TestLeaderRestoresASupersededRegistration failed before: the newest record stays the end.

--- a/internal/lease/ceased_test.go
+++ b/internal/lease/ceased_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"example.org/mustardring/internal/roster"
 )
 
 // Guards against grants of an instance whose end is recorded, for whose leases the others do not wait.
@@ -19,3 +21,24 @@
 		is.Equal(tc.servedKeys(), 0)
 	})
 }
+
+// Guards against a process that is cut off and that a starting instance does not know of, as the newest record of its name is
+// the late end of an earlier process.
+func TestLeaderRestoresASupersededRegistration(t *testing.T) {
+	runInCluster(t, func(is *is.I, tc *testCluster) {
+		time.Sleep(4 * time.Second)
+		tc.cutDomain(20 * time.Second)
+		tc.appendEntry(roster.Entry{Address: "i1", Domain: "d1", Incarnation: 12345, Ended: true})
+		time.Sleep(3 * time.Second)
+		all, err := tc.store.all(ownersTopic)
+		is.NoErr(err)
+		newest := roster.Entry{}
+		for _, r := range all.Records {
+			if r.Key == InstanceKey("i1") {
+				newest, err = roster.Decode(r.Value)
+				is.NoErr(err)
+			}
+		}
+		is.True(newest.Acts())
+	})
+}
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -85,13 +85,16 @@
 		"knowledge-age", time.Duration(lm.view.age(lm.Clock.Now())))
 }
 
-// clear marks one instance that has sent no heartbeat for removalTimeout as removed. If there is none, it deletes the
-// record of an instance that was marked so long ago that its view and its leases have expired.
+// clear writes the registration of one superseded instance again. If there is none, it marks one that has sent no heartbeat for
+// removalTimeout as removed. If there is none of these either, it deletes the record of an instance that was marked so long ago that its view and its leases have expired.
 func (lm *Manager) clear(ctx context.Context, now time.Time) {
 	if now.Sub(lm.registerCheckedAt) < cleanInterval {
 		return
 	}
 	lm.registerCheckedAt = now
+	if lm.restoreSuperseded(ctx) {
+		return
+	}
 	for _, p := range lm.Roster.Others() {
 		if p.SinceHeartbeat(now) < removalTimeout {
 			continue
@@ -110,6 +113,22 @@
 	}
 }
 
+// restoreSuperseded writes the registration of one superseded instance again, which may be cut off: those who read only the newest
+// records would take its failure domain for empty. It reports whether there is one.
+func (lm *Manager) restoreSuperseded(ctx context.Context) bool {
+	view := lm.view.getRead()
+	for _, name := range slices.Sorted(maps.Keys(view.supersededNames)) {
+		value, err := view.Instances[name].Encode()
+		if err != nil {
+			continue
+		}
+		lm.Events.Record(event.StateChange, "registration-restored", "instance", name, "incarnation", view.Instances[name].Incarnation)
+		lm.append(ctx, follow.Record{Key: InstanceKey(name), Value: value})
+		return true
+	}
+	return false
+}
+
 // cleanInterval is the minimum time between two checks of the register by clear. Each check appends at most one
 // record.
 const cleanInterval = 500 * time.Millisecond
