Number queries about incarnations across processes

The serial numbers of queries began at one in each process, and again when the address of a server changed. The late answer to an earlier process passed for one to the query of this process: it was taken for the proof that the server has run since, after which a grant with the old fence may go to a connection to the next incarnation of the server. Read in the code, not shown by a run. The numbers begin at the incarnation of the instance now. TestAnswerToAnEarlierProcessIsNoProof failed before.

--- a/internal/lease/ceased_test.go
+++ b/internal/lease/ceased_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"example.org/mustardring/internal/roster"
+	"example.org/mustardring/internal/rules"
 )
 
 // Guards against grants of an instance whose end is recorded, for whose leases the others do not wait.
@@ -42,3 +43,15 @@
 		is.True(newest.Acts())
 	})
 }
+
+// Guards against an answer to an earlier process that is taken for the proof that a server has run since a query of this one.
+func TestAnswerToAnEarlierProcessIsNoProof(t *testing.T) {
+	is := is.New(t)
+	serials := map[uint64]bool{}
+	for incarnation := range uint64(2) {
+		lm := New(Deps{Incarnation: incarnation * 1000, Clock: fakeClock{time.Now()}, QueryIncarnation: func(_ rules.Server, serial uint64) { serials[serial] = true }})
+		lm.renewer(rules.Server{ID: "s0"}).queryIncarnation(time.Now())
+		lm.renewer(rules.Server{ID: "s1"}).queryIncarnation(time.Now())
+	}
+	is.Equal(len(serials), 4)
+}
--- a/internal/lease/incarnation.go
+++ b/internal/lease/incarnation.go
@@ -26,7 +26,7 @@
 
 // incarnationProof is what answers to this instance and to others have shown about the incarnation of a server.
 type incarnationProof struct {
-	// serial identifies the last query, which was sent at sentAt.
+	// serial identifies the last query among those of all processes of the instance. It was sent at sentAt.
 	serial uint64
 	sentAt clock.Instant
 	// nextAt is when the next query may be sent, delay the one after the last query.
@@ -49,7 +49,7 @@
 		p.delay = 0 // the last queries were about an earlier connection
 	}
 	p.delay = min(max(2*p.delay, minQueryDelay), maxQueryDelay)
-	p.serial, p.sentAt, p.nextAt = p.serial+1, r.manager.Clock.Now(), now.Add(p.delay)
+	p.serial, p.sentAt, p.nextAt = r.manager.querySerial.Add(1), r.manager.Clock.Now(), now.Add(p.delay)
 	serial := p.serial
 	r.mu.Unlock()
 	r.manager.QueryIncarnation(r.server, serial)
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -43,6 +43,8 @@
 	leading        atomic.Bool
 	// ceased is set once this instance sends no more grants.
 	ceased atomic.Bool
+	// querySerial is the serial number of the last query about an incarnation of a server.
+	querySerial atomic.Uint64
 
 	// mu guards renewers, confirmedOffset and stopping.
 	mu              sync.Mutex
@@ -107,6 +109,8 @@
 		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, checkedAt: map[string]time.Time{}, balancedAt: map[string]time.Time{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{},
 		contacts: newContacts(connect, grantTimeout), anyPath: newContacts(d.Probe, probeTimeout),
 	}
+	// The answer to a query of an earlier process may be late.
+	lm.querySerial.Store(d.Incarnation)
 	return lm
 }
 
