Ignore echoes of heartbeats that this process has not sent

A heartbeat echoes the time of the last one from its receiver by name. Before a peer has read the registration of the next process it echoes the process before. If that ran on a machine whose boot clock was ahead, before a reboot say, the time lies in the future of this process: its view then counts as the newest until that time, also while it is cut off. Echoes from before the start of the process and from the future are zero now. TestEchoOfAnEarlierProcessIsIgnored.

--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -201,6 +201,7 @@
 // handleHeartbeat processes the heartbeat of a peer, and reads the topics of which the peer knows more.
 func (n *Node) handleHeartbeat(h roster.Heartbeat) {
 	now := time.Now()
+	h.EchoAt = ownEcho(h.EchoAt, n.startedInstant, n.leases.Clock.Now())
 	h = h.InEras(n.leases.View().End.Era(), n.topicEra(n.platform.ConfigTopic), n.topicEra(n.platform.ServersTopic))
 	n.roster.RecordHeartbeat(h, now)
 	n.roster.RecordEcho(h, clock.Boot{}.Now())
@@ -216,6 +217,15 @@
 	n.confirmCurrent(h)
 }
 
+// ownEcho returns the time at which this process has sent the heartbeat that is echoed, zero if an earlier process of the instance
+// has sent it. The clock of another machine may have been ahead: its times would make a view seem the newest for as long.
+func ownEcho(echoAt int64, startedAt, now clock.Instant) int64 {
+	if at := clock.Instant(echoAt); at.Before(startedAt) || now.Before(at) {
+		return 0
+	}
+	return echoAt
+}
+
 // topicEra returns the era of the store of which this instance knows a topic.
 func (n *Node) topicEra(topic string) logpos.Era {
 	if topic == n.platform.OwnersTopic {
--- a/internal/node/heartbeat_test.go
+++ b/internal/node/heartbeat_test.go
@@ -42,3 +42,21 @@
 		})
 	}
 }
+
+// Guards against a view that seems to be the newest for days: a peer echoes a heartbeat of an earlier process of the instance,
+// which ran on a machine whose clock was ahead.
+func TestEchoOfAnEarlierProcessIsIgnored(t *testing.T) {
+	const startedAt, now = 1000, 2000
+	tests := map[string]struct{ echoAt, want int64 }{
+		"own":                   {1500, 1500},
+		"of an earlier process": {999, 0},
+		"of another machine":    {2001, 0},
+		"none":                  {0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ownEcho(test.echoAt, startedAt, now), test.want)
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,9 +101,10 @@
 	storeCalls *expvar.Map
 	// storeTimes records the latencies of calls to the store, except for reads that wait for new records.
 	storeTimes *edge.LatencyHistograms
-	// incarnation is drawn at random at each start of the process, which was at startedAt.
-	incarnation uint64
-	startedAt   time.Time
+	// incarnation is drawn at random at each start of the process, which was at startedAt, and at startedInstant by the lease clock.
+	incarnation    uint64
+	startedAt      time.Time
+	startedInstant clock.Instant
 	// updates takes, by topic, the updates of the watches. readRequests, by topic, asks a watch for a read at once;
 	// peerUpdates, by topic, passes it what peers have read.
 	updates      map[string]chan follow.Update
@@ -180,7 +181,7 @@
 	n := &Node{
 		settings: settings, platform: platform, events: events, port: port,
 		roster: roster.New(settings.Name, settings.Domain),
-		meters: edge.NewMeters(), suspects: edge.NewCrashTracker(), incarnation: rand.Uint64() | 1, startedAt: time.Now(),
+		meters: edge.NewMeters(), suspects: edge.NewCrashTracker(), incarnation: rand.Uint64() | 1, startedAt: time.Now(), startedInstant: clock.Boot{}.Now(),
 		unreachableLoggedAt: map[string]time.Time{}, workReportedAt: map[string]time.Time{}, storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(),
 		updates: map[string]chan follow.Update{}, readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, broadcasts: map[string]chan follow.Update{},
 		lag: map[string]*lagDetector{}, completedMoves: make(chan dgram.MovedRange, maxCompletedMoves), heartbeatLeaderNow: make(chan struct{}, 1), heartbeatAllNow: make(chan struct{}, 1), viewRequests: make(chan string, 1), stopping: make(chan struct{}),
