Wait for an instance that a late registration has displaced until its view is too old

If the registration and the end of an earlier process are both carried out behind the registration of the process that runs, those who read them in order took the name for ended at once, while the running process, cut off, has read neither. Since the end of a process is appended under a condition, only earlier releases can bring that about, which run beside this one in an upgrade. An end of a process that has replaced another one, which never ended, now counts from the replacement as a removal does: the name is waited for until the view of the replaced process is too old.

TestEndOfAProcessThatReplacedAnother failed before. Not played with processes: the earlier release breaks the rule by itself as leader.

--- a/internal/roster/replaced_test.go
+++ b/internal/roster/replaced_test.go
@@ -90,3 +90,18 @@
 		})
 	}
 }
+
+// Guards against two owners: the registration and the end of an earlier process are both late, and the process that runs meanwhile
+// is not waited for.
+func TestEndOfAProcessThatReplacedAnother(t *testing.T) {
+	is := is.New(t)
+	r, now := New("self", "d"), time.Now()
+	r.Put("i", Entry{Domain: "d", Incarnation: 2}, now)
+	r.Put("i", Entry{Domain: "d", Incarnation: 1}, now.Add(time.Second))
+	r.Put("i", Entry{Domain: "d", Incarnation: 1, Ended: true}, now.Add(2*time.Second))
+	is.Equal(r.Unconfirmed(5, now), []string{"i"})
+	is.Equal(len(r.Unconfirmed(5, now.Add(time.Second))), 0) // its view is too old by then
+	r.Put("i", Entry{Domain: "d", Incarnation: 3}, now.Add(time.Minute))
+	r.Put("i", Entry{Domain: "d", Incarnation: 3, Ended: true}, now.Add(2*time.Minute))
+	is.Equal(len(r.Unconfirmed(5, now)), 0)
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -266,6 +266,10 @@
 		if _, found := r.removed[name]; !found && e.Removed {
 			r.removed[name] = removal{entry: e, since: now}
 		}
+		if !e.Removed && known != nil && known.former != 0 && now.Sub(known.IncarnationSince) < unregisteredTimeout {
+			// The registration and the end were those of an earlier process, both late, if the one that was registered before runs.
+			r.removed[name] = removal{entry: e, since: known.IncarnationSince}
+		}
 		return
 	}
 	delete(r.removed, name)
