--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -86,7 +86,8 @@
 }
 
 // clear writes the registration of one superseded instance again. If there is none, it marks one that has sent no heartbeat for
-// removalTimeout as removed. If there is none of these either, it deletes the record of an instance that was marked so long ago that its view and its leases have expired.
+// removalTimeout as removed. If there is none of these either, it deletes the record of an instance that was marked so long ago
+// that its view and its leases have expired.
 func (lm *Manager) clear(ctx context.Context, now time.Time) {
 	if now.Sub(lm.registerCheckedAt) < cleanInterval {
 		return
