--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -425,7 +425,7 @@
 	value, _ := entry.Encode()
 	enroll := func(ctx context.Context) error {
 		for worker.Sleep(ctx, 300*time.Millisecond) {
-			if n.manager.Registered() && !n.manager.Superseded() {
+			if n.manager.Registered() {
 				continue
 			}
 			_, err := client.Append(ctx, ownersTopic, []follow.Record{{Key: InstanceKey(n.name), Value: value}}, -1)
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -349,8 +349,8 @@
 	return now - v.readAsOf
 }
 
-// registered reports whether an incarnation of an instance is registered, and neither removed nor ended, as everyone knows who
-// reads the register now: those who have not read the registration itself do not wait for an instance that is superseded.
+// registered reports whether an incarnation of an instance is registered, and neither removed, ended nor superseded. Instances that
+// have read only the newest records do not wait for one that is superseded.
 func (v *View) registered(name string, incarnation uint64) bool {
 	e, found := v.Instances[name]
 	return found && e.Incarnation == incarnation && e.Acts() && !v.superseded(name)
