End the leases of a leaving server when its time for requests ends

Callers' requests ran at servers 2.57 and 2.61 s after these had said that they leave; 2.5 s are allowed.

Cause: only the senders ended the time of a leaving server, each by a look at its own clock before the write, and a constant reserve for the way. The server itself had no end: its leases were renewed in full for as long as the record names it as the owner, so it ran whatever came, however late.

Change: grants to a server that leaves carry a lease that ends by the same time by which instances stop sending to it. The lease is limited as soon as the leave is known, by a grant of its own, and not renewed again; if the server turns out to stay, it is renewed at once. What arrives later is rejected by the server as not run, which may be repeated for any kind of request. The duration is computed when the grant is written. A lease that is shorter than before breaks no rule about owners; nobody sends requests to the server after this time anyway.

--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -439,8 +439,10 @@
 	if inputs := lm.currentInputs(view, now); inputs != set.inputs && (view != set.inputs.view || now.Sub(set.computedAt) >= renewalSetInterval) {
 		*set = renewalSet{renewers: lm.responsibleRenewers(view, now), inputs: inputs, computedAt: now}
 	}
+	servers := lm.Servers()
 	for _, r := range set.renewers {
-		r.startIfDue(ctx, now)
+		s, _ := servers.Get(r.server.ID)
+		r.startIfDue(ctx, now, s.LeaveBy)
 	}
 }
 
@@ -500,8 +502,8 @@
 }
 
 // startIfDue starts a round of renewals if one is due.
-func (r *renewer) startIfDue(ctx context.Context, now time.Time) {
-	if !r.tryBegin(now) {
+func (r *renewer) startIfDue(ctx context.Context, now, endBy time.Time) {
+	if !r.tryBegin(now, endBy) {
 		return
 	}
 	r.manager.jobs.Add(1)
