Revert "End the leases of a leaving server when its time for requests ends"

A release stops new work and lets what runs end; it is used instead.

TestRequestHeldUpOnItsWayDoesNotRunAtALeavingServer is a known fault again.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -140,24 +140,12 @@
 	From  uint16
 	To    uint16
 	Fence uint64
-	// Lease is the duration of the lease, counted from the arrival of the grant. If Until is not zero, the lease is shorter as
-	// far as necessary to end by then, but for the time that the grant takes to arrive.
+	// Lease is the duration of the lease, counted from the arrival of the grant.
 	Lease time.Duration
-	Until time.Time
 	// Handover is what the former owner returned on release, so that the new one starts with its state.
 	Handover string
 }
 
-// LeaseAt returns the duration of the lease that the grant gives if it is sent at a time, and false if it must not be sent any
-// more.
-func (g Grant) LeaseAt(now time.Time) (lease time.Duration, ok bool) {
-	if g.Until.IsZero() {
-		return g.Lease, true
-	}
-	left := time.Duration(float64(g.Until.Sub(now)) / maxClockDrift)
-	return min(g.Lease, left), left > 0
-}
-
 // GrantCheck returns nil if a grant was still current after its connection was opened, and an error
 // otherwise. A Client calls it before it sends the grant; it may block until ctx is done.
 type GrantCheck func(ctx context.Context, openedAt clock.Instant) error
@@ -174,8 +162,7 @@
 type Client interface {
 	// Grant gives keys to a server, or renews its lease. It names the incarnation of the server that is
 	// meant, and sends nothing on a connection for which check fails: a restarted server has lost the
-	// fences that it had seen, and would accept an old grant. It sends nothing either, and returns ErrUnverified, if
-	// Grant.LeaseAt says that it must not.
+	// fences that it had seen, and would accept an old grant.
 	Grant(ctx context.Context, to shard.Owner, g Grant, check GrantCheck) (Reply, error)
 	// Release ends a lease. It returns once the work in progress has ended.
 	Release(ctx context.Context, to shard.Owner, g Grant) (Reply, error)
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -28,8 +28,6 @@
 	// busy means that a round of renewals is running, dueAt is when the next one is due.
 	busy  bool
 	dueAt time.Time
-	// leasesEndBy is when the leases must end because the server leaves, as of the last check, zero if it does not leave.
-	leasesEndBy time.Time
 	// failures is the number of consecutive failed renewals.
 	failures int
 	// fencedSince is when the server began to answer that it has seen a higher fence, zero if it does not.
@@ -60,21 +58,11 @@
 	return !busy && len(r.sending) == 0
 }
 
-// tryBegin reports whether a round of renewals is due, and if so marks the renewer as busy. EndBy is when its leases must end.
-//
-// Leases of a server that leaves are limited as soon as that is known, and not renewed again once the limit is in effect. The
-// server then runs nothing that arrives after its time, however long a request was on its way.
-func (r *renewer) tryBegin(now, endBy time.Time) bool {
+// tryBegin reports whether a round of renewals is due, and if so marks the renewer as busy.
+func (r *renewer) tryBegin(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.busy {
-		return false
-	}
-	if !endBy.Equal(r.leasesEndBy) {
-		r.leasesEndBy, r.dueAt = endBy, now
-		r.manager.Events.Record(event.StateChange, "leases-limited", "server", r.server.ID, "limited", !endBy.IsZero(), "end-in", endIn(endBy, now))
-	}
-	if now.Before(r.dueAt) || !endBy.IsZero() && !now.Before(endBy) {
+	if r.busy || now.Before(r.dueAt) {
 		return false
 	}
 	r.busy = true
@@ -93,11 +81,7 @@
 	renewed := make(map[uint16]bool)
 	for {
 		service, keyRange, ok := r.nextRange(renewed)
-		if ctx.Err() != nil {
-			return
-		}
-		if !ok {
-			r.completeRound()
+		if !ok || ctx.Err() != nil {
 			return
 		}
 		renewed[keyRange.From] = true
@@ -112,29 +96,6 @@
 	}
 }
 
-// completeRound notes that all leases of the server have been renewed. Limited ones last as long as they may.
-func (r *renewer) completeRound() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.leasesEndBy.IsZero() {
-		r.dueAt = r.leasesEndBy
-	}
-}
-
-// leasesEndBy returns when the leases of a server must end because it leaves, zero if it does not leave.
-func (lm *Manager) leasesEndBy(server string) time.Time {
-	s, _ := lm.Servers().Get(server)
-	return s.LeaveBy
-}
-
-// endIn returns the time left until leases end, zero if they have no limit.
-func endIn(endBy, now time.Time) time.Duration {
-	if endBy.IsZero() {
-		return 0
-	}
-	return endBy.Sub(now)
-}
-
 // keepSpare opens a second connection to the server unless there is one. The answers on one show that the other reaches the same
 // incarnation, so that leases do not run out while the store is down if the server closes one.
 func (r *renewer) keepSpare(ctx context.Context) {
@@ -198,7 +159,6 @@
 	if !current() {
 		return context.Canceled
 	}
-	g.Until = r.manager.leasesEndBy(r.server.ID)
 	// The view is checked once there is a connection: how long ago that was opened decides when a grant counts as verified,
 	// and after a start of all instances the leases run out meanwhile.
 	// provenAt is when the grant was sent, if it was sent on a connection that is known to reach the incarnation.
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -439,10 +439,8 @@
 	if inputs := lm.currentInputs(view, now); inputs != set.inputs && (view != set.inputs.view || now.Sub(set.computedAt) >= renewalSetInterval) {
 		*set = renewalSet{renewers: lm.responsibleRenewers(view, now), inputs: inputs, computedAt: now}
 	}
-	servers := lm.Servers()
 	for _, r := range set.renewers {
-		s, _ := servers.Get(r.server.ID)
-		r.startIfDue(ctx, now, s.LeaveBy)
+		r.startIfDue(ctx, now)
 	}
 }
 
@@ -502,8 +500,8 @@
 }
 
 // startIfDue starts a round of renewals if one is due.
-func (r *renewer) startIfDue(ctx context.Context, now, endBy time.Time) {
-	if !r.tryBegin(now, endBy) {
+func (r *renewer) startIfDue(ctx context.Context, now time.Time) {
+	if !r.tryBegin(now) {
 		return
 	}
 	r.manager.jobs.Add(1)
