Measure how late what is sent to servers arrives, and let requests go sooner by as much

Callers' requests reached leaving servers 2.57 and 2.61 s after the leave. Instances keep 250 ms free for the way to the server, and nothing told how long that way takes: the last look at the server's time is followed by the time until the process writes, and by what waits on its own link.

Now the time from the look to the end of the write and that of each handshake with a server are observed; the longest one of the last one to two seconds, as far as it exceeds the 250 ms, shortens the time of each server that leaves at this instance. The line of a request states the time to write (written), a line sends-slowly says when the measured time exceeds the reserve, and when that ends.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,7 +94,10 @@
 type Cluster interface {
 	// Config returns nil until a configuration has been read.
 	Config() *rules.Config
+	// Server returns a server of the directory. Its LeaveBy allows for the time that requests of this instance take to arrive.
 	Server(id string) (rules.Server, bool)
+	// ObserveSendDelay takes in how long it took to write a request, once it was clear that the server accepts it.
+	ObserveSendDelay(took time.Duration, now time.Time)
 	// Owner returns the range that contains a key, whether there is one, and a channel that is
 	// closed when owners change.
 	Owner(service string, key uint16) (shard.Range, bool, <-chan struct{})
@@ -178,7 +181,7 @@
 	e.Meters.RecordRequest(q.route.Name, q.reason, took)
 	pairs := []any{"id", q.info.ID, "route", q.route.Name, "config", q.configVersion, "service", q.service,
 		"status", status, "why", q.reason, "server", q.server, "through", q.through, "carried", q.carried, "attempts", q.attempts, "sendings", q.sendings.sent(), "proof", q.sendings.proofOf(reply), "took", took,
-		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "conn", q.sending.conn, "use", q.sending.use, "stated-id", q.sending.statedID, "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
+		"waited", q.waited, "dispatched", q.dispatchDelay, "leaving-in", q.leavesIn, "written", q.writeDelay, "predicted", q.predictedWait, "pool", q.pool, "left", time.Until(q.deadline), "conn", q.sending.conn, "use", q.sending.use, "stated-id", q.sending.statedID, "returning", q.returning, "patience", q.info.Timeout, "key", q.info.Key, "fence", q.fence,
 		"repeats", q.repeats, "origin-return", q.earlier.Returns > 0, "returns", q.earlier.Returns, "last-try", q.earlier.LastTry, "kept", q.earlier.Kept, "reserved", q.reserved, "error", q.err}
 	if e.CallerNames != nil && q.caller > unidentified {
 		pairs = append(pairs, "caller", e.CallerNames.of(q.caller))
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -111,6 +111,7 @@
 	changed     chan struct{}
 	crashed     atomic.Int32
 	cleared     atomic.Int32
+	written     atomic.Int32
 	quarantined bool
 	settleAt    time.Time
 	statements  *stated.Table
@@ -124,6 +125,9 @@
 func (c *fakeCluster) Owner(string, uint16) (shard.Range, bool, <-chan struct{}) {
 	return c.owner, c.owner.Server != "", c.changed
 }
+func (c *fakeCluster) ObserveSendDelay(time.Duration, time.Time) {
+	c.written.Add(1)
+}
 func (c *fakeCluster) OwnersSettleAt() time.Time        { return c.settleAt }
 func (c *fakeCluster) CountRequest(string, uint16)      {}
 func (c *fakeCluster) Quarantined(uint64) bool          { return c.quarantined }
@@ -524,6 +528,14 @@
 	is.True(reply.Header.Get("Retry-After") != "")
 }
 
+// Guards against a time between the last check of a server and the end of the write that nobody measures.
+func TestTimeToWriteIsObserved(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(rules.NonIdempotent, newFakeServer(t, respondOK))
+	is.Equal(f.send(t.Context()).Status, http.StatusOK)
+	is.Equal(f.cluster.written.Load(), int32(1))
+}
+
 // Guards against lines from which the address of a caller can be found by trying all addresses: their names of callers have a
 // key that only the process knows. Within its life the name of a caller stays the same.
 func TestLinesNameCallersUnderAKey(t *testing.T) {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -119,7 +119,7 @@
 	// ownPath says that the request must not go through another instance.
 	ownPath bool
 
-	// The fields from here to leavesIn are only logged.
+	// The fields from here to writeDelay are only logged, apart from checkedAt.
 
 	fence uint64
 	// through is the instance that the last request went through, empty if it was sent to the server directly.
@@ -136,6 +136,10 @@
 	// leavesIn is how much longer the server accepted requests then; zero if it was not leaving.
 	dispatchDelay time.Duration
 	leavesIn      time.Duration
+	// checkedAt is when the server of the last attempt was checked before the write, writeDelay the time from then to the end
+	// of the write.
+	checkedAt  time.Time
+	writeDelay time.Duration
 
 	// reason is why the request ended or the last attempt failed, err the error of that attempt.
 	reason endReason
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -67,6 +67,11 @@
 			q.beginSending(s)
 			return nil
 		},
+		Written: func() {
+			now := time.Now()
+			q.writeDelay = now.Sub(q.checkedAt)
+			q.edge.Cluster.ObserveSendDelay(q.writeDelay, now)
+		},
 	})
 }
 
@@ -74,10 +79,11 @@
 // before the first byte is written; took is the time that it took to get a connection.
 //
 // Getting a connection can take long on a busy instance. Without this check, a request that was
-// admitted in time could reach a server that has left since, or has asked for rest. After it, only the network delay
-// remains.
+// admitted in time could reach a server that has left since, or has asked for rest. What comes after it is measured, see
+// Cluster.ObserveSendDelay.
 func (q *request) checkServer(server string, took time.Duration) error {
 	now := time.Now()
+	q.checkedAt = now
 	s, found := q.edge.Cluster.Server(server)
 	q.dispatchDelay, q.leavesIn = took, s.LeavesIn(now)
 	bounded := s.Cold(now) || s.RateLimit > 0
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -59,7 +59,8 @@
 const maxRememberedMoves = 4096
 
 // drainReserve is kept free at the end of the time within which a leaving server must get its last request. It covers
-// the transfer of the request to the server: a saturated slow link delays packets behind each large answer.
+// the transfer of the request to the server: a saturated slow link delays packets behind each large answer. Longer delays are
+// measured and come on top, see Node.excessSendDelay.
 const drainReserve = 250 * time.Millisecond
 
 func newClusterState(events *event.Log, drainTime, evacuationTime time.Duration) *clusterState {
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -345,7 +345,19 @@
 
 // Server implements edge.Cluster.
 func (n *Node) Server(id string) (rules.Server, bool) {
-	return n.cluster.servers().Get(id)
+	s, found := n.cluster.servers().Get(id)
+	if !s.LeaveBy.IsZero() {
+		s.LeaveBy = s.LeaveBy.Add(-n.excessSendDelay())
+	}
+	return s, found
+}
+
+// ObserveSendDelay implements edge.Cluster.
+func (n *Node) ObserveSendDelay(took time.Duration, now time.Time) { n.sendDelay.Observe(took, now) }
+
+// excessSendDelay returns by how much what this instance sends has lately taken longer to arrive than drainReserve allows for.
+func (n *Node) excessSendDelay() time.Duration {
+	return max(n.sendDelay.Longest(time.Now())-drainReserve, 0)
 }
 
 // Owner implements edge.Cluster. The former owners of a range are left out if its move is known to be complete,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 
 	"example.org/mustardring/internal/clock"
 	"example.org/mustardring/internal/config"
+	"example.org/mustardring/internal/delay"
 	"example.org/mustardring/internal/dgram"
 	"example.org/mustardring/internal/edge"
 	"example.org/mustardring/internal/event"
@@ -160,6 +161,10 @@
 	// loggedReach is what was logged last, sizeLogged says that the number of instances was. Only checkLoop uses them.
 	loggedReach storeReach
 	sizeLogged  bool
+	// sendDelay measures how long what this instance sends to servers takes to arrive. sendsSlowly says that the last change that
+	// was logged was an excess over drainReserve; only statementLoop uses it.
+	sendDelay   delay.Gauge
+	sendsSlowly bool
 	// plans holds the shard.Report of the last plan of each service that this instance made as the leader.
 	plans sync.Map
 	// workReportedAt holds, by service, when the last ServerReport was sent. Only reportSpeedsLoop uses it.
@@ -211,8 +216,8 @@
 		SpeedRanges: settings.Overload.SpeedRanges, RejectRates: n.loadTracker.rejectRates, Work: n.loadTracker.workTimes,
 		Planned: func(service string, r shard.Report) { n.plans.Store(service, r) },
 		Probe:   n.probeServer, RereadOwners: func() { n.requestRead(platform.OwnersTopic) },
-		DirectoryAge: func() time.Duration { return n.watches[platform.ServersTopic].Age() },
-		EntryDelay:   entryTime(settings.EntrySeconds), ReadDirectory: n.requireDirectory, QueryIncarnation: n.queryIncarnation,
+				DirectoryAge:    func() time.Duration { return n.watches[platform.ServersTopic].Age() },
+		EntryDelay:      entryTime(settings.EntrySeconds), ReadDirectory: n.requireDirectory, QueryIncarnation: n.queryIncarnation,
 		LeadershipChanged: n.leadershipChanged, BroadcastOwners: n.broadcastOwnerChange, BroadcastRegister: n.broadcastRegister, MoveCompleted: n.moveCompleted,
 		FetchView: n.requestView, EraChanged: n.sendHeartbeatToAll, OwnersChanged: n.ownersChanged, SendHeartbeat: n.sendHeartbeatToLeader,
 	})
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -43,12 +43,15 @@
 	})
 }
 
-// dialDirect connects to a server.
+// dialDirect connects to a server. The handshake waits for the processor and on the link of this instance as a request does.
 func (n *Node) dialDirect(ctx context.Context, s paths.Server) (net.Conn, error) {
+	startedAt := time.Now()
 	c, err := n.platform.DialServer(ctx, "tcp4", s.Address)
 	if err != nil {
 		return nil, err
 	}
+	now := time.Now()
+	n.sendDelay.Observe(now.Sub(startedAt), now)
 	if err := upstr.Configure(c, edge.ServerUserTimeout); err != nil {
 		_ = c.Close()
 		return nil, err
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -193,6 +193,7 @@
 			n.tellLimit(server, rate, now)
 		}
 		n.tellRests(now)
+		n.logSendDelay(now)
 		if round%leaveTellRounds == 0 {
 			n.tellLeaves(now)
 		}
@@ -200,6 +201,15 @@
 	return ctx.Err()
 }
 
+// logSendDelay logs that servers that leave get requests for a shorter time because this instance sends slowly, and the end of
+// that.
+func (n *Node) logSendDelay(now time.Time) {
+	if slow := n.excessSendDelay() > 0; slow != n.sendsSlowly {
+		n.sendsSlowly = slow
+		n.events.Record(event.StateChange, "sends-slowly", "slow", slow, "delay", n.sendDelay.Longest(now), "reserve", drainReserve)
+	}
+}
+
 // tellLimit tells the limit of a server if this instance is one of its controllers.
 func (n *Node) tellLimit(server string, rate float64, now time.Time) {
 	n.tellAsController(server, now, dgram.ServerLimit{Server: server, Rate: rate})
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -179,6 +179,8 @@
 	// BeforeWrite, if not nil, is called when a connection is available, immediately before the first byte is written. If
 	// it returns an error, the request is not sent.
 	BeforeWrite func(s Sending) error
+	// Written, if not nil, is called when the whole request has been written to the connection, if it is InMemory.
+	Written func()
 	// Done is called exactly once, when the server has finished or dropped the request. Only then
 	// its slot is free. Sent says whether bytes of the request may have been sent.
 	Done func(sent bool)
@@ -241,6 +243,9 @@
 	if err := a.write(c, o.InMemory); err != nil {
 		return nil, cl.failAttempt(a, c, err)
 	}
+	if o.Written != nil && o.InMemory {
+		o.Written()
+	}
 	response, err := a.awaitResponse(c)
 	if err == nil {
 		err = o.runVerify(response)
