Release the keys of a leaving server when its time for requests ends

Callers' requests ran at servers 2.57 and 2.61 s after these had said that they leave; 2.5 s are allowed.

Cause: only the senders ended the time of a leaving server, each by a look at its own clock before the write, and a constant reserve for the way. The server itself had no end: its leases were renewed for as long as the record names it as the owner, so it ran whatever came, however late.

Change: two instances, the first ones in the rank of the server, release its keys when its time ends, sooner by what they measure of their own lateness. No grant is sent to the server in the 350 ms before, within which each grant is answered or given up, and none after, unless it turns out to stay. What arrives later is rejected as not run, which may be repeated for any kind of request. Ranges that are being moved from the server are released as well, if the leader is late. Nobody sends it requests by then.

--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -387,7 +387,8 @@
 	n.manager = New(Deps{
 		Name: name, Domain: domain, LeaseClient: &fakeLeaseClient{cluster: tc, name: name, conns: map[string][]*fakeConn{}}, Store: client, Topic: ownersTopic, Incarnation: incarnation,
 		Clock: fakeClock{tc.start}, Roster: n.roster, Events: event.New(tc.traceOutput(), log.InfoLevel),
-		Servers: func() *rules.ServerSet { return rules.NewServerSet(tc.directoryServers(domain)) }, DirectoryVersion: n.directoryVersion, Services: func() []string { return []string{service} },
+		ExcessSendDelay: func() time.Duration { return 0 },
+		Servers:         func() *rules.ServerSet { return rules.NewServerSet(tc.directoryServers(domain)) }, DirectoryVersion: n.directoryVersion, Services: func() []string { return []string{service} },
 		TargetLatency: func(string) time.Duration { return time.Second },
 		Load:          func(string) []float64 { return tc.loadAt(name) },
 		Capacities:    func(string) map[string]float64 { return nil },
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -216,6 +216,9 @@
 	Services     func() []string
 	// TargetLatency returns the time within which requests of a service should be answered.
 	TargetLatency func(service string) time.Duration
+	// ExcessSendDelay returns by how much what this instance sends to servers takes longer to arrive than rules.Server.LeaveBy
+	// allows for.
+	ExcessSendDelay func() time.Duration
 	// DirectoryAge returns the age of the local copy of the directory. EntryDelay is how long after the start
 	// of a server its directory entry may be missing. ReadDirectory asks for a copy of the directory that is complete up to
 	// an instant.
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -159,6 +159,9 @@
 	if !current() {
 		return context.Canceled
 	}
+	if !r.manager.mayGrant(r.server.ID, time.Now()) {
+		return errServerLeaves
+	}
 	// The view is checked once there is a connection: how long ago that was opened decides when a grant counts as verified,
 	// and after a start of all instances the leases run out meanwhile.
 	// provenAt is when the grant was sent, if it was sent on a connection that is known to reach the incarnation.
@@ -176,6 +179,9 @@
 		if !current() {
 			return context.Canceled
 		}
+		if !r.manager.mayGrant(r.server.ID, time.Now()) {
+			return errServerLeaves
+		}
 		if r.verify(openedAt, false) == nil {
 			provenAt = r.manager.Clock.Now()
 		}
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -92,6 +92,8 @@
 	appendTime     time.Duration
 	// nextWriteAt delays the next write after a failed one.
 	nextWriteAt time.Time
+	// releasedFor holds the LeaveBy of the servers whose keys this instance has released, by id. Only renewLoop uses it.
+	releasedFor map[string]time.Time
 	// presentServers holds the servers of the directory at the last decision, leftServers those that have left it.
 	presentServers *rules.ServerSet
 	leftServers    map[string]rules.Server
@@ -107,7 +109,7 @@
 		Deps: d, guards: allGuards, view: newLocalView(), storeUpdates: make(chan follow.Update, 16),
 		ownerChanges: make(chan OwnerChange, 64), registerUpdates: make(chan []follow.Record, 64), peerViews: make(chan *View, 4), completions: make(chan completedMove, 256), queries: make(chan IncarnationQuery, 64), answers: make(chan struct{}, maxAnswers), renewers: map[string]*renewer{},
 		moves: map[moveKey]*runningMove{}, decidedMoves: map[moveKey]struct{}{}, serverCounts: map[string]serverCount{}, checkedAt: map[string]time.Time{}, balancedAt: map[string]time.Time{}, leftServers: map[string]rules.Server{}, presentServers: &rules.ServerSet{},
-		contacts: newContacts(connect, grantTimeout), anyPath: newContacts(d.Probe, probeTimeout),
+		releasedFor: map[string]time.Time{}, contacts: newContacts(connect, grantTimeout), anyPath: newContacts(d.Probe, probeTimeout),
 	}
 	// The answer to a query of an earlier process may be late.
 	lm.querySerial.Store(d.Incarnation)
@@ -416,7 +418,9 @@
 // renewalSet holds the renewers of the servers that this instance is responsible for, and the inputs and the
 // time that it was computed from.
 type renewalSet struct {
-	renewers   []*renewer
+	renewers []*renewer
+	// leaving holds the ids of the servers that leave and whose keys this instance releases.
+	leaving    []string
 	inputs     renewalInputs
 	computedAt time.Time
 }
@@ -437,11 +441,12 @@
 func (lm *Manager) startDueRenewals(ctx context.Context, set *renewalSet, now time.Time) {
 	view := lm.view.get()
 	if inputs := lm.currentInputs(view, now); inputs != set.inputs && (view != set.inputs.view || now.Sub(set.computedAt) >= renewalSetInterval) {
-		*set = renewalSet{renewers: lm.responsibleRenewers(view, now), inputs: inputs, computedAt: now}
+		*set = renewalSet{renewers: lm.responsibleRenewers(view, now), leaving: lm.leavingServers(view, now), inputs: inputs, computedAt: now}
 	}
 	for _, r := range set.renewers {
 		r.startIfDue(ctx, now)
 	}
+	lm.releaseLeaving(ctx, set.leaving, now)
 }
 
 // renewalInputs is what decides which servers this instance is responsible for.
