Answer 503 for an unknown route while another instance knows a newer configuration

A 404 is final for callers, who do not come back.

An instance keeps the latest end of the configuration's topic that heartbeats state. While it is behind that, a request without a route gets 503 with a Retry-After, and the reason outdated-configuration; all routes that it knows are served as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,6 +94,8 @@
 type Cluster interface {
 	// Config returns nil until a configuration has been read.
 	Config() *rules.Config
+	// ConfigOutdated reports whether this instance knows that there is something newer than Config, which it does not have yet.
+	ConfigOutdated() bool
 	// Server returns a server of the directory. Its LeaveBy allows for the time that requests of this instance take to arrive.
 	Server(id string) (rules.Server, bool)
 	// ObserveSendDelay takes in how long it took to write a request, once it was clear that the server accepts it.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -115,6 +116,8 @@
 	quarantined bool
 	settleAt    time.Time
 	statements  *stated.Table
+	// configOutdated is the result of ConfigOutdated.
+	configOutdated bool
 }
 
 func (c *fakeCluster) Config() *rules.Config { return c.config }
@@ -125,6 +128,7 @@
 func (c *fakeCluster) Owner(string, uint16) (shard.Range, bool, <-chan struct{}) {
 	return c.owner, c.owner.Server != "", c.changed
 }
+func (c *fakeCluster) ConfigOutdated() bool { return c.configOutdated }
 func (c *fakeCluster) ObserveSendDelay(time.Duration, time.Time) {
 	c.written.Add(1)
 }
@@ -182,6 +186,8 @@
 	edge     *edge.Edge
 	cluster  *fakeCluster
 	admitter *fakeAdmitter
+	// host is the host of requests, a.example if empty.
+	host string
 }
 
 // newBudget returns the budget of an instance that has run for a window, which is when it has its whole part of the fixed number.
@@ -222,7 +228,7 @@
 // send handles a request for the route. Headers are pairs of names and values.
 func (f *fixture) send(ctx context.Context, headers ...string) *inlet.Reply {
 	r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body"))
-	r.Host = "a.example"
+	r.Host = cmp.Or(f.host, "a.example")
 	r.Header.Set("Id", "id-1")
 	r.Header.Set("Left", "900")
 	for i := 0; i+1 < len(headers); i += 2 {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -37,6 +37,7 @@
 	endAnswered       endReason = "answered"
 	endNoConfig       endReason = "no-configuration"
 	endNoRoute        endReason = "no-route"
+	endOutdatedConfig endReason = "outdated-configuration"
 	endOverload       endReason = "overload"
 	endNoServer       endReason = "no-server"
 	endNoOwner        endReason = "no-owner"
@@ -170,6 +171,10 @@
 	path := r.URL.EscapedPath()
 	q.configVersion = c.Version
 	q.route = c.Match(strings.ToLower(host), path)
+	if q.route == nil && e.Cluster.ConfigOutdated() {
+		// A newer configuration may have the route.
+		return q, e.reject(q, endOutdatedConfig, errorReply(http.StatusServiceUnavailable, retryAfterNoConfig))
+	}
 	if q.route == nil {
 		return q, e.reject(q, endNoRoute, errorReply(http.StatusNotFound, 0))
 	}
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -211,6 +211,7 @@
 	n.leases.HandleHeartbeat(h)
 	n.checkLag(n.platform.OwnersTopic, h.Name, max(h.Known, logpos.At(h.LatestEra, 0), h.ReadEnd), n.leases.Read().End, now)
 	configEnd, _ := n.watches[n.platform.ConfigTopic].Known()
+	n.noteConfigEnd(h.ConfigEnd)
 	serversEnd, _ := n.watches[n.platform.ServersTopic].Known()
 	n.checkLag(n.platform.ConfigTopic, h.Name, h.ConfigEnd, configEnd, now)
 	n.checkLag(n.platform.ServersTopic, h.Name, h.ServersEnd, serversEnd, now)
@@ -226,6 +227,21 @@
 	return echoAt
 }
 
+// noteConfigEnd takes in the end of the topic of the configuration that another instance knows.
+func (n *Node) noteConfigEnd(end logpos.Pos) {
+	for known := n.configEnd.Load(); int64(end) > known; known = n.configEnd.Load() {
+		if n.configEnd.CompareAndSwap(known, int64(end)) {
+			return
+		}
+	}
+}
+
+// ConfigOutdated implements edge.Cluster.
+func (n *Node) ConfigOutdated() bool {
+	known, _ := n.watches[n.platform.ConfigTopic].Known()
+	return int64(known) < n.configEnd.Load()
+}
+
 // topicEra returns the era of the store of which this instance knows a topic.
 func (n *Node) topicEra(topic string) logpos.Era {
 	if topic == n.platform.OwnersTopic {
--- a/internal/node/heartbeat_test.go
+++ b/internal/node/heartbeat_test.go
@@ -60,3 +60,21 @@
 		})
 	}
 }
+
+// Guards against an instance that takes its configuration for the newest although another instance knows more.
+func TestConfigurationIsOutdatedWhileAPeerKnowsMore(t *testing.T) {
+	is := is.New(t)
+	watch := &follow.Watch{}
+	n := &Node{platform: Platform{ConfigTopic: "config"}, watches: map[string]*follow.Watch{"config": watch}}
+	watch.MarkApplied(follow.Update{Batch: follow.Batch{End: 3}})
+	for _, end := range []logpos.Pos{2, 3} {
+		n.noteConfigEnd(end)
+		is.True(!n.ConfigOutdated())
+	}
+	for _, end := range []logpos.Pos{5, 4} { // heartbeats overtake each other
+		n.noteConfigEnd(end)
+		is.True(n.ConfigOutdated())
+	}
+	watch.MarkApplied(follow.Update{Batch: follow.Batch{End: 5}})
+	is.True(!n.ConfigOutdated())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,6 +161,8 @@
 	// loggedReach is what was logged last, sizeLogged says that the number of instances was. Only checkLoop uses them.
 	loggedReach storeReach
 	sizeLogged  bool
+	// configEnd is the latest end of the topic of the configuration that another instance knows.
+	configEnd atomic.Int64
 	// sendDelay measures how long what this instance sends to servers takes to arrive. sendsSlowly says that the last change that
 	// was logged was an excess over drainReserve; only statementLoop uses it.
 	sendDelay   delay.Gauge
