Wait longer for answers by as much as this instance is late itself

The limits take no account of how late this instance is itself, so that an answer could not arrive in time, however often it asked.

The longest recent delay of what it sends (package delay), one second at most, is added to these limits.

--- a/internal/delay/delay.go
+++ b/internal/delay/delay.go
@@ -10,7 +10,7 @@
 // window is for how long a delay counts after it was observed, at least. After twice the window it counts no more.
 const window = time.Second
 
-// Gauge holds the longest recent delay. It may be used by several goroutines.
+// Gauge holds the longest recent delay. It may be used by several goroutines. A nil Gauge holds none.
 type Gauge struct {
 	mu sync.Mutex
 	// endsAt is the end of the current window. current is the longest delay in it, previous that in the window before.
@@ -20,6 +20,9 @@
 
 // Observe takes in a delay that has ended now.
 func (g *Gauge) Observe(d time.Duration, now time.Time) {
+	if g == nil {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.advance(now)
@@ -28,12 +31,23 @@
 
 // Longest returns the longest delay of the current window and the one before, zero if none was observed.
 func (g *Gauge) Longest(now time.Time) time.Duration {
+	if g == nil {
+		return 0
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.advance(now)
 	return max(g.current, g.previous)
 }
 
+// maxAllowance bounds what Allowance returns. A process that was stopped for longer must not wait as long for others.
+const maxAllowance = time.Second
+
+// Allowance returns by how much a limit of time for an answer is to be longer than where nothing is late, at most maxAllowance.
+func (g *Gauge) Allowance(now time.Time) time.Duration {
+	return min(g.Longest(now), maxAllowance)
+}
+
 // advance begins a new window if the current one has ended. The caller holds mu.
 func (g *Gauge) advance(now time.Time) {
 	if now.Before(g.endsAt) {
--- a/internal/edge/head_test.go
+++ b/internal/edge/head_test.go
@@ -18,7 +18,7 @@
 	const whole = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 12\r\n\r\nbody of a resp"
 	const head = len(whole) - len("body of a resp")
 	for name, test := range map[string]struct {
-		// from is where the response begins in whole, ended says that its head ends there although headers are missing.
+		// from is where the response begins in whole.
 		from int
 	}{
 		"after an informational response": {0}, "alone": {len("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")},
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -31,12 +31,13 @@
 	maxSources = 3
 )
 
-// silenceOf returns how long an instance may show no progress with a request.
-func silenceOf(r follow.PeerRequest) time.Duration {
+// silenceOf returns how long an instance may show no progress with a request. What this instance sends late is answered late.
+func (n *Node) silenceOf(r follow.PeerRequest) time.Duration {
+	silence := peerSilence
 	if r.Starting {
-		return startSilence
+		silence = startSilence
 	}
-	return peerSilence
+	return silence + n.sendDelay.Allowance(time.Now())
 }
 
 // Fetch implements follow.PeerSource. It asks the instances that the place of this one in its failure domain names, or
@@ -51,7 +52,7 @@
 	} else {
 		sources = n.newsSources(r)
 	}
-	return firstAnswer(ctx, sources, silenceOf(r), func(ctx context.Context, address string, progress func()) (follow.PeerUpdate, error) {
+	return firstAnswer(ctx, sources, n.silenceOf(r), func(ctx context.Context, address string, progress func()) (follow.PeerUpdate, error) {
 		startedAt := n.leases.Clock.Now()
 		p, err := n.fetchFrom(ctx, address, r, progress)
 		n.recordFetch(r, address, p, n.leases.Clock.Now().Sub(startedAt), err)
@@ -164,7 +165,7 @@
 func (n *Node) callPeer(ctx context.Context, address string, r follow.PeerRequest, progress func()) (follow.PeerUpdate, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := silenceFactor * silenceOf(r)
+	silence := silenceFactor * n.silenceOf(r)
 	timer := time.AfterFunc(silence, func() { cancel(errPeerSilent) })
 	defer timer.Stop()
 	sentAt := n.leases.Clock.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,9 @@
 	// DialServer connects to a backend server.
 	DialServer upstr.DialFunc
 	Codec      edge.HeaderCodec
+	// Delay measures how long what this instance sends takes. Store may allow for it in its limits of time. Nil means that only
+	// the Node uses one.
+	Delay *delay.Gauge
 	// ConfigTopic, ServersTopic and OwnersTopic are topics of the store: the configuration and the evacuations of the
 	// operators, the directory of servers, and the owners with the register of instances. ConfigKey is the key of
 	// the configuration in its topic.
@@ -163,9 +166,9 @@
 	sizeLogged  bool
 	// configEnd is the latest end of the topic of the configuration that another instance knows.
 	configEnd atomic.Int64
-	// sendDelay measures how long what this instance sends to servers takes to arrive. sendsSlowly says that the last change that
+	// sendDelay measures how long what this instance sends takes to arrive. sendsSlowly says that the last change that
 	// was logged was an excess over drainReserve; only statementLoop uses it.
-	sendDelay   delay.Gauge
+	sendDelay   *delay.Gauge
 	sendsSlowly bool
 	// plans holds the shard.Report of the last plan of each service that this instance made as the leader.
 	plans sync.Map
@@ -192,8 +195,12 @@
 		unreachableLoggedAt: map[string]time.Time{}, workReportedAt: map[string]time.Time{}, storeCalls: new(expvar.Map).Init(), storeTimes: edge.NewLatencyHistograms(),
 		updates: map[string]chan follow.Update{}, readRequests: map[string]chan struct{}{}, peerUpdates: map[string]chan follow.PeerUpdate{}, broadcasts: map[string]chan follow.Update{},
 		lag: map[string]*lagDetector{}, completedMoves: make(chan dgram.MovedRange, maxCompletedMoves), heartbeatLeaderNow: make(chan struct{}, 1), heartbeatAllNow: make(chan struct{}, 1), viewRequests: make(chan string, 1), stopping: make(chan struct{}),
-		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), peerClient: newPeerClient(), joined: make(chan struct{}), heard: newHeardPeers(),
+		topics: map[string]*topicCopy{}, topicCalls: make(chan struct{}, maxTopicCalls), sendDelay: platform.Delay, joined: make(chan struct{}), heard: newHeardPeers(),
 	}
+	if n.sendDelay == nil {
+		n.sendDelay = &delay.Gauge{}
+	}
+	n.peerClient = newPeerClient(n.dialPeer)
 	n.platform.Store = &instrumentedStore{Store: platform.Store, calls: n.storeCalls, times: n.storeTimes, events: events}
 	n.cluster = newClusterState(events, time.Duration(settings.Bounds.DrainSeconds*float64(time.Second))-drainReserve,
 		evacuationTime(settings.Bounds))
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -65,10 +65,10 @@
 // clockDriftFactor makes up for the drift between the clocks of instances.
 const clockDriftFactor = 1.02
 
-// newPeerClient returns a client for calls to other instances.
-func newPeerClient() *http.Client {
+// newPeerClient returns a client for calls to other instances, which opens connections with dial.
+func newPeerClient(dial upstr.DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: newPeerDialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxPeerHead,
 	}}
 }
@@ -78,6 +78,18 @@
 	return &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: upstr.UserTimeout(peerUserTimeout)}
 }
 
+// dialPeer connects to another instance.
+func (n *Node) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	startedAt := time.Now()
+	dialer := newPeerDialer()
+	dialer.Timeout += n.sendDelay.Allowance(startedAt)
+	c, err := dialer.DialContext(ctx, network, address)
+	if err == nil {
+		n.sendDelay.Observe(time.Since(startedAt), time.Now())
+	}
+	return c, err
+}
+
 // servePeers returns the worker that answers the calls of other instances at an address.
 func (n *Node) servePeers(address string) func(ctx context.Context) error {
 	return func(ctx context.Context) error { return serveHTTP(ctx, address, n.peerHandler(ctx)) }
