Look at each range once to find the servers whose keys are to be released

Each leaving server looked at all ranges of its service: with a quarter of 10,000 servers that leave together that is 25 million steps each 200 ms (worked out). Now each range is looked at once, as for renewals.

--- a/internal/lease/leave.go
+++ b/internal/lease/leave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"example.org/mustardring/internal/event"
+	"example.org/mustardring/internal/roster"
 	"example.org/mustardring/internal/rules"
 	"example.org/mustardring/internal/shard"
 )
@@ -31,23 +32,38 @@
 	return s.LeaveBy.IsZero() || now.Before(lm.releaseAt(s).Add(-grantTimeout))
 }
 
-// leavingServers returns the ids of the servers that leave and have or had keys, of those that this instance releases.
+// leavingServers returns the ids of the servers that leave and have or had keys, of those that this instance releases. It looks
+// at each range once.
 func (lm *Manager) leavingServers(view *View, now time.Time) []string {
+	servers := lm.Servers()
 	var out []string
-	for id, s := range lm.Servers().All() {
-		if s.LeaveBy.IsZero() || len(lm.leasesOf(view, s)) == 0 {
-			continue
+	checked := map[string]struct{}{}
+	check := func(id string) {
+		if _, done := checked[id]; done {
+			return
+		}
+		checked[id] = struct{}{}
+		if s, _ := servers.Get(id); !s.LeaveBy.IsZero() && lm.releases(s, now) {
+			out = append(out, id)
 		}
-		inCharge := lm.Roster.RankConnected(s.ID, s.Domain, now)
-		for _, p := range inCharge[:min(len(inCharge), releasingInstances)] {
-			if p.Name == lm.Name {
-				out = append(out, id)
+	}
+	for _, m := range view.Maps {
+		for _, r := range m.Ranges {
+			check(r.Server)
+			for _, o := range r.FormerOwners {
+				check(o.Server)
 			}
 		}
 	}
 	return out
 }
 
+// releases reports whether this instance is one of those that release the keys of a server when it leaves.
+func (lm *Manager) releases(s rules.Server, now time.Time) bool {
+	inCharge := lm.Roster.RankConnected(s.ID, s.Domain, now)
+	return slices.ContainsFunc(inCharge[:min(len(inCharge), releasingInstances)], func(p roster.Peer) bool { return p.Name == lm.Name })
+}
+
 // leasesOf returns the ranges that a server may have a lease on: those that it owns, and those that are being moved from it.
 func (lm *Manager) leasesOf(view *View, s rules.Server) []shard.Range {
 	m := view.Maps[s.Service]
