Do not release keys of a leaving server whose time an instance cannot tell

An instance does not release the keys any more if the time has ended longer than a lease ago; the other instance in charge does, in time. TestKeysOfALeavingServerAreNotReleasedAtAStart failed before.

--- a/internal/lease/leave.go
+++ b/internal/lease/leave.go
@@ -83,7 +83,9 @@
 	return out
 }
 
-// releaseLeaving releases the keys of the servers whose time has ended, once for each time.
+// releaseLeaving releases the keys of the servers whose time has ended, once for each time. If it seems to have ended longer than a
+// lease ago, the leases are over, or this instance has just started and does not know how old the server's statement is: other
+// instances do.
 func (lm *Manager) releaseLeaving(ctx context.Context, leaving []string, now time.Time) {
 	servers := lm.Servers()
 	for id := range lm.releasedFor {
@@ -93,7 +95,7 @@
 	}
 	for _, id := range leaving {
 		s, _ := servers.Get(id)
-		if !leaves(s) || s.LeaveBy.Equal(lm.releasedFor[id]) || now.Before(lm.releaseAt(s)) || !lm.mayAct() {
+		if !leaves(s) || s.LeaveBy.Equal(lm.releasedFor[id]) || now.Before(lm.releaseAt(s)) || now.Sub(s.LeaveBy) > leaseDuration || !lm.mayAct() {
 			continue
 		}
 		lm.releasedFor[id] = s.LeaveBy
--- a/internal/lease/leave_test.go
+++ b/internal/lease/leave_test.go
@@ -76,3 +76,18 @@
 		})
 	}
 }
+
+// Guards against keys without an owner from the moment at which an instance starts that cannot tell how long ago a server has said
+// that it leaves.
+func TestKeysOfALeavingServerAreNotReleasedAtAStart(t *testing.T) {
+	runInCluster(t, func(is *is.I, tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		tc.outage(time.Minute)
+		held := tc.heldKeys("s0")
+		tc.setLeaveBy("s0", time.Now().Add(-10*time.Second), true)
+		time.Sleep((leaseDuration - renewInterval) / 2)
+		is.Equal(tc.heldKeys("s0"), held)
+		time.Sleep(2 * leaseDuration)
+		is.Equal(tc.heldKeys("s0"), 0)
+	})
+}
