Allow for a second of delay at most in the time of a leaving server

A process that is stopped between its last look and the write observes a delay of seconds, and would take the keys of every leaving server for released for the next one to two seconds. Found by reading; the case is in TestSlowSendsEndTheTimeOfALeavingServerSooner.

--- a/internal/delay/delay.go
+++ b/internal/delay/delay.go
@@ -40,10 +40,10 @@
 	return max(g.current, g.previous)
 }
 
-// maxAllowance bounds what Allowance returns. A process that was stopped for longer must not wait as long for others.
+// maxAllowance bounds what Allowance returns. The stop of a process says nothing about its delays once it runs again.
 const maxAllowance = time.Second
 
-// Allowance returns by how much a limit of time for an answer is to be longer than where nothing is late, at most maxAllowance.
+// Allowance returns how much time limits and reserves have to allow for the longest delay, at most maxAllowance.
 func (g *Gauge) Allowance(now time.Time) time.Duration {
 	return min(g.Longest(now), maxAllowance)
 }
--- a/internal/node/delay_test.go
+++ b/internal/node/delay_test.go
@@ -23,6 +23,7 @@
 		"within the reserve": {drainReserve - time.Millisecond, 0, 0},
 		"beyond the reserve": {slow, 0, slow - drainReserve},
 		"some time ago":      {slow, 3 * time.Second, 0},
+		"stopped for long":   {time.Hour, 0, time.Second - drainReserve},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/node/handlers.go
+++ b/internal/node/handlers.go
@@ -357,7 +357,7 @@
 
 // excessSendDelay returns by how much what this instance sends has lately taken longer to arrive than drainReserve allows for.
 func (n *Node) excessSendDelay() time.Duration {
-	return max(n.sendDelay.Longest(time.Now())-drainReserve, 0)
+	return max(n.sendDelay.Allowance(time.Now())-drainReserve, 0)
 }
 
 // Owner implements edge.Cluster. The former owners of a range are left out if its move is known to be complete,
