Log and count how the connections of callers end

Cause: of a reply that a caller did not get, no line said why its connection ended, how much the caller's kernel had acknowledged, or what was unread, so that the three hypotheses on LOST could not be told apart (0 lines on any of it). Now: caller-conn for each connection whose caller may lack a reply that was ready, with the IDs of the requests; stopped with the sums; counters by reason. explain ID finds such lines. No change of logic. Tests of internal/inlet, edge, cmds and node pass.

--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -29,6 +29,15 @@
 	fields map[string]string
 }
 
+// names reports whether the line is about a request: about itself, or about the connection on which its reply may not have arrived.
+func (l logLine) names(id string) bool {
+	if l.fields["id"] == id {
+		return true
+	}
+	replies := strings.Fields(strings.NewReplacer("[", " ", "]", " ").Replace(l.fields["unwritten"] + l.fields["unacknowledged"]))
+	return l.fields["msg"] == "caller-conn" && slices.Contains(replies, id)
+}
+
 // Run prints the lines about the request and the server that it went to, in order of time.
 func (c *ExplainCmd) Run() error {
 	var lines []logLine
@@ -79,7 +88,7 @@
 	servers := map[string]bool{}
 	found := false
 	for _, l := range lines {
-		if l.fields["id"] == id {
+		if l.names(id) {
 			found = true
 			servers[l.fields["server"]] = true
 		}
@@ -91,7 +100,7 @@
 	var out []string
 	for _, l := range lines {
 		switch about := servers[l.fields["server"]] && slices.Contains(serverEvents, l.fields["msg"]); {
-		case l.fields["id"] == id, about, l.fields["msg"] == "lines-dropped":
+		case l.names(id), about, l.fields["msg"] == "lines-dropped":
 			out = append(out, l.text)
 		}
 	}
--- a/internal/edge/promise.go
+++ b/internal/edge/promise.go
@@ -99,5 +99,8 @@
 		reply = errorReply(status, 0)
 	}
 	q.edge.Meters.recordPromise(p)
+	if reply != nil {
+		reply.ID = q.info.ID
+	}
 	return reply
 }
--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -61,6 +61,7 @@
 	// closing says that no more requests are accepted.
 	pending int
 	closing bool
+	record  record
 }
 
 // headLimiter returns errHeadTooLarge from Read when remaining bytes have been read. Outside of
@@ -87,7 +88,7 @@
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw, pipeline: make(chan pipelineEntry, maxPipelined), head: &headLimiter{Conn: raw}}
 	c.in = bufio.NewReaderSize(c.head, readBufferSize)
-	c.out = bufio.NewWriterSize(raw, writeBufferSize)
+	c.out = bufio.NewWriterSize(c, writeBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -107,6 +108,9 @@
 		c.discardInput(written)
 	}
 	<-written
+	if c.server.Ended != nil {
+		c.server.Ended(c.describeEnd())
+	}
 }
 
 // discardInput reads and discards what the caller still sends after a rejected body, until the end of the linger that
@@ -186,8 +190,10 @@
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.hasPending():
 			continue
 		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.setReason(Idle)
 			return false
 		default:
+			c.setReason(readEnd(err))
 			c.mu.Lock()
 			closing := c.closing
 			c.mu.Unlock()
@@ -199,6 +205,14 @@
 	}
 }
 
+// readEnd returns the reason of the end of a connection from which reading has failed.
+func readEnd(err error) EndReason {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return CallerClosed
+	}
+	return CallerReset
+}
+
 // hasPending reports whether requests of the connection are in progress.
 func (c *conn) hasPending() bool {
 	c.mu.Lock()
@@ -214,6 +228,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.refuse(http.StatusRequestTimeout, err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		c.setReason(readEnd(err))
 		c.cancel()
 	default:
 		c.refuse(http.StatusBadRequest, err)
@@ -306,6 +321,7 @@
 	last := r.Close
 	if last {
 		c.closing = true
+		c.setReasonLocked(Asked)
 	}
 	c.mu.Unlock()
 	e := pipelineEntry{method: r.Method, reply: make(chan *Reply, 1)}
@@ -370,6 +386,7 @@
 	c.mu.Lock()
 	c.pending++
 	c.closing = true
+	c.setReasonLocked(Refused)
 	c.mu.Unlock()
 	c.server.inFlight.Add(1)
 	e := pipelineEntry{reply: make(chan *Reply, 1)}
@@ -383,6 +400,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
+	c.setReasonLocked(Stopping)
 	if c.pending == 0 {
 		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -395,14 +413,20 @@
 	for e := range c.pipeline {
 		reply := <-e.reply
 		if broken {
+			c.recordUnwritten(reply)
 			c.replyDone(reply)
 			continue
 		}
 		last := c.isLastReply()
 		if reply == nil || reply.Abort {
+			c.setReason(Aborted)
 			broken = true
 		} else if err := c.writeReply(e.method, reply, last); err != nil {
+			c.setReason(WriteFailed)
+			c.recordUnwritten(reply)
 			broken = true
+		} else {
+			c.recordWritten(reply.ID)
 		}
 		c.replyDone(reply)
 		if broken || last {
@@ -430,6 +454,7 @@
 	defer c.mu.Unlock()
 	if c.pending == 1 && c.server.draining.Load() {
 		c.closing = true
+		c.setReasonLocked(Stopping)
 	}
 	return c.closing && c.pending == 1
 }
--- /dev/null
+++ b/internal/inlet/end.go
@@ -0,0 +1,154 @@
+package inlet
+
+import (
+	"slices"
+	"time"
+
+	"example.org/mustardring/internal/linger"
+)
+
+// EndReason says why a connection ended.
+type EndReason string
+
+// The reasons.
+const (
+	// CallerClosed and CallerReset mean that the caller ended the connection.
+	CallerClosed EndReason = "caller-closed"
+	CallerReset  EndReason = "caller-reset"
+	// Idle means that no request came for Limits.IdleTimeout.
+	Idle EndReason = "idle"
+	// Stopping means that the server drains or has finished.
+	Stopping EndReason = "stopping"
+	// Asked means that the caller asked with its last request for the connection to be closed.
+	Asked EndReason = "asked"
+	// Refused means that a request could not be read or was too large.
+	Refused EndReason = "refused"
+	// Aborted means that a handler aborted.
+	Aborted EndReason = "aborted"
+	// WriteFailed means that a reply could not be written.
+	WriteFailed EndReason = "write-failed"
+)
+
+// End is the end of a connection. Sizes are in bytes.
+type End struct {
+	// Reason is why the connection ended, the first one if there are several.
+	Reason EndReason
+	// Remote is the address of the caller.
+	Remote string
+	// Replies is the number of replies that were written, and Written the number of their bytes.
+	Replies int
+	Written int64
+	// Queue is what the connection held in the kernel when it was closed.
+	linger.Queue
+	// Unwritten holds the IDs of requests whose replies were not written completely, Unacked those of replies that the caller's
+	// kernel had not acknowledged completely. Both hold at most maxPipelined IDs.
+	UnwrittenIDs, UnackedIDs []string
+	// Waited is the time from the last written byte to the end.
+	Waited time.Duration
+}
+
+// Notable reports whether the caller may lack a reply that was ready.
+func (e End) Notable() bool { return len(e.UnwrittenIDs)+len(e.UnackedIDs) > 0 }
+
+// writtenReply is the ID of a request whose reply was written, and how many bytes were written on the connection then.
+type writtenReply struct {
+	id  string
+	end int64
+}
+
+// record is what has become of the replies of a connection. The lock of its connection guards it.
+type record struct {
+	reason    EndReason
+	replies   int
+	written   int64
+	writtenAt time.Time
+	// last holds the replies that were written last.
+	last      []writtenReply
+	unwritten []string
+}
+
+// setReason sets the reason of the end, unless there is one.
+func (c *conn) setReason(r EndReason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReasonLocked(r)
+}
+
+func (c *conn) setReasonLocked(r EndReason) {
+	if c.record.reason == "" {
+		c.record.reason = r
+	}
+}
+
+// recordWritten records that the reply to a request was written.
+func (c *conn) recordWritten(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.replies++
+	c.record.writtenAt = time.Now()
+	if len(c.record.last) == maxPipelined {
+		c.record.last = slices.Delete(c.record.last, 0, 1)
+	}
+	c.record.last = append(c.record.last, writtenReply{id, c.record.written})
+}
+
+// recordUnwritten records that a reply which was ready, nil if there was none, was not written completely.
+func (c *conn) recordUnwritten(reply *Reply) {
+	if reply == nil || reply.Abort {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.record.unwritten) < maxPipelined {
+		c.record.unwritten = append(c.record.unwritten, reply.ID)
+	}
+}
+
+// Write implements io.Writer. It counts what is written to the caller.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.raw.Write(p)
+	c.mu.Lock()
+	c.record.written += int64(n)
+	c.mu.Unlock()
+	return n, err
+}
+
+// describeEnd returns the end of the connection, which has not been closed yet.
+func (c *conn) describeEnd() End {
+	queue := linger.QueueOf(c.raw)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := End{
+		Reason: c.record.reason, Remote: c.raw.RemoteAddr().String(), Replies: c.record.replies, Written: c.record.written,
+		Queue: queue, UnwrittenIDs: c.record.unwritten,
+	}
+	if !c.record.writtenAt.IsZero() {
+		e.Waited = time.Since(c.record.writtenAt)
+	}
+	for _, r := range c.record.last {
+		if r.end > c.record.written-int64(queue.Unacked) {
+			e.UnackedIDs = append(e.UnackedIDs, r.id)
+		}
+	}
+	return e
+}
+
+// Open is the state of all open connections of a server.
+type Open struct {
+	Conns int
+	// InFlight is the number of requests whose reply has not been written.
+	InFlight int64
+	// Unacked is the number of bytes of replies that callers have not acknowledged.
+	Unacked int
+}
+
+// Open returns the state of all open connections.
+func (s *Server) Open() Open {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := Open{Conns: len(s.conns), InFlight: s.InFlight()}
+	for c := range s.conns {
+		o.Unacked += max(linger.QueueOf(c.raw).Unacked, 0)
+	}
+	return o
+}
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -23,6 +23,8 @@
 	Body   []byte
 	// Abort closes the connection without writing a reply.
 	Abort bool
+	// ID is that of the request, for End.
+	ID string
 }
 
 // Handler handles a request. Its context is cancelled when the caller closes the connection. The
@@ -62,6 +64,8 @@
 	// Refused is called for each refusal. It must not block; nil means that nothing is called. It must not be changed once
 	// the server has been started.
 	Refused func(Refusal)
+	// Ended is called at the end of each connection, as Refused is.
+	Ended func(End)
 
 	handler Handler
 	limits  func() Limits
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,6 +99,8 @@
 	suspects      *edge.CrashTracker
 	meters        *edge.Meters
 	inlet         *inlet.Server
+	// callerConns counts the connections of callers that have ended, by reason, and the replies that may not have arrived.
+	callerConns *expvar.Map
 	bodyMemory    *inlet.Memory
 	replyMemory   *edge.ReplyMemory
 	// storeCalls counts appends by topic and kind of record, and reads by topic and reason.
@@ -249,9 +251,11 @@
 		deps.Carrier, deps.ConnPool.Extra = n.carrier, n.extraConnections
 	}
 	n.edge = edge.New(deps)
+	n.callerConns = new(expvar.Map).Init()
 	n.bodyMemory = inlet.NewMemory(bodyMemory(settings), inlet.MemoryDeps{Rejected: n.recordBodyRejection})
 	n.inlet = inlet.New(n.edge.Handle, n.limits, n.bodyMemory)
 	n.inlet.Refused = n.recordRefusal
+	n.inlet.Ended = n.recordCallerConn
 	return n, nil
 }
 
@@ -353,6 +357,19 @@
 	n.events.Record(event.Failure, "unread", "id", id, "status", r.Status, "pending", r.Pending, "error", r.Err)
 }
 
+// recordCallerConn counts the end of a connection of a caller, and logs it if the caller may lack a reply that was ready.
+func (n *Node) recordCallerConn(e inlet.End) {
+	n.callerConns.Add(string(e.Reason), 1)
+	if !e.Notable() {
+		return
+	}
+	n.callerConns.Add("replies-unwritten", int64(len(e.UnwrittenIDs)))
+	n.callerConns.Add("replies-unacknowledged", int64(len(e.UnackedIDs)))
+	n.events.Record(event.Failure, "caller-conn", "why", e.Reason, "unwritten", e.UnwrittenIDs, "unacknowledged", e.UnackedIDs,
+		"replies", e.Replies, "written", e.Written, "unacked-bytes", e.Unacked, "unread-bytes", e.Unread, "waited", e.Waited,
+		"stopping", n.isStopping(), "remote", e.Remote)
+}
+
 // signalOnce sends on a channel of capacity one, unless a signal is already pending.
 func signalOnce(c chan<- struct{}) {
 	select {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -59,7 +59,9 @@
 		n.inlet.Finish()
 	}
 	n.recordEnd(ctx, deadline.Add(stopReserve/2))
-	n.events.Record(event.StateChange, "stopped", "instance", n.settings.Name, "busy", n.inlet.InFlight(), "took", time.Since(began))
+	open := n.inlet.Open()
+	n.events.Record(event.StateChange, "stopped", "instance", n.settings.Name, "busy", open.InFlight, "caller-conns", open.Conns,
+		"unacked-bytes", open.Unacked, "carried", n.carried.Load(), "tunnels", n.tunnels.carriedCount(), "took", time.Since(began))
 }
 
 // maxEndAppends is how often the record of the end of an instance is tried to be written. Instances that end together refuse
@@ -118,6 +120,7 @@
 	vars.Set("mustardring-events", n.events.Counts())
 	vars.Set("mustardring-store-calls", n.storeCalls)
 	vars.Set("mustardring-server-connections", n.dialer.Counts())
+	vars.Set("mustardring-caller-connections", n.callerConns)
 	mux := http.NewServeMux()
 	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
@@ -150,6 +153,9 @@
 	n.dialer.Counts().Do(func(v expvar.KeyValue) {
 		lines = append(lines, fmt.Sprintf("server_connections{how=%q} %s\n", v.Key, v.Value))
 	})
+	n.callerConns.Do(func(v expvar.KeyValue) {
+		lines = append(lines, fmt.Sprintf("caller_connections{end=%q} %s\n", v.Key, v.Value))
+	})
 	n.carrier.counts.Do(func(v expvar.KeyValue) {
 		lines = append(lines, fmt.Sprintf("shared_connections{result=%q} %s\n", v.Key, v.Value))
 	})
