--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,8 +101,8 @@
 	inlet         *inlet.Server
 	// callerConns counts the connections of callers that have ended, by reason, and the replies that may not have arrived.
 	callerConns *expvar.Map
-	bodyMemory    *inlet.Memory
-	replyMemory   *edge.ReplyMemory
+	bodyMemory  *inlet.Memory
+	replyMemory *edge.ReplyMemory
 	// storeCalls counts appends by topic and kind of record, and reads by topic and reason.
 	storeCalls *expvar.Map
 	// storeTimes records the latencies of calls to the store, except for reads that wait for new records.
