--- a/internal/inlet/end_test.go
+++ b/internal/inlet/end_test.go
@@ -175,36 +175,15 @@
 	is.True(!e.Notable())
 }
 
-// pipeListener accepts the connections that it is given.
-type pipeListener struct {
-	net.Listener
-	conns chan net.Conn
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	c, open := <-l.conns
-	if !open {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
 // Guards against a reply that is cut short although its caller goes on receiving it, because that takes long.
 func TestReplyToASlowCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		body := bytes.Repeat([]byte("x"), 1<<20)
-		s := inlet.New(func(context.Context, *http.Request) *inlet.Reply { return okReply(string(body)) }, defaultLimits, nil)
-		l := &pipeListener{conns: make(chan net.Conn)}
-		go func() { _ = s.Serve(t.Context(), l) }()
-		c, server := net.Pipe()
-		l.conns <- server
-		close(l.conns)
-		_, _ = io.WriteString(c, get("/"))
-		in := bufio.NewReaderSize(slowReader{c}, 4<<10)
-		is.Equal(len(readBody(in)), len(body))
+		l, _, _, _ := servePipes(t, 0)
+		c := l.dial()
+		_, _ = io.WriteString(c, "GET /1048576 HTTP/1.1\r\nHost: 0\r\n\r\n")
+		is.Equal(len(readBody(bufio.NewReaderSize(slowReader{c}, 4<<10))), 1<<20)
 		_ = c.Close()
-		s.Close()
 	})
 }
 
