Close the connections of callers only when they have received their replies

What callers saw: replies that a reset cut short while an instance stopped, for requests that their servers had run.

Cause: a connection was closed as soon as its last reply had been handed to the kernel. Requests that a pipelining caller had sent meanwhile lay unread, or came to a closed socket, and the kernel reset the connection: what a slow link or a proxy still held was destroyed. A constant of 300 ms was to bridge that, was interrupted by the next call of Finish after 20 ms, and did not hold at the other ends of a connection (refused requests, aborted replies, idle time counted from the last request in place of the last reply, writes of over 10 s).

Evidence: 33 lines caller-conn of TestSoakStops, all with why=stopping and bytes not acknowledged, none with a reply that was not written.

Change: package linger is the one place that ends a connection: it sends the end of the stream, takes in or leaves what still comes, and closes when the peer has closed its side, which it does once it has read that end; a bound of time holds only while the peer receives nothing. A write fails only when the peer receives nothing, not when it takes long. Finish no longer touches a connection that is ending, and a request that was read while it ran is answered.

Why it works: while the socket is open and the end of the stream is sent, input that still comes is acknowledged, so nobody resets.

--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"example.org/mustardring/internal/linger"
 )
 
 // The limits of a connection. Sizes are in bytes.
@@ -24,11 +26,8 @@
 	writeBufferSize = 8 << 10
 	// bodyReadTimeout is how long to wait for the next bytes of a body.
 	bodyReadTimeout = 10 * time.Second
-	// writeTimeout is how long writing a reply may take.
+	// writeTimeout is how long a caller may receive nothing of a reply.
 	writeTimeout = 10 * time.Second
-	// lingerTimeout is how long a connection is still read after its last reply. Closing it with
-	// unread bytes would reset it, possibly before the caller has received the reply.
-	lingerTimeout = 300 * time.Millisecond
 )
 
 // pipelineEntry is a request whose reply has not been written. Entries are in the order of the
@@ -53,15 +52,21 @@
 	// connection has ended.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// unreadBody says that the last request was rejected before the end of its body. Only the reader uses it.
-	unreadBody bool
 
 	mu sync.Mutex
 	// pending is the number of requests that have been read and whose reply has not been written.
-	// closing says that no more requests are accepted.
+	// closing says that no more requests are accepted, but for one behind which none is pending while closeStated is false.
 	pending int
 	closing bool
-	record  record
+	// closeStated says that a reply has stated the end of the connection, or that one was aborted.
+	closeStated bool
+	// interrupted says that reading fails from now on.
+	interrupted bool
+	// broken says that nothing more can be delivered: the caller has left, or a reply was not written completely.
+	broken bool
+	// repliedAt is when the last reply was done.
+	repliedAt time.Time
+	record    record
 }
 
 // headLimiter returns errHeadTooLarge from Read when remaining bytes have been read. Outside of
@@ -95,38 +100,82 @@
 
 // run serves the connection until it ends.
 func (c *conn) run() {
-	defer c.raw.Close()
 	defer c.cancel()
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
 		c.writeReplies()
+		c.interrupt()
 	}()
 	c.readRequests()
 	close(c.pipeline)
-	if c.unreadBody {
-		c.discardInput(written)
+	if c.hasPending() {
+		c.discardInput()
 	}
 	<-written
+	c.end()
+}
+
+// end closes the connection once the caller has received what was written.
+func (c *conn) end() {
+	silence := max(c.server.limits().IdleTimeout, writeTimeout)
+	queue := linger.QueueOf(c.raw)
+	c.mu.Lock()
+	broken, input := c.broken, linger.Keep
+	received := queue.Unacked <= 0 && time.Since(c.record.writtenAt) >= silence
+	if c.closeStated {
+		// The caller knows that what it has sent behind that reply was not read.
+		input = linger.Discard
+	}
+	c.mu.Unlock()
+	if broken || received {
+		_ = c.raw.Close()
+	} else {
+		queue = linger.Close(c.raw, input, silence)
+	}
 	if c.server.Ended != nil {
-		c.server.Ended(c.describeEnd())
+		c.server.Ended(c.describeEnd(queue))
 	}
 }
 
-// discardInput reads and discards what the caller still sends after a rejected body, until the end of the linger that
-// begins with its last reply, or until the caller leaves. Written is closed after the last reply.
-func (c *conn) discardInput(written <-chan struct{}) {
-	for {
-		if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.cancel()
-			return
-		}
-		select {
-		case <-written:
-			return
-		default:
-			_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-		}
+// discardInput reads and discards what the caller sends behind its last request, while replies are pending, so that it is noticed
+// if the caller leaves.
+func (c *conn) discardInput() {
+	c.setReadDeadline(time.Time{})
+	if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.callerLeft(err)
+	}
+}
+
+// callerLeft cancels the handlers after reading has failed, with a nil error at the end of the stream.
+func (c *conn) callerLeft(err error) {
+	c.mu.Lock()
+	c.broken = true
+	c.setReasonLocked(readEnd(err))
+	c.mu.Unlock()
+	c.cancel()
+}
+
+// interrupt makes reading fail from now on.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interruptLocked()
+}
+
+func (c *conn) interruptLocked() {
+	if !c.interrupted {
+		c.interrupted = true
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// setReadDeadline sets the read deadline unless reading was interrupted.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted {
+		_ = c.raw.SetReadDeadline(t)
 	}
 }
 
@@ -141,7 +190,7 @@
 		}
 		c.head.remaining = l.HeaderBytes + readBufferSize
 		deadline := time.Now().Add(l.HeaderTimeout)
-		_ = c.raw.SetReadDeadline(deadline)
+		c.setReadDeadline(deadline)
 		r, err := http.ReadRequest(c.in)
 		if err != nil && !time.Now().Before(deadline) {
 			// A head that is incomplete at the deadline may be reported as malformed.
@@ -178,36 +227,54 @@
 }
 
 // awaitRequest waits for the first byte of a request and reports whether there is one. The idle
-// timeout does not apply while requests are in progress. If the connection ends meanwhile, the
+// timeout does not apply while requests are in progress, and begins with the last reply. If the connection ends meanwhile, the
 // caller has left and the handlers are cancelled.
 func (c *conn) awaitRequest(idleTimeout time.Duration) bool {
-	for {
-		_ = c.raw.SetReadDeadline(time.Now().Add(idleTimeout))
+	for idleFrom := time.Now(); ; idleFrom = c.idleSince() {
+		c.setReadDeadline(idleFrom.Add(idleTimeout))
 		_, err := c.in.Peek(1)
 		switch {
 		case err == nil:
 			return true
-		case errors.Is(err, os.ErrDeadlineExceeded) && c.hasPending():
-			continue
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			c.setReason(Idle)
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			c.callerLeft(err)
+			return false
+		case c.isInterrupted():
 			return false
-		default:
-			c.setReason(readEnd(err))
-			c.mu.Lock()
-			closing := c.closing
-			c.mu.Unlock()
-			if !closing {
-				c.cancel()
-			}
+		case time.Since(c.idleSince()) >= idleTimeout && time.Since(idleFrom) >= idleTimeout:
+			c.setReason(Idle)
 			return false
 		}
 	}
 }
 
-// readEnd returns the reason of the end of a connection from which reading has failed.
+// idleSince returns since when no request has been in progress: now if there is one, the zero time if there was none.
+func (c *conn) idleSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 {
+		return time.Now()
+	}
+	return c.repliedAt
+}
+
+// isInterrupted reports whether reading was interrupted.
+func (c *conn) isInterrupted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.interrupted
+}
+
+// isBroken reports whether nothing more can be delivered.
+func (c *conn) isBroken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
+// readEnd returns the reason of the end of a connection from which reading has failed, with a nil error at the end of the stream.
 func readEnd(err error) EndReason {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return CallerClosed
 	}
 	return CallerReset
@@ -228,8 +295,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.refuse(http.StatusRequestTimeout, err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
-		c.setReason(readEnd(err))
-		c.cancel()
+		c.callerLeft(err)
 	default:
 		c.refuse(http.StatusBadRequest, err)
 	}
@@ -269,7 +335,6 @@
 // rejectBody returns the reply to a request whose body does not fit into the memory for bodies.
 func (c *conn) rejectBody(r *http.Request, b *bodyBuffer) *Reply {
 	defer b.discard()
-	c.unreadBody = true
 	return c.server.memory.reject(r, int64(len(b.data)))
 }
 
@@ -288,7 +353,7 @@
 	}
 	chunk := make([]byte, min(readBufferSize, max(r.ContentLength, 512)))
 	for {
-		_ = c.raw.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+		c.setReadDeadline(time.Now().Add(bodyReadTimeout))
 		n, err := r.Body.Read(chunk)
 		if int64(len(b.data)+n) > l.BodyBytes {
 			return http.StatusRequestEntityTooLarge
@@ -311,19 +376,10 @@
 // startHandler starts the handler of a request and takes over its body. It returns false if no further request should be
 // read, because the connection is closing or the request asks for it to be closed.
 func (c *conn) startHandler(r *http.Request, body *bodyBuffer) bool {
-	c.mu.Lock()
-	if c.closing {
-		c.mu.Unlock()
+	if !c.accept(r.Close) {
 		body.release()
 		return false
 	}
-	c.pending++
-	last := r.Close
-	if last {
-		c.closing = true
-		c.setReasonLocked(Asked)
-	}
-	c.mu.Unlock()
 	e := pipelineEntry{method: r.Method, reply: make(chan *Reply, 1)}
 	c.server.inFlight.Add(1)
 	go func() {
@@ -333,26 +389,26 @@
 		e.reply <- reply
 	}()
 	c.pipeline <- e
-	if last {
-		c.watchForClose()
-	}
-	return !last
+	return !r.Close
 }
 
-// watchForClose cancels the handlers if the caller closes the connection after its last request. It
-// returns when no request is in progress, or when the caller sends more.
-func (c *conn) watchForClose() {
-	for c.hasPending() {
-		_ = c.raw.SetReadDeadline(time.Now().Add(time.Second))
-		if _, err := c.in.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			if c.hasPending() {
-				c.cancel()
-			}
-			return
-		} else if err == nil {
-			return
-		}
+// accept counts a request and returns true, or returns false if the connection is closing. A request that was read while the
+// server finished is accepted if no other reply states the end of the connection.
+func (c *conn) accept(last bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closeStated || c.closing && c.pending > 0 {
+		return false
 	}
+	c.pending++
+	if last {
+		c.closing = true
+		c.setReasonLocked(Asked)
+	}
+	if c.closing {
+		c.interrupted = false
+	}
+	return true
 }
 
 // errorReply returns a reply without a body.
@@ -395,53 +451,80 @@
 }
 
 // stopReading makes the connection accept no more requests. If none is in progress it interrupts
-// the reader, which closes the connection.
+// the reader, which ends the connection.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
 	c.setReasonLocked(Stopping)
 	if c.pending == 0 {
-		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+		c.interruptLocked()
 	}
 }
 
-// writeReplies writes the replies in the order of their requests. Once the connection is broken or
-// the last reply has been written, it discards the remaining replies.
+// writeReplies writes the replies in the order of their requests. Once the last reply has been written, or one could not be, it
+// discards the remaining ones.
 func (c *conn) writeReplies() {
-	broken := false
+	ended := false
 	for e := range c.pipeline {
 		reply := <-e.reply
-		if broken {
-			c.recordUnwritten(reply)
-			c.replyDone(reply)
-			continue
-		}
-		last := c.isLastReply()
-		if reply == nil || reply.Abort {
-			c.setReason(Aborted)
-			broken = true
-		} else if err := c.writeReply(e.method, reply, last); err != nil {
-			c.setReason(WriteFailed)
+		if ended {
 			c.recordUnwritten(reply)
-			broken = true
 		} else {
-			c.recordWritten(reply.ID)
+			ended = c.deliver(e.method, reply)
 		}
 		c.replyDone(reply)
-		if broken || last {
-			c.shutdown(broken)
-			broken = true
+		if ended {
+			// The caller is to know at once that nothing more comes.
+			c.closeWrite()
+			c.interrupt()
 		}
 	}
 }
 
+// deliver writes a reply, which may be nil, and reports whether it is the last one.
+func (c *conn) deliver(method string, reply *Reply) (last bool) {
+	if reply == nil || reply.Abort {
+		c.stateClose(Aborted)
+		c.cancel()
+		return true
+	}
+	last = c.isLastReply()
+	if err := c.writeReply(method, reply, last); err != nil {
+		c.setReason(WriteFailed)
+		c.recordUnwritten(reply)
+		c.mu.Lock()
+		c.broken = true
+		c.mu.Unlock()
+		c.cancel()
+		return true
+	}
+	c.recordWritten(reply.ID)
+	return last
+}
+
+// stateClose records that the caller learns from what it receives that the connection ends, and why.
+func (c *conn) stateClose(r EndReason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReasonLocked(r)
+	c.closing, c.closeStated = true, true
+}
+
+// closeWrite sends the end of the stream.
+func (c *conn) closeWrite() {
+	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
+
 // replyDone counts a request as done and releases its reply. That must not happen before its reply has been written: if
 // the process ended after the handler but before the last byte, the reply would be cut short.
 func (c *conn) replyDone(reply *Reply) {
 	c.server.memory.add(-replySize(reply))
 	c.mu.Lock()
 	c.pending--
+	c.repliedAt = time.Now()
 	c.mu.Unlock()
 	c.server.inFlight.Add(-1)
 }
@@ -456,24 +539,12 @@
 		c.closing = true
 		c.setReasonLocked(Stopping)
 	}
-	return c.closing && c.pending == 1
-}
-
-// shutdown ends the connection: at once if it is broken, otherwise in such a way that the caller
-// receives the last reply completely.
-func (c *conn) shutdown(broken bool) {
-	if tcp, ok := c.raw.(*net.TCPConn); ok && !broken {
-		_ = tcp.CloseWrite()
-		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-		return
-	}
-	c.cancel()
-	_ = c.raw.Close()
+	c.closeStated = c.closing && c.pending == 1
+	return c.closeStated
 }
 
 // writeReply writes the reply to a request with a method, see pipelineEntry, with "Connection: close" if it is the last one.
 func (c *conn) writeReply(method string, reply *Reply, last bool) error {
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := c.out
 	_, _ = w.WriteString("HTTP/1.1 ")
 	_, _ = w.WriteString(strconv.Itoa(reply.Status))
--- a/internal/inlet/end.go
+++ b/internal/inlet/end.go
@@ -104,18 +104,17 @@
 	}
 }
 
-// Write implements io.Writer. It counts what is written to the caller.
+// Write implements io.Writer. It writes as long as the caller receives something, and counts what is written.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.raw.Write(p)
+	n, err := linger.Write(c.raw, p, writeTimeout)
 	c.mu.Lock()
 	c.record.written += int64(n)
 	c.mu.Unlock()
 	return n, err
 }
 
-// describeEnd returns the end of the connection, which has not been closed yet.
-func (c *conn) describeEnd() End {
-	queue := linger.QueueOf(c.raw)
+// describeEnd returns the end of the connection, given what the kernel held at last.
+func (c *conn) describeEnd(queue linger.Queue) End {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := End{
--- a/internal/linger/queue_linux.go
+++ b/internal/linger/queue_linux.go
@@ -28,3 +28,23 @@
 	})
 	return q
 }
+
+// awaitEndUnread waits until the peer has closed its side, and returns nil then. It reads nothing.
+func awaitEndUnread(c net.Conn) error {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return discard(c)
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool { return hasEnded(int(fd)) })
+}
+
+// hasEnded reports whether the peer has closed its side of a connection, or the connection has failed.
+func hasEnded(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents != 0
+}
