Close a tunnel only when its sender has received the response

What callers saw: a response that was carried through another instance is cut short, so that the attempt is lost, if the server answers and closes, or resets, while the sender still sends, or while a slow link between the instances holds the response.

The middle closed, or reset on purpose, the connection to the sender as soon as the last frame was handed to the kernel. The reset was to keep a response that ends with its connection from seeming complete; a missing empty frame says that already.

Change: the middle ends the connection by package linger, and never resets it; writes fail only when an end receives nothing.

--- a/internal/tunnel/carry.go
+++ b/internal/tunnel/carry.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"example.org/mustardring/internal/linger"
 )
 
 // The sizes in bytes of the buffers of a tunnel: for what goes to the server, and for a frame that comes from it.
@@ -17,7 +19,7 @@
 	frameSize  = 16 << 10
 )
 
-// writeTimeout is how long one end may take to accept some bytes before the tunnel ends.
+// writeTimeout is how long one end may receive nothing of what was written before the tunnel ends.
 const writeTimeout = 5 * time.Second
 
 // errBuffered means that the sender sent more than the request for the tunnel before it was accepted.
@@ -51,12 +53,10 @@
 	// last did, so that what the sender sends next begins a request.
 	mu        sync.Mutex
 	responded bool
-	// refused says that a request was refused, which the sender has been told.
-	refused bool
 }
 
 // Carry passes on what the sender of a tunnel and the server send, until one of them closes its connection, and closes
-// both. Allowed is called before the first bytes of a request are sent to the server; if it returns false the sender is told
+// both, that of the sender once it has received all. Allowed is called before the first bytes of a request are sent to the server; if it returns false the sender is told
 // and the tunnel ends.
 func Carry(sender, server net.Conn, allowed func() bool) {
 	c := &carrier{sender: sender, server: server, responded: true}
@@ -68,7 +68,7 @@
 	})
 	c.carryResponses()
 	_ = server.Close()
-	_ = sender.Close()
+	linger.Close(sender, linger.Discard, writeTimeout)
 	ended.Wait()
 }
 
@@ -81,8 +81,7 @@
 			if c.refuses(allowed) {
 				return
 			}
-			_ = c.server.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := c.server.Write(buffer[:n]); err != nil {
+			if _, err := linger.Write(c.server, buffer[:n], writeTimeout); err != nil {
 				return
 			}
 		}
@@ -101,7 +100,6 @@
 	if !begins || allowed() {
 		return false
 	}
-	c.refused = true
 	writeFrame(c.sender, binary.BigEndian.AppendUint32(nil, refusedFrame))
 	return true
 }
@@ -114,18 +112,8 @@
 	return writeFrame(c.sender, frame)
 }
 
-// resetSender makes the connection to the sender end with a reset, unless the sender is still to read that its request was
-// refused.
-func (c *carrier) resetSender() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if tcp, ok := c.sender.(interface{ SetLinger(seconds int) error }); ok && !c.refused {
-		_ = tcp.SetLinger(0)
-	}
-}
-
-// carryResponses passes on what the server sends, in frames. If the connection to the server breaks, that to the sender
-// is reset.
+// carryResponses passes on what the server sends, in frames. If the connection to the server breaks, there is no empty frame at
+// the end, so that the response does not seem complete.
 func (c *carrier) carryResponses() {
 	frame := make([]byte, headerSize+frameSize)
 	for {
@@ -136,13 +124,10 @@
 				return
 			}
 		}
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
+		if errors.Is(err, io.EOF) {
 			c.passOn(make([]byte, headerSize))
-			return
-		default:
-			c.resetSender()
+		}
+		if err != nil {
 			return
 		}
 	}
@@ -150,7 +135,6 @@
 
 // writeFrame writes a frame and reports whether that succeeded.
 func writeFrame(c net.Conn, frame []byte) bool {
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.Write(frame)
+	_, err := linger.Write(c, frame, writeTimeout)
 	return err == nil
 }
