Count a request carried for another instance until its answer is written

What callers could see: the reply of a request that an instance carried for another is cut short at the end of its stop. Cause, read in the code and not seen in a run: the count fell when the handler returned, and net/http flushes the answer only after that, so the process could end in between. Now the answer is flushed before the count falls. TestCarriedRequestCountsUntilItsAnswerIsWritten: 0 flushes while the request counted before, 1 after, whether it was answered or refused.

--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -298,3 +298,38 @@
 		}
 	}
 }
+
+// flushWatch notes how many requests are carried when an answer is flushed.
+type flushWatch struct {
+	*httptest.ResponseRecorder
+	node    *Node
+	carried []int64
+}
+
+func (w *flushWatch) Flush() {
+	w.carried = append(w.carried, w.node.carried.Load())
+	w.ResponseRecorder.Flush()
+}
+
+// Guards against an instance that ends its stop while the answer to a request of another one has not been written.
+func TestCarriedRequestCountsUntilItsAnswerIsWritten(t *testing.T) {
+	tests := map[string]string{"answered": "i0", "refused": "unknown"}
+	for name, sender := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newCarryPair(t, 8*time.Second)
+			outer := httptest.NewRequest(http.MethodPost, pathRequests, strings.NewReader("GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n"))
+			outer.RemoteAddr = "127.0.0.1:9"
+			server, _ := p.second.cluster.servers().Get("s1")
+			outer.Header = http.Header{
+				headerServer: {"s1"}, headerInstance: {sender}, headerIncarnation: {"1"}, headerLeft: {"2000"},
+				headerAddress: {server.Address},
+			}
+			w := &flushWatch{ResponseRecorder: httptest.NewRecorder(), node: p.second.Node}
+			p.second.handleCarry(w, outer)
+			is.Equal(w.carried, []int64{1})
+			is.Equal(p.second.carried.Load(), int64(0))
+			is.Equal(w.Header().Get(headerOutcome) == outcomeSent, sender == "i0")
+		})
+	}
+}
--- a/internal/node/carryfor.go
+++ b/internal/node/carryfor.go
@@ -65,6 +65,8 @@
 	defer n.carried.Add(-1)
 	h := w.Header()
 	h["Date"] = nil
+	// The server flushes an answer only after its handler, when it would no longer count.
+	defer func() { _ = http.NewResponseController(w).Flush() }()
 	reply, err := n.sendFor(w, outer)
 	if err == nil {
 		data := encodeReply(reply)
