Keep the evidence when a request of the proofs ran twice

A failure now prints when and where the request ran and the lines that name it, and keeps the logs of all processes. No check changes; one run of the test passes, 40 s.

--- a/internal/proof/traffic_test.go
+++ b/internal/proof/traffic_test.go
@@ -5,7 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -211,7 +215,7 @@
 	for id, n := range counts {
 		if n > 1 {
 			duplicates++
-			s.t.Errorf("request %s ran %d times", id, n)
+			s.t.Errorf("request %s ran %d times:\n%s", id, n, strings.Join(s.evidence(id), "\n"))
 		}
 	}
 	for id := range tr.ranIDs {
@@ -226,6 +230,9 @@
 			s.t.Errorf("request %s was reported as not run but ran", id)
 		}
 	}
+	if s.t.Failed() {
+		s.t.Logf("logs in %s", s.keepLogs())
+	}
 	var longest time.Duration
 	for _, g := range tr.longestGap {
 		longest = max(longest, g)
@@ -234,6 +241,44 @@
 		tr.attempts, len(tr.ranIDs), len(tr.lastOutcomes), duplicates, falselyRan, falselyNotRun, tr.servedProbes, longest.Round(time.Millisecond), tr.refusals)
 }
 
+// evidence returns the runs of a request, in the order of their beginning, and the lines of all processes that name it.
+func (s *system) evidence(id string) []string {
+	var out []string
+	for _, v := range s.bundle.Services {
+		for _, b := range v.Servers {
+			for _, r := range s.runsPage(b.Address).Runs {
+				if r.RequestID == id {
+					out = append(out, fmt.Sprintf("%s to %s at %s: %+v", time.UnixMicro(r.Start).UTC().Format("15:04:05.000000"),
+						time.UnixMicro(r.End).UTC().Format("15:04:05.000000"), b.Name, r))
+				}
+			}
+		}
+	}
+	slices.Sort(out)
+	logs, _ := filepath.Glob(s.path("*.log"))
+	for _, name := range logs {
+		data, _ := os.ReadFile(name)
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, id) {
+				out = append(out, filepath.Base(name)+": "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return out
+}
+
+// keepLogs copies the logs of all processes to a folder that stays, and returns its path.
+func (s *system) keepLogs() string {
+	dir, err := os.MkdirTemp("", "proof")
+	s.is.NoErr(err)
+	logs, _ := filepath.Glob(s.path("*.log"))
+	for _, name := range logs {
+		data, _ := os.ReadFile(name)
+		s.is.NoErr(os.WriteFile(filepath.Join(dir, filepath.Base(name)), data, 0o600))
+	}
+	return dir
+}
+
 // runCounts returns how often a server ran each request ID.
 func (s *system) runCounts(address string) map[string]int {
 	counts := make(map[string]int)
