--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -1,5 +1,5 @@
 // Package links is a stand-in for what lies between the two ends of a TCP connection: it relays connections at a limited rate, with a
-// delay and a bounded queue, and hands on resets. It is for tests only.
+// delay and a bounded queue, hands on resets, and can fail. It is for tests only.
 package links
 
 import (
@@ -25,6 +25,23 @@
 	Queue int
 }
 
+// Fault is what a relay does with all that it reads from now on.
+type Fault int
+
+// The faults. Dropping bytes does not end connections.
+const (
+	None Fault = iota
+	// Delay holds bytes for faultDelay more, DropAll drops all of them and DropAnswers those of the target. Reset resets the open
+	// connections and refuses new ones.
+	Delay
+	DropAll
+	DropAnswers
+	Reset
+)
+
+// faultDelay is how long bytes are held with Delay.
+const faultDelay = 150 * time.Millisecond
+
 // Relay relays connections to a target. Like a proxy, it holds bytes that their sender takes for received; a reset of one end
 // destroys them, in both directions, and resets the other end.
 type Relay struct {
@@ -35,6 +52,11 @@
 	running  sync.WaitGroup
 	// resets counts the connections that one of their ends has reset, destroyed the bytes that were lost by that.
 	resets, destroyed atomic.Int64
+
+	mu    sync.Mutex
+	fault Fault
+	// open holds the functions that reset the open connections.
+	open map[*net.TCPConn]context.CancelFunc
 }
 
 // New starts a relay to a target at a free port of 127.0.0.1. Close ends it.
@@ -44,7 +66,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Relay{listener: l, target: target, path: path, cancel: cancel}
+	r := &Relay{listener: l, target: target, path: path, cancel: cancel, open: map[*net.TCPConn]context.CancelFunc{}}
 	r.running.Go(func() { r.accept(ctx) })
 	return r, nil
 }
@@ -55,6 +77,25 @@
 // Resets returns how many connections were reset by one of their ends, and how many bytes that destroyed.
 func (r *Relay) Resets() (conns, destroyed int64) { return r.resets.Load(), r.destroyed.Load() }
 
+// SetFault sets the fault from now on.
+func (r *Relay) SetFault(f Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+	if f == Reset {
+		for _, reset := range r.open {
+			reset()
+		}
+	}
+}
+
+// currentFault returns the fault.
+func (r *Relay) currentFault() Fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault
+}
+
 // Close resets all connections and waits until the relay has ended.
 func (r *Relay) Close() {
 	r.cancel()
@@ -82,9 +123,21 @@
 	target := raw.(*net.TCPConn)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	r.mu.Lock()
+	r.open[caller] = cancel
+	refused := r.fault == Reset
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.open, caller)
+	}()
+	if refused {
+		cancel()
+	}
 	stop := context.AfterFunc(ctx, func() { reset(caller); reset(target) })
 	defer stop()
-	directions := [...]*direction{newDirection(caller, target, r.path), newDirection(target, caller, r.path)}
+	directions := [...]*direction{r.newDirection(caller, target, DropAll), r.newDirection(target, caller, DropAnswers)}
 	ended := make(chan error, 2*len(directions))
 	for _, d := range directions {
 		go func() { ended <- d.fill(ctx) }()
@@ -119,13 +172,15 @@
 // direction carries the bytes of one end to the other.
 type direction struct {
 	from, to *net.TCPConn
-	path     Path
-	queue    chan chunk
-	held     atomic.Int64
+	relay    *Relay
+	// drops is the fault, beside DropAll, that drops bytes of this direction.
+	drops Fault
+	queue chan chunk
+	held  atomic.Int64
 }
 
-func newDirection(from, to *net.TCPConn, p Path) *direction {
-	return &direction{from: from, to: to, path: p, queue: make(chan chunk, max(p.Queue/chunkSize, 1))}
+func (r *Relay) newDirection(from, to *net.TCPConn, drops Fault) *direction {
+	return &direction{from: from, to: to, relay: r, drops: drops, queue: make(chan chunk, max(r.path.Queue/chunkSize, 1))}
 }
 
 // fill reads from one end until that closes its side, and returns an error if it has reset the connection.
@@ -134,10 +189,15 @@
 	for {
 		buffer := make([]byte, chunkSize)
 		n, err := d.from.Read(buffer)
-		if n > 0 {
+		fault := d.relay.currentFault()
+		if n > 0 && fault != DropAll && fault != d.drops {
+			c := chunk{buffer[:n], time.Now().Add(d.relay.path.Delay)}
+			if fault == Delay {
+				c.due = c.due.Add(faultDelay)
+			}
 			d.held.Add(int64(n))
 			select {
-			case d.queue <- chunk{buffer[:n], time.Now().Add(d.path.Delay)}:
+			case d.queue <- c:
 			case <-ctx.Done():
 				return ctx.Err()
 			}
@@ -153,12 +213,12 @@
 
 // drain writes to the other end what was read, and then closes that side. It returns an error if that fails.
 func (d *direction) drain(ctx context.Context) error {
+	freeAt := time.Now()
 	for c := range d.queue {
-		if rate := d.path.BytesPerSecond; rate > 0 {
-			c.due = c.due.Add(time.Duration(len(c.data)) * time.Second / time.Duration(rate))
-			if free := time.Now().Add(time.Duration(len(c.data)) * time.Second / time.Duration(rate)); free.After(c.due) {
-				c.due = free
-			}
+		if rate := d.relay.path.BytesPerSecond; rate > 0 {
+			// The path carries one chunk after the other.
+			freeAt = later(freeAt, c.due).Add(time.Duration(len(c.data)) * time.Second / time.Duration(rate))
+			c.due = freeAt
 		}
 		select {
 		case <-time.After(time.Until(c.due)):
@@ -175,3 +235,10 @@
 	}
 	return d.to.CloseWrite()
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
