Send nothing to undivided services while news of the directory are overdue

Nobody but the sender ends the time of such a server.

Cause: known lateness was used for nothing. Change: while another instance is known to have news of the directory, servers of undivided services get requests only until the time of one that left right after the last moment at which nothing was missing, less what this instance is late itself: for how long the news have not come, or what its sends take. After that requests are rejected at once (outdated-directory, 503 with Retry-After), at the last look before the write as well, and tunnels end. It holds for 10 s at most, as another instance may be wrong. Services divided by key are bounded by the release of their keys, as before.

Tests: TestDirectoryIsOutdatedWhileNewsAreOverdue, TestTunnelsEndWhileNewsAreOverdue (without the condition in accepts it fails), TestUndividedServicesWhileNewsOfTheDirectoryAreOverdue.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,6 +96,9 @@
 	Config() *rules.Config
 	// ConfigOutdated reports whether this instance knows that there is something newer than Config, which it does not have yet.
 	ConfigOutdated() bool
+	// DirectoryOutdated reports whether this instance may lack the news of a server that leaves for so long that a request could
+	// reach the server too late.
+	DirectoryOutdated() bool
 	// Server returns a server of the directory. Its LeaveBy allows for the time that requests of this instance take to arrive.
 	Server(id string) (rules.Server, bool)
 	// ObserveSendDelay takes in how long it took to write a request, once it was clear that the server accepts it.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -116,8 +116,9 @@
 	quarantined bool
 	settleAt    time.Time
 	statements  *stated.Table
-	// configOutdated is the result of ConfigOutdated.
-	configOutdated bool
+	// configOutdated is the result of ConfigOutdated, directoryOutdated that of DirectoryOutdated.
+	configOutdated    bool
+	directoryOutdated func() bool
 }
 
 func (c *fakeCluster) Config() *rules.Config { return c.config }
@@ -129,6 +130,9 @@
 	return c.owner, c.owner.Server != "", c.changed
 }
 func (c *fakeCluster) ConfigOutdated() bool { return c.configOutdated }
+func (c *fakeCluster) DirectoryOutdated() bool {
+	return c.directoryOutdated != nil && c.directoryOutdated()
+}
 func (c *fakeCluster) ObserveSendDelay(time.Duration, time.Time) {
 	c.written.Add(1)
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -34,22 +34,23 @@
 
 // The reasons.
 const (
-	endAnswered       endReason = "answered"
-	endNoConfig       endReason = "no-configuration"
-	endNoRoute        endReason = "no-route"
-	endOutdatedConfig endReason = "outdated-configuration"
-	endOverload       endReason = "overload"
-	endNoServer       endReason = "no-server"
-	endNoOwner        endReason = "no-owner"
-	endServerFull     endReason = "server-full"
-	endUnsent         endReason = "unsent"
-	endInDoubt        endReason = "in-doubt"
-	endTimeout        endReason = "timeout"
-	endCallerLeft     endReason = "caller-left"
-	endCrashesServers endReason = "crashes-servers"
-	endNoService      endReason = "no-service"
-	endServerRests    endReason = "server-rests"
-	endMalformed      endReason = "malformed"
+	endAnswered          endReason = "answered"
+	endNoConfig          endReason = "no-configuration"
+	endNoRoute           endReason = "no-route"
+	endOutdatedConfig    endReason = "outdated-configuration"
+	endOutdatedDirectory endReason = "outdated-directory"
+	endOverload          endReason = "overload"
+	endNoServer          endReason = "no-server"
+	endNoOwner           endReason = "no-owner"
+	endServerFull        endReason = "server-full"
+	endUnsent            endReason = "unsent"
+	endInDoubt           endReason = "in-doubt"
+	endTimeout           endReason = "timeout"
+	endCallerLeft        endReason = "caller-left"
+	endCrashesServers    endReason = "crashes-servers"
+	endNoService         endReason = "no-service"
+	endServerRests       endReason = "server-rests"
+	endMalformed         endReason = "malformed"
 )
 
 // rejection says whether and how a server has rejected a request without running it.
@@ -76,6 +77,8 @@
 	service       string
 	// divided says that only the server that owns the key may run the request.
 	divided bool
+	// undivided says that the service is not divided by key, so that its servers cannot be told that their time is over.
+	undivided bool
 	// target is the URL as it is sent on, see targetOf.
 	target *url.URL
 	body   []byte
@@ -184,6 +187,10 @@
 		return q, e.reject(q, endNoService, errorReply(http.StatusServiceUnavailable, retryAfterNoConfig))
 	}
 	q.divided = service.Divided && q.info.HasKey
+	q.undivided = !service.Divided
+	if q.undivided && e.Cluster.DirectoryOutdated() {
+		return q, e.reject(q, endOutdatedDirectory, errorReply(http.StatusServiceUnavailable, retryAfterNoConfig))
+	}
 	q.setDeadlines(&e.returns)
 	if r.Body != nil && r.Body != http.NoBody {
 		data, err := inlet.ReadBody(r)
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -19,6 +19,8 @@
 	// errServerClosed is the error of a request that was not sent because the server does not
 	// accept it any more.
 	errServerClosed = errors.New("edge: server no longer accepts the request")
+	// errDirectoryOutdated is the error of a request that was not sent because every server that takes it may have left.
+	errDirectoryOutdated = errors.New("edge: news of the directory are overdue")
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -90,6 +92,9 @@
 	if !found || s.Closed(q.divided, now) || q.serverRests(server) || bounded && took > maxBoundedDispatchDelay {
 		return errServerClosed
 	}
+	if q.undivided && q.edge.Cluster.DirectoryOutdated() {
+		return errDirectoryOutdated
+	}
 	return nil
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -339,6 +339,11 @@
 		completion.Outcome = admit.Cancelled
 		q.reason = endCallerLeft
 		return &inlet.Reply{Abort: true}, false
+	case errors.Is(err, errDirectoryOutdated):
+		completion.Outcome = admit.Unsent
+		q.attempts--
+		q.reason = endOutdatedDirectory
+		return errorReply(http.StatusServiceUnavailable, retryAfterNoConfig), false
 	case errors.Is(err, errServerClosed):
 		completion.Outcome = admit.Unsent
 		q.attempts--
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -215,6 +215,7 @@
 	serversEnd, _ := n.watches[n.platform.ServersTopic].Known()
 	n.checkLag(n.platform.ConfigTopic, h.Name, h.ConfigEnd, configEnd, now)
 	n.checkLag(n.platform.ServersTopic, h.Name, h.ServersEnd, serversEnd, now)
+	n.overdue.observe(h.ServersEnd, serversEnd, now)
 	n.confirmCurrent(h)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,6 +168,8 @@
 	sizeLogged  bool
 	// configEnd is the latest end of the topic of the configuration that another instance knows.
 	configEnd atomic.Int64
+	// overdue tells since when news of the directory are missing.
+	overdue overdueNews
 	// sendDelay measures how long what this instance sends takes to arrive. sendsSlowly says that the last change that
 	// was logged was an excess over drainReserve; only statementLoop uses it.
 	sendDelay   *delay.Gauge
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -268,7 +268,8 @@
 func (n *Node) accepts(server string) bool {
 	now := time.Now()
 	s, found := n.cluster.servers().Get(server)
-	return found && !s.Closed(n.divided(s), now) && !now.Before(n.RestUntil(server))
+	divided := n.divided(s)
+	return found && !s.Closed(divided, now) && (divided || !n.DirectoryOutdated()) && !now.Before(n.RestUntil(server))
 }
 
 // divided reports whether the service of a server is divided by key.
