Accept nothing on a broken connection, and split the file of the connections of callers

Found in the read-through: after a reply that could not be written, a request could still be accepted, and its handler be started for nobody; a refusal without an ID counted as a reply that its caller lacks. The linter is clean; tests of internal/inlet pass with the race detector, TestLedgerFindsBrokenRules and the test of upstr as before.

--- a/internal/inlet/end.go
+++ b/internal/inlet/end.go
@@ -1,6 +1,9 @@
 package inlet
 
 import (
+	"errors"
+	"io"
+	"os"
 	"slices"
 	"time"
 
@@ -92,9 +95,9 @@
 	c.record.last = append(c.record.last, writtenReply{id, c.record.written})
 }
 
-// recordUnwritten records that a reply which was ready, nil if there was none, was not written completely.
+// recordUnwritten records that the reply to a request, nil if there is none, was ready and not written completely.
 func (c *conn) recordUnwritten(reply *Reply) {
-	if reply == nil || reply.Abort {
+	if reply == nil || reply.Abort || reply.ID == "" {
 		return
 	}
 	c.mu.Lock()
@@ -132,6 +135,69 @@
 	return e
 }
 
+// end closes the connection once the caller has received what was written.
+func (c *conn) end() {
+	silence := max(c.server.limits().IdleTimeout, writeTimeout)
+	queue := linger.QueueOf(c.raw)
+	c.mu.Lock()
+	broken, input := c.broken, linger.Keep
+	received := queue.Unacked <= 0 && time.Since(c.record.writtenAt) >= silence
+	if c.closeStated {
+		// The caller knows that what it has sent behind that reply was not read.
+		input = linger.Discard
+	}
+	c.mu.Unlock()
+	if broken || received {
+		_ = c.raw.Close()
+	} else {
+		queue = linger.Close(c.raw, input, silence)
+	}
+	if c.server.Ended != nil {
+		c.server.Ended(c.describeEnd(queue))
+	}
+}
+
+// discardInput reads and discards what the caller sends behind its last request, while replies are pending, so that it is noticed
+// if the caller leaves.
+func (c *conn) discardInput() {
+	c.setReadDeadline(time.Time{})
+	if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.callerLeft(err)
+	}
+}
+
+// callerLeft cancels the handlers after reading has failed, with a nil error at the end of the stream.
+func (c *conn) callerLeft(err error) {
+	c.mu.Lock()
+	c.broken = true
+	c.setReasonLocked(readEnd(err))
+	c.mu.Unlock()
+	c.cancel()
+}
+
+// interrupt makes reading fail from now on.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interruptLocked()
+}
+
+func (c *conn) interruptLocked() {
+	if !c.interrupted {
+		c.interrupted = true
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// setReadDeadline sets the read deadline unless reading was interrupted.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted {
+		_ = c.raw.SetReadDeadline(t)
+	}
+}
+
 // Open is the state of all open connections of a server.
 type Open struct {
 	Conns int
--- a/internal/upstr/cancelled_test.go
+++ b/internal/upstr/cancelled_test.go
@@ -38,7 +38,10 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				o, done := testOptions()
 				o.BeforeWrite = beforeWrite(cancel)
-				_, err := client.Send(request(is, http.MethodPost, "x").WithContext(ctx), o)
+				response, err := client.Send(request(is, http.MethodPost, "x").WithContext(ctx), o)
+				if err == nil {
+					_ = response.Body.Close()
+				}
 				is.True(errors.Is(err, ErrNotSent))
 				is.True(errors.Is(err, context.Canceled))
 				<-done
