--- a/internal/tunnel/carry.go
+++ b/internal/tunnel/carry.go
@@ -56,8 +56,8 @@
 }
 
 // Carry passes on what the sender of a tunnel and the server send, until one of them closes its connection, and closes
-// both, that of the sender once it has received all. Allowed is called before the first bytes of a request are sent to the server; if it returns false the sender is told
-// and the tunnel ends.
+// both, that of the sender once it has received all. Allowed is called before the first bytes of a request are sent to the
+// server; if it returns false the sender is told and the tunnel ends.
 func Carry(sender, server net.Conn, allowed func() bool) {
 	c := &carrier{sender: sender, server: server, responded: true}
 	var ended sync.WaitGroup
