--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -23,7 +23,7 @@
 	// defaultCallerTimeout is assumed if a caller does not state how long it waits.
 	defaultCallerTimeout = 10 * time.Second
 	// retryAfterNoConfig is the Retry-After of a request that arrives before a configuration has
-	// been read, or whose service is missing from it. Reading one takes about 20 milliseconds.
+	// been read, whose service is missing from it, or while newer records are known to exist. Reading them takes about 20 milliseconds.
 	retryAfterNoConfig = 300 * time.Millisecond
 	// replyReserve is the part of the caller's timeout that is reserved for returning the reply.
 	replyReserve = 15 * time.Millisecond
--- a/internal/inlet/conn.go
+++ b/internal/inlet/conn.go
@@ -52,7 +52,8 @@
 
 	mu sync.Mutex
 	// pending is the number of requests that have been read and whose reply has not been written.
-	// closing says that no more requests are accepted, but for one behind which none is pending while closeStated is false.
+	// closing says that the connection ends with the reply to the last pending request. If none is pending, one that has just been
+	// read is still accepted, so that it gets a reply.
 	pending int
 	closing bool
 	// closeStated says that a reply has stated the end of the connection, or that one was aborted.
--- a/internal/inlet/end.go
+++ b/internal/inlet/end.go
@@ -43,8 +43,8 @@
 	Written int64
 	// Queue is what the connection held in the kernel when it was closed.
 	linger.Queue
-	// Unwritten holds the IDs of requests whose replies were not written completely, Unacked those of replies that the caller's
-	// kernel had not acknowledged completely. Both hold at most maxPipelined IDs.
+	// UnwrittenIDs are the IDs of requests whose replies were ready and not written completely, UnackedIDs those of replies that the
+	// caller's kernel had not acknowledged completely, at most maxPipelined of each.
 	UnwrittenIDs, UnackedIDs []string
 	// Waited is the time from the last written byte to the end.
 	Waited time.Duration
--- a/internal/inlet/inlet.go
+++ b/internal/inlet/inlet.go
@@ -131,8 +131,8 @@
 // It keeps accepting connections and requests.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Finish stops reading requests. It closes connections without requests in progress; the others
-// are closed after the replies to the requests that have been read.
+// Finish stops reading requests. It ends connections without requests in progress; the others
+// end after the replies to the requests that have been read. Each is closed once its caller has closed its side.
 //
 // Drain is not enough to stop a server: a caller that always sends its next request before it has
 // the previous reply keeps its connection open. Requests of such a caller were accepted four
