--- a/review/_world2/limit.go
+++ b/review/_world2/limit.go
@@ -19,7 +19,7 @@
 	limitWindow   = 4 * time.Second
 	limitSlots    = 4
 	limitUpstream = 3
-	limitClients  = 80
+	limitClients  = 150
 	limitKills    = 5
 )
 
@@ -42,7 +42,7 @@
 	zones := []string{"badulla-hall", "badulla-hall", "bandarawela-hall", "bandarawela-hall", "bandarawela-hall", "welimada-hall", "welimada-hall", "welimada-hall"}
 	var all []*upstream
 	for i := range limitUpstream {
-		u, err := w.startUpstream("depot-desk", zones[(3*i)%len(zones)], limitSlots, 150*time.Millisecond)
+		u, err := w.startUpstream("depot-desk", zones[(3*i)%len(zones)], limitSlots, 200*time.Millisecond)
 		if err != nil {
 			return "", err
 		}
--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -23,6 +23,7 @@
 	"limit":  playLimit,
 	"poison": playPoison,
 	"upload": playUpload,
+	"gone":   playGone,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_world2/upstream.go
+++ b/review/_world2/upstream.go
@@ -19,8 +19,9 @@
 type arrival struct {
 	id string
 	at time.Time
-	// ran says that the upstream began to work on the request.
-	ran bool
+	// ran says that the upstream began to work on the request, at ranAt. It ended or dropped it at endedAt.
+	ran            bool
+	ranAt, endedAt time.Time
 }
 
 // upstream is a stand-in of an upstream as PROTOCOL.md describes it: it runs slots requests at the same time and queues a few
@@ -222,7 +223,7 @@
 		return
 	}
 	u.running++
-	u.arrivals[at].ran = true
+	u.arrivals[at].ran, u.arrivals[at].ranAt = true, time.Now()
 	u.mu.Unlock()
 	// Upstreams read the whole body. What they do with it is not part of any case.
 	body, _ := io.Copy(io.Discard, r.Body)
@@ -247,6 +248,7 @@
 		return
 	}
 	u.running--
+	u.arrivals[at].endedAt = time.Now()
 	load := fmt.Sprintf("%d,%d,%d", u.running, u.waiting, u.slots)
 	u.mu.Unlock()
 	<-free
