--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -24,6 +24,7 @@
 	"poison": playPoison,
 	"upload": playUpload,
 	"gone":   playGone,
+	"slow":   playSlow,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_world2/upstream.go
+++ b/review/_world2/upstream.go
@@ -254,5 +254,9 @@
 	<-free
 	h.Set("X-Mustardring-Upstream-Load", load)
 	h.Set("X-Mustardring-Upstream-Signature", "sig-"+attemptID)
+	if strings.HasPrefix(r.URL.Path, "/volume/") {
+		_, _ = w.Write(make([]byte, volumeSize))
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s %s %s %d", id, attemptID, r.URL.Path, body)
 }
